--- /dev/null
+++ b/src/common/time.h
@@ -0,0 +1,36 @@
+/// Time as the decision code sees it: a count of microseconds handed in by the caller.
+/// Nothing below the programs reads a clock; tests and the simulator pass their own time.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace stoat {
+
+/// A span of time in microseconds.
+using Duration = std::chrono::microseconds;
+
+/// A moment on a monotonic clock, as microseconds since an arbitrary start.
+using TimePoint = std::chrono::microseconds;
+
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""s;
+using std::chrono_literals::operator""us;
+
+/// Whole milliseconds of a span, rounded towards zero.
+inline int64_t to_milliseconds(Duration span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+/// A span as fractional seconds.
+inline double to_seconds(Duration span) { return std::chrono::duration<double>(span).count(); }
+
+/// A span from fractional seconds.
+inline Duration from_seconds(double seconds) { return Duration(static_cast<int64_t>(seconds * 1e6)); }
+
+/// The machine's monotonic clock. Only event loops and programs call it.
+inline TimePoint monotonic_now() {
+  return std::chrono::duration_cast<TimePoint>(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+}  // namespace stoat
--- /dev/null
+++ b/src/consensus/replica.h
@@ -0,0 +1,184 @@
+/// One member of the replicated log: elections with pre-vote, replication, check-quorum, confirmed reads, snapshots,
+/// membership changes one at a time, and handing over. Free of I/O: takes messages and the time, gives an Output.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "src/common/random.h"
+#include "src/common/time.h"
+#include "src/consensus/log.h"
+#include "src/consensus/message.h"
+
+namespace stoat::consensus {
+
+/// Settings of a replica.
+struct ReplicaOptions {
+  MemberId id = 0;
+  Duration election_timeout = 500ms;  ///< a follower waits between one and two of these
+  Duration heartbeat_interval = 100ms;
+  size_t max_append_entries = 1024;
+  size_t max_append_bytes = 1U << 20U;
+  size_t max_inflight_appends = 16;
+  size_t snapshot_piece_bytes = 256U << 10U;
+};
+
+/// What was found on disk at the start.
+struct RestoredState {
+  HardState hard_state;
+  Snapshot snapshot;  ///< index 0: none
+  std::vector<Entry> entries;
+};
+
+/// The part that a replica plays.
+enum class Role : uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
+
+/// What the driver must do, in this order: send `send_now`; write `install`, `truncate_from`, `append` and
+/// `hard_state` to disk and sync; call persisted(); send `send_after_persist`; load `install` and apply `committed`.
+struct Output {
+  std::vector<Message> send_now;
+  std::optional<HardState> hard_state;
+  std::optional<Snapshot> install;
+  uint64_t truncate_from = 0;  ///< drop entries on disk from this index on; 0: none
+  std::vector<Entry> append;
+  std::vector<Message> send_after_persist;
+  std::vector<Entry> committed;
+  std::vector<uint64_t> confirmed_reads;
+  bool needs_disk() const { return hard_state || install || truncate_from != 0 || !append.empty(); }
+};
+
+/// Why a proposal was not taken.
+enum class ProposeError : uint8_t { kNone, kNotLeader, kChangePending, kTooManyAtOnce };
+
+/// See the head of this file.
+class Replica {
+ public:
+  Replica(const ReplicaOptions& options, const RestoredState& restored, uint64_t seed, TimePoint now);
+
+  /// Handles a message. One for another identity, or from an unknown kind of sender, is dropped.
+  void receive(const Message& message, TimePoint now);
+  /// To be called every few milliseconds.
+  void tick(TimePoint now);
+  /// Appends a command. Returns its log index, or 0 when this member does not lead.
+  uint64_t propose(std::string payload, TimePoint now);
+  /// Proposes a new member list, which may add or remove at most one voter.
+  ProposeError propose_members(const MemberList& members, TimePoint now);
+  /// Asks for a confirmed read; `read_id` appears in Output::confirmed_reads. False when this member does not lead.
+  bool request_read(uint64_t read_id, TimePoint now);
+  /// Takes what is to be done since the last call.
+  Output take_output();
+  /// The log up to `index` (whose term was `term`) is on disk.
+  void persisted(uint64_t index, uint64_t term, TimePoint now);
+  /// The state machine has written a snapshot: entries up to it may go.
+  void compact(std::shared_ptr<const std::string> encoded_snapshot, uint64_t index, uint64_t term,
+               const MemberList& members);
+  /// On a planned stop: asks the most advanced voter to take over. False when there is none.
+  bool hand_over(TimePoint now);
+
+  Role role() const { return role_; }
+  bool leads() const { return role_ == Role::kLeader; }
+  MemberId id() const { return options_.id; }
+  MemberId leader() const { return leader_; }
+  MemberId voted_for() const { return hard_state_.voted_for; }
+  std::vector<Entry> entries_after(uint64_t index) const { return log_.slice(index + 1, SIZE_MAX, SIZE_MAX); }
+  uint64_t term() const { return hard_state_.term; }
+  uint64_t commit_index() const { return commit_; }
+  uint64_t last_index() const { return log_.last_index(); }
+  uint64_t snapshot_index() const { return log_.snapshot_index(); }
+  uint64_t term_at(uint64_t index) const { return log_.term_at(index); }
+  bool holds(uint64_t index) const { return log_.holds(index); }
+  const MemberList& members() const { return members_; }
+  /// The members as of the last committed index; what a snapshot must carry.
+  MemberList committed_members() const;
+  /// Since when a quorum has not confirmed this member; a follower counts from its leader's last word.
+  TimePoint quorum_confirmed_at() const { return quorum_confirmed_at_; }
+  /// Leader only: how far a member's log is known to match.
+  uint64_t match_of(MemberId member) const;
+  /// True when this member counts in quorums.
+  bool is_voter() const;
+
+ private:
+  /// What the leader knows of one other member.
+  struct Progress {
+    uint64_t match = 0;
+    uint64_t next = 1;
+    size_t inflight = 0;
+    uint64_t confirmed_round = 0;
+    TimePoint last_answer{0};
+    TimePoint last_sent{0};
+    bool sending_snapshot = false;
+    uint64_t snapshot_offset = 0;
+  };
+  struct PendingRead {
+    uint64_t read_id = 0;
+    uint64_t index = 0;
+    uint64_t round = 0;
+  };
+
+  // replica.cc: terms, elections, what a follower does
+  void become_follower(uint64_t term, MemberId leader, TimePoint now);
+  void start_election(bool pre_vote, bool forced, TimePoint now);
+  void become_leader(TimePoint now);
+  void reset_election_deadline(TimePoint now);
+  bool log_is_current(const Message& message) const;
+  void on_vote(const Message& message, TimePoint now);
+  void on_vote_answer(const Message& message, TimePoint now);
+  void on_append(const Message& message, TimePoint now);
+  void on_snapshot_piece(const Message& message, TimePoint now);
+  void install_snapshot(TimePoint now);
+  void answer_append(const Message& request, bool granted, uint64_t index);
+  void store_entries(const Message& message);
+  void append_entry(Entry entry);
+  void truncate_log(uint64_t index);
+  void advance_commit_to(uint64_t index);
+  void set_term(uint64_t term, MemberId voted_for);
+  Message make_message(MessageKind kind, MemberId to) const;
+
+  // replica_leader.cc: what a leader does
+  void on_append_answer(const Message& message, TimePoint now);
+  void on_snapshot_answer(const Message& message, TimePoint now);
+  void send_append(MemberId member, Progress& progress, bool heartbeat, TimePoint now);
+  void send_snapshot_piece(MemberId member, Progress& progress, TimePoint now);
+  void broadcast_append(TimePoint now);
+  void heartbeat(TimePoint now);
+  void update_commit();
+  void confirm_reads();
+  void check_quorum(TimePoint now);
+  void adjust_progress(TimePoint now);
+  size_t quorum_size() const;
+
+  void use_members(const MemberList& members);
+  void recompute_members();
+
+  ReplicaOptions options_;
+  Random random_;
+  HardState hard_state_;
+  Log log_;
+  MemberList members_;
+  MemberList snapshot_members_;
+  std::shared_ptr<const std::string> encoded_snapshot_;
+  uint64_t commit_ = 0;
+  uint64_t persisted_index_ = 0;
+  Role role_ = Role::kFollower;
+  MemberId leader_ = 0;
+  TimePoint election_deadline_{0};
+  TimePoint last_leader_contact_{Duration::min() / 2};
+  TimePoint quorum_confirmed_at_{Duration::min() / 2};
+  std::set<MemberId> votes_;
+  std::string snapshot_buffer_;
+  uint64_t snapshot_buffer_term_ = 0;
+
+  std::map<MemberId, Progress> progress_;
+  std::vector<PendingRead> reads_;
+  uint64_t round_ = 0;
+  std::map<uint64_t, TimePoint> round_started_;
+  TimePoint next_heartbeat_{0};
+  uint64_t term_start_index_ = 0;
+
+  Output output_;
+};
+
+}  // namespace stoat::consensus
--- /dev/null
+++ b/src/control/durable_driver.cc
@@ -0,0 +1,165 @@
+#include "src/control/durable_driver.h"
+
+#include "src/wire/codec.h"
+
+namespace stoat::control {
+
+namespace {
+
+constexpr size_t kMaxBatch = 256;
+
+/// Puts a later output behind an earlier one, so that both are written with one sync.
+void merge_for_disk(consensus::Output& earlier, const consensus::Output& later) {
+  if (later.hard_state) {
+    earlier.hard_state = later.hard_state;
+  }
+  earlier.append.insert(earlier.append.end(), later.append.begin(), later.append.end());
+}
+
+/// An output that overwrites can't share a write with what came before it.
+bool mergeable(const consensus::Output& output) { return !output.install && output.truncate_from == 0; }
+
+}  // namespace
+
+DurableDriver::DurableDriver(EventLoop& loop, ControlCore& core, storage::ReplicaStore& store, SendHandler send,
+                             std::function<void()> after_apply, FailureHandler on_failure)
+    : loop_(loop),
+      core_(core),
+      store_(store),
+      send_(std::move(send)),
+      after_apply_(std::move(after_apply)),
+      on_failure_(std::move(on_failure)),
+      disk_thread_([this] { run_disk(); }) {}
+
+DurableDriver::~DurableDriver() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_one();
+  disk_thread_.join();
+}
+
+void DurableDriver::drive() {
+  if (failed_ || driving_) {
+    return;
+  }
+  driving_ = true;
+  for (;;) {
+    auto output = std::make_shared<consensus::Output>(core_.take_output());
+    for (const consensus::Message& message : output->send_now) {
+      send_(message);
+    }
+    const bool nothing = !output->needs_disk() && output->send_after_persist.empty() && output->committed.empty() &&
+                         output->confirmed_reads.empty();
+    if (nothing) {
+      break;
+    }
+    if (!output->needs_disk() && jobs_open_ == 0) {
+      complete({Job{output, nullptr, nullptr, {}}});
+      continue;
+    }
+    ++jobs_open_;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      jobs_.push_back(Job{output, nullptr, nullptr, {}});
+    }
+    wake_.notify_one();
+  }
+  start_snapshot();
+  driving_ = false;
+  after_apply_();
+}
+
+void DurableDriver::start_snapshot() {
+  if (snapshot_under_way_ || jobs_open_ > 0) {
+    return;
+  }
+  auto due = core_.due_snapshot();
+  if (!due) {
+    return;
+  }
+  snapshot_under_way_ = true;
+  ++jobs_open_;
+  Job job;
+  job.snapshot = std::make_shared<DueSnapshot>(std::move(*due));
+  job.encoded = std::make_shared<const std::string>(wire::encode(job.snapshot->snapshot));
+  job.entries_after = core_.entries_after(job.snapshot->snapshot.index);
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    jobs_.push_back(std::move(job));
+  }
+  wake_.notify_one();
+}
+
+void DurableDriver::run_disk() {
+  for (;;) {
+    std::vector<Job> batch;
+    {
+      std::unique_lock<std::mutex> lock(mutex_);
+      wake_.wait(lock, [this] { return stopping_ || !jobs_.empty(); });
+      if (stopping_) {
+        return;
+      }
+      while (!jobs_.empty() && batch.size() < kMaxBatch) {
+        batch.push_back(std::move(jobs_.front()));
+        jobs_.pop_front();
+      }
+    }
+    write(batch);
+  }
+}
+
+void DurableDriver::write(std::vector<Job>& batch) {
+  storage::FileResult result;
+  uint64_t syncs = 0;
+  size_t position = 0;
+  while (position < batch.size() && result) {
+    const Job& job = batch[position];
+    if (job.snapshot != nullptr) {
+      result = store_.write_snapshot(*job.encoded, job.snapshot->hard_state, job.entries_after);
+      ++position;
+      continue;
+    }
+    consensus::Output merged;
+    merged.hard_state = job.output->hard_state;
+    merged.install = job.output->install;
+    merged.truncate_from = job.output->truncate_from;
+    merged.append = job.output->append;
+    ++position;
+    while (position < batch.size() && batch[position].snapshot == nullptr && mergeable(*batch[position].output)) {
+      merge_for_disk(merged, *batch[position].output);
+      ++position;
+    }
+    result = store_.write(merged);
+    ++syncs;
+  }
+  auto done = std::make_shared<std::vector<Job>>(std::move(batch));
+  loop_.post([this, done, result, syncs] {
+    syncs_ += syncs;
+    if (!result) {
+      failed_ = true;
+      on_failure_(result.error());
+      return;
+    }
+    jobs_open_ -= done->size();
+    complete(*done);
+    drive();
+  });
+}
+
+void DurableDriver::complete(const std::vector<Job>& batch) {
+  for (const Job& job : batch) {
+    if (job.snapshot != nullptr) {
+      core_.compact(job.encoded, job.snapshot->snapshot);
+      snapshot_under_way_ = false;
+      continue;
+    }
+    core_.on_persisted(*job.output, loop_.now());
+    for (const consensus::Message& message : job.output->send_after_persist) {
+      send_(message);
+    }
+  }
+}
+
+}  // namespace stoat::control
--- /dev/null
+++ b/src/delivery/outlier_detector.cc
@@ -0,0 +1,58 @@
+#include "src/delivery/outlier_detector.h"
+
+#include <algorithm>
+
+namespace stoat::delivery {
+
+namespace {
+
+constexpr uint32_t kMostDoublings = 5;
+constexpr Duration kProbeTime = 2s;
+
+}  // namespace
+
+void OutlierDetector::on_success(const std::string& backend) {
+  State& state = states_[backend];
+  state.failures = 0;
+  state.half_open = false;
+  state.ejections -= state.ejections > 0 ? 1 : 0;
+}
+
+void OutlierDetector::on_failure(const std::string& backend, TimePoint now) {
+  State& state = states_[backend];
+  ++state.failures;
+  const bool due = state.half_open || state.failures >= settings_.failures_to_eject;
+  const auto most = static_cast<size_t>(settings_.most_ejected_share * static_cast<double>(states_.size()));
+  if (!due || ejected(now) + 1 > most) {
+    return;
+  }
+  const uint32_t doublings = std::min(state.ejections, kMostDoublings);
+  state.ejected_until = now + std::min(settings_.most_ejection, settings_.base_ejection * (1 << doublings));
+  ++state.ejections;
+  state.failures = 0;
+  state.half_open = true;
+  state.probe_until = TimePoint(0);
+}
+
+bool OutlierDetector::usable(const std::string& backend, TimePoint now) const {
+  const auto found = states_.find(backend);
+  if (found == states_.end()) {
+    return true;
+  }
+  const State& state = found->second;
+  return now >= state.ejected_until && (!state.half_open || now >= state.probe_until);
+}
+
+void OutlierDetector::on_dispatch(const std::string& backend, TimePoint now) {
+  State& state = states_[backend];
+  if (state.half_open) {
+    state.probe_until = now + kProbeTime;
+  }
+}
+
+size_t OutlierDetector::ejected(TimePoint now) const {
+  return static_cast<size_t>(std::count_if(states_.begin(), states_.end(),
+                                           [now](const auto& entry) { return now < entry.second.ejected_until; }));
+}
+
+}  // namespace stoat::delivery
--- /dev/null
+++ b/src/http/client.cc
@@ -0,0 +1,168 @@
+#include "src/http/client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+namespace stoat::http {
+
+namespace {
+
+constexpr size_t kMaxIdlePerEndpoint = 64;
+
+evhttp_cmd_type command_of(const std::string& method) {
+  if (method == "POST") {
+    return EVHTTP_REQ_POST;
+  }
+  if (method == "PUT") {
+    return EVHTTP_REQ_PUT;
+  }
+  return method == "DELETE" ? EVHTTP_REQ_DELETE : EVHTTP_REQ_GET;
+}
+
+std::string take_all(evbuffer* buffer) {
+  std::string bytes(evbuffer_get_length(buffer), '\0');
+  evbuffer_remove(buffer, bytes.data(), bytes.size());
+  return bytes;
+}
+
+}  // namespace
+
+/// State of one request under way.
+class Call {
+ public:
+  Call(Client& owner, uint64_t call_id, PieceHandler piece_handler, DoneHandler done_handler)
+      : client(owner), id(call_id), on_piece(std::move(piece_handler)), on_done(std::move(done_handler)) {}
+
+  void complete(evhttp_request* finished) {
+    ClientResult result;
+    bool reusable = false;
+    if (finished != nullptr && evhttp_request_get_response_code(finished) != 0 && !broken) {
+      result.status = evhttp_request_get_response_code(finished);
+      result.body = take_all(evhttp_request_get_input_buffer(finished));
+      for (const evkeyval* pair = evhttp_request_get_input_headers(finished)->tqh_first; pair != nullptr;
+           pair = pair->next.tqe_next) {
+        result.headers.push_back({pair->key, pair->value});
+      }
+      reusable = true;
+    } else {
+      // A connection that could not be made ends here without the error callback of an established one.
+      result.not_sent = finished != nullptr && !broken && !any_piece;
+    }
+    const DoneHandler handler = std::move(on_done);
+    client.finish(id, reusable);
+    handler(result);
+  }
+
+  Client& client;
+  uint64_t id;
+  PieceHandler on_piece;
+  DoneHandler on_done;
+  Endpoint endpoint;
+  evhttp_connection* connection = nullptr;
+  evhttp_request* request = nullptr;
+  bool broken = false;
+  bool any_piece = false;
+};
+
+Client::~Client() {
+  for (auto& [id, call] : calls_) {
+    evhttp_connection_free(call->connection);
+  }
+  for (auto& [endpoint, connections] : idle_) {
+    for (evhttp_connection* connection : connections) {
+      evhttp_connection_free(connection);
+    }
+  }
+}
+
+evhttp_connection* Client::take_idle(const Endpoint& endpoint) {
+  auto& connections = idle_[to_string(endpoint)];
+  if (connections.empty()) {
+    return nullptr;
+  }
+  evhttp_connection* connection = connections.back();
+  connections.pop_back();
+  return connection;
+}
+
+uint64_t Client::start(const ClientRequest& request, PieceHandler on_piece, DoneHandler on_done) {
+  const uint64_t call_id = ++last_call_id_;
+  auto call = std::make_shared<Call>(*this, call_id, std::move(on_piece), std::move(on_done));
+  call->endpoint = request.endpoint;
+  call->connection = request.fresh_connection ? nullptr : take_idle(request.endpoint);
+  if (call->connection == nullptr) {
+    call->connection = evhttp_connection_base_new(loop_.base(), nullptr, request.endpoint.address.c_str(),
+                                                  request.endpoint.port);
+  }
+  const timeval timeout{request.timeout.count() / 1000000, request.timeout.count() % 1000000};
+  evhttp_connection_set_timeout_tv(call->connection, &timeout);
+
+  const auto on_complete = [](evhttp_request* finished, void* context) {
+    static_cast<Call*>(context)->complete(finished);
+  };
+  evhttp_request* outgoing = evhttp_request_new(on_complete, call.get());
+  const auto on_error = [](evhttp_request_error, void* context) { static_cast<Call*>(context)->broken = true; };
+  evhttp_request_set_error_cb(outgoing, on_error);
+  if (call->on_piece) {
+    const auto on_chunk = [](evhttp_request* incoming, void* context) {
+      auto* active = static_cast<Call*>(context);
+      active->any_piece = true;
+      if (evhttp_request_get_response_code(incoming) != HTTP_OK) {
+        return;
+      }
+      active->on_piece(take_all(evhttp_request_get_input_buffer(incoming)));
+    };
+    evhttp_request_set_chunked_cb(outgoing, on_chunk);
+  }
+  evkeyvalq* headers = evhttp_request_get_output_headers(outgoing);
+  evhttp_add_header(headers, "Host", to_string(request.endpoint).c_str());
+  for (const Header& header : request.headers) {
+    evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+  }
+  evbuffer_add(evhttp_request_get_output_buffer(outgoing), request.body.data(), request.body.size());
+  call->request = outgoing;
+  Call* active = call.get();
+  calls_[call_id] = std::move(call);
+  evhttp_make_request(active->connection, outgoing, command_of(request.method), request.path.c_str());
+  return call_id;
+}
+
+void Client::finish(uint64_t call_id, bool reusable) {
+  const auto found = calls_.find(call_id);
+  if (found == calls_.end()) {
+    return;
+  }
+  // The call stays alive until the loop's next turn, because libevent still holds its address.
+  std::shared_ptr<Call> call = std::move(found->second);
+  calls_.erase(found);
+  auto& connections = idle_[to_string(call->endpoint)];
+  evhttp_connection* connection = call->connection;
+  loop_.after(0us, [call] {});
+  if (reusable && connections.size() < kMaxIdlePerEndpoint) {
+    // Not offered before the next turn: libevent still finishes this answer.
+    loop_.after(0us, [this, connection, key = to_string(call->endpoint)] { idle_[key].push_back(connection); });
+  } else {
+    release_later(connection);
+  }
+}
+
+void Client::release_later(evhttp_connection* connection) {
+  loop_.after(0us, [connection] { evhttp_connection_free(connection); });
+}
+
+void Client::cancel(uint64_t call_id) {
+  const auto found = calls_.find(call_id);
+  if (found == calls_.end()) {
+    return;
+  }
+  std::shared_ptr<Call> call = std::move(found->second);
+  calls_.erase(found);
+  call->on_piece = [](const std::string&) {};
+  // Freeing the connection drops the request without calling back.
+  loop_.after(0us, [call] { evhttp_connection_free(call->connection); });
+  call->on_done = [](const ClientResult&) {};
+}
+
+}  // namespace stoat::http
--- /dev/null
+++ b/src/http/event_loop.cc
@@ -0,0 +1,99 @@
+#include "src/http/event_loop.h"
+
+#include <event2/event.h>
+#include <event2/thread.h>
+
+#include <csignal>
+#include <stdexcept>
+
+namespace stoat {
+
+namespace {
+
+timeval to_timeval(Duration span) {
+  constexpr int64_t kMicrosecondsPerSecond = 1000000;
+  return {span.count() / kMicrosecondsPerSecond, span.count() % kMicrosecondsPerSecond};
+}
+
+}  // namespace
+
+/// A repeating timer or a signal handler, kept for the loop's life.
+struct EventLoop::Timer {
+  std::function<void()> action;
+  event* handle = nullptr;
+  ~Timer() { event_free(handle); }
+};
+
+EventLoop::EventLoop() {
+  static const int threads_ready = evthread_use_pthreads();
+  std::signal(SIGPIPE, SIG_IGN);
+  base_ = event_base_new();
+  if (base_ == nullptr || threads_ready != 0) {
+    throw std::runtime_error("cannot create the event loop");
+  }
+  const auto on_posted = [](evutil_socket_t, short, void* context) { static_cast<EventLoop*>(context)->run_posted(); };
+  posted_event_ = event_new(base_, -1, EV_PERSIST, on_posted, this);
+  event_add(posted_event_, nullptr);
+}
+
+EventLoop::~EventLoop() {
+  timers_.clear();
+  event_free(posted_event_);
+  event_base_free(base_);
+}
+
+void EventLoop::run() { event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY); }
+
+void EventLoop::stop() { event_base_loopbreak(base_); }
+
+void EventLoop::every(Duration period, std::function<void()> action) {
+  auto timer = std::make_unique<Timer>();
+  timer->action = std::move(action);
+  const auto on_timer = [](evutil_socket_t, short, void* context) { static_cast<Timer*>(context)->action(); };
+  timer->handle = event_new(base_, -1, EV_PERSIST, on_timer, timer.get());
+  const timeval interval = to_timeval(period);
+  event_add(timer->handle, &interval);
+  timers_.push_back(std::move(timer));
+}
+
+void EventLoop::after(Duration delay, std::function<void()> action) {
+  auto holder = std::make_unique<std::function<void()>>(std::move(action));
+  const auto on_timer = [](evutil_socket_t, short, void* context) {
+    const std::unique_ptr<std::function<void()>> owned(static_cast<std::function<void()>*>(context));
+    (*owned)();
+  };
+  const timeval interval = to_timeval(delay);
+  event_base_once(base_, -1, EV_TIMEOUT, on_timer, holder.release(), &interval);
+}
+
+void EventLoop::on_terminate(std::function<void()> action) {
+  for (const int signal_number : {SIGTERM, SIGINT}) {
+    auto timer = std::make_unique<Timer>();
+    timer->action = action;
+    const auto on_signal = [](evutil_socket_t, short, void* context) { static_cast<Timer*>(context)->action(); };
+    timer->handle = event_new(base_, signal_number, EV_SIGNAL | EV_PERSIST, on_signal, timer.get());
+    event_add(timer->handle, nullptr);
+    timers_.push_back(std::move(timer));
+  }
+}
+
+void EventLoop::post(std::function<void()> action) {
+  {
+    const std::lock_guard<std::mutex> lock(posted_mutex_);
+    posted_.push_back(std::move(action));
+  }
+  event_active(posted_event_, EV_READ, 0);
+}
+
+void EventLoop::run_posted() {
+  std::vector<std::function<void()>> ready;
+  {
+    const std::lock_guard<std::mutex> lock(posted_mutex_);
+    ready.swap(posted_);
+  }
+  for (const auto& action : ready) {
+    action();
+  }
+}
+
+}  // namespace stoat
--- /dev/null
+++ b/src/router/router_cluster.cc
@@ -0,0 +1,333 @@
+// RouterCore: engine homes, prefix ownership, load digests and quota leases among the routers of a region.
+#include <algorithm>
+
+#include "src/common/hash.h"
+#include "src/router/router_core.h"
+
+namespace stoat::router {
+
+namespace {
+
+constexpr Duration kQuotaInterval = 1s;
+constexpr size_t kMaxChangesPerMessage = 2000;
+constexpr Duration kFeedRetry = 500ms;
+
+std::string region_of(const std::string& zone) { return zone.substr(0, zone.find('/')); }
+
+}  // namespace
+
+std::string RouterCore::region() const { return region_of(options_.zone); }
+
+std::vector<std::string> RouterCore::region_routers() const {
+  std::vector<std::string> names;
+  for (const wire::Node& node : routers_) {
+    if (region_of(node.zone) == region() && !node.draining) {
+      names.push_back(node.name);
+    }
+  }
+  return names;
+}
+
+std::vector<std::string> RouterCore::zone_routers(const std::string& zone) const {
+  std::vector<std::string> names;
+  for (const wire::Node& node : routers_) {
+    if (node.zone == zone && !node.draining) {
+      names.push_back(node.name);
+    }
+  }
+  return names.empty() ? region_routers() : names;
+}
+
+bool RouterCore::is_home_of(const control::Backend& backend) const {
+  if (backend.kind != control::BackendKind::kEngine || region_of(backend.zone) != region()) {
+    return false;
+  }
+  const std::string home = rendezvous_first(hash_bytes(backend.name), zone_routers(backend.zone));
+  return home.empty() || home == options_.name;
+}
+
+void RouterCore::assign_homes(TimePoint now) {
+  for (const auto& [name, backend] : configuration_.backends) {
+    outliers_.know(name);
+    if (is_home_of(backend) && feeds_.count(name) == 0) {
+      // Spread the first polls, so that a herd of restarted routers does not ask all engines at once.
+      feeds_[name].next_poll = now + Duration(random_.between(0, options_.feed_interval.count()));
+    }
+  }
+  for (auto feed = feeds_.begin(); feed != feeds_.end();) {
+    const auto backend = configuration_.backends.find(feed->first);
+    const bool stays = backend != configuration_.backends.end() && is_home_of(backend->second);
+    if (!stays && feed->second.snapshot_under_way) {
+      --snapshots_under_way_;
+    }
+    feed = stays ? std::next(feed) : feeds_.erase(feed);
+  }
+  for (auto& [name, state] : std::map<std::string, EngineState>(engines_.all())) {
+    if (configuration_.backends.count(name) == 0 && state.outstanding == 0) {
+      engines_.forget(name);
+      outliers_.forget(name);
+      index_.drop_engine(name);
+    }
+  }
+}
+
+void RouterCore::on_routers(const std::vector<wire::Node>& routers, TimePoint now) {
+  const std::vector<std::string> before = region_routers();
+  routers_ = routers;
+  const std::vector<std::string> after = region_routers();
+  // A router that is new, or has started anew, owns prefixes whose blocks it does not know yet.
+  std::set<std::string> fresh;
+  for (const wire::Node& node : routers_) {
+    uint64_t& known_start = router_starts_[node.name];
+    if (known_start != node.start_id) {
+      known_start = node.start_id;
+      fresh.insert(node.name);
+    }
+  }
+  if (before != after) {
+    owners_changed_at_ = now;
+    quota_owners_.clear();
+    for (auto& [key, row_limiter] : limiters_) {
+      row_limiter.configure(configuration_.row(key.first, key.second), std::max<size_t>(1, after.size()), now);
+    }
+    // Ownership moves to every router that stays when one leaves.
+    fresh.insert(after.begin(), after.end());
+  }
+  assign_homes(now);
+  if (!fresh.empty()) {
+    resend_blocks_to(fresh);
+  }
+}
+
+void RouterCore::on_leaving(const std::vector<std::string>& backends) {
+  leaving_ = std::set<std::string>(backends.begin(), backends.end());
+}
+
+void RouterCore::poll_feeds(TimePoint now) {
+  for (auto& [engine, followed] : feeds_) {
+    const auto backend = configuration_.backends.find(engine);
+    if (backend == configuration_.backends.end()) {
+      continue;
+    }
+    if (followed.snapshot_wanted && !followed.snapshot_under_way &&
+        snapshots_under_way_ < options_.snapshots_at_once) {
+      followed.snapshot_under_way = true;
+      ++snapshots_under_way_;
+      actions_.push_back(FetchSnapshot{engine, backend->second.endpoint});
+    }
+    if (!followed.poll_under_way && now >= followed.next_poll) {
+      followed.poll_under_way = true;
+      actions_.push_back(PollFeed{engine, backend->second.endpoint, followed.feed.last_sequence()});
+    }
+  }
+}
+
+void RouterCore::on_feed_page(const std::string& engine, const cache::FeedPage& page, const wire::EngineLoad& load,
+                              TimePoint now) {
+  const auto found = feeds_.find(engine);
+  if (found == feeds_.end()) {
+    return;
+  }
+  Followed& followed = found->second;
+  followed.poll_under_way = false;
+  followed.failures = 0;
+  followed.next_poll = now + options_.feed_interval;
+  followed.load = load;
+  followed.load_changed = true;
+  const uint64_t gaps_before = followed.feed.gaps_found();
+  const cache::FeedResult result = followed.feed.on_page(page);
+  if (followed.feed.gaps_found() != gaps_before) {
+    metrics_->count("stoat_router_feed_gaps_total");
+  }
+  followed.snapshot_wanted = result.needs_snapshot;
+  if (result.reset || !result.changes.empty()) {
+    send_changes(engine, page.incarnation, result.reset, result.changes);
+  }
+  engines_.on_load(load, now);
+}
+
+void RouterCore::on_feed_snapshot(const std::string& engine, const cache::FeedSnapshot& snapshot, TimePoint) {
+  const auto found = feeds_.find(engine);
+  if (found == feeds_.end()) {
+    return;
+  }
+  Followed& followed = found->second;
+  if (followed.snapshot_under_way) {
+    followed.snapshot_under_way = false;
+    --snapshots_under_way_;
+  }
+  followed.snapshot_wanted = false;
+  metrics_->count("stoat_router_feed_snapshots_total");
+  const cache::FeedResult result = followed.feed.on_snapshot(snapshot);
+  send_changes(engine, snapshot.incarnation, true, result.changes);
+}
+
+void RouterCore::on_feed_failure(const std::string& engine, TimePoint now) {
+  const auto found = feeds_.find(engine);
+  if (found == feeds_.end()) {
+    return;
+  }
+  Followed& followed = found->second;
+  if (followed.snapshot_under_way) {
+    followed.snapshot_under_way = false;
+    --snapshots_under_way_;
+  }
+  followed.poll_under_way = false;
+  followed.next_poll = now + kFeedRetry;
+  if (++followed.failures == 2) {
+    outliers_.on_failure(engine, now);
+  }
+}
+
+void RouterCore::send_changes(const std::string& engine, uint64_t incarnation, bool reset,
+                              const std::vector<wire::BlockChange>& changes) {
+  const std::vector<std::string> routers = region_routers();
+  std::map<std::string, wire::BlockChanges> by_owner;
+  std::unordered_map<uint64_t, std::string> owners;
+  for (const wire::BlockChange& change : changes) {
+    auto [owner, fresh] = owners.try_emplace(change.root);
+    if (fresh) {
+      owner->second = rendezvous_first(change.root, routers);
+    }
+    by_owner[owner->second].changes.push_back(change);
+  }
+  if (reset) {
+    for (const std::string& router : routers) {
+      by_owner.try_emplace(router);
+    }
+    by_owner.try_emplace(options_.name);
+  }
+  for (auto& [owner, batch] : by_owner) {
+    batch.engine = engine;
+    batch.incarnation = incarnation;
+    batch.reset = reset;
+    if (owner.empty() || owner == options_.name) {
+      apply_changes(batch);
+      continue;
+    }
+    for (size_t first = 0; first == 0 || first < batch.changes.size(); first += kMaxChangesPerMessage) {
+      wire::BlockChanges part;
+      part.engine = engine;
+      part.incarnation = incarnation;
+      part.reset = reset && first == 0;
+      const size_t last = std::min(batch.changes.size(), first + kMaxChangesPerMessage);
+      part.changes.assign(batch.changes.begin() + static_cast<std::ptrdiff_t>(first),
+                          batch.changes.begin() + static_cast<std::ptrdiff_t>(last));
+      actions_.push_back(SendToRouter{owner, part});
+    }
+  }
+}
+
+void RouterCore::apply_changes(const wire::BlockChanges& changes) {
+  if (changes.reset) {
+    index_.drop_engine(changes.engine);
+  }
+  const cache::EngineSlot slot = index_.slot_of(changes.engine, changes.incarnation);
+  for (const wire::BlockChange& change : changes.changes) {
+    if (change.stored) {
+      index_.store(slot, change.block);
+    } else {
+      index_.remove(slot, change.block);
+    }
+  }
+  metrics_->count("stoat_router_block_changes_total", {}, static_cast<double>(changes.changes.size()));
+}
+
+void RouterCore::resend_blocks_to(const std::set<std::string>& routers) {
+  const std::vector<std::string> all = region_routers();
+  for (const auto& [engine, followed] : feeds_) {
+    if (followed.feed.incarnation() == 0) {
+      continue;
+    }
+    std::map<std::string, std::vector<wire::BlockChange>> by_owner;
+    for (const wire::BlockChange& change : followed.feed.everything()) {
+      const std::string owner = rendezvous_first(change.root, all);
+      if (routers.count(owner) > 0) {
+        by_owner[owner].push_back(change);
+      }
+    }
+    for (const auto& [owner, changes] : by_owner) {
+      const wire::BlockChanges batch{engine, followed.feed.incarnation(), false, changes};
+      if (owner == options_.name) {
+        apply_changes(batch);
+      } else {
+        actions_.push_back(SendToRouter{owner, batch});
+      }
+    }
+  }
+}
+
+void RouterCore::send_digest(TimePoint now) {
+  if (now < next_digest_) {
+    return;
+  }
+  next_digest_ = now + options_.digest_interval;
+  wire::LoadDigest digest;
+  digest.home = options_.name;
+  for (auto& [engine, followed] : feeds_) {
+    if (followed.load_changed) {
+      followed.load_changed = false;
+      digest.loads.push_back(followed.load);
+    }
+  }
+  if (digest.loads.empty()) {
+    return;
+  }
+  for (const std::string& router : region_routers()) {
+    if (router != options_.name) {
+      actions_.push_back(SendToRouter{router, digest});
+    }
+  }
+}
+
+void RouterCore::ask_quotas(TimePoint now) {
+  if (now < next_quota_ask_) {
+    return;
+  }
+  next_quota_ask_ = now + kQuotaInterval;
+  const std::vector<std::string> routers = region_routers();
+  for (auto& [key, row_limiter] : limiters_) {
+    if (!row_limiter.limited()) {
+      continue;
+    }
+    const wire::QuotaRequest request = row_limiter.take_demand(options_.name, now - last_quota_ask_);
+    const std::string owner = rendezvous_first(hash_bytes(key.second, static_cast<uint64_t>(key.first)), routers);
+    if (owner.empty() || owner == options_.name) {
+      on_quota_request(request, now);
+    } else {
+      actions_.push_back(SendToRouter{owner, request});
+    }
+  }
+  last_quota_ask_ = now;
+}
+
+void RouterCore::on_quota_request(const wire::QuotaRequest& request, TimePoint now) {
+  const auto key = std::make_pair(request.kind, request.name);
+  const auto owner =
+      quota_owners_.try_emplace(key, owners_changed_at_ + admission::kQuotaLease).first;
+  const control::PolicyRow row = configuration_.row(request.kind, request.name);
+  const wire::QuotaGrant grant =
+      owner->second.grant(row, request, std::max<size_t>(1, region_routers().size()), now);
+  if (request.router == options_.name) {
+    limiter(request.kind, request.name, now).on_grant(grant, now);
+  } else {
+    actions_.push_back(SendToRouter{request.router, grant});
+  }
+}
+
+void RouterCore::on_router_message(const wire::Message& message, TimePoint now) {
+  if (const auto* changes = std::get_if<wire::BlockChanges>(&message.value)) {
+    apply_changes(*changes);
+  } else if (const auto* digest = std::get_if<wire::LoadDigest>(&message.value)) {
+    for (const wire::EngineLoad& load : digest->loads) {
+      engines_.on_load(load, now);
+    }
+    pump_queues(now);
+  } else if (const auto* request = std::get_if<wire::QuotaRequest>(&message.value)) {
+    on_quota_request(*request, now);
+  } else if (const auto* grant = std::get_if<wire::QuotaGrant>(&message.value)) {
+    limiter(grant->kind, grant->name, now).on_grant(*grant, now);
+  }
+}
+
+}  // namespace stoat::router
--- /dev/null
+++ b/src/router/router_core.cc
@@ -0,0 +1,509 @@
+#include "src/router/router_core.h"
+
+#include <algorithm>
+
+#include "src/common/hash.h"
+
+namespace stoat::router {
+
+namespace {
+
+using control::ClaimState;
+using control::RowKind;
+using wire::FailureReason;
+using wire::Outcome;
+
+constexpr Duration kExpectedGeneration = 3s;
+constexpr size_t kSweepEntriesPerTick = 2000;
+/// What a refusal for want of room or of a quorum tells the caller to wait.
+constexpr Duration kBusyRetryAfter = 1s;
+
+const char* reason_label(FailureReason reason) {
+  switch (reason) {
+    case FailureReason::kNone:
+      return "none";
+    case FailureReason::kOverCeiling:
+      return "over_ceiling";
+    case FailureReason::kQueueFull:
+      return "queue_full";
+    case FailureReason::kDeadline:
+      return "deadline";
+    case FailureReason::kNoBackend:
+      return "no_backend";
+    case FailureReason::kBackendLost:
+      return "backend_lost";
+    default:
+      return "other";
+  }
+}
+
+}  // namespace
+
+RouterCore::RouterCore(const RouterOptions& options, uint64_t seed, TimePoint now, Metrics* metrics)
+    : options_(options),
+      random_(seed),
+      metrics_(metrics),
+      started_at_(now),
+      owners_changed_at_(now),
+      policy_(placement::make_policy(options.policy, costs_)),
+      expected_(std::make_unique<cache::PrefixIndex>()),
+      expected_before_(std::make_unique<cache::PrefixIndex>()) {
+  // Call ids of one start never meet those of another.
+  last_control_call_ = random_.bits() >> 16U;
+}
+
+std::vector<RouterAction> RouterCore::take_actions() {
+  std::vector<RouterAction> actions;
+  actions.swap(actions_);
+  return actions;
+}
+
+size_t RouterCore::queued_requests() const {
+  size_t count = 0;
+  for (const auto& [serves, queue] : queues_) {
+    count += queue.size();
+  }
+  return count;
+}
+
+void RouterCore::on_sidecar_connected(SidecarId sidecar) {
+  sidecars_.insert(sidecar);
+  if (draining_) {
+    actions_.push_back(SendToSidecar{sidecar, wire::RouterDraining{true}});
+  }
+}
+
+void RouterCore::on_sidecar_gone(SidecarId sidecar, TimePoint now) {
+  sidecars_.erase(sidecar);
+  for (auto& [request_id, request] : requests_) {
+    if (request.sidecar == sidecar && request.orphaned_at == TimePoint(0)) {
+      request.orphaned_at = now;
+    }
+  }
+}
+
+void RouterCore::start_draining() {
+  draining_ = true;
+  for (const SidecarId sidecar : sidecars_) {
+    actions_.push_back(SendToSidecar{sidecar, wire::RouterDraining{true}});
+  }
+}
+
+void RouterCore::refuse(const wire::SubmitRequest& submit, SidecarId sidecar, FailureReason reason,
+                        const std::string& message, Duration retry_after, bool may_have_run) {
+  wire::RequestFinished finished;
+  finished.request_id = submit.request_id;
+  finished.attempt = submit.attempt;
+  finished.outcome = may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
+  finished.reason = reason;
+  finished.message = message;
+  finished.retry_after_ms = to_milliseconds(retry_after);
+  metrics_->count("stoat_router_refusals_total", {{"reason", reason_label(reason)}});
+  actions_.push_back(SendToSidecar{sidecar, finished});
+}
+
+admission::RowLimiter& RouterCore::limiter(RowKind kind, const std::string& name, TimePoint now) {
+  admission::RowLimiter& row_limiter = limiters_[{kind, name}];
+  if (row_limiter.row().name != name) {
+    row_limiter.configure(configuration_.row(kind, name), std::max<size_t>(1, region_routers().size()), now);
+    if (row_limiter.limited()) {
+      next_quota_ask_ = now;  // do not let the first requests of a row wait for the next round
+    }
+  }
+  return row_limiter;
+}
+
+bool RouterCore::check_submit(const wire::SubmitRequest& submit, const Request& request, TimePoint now) {
+  const bool ran_before = submit.may_have_run && (!submit.repeatable || submit.next_index > 0);
+  const SidecarId sidecar = request.sidecar;
+  if (draining_) {
+    refuse(submit, sidecar, FailureReason::kDraining, "this router is stopping", Duration(0), ran_before);
+    return false;
+  }
+  const bool is_model = submit.kind == wire::RequestKind::kCompletion;
+  const bool known = is_model ? configuration_.models.count(submit.serves) > 0
+                              : std::any_of(configuration_.backends.begin(), configuration_.backends.end(),
+                                            [&](const auto& entry) { return entry.second.serves == submit.serves; });
+  if (!known) {
+    refuse(submit, sidecar, FailureReason::kUnknownModel, "no model or service named " + submit.serves, Duration(0),
+           ran_before);
+    return false;
+  }
+  if (!submit.resume.empty() || submit.may_have_run) {
+    return true;  // admitted once already
+  }
+  if (queued_requests() >= options_.max_queue) {
+    refuse(submit, sidecar, FailureReason::kQueueFull, "the queue is full", kBusyRetryAfter, ran_before);
+    return false;
+  }
+  Duration retry_after{0};
+  const uint32_t tokens = request.prompt_tokens + submit.max_tokens;
+  admission::RowLimiter& tenant = limiter(RowKind::kTenant, submit.tenant, now);
+  if (!tenant.admit(tokens, now, retry_after)) {
+    refuse(submit, sidecar, FailureReason::kOverCeiling, "over the ceiling of tenant " + submit.tenant, retry_after,
+           ran_before);
+    return false;
+  }
+  admission::RowLimiter& service = limiter(RowKind::kService, submit.serves, now);
+  if (!service.admit(tokens, now, retry_after)) {
+    refuse(submit, sidecar, FailureReason::kOverCeiling, "over the ceiling of service " + submit.serves, retry_after,
+           ran_before);
+    return false;
+  }
+  return true;
+}
+
+void RouterCore::prepare(Request& request, TimePoint now) {
+  const wire::SubmitRequest& submit = request.submit;
+  request.arrived_at = now;
+  request.tenant_row = configuration_.row(RowKind::kTenant, submit.tenant);
+  const control::PolicyRow service_row = configuration_.row(RowKind::kService, submit.serves);
+  const int64_t queue_ms = std::min(request.tenant_row.queue_time_ms, service_row.queue_time_ms);
+  const int64_t deadline_ms = submit.deadline_left_ms > 0 ? submit.deadline_left_ms : queue_ms;
+  request.start_by = now + Duration(1000 * std::min(queue_ms, deadline_ms));
+  request.prompt_tokens = cache::count_tokens(submit.prompt);
+  request.digest = hash_bytes(submit.prompt, hash_bytes(submit.serves + submit.method + submit.path) + submit.max_tokens);
+  request.next_index = submit.next_index;
+  request.text = submit.delivered;
+  request.may_have_run = submit.may_have_run;
+  if (submit.kind != wire::RequestKind::kCompletion) {
+    request.prefix_key = hash_bytes(submit.path);
+    return;
+  }
+  const auto tenant = configuration_.tenants.find(submit.tenant);
+  const bool shares = tenant != configuration_.tenants.end() && !tenant->second.sharing_group.empty();
+  const auto model = configuration_.models.find(submit.serves);
+  cache::Namespace name_space;
+  name_space.group = shares ? "group/" + tenant->second.sharing_group : "tenant/" + submit.tenant;
+  name_space.model = submit.serves;
+  name_space.block_tokens = options_.block_tokens;
+  if (model != configuration_.models.end()) {
+    name_space.adapter = model->second.adapter;
+    name_space.weights_version = model->second.weights_version;
+  }
+  request.seed = cache::namespace_seed(name_space);
+  request.chain = cache::block_chain(request.seed, submit.prompt, options_.block_tokens);
+  request.prefix_key = cache::chain_root(request.seed, submit.prompt, options_.block_tokens);
+}
+
+void RouterCore::on_submit(SidecarId sidecar, wire::SubmitRequest submit, TimePoint now) {
+  const uint64_t request_id = submit.request_id;
+  if (const auto former = requests_.find(request_id); former != requests_.end()) {
+    // The sidecar lost its connection and asks again: read on from where the engine runs it.
+    Request& old = former->second;
+    if (old.phase != Phase::kRunning || submit.attempt <= old.submit.attempt) {
+      old.sidecar = sidecar;
+      old.orphaned_at = TimePoint(0);
+      old.submit.attempt = std::max(old.submit.attempt, submit.attempt);
+      return;
+    }
+    submit.resume = {wire::ResumePoint{old.backend, old.incarnation, old.engine_attempt, old.claim_id}};
+    leave_call(old);
+    if (old.counted_as_running) {
+      limiter(RowKind::kTenant, old.submit.tenant, now).ended();
+      limiter(RowKind::kService, old.submit.serves, now).ended();
+    }
+    requests_.erase(former);
+    Request& request = requests_[request_id];
+    request.submit = std::move(submit);
+    request.sidecar = sidecar;
+    prepare(request, now);
+    const wire::ResumePoint where = request.submit.resume.front();
+    start_resume(request, where, now);
+    return;
+  }
+  Request request;
+  request.submit = std::move(submit);
+  request.sidecar = sidecar;
+  prepare(request, now);
+  if (!check_submit(request.submit, request, now)) {
+    return;
+  }
+  metrics_->count("stoat_router_requests_total");
+  retry_budget_.on_first_attempt();
+  Request& kept = requests_[request_id] = std::move(request);
+  if (!kept.submit.resume.empty()) {
+    const wire::ResumePoint where = kept.submit.resume.front();
+    start_resume(kept, where, now);
+  } else if (!kept.submit.repeatable) {
+    request_claim(kept, now);
+  } else {
+    enqueue(kept, now);
+  }
+}
+
+void RouterCore::request_claim(Request& request, TimePoint) {
+  request.phase = Phase::kClaiming;
+  request.claim_id = random_.bits() | 1U;
+  const uint64_t call_id = ++last_control_call_;
+  control::ClaimKey claim;
+  claim.tenant = request.submit.tenant;
+  claim.key = request.submit.idempotency_key;
+  claim.digest = request.digest;
+  claim.claim_id = request.claim_id;
+  claim_calls_[call_id] = PendingClaim{request.submit.request_id, claim};
+  actions_.push_back(CallControl{call_id, claim});
+}
+
+void RouterCore::on_control_answer(uint64_t call_id, const std::optional<control::CommandResult>& result,
+                                   TimePoint now) {
+  const auto found = claim_calls_.find(call_id);
+  if (found == claim_calls_.end()) {
+    return;
+  }
+  const PendingClaim pending = std::move(found->second);
+  claim_calls_.erase(found);
+  const uint64_t request_id = pending.request_id;
+  const auto request = requests_.find(request_id);
+  const bool waits = request != requests_.end() && request->second.phase == Phase::kClaiming &&
+                     request->second.claim_id == pending.claim.claim_id;
+  if (!waits) {
+    // The request ended meanwhile. It is never dispatched, so the key may be granted again.
+    if (result && result->code == control::ResultCode::kOk) {
+      release_claim(pending.claim);
+    }
+    return;
+  }
+  if (!result) {
+    // The claim may be granted later, but this router will not dispatch it.
+    end_claim(request->second, ClaimState::kReleased, "");
+    const bool ran_before = request->second.submit.may_have_run;
+    finish_with(request->second, ran_before ? Outcome::kUnknown : Outcome::kNotRun, FailureReason::kClaimUnavailable,
+                "no quorum of control members granted the claim in time", kBusyRetryAfter, now);
+    return;
+  }
+  on_claim_result(request_id, *result, now);
+}
+
+void RouterCore::on_claim_result(uint64_t request_id, const control::CommandResult& result, TimePoint now) {
+  Request& request = requests_[request_id];
+  if (result.code == control::ResultCode::kOk) {
+    // Nobody else can hold the key now, so whatever router had the request before did not run it.
+    request.submit.may_have_run = false;
+    request.may_have_run = false;
+    enqueue(request, now);
+    return;
+  }
+  if (result.code == control::ResultCode::kDigestConflict) {
+    finish_with(request, Outcome::kNotRun, FailureReason::kClaimConflict,
+                "the idempotency key belongs to another request", Duration(0), now);
+    return;
+  }
+  if (result.claim_state == ClaimState::kSettled) {
+    wire::RequestFinished finished;
+    finished.outcome = Outcome::kComplete;
+    finished.body = result.outcome;
+    finished.prompt_tokens = request.prompt_tokens;
+    finished.message = "replayed";
+    finish(request, finished, now);
+    return;
+  }
+  const bool open = result.claim_state == ClaimState::kGranted;
+  finish_with(request, Outcome::kUnknown, open ? FailureReason::kClaimHeld : FailureReason::kOutcomeUnknown,
+              open ? "an earlier request under this key has not ended" : "an earlier request under this key may have run",
+              open ? kBusyRetryAfter : Duration(0), now);
+}
+
+void RouterCore::enqueue(Request& request, TimePoint now) {
+  request.phase = Phase::kQueued;
+  admission::FairQueue& queue = queues_[request.submit.serves];
+  // What cannot start in time is refused now, not when its time is up.
+  const double ahead = queue.cost_ahead(request.tenant_row.priority);
+  const size_t engine_count =
+      configuration_.serving(request.submit.serves, control::BackendKind::kEngine).size();
+  if (queue.size() > 0 && engine_count > 0) {
+    const Duration expected(static_cast<int64_t>(costs_.prefill_us(ahead) / static_cast<double>(engine_count)));
+    if (now + expected > request.start_by) {
+      end_claim(request, ClaimState::kReleased, "");
+      finish_with(request, request.submit.may_have_run ? Outcome::kUnknown : Outcome::kNotRun, FailureReason::kDeadline,
+                  "the queue is longer than the request can wait", now + expected - request.start_by + kBusyRetryAfter,
+                  now);
+      return;
+    }
+  }
+  admission::Waiting waiting;
+  waiting.request_id = request.submit.request_id;
+  waiting.flow = request.submit.tenant;
+  waiting.priority = request.tenant_row.priority;
+  waiting.share = request.tenant_row.share;
+  waiting.cost = request.prompt_tokens + request.submit.max_tokens;
+  queue.push(waiting);
+  pump_queues(now);
+}
+
+void RouterCore::pump_queues(TimePoint now) {
+  for (auto& [serves, queue] : queues_) {
+    std::set<std::string> blocked_flows;
+    while (queue.size() > 0) {
+      const auto eligible = [&](const admission::Waiting& waiting) {
+        return blocked_flows.count(waiting.flow) == 0 && limiter(RowKind::kTenant, waiting.flow, now).may_start(now) &&
+               limiter(RowKind::kService, serves, now).may_start(now);
+      };
+      const auto waiting = queue.pop(eligible);
+      if (!waiting) {
+        break;
+      }
+      const auto found = requests_.find(waiting->request_id);
+      if (found == requests_.end()) {
+        continue;
+      }
+      Request& request = found->second;
+      if (try_dispatch(request, now)) {
+        request.counted_as_running = true;
+        limiter(RowKind::kTenant, waiting->flow, now).started();
+        limiter(RowKind::kService, serves, now).started();
+        continue;
+      }
+      queue.put_back(*waiting);
+      if (request.excluded.empty()) {
+        break;  // no engine has room for anyone
+      }
+      blocked_flows.insert(waiting->flow);
+    }
+  }
+}
+
+void RouterCore::expire_queued(TimePoint now) {
+  std::vector<uint64_t> expired;
+  for (const auto& [request_id, request] : requests_) {
+    if (request.phase != Phase::kRunning && now >= request.start_by) {
+      expired.push_back(request_id);
+    }
+  }
+  for (const uint64_t request_id : expired) {
+    Request& request = requests_[request_id];
+    const bool has_backend = !candidates_for(request, now).empty() || request.phase == Phase::kClaiming;
+    queues_[request.submit.serves].remove(request_id);
+    end_claim(request, ClaimState::kReleased, "");
+    finish_with(request, request.may_have_run ? Outcome::kUnknown : Outcome::kNotRun,
+                has_backend ? FailureReason::kDeadline : FailureReason::kNoBackend,
+                has_backend ? "could not be started in time" : "no live back end serves " + request.submit.serves,
+                kBusyRetryAfter, now);
+  }
+}
+
+void RouterCore::drop_orphans(TimePoint now) {
+  std::vector<uint64_t> orphans;
+  for (const auto& [request_id, request] : requests_) {
+    const bool lost = request.orphaned_at != TimePoint(0) && now - request.orphaned_at > options_.orphan_grace;
+    // A request that must not be repeated runs on, so that a resend finds its outcome.
+    if (lost && (request.submit.repeatable || request.phase != Phase::kRunning)) {
+      orphans.push_back(request_id);
+    }
+  }
+  for (const uint64_t request_id : orphans) {
+    on_cancel(requests_[request_id].sidecar, request_id, now);
+  }
+}
+
+void RouterCore::on_cancel(SidecarId sidecar, uint64_t request_id, TimePoint now) {
+  const auto found = requests_.find(request_id);
+  if (found == requests_.end() || found->second.sidecar != sidecar) {
+    return;
+  }
+  Request& request = found->second;
+  if (!request.submit.repeatable && request.phase == Phase::kRunning) {
+    request.sidecar = 0;  // let it settle
+    return;
+  }
+  if (request.phase == Phase::kRunning) {
+    actions_.push_back(StopCall{request.call_id, true});
+    engines_.at(request.backend).outstanding -= engines_.at(request.backend).outstanding > 0 ? 1 : 0;
+    calls_.erase(request.call_id);
+    request.call_id = 0;
+  } else {
+    queues_[request.submit.serves].remove(request_id);
+    end_claim(request, ClaimState::kReleased, "");
+  }
+  metrics_->count("stoat_router_cancelled_total");
+  request.sidecar = 0;
+  finish_with(request, Outcome::kFailed, FailureReason::kNone, "cancelled", Duration(0), now);
+}
+
+void RouterCore::end_claim(const Request& request, ClaimState state, const std::string& outcome) {
+  if (request.claim_id == 0) {
+    return;
+  }
+  control::FinishClaim finish_claim;
+  finish_claim.tenant = request.submit.tenant;
+  finish_claim.key = request.submit.idempotency_key;
+  finish_claim.claim_id = request.claim_id;
+  finish_claim.state = state;
+  finish_claim.outcome = outcome;
+  actions_.push_back(CallControl{++last_control_call_, finish_claim});
+}
+
+void RouterCore::release_claim(const control::ClaimKey& claim) {
+  control::FinishClaim release;
+  release.tenant = claim.tenant;
+  release.key = claim.key;
+  release.claim_id = claim.claim_id;
+  release.state = ClaimState::kReleased;
+  actions_.push_back(CallControl{++last_control_call_, release});
+}
+
+void RouterCore::count_end(const wire::RequestFinished& finished, const Request& request) {
+  metrics_->count("stoat_router_finished_total",
+                  {{"outcome", std::to_string(static_cast<int>(finished.outcome))},
+                   {"reason", reason_label(finished.reason)}});
+  if (finished.outcome == Outcome::kComplete) {
+    metrics_->count("stoat_router_prompt_tokens_total", {}, request.prompt_tokens);
+    metrics_->count("stoat_router_cached_tokens_total", {}, finished.cached_tokens);
+  }
+}
+
+void RouterCore::finish(Request& request, const wire::RequestFinished& finished, TimePoint now) {
+  wire::RequestFinished message = finished;
+  message.request_id = request.submit.request_id;
+  message.attempt = request.submit.attempt;
+  if (request.sidecar != 0) {
+    actions_.push_back(SendToSidecar{request.sidecar, message});
+  }
+  count_end(message, request);
+  if (request.counted_as_running) {
+    limiter(RowKind::kTenant, request.submit.tenant, now).ended();
+    limiter(RowKind::kService, request.submit.serves, now).ended();
+  }
+  requests_.erase(message.request_id);
+}
+
+void RouterCore::finish_with(Request& request, Outcome outcome, FailureReason reason, const std::string& message,
+                             Duration retry_after, TimePoint now) {
+  wire::RequestFinished finished;
+  finished.outcome = outcome;
+  finished.reason = reason;
+  finished.message = message;
+  finished.retry_after_ms = to_milliseconds(retry_after);
+  finished.piece_count = request.next_index;
+  finish(request, finished, now);
+}
+
+void RouterCore::on_configuration(const control::Configuration& configuration, TimePoint now) {
+  if (configuration.version < configuration_.version) {
+    return;
+  }
+  configuration_ = configuration;
+  const size_t router_count = std::max<size_t>(1, region_routers().size());
+  for (auto& [key, row_limiter] : limiters_) {
+    row_limiter.configure(configuration_.row(key.first, key.second), router_count, now);
+  }
+  assign_homes(now);
+  pump_queues(now);
+}
+
+void RouterCore::tick(TimePoint now) {
+  expire_queued(now);
+  drop_orphans(now);
+  poll_feeds(now);
+  send_digest(now);
+  ask_quotas(now);
+  index_.sweep(kSweepEntriesPerTick);
+  if (now >= next_generation_) {
+    next_generation_ = now + kExpectedGeneration;
+    expected_before_ = std::move(expected_);
+    expected_ = std::make_unique<cache::PrefixIndex>();
+  }
+  pump_queues(now);
+}
+
+}  // namespace stoat::router
--- /dev/null
+++ b/src/router/router_core.h
@@ -0,0 +1,221 @@
+/// The router's decisions: admission, claims, placement, dispatch, retries, and its part of the cache index.
+/// Free of I/O: takes messages, call results and the time; gives RouterActions.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+#include "src/admission/fair_queue.h"
+#include "src/admission/row_limiter.h"
+#include "src/cache/engine_feed.h"
+#include "src/cache/prefix_index.h"
+#include "src/common/metrics.h"
+#include "src/delivery/outlier_detector.h"
+#include "src/delivery/retry_budget.h"
+#include "src/placement/policy.h"
+#include "src/router/engine_table.h"
+#include "src/router/router_action.h"
+
+namespace stoat::router {
+
+/// Settings of a router.
+struct RouterOptions {
+  std::string name = "router";
+  std::string zone = "region/zone";
+  std::string policy = "lowest_ttft";
+  uint32_t block_tokens = 128;
+  uint32_t max_engine_outstanding = 48;  ///< calls of this router to one engine at once
+  size_t max_queue = 2000;
+  Duration feed_interval = 100ms;    ///< between polls of an engine's feed
+  Duration digest_interval = 250ms;  ///< between load digests to the other routers
+  Duration orphan_grace = 800ms;     ///< how long work goes on after its sidecar's connection was lost
+  uint32_t max_dispatches = 4;       ///< tries of one request at this router, resumes included
+  uint32_t snapshots_at_once = 2;    ///< feed snapshots fetched at the same time
+};
+
+/// See the head of this file.
+class RouterCore {
+ public:
+  RouterCore(const RouterOptions& options, uint64_t seed, TimePoint now, Metrics* metrics);
+
+  // From sidecars.
+  void on_submit(SidecarId sidecar, wire::SubmitRequest submit, TimePoint now);
+  void on_cancel(SidecarId sidecar, uint64_t request_id, TimePoint now);
+  void on_sidecar_connected(SidecarId sidecar);
+  void on_sidecar_gone(SidecarId sidecar, TimePoint now);
+
+  // From back ends.
+  void on_piece(CallId call_id, uint32_t index, const std::string& text, TimePoint now);
+  void on_call_end(CallId call_id, const CallResult& result, TimePoint now);
+  void on_feed_page(const std::string& engine, const cache::FeedPage& page, const wire::EngineLoad& load,
+                    TimePoint now);
+  void on_feed_snapshot(const std::string& engine, const cache::FeedSnapshot& snapshot, TimePoint now);
+  void on_feed_failure(const std::string& engine, TimePoint now);
+
+  // From control and from other routers.
+  void on_control_answer(uint64_t call_id, const std::optional<control::CommandResult>& result, TimePoint now);
+  void on_configuration(const control::Configuration& configuration, TimePoint now);
+  void on_routers(const std::vector<wire::Node>& routers, TimePoint now);
+  void on_leaving(const std::vector<std::string>& backends);
+  void on_router_message(const wire::Message& message, TimePoint now);
+
+  /// To be called every few milliseconds.
+  void tick(TimePoint now);
+  /// Planned stop: refuses new requests and tells the sidecars; open requests go on.
+  void start_draining();
+
+  std::vector<RouterAction> take_actions();
+  size_t open_requests() const { return requests_.size(); }
+  size_t queued_requests() const;
+  bool draining() const { return draining_; }
+  const control::Configuration& configuration() const { return configuration_; }
+  const cache::PrefixIndex& index() const { return index_; }
+  const EngineTable& engines() const { return engines_; }
+  const RouterOptions& options() const { return options_; }
+  size_t followed_engines() const { return feeds_.size(); }
+
+ private:
+  enum class Phase : uint8_t { kClaiming, kQueued, kRunning };
+
+  /// One request under way.
+  struct Request {
+    wire::SubmitRequest submit;
+    SidecarId sidecar = 0;
+    Phase phase = Phase::kQueued;
+    TimePoint arrived_at{0};
+    TimePoint start_by{0};  ///< refused when it has not started by then
+    TimePoint orphaned_at{0};
+    control::PolicyRow tenant_row;
+    uint64_t seed = 0;
+    std::vector<cache::BlockHash> chain;
+    cache::BlockHash prefix_key = 0;
+    uint32_t prompt_tokens = 0;
+    uint64_t digest = 0;
+    uint64_t claim_id = 0;
+    bool counted_as_running = false;
+    CallId call_id = 0;
+    std::string backend;
+    uint64_t incarnation = 0;
+    uint32_t engine_attempt = 0;
+    uint32_t dispatches = 0;
+    uint32_t resumes = 0;
+    bool may_have_run = false;
+    uint32_t next_index = 0;
+    std::string text;  ///< pieces passed on, kept for the claim's outcome and for going on elsewhere
+    uint32_t missing_tokens = 0;
+    TimePoint dispatched_at{0};
+    bool queue_was_empty = false;
+    std::set<std::string> excluded;  ///< back ends that refused it
+  };
+
+  /// A claim that was asked for.
+  struct PendingClaim {
+    uint64_t request_id = 0;
+    control::ClaimKey claim;
+  };
+
+  /// An engine that this router is home to.
+  struct Followed {
+    cache::EngineFeed feed;
+    bool poll_under_way = false;
+    bool snapshot_under_way = false;
+    TimePoint next_poll{0};
+    bool snapshot_wanted = false;
+    wire::EngineLoad load;
+    bool load_changed = false;
+    uint32_t failures = 0;
+  };
+
+  // router_core.cc: admission, claims, the queue, the ends of requests
+  bool check_submit(const wire::SubmitRequest& submit, const Request& request, TimePoint now);
+  void prepare(Request& request, TimePoint now);
+  void request_claim(Request& request, TimePoint now);
+  void on_claim_result(uint64_t request_id, const control::CommandResult& result, TimePoint now);
+  void enqueue(Request& request, TimePoint now);
+  void pump_queues(TimePoint now);
+  void refuse(const wire::SubmitRequest& submit, SidecarId sidecar, wire::FailureReason reason,
+              const std::string& message, Duration retry_after, bool may_have_run);
+  void finish(Request& request, const wire::RequestFinished& finished, TimePoint now);
+  void finish_with(Request& request, wire::Outcome outcome, wire::FailureReason reason, const std::string& message,
+                   Duration retry_after, TimePoint now);
+  void release_claim(const control::ClaimKey& claim);
+  void end_claim(const Request& request, control::ClaimState state, const std::string& outcome);
+  admission::RowLimiter& limiter(control::RowKind kind, const std::string& name, TimePoint now);
+  void expire_queued(TimePoint now);
+  void drop_orphans(TimePoint now);
+  void count_end(const wire::RequestFinished& finished, const Request& request);
+
+  // router_dispatch.cc: placement, calls to back ends, retries
+  bool try_dispatch(Request& request, TimePoint now);
+  std::vector<placement::Candidate> candidates_for(const Request& request, TimePoint now);
+  bool usable(const Request& request, const control::Backend& backend, TimePoint now) const;
+  void start_call(Request& request, CallKind kind, const control::Backend& backend, TimePoint now);
+  void start_resume(Request& request, const wire::ResumePoint& where, TimePoint now);
+  void leave_call(Request& request);
+  void on_broken(Request& request, TimePoint now);
+  void on_refused(Request& request, const CallResult& result, TimePoint now);
+  void on_complete(Request& request, const CallResult& result, TimePoint now);
+  void retry_elsewhere(Request& request, TimePoint now);
+  void note_first_piece(Request& request, TimePoint now);
+
+  // router_cluster.cc: engine homes, prefix ownership, load digests, quota leases
+  std::vector<std::string> region_routers() const;
+  std::vector<std::string> zone_routers(const std::string& zone) const;
+  bool is_home_of(const control::Backend& backend) const;
+  void assign_homes(TimePoint now);
+  void poll_feeds(TimePoint now);
+  void send_changes(const std::string& engine, uint64_t incarnation, bool reset,
+                    const std::vector<wire::BlockChange>& changes);
+  void apply_changes(const wire::BlockChanges& changes);
+  void send_digest(TimePoint now);
+  void ask_quotas(TimePoint now);
+  void on_quota_request(const wire::QuotaRequest& request, TimePoint now);
+  void resend_blocks_to(const std::set<std::string>& routers);
+  std::string region() const;
+
+  RouterOptions options_;
+  Random random_;
+  Metrics* metrics_;
+  TimePoint started_at_;
+  bool draining_ = false;
+  control::Configuration configuration_;
+  std::vector<wire::Node> routers_;
+  std::map<std::string, uint64_t> router_starts_;
+  std::set<std::string> leaving_;
+
+  std::unordered_map<uint64_t, Request> requests_;
+  std::unordered_map<CallId, uint64_t> calls_;
+  std::unordered_map<uint64_t, PendingClaim> claim_calls_;  ///< by control call
+  CallId last_call_id_ = 0;
+  uint64_t last_control_call_ = 0;
+  std::set<SidecarId> sidecars_;
+
+  std::map<std::string, admission::FairQueue> queues_;  ///< by model or service
+  std::map<std::pair<control::RowKind, std::string>, admission::RowLimiter> limiters_;
+  std::map<std::pair<control::RowKind, std::string>, admission::QuotaOwner> quota_owners_;
+  TimePoint owners_changed_at_;
+  TimePoint next_quota_ask_{0};
+  TimePoint last_quota_ask_{0};
+
+  EngineTable engines_;
+  delivery::OutlierDetector outliers_;
+  delivery::RetryBudget retry_budget_;
+  placement::CostModel costs_;
+  std::unique_ptr<placement::Policy> policy_;
+
+  cache::PrefixIndex index_;
+  /// Blocks of requests just dispatched, before any feed tells of them. Two generations, the older one dropped.
+  std::unique_ptr<cache::PrefixIndex> expected_;
+  std::unique_ptr<cache::PrefixIndex> expected_before_;
+  TimePoint next_generation_{0};
+  std::map<std::string, Followed> feeds_;
+  uint32_t snapshots_under_way_ = 0;
+  TimePoint next_digest_{0};
+
+  std::vector<RouterAction> actions_;
+};
+
+}  // namespace stoat::router
--- /dev/null
+++ b/src/router/router_dispatch.cc
@@ -0,0 +1,337 @@
+// RouterCore: placement, calls to back ends, resumes and retries.
+#include <algorithm>
+
+#include "src/common/hash.h"
+#include "src/router/router_core.h"
+
+namespace stoat::router {
+
+namespace {
+
+using control::BackendKind;
+using control::ClaimState;
+using wire::FailureReason;
+using wire::Outcome;
+
+/// How long a back end is passed over after a refusal that will last for a while.
+constexpr Duration kAvoidAfterRefusal = 500ms;
+constexpr Duration kLostRetryAfter = 1s;
+constexpr uint32_t kMaxResumes = 2;
+
+BackendKind backend_kind(const wire::SubmitRequest& submit) {
+  return submit.kind == wire::RequestKind::kCompletion ? BackendKind::kEngine : BackendKind::kPlain;
+}
+
+}  // namespace
+
+bool RouterCore::usable(const Request& request, const control::Backend& backend, TimePoint now) const {
+  if (backend.kind != backend_kind(request.submit) || backend.serves != request.submit.serves || backend.draining) {
+    return false;
+  }
+  if (leaving_.count(backend.name) > 0 || request.excluded.count(backend.name) > 0) {
+    return false;
+  }
+  if (!outliers_.usable(backend.name, now)) {
+    return false;
+  }
+  const EngineState* state = engines_.find(backend.name);
+  if (state == nullptr) {
+    return true;
+  }
+  if (state->load.leaving || now < state->avoid_until || state->outstanding >= options_.max_engine_outstanding) {
+    return false;
+  }
+  const auto model = configuration_.models.find(backend.serves);
+  const bool weights_known = !state->load.weights_version.empty() && model != configuration_.models.end();
+  return !weights_known || state->load.weights_version == model->second.weights_version;
+}
+
+std::vector<placement::Candidate> RouterCore::candidates_for(const Request& request, TimePoint now) {
+  std::vector<placement::Candidate> candidates;
+  for (const auto& [name, backend] : configuration_.backends) {
+    if (!usable(request, backend, now)) {
+      continue;
+    }
+    placement::Candidate candidate;
+    candidate.name = name;
+    candidate.name_hash = hash_bytes(name);
+    if (const EngineState* state = engines_.find(name)) {
+      candidate.reported_running = state->load.running;
+      candidate.reported_tokens = state->load.waiting_tokens;
+      candidate.outstanding = state->outstanding;
+      candidate.unreported_tokens = state->sent_tokens + state->sent_tokens_older / 2;
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  const std::array<const cache::PrefixIndex*, 3> indexes{&index_, expected_.get(), expected_before_.get()};
+  for (const cache::PrefixIndex* index : indexes) {
+    for (const cache::PrefixMatch& match : index->match(request.chain)) {
+      const EngineState* state = engines_.find(match.engine);
+      const bool current = state == nullptr || state->load.incarnation == match.incarnation;
+      const auto candidate = std::lower_bound(
+          candidates.begin(), candidates.end(), match.engine,
+          [](const placement::Candidate& left, const std::string& name) { return left.name < name; });
+      if (current && candidate != candidates.end() && candidate->name == match.engine) {
+        candidate->cached_tokens = std::max(candidate->cached_tokens, match.blocks * options_.block_tokens);
+      }
+    }
+  }
+  return candidates;
+}
+
+bool RouterCore::try_dispatch(Request& request, TimePoint now) {
+  const std::vector<placement::Candidate> candidates = candidates_for(request, now);
+  if (candidates.empty()) {
+    return false;
+  }
+  const placement::RequestView view{request.prompt_tokens, request.prefix_key};
+  const placement::Candidate& chosen = candidates[policy_->choose(view, candidates, random_)];
+  request.missing_tokens = request.prompt_tokens - std::min(request.prompt_tokens, chosen.cached_tokens);
+  request.queue_was_empty = chosen.reported_tokens + chosen.unreported_tokens == 0 && chosen.outstanding == 0;
+  const control::Backend& backend = configuration_.backends.at(chosen.name);
+  const CallKind kind =
+      request.submit.kind == wire::RequestKind::kCompletion ? CallKind::kComplete : CallKind::kPlain;
+  start_call(request, kind, backend, now);
+  return true;
+}
+
+void RouterCore::start_call(Request& request, CallKind kind, const control::Backend& backend, TimePoint now) {
+  EngineState& state = engines_.at(backend.name);
+  const uint64_t request_id = request.submit.request_id;
+  request.phase = Phase::kRunning;
+  request.backend = backend.name;
+  request.dispatched_at = now;
+  request.call_id = ++last_call_id_;
+  ++request.dispatches;
+  calls_[request.call_id] = request_id;
+  ++state.outstanding;
+  outliers_.on_dispatch(backend.name, now);
+
+  StartCall call;
+  call.call_id = request.call_id;
+  call.kind = kind;
+  call.backend = backend.name;
+  call.endpoint = backend.endpoint;
+  call.request_id = request_id;
+  call.idempotency_key = request.submit.idempotency_key;
+  call.tenant = request.submit.tenant;
+  call.first_index = request.next_index;
+  call.repeatable = request.submit.repeatable;
+  if (kind == CallKind::kResume) {
+    call.engine_attempt = request.engine_attempt;
+    call.expected_incarnation = request.incarnation;
+    actions_.push_back(std::move(call));
+    return;
+  }
+  // Attempt numbers at engines must not meet those that another router gave to the same request.
+  request.engine_attempt = static_cast<uint32_t>(random_.bits() >> 33U) | 1U;
+  request.incarnation = state.load.incarnation;
+  request.may_have_run = true;
+  call.engine_attempt = request.engine_attempt;
+  call.expected_incarnation = request.incarnation;
+  call.prompt = request.submit.prompt;
+  call.method = request.submit.method;
+  call.path = request.submit.path;
+  call.cache_seed = request.seed;
+  call.max_tokens = request.submit.max_tokens;
+  call.priority = request.tenant_row.priority;
+  const auto model = configuration_.models.find(request.submit.serves);
+  if (kind == CallKind::kComplete && model != configuration_.models.end()) {
+    call.expected_weights = model->second.weights_version;
+  }
+  state.sent_tokens += request.missing_tokens;
+  if (kind == CallKind::kComplete) {
+    const cache::EngineSlot slot = expected_->slot_of(backend.name, request.incarnation);
+    for (const cache::BlockHash block : request.chain) {
+      expected_->store(slot, block);
+    }
+  }
+  const wire::ResumePoint where{request.backend, request.incarnation, request.engine_attempt, request.claim_id};
+  if (request.sidecar != 0) {
+    actions_.push_back(
+        SendToSidecar{request.sidecar, wire::RequestDispatched{request_id, request.submit.attempt, where}});
+  }
+  actions_.push_back(std::move(call));
+}
+
+void RouterCore::start_resume(Request& request, const wire::ResumePoint& where, TimePoint now) {
+  request.backend = where.engine;
+  request.incarnation = where.incarnation;
+  request.engine_attempt = where.engine_attempt;
+  request.may_have_run = true;
+  request.claim_id = where.claim_id;
+  ++request.resumes;
+  const auto backend = configuration_.backends.find(where.engine);
+  if (backend == configuration_.backends.end() || request.resumes > kMaxResumes ||
+      request.submit.kind != wire::RequestKind::kCompletion) {
+    retry_elsewhere(request, now);
+    return;
+  }
+  start_call(request, CallKind::kResume, backend->second, now);
+}
+
+void RouterCore::leave_call(Request& request) {
+  if (request.call_id == 0) {
+    return;
+  }
+  actions_.push_back(StopCall{request.call_id, false});
+  calls_.erase(request.call_id);
+  request.call_id = 0;
+  EngineState& state = engines_.at(request.backend);
+  state.outstanding -= state.outstanding > 0 ? 1 : 0;
+}
+
+void RouterCore::note_first_piece(Request& request, TimePoint now) {
+  if (request.queue_was_empty && request.dispatches == 1 && request.submit.kind == wire::RequestKind::kCompletion) {
+    costs_.observe(request.missing_tokens, now - request.dispatched_at);
+  }
+  request.queue_was_empty = false;
+}
+
+void RouterCore::on_piece(CallId call_id, uint32_t index, const std::string& text, TimePoint now) {
+  const auto call = calls_.find(call_id);
+  if (call == calls_.end()) {
+    metrics_->count("stoat_router_late_pieces_total");
+    return;
+  }
+  Request& request = requests_[call->second];
+  if (index < request.next_index) {
+    return;
+  }
+  if (index > request.next_index) {
+    leave_call(request);
+    on_broken(request, now);
+    return;
+  }
+  note_first_piece(request, now);
+  ++request.next_index;
+  request.text += text;
+  if (request.sidecar != 0) {
+    actions_.push_back(SendToSidecar{
+        request.sidecar, wire::StreamPiece{request.submit.request_id, request.submit.attempt, index, text}});
+  }
+}
+
+void RouterCore::on_call_end(CallId call_id, const CallResult& result, TimePoint now) {
+  const auto call = calls_.find(call_id);
+  if (call == calls_.end()) {
+    return;
+  }
+  Request& request = requests_[call->second];
+  calls_.erase(call);
+  request.call_id = 0;
+  EngineState& state = engines_.at(request.backend);
+  state.outstanding -= state.outstanding > 0 ? 1 : 0;
+  switch (result.end) {
+    case CallEnd::kComplete:
+      on_complete(request, result, now);
+      break;
+    case CallEnd::kNotSent:
+      outliers_.on_failure(request.backend, now);
+      // A resume that could not be sent says nothing of the run itself.
+      request.may_have_run = request.submit.may_have_run || request.resumes > 0 || request.next_index > 0;
+      retry_elsewhere(request, now);
+      break;
+    case CallEnd::kRefused:
+      on_refused(request, result, now);
+      break;
+    case CallEnd::kUnknownStream:
+      retry_elsewhere(request, now);
+      break;
+    case CallEnd::kBroken:
+      outliers_.on_failure(request.backend, now);
+      on_broken(request, now);
+      break;
+    case CallEnd::kRejected: {
+      outliers_.on_success(request.backend);
+      wire::RequestFinished finished;
+      finished.outcome = Outcome::kFailed;
+      finished.reason = FailureReason::kBackendRejected;
+      finished.http_status = result.http_status;
+      finished.message = "the back end answered with an error";
+      finished.body = result.body;
+      end_claim(request, ClaimState::kUnknown, "");
+      finish(request, finished, now);
+      break;
+    }
+  }
+  pump_queues(now);
+}
+
+void RouterCore::on_complete(Request& request, const CallResult& result, TimePoint now) {
+  outliers_.on_success(request.backend);
+  const bool is_completion = request.submit.kind == wire::RequestKind::kCompletion;
+  if (is_completion && result.piece_count != request.next_index) {
+    on_broken(request, now);
+    return;
+  }
+  wire::RequestFinished finished;
+  finished.outcome = Outcome::kComplete;
+  finished.http_status = result.http_status == 0 ? 200 : result.http_status;
+  finished.piece_count = request.next_index;
+  finished.prompt_tokens = result.prompt_tokens;
+  finished.cached_tokens = result.cached_tokens;
+  finished.body = result.body;
+  end_claim(request, ClaimState::kSettled, is_completion ? request.text : result.body);
+  finish(request, finished, now);
+}
+
+void RouterCore::on_refused(Request& request, const CallResult& result, TimePoint now) {
+  metrics_->count("stoat_router_engine_refusals_total", {{"refusal", result.refusal}});
+  EngineState& state = engines_.at(request.backend);
+  if (result.refusal == "wrong_incarnation") {
+    // It restarted: nothing that was known of it holds.
+    index_.drop_engine(request.backend);
+    expected_->drop_engine(request.backend);
+    expected_before_->drop_engine(request.backend);
+    state.load = wire::EngineLoad();
+  } else {
+    state.avoid_until = now + kAvoidAfterRefusal;
+  }
+  request.may_have_run = request.submit.may_have_run || request.next_index > 0;
+  retry_elsewhere(request, now);
+}
+
+void RouterCore::on_broken(Request& request, TimePoint now) {
+  if (request.submit.kind == wire::RequestKind::kCompletion && request.resumes < kMaxResumes &&
+      request.incarnation != 0) {
+    const wire::ResumePoint where{request.backend, request.incarnation, request.engine_attempt, request.claim_id};
+    start_resume(request, where, now);
+    return;
+  }
+  retry_elsewhere(request, now);
+}
+
+void RouterCore::retry_elsewhere(Request& request, TimePoint now) {
+  const bool may_go_on = request.submit.repeatable || !request.may_have_run;
+  if (!may_go_on) {
+    metrics_->count("stoat_router_unknown_total");
+    end_claim(request, ClaimState::kUnknown, "");
+    finish_with(request, Outcome::kUnknown, FailureReason::kOutcomeUnknown,
+                "the back end was lost and may have run the request", Duration(0), now);
+    return;
+  }
+  if (request.dispatches >= options_.max_dispatches || (request.may_have_run && !retry_budget_.take())) {
+    end_claim(request, ClaimState::kReleased, "");
+    finish_with(request, request.may_have_run ? Outcome::kFailed : Outcome::kNotRun, FailureReason::kBackendLost,
+                "the back end was lost", kLostRetryAfter, now);
+    return;
+  }
+  metrics_->count("stoat_router_retries_total");
+  request.excluded.insert(request.backend);
+  if (!request.submit.repeatable && request.claim_id == 0) {
+    request_claim(request, now);  // came for a resume, and the run turned out never to have begun
+    return;
+  }
+  if (candidates_for(request, now).empty()) {
+    request.excluded.clear();
+  }
+  if (request.start_by < now + kLostRetryAfter) {
+    request.start_by = now + kLostRetryAfter;  // it was admitted in time; give the retry a chance
+  }
+  if (!try_dispatch(request, now)) {
+    enqueue(request, now);
+  }
+}
+
+}  // namespace stoat::router
--- /dev/null
+++ b/src/storage/replica_store.cc
@@ -0,0 +1,166 @@
+#include "src/storage/replica_store.h"
+
+#include "src/storage/record_log.h"
+#include "src/wire/codec.h"
+
+namespace stoat::storage {
+
+namespace {
+
+constexpr char kIdentityFile[] = "identity";
+constexpr char kSnapshotFile[] = "snapshot";
+constexpr char kLogFile[] = "log";
+
+/// Drops the entries from `index` on.
+struct TruncateRecord {
+  uint64_t index = 0;
+  MSGPACK_DEFINE_ARRAY(index)
+};
+
+using LogRecord = wire::Packed<consensus::HardState, consensus::Entry, TruncateRecord>;
+
+std::string encode_record(const LogRecord& record) { return make_record(wire::encode(record)); }
+
+FileError damage_of(const char* file, const RecordDamage& damage) {
+  return {file, "offset " + std::to_string(damage.offset) + ": " + damage.message};
+}
+
+/// Puts log records together again. Returns false when an entry does not follow the one before it.
+bool replay(const LogRecord& record, consensus::RestoredState& state) {
+  if (const auto* hard_state = std::get_if<consensus::HardState>(&record.value)) {
+    state.hard_state = *hard_state;
+    return true;
+  }
+  if (const auto* truncate = std::get_if<TruncateRecord>(&record.value)) {
+    std::erase_if(state.entries, [&](const consensus::Entry& entry) { return entry.index >= truncate->index; });
+    return true;
+  }
+  const auto& entry = std::get<consensus::Entry>(record.value);
+  if (entry.index <= state.snapshot.index) {
+    return true;
+  }
+  const uint64_t last = state.entries.empty() ? state.snapshot.index : state.entries.back().index;
+  if (entry.index != last + 1) {
+    return false;
+  }
+  state.entries.push_back(entry);
+  return true;
+}
+
+/// The one record of a file that is always replaced whole.
+template <typename Value>
+tl::expected<std::optional<Value>, FileError> load_single(FileSystem& files, const char* name) {
+  const auto bytes = files.read(name);
+  if (!bytes) {
+    return tl::make_unexpected(bytes.error());
+  }
+  if (!bytes->has_value()) {
+    return std::optional<Value>();
+  }
+  const auto scan = scan_records(**bytes);
+  if (!scan) {
+    return tl::make_unexpected(damage_of(name, scan.error()));
+  }
+  if (scan->payloads.size() != 1) {
+    return tl::make_unexpected(FileError{name, "offset 0: the checksum does not match"});
+  }
+  auto value = wire::decode<Value>(scan->payloads.front());
+  if (!value) {
+    return tl::make_unexpected(FileError{name, "offset 0: " + value.error().message});
+  }
+  return std::optional<Value>(std::move(*value));
+}
+
+}  // namespace
+
+tl::expected<std::optional<DiskIdentity>, FileError> ReplicaStore::load_identity() {
+  return load_single<DiskIdentity>(files_, kIdentityFile);
+}
+
+FileResult ReplicaStore::save_identity(const DiskIdentity& identity) {
+  return files_.replace(kIdentityFile, make_record(wire::encode(identity)));
+}
+
+tl::expected<consensus::RestoredState, FileError> ReplicaStore::load() {
+  consensus::RestoredState state;
+  auto snapshot = load_single<consensus::Snapshot>(files_, kSnapshotFile);
+  if (!snapshot) {
+    return tl::make_unexpected(snapshot.error());
+  }
+  if (snapshot->has_value()) {
+    state.snapshot = std::move(**snapshot);
+  }
+  const auto bytes = files_.read(kLogFile);
+  if (!bytes) {
+    return tl::make_unexpected(bytes.error());
+  }
+  if (!bytes->has_value()) {
+    return state;
+  }
+  const auto scan = scan_records(**bytes);
+  if (!scan) {
+    return tl::make_unexpected(damage_of(kLogFile, scan.error()));
+  }
+  for (const std::string& payload : scan->payloads) {
+    const auto record = wire::decode<LogRecord>(payload);
+    if (!record || !replay(*record, state)) {
+      return tl::make_unexpected(FileError{kLogFile, "an entry does not follow the one before it"});
+    }
+  }
+  log_bytes_ = scan->valid_length;
+  hard_state_ = state.hard_state;
+  if (scan->valid_length < (*bytes)->size()) {
+    if (const auto cut = files_.truncate(kLogFile, scan->valid_length); !cut) {
+      return tl::make_unexpected(cut.error());
+    }
+  }
+  return state;
+}
+
+FileResult ReplicaStore::write(const consensus::Output& output) {
+  if (output.hard_state) {
+    hard_state_ = *output.hard_state;
+  }
+  if (output.install) {
+    const auto installed = write_snapshot(wire::encode(*output.install), hard_state_, output.append);
+    if (!installed) {
+      return installed;
+    }
+    return {};
+  }
+  std::string bytes;
+  if (output.hard_state) {
+    bytes += encode_record(*output.hard_state);
+  }
+  if (output.truncate_from != 0) {
+    bytes += encode_record(TruncateRecord{output.truncate_from});
+  }
+  for (const consensus::Entry& entry : output.append) {
+    bytes += encode_record(entry);
+  }
+  if (bytes.empty()) {
+    return {};
+  }
+  log_bytes_ += bytes.size();
+  if (auto appended = files_.append(kLogFile, bytes); !appended) {
+    return appended;
+  }
+  return files_.sync(kLogFile);
+}
+
+FileResult ReplicaStore::write_snapshot(const std::string& encoded_snapshot,
+                                        const consensus::HardState& hard_state,
+                                        const std::vector<consensus::Entry>& entries_after) {
+  // The snapshot goes first: until the log is replaced, its older entries are skipped by load().
+  if (auto written = files_.replace(kSnapshotFile, make_record(encoded_snapshot)); !written) {
+    return written;
+  }
+  std::string bytes = encode_record(hard_state);
+  for (const consensus::Entry& entry : entries_after) {
+    bytes += encode_record(entry);
+  }
+  log_bytes_ = bytes.size();
+  return files_.replace(kLogFile, bytes);
+}
+
+}  // namespace stoat::storage
--- /dev/null
+++ b/src/wire/channel.cc
@@ -0,0 +1,170 @@
+#include "src/wire/channel.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <cstring>
+#include <stdexcept>
+
+namespace stoat::wire {
+
+namespace {
+
+constexpr size_t kLengthBytes = 4;
+
+uint64_t next_channel_id() {
+  static uint64_t last = 0;
+  return ++last;
+}
+
+void disable_delay(evutil_socket_t socket) {
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+}  // namespace
+
+std::string make_frame(const Message& message) {
+  const std::string body = encode(message);
+  const uint32_t length = htonl(static_cast<uint32_t>(body.size()));
+  std::string frame(reinterpret_cast<const char*>(&length), kLengthBytes);
+  return frame + body;
+}
+
+std::shared_ptr<Channel> Channel::adopt(bufferevent* connection, MessageHandler on_message, ClosedHandler on_closed) {
+  std::shared_ptr<Channel> channel(new Channel());
+  channel->connection_ = connection;
+  channel->id_ = next_channel_id();
+  channel->self_ = channel;
+  channel->on_message_ = std::move(on_message);
+  channel->on_closed_ = std::move(on_closed);
+  bufferevent_setcb(connection, &Channel::on_readable, nullptr, &Channel::on_event, channel.get());
+  bufferevent_enable(connection, EV_READ | EV_WRITE);
+  return channel;
+}
+
+std::shared_ptr<Channel> Channel::connect(EventLoop& loop, const Endpoint& endpoint, MessageHandler on_message,
+                                          ClosedHandler on_closed) {
+  bufferevent* connection = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  auto channel = adopt(connection, std::move(on_message), std::move(on_closed));
+  bufferevent_socket_connect_hostname(connection, nullptr, AF_UNSPEC, endpoint.address.c_str(), endpoint.port);
+  if (bufferevent_getfd(connection) >= 0) {
+    disable_delay(bufferevent_getfd(connection));
+  }
+  return channel;
+}
+
+Channel::~Channel() {
+  if (connection_ != nullptr) {
+    bufferevent_free(connection_);
+  }
+}
+
+void Channel::send(const Message& message) {
+  if (connection_ == nullptr) {
+    return;
+  }
+  const std::string frame = make_frame(message);
+  sent_bytes_ += frame.size();
+  bufferevent_write(connection_, frame.data(), frame.size());
+}
+
+void Channel::close() {
+  if (connection_ == nullptr) {
+    return;
+  }
+  bufferevent_free(connection_);
+  connection_ = nullptr;
+  on_message_ = nullptr;
+  on_closed_ = nullptr;
+  self_.reset();
+}
+
+void Channel::fail() {
+  if (connection_ == nullptr) {
+    return;
+  }
+  const std::shared_ptr<Channel> keep = shared_from_this();
+  const ClosedHandler handler = on_closed_;
+  close();
+  if (handler) {
+    handler(keep);
+  }
+}
+
+void Channel::read_frames() {
+  const std::shared_ptr<Channel> keep = shared_from_this();
+  evbuffer* input = bufferevent_get_input(connection_);
+  while (connection_ != nullptr && evbuffer_get_length(input) >= kLengthBytes) {
+    uint32_t length = 0;
+    evbuffer_copyout(input, &length, kLengthBytes);
+    length = ntohl(length);
+    if (length > kMaxFrameBytes) {
+      fail();
+      return;
+    }
+    if (evbuffer_get_length(input) < kLengthBytes + length) {
+      return;
+    }
+    evbuffer_drain(input, kLengthBytes);
+    std::string body(length, '\0');
+    evbuffer_remove(input, body.data(), length);
+    auto message = decode<Message>(body);
+    if (!message) {
+      fail();
+      return;
+    }
+    const MessageHandler handler = on_message_;
+    handler(keep, std::move(*message));
+  }
+}
+
+void Channel::on_readable(bufferevent*, void* context) { static_cast<Channel*>(context)->read_frames(); }
+
+void Channel::on_event(bufferevent* connection, short events, void* context) {
+  if ((events & BEV_EVENT_CONNECTED) != 0) {
+    disable_delay(bufferevent_getfd(connection));
+    return;
+  }
+  if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
+    static_cast<Channel*>(context)->fail();
+  }
+}
+
+ChannelServer::ChannelServer(EventLoop& loop, const Endpoint& endpoint, Channel::MessageHandler on_message,
+                             Channel::ClosedHandler on_closed)
+    : loop_(loop), on_message_(std::move(on_message)), on_closed_(std::move(on_closed)) {
+  sockaddr_storage storage{};
+  int length = sizeof(storage);
+  const std::string text = to_string(endpoint);
+  if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&storage), &length) != 0) {
+    throw std::runtime_error("bad address " + text);
+  }
+  const auto on_accept = [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* context) {
+    auto* server = static_cast<ChannelServer*>(context);
+    disable_delay(socket);
+    bufferevent* connection =
+        bufferevent_socket_new(server->loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    Channel::adopt(connection, server->on_message_, server->on_closed_);
+  };
+  listener_ = evconnlistener_new_bind(loop.base(), on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+                                      reinterpret_cast<sockaddr*>(&storage), length);
+  if (listener_ == nullptr) {
+    throw std::runtime_error("cannot listen on " + text + ": " + std::strerror(errno));
+  }
+}
+
+ChannelServer::~ChannelServer() { stop_listening(); }
+
+void ChannelServer::stop_listening() {
+  if (listener_ != nullptr) {
+    evconnlistener_free(listener_);
+    listener_ = nullptr;
+  }
+}
+
+}  // namespace stoat::wire
--- /dev/null
+++ b/src/wire/channel.h
@@ -0,0 +1,79 @@
+/// Framed connections between the system's processes: a 4-byte big-endian length, then one MessagePack message.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/common/settings.h"
+#include "src/http/event_loop.h"
+#include "src/wire/messages.h"
+
+struct bufferevent;
+struct evconnlistener;
+
+namespace stoat::wire {
+
+/// The largest frame that is accepted, in bytes. A longer one closes the connection.
+inline constexpr uint32_t kMaxFrameBytes = 64U << 20U;
+
+/// One frame for a message.
+std::string make_frame(const Message& message);
+
+/// One connection. Owned through shared_ptr; closing is final.
+class Channel : public std::enable_shared_from_this<Channel> {
+ public:
+  using MessageHandler = std::function<void(const std::shared_ptr<Channel>&, Message)>;
+  using ClosedHandler = std::function<void(const std::shared_ptr<Channel>&)>;
+
+  /// Takes over a connected or connecting bufferevent.
+  static std::shared_ptr<Channel> adopt(bufferevent* connection, MessageHandler on_message, ClosedHandler on_closed);
+  /// Starts to connect; messages sent meanwhile are queued.
+  static std::shared_ptr<Channel> connect(EventLoop& loop, const Endpoint& endpoint, MessageHandler on_message,
+                                          ClosedHandler on_closed);
+  ~Channel();
+
+  /// Queues a message. Does nothing on a closed channel.
+  void send(const Message& message);
+  /// Closes without calling the closed handler.
+  void close();
+  bool open() const { return connection_ != nullptr; }
+  uint64_t id() const { return id_; }
+  uint64_t sent_bytes() const { return sent_bytes_; }
+
+ private:
+  Channel() = default;
+  static void on_readable(bufferevent* connection, void* context);
+  static void on_event(bufferevent* connection, short events, void* context);
+  void read_frames();
+  void fail();
+
+  bufferevent* connection_ = nullptr;
+  uint64_t id_ = 0;
+  uint64_t sent_bytes_ = 0;
+  std::shared_ptr<Channel> self_;
+  MessageHandler on_message_;
+  ClosedHandler on_closed_;
+};
+
+/// Listens for channels.
+class ChannelServer {
+ public:
+  /// Throws std::runtime_error when the address can't be bound.
+  ChannelServer(EventLoop& loop, const Endpoint& endpoint, Channel::MessageHandler on_message,
+                Channel::ClosedHandler on_closed);
+  ~ChannelServer();
+  ChannelServer(const ChannelServer&) = delete;
+  ChannelServer& operator=(const ChannelServer&) = delete;
+  /// Stops taking new connections.
+  void stop_listening();
+
+ private:
+  EventLoop& loop_;
+  evconnlistener* listener_ = nullptr;
+  Channel::MessageHandler on_message_;
+  Channel::ClosedHandler on_closed_;
+};
+
+}  // namespace stoat::wire
--- /dev/null
+++ b/src/wire/codec.h
@@ -0,0 +1,82 @@
+/// MessagePack encoding of typed messages, and of variants as [alternative index, value].
+#pragma once
+
+#include <msgpack.hpp>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <variant>
+
+namespace stoat::wire {
+
+/// Why bytes could not be read as a message.
+struct CodecError {
+  std::string message;
+};
+
+/// Encodes a value that defines MSGPACK_DEFINE_ARRAY (or is a standard type).
+template <typename Value>
+std::string encode(const Value& value) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, value);
+  return std::string(buffer.data(), buffer.size());
+}
+
+/// Decodes bytes that hold exactly one value. Never throws.
+template <typename Value>
+tl::expected<Value, CodecError> decode(std::string_view bytes) {
+  try {
+    size_t offset = 0;
+    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset);
+    if (offset != bytes.size()) {
+      return tl::make_unexpected(CodecError{"bytes follow the message"});
+    }
+    return handle.get().as<Value>();
+  } catch (const std::exception& error) {
+    return tl::make_unexpected(CodecError{error.what()});
+  }
+}
+
+/// A variant with a MessagePack form: [index, value]. New alternatives go at the end.
+template <typename... Alternatives>
+struct Packed {
+  using Variant = std::variant<Alternatives...>;
+  Variant value;
+
+  Packed() = default;
+  template <typename Alternative, typename = std::enable_if_t<std::is_constructible_v<Variant, Alternative>>>
+  Packed(Alternative&& alternative) : value(std::forward<Alternative>(alternative)) {}
+
+  template <typename Packer>
+  void msgpack_pack(Packer& packer) const {
+    packer.pack_array(2);
+    packer.pack(static_cast<uint32_t>(value.index()));
+    std::visit([&packer](const auto& alternative) { packer.pack(alternative); }, value);
+  }
+
+  void msgpack_unpack(const msgpack::object& object) {
+    if (object.type != msgpack::type::ARRAY || object.via.array.size != 2) {
+      throw msgpack::type_error();
+    }
+    const auto index = object.via.array.ptr[0].as<uint32_t>();
+    if (!read_alternative<0>(index, object.via.array.ptr[1])) {
+      throw msgpack::type_error();
+    }
+  }
+
+ private:
+  template <size_t Index>
+  bool read_alternative(uint32_t index, const msgpack::object& body) {
+    if constexpr (Index < sizeof...(Alternatives)) {
+      if (index != Index) {
+        return read_alternative<Index + 1>(index, body);
+      }
+      value = body.as<std::variant_alternative_t<Index, Variant>>();
+      return true;
+    } else {
+      return false;
+    }
+  }
+};
+
+}  // namespace stoat::wire
