--- a/src/common/log.h
+++ b/src/common/log.h
@@ -33,7 +33,7 @@
   std::string part_;
 };
 
-/// Directs log lines to standard error. `level` is debug, info, warning or error; anything else means info.
+/// Directs log lines to standard output. `level` is debug, info, warning or error; anything else means info.
 void configure_logging(const std::string& level);
 
 }  // namespace stoat
--- a/src/control/control_client.cc
+++ b/src/control/control_client.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr char kKeptFile[] = "configuration";
+constexpr char kKeptRoutersFile[] = "routers";
 constexpr Duration kTick = 20ms;
 constexpr Duration kCallRetry = 150ms;
 
@@ -25,34 +26,42 @@
   }
 }
 
-void ControlClient::load_kept() {
-  const auto bytes = files_.read(kKeptFile);
+std::string ControlClient::read_kept(const std::string& file) {
+  const auto bytes = files_.read(file);
   if (!bytes || !bytes->has_value()) {
-    return;
+    return "";
   }
   const auto scan = storage::scan_records(**bytes);
   if (!scan || scan->payloads.size() != 1) {
-    log_.warning("kept configuration is damaged, fetching anew");
-    return;
+    log_.warning("a kept file is damaged, fetching anew", {{"file", file}});
+    return "";
   }
-  if (auto kept = wire::decode<Configuration>(scan->payloads.front())) {
+  return scan->payloads.front();
+}
+
+void ControlClient::load_kept() {
+  if (auto kept = wire::decode<Configuration>(read_kept(kKeptFile))) {
     follower_ = ConfigurationFollower(std::move(*kept));
     log_.info("configuration kept on disk", {{"version", follower_.configuration().version}});
   }
+  if (on_configuration) {
+    on_configuration(follower_.configuration());
+  }
+  const auto routers = wire::decode<std::vector<wire::Node>>(read_kept(kKeptRoutersFile));
+  if (routers && on_routers) {
+    on_routers(*routers);
+  }
 }
 
-void ControlClient::keep() {
-  const auto written = files_.replace(kKeptFile, storage::make_record(wire::encode(follower_.configuration())));
+void ControlClient::keep(const std::string& file, const std::string& content) {
+  const auto written = files_.replace(file, storage::make_record(content));
   if (!written) {
-    log_.error("cannot keep the configuration", {{"error", written.error().message}});
+    log_.error("cannot keep a file", {{"file", file}, {"error", written.error().message}});
   }
 }
 
 void ControlClient::start() {
   load_kept();
-  if (on_configuration) {
-    on_configuration(follower_.configuration());
-  }
   // A herd of restarted nodes spreads its first polls.
   next_poll_ = loop_.now() + Duration(random_.between(0, options_.poll_interval.count() / 4));
   loop_.every(kTick, [this] { tick(); });
@@ -183,7 +192,7 @@
   poll_open_ = false;
   const bool stale = answer.quorum_age_ms < 0 || answer.quorum_age_ms > options_.max_quorum_age_ms;
   if (follower_.on_answer(answer)) {
-    keep();
+    keep(kKeptFile, wire::encode(follower_.configuration()));
     log_.info("configuration in force", {{"version", follower_.configuration().version}});
     if (on_configuration) {
       on_configuration(follower_.configuration());
@@ -203,6 +212,7 @@
   }
   if (answer.routers_given && on_routers) {
     routers_digest_ = answer.routers_digest;
+    keep(kKeptRoutersFile, wire::encode(answer.routers));
     on_routers(answer.routers);
   }
   if (member == answer.leader && on_leaving) {
--- a/src/control/control_client.h
+++ b/src/control/control_client.h
@@ -1,5 +1,5 @@
 /// A node's connection to the control members: polls for configuration and routers, keeps the last accepted
-/// configuration on disk, and makes calls that find the leader.
+/// ones on disk, and makes calls that find the leader.
 #pragma once
 
 #include <functional>
@@ -55,6 +55,8 @@
   /// Milliseconds since a member with a fresh quorum answered; -1: never.
   int64_t contact_age_ms() const;
   uint64_t sent_bytes() const { return sent_bytes_; }
+  /// Calls that wait for a result.
+  size_t open_calls() const { return calls_.size(); }
 
  private:
   struct PendingCall {
@@ -64,7 +66,8 @@
     TimePoint next_try{0};
   };
   void load_kept();
-  void keep();
+  std::string read_kept(const std::string& file);
+  void keep(const std::string& file, const std::string& content);
   void poll();
   void tick();
   void send_call(uint64_t call_id, PendingCall& call);
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -91,6 +91,9 @@
 void Exchange::add_headers(const std::string& content_type, const std::vector<Header>& headers) {
   evkeyvalq* output = evhttp_request_get_output_headers(request_);
   evhttp_add_header(output, "Content-Type", content_type.c_str());
+  if (close_after_reply_) {
+    evhttp_add_header(output, "Connection", "close");
+  }
   for (const Header& header : headers) {
     evhttp_add_header(output, header.name.c_str(), header.value.c_str());
   }
@@ -187,6 +190,9 @@
 
 void Server::dispatch(evhttp_request* request) {
   const auto exchange = std::make_shared<Exchange>(request);
+  if (socket_ == nullptr) {
+    exchange->close_after_reply();
+  }
   const std::string key = exchange->method() + " " + exchange->path();
   const auto found = exact_.find(key);
   if (found != exact_.end()) {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -50,6 +50,8 @@
   void on_gone(std::function<void()> action) { on_gone_ = std::move(action); }
   bool gone() const { return gone_; }
   bool ended() const { return request_ == nullptr; }
+  /// Makes the reply the connection's last one. Only before the reply begins.
+  void close_after_reply() { close_after_reply_ = true; }
 
  private:
   void add_headers(const std::string& content_type, const std::vector<Header>& headers);
@@ -62,6 +64,7 @@
   std::string body_;
   std::function<void()> on_gone_;
   bool gone_ = false;
+  bool close_after_reply_ = false;
 };
 
 using ExchangePtr = std::shared_ptr<Exchange>;
@@ -84,7 +87,7 @@
   Server& operator=(const Server&) = delete;
 
   void route(const std::string& method, const std::string& path, Handler handler);
-  /// Stops taking new connections; open ones go on.
+  /// Stops taking new connections; requests on open ones are still served, and each reply then closes its connection.
   void stop_listening();
 
  private:
--- a/src/placement/lowest_ttft.cc
+++ b/src/placement/lowest_ttft.cc
@@ -70,20 +70,4 @@
 
 std::unique_ptr<Policy> make_lowest_ttft(const CostModel& costs) { return std::make_unique<LowestTtft>(costs); }
 
-std::unique_ptr<Policy> make_policy(const std::string& name, const CostModel& costs) {
-  if (name == "round_robin") {
-    return make_round_robin();
-  }
-  if (name == "least_outstanding") {
-    return make_least_outstanding();
-  }
-  if (name == "two_choices") {
-    return make_two_choices();
-  }
-  if (name == "prefix_hash") {
-    return make_prefix_hash();
-  }
-  return name == "lowest_ttft" ? make_lowest_ttft(costs) : nullptr;
-}
-
 }  // namespace stoat::placement
--- a/src/placement/policy.h
+++ b/src/placement/policy.h
@@ -45,4 +45,9 @@
 /// The policy of a name, or nullptr: round_robin, least_outstanding, two_choices, prefix_hash, lowest_ttft.
 std::unique_ptr<Policy> make_policy(const std::string& name, const CostModel& costs);
 
+/// Whether make_policy() knows the name.
+bool is_policy(const std::string& name);
+/// The names of all policies, for messages.
+std::string policy_names();
+
 }  // namespace stoat::placement
