--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -220,11 +220,11 @@
   return answer;
 }
 
-void ControlCore::on_join(const consensus::Member& member, TimePoint now) {
+void ControlCore::on_join(const wire::JoinRequest& request, TimePoint now) {
+  const consensus::Member& member = request.member;
   const auto& members = replica_.members().members;
-  const bool known =
-      std::any_of(members.begin(), members.end(),
-                  [&, &member = member](const consensus::Member& other) { return other.id == member.id; });
+  const bool known = std::any_of(members.begin(), members.end(),
+                                 [&](const consensus::Member& other) { return other.id == member.id; });
   if (known) {
     joining_.erase(member.name);
     return;
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -50,8 +50,8 @@
   /// current.
   void read(uint64_t token, TimePoint now);
   wire::NodePollAnswer on_poll(const wire::NodePoll& poll, TimePoint now);
-  /// A blank member asks to be taken in.
-  void on_join(const consensus::Member& member, TimePoint now);
+  /// A member that is not in the list asks to be taken in.
+  void on_join(const wire::JoinRequest& request, TimePoint now);
   /// An operator replaces the voter of a name by the blank member that asked to join under that name.
   consensus::ProposeError replace_member(const std::string& name, TimePoint now);
   void set_leaving(std::vector<std::string> backends) { leaving_ = std::move(backends); }
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -13,7 +13,9 @@
 constexpr int64_t kMaxClaimRetentionS = 2592000;
 constexpr Duration kPlatformPoll = 1s;
 constexpr Duration kOrderPoll = 500ms;
-constexpr Duration kJoinInterval = 500ms;
+constexpr Duration kJoinInterval = 200ms;
+/// How fresh a peer's word that it is blank must be for founding.
+constexpr Duration kBlankPeerLease = 1s;
 constexpr Duration kStopGrace = 300ms;
 
 int64_t wall_clock_ms() {
@@ -21,10 +23,6 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
 }
 
-/// The identity of a founding voter follows from its name, so that all founders agree on the first member
-/// list.
-consensus::MemberId founding_id(const std::string& name) { return hash_bytes(name + "/founder") | 1U; }
-
 }  // namespace
 
 ControlSettings read_control_settings(SettingsReader& reader) {
@@ -59,16 +57,7 @@
 
 ControlServer::ControlServer(EventLoop& loop, const ControlSettings& settings)
     : loop_(loop), settings_(settings), files_(settings.data_folder), store_(files_), client_(loop) {
-  const consensus::RestoredState restored = restore();
-  settings_.core.replica.id = identity_.id;
-  core_ = std::make_unique<ControlCore>(settings_.core, restored, seed_from_device(), loop.now());
-  driver_ = std::make_unique<DurableDriver>(
-      loop, *core_, store_, [this](const consensus::Message& message) { send_to_peer(message); },
-      [this] { deliver_answers(); },
-      [this](const storage::FileError& error) {
-        log_.error("cannot write, stopping", {{"file", error.path}, {"error", error.message}});
-        loop_.stop();
-      });
+  start_core(restore());
   channels_ = std::make_unique<wire::ChannelServer>(
       loop, settings.listen,
       [this](const std::shared_ptr<wire::Channel>& channel, wire::Message message) {
@@ -101,33 +90,59 @@
       throw std::runtime_error(loaded.error().path + ": " + loaded.error().message);
     }
     restored = std::move(*loaded);
-  } else if (settings_.found_cluster) {
-    identity_ = storage::DiskIdentity{founding_id(settings_.name), settings_.name};
-    consensus::Snapshot first;
-    first.index = 1;
-    first.term = 1;
-    first.members.members.push_back({identity_.id, settings_.name, to_string(settings_.listen), true});
-    for (const PeerSetting& peer : settings_.peers) {
-      first.members.members.push_back({founding_id(peer.name), peer.name, to_string(peer.endpoint), true});
-    }
-    first.state = StateMachine().save();
-    restored.snapshot = first;
-    restored.hard_state.term = 1;
-    const auto written = store_.write_snapshot(wire::encode(first), restored.hard_state, {});
-    if (!written || !store_.save_identity(identity_)) {
-      throw std::runtime_error("cannot write the first state to " + settings_.data_folder);
-    }
   } else {
-    // A blank disk never comes back under an identity that may have voted.
+    // A blank disk never comes back under an identity that may have voted, whatever the settings say.
     identity_ = storage::DiskIdentity{seed_from_device() | 1U, settings_.name};
     if (!store_.save_identity(identity_)) {
       throw std::runtime_error("cannot write the identity to " + settings_.data_folder);
     }
   }
-  blank_ = restored.snapshot.index == 0;
   return restored;
 }
 
+void ControlServer::start_core(const consensus::RestoredState& restored) {
+  blank_ = restored.snapshot.index == 0 && restored.entries.empty();
+  settings_.core.replica.id = identity_.id;
+  driver_.reset();
+  core_ = std::make_unique<ControlCore>(settings_.core, restored, seed_from_device(), loop_.now());
+  driver_ = std::make_unique<DurableDriver>(
+      loop_, *core_, store_, [this](const consensus::Message& message) { send_to_peer(message); },
+      [this] { deliver_answers(); },
+      [this](const storage::FileError& error) {
+        log_.error("cannot write, stopping", {{"file", error.path}, {"error", error.message}});
+        loop_.stop();
+      });
+}
+
+void ControlServer::found_cluster() {
+  // Only the first by name founds, and only when every peer has just said that it is blank: a member that
+  // lost its disk can never found a second cluster beside the one that lives on.
+  consensus::Snapshot first;
+  first.index = 1;
+  first.term = 1;
+  first.members.members.push_back({identity_.id, settings_.name, to_string(settings_.listen), true});
+  for (const PeerSetting& peer : settings_.peers) {
+    const auto joining = blank_peers_.find(peer.name);
+    if (peer.name < settings_.name || joining == blank_peers_.end() ||
+        loop_.now() - joining->second.heard_at > kBlankPeerLease) {
+      return;
+    }
+    first.members.members.push_back(joining->second.member);
+    first.members.members.back().voter = true;
+  }
+  first.state = StateMachine().save();
+  consensus::RestoredState restored;
+  restored.snapshot = first;
+  restored.hard_state.term = 1;
+  const auto written = store_.write_snapshot(wire::encode(first), restored.hard_state, {});
+  if (!written) {
+    log_.error("cannot write the first state", {{"error", written.error().message}});
+    return;
+  }
+  log_.info("founded", {{"members", first.members.members.size()}});
+  start_core(restored);
+}
+
 void ControlServer::send_to_peer(const consensus::Message& message) {
   std::string address;
   for (const consensus::Member& member : core_->replica().members().members) {
@@ -172,7 +187,10 @@
     });
     core_->call(token, std::move(call->command), wall_clock_ms(), now);
   } else if (auto* join = std::get_if<wire::JoinRequest>(&message.value)) {
-    core_->on_join(join->member, now);
+    if (join->blank) {
+      blank_peers_[join->member.name] = BlankPeer{join->member, now};
+    }
+    core_->on_join(*join, now);
   }
   driver_->drive();
 }
@@ -216,6 +234,9 @@
       return;
     }
   }
+  if (blank_ && core_->replica().last_index() == 0 && settings_.found_cluster) {
+    found_cluster();
+  }
   for (const PeerSetting& peer : settings_.peers) {
     auto& channel = peer_channels_[to_string(peer.endpoint)];
     if (channel == nullptr || !channel->open()) {
@@ -225,7 +246,8 @@
       channel =
           wire::Channel::connect(loop_, peer.endpoint, on_peer, [](const std::shared_ptr<wire::Channel>&) {});
     }
-    channel->send(wire::JoinRequest{{identity_.id, settings_.name, to_string(settings_.listen), false}});
+    channel->send(wire::JoinRequest{{identity_.id, settings_.name, to_string(settings_.listen), false},
+                                    core_->replica().last_index() == 0});
   }
 }
 
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -23,7 +23,7 @@
   Endpoint listen;  ///< peers and nodes
   Endpoint admin;   ///< operators, over HTTP
   std::string data_folder;
-  bool found_cluster = false;  ///< a blank disk begins as a founding voter
+  bool found_cluster = false;  ///< found a cluster once all peers are up and blank; else wait to be taken in
   std::vector<PeerSetting> peers;
   std::string operator_key;  ///< empty: the administration API needs no key
   std::string platform;      ///< "address:port" of the machine list; may be empty
@@ -41,7 +41,14 @@
   ControlServer(EventLoop& loop, const ControlSettings& settings);
 
  private:
+  /// A peer that has said that it has no state.
+  struct BlankPeer {
+    consensus::Member member;
+    TimePoint heard_at{0};
+  };
   consensus::RestoredState restore();
+  void start_core(const consensus::RestoredState& restored);
+  void found_cluster();
   void add_routes();
   void on_message(const std::shared_ptr<wire::Channel>& channel, wire::Message message);
   void send_to_peer(const consensus::Message& message);
@@ -86,6 +93,7 @@
   std::unique_ptr<http::Server> admin_;
   http::Client client_;
   std::map<std::string, std::shared_ptr<wire::Channel>> peer_channels_;
+  std::map<std::string, BlankPeer> blank_peers_;
   std::map<uint64_t, AnswerHandler> waiting_;
   uint64_t last_token_ = 0;
   std::map<std::string, uint64_t> orders_under_way_;  ///< back end to fence
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -245,10 +245,11 @@
   MSGPACK_DEFINE_ARRAY(message)
 };
 
-/// Blank control member to its peers: I have no state and ask to be taken in.
+/// Control member that is in no member list to its peers: I ask to be taken in.
 struct JoinRequest {
   consensus::Member member;
-  MSGPACK_DEFINE_ARRAY(member)
+  bool blank = true;  ///< it has no state at all, so a cluster may be founded with it
+  MSGPACK_DEFINE_ARRAY(member, blank)
 };
 
 /// Any message. New alternatives go at the end.
