--- a/src/consensus/message.h
+++ b/src/consensus/message.h
@@ -84,7 +84,7 @@
   uint64_t round = 0;  ///< heartbeat round, echoed by answers; confirms reads
   bool granted = false;
   std::vector<Entry> entries;
-  uint64_t offset = 0;      ///< of a snapshot piece
+  uint64_t offset = 0;      ///< of a snapshot piece; of an append's answer: the log_index that it answers
   bool last_piece = false;  ///< of a snapshot piece
   std::string bytes;        ///< of a snapshot piece
   MSGPACK_DEFINE_ARRAY(kind, from, to, term, log_index, log_term, commit, round, granted, entries, offset,
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -247,6 +247,7 @@
   answer.granted = granted;
   answer.log_index = index;
   answer.round = request.round;
+  answer.offset = request.log_index;
   output_.send_after_persist.push_back(answer);
 }
 
@@ -325,9 +326,10 @@
   last_leader_contact_ = now;
   quorum_confirmed_at_ = now;
   reset_election_deadline(now);
-  if (message.offset == 0 || snapshot_buffer_term_ != message.term) {
+  if (snapshot_buffer_index_ != message.log_index || snapshot_buffer_term_ != message.term) {
     snapshot_buffer_.clear();
     snapshot_buffer_term_ = message.term;
+    snapshot_buffer_index_ = message.log_index;
   }
   if (message.offset == snapshot_buffer_.size()) {
     snapshot_buffer_ += message.bytes;
@@ -338,7 +340,9 @@
   Message answer = make_message(MessageKind::kSnapshotAnswer, message.from);
   answer.round = message.round;
   answer.offset = snapshot_buffer_.size();
-  answer.log_index = log_.snapshot_index();
+  answer.log_term = message.log_index;
+  // What is committed here matches the leader's log, also where it goes beyond the snapshot that was sent.
+  answer.log_index = commit_;
   output_.send_after_persist.push_back(answer);
 }
 
@@ -348,6 +352,12 @@
     snapshot_buffer_.clear();
     return;
   }
+  if (log_.holds(snapshot->index) && log_.term_at(snapshot->index) == snapshot->term) {
+    // The log goes beyond the snapshot, and what follows may have been acknowledged: keep it.
+    snapshot_buffer_.clear();
+    advance_commit_to(snapshot->index);
+    return;
+  }
   encoded_snapshot_ = std::make_shared<const std::string>(std::move(snapshot_buffer_));
   snapshot_buffer_.clear();
   log_.reset_to(snapshot->index, snapshot->term);
@@ -369,6 +379,9 @@
   encoded_snapshot_ = std::move(encoded_snapshot);
   snapshot_members_ = members;
   log_.compact_to(index, term);
+  for (auto& [member, progress] : progress_) {
+    progress.snapshot_offset = 0;
+  }
 }
 
 Output Replica::take_output() {
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -53,7 +53,7 @@
 };
 
 /// Why a proposal was not taken.
-enum class ProposeError : uint8_t { kNone, kNotLeader, kChangePending, kTooManyAtOnce };
+enum class ProposeError : uint8_t { kNone, kNotLeader, kChangePending, kTooManyAtOnce, kListedTwice };
 
 /// See the head of this file.
 class Replica {
@@ -112,6 +112,7 @@
     uint64_t confirmed_round = 0;
     TimePoint last_answer{0};
     TimePoint last_sent{0};
+    bool probing = false;  ///< looking for where the logs part; one append at a time
     bool sending_snapshot = false;
     uint64_t snapshot_offset = 0;
   };
@@ -173,6 +174,7 @@
   std::set<MemberId> votes_;
   std::string snapshot_buffer_;
   uint64_t snapshot_buffer_term_ = 0;
+  uint64_t snapshot_buffer_index_ = 0;  ///< index of the snapshot that is being received
 
   std::map<MemberId, Progress> progress_;
   std::vector<PendingRead> reads_;
--- a/src/consensus/replica_leader.cc
+++ b/src/consensus/replica_leader.cc
@@ -67,6 +67,12 @@
   }
   std::set<MemberId> before;
   std::set<MemberId> after;
+  std::set<MemberId> all;
+  for (const Member& member : members.members) {
+    if (!all.insert(member.id).second) {
+      return ProposeError::kListedTwice;
+    }
+  }
   for (const Member& member : members_.members) {
     if (member.voter) {
       before.insert(member.id);
@@ -114,7 +120,7 @@
   message.commit = commit_;
   message.round = round_;
   message.entries = log_.slice(progress.next, options_.max_append_entries, options_.max_append_bytes);
-  progress.next += message.entries.size();
+  progress.next += progress.probing ? 0 : message.entries.size();
   progress.inflight += message.entries.empty() ? 0 : 1;
   progress.last_sent = now;
   output_.send_now.push_back(std::move(message));
@@ -126,6 +132,7 @@
     progress.snapshot_offset = 0;
   }
   message.round = round_;
+  message.log_index = log_.snapshot_index();
   message.offset = progress.snapshot_offset;
   message.bytes = encoded_snapshot_->substr(progress.snapshot_offset, options_.snapshot_piece_bytes);
   message.last_piece = progress.snapshot_offset + message.bytes.size() == encoded_snapshot_->size();
@@ -142,6 +149,9 @@
   progress.last_answer = now;
   progress.confirmed_round = std::max(progress.confirmed_round, message.round);
   confirm_reads();
+  if (!progress.sending_snapshot) {
+    return;
+  }
   if (message.log_index >= log_.snapshot_index() || message.log_index >= progress.next) {
     progress.sending_snapshot = false;
     progress.snapshot_offset = 0;
@@ -151,8 +161,19 @@
     send_append(message.from, progress, false, now);
     return;
   }
-  progress.snapshot_offset = message.offset;
-  send_snapshot_piece(message.from, progress, now);
+  if (message.log_term != log_.snapshot_index()) {
+    return;  // about a snapshot that a later one has replaced
+  }
+  // Only an answer that brings the transfer on makes the next piece go out at once. Were every answer to do
+  // so, messages that the network doubles would double for ever; what is lost goes out again with the next
+  // heartbeat.
+  const bool brings_on = message.offset > progress.snapshot_offset;
+  if (brings_on || message.round == round_) {
+    progress.snapshot_offset = message.offset;
+  }
+  if (brings_on) {
+    send_snapshot_piece(message.from, progress, now);
+  }
 }
 
 void Replica::broadcast_append(TimePoint now) {
@@ -172,6 +193,7 @@
       // What was under way may be lost: go back to what is known to match.
       progress.next = progress.match + 1;
       progress.inflight = 0;
+      progress.probing = false;
     }
     send_append(member, progress, true, now);
   }
@@ -188,17 +210,26 @@
   progress.last_answer = now;
   progress.inflight -= progress.inflight > 0 ? 1 : 0;
   progress.confirmed_round = std::max(progress.confirmed_round, message.round);
+  confirm_reads();
+  // As with snapshots, an answer that tells nothing new sends nothing.
   if (message.granted) {
-    if (message.log_index > progress.match) {
-      progress.match = message.log_index;
-      progress.next = std::max(progress.next, progress.match + 1);
-      update_commit();
+    progress.probing = false;
+    if (message.log_index <= progress.match) {
+      return;
     }
+    progress.match = message.log_index;
+    progress.next = std::max(progress.next, progress.match + 1);
+    update_commit();
   } else {
-    progress.next = std::max(progress.match, std::min(progress.next - 1, message.log_index)) + 1;
+    const bool stale =
+        message.offset <= progress.match || (progress.probing && message.offset + 1 != progress.next);
+    if (stale) {
+      return;
+    }
+    progress.next = std::max(progress.match, std::min(message.offset - 1, message.log_index)) + 1;
+    progress.probing = true;
     progress.inflight = 0;
   }
-  confirm_reads();
   if (progress.next <= log_.last_index()) {
     send_append(message.from, progress, false, now);
   }
--- a/src/control/command.h
+++ b/src/control/command.h
@@ -35,7 +35,8 @@
   uint64_t claim_id = 0;
   ClaimState state = ClaimState::kSettled;
   std::string outcome;  ///< the answer that a resend gets; bounded by kMaxClaimOutcomeBytes
-  MSGPACK_DEFINE_ARRAY(tenant, key, claim_id, state, outcome)
+  int64_t at_ms = 0;    ///< wall clock of the accepting member; drives retention
+  MSGPACK_DEFINE_ARRAY(tenant, key, claim_id, state, outcome, at_ms)
 };
 
 /// What an order tells an engine to do.
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -56,6 +56,9 @@
   if (auto* claim = std::get_if<ClaimKey>(&command.value)) {
     claim->at_ms = wall_ms;  // one clock for retention: the leader's, not each router's
   }
+  if (auto* finish = std::get_if<FinishClaim>(&command.value)) {
+    finish->at_ms = wall_ms;
+  }
   if (auto* change = std::get_if<ChangeConfiguration>(&command.value)) {
     change->submitted_at_ms = wall_ms;
   }
@@ -254,6 +257,12 @@
   // The newcomer catches up as a learner while the former voter still counts; promote_learners() does the
   // rest.
   consensus::MemberList list = replica_.members();
+  const bool in_already =
+      std::any_of(list.members.begin(), list.members.end(),
+                  [&](const consensus::Member& member) { return member.id == newcomer->second.id; });
+  if (in_already) {
+    return consensus::ProposeError::kNone;
+  }
   list.members.push_back(newcomer->second);
   list.members.back().voter = false;
   return replica_.propose_members(list, now);
--- a/src/control/state_machine.cc
+++ b/src/control/state_machine.cc
@@ -136,7 +136,13 @@
   auto [found, fresh] = claims_.try_emplace(claim_name(claim.tenant, claim.key));
   Claim& held = found->second;
   const bool released = !fresh && held.state == ClaimState::kReleased;
-  if (!fresh && held.digest != claim.digest) {
+  if (released && held.claim_id == claim.claim_id) {
+    // The attempt was given up before its claim came through the log.
+    result.code = ResultCode::kClaimHeld;
+    result.claim_state = ClaimState::kReleased;
+    return result;
+  }
+  if (!fresh && !released && held.digest != claim.digest) {
     result.code = ResultCode::kDigestConflict;
     return result;
   }
@@ -155,7 +161,14 @@
 
 CommandResult StateMachine::apply_finish(const FinishClaim& finish) {
   CommandResult result;
-  const auto found = claims_.find(claim_name(finish.tenant, finish.key));
+  const std::string name = claim_name(finish.tenant, finish.key);
+  if (finish.state == ClaimState::kReleased && claims_.count(name) == 0) {
+    // The release overtook its claim: keep it, so that the claim is refused when it comes.
+    claims_[name] = Claim{0, finish.claim_id, finish.at_ms, ClaimState::kReleased, ""};
+    result.claim_state = ClaimState::kReleased;
+    return result;
+  }
+  const auto found = claims_.find(name);
   if (found == claims_.end() || found->second.claim_id != finish.claim_id) {
     result.code = ResultCode::kInvalid;
     result.message = "the claim is not held under this id";
--- a/src/ctl/admin_connection.cc
+++ b/src/ctl/admin_connection.cc
@@ -16,8 +16,8 @@
 AdminConnection::AdminConnection(std::vector<Endpoint> members, std::string operator_key, Duration limit)
     : members_(std::move(members)), operator_key_(std::move(operator_key)), limit_(limit) {}
 
-http::ClientResult AdminConnection::send(const Endpoint& member, const std::string& method, const std::string& path,
-                                         const std::string& body) const {
+http::ClientResult AdminConnection::send(const Endpoint& member, const std::string& method,
+                                         const std::string& path, const std::string& body) const {
   http::ClientRequest request;
   request.endpoint = member;
   request.method = method;
@@ -49,7 +49,8 @@
     if (result.status != 0) {
       last.http_status = result.status;
       last.code = parsed.is_object() ? parsed.value("/error/code"_json_pointer, "") : "";
-      last.message = parsed.is_object() ? parsed.value("/error/message"_json_pointer, result.body) : result.body;
+      last.message =
+          parsed.is_object() ? parsed.value("/error/message"_json_pointer, result.body) : result.body;
       if (last.code.empty() && parsed.is_object()) {
         last.code = parsed.value("code", "refused");
         last.message = parsed.value("message", "");
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -141,11 +141,13 @@
         voting = member["state"] == "voting";
       }
     }
-    if (voting && one_of_the_name && members->at("members").size() > 0 && members->at("waiting_to_join").empty()) {
+    if (voting && one_of_the_name && members->at("members").size() > 0 &&
+        members->at("waiting_to_join").empty()) {
       break;
     }
     if (monotonic_now() >= give_up_at) {
-      std::cerr << "stoatctl: " << name << " does not vote yet; a second loss now could stop the control members\n";
+      std::cerr << "stoatctl: " << name
+                << " does not vote yet; a second loss now could stop the control members\n";
       return ExitStatus::kNotInForceYet;
     }
     std::this_thread::sleep_for(kWaitPoll);
@@ -206,14 +208,18 @@
   if (options_.api_key.empty()) {
     return bad_input("--api-key must be given");
   }
-  return change("tenant", {{"name", argument(2)}, {"sharing_group", options_.sharing_group}, {"api_keys", {options_.api_key}}});
+  return change(
+      "tenant",
+      {{"name", argument(2)}, {"sharing_group", options_.sharing_group}, {"api_keys", {options_.api_key}}});
 }
 
 ExitStatus Command::set_model() {
   if (options_.weights_version.empty()) {
     return bad_input("--weights must be given");
   }
-  return change("model", {{"name", argument(2)}, {"weights_version", options_.weights_version}, {"adapter", options_.adapter}});
+  return change(
+      "model",
+      {{"name", argument(2)}, {"weights_version", options_.weights_version}, {"adapter", options_.adapter}});
 }
 
 ExitStatus Command::add_backend() {
@@ -225,10 +231,10 @@
     return bad_input("--serves must be given");
   }
   return change("backend", {{"name", argument(2)},
-                    {"kind", options_.kind},
-                    {"serves", options_.serves},
-                    {"endpoint", options_.endpoint},
-                    {"zone", options_.zone}});
+                            {"kind", options_.kind},
+                            {"serves", options_.serves},
+                            {"endpoint", options_.endpoint},
+                            {"zone", options_.zone}});
 }
 
 ExitStatus Command::set_draining(bool draining) {
@@ -251,9 +257,9 @@
 }
 
 ExitStatus Command::order_load() {
-  const auto answer = connection_.post("/v1/orders", {{"backend", argument(2)},
-                                                      {"weights_version", argument(3)},
-                                                      {"operator_request_id", request_id()}});
+  const auto answer = connection_.post(
+      "/v1/orders",
+      {{"backend", argument(2)}, {"weights_version", argument(3)}, {"operator_request_id", request_id()}});
   if (!answer) {
     return fail(answer.error());
   }
@@ -358,16 +364,22 @@
        &Command::replace_member},
       {"tenant list", "", 0, "tenants", [](Command& command) { return command.list("tenants"); }},
       {"tenant add", "NAME", 1, "add or change a tenant (--api-key, --group)", &Command::add_tenant},
-      {"tenant remove", "NAME", 1, "remove a tenant", [](Command& command) { return command.remove("tenant"); }},
-      {"model list", "", 0, "models and their weights", [](Command& command) { return command.list("models"); }},
+      {"tenant remove", "NAME", 1, "remove a tenant",
+       [](Command& command) { return command.remove("tenant"); }},
+      {"model list", "", 0, "models and their weights",
+       [](Command& command) { return command.list("models"); }},
       {"model set", "NAME", 1, "add or change a model (--weights, --adapter)", &Command::set_model},
       {"model remove", "NAME", 1, "remove a model", [](Command& command) { return command.remove("model"); }},
-      {"backend list", "", 0, "engines and plain back ends", [](Command& command) { return command.list("backends"); }},
+      {"backend list", "", 0, "engines and plain back ends",
+       [](Command& command) { return command.list("backends"); }},
       {"backend add", "NAME", 1, "add or change a back end (--kind, --serves, --endpoint, --zone)",
        &Command::add_backend},
-      {"backend drain", "NAME", 1, "give it no new work", [](Command& command) { return command.set_draining(true); }},
-      {"backend undrain", "NAME", 1, "give it work again", [](Command& command) { return command.set_draining(false); }},
-      {"backend remove", "NAME", 1, "remove a back end", [](Command& command) { return command.remove("backend"); }},
+      {"backend drain", "NAME", 1, "give it no new work",
+       [](Command& command) { return command.set_draining(true); }},
+      {"backend undrain", "NAME", 1, "give it work again",
+       [](Command& command) { return command.set_draining(false); }},
+      {"backend remove", "NAME", 1, "remove a back end",
+       [](Command& command) { return command.remove("backend"); }},
       {"order list", "", 0, "the last order of each engine", &Command::show_orders},
       {"order load", "BACKEND VERSION", 2, "order an engine to load a weights version", &Command::order_load},
       {"table get", "", 0, "print the policy table as CSV", &Command::table_get},
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -23,8 +23,8 @@
   std::vector<Endpoint> members;
   std::string operator_key;
   std::string operator_name;
-  std::string request_id;       ///< empty: a random one
-  int64_t base_version = -1;    ///< -1: the present version
+  std::string request_id;     ///< empty: a random one
+  int64_t base_version = -1;  ///< -1: the present version
   std::string api_key;
   std::string sharing_group;
   std::string kind = "engine";
--- a/src/ctl/ctl_main.cc
+++ b/src/ctl/ctl_main.cc
@@ -12,7 +12,9 @@
 
 using stoat::ctl::CtlOptions;
 
-std::string text_or(const char* value, const std::string& fallback) { return value == nullptr ? fallback : value; }
+std::string text_or(const char* value, const std::string& fallback) {
+  return value == nullptr ? fallback : value;
+}
 
 std::string environment(const char* name) {
   const char* value = std::getenv(name);
@@ -54,11 +56,13 @@
   long long base_version = -1;
   long long timeout_s = options.timeout_s;
   const poptOption table[] = {
-      {"control", 'c', POPT_ARG_STRING, &control, 0, "administration addresses (or STOAT_CONTROL)", "ADDRESS:PORT,..."},
+      {"control", 'c', POPT_ARG_STRING, &control, 0, "administration addresses (or STOAT_CONTROL)",
+       "ADDRESS:PORT,..."},
       {"key", 'k', POPT_ARG_STRING, &key, 0, "operator's key (or STOAT_OPERATOR_KEY)", "KEY"},
       {"operator", 'o', POPT_ARG_STRING, &operator_name, 0, "who makes the change (default: USER)", "NAME"},
       {"request-id", 'r', POPT_ARG_STRING, &request_id, 0, "to resend a change after a lost answer", "ID"},
-      {"base-version", 'b', POPT_ARG_LONGLONG, &base_version, 0, "version that the change is based on", "VERSION"},
+      {"base-version", 'b', POPT_ARG_LONGLONG, &base_version, 0, "version that the change is based on",
+       "VERSION"},
       {"api-key", 0, POPT_ARG_STRING, &api_key, 0, "API key of a tenant", "KEY"},
       {"group", 0, POPT_ARG_STRING, &group, 0, "tenants of one group share cached prefixes", "GROUP"},
       {"kind", 0, POPT_ARG_STRING, &kind, 0, "engine or plain", "KIND"},
@@ -77,8 +81,8 @@
   poptSetOtherOptionHelp(context, help.c_str());
   const int result = poptGetNextOpt(context);
   if (result < -1) {
-    std::cerr << "stoatctl: " << poptBadOption(context, POPT_BADOPTION_NOALIAS) << ": " << poptStrerror(result)
-              << "\nTry 'stoatctl --help'.\n";
+    std::cerr << "stoatctl: " << poptBadOption(context, POPT_BADOPTION_NOALIAS) << ": "
+              << poptStrerror(result) << "\nTry 'stoatctl --help'.\n";
     return stoat::kExitBadInput;
   }
   if (version != 0) {
--- a/src/ctl/policy_csv.cc
+++ b/src/ctl/policy_csv.cc
@@ -16,9 +16,9 @@
 using control::PolicyTable;
 using control::RowKind;
 
-constexpr std::array<const char*, 9> kColumns{"kind",       "name",          "share",
-                                              "priority",   "requests_per_second", "tokens_per_second",
-                                              "concurrent", "queue_time_ms", "repeatable"};
+constexpr std::array<const char*, 9> kColumns{
+    "kind",       "name",          "share",     "priority", "requests_per_second", "tokens_per_second",
+    "concurrent", "queue_time_ms", "repeatable"};
 constexpr double kMaxRate = 1e9;
 constexpr double kMaxPriority = 1000;
 constexpr double kMaxQueueTimeMs = 600000;
@@ -101,11 +101,13 @@
       add(name, "name", "'" + row.name + "' has a row already");
     }
     row.share = number(cells, "share", row.share, 0.001, kMaxRate, false);
-    row.priority = static_cast<int32_t>(number(cells, "priority", row.priority, -kMaxPriority, kMaxPriority, true));
+    row.priority =
+        static_cast<int32_t>(number(cells, "priority", row.priority, -kMaxPriority, kMaxPriority, true));
     row.requests_per_second = number(cells, "requests_per_second", 0, 0, kMaxRate, false);
     row.tokens_per_second = number(cells, "tokens_per_second", 0, 0, kMaxRate, false);
     row.concurrent = static_cast<int32_t>(number(cells, "concurrent", 0, 0, kMaxRate, true));
-    row.queue_time_ms = static_cast<int32_t>(number(cells, "queue_time_ms", row.queue_time_ms, 0, kMaxQueueTimeMs, true));
+    row.queue_time_ms =
+        static_cast<int32_t>(number(cells, "queue_time_ms", row.queue_time_ms, 0, kMaxQueueTimeMs, true));
     row.repeatable = truth(cells, "repeatable");
     return row;
   }
@@ -126,8 +128,8 @@
     return position < cells.size() ? cells[position] : Cell{"", cells.front().row, found->second + 1};
   }
 
-  double number(const std::vector<Cell>& cells, const std::string& column, double fallback, double low, double high,
-                bool whole) {
+  double number(const std::vector<Cell>& cells, const std::string& column, double fallback, double low,
+                double high, bool whole) {
     const Cell cell = cell_of(cells, column);
     if (cell.text.empty()) {
       return fallback;
@@ -137,8 +139,8 @@
     const bool is_number = end != cell.text.c_str() && *end == '\0' && std::isfinite(value);
     if (!is_number || value < low || value > high || (whole && value != std::floor(value))) {
       std::ostringstream message;
-      message << "must be a " << (whole ? "whole " : "") << "number from " << low << " to " << high << ", not '"
-              << cell.text << "'";
+      message << "must be a " << (whole ? "whole " : "") << "number from " << low << " to " << high
+              << ", not '" << cell.text << "'";
       add(cell, column, message.str());
       return fallback;
     }
@@ -174,9 +176,9 @@
 
 std::string row_line(const PolicyRow& row) {
   std::ostringstream line;
-  line << (row.kind == RowKind::kTenant ? "tenant" : "service") << "," << quote_cell(row.name) << "," << row.share
-       << "," << row.priority << "," << row.requests_per_second << "," << row.tokens_per_second << ","
-       << row.concurrent << "," << row.queue_time_ms << "," << (row.repeatable ? "yes" : "no");
+  line << (row.kind == RowKind::kTenant ? "tenant" : "service") << "," << quote_cell(row.name) << ","
+       << row.share << "," << row.priority << "," << row.requests_per_second << "," << row.tokens_per_second
+       << "," << row.concurrent << "," << row.queue_time_ms << "," << (row.repeatable ? "yes" : "no");
   return line.str();
 }
 
@@ -201,7 +203,8 @@
     return table;
   }
   for (size_t row = 1; row < rows.size(); ++row) {
-    const bool blank = std::all_of(rows[row].begin(), rows[row].end(), [](const Cell& cell) { return cell.text.empty(); });
+    const bool blank =
+        std::all_of(rows[row].begin(), rows[row].end(), [](const Cell& cell) { return cell.text.empty(); });
     if (!blank) {
       parser.check_width(rows[row], rows.front().size());
       table.rows.push_back(parser.read_row(rows[row]));
@@ -224,7 +227,8 @@
 
 std::string diff_tables(const PolicyTable& before, const PolicyTable& after) {
   std::string text;
-  const auto lines_missing_from = [&text](const PolicyTable& from, const PolicyTable& other, const char* mark) {
+  const auto lines_missing_from = [&text](const PolicyTable& from, const PolicyTable& other,
+                                          const char* mark) {
     for (const PolicyRow& row : from.rows) {
       if (std::find(other.rows.begin(), other.rows.end(), row) == other.rows.end()) {
         text += mark + row_line(row) + "\n";
--- a/src/ctl/policy_csv.h
+++ b/src/ctl/policy_csv.h
@@ -8,8 +8,8 @@
 
 namespace stoat::ctl {
 
-/// Reads a table. Everything wrong becomes a finding with its row and column; the rows read so far are returned.
-/// Columns may stand in any order; kind and name are required, the others have defaults.
+/// Reads a table. Everything wrong becomes a finding with its row and column; the rows read so far are
+/// returned. Columns may stand in any order; kind and name are required, the others have defaults.
 control::PolicyTable parse_policy_csv(const std::string& file, const std::string& text, Findings& findings);
 
 /// Writes a table with all columns.
