Simulate the whole request path under faults; mend five faults that it found

Cause, each found by the simulator: 1. With all engines restarted at once a request used up its tries on refusals and was given up. 4. A refusal whose wait was under a millisecond carried no Retry-After. 5. A router whose sidecar had gone took a resumed stream back from, or cancelled it under, the router that resumed it. Ruled out for 3: more tries (a refusal by a restarted engine tells its new incarnation, so the next try can be right); for 5: waiting longer before the cancel (a freeze can be longer than any wait). Change: as above; an engine's refusal carries its incarnation; a broken stream without a sidecar is left alone and its claim settled as unknown after 10 s unless somebody settles it first.

--- a/simulation/control_simulation.cc
+++ b/simulation/control_simulation.cc
@@ -38,9 +38,11 @@
   for (uint32_t position = 0; position < options.voters; ++position) {
     const std::string name = "member-" + std::to_string(position);
     const auto send_from = [this, position](const consensus::Message& message) { send(position, message); };
-    const auto answer_from = [this, position](const control::CallAnswer& answer) { on_answer(position, answer); };
-    members_.push_back(std::make_unique<SimulatedMember>(events_, name, member_options(options), random_.bits(),
-                                                         send_from, answer_from));
+    const auto answer_from = [this, position](const control::CallAnswer& answer) {
+      on_answer(position, answer);
+    };
+    members_.push_back(std::make_unique<SimulatedMember>(events_, name, member_options(options),
+                                                         random_.bits(), send_from, answer_from));
     founders.members.push_back({random_.bits() | 1U, name, name, true});
   }
   for (size_t position = 0; position < members_.size(); ++position) {
@@ -166,7 +168,8 @@
     }
     if (events_.now() >= call->second.next_try) {
       if (call->second.next_try != TimePoint(0)) {
-        call->second.target = (call->second.target + 1) % members_.size();  // the answer was lost, or there is none
+        call->second.target =
+            (call->second.target + 1) % members_.size();  // the answer was lost, or there is none
       }
       send_call(call->first, call->second);
     }
@@ -232,7 +235,8 @@
   return done;
 }
 
-bool ControlSimulation::claim(const std::string& key, uint64_t claim_id, CommandResult& result, Duration limit) {
+bool ControlSimulation::claim(const std::string& key, uint64_t claim_id, CommandResult& result,
+                              Duration limit) {
   ClaimKey claim_key;
   claim_key.tenant = kTenant;
   claim_key.key = key;
@@ -285,7 +289,8 @@
     if (listed) {
       continue;
     }
-    const wire::JoinRequest request{{member->id(), member->name(), member->name(), false}, !member->has_state()};
+    const wire::JoinRequest request{{member->id(), member->name(), member->name(), false},
+                                    !member->has_state()};
     for (auto& other : members_) {
       if (other != member) {
         network_.send(member->name(), other->name(), [&other, request] {
@@ -367,11 +372,13 @@
   if (commit <= checked_commit_[position]) {
     return;
   }
-  for (const consensus::Entry& entry : replica.entries_after(std::max(checked_commit_[position], replica.snapshot_index()))) {
+  for (const consensus::Entry& entry :
+       replica.entries_after(std::max(checked_commit_[position], replica.snapshot_index()))) {
     if (entry.index > commit) {
       break;
     }
-    const uint64_t content = hash_pair(entry.term, hash_bytes(entry.payload, static_cast<uint64_t>(entry.kind)));
+    const uint64_t content =
+        hash_pair(entry.term, hash_bytes(entry.payload, static_cast<uint64_t>(entry.kind)));
     const auto [known, fresh] = committed_hash_.emplace(entry.index, content);
     if (!fresh && known->second != content) {
       violate("committed entry " + std::to_string(entry.index) + " differs on " + member.name());
@@ -457,7 +464,8 @@
 // Faults.
 
 void ControlSimulation::random_wipe() {
-  // A disk may be lost while a majority of the others is sound; a second loss waits for the repair to be finished.
+  // A disk may be lost while a majority of the others is sound; a second loss waits for the repair to be
+  // finished.
   if (wiped_member_ >= 0) {
     return;
   }
--- a/simulation/control_simulation.h
+++ b/simulation/control_simulation.h
@@ -1,5 +1,5 @@
-/// The control members in a deterministic simulation: operators who race and resend, routers that claim keys, nodes
-/// that follow the configuration, faults drawn from a seed, and checks after every step.
+/// The control members in a deterministic simulation: operators who race and resend, routers that claim keys,
+/// nodes that follow the configuration, faults drawn from a seed, and checks after every step.
 #pragma once
 
 #include <map>
@@ -93,7 +93,8 @@
   void step();
   void send(size_t from, const consensus::Message& message);
   void on_answer(size_t from, const control::CallAnswer& answer);
-  void start_call(const control::Command& command, std::function<void(const control::CommandResult&)> on_result);
+  void start_call(const control::Command& command,
+                  std::function<void(const control::CommandResult&)> on_result);
   void drive_calls();
   void send_call(uint64_t token, Call& call);
   void drive_nodes();
--- a/simulation/event_queue.h
+++ b/simulation/event_queue.h
@@ -16,7 +16,9 @@
 
   TimePoint now() const { return now_; }
 
-  void at(TimePoint when, Action action) { events_.push({std::max(when, now_), ++last_number_, std::move(action)}); }
+  void at(TimePoint when, Action action) {
+    events_.push({std::max(when, now_), ++last_number_, std::move(action)});
+  }
   void after(Duration delay, Action action) { at(now_ + delay, std::move(action)); }
 
   /// Runs the next event that is due by `limit`; false when there is none, the clock then stands at `limit`.
--- /dev/null
+++ b/simulation/fleet_simulation.cc
@@ -0,0 +1,658 @@
+#include "simulation/fleet_simulation.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+#include "src/common/hash.h"
+
+namespace stoat::simulation {
+
+namespace {
+
+using tools::PlannedRequest;
+using tools::RequestClass;
+
+constexpr Duration kStep = 1ms;
+constexpr Duration kCoreTick = 5ms;
+constexpr Duration kControlPoll = 200ms;
+constexpr Duration kNodeLease = 5s;
+constexpr Duration kControlRetry = 200ms;
+constexpr Duration kControlDeadline = 3s;
+constexpr Duration kFinishDeadline = 30s;
+constexpr Duration kEndLimit = 60s;
+constexpr uint32_t kMaxTries = 30;
+constexpr char kZone[] = "region/zone";
+constexpr char kCaller[] = "operator";
+/// Calls go by name here; the configuration wants an address all the same.
+constexpr char kAnyEndpoint[] = "127.0.0.1:1";
+
+std::string numbered(const char* prefix, size_t number) { return std::string(prefix) + "-" + std::to_string(number); }
+
+}  // namespace
+
+FleetSimulationOptions faulty_fleet_options(uint64_t seed, const std::string& workload, Duration duration) {
+  FleetSimulationOptions options;
+  options.seed = seed;
+  options.random_faults = true;
+  options.engines = 4;
+  options.workload.name = workload;
+  options.workload.duration = duration;
+  options.workload.requests_per_second = 30;
+  options.workload.shared_tokens = 600;
+  options.workload.middle_tokens = 200;
+  options.workload.inner_tokens = 200;
+  options.workload.question_tokens = 30;
+  options.workload.tenants = 4;
+  options.router.block_tokens = 32;
+  options.engine.cache_blocks = 300;
+  options.engine.feed.gap_probability = 0.01;
+  options.engine.max_running = 8;
+  return options;
+}
+
+FleetSimulation::FleetSimulation(const FleetSimulationOptions& options)
+    : options_(options), random_(options.seed), names_(tools::deployment_names(options.workload)) {
+  options_.workload.seed = options.seed;
+  plan_ = tools::make_workload(options_.workload);
+  const control::Configuration configuration = first_configuration();
+  for (uint32_t position = 0; position < options.engines; ++position) {
+    engines_.emplace_back().name = numbered("engine", position);
+    start_engine(position);
+  }
+  for (uint32_t position = 0; position < options.routers; ++position) {
+    SimulatedRouter& router = routers_.emplace_back();
+    router.name = numbered("router", position);
+    router.kept_configuration = configuration;
+    start_router(position);
+  }
+  for (uint32_t position = 0; position < options.sidecars; ++position) {
+    sidecars_.emplace_back().name = numbered("sidecar", position);
+    crash_sidecar(position);  // starts it
+  }
+  run_for(1s);  // feeds, digests and leases get going
+  started_at_ = events_.now();
+}
+
+FleetSimulation::~FleetSimulation() = default;
+
+control::Configuration FleetSimulation::first_configuration() {
+  control::ChangeConfiguration change;
+  change.operator_request_id = "first";
+  change.operator_name = kCaller;
+  for (const std::string& tenant : names_.tenants) {
+    change.items.emplace_back(control::Tenant{tenant, "", {}});
+  }
+  change.items.emplace_back(control::Model{names_.model, "v1", ""});
+  for (uint32_t position = 0; position < options_.engines; ++position) {
+    const std::string name = numbered("engine", position);
+    change.items.emplace_back(
+        control::Backend{name, control::BackendKind::kEngine, names_.model, kAnyEndpoint, kZone, false});
+  }
+  for (uint32_t position = 0; position < options_.plain_backends; ++position) {
+    const std::string name = numbered("plain", position);
+    change.items.emplace_back(
+        control::Backend{name, control::BackendKind::kPlain, names_.plain_service, kAnyEndpoint, kZone, false});
+  }
+  change.items.emplace_back(options_.table);
+  if (control_state_.apply(change).code != control::ResultCode::kOk) {
+    throw std::logic_error("the first configuration was refused");
+  }
+  return control_state_.configuration();
+}
+
+Duration FleetSimulation::delay() {
+  return Duration(random_.between(options_.least_delay.count(), options_.most_delay.count()));
+}
+
+void FleetSimulation::deliver_in_order(const std::string& from, const std::string& to, std::function<void()> action) {
+  TimePoint& last = last_delivery_[{from, to}];
+  last = std::max(last, events_.now() + delay());
+  events_.at(last, std::move(action));
+}
+
+void FleetSimulation::run_for(Duration span) {
+  const TimePoint end = events_.now() + span;
+  while (events_.now() < end) {
+    step();
+  }
+}
+
+void FleetSimulation::step() {
+  const TimePoint until = events_.now() + kStep;
+  while (events_.run_next(until)) {
+  }
+  send_due_requests();
+  advance_engines();
+  poll_control();
+  if (to_milliseconds(events_.now()) % to_milliseconds(kCoreTick) != 0) {
+    return;
+  }
+  check_silent_calls();
+  for (size_t position = 0; position < routers_.size(); ++position) {
+    SimulatedRouter& router = routers_[position];
+    if (router.core == nullptr || router.frozen) {
+      continue;
+    }
+    router.core->tick(events_.now());
+    run_router_actions(position);
+    if (router.stopping && router.core->open_requests() == 0) {
+      lose_router(position);
+    }
+  }
+  for (size_t position = 0; position < sidecars_.size(); ++position) {
+    sidecars_[position].core->tick(events_.now());
+    run_sidecar_actions(position);
+  }
+}
+
+void FleetSimulation::send_due_requests() {
+  if (started_at_ == TimePoint(0)) {
+    return;
+  }
+  while (next_planned_ < plan_.size() && started_at_ + plan_[next_planned_].at <= events_.now()) {
+    send(plan_[next_planned_], next_planned_ % sidecars_.size());
+    records_.back().intended = started_at_ + plan_[next_planned_].at;
+    ++next_planned_;
+  }
+}
+
+size_t FleetSimulation::send(const PlannedRequest& request, size_t sidecar) {
+  CallerRecord record;
+  record.planned = request;
+  record.sidecar = sidecar;
+  record.intended = events_.now();
+  records_.push_back(std::move(record));
+  submit(records_.size() - 1);
+  return records_.size() - 1;
+}
+
+void FleetSimulation::submit(size_t position) {
+  CallerRecord& record = records_[position];
+  const PlannedRequest& planned = record.planned;
+  sidecar::CallerRequest caller;
+  caller.kind = planned.request_class == RequestClass::kPlainWork ? wire::RequestKind::kPlain
+                                                                  : wire::RequestKind::kCompletion;
+  caller.tenant = planned.tenant;
+  caller.serves = planned.serves;
+  caller.prompt = planned.prompt;
+  caller.method = "POST";
+  caller.path = "/work";
+  caller.max_tokens = planned.max_tokens;
+  caller.repeatable = planned.repeatable;
+  caller.idempotency_key = planned.idempotency_key;
+  const sidecar::ExchangeId exchange = ++last_exchange_;
+  record_of_exchange_[{record.sidecar, exchange}] = position;
+  record.text.clear();
+  const uint64_t request_id = sidecars_[record.sidecar].core->on_caller(exchange, caller, events_.now());
+  records_[position].request_id = request_id;
+  record_of_request_[request_id] = position;
+  run_sidecar_actions(records_[position].sidecar);
+}
+
+bool FleetSimulation::run_until_ended(size_t record, Duration limit) {
+  const TimePoint end = events_.now() + limit;
+  while (!records_[record].finished && events_.now() < end) {
+    step();
+  }
+  return records_[record].finished;
+}
+
+FleetReport FleetSimulation::run() {
+  const TimePoint end = started_at_ + options_.workload.duration;
+  next_fault_ = started_at_ + 1s;
+  while (events_.now() < end && checks_.violations().empty()) {
+    if (options_.random_faults && events_.now() >= next_fault_) {
+      next_fault_ = events_.now() + Duration(random_.between(100000, 2000000));
+      random_fault();
+    }
+    step();
+  }
+  heal_everything();
+  return finish();
+}
+
+FleetReport FleetSimulation::finish() {
+  const TimePoint limit = events_.now() + kEndLimit;
+  const auto all_ended = [&] {
+    return std::all_of(records_.begin(), records_.end(), [](const CallerRecord& record) {
+      return record.finished || record.gone || record.sidecar_lost;
+    });
+  };
+  while (events_.now() < limit && checks_.violations().empty() && !all_ended()) {
+    step();
+  }
+  if (checks_.violations().empty()) {
+    run_for(1s);  // late answers
+  }
+  return checks_.report(events_.now(), records_);
+}
+
+// Control.
+
+std::vector<wire::Node> FleetSimulation::live_routers() const {
+  std::vector<wire::Node> nodes;
+  for (const SimulatedRouter& router : routers_) {
+    if (router.seen_by_control != TimePoint(0) && events_.now() - router.seen_by_control <= kNodeLease) {
+      nodes.push_back({router.name, "router", router.name, kZone, router.start_id, 0, router.stopping});
+    }
+  }
+  return nodes;
+}
+
+void FleetSimulation::poll_control() {
+  if (!control_available_) {
+    return;
+  }
+  const std::vector<std::string> leaving(leaving_.begin(), leaving_.end());
+  for (size_t position = 0; position < routers_.size(); ++position) {
+    SimulatedRouter& router = routers_[position];
+    if (router.core == nullptr || router.frozen || events_.now() < router.next_poll) {
+      continue;
+    }
+    router.next_poll = events_.now() + kControlPoll;
+    router.seen_by_control = events_.now();
+    if (router.kept_configuration.version != control_state_.configuration().version) {
+      router.kept_configuration = control_state_.configuration();
+      router.core->on_configuration(router.kept_configuration, events_.now());
+    }
+    router.core->on_routers(live_routers(), events_.now());
+    router.core->on_leaving(leaving);
+    run_router_actions(position);
+  }
+  for (size_t position = 0; position < sidecars_.size(); ++position) {
+    SimulatedSidecar& sidecar = sidecars_[position];
+    if (events_.now() >= sidecar.next_poll) {
+      sidecar.next_poll = events_.now() + kControlPoll;
+      sidecar.kept_routers = live_routers();
+      sidecar.core->on_configuration(control_state_.configuration());
+      sidecar.core->on_routers(sidecar.kept_routers);
+      run_sidecar_actions(position);
+    }
+  }
+}
+
+void FleetSimulation::perform(size_t router, router::CallControl& action) {
+  const bool finishes = std::holds_alternative<control::FinishClaim>(action.command.value);
+  call_control(router, routers_[router].generation, action,
+               events_.now() + (finishes ? kFinishDeadline : kControlDeadline));
+}
+
+void FleetSimulation::call_control(size_t router, uint64_t generation, const router::CallControl& action,
+                                   TimePoint deadline) {
+  const Duration commit_time(random_.between(1500, 5000));
+  events_.after(commit_time, [this, router, generation, action, deadline] {
+    if (routers_[router].generation != generation) {
+      return;  // its process is gone, and with it the resends
+    }
+    if (!control_available_) {
+      if (events_.now() >= deadline) {
+        on_router(router, generation, [this, router, action] {
+          routers_[router].core->on_control_answer(action.call_id, std::nullopt, events_.now());
+        });
+        return;
+      }
+      events_.after(kControlRetry, [this, router, generation, action, deadline] {
+        call_control(router, generation, action, deadline);
+      });
+      return;
+    }
+    control::Command command = action.command;
+    if (auto* claim = std::get_if<control::ClaimKey>(&command.value)) {
+      claim->at_ms = to_milliseconds(events_.now());
+    }
+    const control::CommandResult result = control_state_.apply(command);
+    if (control_answers_to_lose_ > 0) {
+      --control_answers_to_lose_;
+      events_.after(1s, [this, router, generation, action, deadline] {
+        call_control(router, generation, action, deadline);
+      });
+      return;
+    }
+    on_router(router, generation, [this, router, action, result] {
+      routers_[router].core->on_control_answer(action.call_id, result, events_.now());
+    });
+  });
+}
+
+void FleetSimulation::set_table(const control::PolicyTable& table) {
+  control::ChangeConfiguration change;
+  change.operator_request_id = "table-" + std::to_string(++last_change_);
+  change.base_version = control_state_.configuration().version;
+  change.items.emplace_back(table);
+  control_state_.apply(change);
+}
+
+void FleetSimulation::order_weights(const std::string& version) {
+  // As an operator does: engines are ordered one after another, then the model's version changes.
+  const uint64_t fence = ++weights_number_;
+  for (size_t position = 0; position < engines_.size(); ++position) {
+    events_.after(Duration(300000) * static_cast<int64_t>(position), [this, position, fence, version] {
+      on_engine(position, [this, position, fence, version] {
+        engines_[position].model->order_load(fence, version, events_.now());
+      }, [] {});
+    });
+  }
+  const Duration half = Duration(150000) * static_cast<int64_t>(engines_.size());
+  events_.after(half, [this, version] {
+    control::ChangeConfiguration change;
+    change.operator_request_id = "weights-" + std::to_string(++last_change_);
+    change.base_version = control_state_.configuration().version;
+    change.items.emplace_back(control::Model{names_.model, version, ""});
+    control_state_.apply(change);
+    options_.engine.weights_version = version;
+  });
+}
+
+// Sidecars.
+
+void FleetSimulation::run_sidecar_actions(size_t position) {
+  sidecar::SidecarCore& core = *sidecars_[position].core;
+  for (auto actions = core.take_actions(); !actions.empty(); actions = core.take_actions()) {
+    for (sidecar::SidecarAction& action : actions) {
+      std::visit([&](auto& typed) { perform(position, typed); }, action);
+    }
+  }
+}
+
+void FleetSimulation::perform(size_t sidecar, sidecar::SendToRouter& action) {
+  size_t position = 0;
+  while (position < routers_.size() && routers_[position].name != action.router) {
+    ++position;
+  }
+  const uint64_t sidecar_generation = sidecars_[sidecar].generation;
+  SimulatedRouter& router = routers_.at(position);
+  if (router.core == nullptr) {
+    // The connection is refused.
+    events_.after(delay(), [this, sidecar, sidecar_generation, name = action.router] {
+      if (sidecars_[sidecar].generation == sidecar_generation) {
+        sidecars_[sidecar].core->on_router_lost(name, events_.now());
+        run_sidecar_actions(sidecar);
+      }
+    });
+    return;
+  }
+  Connection& connection = connections_[{sidecar, position}];
+  if (connection.router_generation != router.generation) {
+    connection = Connection{++last_connection_, router.generation};
+    const router::SidecarId id = connection.id;
+    deliver_in_order(sidecars_[sidecar].name, router.name, [this, position, id, generation = router.generation] {
+      on_router(position, generation, [this, position, id] { routers_[position].core->on_sidecar_connected(id); });
+    });
+  }
+  const router::SidecarId id = connection.id;
+  deliver_in_order(
+      sidecars_[sidecar].name, router.name,
+      [this, sidecar, sidecar_generation, position, id, generation = router.generation, message = action.message] {
+        on_router(position, generation, [this, sidecar, sidecar_generation, position, id, message] {
+          router::RouterCore& core = *routers_[position].core;
+          if (const auto* submit = std::get_if<wire::SubmitRequest>(&message.value)) {
+            core.on_submit(id, *submit, events_.now());
+          } else if (const auto* cancel = std::get_if<wire::CancelRequest>(&message.value)) {
+            core.on_cancel(id, cancel->request_id, events_.now());
+          } else if (const auto* ping = std::get_if<wire::Ping>(&message.value)) {
+            router::SendToSidecar pong{id, wire::Pong{ping->number}};
+            perform(position, pong);
+          }
+        });
+      });
+}
+
+void FleetSimulation::perform(size_t sidecar, sidecar::DropRouter& action) {
+  for (size_t position = 0; position < routers_.size(); ++position) {
+    const auto connection = connections_.find({sidecar, position});
+    if (routers_[position].name != action.router || connection == connections_.end()) {
+      continue;
+    }
+    const Connection closed = connection->second;
+    connections_.erase(connection);
+    deliver_in_order(sidecars_[sidecar].name, routers_[position].name, [this, position, closed] {
+      on_router(position, closed.router_generation, [this, position, closed] {
+        routers_[position].core->on_sidecar_gone(closed.id, events_.now());
+      });
+    });
+  }
+}
+
+void FleetSimulation::perform(size_t sidecar, sidecar::PieceToCaller& action) {
+  const auto found = record_of_exchange_.find({sidecar, action.exchange});
+  if (found == record_of_exchange_.end()) {
+    return;
+  }
+  CallerRecord& record = records_[found->second];
+  record.text += action.text;
+  if (record.first_piece == TimePoint(0)) {
+    record.first_piece = events_.now();
+  }
+}
+
+bool FleetSimulation::retries(const CallerRecord& record) const {
+  const bool refused = record.result.outcome == wire::Outcome::kNotRun && record.result.retry_after_ms > 0;
+  return options_.callers_retry && refused && record.tries < kMaxTries;
+}
+
+void FleetSimulation::perform(size_t sidecar, sidecar::EndToCaller& action) {
+  const auto found = record_of_exchange_.find({sidecar, action.exchange});
+  if (found == record_of_exchange_.end()) {
+    return;
+  }
+  const size_t position = found->second;
+  record_of_exchange_.erase(found);
+  CallerRecord& record = records_[position];
+  record.result = action.finished;
+  if (record.finished) {
+    checks_.violate(events_.now(), "a caller got two ends");
+  }
+  checks_.on_answer(events_.now(), record);
+  if (retries(record)) {
+    ++record.tries;
+    const int64_t wait_ms = options_.retries_heed_advice ? record.result.retry_after_ms : 20;
+    const uint64_t generation = sidecars_[sidecar].generation;
+    events_.after(Duration(1000 * wait_ms + random_.between(0, 1000 * wait_ms)), [this, position, sidecar, generation] {
+      if (sidecars_[sidecar].generation == generation) {
+        submit(position);
+      } else {
+        records_[position].sidecar_lost = true;
+      }
+    });
+    return;
+  }
+  record.finished = true;
+  record.ended = events_.now();
+}
+
+void FleetSimulation::set_caller_gone(size_t position) {
+  CallerRecord& record = records_[position];
+  record.gone = true;
+  for (auto entry = record_of_exchange_.begin(); entry != record_of_exchange_.end(); ++entry) {
+    if (entry->second == position) {
+      sidecars_[record.sidecar].core->on_caller_gone(entry->first.second);
+      record_of_exchange_.erase(entry);
+      break;
+    }
+  }
+  run_sidecar_actions(record.sidecar);
+}
+
+void FleetSimulation::crash_sidecar(size_t position) {
+  SimulatedSidecar& sidecar = sidecars_[position];
+  for (auto entry = record_of_exchange_.begin(); entry != record_of_exchange_.end();) {
+    if (entry->first.first == position) {
+      records_[entry->second].sidecar_lost = true;
+      entry = record_of_exchange_.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+  for (auto connection = connections_.begin(); connection != connections_.end();) {
+    if (connection->first.first != position) {
+      ++connection;
+      continue;
+    }
+    const size_t router = connection->first.second;
+    const Connection closed = connection->second;
+    connection = connections_.erase(connection);
+    deliver_in_order(sidecar.name, routers_[router].name, [this, router, closed] {
+      on_router(router, closed.router_generation, [this, router, closed] {
+        routers_[router].core->on_sidecar_gone(closed.id, events_.now());
+      });
+    });
+  }
+  ++sidecar.generation;
+  sidecar::SidecarOptions options;
+  options.name = sidecar.name;
+  options.zone = kZone;
+  options.block_tokens = options_.router.block_tokens;
+  sidecar.metrics = std::make_unique<Metrics>();
+  sidecar.core = std::make_unique<sidecar::SidecarCore>(options, random_.bits(), sidecar.metrics.get());
+  // What it kept on disk.
+  sidecar.core->on_configuration(control_state_.configuration());
+  sidecar.core->on_routers(sidecar.kept_routers);
+}
+
+// Routers.
+
+void FleetSimulation::on_router(size_t position, uint64_t generation, std::function<void()> input) {
+  SimulatedRouter& router = routers_[position];
+  if (router.core == nullptr || router.generation != generation) {
+    return;
+  }
+  if (router.frozen) {
+    router.kept.push_back(std::move(input));
+    return;
+  }
+  input();
+  run_router_actions(position);
+}
+
+void FleetSimulation::run_router_actions(size_t position) {
+  router::RouterCore& core = *routers_[position].core;
+  for (auto actions = core.take_actions(); !actions.empty(); actions = core.take_actions()) {
+    for (router::RouterAction& action : actions) {
+      std::visit([&](auto& typed) { perform(position, typed); }, action);
+    }
+  }
+}
+
+void FleetSimulation::perform(size_t router, router::SendToSidecar& action) {
+  for (const auto& [ends, connection] : connections_) {
+    if (connection.id != action.sidecar) {
+      continue;
+    }
+    const size_t sidecar = ends.first;
+    deliver_in_order(routers_[router].name, sidecars_[sidecar].name,
+                     [this, router, sidecar, id = connection.id, message = action.message] {
+                       const auto still_open = connections_.find({sidecar, router});
+                       if (still_open == connections_.end() || still_open->second.id != id) {
+                         return;
+                       }
+                       sidecars_[sidecar].core->on_router_message(routers_[router].name, message, events_.now());
+                       run_sidecar_actions(sidecar);
+                     });
+    return;
+  }
+}
+
+void FleetSimulation::perform(size_t router, router::SendToRouter& action) {
+  for (size_t to = 0; to < routers_.size(); ++to) {
+    if (routers_[to].name != action.router) {
+      continue;
+    }
+    deliver_in_order(routers_[router].name, routers_[to].name,
+                     [this, to, generation = routers_[to].generation, message = action.message] {
+                       on_router(to, generation, [this, to, message] {
+                         routers_[to].core->on_router_message(message, events_.now());
+                       });
+                     });
+  }
+}
+
+void FleetSimulation::start_router(size_t position) {
+  SimulatedRouter& router = routers_[position];
+  ++router.generation;
+  router.frozen = false;
+  router.stopping = false;
+  router.start_id = random_.bits();
+  router.kept.clear();
+  router::RouterOptions options = options_.router;
+  options.name = router.name;
+  options.zone = kZone;
+  router.metrics = std::make_unique<Metrics>();
+  router.core = std::make_unique<router::RouterCore>(options, random_.bits(), events_.now(), router.metrics.get());
+  router.core->on_configuration(router.kept_configuration, events_.now());
+  router.next_poll = events_.now();
+  run_router_actions(position);
+}
+
+void FleetSimulation::lose_router(size_t position) {
+  SimulatedRouter& router = routers_[position];
+  ++router.generation;
+  router.core.reset();
+  router.kept.clear();
+  router.frozen = false;
+  for (auto connection = connections_.begin(); connection != connections_.end();) {
+    if (connection->first.second != position) {
+      ++connection;
+      continue;
+    }
+    const size_t sidecar = connection->first.first;
+    connection = connections_.erase(connection);
+    deliver_in_order(router.name, sidecars_[sidecar].name,
+                     [this, sidecar, generation = sidecars_[sidecar].generation, name = router.name] {
+                       if (sidecars_[sidecar].generation == generation) {
+                         sidecars_[sidecar].core->on_router_lost(name, events_.now());
+                         run_sidecar_actions(sidecar);
+                       }
+                     });
+  }
+  std::erase_if(calls_, [position](const auto& entry) { return entry.first.first == position; });
+  for (SimulatedEngine& engine : engines_) {
+    std::erase_if(engine.readers, [position](const auto& entry) { return entry.second.first == position; });
+  }
+}
+
+void FleetSimulation::crash_router(size_t position) {
+  if (routers_[position].core != nullptr) {
+    lose_router(position);
+  }
+}
+
+void FleetSimulation::freeze_router(size_t position) { routers_[position].frozen = true; }
+
+void FleetSimulation::thaw_router(size_t position) {
+  SimulatedRouter& router = routers_[position];
+  router.frozen = false;
+  std::vector<std::function<void()>> kept;
+  kept.swap(router.kept);
+  const uint64_t generation = router.generation;
+  for (auto& input : kept) {
+    on_router(position, generation, std::move(input));
+  }
+}
+
+void FleetSimulation::stop_router(size_t position) {
+  routers_[position].stopping = true;
+  routers_[position].core->start_draining();
+  run_router_actions(position);
+}
+
+bool FleetSimulation::router_runs(size_t position) const { return routers_[position].core != nullptr; }
+
+int FleetSimulation::router_of(size_t record) const {
+  for (const auto& [key, call] : calls_) {
+    if (call.call.request_id == records_[record].request_id) {
+      return static_cast<int>(key.first);
+    }
+  }
+  return -1;
+}
+
+int FleetSimulation::engine_of(size_t record) const {
+  for (const auto& [key, call] : calls_) {
+    if (call.call.request_id == records_[record].request_id) {
+      return call.engine;
+    }
+  }
+  return -1;
+}
+
+}  // namespace stoat::simulation
--- a/simulation/simulate_main.cc
+++ b/simulation/simulate_main.cc
@@ -2,6 +2,7 @@
 #include <iostream>
 
 #include "simulation/control_simulation.h"
+#include "simulation/fleet_simulation.h"
 #include "src/common/command_line.h"
 
 namespace stoat::simulation {
@@ -13,14 +14,16 @@
   uint64_t seeds = 200;
   Duration duration{20s};
   uint32_t voters = 3;
+  std::string workload;
 };
 
 SimulateSettings read_settings(SettingsReader& reader) {
   SimulateSettings settings;
   settings.what = reader.text("what", "control");
-  if (settings.what != "control") {
-    reader.add_finding("what", "must be control");
+  if (settings.what != "control" && settings.what != "fleet") {
+    reader.add_finding("what", "must be control or fleet");
   }
+  settings.workload = reader.text("workload", "kavelwind");
   settings.first_seed = static_cast<uint64_t>(reader.integer("first_seed", 1, 0, INT64_MAX));
   settings.seeds = static_cast<uint64_t>(reader.integer("seeds", 200, 1, 100000000));
   settings.duration = from_seconds(reader.number("duration_s", 20, 0.1, 86400));
@@ -35,21 +38,44 @@
   options.voters = settings.voters;
   const SimulationResult result = ControlSimulation(options).run();
   if (settings.seeds == 1 || !result.violations.empty()) {
-    std::cout << "seed " << seed << ": changes " << result.changes_accepted << ", claims " << result.claims_granted
-              << ", leaders " << result.leaders_seen << ", faults " << result.faults << "\n";
+    std::cout << "seed " << seed << ": changes " << result.changes_accepted << ", claims "
+              << result.claims_granted << ", leaders " << result.leaders_seen << ", faults " << result.faults
+              << "\n";
   }
   for (const std::string& violation : result.violations) {
-    std::cout << "seed " << seed << ": " << violation << "\n  replay: stoat-simulate --set what='\"control\"' --set first_seed="
-              << seed << " --set seeds=1 --set duration_s=" << to_seconds(settings.duration)
+    std::cout << "seed " << seed << ": " << violation
+              << "\n  replay: stoat-simulate --set what='\"control\"' --set first_seed=" << seed
+              << " --set seeds=1 --set duration_s=" << to_seconds(settings.duration)
               << " --set voters=" << settings.voters << "\n";
   }
   return result.violations.empty();
 }
 
+bool run_fleet(const SimulateSettings& settings, uint64_t seed) {
+  const FleetReport report =
+      FleetSimulation(faulty_fleet_options(seed, settings.workload, settings.duration)).run();
+  if (settings.seeds == 1 || !report.violations.empty()) {
+    std::cout << "seed " << seed << ": requests " << report.requests << ", complete " << report.complete
+              << ", not run " << report.not_run << ", unknown " << report.unknown << ", failed "
+              << report.failed << ", hit rate " << report.hit_rate << "\n";
+    for (const auto& [reason, count] : report.refusals) {
+      std::cout << "  " << reason << " " << count << "\n";
+    }
+  }
+  for (const std::string& violation : report.violations) {
+    std::cout << "seed " << seed << ": " << violation
+              << "\n  replay: stoat-simulate --set what='\"fleet\"' --set workload='\"" << settings.workload
+              << "\"' --set first_seed=" << seed
+              << " --set seeds=1 --set duration_s=" << to_seconds(settings.duration) << "\n";
+  }
+  return report.violations.empty();
+}
+
 int run(const SimulateSettings& settings) {
   uint64_t failed = 0;
   for (uint64_t seed = settings.first_seed; seed < settings.first_seed + settings.seeds; ++seed) {
-    failed += run_control(settings, seed) ? 0 : 1;
+    const bool good = settings.what == "control" ? run_control(settings, seed) : run_fleet(settings, seed);
+    failed += good ? 0 : 1;
   }
   std::cout << settings.seeds << " seeds, " << failed << " failed\n";
   return failed == 0 ? 0 : 1;
--- a/simulation/simulated_member.cc
+++ b/simulation/simulated_member.cc
@@ -113,8 +113,8 @@
     for (const consensus::Message& message : output->send_now) {
       send_(message);
     }
-    const bool nothing = !output->needs_disk() && output->send_after_persist.empty() && output->committed.empty() &&
-                         output->confirmed_reads.empty();
+    const bool nothing = !output->needs_disk() && output->send_after_persist.empty() &&
+                         output->committed.empty() && output->confirmed_reads.empty();
     if (nothing) {
       break;
     }
--- a/simulation/simulated_network.h
+++ b/simulation/simulated_network.h
@@ -1,4 +1,5 @@
-/// A network that delays, loses, doubles and reorders messages, and whose links can be cut one way in silence.
+/// A network that delays, loses, doubles and reorders messages, and whose links can be cut one way in
+/// silence.
 #pragma once
 
 #include <functional>
--- a/src/router/engine_protocol.cc
+++ b/src/router/engine_protocol.cc
@@ -137,6 +137,7 @@
   if (body.is_object() && body.contains("not_run") && body["not_run"] == true) {
     ended.end = CallEnd::kRefused;
     ended.refusal = body.value("/error/code"_json_pointer, "");
+    ended.incarnation = body.value("incarnation", uint64_t{0});
     return ended;
   }
   if (kind == CallKind::kResume) {
--- a/src/router/router_action.h
+++ b/src/router/router_action.h
@@ -97,7 +97,8 @@
 /// The end of a call, as the driver reports it.
 struct CallResult {
   CallEnd end = CallEnd::kBroken;
-  std::string refusal;  ///< the engine's name for a refusal
+  std::string refusal;       ///< the engine's name for a refusal
+  uint64_t incarnation = 0;  ///< that a refusing engine has now; 0: not told
   int32_t http_status = 0;
   std::string body;
   uint32_t piece_count = 0;
--- a/src/router/router_core.cc
+++ b/src/router/router_core.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "src/common/hash.h"
+#include "src/wire/failure_reason.h"
 
 namespace stoat::router {
 
@@ -13,28 +14,21 @@
 using wire::FailureReason;
 using wire::Outcome;
 
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
 constexpr Duration kExpectedGeneration = 3s;
 constexpr size_t kSweepEntriesPerTick = 2000;
+/// How long the outcome of a lost request is left to the router that may have resumed it.
+constexpr Duration kLingerTime = 10s;
 /// What a refusal for want of room or of a quorum tells the caller to wait.
 constexpr Duration kBusyRetryAfter = 1s;
 
-const char* reason_label(FailureReason reason) {
-  switch (reason) {
-    case FailureReason::kNone:
-      return "none";
-    case FailureReason::kOverCeiling:
-      return "over_ceiling";
-    case FailureReason::kQueueFull:
-      return "queue_full";
-    case FailureReason::kDeadline:
-      return "deadline";
-    case FailureReason::kNoBackend:
-      return "no_backend";
-    case FailureReason::kBackendLost:
-      return "backend_lost";
-    default:
-      return "other";
-  }
+/// Whole milliseconds, rounded up. A refusal that asks the caller to come back always says when.
+int64_t retry_after_ms(FailureReason reason, Duration retry_after) {
+  const int64_t rounded_up = to_milliseconds(retry_after + Duration(999));
+  const int status = wire::reason_http_status(reason);
+  const bool comes_back = status == kTooManyRequests || status == kServiceUnavailable;
+  return comes_back ? std::max<int64_t>(1, rounded_up) : rounded_up;
 }
 
 }  // namespace
@@ -50,6 +44,7 @@
       expected_before_(std::make_unique<cache::PrefixIndex>()) {
   // Call ids of one start never meet those of another.
   last_control_call_ = random_.bits() >> 16U;
+  last_call_id_ = random_.bits() >> 16U;
 }
 
 std::vector<RouterAction> RouterCore::take_actions() {
@@ -97,8 +92,8 @@
   finished.outcome = may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
   finished.reason = reason;
   finished.message = message;
-  finished.retry_after_ms = to_milliseconds(retry_after);
-  metrics_->count("stoat_router_refusals_total", {{"reason", reason_label(reason)}});
+  finished.retry_after_ms = retry_after_ms(reason, retry_after);
+  metrics_->count("stoat_router_refusals_total", {{"reason", wire::reason_code(reason)}});
   actions_.push_back(SendToSidecar{sidecar, finished});
 }
 
@@ -114,7 +109,9 @@
 }
 
 bool RouterCore::check_submit(const wire::SubmitRequest& submit, const Request& request, TimePoint now) {
-  const bool ran_before = submit.may_have_run && (!submit.repeatable || submit.next_index > 0);
+  // Another router, frozen perhaps, may still run what it was sent; repeatable or not, "not run" might not
+  // stay true.
+  const bool ran_before = submit.may_have_run;
   const SidecarId sidecar = request.sidecar;
   if (draining_) {
     refuse(submit, sidecar, FailureReason::kDraining, "this router is stopping", Duration(0), ran_before);
@@ -193,7 +190,10 @@
   if (const auto former = requests_.find(request_id); former != requests_.end()) {
     // The sidecar lost its connection and asks again: read on from where the engine runs it.
     Request& old = former->second;
-    if (old.phase != Phase::kRunning || submit.attempt <= old.submit.attempt) {
+    const bool waits = old.phase == Phase::kClaiming || old.phase == Phase::kQueued;
+    const bool goes_on =
+        waits || (old.phase == Phase::kRunning && old.submit.kind == wire::RequestKind::kPlain);
+    if (goes_on || submit.attempt <= old.submit.attempt) {
       old.sidecar = sidecar;
       old.orphaned_at = TimePoint(0);
       old.submit.attempt = std::max(old.submit.attempt, submit.attempt);
@@ -201,10 +201,7 @@
     }
     submit.resume = {wire::ResumePoint{old.backend, old.incarnation, old.engine_attempt, old.claim_id}};
     leave_call(old);
-    if (old.counted_as_running) {
-      limiter(RowKind::kTenant, old.submit.tenant, now).ended();
-      limiter(RowKind::kService, old.submit.serves, now).ended();
-    }
+    uncount(old, now);
     requests_.erase(former);
     Request& request = requests_[request_id];
     request.submit = std::move(submit);
@@ -372,7 +369,8 @@
 void RouterCore::expire_queued(TimePoint now) {
   std::vector<uint64_t> expired;
   for (const auto& [request_id, request] : requests_) {
-    if (request.phase != Phase::kRunning && now >= request.start_by) {
+    const bool waits = request.phase == Phase::kClaiming || request.phase == Phase::kQueued;
+    if (waits && now >= request.start_by) {
       expired.push_back(request_id);
     }
   }
@@ -389,6 +387,14 @@
   }
 }
 
+void RouterCore::uncount(Request& request, TimePoint now) {
+  if (request.counted_as_running) {
+    request.counted_as_running = false;
+    limiter(RowKind::kTenant, request.submit.tenant, now).ended();
+    limiter(RowKind::kService, request.submit.serves, now).ended();
+  }
+}
+
 void RouterCore::drop_orphans(TimePoint now) {
   std::vector<uint64_t> orphans;
   for (const auto& [request_id, request] : requests_) {
@@ -400,7 +406,14 @@
     }
   }
   for (const uint64_t request_id : orphans) {
-    on_cancel(requests_[request_id].sidecar, request_id, now);
+    Request& request = requests_[request_id];
+    if (request.phase == Phase::kLingering) {
+      end_claim(request, ClaimState::kUnknown, "");
+      request.sidecar = 0;
+      finish_with(request, Outcome::kUnknown, FailureReason::kOutcomeUnknown, "left", Duration(0), now);
+      continue;
+    }
+    on_cancel(request.sidecar, request_id, now);
   }
 }
 
@@ -451,9 +464,8 @@
 }
 
 void RouterCore::count_end(const wire::RequestFinished& finished, const Request& request) {
-  metrics_->count("stoat_router_finished_total",
-                  {{"outcome", std::to_string(static_cast<int>(finished.outcome))},
-                   {"reason", reason_label(finished.reason)}});
+  metrics_->count("stoat_router_finished_total", {{"outcome", wire::outcome_name(finished.outcome)},
+                                                  {"reason", wire::reason_code(finished.reason)}});
   if (finished.outcome == Outcome::kComplete) {
     metrics_->count("stoat_router_prompt_tokens_total", {}, request.prompt_tokens);
     metrics_->count("stoat_router_cached_tokens_total", {}, finished.cached_tokens);
@@ -468,10 +480,7 @@
     actions_.push_back(SendToSidecar{request.sidecar, message});
   }
   count_end(message, request);
-  if (request.counted_as_running) {
-    limiter(RowKind::kTenant, request.submit.tenant, now).ended();
-    limiter(RowKind::kService, request.submit.serves, now).ended();
-  }
+  uncount(request, now);
   requests_.erase(message.request_id);
 }
 
@@ -481,7 +490,7 @@
   finished.outcome = outcome;
   finished.reason = reason;
   finished.message = message;
-  finished.retry_after_ms = to_milliseconds(retry_after);
+  finished.retry_after_ms = retry_after_ms(reason, retry_after);
   finished.piece_count = request.next_index;
   finish(request, finished, now);
 }
--- a/src/router/router_core.h
+++ b/src/router/router_core.h
@@ -79,7 +79,9 @@
   size_t followed_engines() const { return feeds_.size(); }
 
  private:
-  enum class Phase : uint8_t { kClaiming, kQueued, kRunning };
+  /// kLingering: the stream broke after the sidecar was lost; whoever resumed it settles the claim, or this
+  /// router settles it as unknown.
+  enum class Phase : uint8_t { kClaiming, kQueued, kRunning, kLingering };
 
   /// One request under way.
   struct Request {
@@ -103,6 +105,7 @@
     uint32_t engine_attempt = 0;
     uint32_t dispatches = 0;
     uint32_t resumes = 0;
+    uint32_t restarts_met = 0;  ///< refusals by engines that had restarted
     bool may_have_run = false;
     uint32_t next_index = 0;
     std::string text;  ///< pieces passed on, kept for the claim's outcome and for going on elsewhere
@@ -147,6 +150,7 @@
   admission::RowLimiter& limiter(control::RowKind kind, const std::string& name, TimePoint now);
   void expire_queued(TimePoint now);
   void drop_orphans(TimePoint now);
+  void uncount(Request& request, TimePoint now);
   void count_end(const wire::RequestFinished& finished, const Request& request);
 
   // router_dispatch.cc: placement, calls to back ends, retries
@@ -156,10 +160,11 @@
   void start_call(Request& request, CallKind kind, const control::Backend& backend, TimePoint now);
   void start_resume(Request& request, const wire::ResumePoint& where, TimePoint now);
   void leave_call(Request& request);
+  void linger(Request& request, TimePoint now);
   void on_broken(Request& request, TimePoint now);
   void on_refused(Request& request, const CallResult& result, TimePoint now);
   void on_complete(Request& request, const CallResult& result, TimePoint now);
-  void retry_elsewhere(Request& request, TimePoint now);
+  void retry_elsewhere(Request& request, TimePoint now, bool exclude_backend = true);
   void note_first_piece(Request& request, TimePoint now);
 
   // router_cluster.cc: engine homes, prefix ownership, load digests, quota leases
--- a/src/router/router_dispatch.cc
+++ b/src/router/router_dispatch.cc
@@ -17,6 +17,8 @@
 constexpr Duration kAvoidAfterRefusal = 500ms;
 constexpr Duration kLostRetryAfter = 1s;
 constexpr uint32_t kMaxResumes = 2;
+/// Refusals by engines that have restarted, which do not count as tries of a request.
+constexpr uint32_t kMaxRestartsMet = 8;
 
 BackendKind backend_kind(const wire::SubmitRequest& submit) {
   return submit.kind == wire::RequestKind::kCompletion ? BackendKind::kEngine : BackendKind::kPlain;
@@ -289,6 +291,14 @@
     expected_->drop_engine(request.backend);
     expected_before_->drop_engine(request.backend);
     state.load = wire::EngineLoad();
+    state.load.incarnation = result.incarnation;
+    if (++request.restarts_met <= kMaxRestartsMet) {
+      // It is up again, only empty: as good a choice as any.
+      --request.dispatches;
+      request.may_have_run = request.submit.may_have_run || request.next_index > 0;
+      retry_elsewhere(request, now, false);
+      return;
+    }
   } else {
     state.avoid_until = now + kAvoidAfterRefusal;
   }
@@ -296,7 +306,22 @@
   retry_elsewhere(request, now);
 }
 
+void RouterCore::linger(Request& request, TimePoint now) {
+  // Its sidecar may have had the stream resumed through another router, which made the engine leave this one.
+  // To resume it here would take it away again, and to end it would cut the other's answer.
+  if (!request.submit.repeatable) {
+    request.phase = Phase::kLingering;
+    return;
+  }
+  request.sidecar = 0;
+  finish_with(request, Outcome::kFailed, FailureReason::kBackendLost, "left", Duration(0), now);
+}
+
 void RouterCore::on_broken(Request& request, TimePoint now) {
+  if (request.orphaned_at != TimePoint(0)) {
+    linger(request, now);
+    return;
+  }
   if (request.submit.kind == wire::RequestKind::kCompletion && request.resumes < kMaxResumes &&
       request.incarnation != 0) {
     const wire::ResumePoint where{request.backend, request.incarnation, request.engine_attempt,
@@ -307,7 +332,7 @@
   retry_elsewhere(request, now);
 }
 
-void RouterCore::retry_elsewhere(Request& request, TimePoint now) {
+void RouterCore::retry_elsewhere(Request& request, TimePoint now, bool exclude_backend) {
   const bool may_go_on = request.submit.repeatable || !request.may_have_run;
   if (!may_go_on) {
     metrics_->count("stoat_router_unknown_total");
@@ -323,7 +348,9 @@
     return;
   }
   metrics_->count("stoat_router_retries_total");
-  request.excluded.insert(request.backend);
+  if (exclude_backend) {
+    request.excluded.insert(request.backend);
+  }
   if (!request.submit.repeatable && request.claim_id == 0) {
     request_claim(request, now);  // came for a resume, and the run turned out never to have begun
     return;
@@ -335,6 +362,7 @@
     request.start_by = now + kLostRetryAfter;  // it was admitted in time; give the retry a chance
   }
   if (!try_dispatch(request, now)) {
+    uncount(request, now);
     enqueue(request, now);
   }
 }
--- a/standins/engine_main.cc
+++ b/standins/engine_main.cc
@@ -134,9 +134,10 @@
     const Refusal refusal = model_.submit(request, loop_.now());
     if (refusal != Refusal::kNone) {
       const int status = refusal == Refusal::kFull ? 429 : 409;
-      http::reply_json(
-          *exchange, status,
-          {{"error", {{"code", refusal_name(refusal)}, {"message", "not run"}}}, {"not_run", true}});
+      http::reply_json(*exchange, status,
+                       {{"error", {{"code", refusal_name(refusal)}, {"message", "not run"}}},
+                        {"not_run", true},
+                        {"incarnation", model_.incarnation()}});
       return;
     }
     add_reader({request.request_id, request.attempt}, exchange, body->value("stream", false));
--- a/standins/engine_model.cc
+++ b/standins/engine_model.cc
@@ -63,7 +63,7 @@
   stream.next_index = request.first_index;
   stream.ledger_line = ledger_.size();
   ledger_.push_back({request.request_id, request.attempt, request.idempotency_key, request.tenant,
-                     weights_version_, stream.prompt_tokens, 0, false, false});
+                     weights_version_, stream.prompt_tokens, 0, false, false, false});
   streams_[key] = std::move(stream);
   const auto place = std::find_if(waiting_.begin(), waiting_.end(), [&](const StreamKey& other) {
     return streams_[other].request.priority < request.priority;
@@ -85,6 +85,7 @@
     const size_t held = cache_.match(stream.chain);
     stream.cached_tokens = static_cast<uint32_t>(held * settings_.block_tokens);
     ledger_[stream.ledger_line].cached_tokens = stream.cached_tokens;
+    ledger_[stream.ledger_line].started = true;
     // The last token is always computed, so that there is something to sample from.
     const uint32_t whole = stream.prompt_tokens + stream.request.first_index;
     stream.prefill_left = std::max<uint32_t>(1, whole - std::min(whole, stream.cached_tokens));
--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -72,6 +72,7 @@
   std::string weights_version;
   uint32_t prompt_tokens = 0;
   uint32_t cached_tokens = 0;
+  bool started = false;  ///< its prefill has begun; `cached_tokens` holds from then on
   bool finished = false;
   bool cancelled = false;
 };
--- a/tests/simulation/control_scenarios_test.cc
+++ b/tests/simulation/control_scenarios_test.cc
@@ -48,7 +48,9 @@
     return result;
   }
 
-  void TearDown() override { EXPECT_TRUE(simulation_.violations().empty()) << simulation_.violations().front(); }
+  void TearDown() override {
+    EXPECT_TRUE(simulation_.violations().empty()) << simulation_.violations().front();
+  }
 
   ControlSimulation simulation_;
 };
@@ -93,7 +95,8 @@
   wait_for_leader_other_than(cut);
   EXPECT_EQ(must_change("second", 1).version, 2U);
   const auto all_have_it = [&] {
-    return simulation_.node(0).configuration().version == 2 && simulation_.node(1).configuration().version == 2 &&
+    return simulation_.node(0).configuration().version == 2 &&
+           simulation_.node(1).configuration().version == 2 &&
            simulation_.node(2).configuration().version == 2;
   };
   EXPECT_TRUE(simulation_.run_until(all_have_it, 10s));
@@ -106,7 +109,8 @@
   EXPECT_FALSE(simulation_.member(cut).core().replica().request_read(1, simulation_.events().now()) &&
                !simulation_.member(cut).core().take_output().confirmed_reads.empty());
   simulation_.run_for(2s);
-  EXPECT_FALSE(simulation_.member(cut).core().replica().leads()) << "a leader that hears no majority steps down";
+  EXPECT_FALSE(simulation_.member(cut).core().replica().leads())
+      << "a leader that hears no majority steps down";
 }
 
 TEST_F(ControlScenario, ACutInOneDirectionOnlyEndsWithOneWorkingLeader) {
@@ -327,7 +331,8 @@
       [](control::ControlCore& core, TimePoint now) { core.replica().hand_over(now); });
   const TimePoint asked_at = simulation_.events().now();
   wait_for_leader_other_than(leader);
-  EXPECT_LT(simulation_.events().now() - asked_at, Duration(200ms)) << "without waiting for an election timeout";
+  EXPECT_LT(simulation_.events().now() - asked_at, Duration(200ms))
+      << "without waiting for an election timeout";
 }
 
 }  // namespace
--- a/tests/unit/replica_test.cc
+++ b/tests/unit/replica_test.cc
@@ -1,7 +1,8 @@
 // One replica's answers to single messages.
+#include "src/consensus/replica.h"
+
 #include <gtest/gtest.h>
 
-#include "src/consensus/replica.h"
 #include "src/wire/codec.h"
 
 namespace stoat::consensus {
