--- a/simulation/fleet_backends.cc
+++ b/simulation/fleet_backends.cc
@@ -79,13 +79,14 @@
     return;
   }
   const uint64_t start_number = engine.starts;
-  engine.kept.push_back([this, position, start_number, input = std::move(input), if_dead = std::move(if_dead)] {
-    if (engines_[position].starts == start_number) {
-      input();
-    } else {
-      if_dead();
-    }
-  });
+  engine.kept.push_back(
+      [this, position, start_number, input = std::move(input), if_dead = std::move(if_dead)] {
+        if (engines_[position].starts == start_number) {
+          input();
+        } else {
+          if_dead();
+        }
+      });
 }
 
 int FleetSimulation::engine_position(const std::string& name) const {
@@ -317,17 +318,20 @@
     return;
   }
   deliver_in_order(routers_[router].name, engines_[engine].name, [this, engine, stream] {
-    on_engine(engine, [this, engine, stream] {
-      engines_[engine].model->cancel(stream.first, stream.second);
-      const auto other = engines_[engine].readers.find(stream);
-      if (other != engines_[engine].readers.end()) {
-        const auto [other_router, other_call] = other->second;
-        engines_[engine].readers.erase(other);
-        router::CallResult broken;
-        broken.end = router::CallEnd::kBroken;
-        end_call(other_router, other_call, broken);
-      }
-    }, [] {});
+    on_engine(
+        engine,
+        [this, engine, stream] {
+          engines_[engine].model->cancel(stream.first, stream.second);
+          const auto other = engines_[engine].readers.find(stream);
+          if (other != engines_[engine].readers.end()) {
+            const auto [other_router, other_call] = other->second;
+            engines_[engine].readers.erase(other);
+            router::CallResult broken;
+            broken.end = router::CallEnd::kBroken;
+            end_call(other_router, other_call, broken);
+          }
+        },
+        [] {});
   });
 }
 
@@ -346,24 +350,28 @@
     return;
   }
   deliver_in_order(routers_[router].name, name, [this, router, engine, generation, name, fail, action] {
-    on_engine(engine, [this, router, engine, generation, name, action] {
-      standins::EngineModel& model = *engines_[engine].model;
-      cache::FeedPage page;
-      page.incarnation = model.incarnation();
-      page.oldest_sequence = model.prefix_cache().oldest_sequence();
-      for (const standins::CacheEvent& event :
-           model.prefix_cache().events_after(action.after_sequence, kFeedPage, events_.now())) {
-        page.events.push_back({event.sequence, event.stored, event.block, event.parent});
-      }
-      const standins::EngineLoadReport report = model.load(events_.now());
-      const wire::EngineLoad load{name, report.incarnation, report.running, report.waiting, report.waiting_tokens,
-                                  report.leaving, report.weights_version};
-      deliver_in_order(name, routers_[router].name, [this, router, generation, name, page, load] {
-        on_router(router, generation, [this, router, name, page, load] {
-          routers_[router].core->on_feed_page(name, page, load, events_.now());
-        });
-      });
-    }, fail);
+    on_engine(
+        engine,
+        [this, router, engine, generation, name, action] {
+          standins::EngineModel& model = *engines_[engine].model;
+          cache::FeedPage page;
+          page.incarnation = model.incarnation();
+          page.oldest_sequence = model.prefix_cache().oldest_sequence();
+          for (const standins::CacheEvent& event :
+               model.prefix_cache().events_after(action.after_sequence, kFeedPage, events_.now())) {
+            page.events.push_back({event.sequence, event.stored, event.block, event.parent});
+          }
+          const standins::EngineLoadReport report = model.load(events_.now());
+          const wire::EngineLoad load{
+              name,           report.incarnation,    report.running, report.waiting, report.waiting_tokens,
+              report.leaving, report.weights_version};
+          deliver_in_order(name, routers_[router].name, [this, router, generation, name, page, load] {
+            on_router(router, generation, [this, router, name, page, load] {
+              routers_[router].core->on_feed_page(name, page, load, events_.now());
+            });
+          });
+        },
+        fail);
   });
 }
 
@@ -372,23 +380,27 @@
   const uint64_t generation = routers_[router].generation;
   const std::string name = action.backend;
   const auto fail = [this, router, generation, name] {
-    on_router(router, generation, [this, router, name] { routers_[router].core->on_feed_failure(name, events_.now()); });
+    on_router(router, generation,
+              [this, router, name] { routers_[router].core->on_feed_failure(name, events_.now()); });
   };
   deliver_in_order(routers_[router].name, name, [this, router, engine, generation, name, fail] {
-    on_engine(engine, [this, router, engine, generation, name] {
-      const standins::EngineModel& model = *engines_[engine].model;
-      cache::FeedSnapshot snapshot;
-      snapshot.incarnation = model.incarnation();
-      snapshot.sequence = model.prefix_cache().last_sequence();
-      for (const standins::CachedBlock& block : model.prefix_cache().snapshot()) {
-        snapshot.blocks.emplace_back(block.block, block.parent);
-      }
-      deliver_in_order(name, routers_[router].name, [this, router, generation, name, snapshot] {
-        on_router(router, generation, [this, router, name, snapshot] {
-          routers_[router].core->on_feed_snapshot(name, snapshot, events_.now());
-        });
-      });
-    }, fail);
+    on_engine(
+        engine,
+        [this, router, engine, generation, name] {
+          const standins::EngineModel& model = *engines_[engine].model;
+          cache::FeedSnapshot snapshot;
+          snapshot.incarnation = model.incarnation();
+          snapshot.sequence = model.prefix_cache().last_sequence();
+          for (const standins::CachedBlock& block : model.prefix_cache().snapshot()) {
+            snapshot.blocks.emplace_back(block.block, block.parent);
+          }
+          deliver_in_order(name, routers_[router].name, [this, router, generation, name, snapshot] {
+            on_router(router, generation, [this, router, name, snapshot] {
+              routers_[router].core->on_feed_snapshot(name, snapshot, events_.now());
+            });
+          });
+        },
+        fail);
   });
 }
 
@@ -406,14 +418,14 @@
     }
     const uint64_t generation = call->second.generation;
     auto& readers = engines_[static_cast<size_t>(call->second.engine)].readers;
-    std::erase_if(readers, [&](const auto& entry) { return entry.second == std::make_pair(router, call_id); });
+    std::erase_if(readers,
+                  [&](const auto& entry) { return entry.second == std::make_pair(router, call_id); });
     calls_.erase(call);
     router::CallResult broken;
     broken.end = router::CallEnd::kBroken;
-    on_router(router, generation,
-              [this, router = router, call_id = call_id, broken] {
-                routers_[router].core->on_call_end(call_id, broken, events_.now());
-              });
+    on_router(router, generation, [this, router = router, call_id = call_id, broken] {
+      routers_[router].core->on_call_end(call_id, broken, events_.now());
+    });
   }
 }
 
--- a/simulation/fleet_checks.cc
+++ b/simulation/fleet_checks.cc
@@ -39,8 +39,8 @@
 }
 
 void FleetChecks::on_engine_start(TimePoint now, const std::string& engine, uint64_t incarnation,
-                                  const standins::LedgerLine& line, const std::string& prompt, uint32_t block_tokens,
-                                  uint64_t wasted_tokens) {
+                                  const standins::LedgerLine& line, const std::string& prompt,
+                                  uint32_t block_tokens, uint64_t wasted_tokens) {
   prompt_tokens_ += line.prompt_tokens;
   cached_tokens_ += line.cached_tokens;
   wasted_tokens_ += wasted_tokens;
@@ -110,7 +110,8 @@
   }
   const int status = wire::reason_http_status(record.result.reason);
   if ((status == 429 || status == 503) && record.result.retry_after_ms <= 0) {
-    violate(now, std::string("a refusal for ") + wire::reason_code(record.result.reason) + " has no Retry-After");
+    violate(now,
+            std::string("a refusal for ") + wire::reason_code(record.result.reason) + " has no Retry-After");
   }
 }
 
@@ -136,7 +137,8 @@
       ++report.refusals[wire::reason_code(record.result.reason)];
       // Not-run must still be true once everything is over.
       if (record.result.outcome == Outcome::kNotRun && runs_of_request(record.request_id) > 0) {
-        report.violations.push_back("request " + to_hex(record.request_id) + " was called not run and ran later");
+        report.violations.push_back("request " + to_hex(record.request_id) +
+                                    " was called not run and ran later");
       }
       continue;
     }
@@ -150,7 +152,8 @@
   report.prompt_tokens = prompt_tokens_;
   report.prefilled_tokens = prompt_tokens_ - cached_tokens_;
   report.wasted_tokens = wasted_tokens_;
-  report.hit_rate = prompt_tokens_ == 0 ? 0 : static_cast<double>(cached_tokens_) / static_cast<double>(prompt_tokens_);
+  report.hit_rate =
+      prompt_tokens_ == 0 ? 0 : static_cast<double>(cached_tokens_) / static_cast<double>(prompt_tokens_);
   report.first_token_p50_ms = first_token.quantile(0.5);
   report.first_token_p95_ms = first_token.quantile(0.95);
   report.first_token_p99_ms = first_token.quantile(0.99);
--- a/simulation/fleet_checks.h
+++ b/simulation/fleet_checks.h
@@ -22,7 +22,7 @@
   TimePoint first_piece{0};
   TimePoint ended{0};
   std::string text;
-  bool gone = false;         ///< the caller went away
+  bool gone = false;          ///< the caller went away
   bool sidecar_lost = false;  ///< its sidecar crashed: no answer can come
   bool finished = false;
   uint32_t tries = 1;
@@ -37,10 +37,10 @@
   size_t not_run = 0;
   size_t unknown = 0;
   size_t failed = 0;
-  double hit_rate = 0;           ///< prompt tokens found in the engine's cache, as a share
+  double hit_rate = 0;  ///< prompt tokens found in the engine's cache, as a share
   uint64_t prompt_tokens = 0;
   uint64_t prefilled_tokens = 0;
-  uint64_t wasted_tokens = 0;    ///< prefilled although another live engine's cache held them
+  uint64_t wasted_tokens = 0;  ///< prefilled although another live engine's cache held them
   double first_token_p50_ms = 0;
   double first_token_p95_ms = 0;
   double first_token_p99_ms = 0;
@@ -53,10 +53,12 @@
  public:
   void violate(TimePoint now, const std::string& what);
   /// An engine took a request; it counts as a run from then on.
-  void on_engine_accepted(TimePoint now, const std::string& engine, uint64_t request_id, const std::string& key);
+  void on_engine_accepted(TimePoint now, const std::string& engine, uint64_t request_id,
+                          const std::string& key);
   /// An engine began the prefill of a run.
-  void on_engine_start(TimePoint now, const std::string& engine, uint64_t incarnation, const standins::LedgerLine& line,
-                     const std::string& prompt, uint32_t block_tokens, uint64_t wasted_tokens);
+  void on_engine_start(TimePoint now, const std::string& engine, uint64_t incarnation,
+                       const standins::LedgerLine& line, const std::string& prompt, uint32_t block_tokens,
+                       uint64_t wasted_tokens);
   /// A plain back end ran a request.
   void on_plain_run(uint64_t request_id, const std::string& key);
   /// A router dispatched to a back end.
--- a/simulation/fleet_simulation.cc
+++ b/simulation/fleet_simulation.cc
@@ -26,7 +26,9 @@
 /// Calls go by name here; the configuration wants an address all the same.
 constexpr char kAnyEndpoint[] = "127.0.0.1:1";
 
-std::string numbered(const char* prefix, size_t number) { return std::string(prefix) + "-" + std::to_string(number); }
+std::string numbered(const char* prefix, size_t number) {
+  return std::string(prefix) + "-" + std::to_string(number);
+}
 
 }  // namespace
 
@@ -90,8 +92,8 @@
   }
   for (uint32_t position = 0; position < options_.plain_backends; ++position) {
     const std::string name = numbered("plain", position);
-    change.items.emplace_back(
-        control::Backend{name, control::BackendKind::kPlain, names_.plain_service, kAnyEndpoint, kZone, false});
+    change.items.emplace_back(control::Backend{name, control::BackendKind::kPlain, names_.plain_service,
+                                               kAnyEndpoint, kZone, false});
   }
   change.items.emplace_back(options_.table);
   if (control_state_.apply(change).code != control::ResultCode::kOk) {
@@ -104,7 +106,8 @@
   return Duration(random_.between(options_.least_delay.count(), options_.most_delay.count()));
 }
 
-void FleetSimulation::deliver_in_order(const std::string& from, const std::string& to, std::function<void()> action) {
+void FleetSimulation::deliver_in_order(const std::string& from, const std::string& to,
+                                       std::function<void()> action) {
   TimePoint& last = last_delivery_[{from, to}];
   last = std::max(last, events_.now() + delay());
   events_.at(last, std::move(action));
@@ -327,9 +330,12 @@
   const uint64_t fence = ++weights_number_;
   for (size_t position = 0; position < engines_.size(); ++position) {
     events_.after(Duration(300000) * static_cast<int64_t>(position), [this, position, fence, version] {
-      on_engine(position, [this, position, fence, version] {
-        engines_[position].model->order_load(fence, version, events_.now());
-      }, [] {});
+      on_engine(
+          position,
+          [this, position, fence, version] {
+            engines_[position].model->order_load(fence, version, events_.now());
+          },
+          [] {});
     });
   }
   const Duration half = Duration(150000) * static_cast<int64_t>(engines_.size());
@@ -375,26 +381,29 @@
   if (connection.router_generation != router.generation) {
     connection = Connection{++last_connection_, router.generation};
     const router::SidecarId id = connection.id;
-    deliver_in_order(sidecars_[sidecar].name, router.name, [this, position, id, generation = router.generation] {
-      on_router(position, generation, [this, position, id] { routers_[position].core->on_sidecar_connected(id); });
-    });
+    deliver_in_order(sidecars_[sidecar].name, router.name,
+                     [this, position, id, generation = router.generation] {
+                       on_router(position, generation,
+                                 [this, position, id] { routers_[position].core->on_sidecar_connected(id); });
+                     });
   }
   const router::SidecarId id = connection.id;
-  deliver_in_order(
-      sidecars_[sidecar].name, router.name,
-      [this, sidecar, sidecar_generation, position, id, generation = router.generation, message = action.message] {
-        on_router(position, generation, [this, sidecar, sidecar_generation, position, id, message] {
-          router::RouterCore& core = *routers_[position].core;
-          if (const auto* submit = std::get_if<wire::SubmitRequest>(&message.value)) {
-            core.on_submit(id, *submit, events_.now());
-          } else if (const auto* cancel = std::get_if<wire::CancelRequest>(&message.value)) {
-            core.on_cancel(id, cancel->request_id, events_.now());
-          } else if (const auto* ping = std::get_if<wire::Ping>(&message.value)) {
-            router::SendToSidecar pong{id, wire::Pong{ping->number}};
-            perform(position, pong);
-          }
-        });
-      });
+  deliver_in_order(sidecars_[sidecar].name, router.name,
+                   [this, sidecar, sidecar_generation, position, id, generation = router.generation,
+                    message = action.message] {
+                     on_router(
+                         position, generation, [this, sidecar, sidecar_generation, position, id, message] {
+                           router::RouterCore& core = *routers_[position].core;
+                           if (const auto* submit = std::get_if<wire::SubmitRequest>(&message.value)) {
+                             core.on_submit(id, *submit, events_.now());
+                           } else if (const auto* cancel = std::get_if<wire::CancelRequest>(&message.value)) {
+                             core.on_cancel(id, cancel->request_id, events_.now());
+                           } else if (const auto* ping = std::get_if<wire::Ping>(&message.value)) {
+                             router::SendToSidecar pong{id, wire::Pong{ping->number}};
+                             perform(position, pong);
+                           }
+                         });
+                   });
 }
 
 void FleetSimulation::perform(size_t sidecar, sidecar::DropRouter& action) {
@@ -447,13 +456,14 @@
     ++record.tries;
     const int64_t wait_ms = options_.retries_heed_advice ? record.result.retry_after_ms : 20;
     const uint64_t generation = sidecars_[sidecar].generation;
-    events_.after(Duration(1000 * wait_ms + random_.between(0, 1000 * wait_ms)), [this, position, sidecar, generation] {
-      if (sidecars_[sidecar].generation == generation) {
-        submit(position);
-      } else {
-        records_[position].sidecar_lost = true;
-      }
-    });
+    events_.after(Duration(1000 * wait_ms + random_.between(0, 1000 * wait_ms)),
+                  [this, position, sidecar, generation] {
+                    if (sidecars_[sidecar].generation == generation) {
+                      submit(position);
+                    } else {
+                      records_[position].sidecar_lost = true;
+                    }
+                  });
     return;
   }
   record.finished = true;
@@ -492,9 +502,8 @@
     const Connection closed = connection->second;
     connection = connections_.erase(connection);
     deliver_in_order(sidecar.name, routers_[router].name, [this, router, closed] {
-      on_router(router, closed.router_generation, [this, router, closed] {
-        routers_[router].core->on_sidecar_gone(closed.id, events_.now());
-      });
+      on_router(router, closed.router_generation,
+                [this, router, closed] { routers_[router].core->on_sidecar_gone(closed.id, events_.now()); });
     });
   }
   ++sidecar.generation;
@@ -545,7 +554,8 @@
                        if (still_open == connections_.end() || still_open->second.id != id) {
                          return;
                        }
-                       sidecars_[sidecar].core->on_router_message(routers_[router].name, message, events_.now());
+                       sidecars_[sidecar].core->on_router_message(routers_[router].name, message,
+                                                                  events_.now());
                        run_sidecar_actions(sidecar);
                      });
     return;
@@ -577,7 +587,8 @@
   options.name = router.name;
   options.zone = kZone;
   router.metrics = std::make_unique<Metrics>();
-  router.core = std::make_unique<router::RouterCore>(options, random_.bits(), events_.now(), router.metrics.get());
+  router.core =
+      std::make_unique<router::RouterCore>(options, random_.bits(), events_.now(), router.metrics.get());
   router.core->on_configuration(router.kept_configuration, events_.now());
   router.next_poll = events_.now();
   run_router_actions(position);
--- a/simulation/fleet_simulation.h
+++ b/simulation/fleet_simulation.h
@@ -1,5 +1,6 @@
-/// The whole request path in a deterministic simulation: real sidecar and router cores, stand-in engines, plain back
-/// ends, a control state machine, faults placed by hand or drawn from a seed, and checks against the ledgers.
+/// The whole request path in a deterministic simulation: real sidecar and router cores, stand-in engines,
+/// plain back ends, a control state machine, faults placed by hand or drawn from a seed, and checks against
+/// the ledgers.
 #pragma once
 
 #include <map>
@@ -31,7 +32,7 @@
   Duration least_delay{700us};  ///< one way between any two processes
   Duration most_delay{1600us};
   bool random_faults = false;
-  bool callers_retry = false;      ///< a refused caller asks again
+  bool callers_retry = false;       ///< a refused caller asks again
   bool retries_heed_advice = true;  ///< it waits as long as Retry-After says
   control::PolicyTable table;
 };
@@ -118,7 +119,8 @@
     uint64_t starts = 0;
     std::vector<std::function<void()>> kept;  ///< what arrived while frozen
     std::vector<size_t> unstarted_lines;      ///< of the ledger
-    std::map<std::pair<uint64_t, uint32_t>, std::pair<size_t, router::CallId>> readers;  ///< stream to router, call
+    std::map<std::pair<uint64_t, uint32_t>, std::pair<size_t, router::CallId>>
+        readers;  ///< stream to router, call
   };
   /// A router's call to a back end.
   struct BackendCall {
@@ -162,7 +164,8 @@
   void perform(size_t router, router::PollFeed& action);
   void perform(size_t router, router::FetchSnapshot& action);
   /// Proposes to the control state until an answer comes back or the deadline passes.
-  void call_control(size_t router, uint64_t generation, const router::CallControl& action, TimePoint deadline);
+  void call_control(size_t router, uint64_t generation, const router::CallControl& action,
+                    TimePoint deadline);
   /// Runs an input on an engine, now or when it thaws; `if_dead` when that start of it is gone.
   void on_engine(size_t position, std::function<void()> input, std::function<void()> if_dead);
   void start_engine_call(size_t router, const router::StartCall& call);
--- a/src/control/configuration_json.cc
+++ b/src/control/configuration_json.cc
@@ -29,13 +29,13 @@
     return found->get<std::string>();
   }
 
-  double number(const char* key, double fallback) {
+  double number(const char* key, double fallback, bool may_be_negative = false) {
     const auto found = object_.find(key);
     if (found == object_.end()) {
       return fallback;
     }
-    if (!found->is_number() || found->get<double>() < 0) {
-      add(key, "must be a number that is not negative");
+    if (!found->is_number() || (!may_be_negative && found->get<double>() < 0)) {
+      add(key, may_be_negative ? "must be a number" : "must be a number that is not negative");
       return fallback;
     }
     return found->get<double>();
@@ -91,7 +91,7 @@
   row.kind = kind == "service" ? RowKind::kService : RowKind::kTenant;
   row.name = reader.text("name", true);
   row.share = reader.number("share", 1);
-  row.priority = static_cast<int32_t>(reader.number("priority", 0));
+  row.priority = static_cast<int32_t>(reader.number("priority", 0, true));
   row.requests_per_second = reader.number("requests_per_second", 0);
   row.tokens_per_second = reader.number("tokens_per_second", 0);
   row.concurrent = static_cast<int32_t>(reader.number("concurrent", 0));
--- a/src/router/router_core.cc
+++ b/src/router/router_core.cc
@@ -16,6 +16,7 @@
 
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
+constexpr char kNoQuorumMessage[] = "no quorum of control members granted the claim in time";
 constexpr Duration kExpectedGeneration = 3s;
 constexpr size_t kSweepEntriesPerTick = 2000;
 /// How long the outcome of a lost request is left to the router that may have resumed it.
@@ -268,8 +269,7 @@
     end_claim(request->second, ClaimState::kReleased, "");
     const bool ran_before = request->second.submit.may_have_run;
     finish_with(request->second, ran_before ? Outcome::kUnknown : Outcome::kNotRun,
-                FailureReason::kClaimUnavailable, "no quorum of control members granted the claim in time",
-                kBusyRetryAfter, now);
+                FailureReason::kClaimUnavailable, kNoQuorumMessage, kBusyRetryAfter, now);
     return;
   }
   on_claim_result(request_id, *result, now);
@@ -376,14 +376,18 @@
   }
   for (const uint64_t request_id : expired) {
     Request& request = requests_[request_id];
-    const bool has_backend = !candidates_for(request, now).empty() || request.phase == Phase::kClaiming;
+    const Outcome outcome = request.may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
     queues_[request.submit.serves].remove(request_id);
     end_claim(request, ClaimState::kReleased, "");
-    finish_with(
-        request, request.may_have_run ? Outcome::kUnknown : Outcome::kNotRun,
-        has_backend ? FailureReason::kDeadline : FailureReason::kNoBackend,
-        has_backend ? "could not be started in time" : "no live back end serves " + request.submit.serves,
-        kBusyRetryAfter, now);
+    if (request.phase == Phase::kClaiming) {
+      finish_with(request, outcome, FailureReason::kClaimUnavailable, kNoQuorumMessage, kBusyRetryAfter, now);
+    } else if (candidates_for(request, now).empty()) {
+      finish_with(request, outcome, FailureReason::kNoBackend,
+                  "no live back end serves " + request.submit.serves, kBusyRetryAfter, now);
+    } else {
+      finish_with(request, outcome, FailureReason::kDeadline, "could not be started in time", kBusyRetryAfter,
+                  now);
+    }
   }
 }
 
--- a/src/wire/failure_reason.cc
+++ b/src/wire/failure_reason.cc
@@ -31,9 +31,15 @@
 
 }  // namespace
 
-const char* reason_code(FailureReason reason) { return kReasons.at(static_cast<size_t>(reason)).code; }
+/// A reason that a newer process sent reads as a failure without a name here.
+ReasonFacts facts_of(FailureReason reason) {
+  const auto position = static_cast<size_t>(reason);
+  return position < kReasons.size() ? kReasons[position] : ReasonFacts{"unknown_reason", 502};
+}
+
+const char* reason_code(FailureReason reason) { return facts_of(reason).code; }
 
-int reason_http_status(FailureReason reason) { return kReasons.at(static_cast<size_t>(reason)).http_status; }
+int reason_http_status(FailureReason reason) { return facts_of(reason).http_status; }
 
 const char* outcome_name(Outcome outcome) {
   switch (outcome) {
--- a/tests/simulation/fleet_seeds_test.cc
+++ b/tests/simulation/fleet_seeds_test.cc
@@ -18,8 +18,8 @@
   for (uint64_t seed = first_seed; seed < first_seed + kSeedsPerTest; ++seed) {
     const FleetReport report = FleetSimulation(faulty_fleet_options(seed, workload, kRun)).run();
     for (const std::string& violation : report.violations) {
-      ADD_FAILURE() << violation << "\nreplay: stoat-simulate --set what='\"fleet\"' --set workload='\"" << workload
-                    << "\"' --set first_seed=" << seed << " --set seeds=1 --set duration_s=20";
+      ADD_FAILURE() << violation << "\nreplay: stoat-simulate --set what='\"fleet\"' --set workload='\""
+                    << workload << "\"' --set first_seed=" << seed << " --set seeds=1 --set duration_s=20";
     }
     complete += report.complete;
   }
