--- a/src/cache/prefix_index.cc
+++ b/src/cache/prefix_index.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "src/common/hash.h"
+
 namespace stoat::cache {
 
 namespace {
@@ -27,7 +29,7 @@
     owners_.emplace_back();
     free = owners_.end() - 1;
   }
-  *free = SlotOwner{engine, incarnation, true, false};
+  *free = SlotOwner{engine, hash_bytes(engine), incarnation, true, false};
   const auto slot = static_cast<EngineSlot>(free - owners_.begin());
   live_slots_[engine] = slot;
   return slot;
@@ -180,7 +182,8 @@
   std::vector<PrefixMatch> matches;
   for (size_t slot = 1; slot < owners_.size(); ++slot) {
     if (lengths_[slot] > 0 && owners_[slot].live) {
-      matches.push_back({owners_[slot].engine, owners_[slot].incarnation, lengths_[slot]});
+      const SlotOwner& owner = owners_[slot];
+      matches.push_back({owner.engine, owner.engine_hash, owner.incarnation, lengths_[slot]});
     }
   }
   return matches;
--- a/src/cache/prefix_index.h
+++ b/src/cache/prefix_index.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -15,7 +16,8 @@
 
 /// How many leading blocks of a chain an engine holds.
 struct PrefixMatch {
-  std::string engine;
+  std::string_view engine;   ///< holds until the index changes
+  uint64_t engine_hash = 0;  ///< hash_bytes() of its name
   uint64_t incarnation = 0;
   uint32_t blocks = 0;
 };
@@ -52,6 +54,7 @@
   };
   struct SlotOwner {
     std::string engine;
+    uint64_t engine_hash = 0;
     uint64_t incarnation = 0;
     bool live = false;
     bool free = true;
--- a/src/delivery/outlier_detector.cc
+++ b/src/delivery/outlier_detector.cc
@@ -34,15 +34,6 @@
   state.probe_until = TimePoint(0);
 }
 
-bool OutlierDetector::usable(const std::string& backend, TimePoint now) const {
-  const auto found = states_.find(backend);
-  if (found == states_.end()) {
-    return true;
-  }
-  const State& state = found->second;
-  return now >= state.ejected_until && (!state.half_open || now >= state.probe_until);
-}
-
 void OutlierDetector::on_dispatch(const std::string& backend, TimePoint now) {
   State& state = states_[backend];
   if (state.half_open) {
--- a/src/placement/policy.h
+++ b/src/placement/policy.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "src/common/random.h"
@@ -18,8 +19,9 @@
 
 /// What a policy may know of an engine that could take it.
 struct Candidate {
-  std::string name;
+  std::string_view name;  ///< holds until the next configuration
   uint64_t name_hash = 0;
+  uint64_t incarnation = 0;        ///< by the last load report; 0: none came yet
   uint32_t cached_tokens = 0;      ///< of the prompt, as far as the index knows
   uint32_t reported_running = 0;   ///< from the last load report, which lags
   uint32_t reported_tokens = 0;    ///< waiting to be prefilled, from the last load report
--- a/src/router/router_cluster.cc
+++ b/src/router/router_cluster.cc
@@ -100,9 +100,7 @@
   }
 }
 
-void RouterCore::on_leaving(const std::vector<std::string>& backends) {
-  leaving_ = std::set<std::string>(backends.begin(), backends.end());
-}
+void RouterCore::on_leaving(const std::vector<std::string>& backends) { serving_.set_leaving(backends); }
 
 void RouterCore::poll_feeds(TimePoint now) {
   for (auto& [engine, followed] : feeds_) {
--- a/src/router/router_core.cc
+++ b/src/router/router_core.cc
@@ -310,8 +310,7 @@
   admission::FairQueue& queue = queues_[request.submit.serves];
   // What cannot start in time is refused now, not when its time is up.
   const double ahead = queue.cost_ahead(request.tenant_row.priority);
-  const size_t engine_count =
-      configuration_.serving(request.submit.serves, control::BackendKind::kEngine).size();
+  const size_t engine_count = serving_.of(request.submit.serves).entries.size();
   if (queue.size() > 0 && engine_count > 0) {
     const Duration expected(
         static_cast<int64_t>(costs_.prefill_us(ahead) / static_cast<double>(engine_count)));
@@ -509,6 +508,7 @@
     row_limiter.configure(configuration_.row(key.first, key.second), router_count, now);
   }
   assign_homes(now);
+  serving_.rebuild(configuration_, engines_, outliers_);
   pump_queues(now);
 }
 
--- a/src/router/router_core.h
+++ b/src/router/router_core.h
@@ -18,6 +18,7 @@
 #include "src/placement/policy.h"
 #include "src/router/engine_table.h"
 #include "src/router/router_action.h"
+#include "src/router/serving_table.h"
 
 namespace stoat::router {
 
@@ -156,7 +157,7 @@
   // router_dispatch.cc: placement, calls to back ends, retries
   bool try_dispatch(Request& request, TimePoint now);
   std::vector<placement::Candidate> candidates_for(const Request& request, TimePoint now);
-  bool usable(const Request& request, const control::Backend& backend, TimePoint now) const;
+  bool usable(const Request& request, const ServingEntry& entry, TimePoint now) const;
   void start_call(Request& request, CallKind kind, const control::Backend& backend, TimePoint now);
   void start_resume(Request& request, const wire::ResumePoint& where, TimePoint now);
   void leave_call(Request& request);
@@ -190,7 +191,6 @@
   control::Configuration configuration_;
   std::vector<wire::Node> routers_;
   std::map<std::string, uint64_t> router_starts_;
-  std::set<std::string> leaving_;
 
   std::unordered_map<uint64_t, Request> requests_;
   std::unordered_map<CallId, uint64_t> calls_;
@@ -207,6 +207,7 @@
   TimePoint last_quota_ask_{0};
 
   EngineTable engines_;
+  ServingTable serving_;
   delivery::OutlierDetector outliers_;
   delivery::RetryBudget retry_budget_;
   placement::CostModel costs_;
--- a/src/router/router_dispatch.cc
+++ b/src/router/router_dispatch.cc
@@ -1,5 +1,6 @@
 // RouterCore: placement, calls to back ends, resumes and retries.
 #include <algorithm>
+#include <array>
 
 #include "src/common/hash.h"
 #include "src/router/router_core.h"
@@ -26,58 +27,64 @@
 
 }  // namespace
 
-bool RouterCore::usable(const Request& request, const control::Backend& backend, TimePoint now) const {
-  if (backend.kind != backend_kind(request.submit) || backend.serves != request.submit.serves ||
-      backend.draining) {
+bool RouterCore::usable(const Request& request, const ServingEntry& entry, TimePoint now) const {
+  const control::Backend& backend = *entry.backend;
+  if (backend.kind != backend_kind(request.submit) || backend.draining || entry.leaving) {
     return false;
   }
-  if (leaving_.count(backend.name) > 0 || request.excluded.count(backend.name) > 0) {
+  if (!request.excluded.empty() && request.excluded.count(backend.name) > 0) {
     return false;
   }
-  if (!outliers_.usable(backend.name, now)) {
+  const EngineState& state = *entry.state;
+  if (state.load.leaving || now < state.avoid_until || state.outstanding >= options_.max_engine_outstanding) {
     return false;
   }
-  const EngineState* state = engines_.find(backend.name);
-  if (state == nullptr) {
-    return true;
-  }
-  if (state->load.leaving || now < state->avoid_until ||
-      state->outstanding >= options_.max_engine_outstanding) {
-    return false;
-  }
-  const auto model = configuration_.models.find(backend.serves);
-  const bool weights_known = !state->load.weights_version.empty() && model != configuration_.models.end();
-  return !weights_known || state->load.weights_version == model->second.weights_version;
+  return outliers_.usable(entry.health, now);
 }
 
 std::vector<placement::Candidate> RouterCore::candidates_for(const Request& request, TimePoint now) {
+  const ServingList& serving = serving_.of(request.submit.serves);
+  const auto model = configuration_.models.find(request.submit.serves);
+  const std::string wanted_weights =
+      model == configuration_.models.end() ? "" : model->second.weights_version;
   std::vector<placement::Candidate> candidates;
-  for (const auto& [name, backend] : configuration_.backends) {
-    if (!usable(request, backend, now)) {
+  candidates.reserve(serving.entries.size());
+  constexpr uint32_t kNoCandidate = UINT32_MAX;
+  std::vector<uint32_t> candidate_of(serving.entries.size(), kNoCandidate);
+  for (size_t position = 0; position < serving.entries.size(); ++position) {
+    const ServingEntry& entry = serving.entries[position];
+    const EngineState& state = *entry.state;
+    const bool other_weights = !wanted_weights.empty() && !state.load.weights_version.empty() &&
+                               state.load.weights_version != wanted_weights;
+    if (other_weights || !usable(request, entry, now)) {
       continue;
     }
     placement::Candidate candidate;
-    candidate.name = name;
-    candidate.name_hash = hash_bytes(name);
-    if (const EngineState* state = engines_.find(name)) {
-      candidate.reported_running = state->load.running;
-      candidate.reported_tokens = state->load.waiting_tokens;
-      candidate.outstanding = state->outstanding;
-      candidate.unreported_tokens = state->sent_tokens + state->sent_tokens_older / 2;
+    candidate.name = entry.backend->name;
+    candidate.name_hash = entry.name_hash;
+    candidate.incarnation = state.load.incarnation;
+    candidate.reported_running = state.load.running;
+    candidate.reported_tokens = state.load.waiting_tokens;
+    candidate.outstanding = state.outstanding;
+    candidate.unreported_tokens = state.sent_tokens + state.sent_tokens_older / 2;
+    candidate_of[position] = static_cast<uint32_t>(candidates.size());
+    candidates.push_back(candidate);
+  }
+  const auto add_cached_tokens = [&](const cache::PrefixMatch& match) {
+    const auto position = serving.position_of_hash.find(match.engine_hash);
+    if (position == serving.position_of_hash.end() || candidate_of[position->second] == kNoCandidate) {
+      return;
     }
-    candidates.push_back(std::move(candidate));
-  }
+    placement::Candidate& candidate = candidates[candidate_of[position->second]];
+    // An incarnation that no load report has named yet may be the one that the index knows.
+    if (candidate.incarnation == 0 || candidate.incarnation == match.incarnation) {
+      candidate.cached_tokens = std::max(candidate.cached_tokens, match.blocks * options_.block_tokens);
+    }
+  };
   const std::array<const cache::PrefixIndex*, 3> indexes{&index_, expected_.get(), expected_before_.get()};
   for (const cache::PrefixIndex* index : indexes) {
     for (const cache::PrefixMatch& match : index->match(request.chain)) {
-      const EngineState* state = engines_.find(match.engine);
-      const bool current = state == nullptr || state->load.incarnation == match.incarnation;
-      const auto candidate = std::lower_bound(
-          candidates.begin(), candidates.end(), match.engine,
-          [](const placement::Candidate& left, const std::string& name) { return left.name < name; });
-      if (current && candidate != candidates.end() && candidate->name == match.engine) {
-        candidate->cached_tokens = std::max(candidate->cached_tokens, match.blocks * options_.block_tokens);
-      }
+      add_cached_tokens(match);
     }
   }
   return candidates;
@@ -92,7 +99,7 @@
   const placement::Candidate& chosen = candidates[policy_->choose(view, candidates, random_)];
   request.missing_tokens = request.prompt_tokens - std::min(request.prompt_tokens, chosen.cached_tokens);
   request.queue_was_empty = chosen.reported_tokens + chosen.unreported_tokens == 0 && chosen.outstanding == 0;
-  const control::Backend& backend = configuration_.backends.at(chosen.name);
+  const control::Backend& backend = configuration_.backends.at(std::string(chosen.name));
   const CallKind kind =
       request.submit.kind == wire::RequestKind::kCompletion ? CallKind::kComplete : CallKind::kPlain;
   start_call(request, kind, backend, now);
--- a/src/router/router_server.cc
+++ b/src/router/router_server.cc
@@ -336,6 +336,9 @@
 nlohmann::json RouterServer::status_json() const {
   nlohmann::json engines = nlohmann::json::object();
   for (const auto& [name, state] : core_.engines().all()) {
+    if (state.load.incarnation == 0) {
+      continue;  // not heard of yet, or not an engine
+    }
     engines[name] = {{"running", state.load.running},
                      {"waiting_tokens", state.load.waiting_tokens},
                      {"outstanding", state.outstanding},
--- /dev/null
+++ b/src/router/serving_table.h
@@ -0,0 +1,73 @@
+/// The back ends of the configuration by what they serve, with all that a placement looks at resolved beforehand.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "src/common/hash.h"
+#include "src/control/configuration.h"
+#include "src/delivery/outlier_detector.h"
+#include "src/router/engine_table.h"
+
+namespace stoat::router {
+
+/// One back end. The pointers hold until the next configuration.
+struct ServingEntry {
+  const control::Backend* backend = nullptr;
+  const EngineState* state = nullptr;
+  delivery::OutlierDetector::Handle health = nullptr;
+  uint64_t name_hash = 0;
+  bool leaving = false;  ///< on the platform's list
+};
+
+/// The back ends of one model or service, in the order of their names.
+struct ServingList {
+  std::vector<ServingEntry> entries;
+  std::unordered_map<uint64_t, uint32_t> position_of_hash;  ///< by ServingEntry::name_hash
+};
+
+/// See the head of this file.
+class ServingTable {
+ public:
+  /// To be called for every new configuration, which must outlive the entries.
+  void rebuild(const control::Configuration& configuration, EngineTable& engines, delivery::OutlierDetector& outliers) {
+    lists_.clear();
+    for (const auto& [name, backend] : configuration.backends) {
+      ServingEntry entry;
+      entry.backend = &backend;
+      entry.state = &engines.at(name);
+      entry.health = outliers.handle_of(name);
+      entry.name_hash = hash_bytes(name);
+      entry.leaving = leaving_.count(name) > 0;
+      ServingList& list = lists_[backend.serves];
+      list.position_of_hash[entry.name_hash] = static_cast<uint32_t>(list.entries.size());
+      list.entries.push_back(entry);
+    }
+  }
+
+  /// Takes the platform's list of leaving back ends.
+  void set_leaving(const std::vector<std::string>& backends) {
+    leaving_ = std::set<std::string>(backends.begin(), backends.end());
+    for (auto& [serves, list] : lists_) {
+      for (ServingEntry& entry : list.entries) {
+        entry.leaving = leaving_.count(entry.backend->name) > 0;
+      }
+    }
+  }
+
+  /// The back ends of a model or service.
+  const ServingList& of(const std::string& serves) const {
+    static const ServingList none;
+    const auto found = lists_.find(serves);
+    return found == lists_.end() ? none : found->second;
+  }
+
+ private:
+  std::map<std::string, ServingList> lists_;
+  std::set<std::string> leaving_;
+};
+
+}  // namespace stoat::router
--- a/tests/process/failures_test.cc
+++ b/tests/process/failures_test.cc
@@ -1,4 +1,5 @@
-// Real processes killed, frozen, restarted and stopped under load. Judged by what must always hold, never by timing.
+// Real processes killed, frozen, restarted and stopped under load. Judged by what must always hold, never by
+// timing.
 #include "tests/process/fleet_fixture.h"
 
 namespace stoat::tools {
@@ -152,8 +153,7 @@
   processes_->kill(wiped);
   std::filesystem::remove_all(work_folder_ + "/" + wiped);
   processes_->start(wiped);
-  ASSERT_TRUE(LocalFleet::wait_until(
-      [&] { return stoatctl("member replace " + wiped).status == 0; }, 10s));
+  ASSERT_TRUE(LocalFleet::wait_until([&] { return stoatctl("member replace " + wiped).status == 0; }, 10s));
   const CommandOutput replaced = stoatctl("member replace " + wiped + " --wait");
   ASSERT_EQ(replaced.status, 0) << replaced.text;
   processes_->kill(second);
@@ -165,12 +165,13 @@
 
 TEST_F(ProcessFailures, AChangeOfWeightsUnderLoadCutsNoRequest) {
   start(small_fleet("derwent"));
-  expect_promises(run_load(8s, {
-                                   {1s, [&] { EXPECT_EQ(stoatctl("order load engine-1 v2").status, 0); }},
-                                   {1100ms, [&] { EXPECT_EQ(stoatctl("order load engine-2 v2").status, 0); }},
-                                   {4s, [&] { EXPECT_EQ(stoatctl("model set notation-llm --weights v2").status, 0); }},
-                                   {4500ms, [&] { EXPECT_EQ(stoatctl("order load engine-3 v2").status, 0); }},
-                               }));
+  expect_promises(
+      run_load(8s, {
+                       {1s, [&] { EXPECT_EQ(stoatctl("order load engine-1 v2").status, 0); }},
+                       {1100ms, [&] { EXPECT_EQ(stoatctl("order load engine-2 v2").status, 0); }},
+                       {4s, [&] { EXPECT_EQ(stoatctl("model set notation-llm --weights v2").status, 0); }},
+                       {4500ms, [&] { EXPECT_EQ(stoatctl("order load engine-3 v2").status, 0); }},
+                   }));
   const auto all_loaded = [&] {
     for (const std::string& name : fleet_->names_with_prefix("engine-")) {
       if (fleet_->get(name, "/status")["load"]["weights_version"] != "v2") {
--- a/tests/process/fleet_fixture.h
+++ b/tests/process/fleet_fixture.h
@@ -28,7 +28,9 @@
  protected:
   void start(LocalFleetSettings settings) {
     const std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
-    work_folder_ = (std::filesystem::temp_directory_path() / ("stoat-" + name + "-" + std::to_string(getpid()))).string();
+    work_folder_ =
+        (std::filesystem::temp_directory_path() / ("stoat-" + name + "-" + std::to_string(getpid())))
+            .string();
     processes_ = std::make_unique<ProcessFleet>(STOAT_BIN_DIR, work_folder_);
     workload_ = settings.workload;
     fleet_ = std::make_unique<LocalFleet>(*processes_, settings);
@@ -102,7 +104,8 @@
     return output;
   }
 
-  http::ClientResult post(const std::string& path, const std::string& body, const std::vector<http::Header>& headers) {
+  http::ClientResult post(const std::string& path, const std::string& body,
+                          const std::vector<http::Header>& headers) {
     http::ClientRequest request;
     request.endpoint = fleet_->http_endpoint("sidecar-1");
     request.method = "POST";
--- a/tests/process/interfaces_test.cc
+++ b/tests/process/interfaces_test.cc
@@ -10,7 +10,9 @@
 
 class Interfaces : public FleetTest {
  protected:
-  static std::vector<http::Header> key() { return {{"Authorization", "Bearer " + tool_api_key("publisher-1")}}; }
+  static std::vector<http::Header> key() {
+    return {{"Authorization", "Bearer " + tool_api_key("publisher-1")}};
+  }
   static std::string code_of(const http::ClientResult& result) {
     return json::parse(result.body, nullptr, false).value("/error/code"_json_pointer, "none: " + result.body);
   }
@@ -26,21 +28,24 @@
   EXPECT_EQ(code_of(post("/v1/completions", "{not json", key())), "bad_json");
   EXPECT_EQ(code_of(post("/v1/completions", R"({"model":"no","prompt":"x"})", key())), "unknown_model");
   EXPECT_EQ(code_of(post("/v1/completions", R"({"model":"notation-llm","prompt":7})", key())), "bad_field");
-  EXPECT_EQ(code_of(post("/v1/completions", R"({"model":"notation-llm","prompt":"x","max_tokens":0})", key())),
-            "bad_field");
-  EXPECT_EQ(code_of(post("/v1/chat/completions", R"({"model":"notation-llm","messages":[{"role":"user"}]})", key())),
+  EXPECT_EQ(
+      code_of(post("/v1/completions", R"({"model":"notation-llm","prompt":"x","max_tokens":0})", key())),
+      "bad_field");
+  EXPECT_EQ(code_of(post("/v1/chat/completions", R"({"model":"notation-llm","messages":[{"role":"user"}]})",
+                         key())),
             "bad_field");
   EXPECT_EQ(code_of(post("/services/none/x", "{}", key())), "unknown_service");
   const http::ClientResult too_large = post("/v1/completions", std::string(30000, 'x'), key());
   EXPECT_TRUE(too_large.status == 413 || too_large.status == 0) << too_large.status;
   // A caller that opens a connection and sends half a request holds nothing up.
-  const CommandOutput half_open = run_command(
-      "bash -c 'exec 3<>/dev/tcp/127.0.0.1/" + std::to_string(fleet_->http_endpoint("sidecar-1").port) +
-      "; printf \"POST /v1/completions HTTP/1.1\\r\\nContent-Length: 100\\r\\n\\r\\n{\" >&3; timeout 5 cat <&3'");
+  const CommandOutput half_open = run_command("bash -c 'exec 3<>/dev/tcp/127.0.0.1/" +
+                                              std::to_string(fleet_->http_endpoint("sidecar-1").port) +
+                                              "; printf \"POST /v1/completions HTTP/1.1\\r\\nContent-Length: "
+                                              "100\\r\\n\\r\\n{\" >&3; timeout 5 cat <&3'");
   EXPECT_NE(half_open.status, 124) << "the half-open caller was never let go";
-  const http::ClientResult good =
-      post("/v1/chat/completions",
-           R"({"model":"notation-llm","messages":[{"role":"user","content":"bar 12?"}],"max_tokens":3})", key());
+  const http::ClientResult good = post(
+      "/v1/chat/completions",
+      R"({"model":"notation-llm","messages":[{"role":"user","content":"bar 12?"}],"max_tokens":3})", key());
   EXPECT_EQ(good.status, 200) << good.body;
   EXPECT_EQ(json::parse(good.body)["choices"][0]["message"]["role"], "assistant");
 }
@@ -49,8 +54,8 @@
   LocalFleetSettings settings = small_fleet("derwent");
   settings.controls = 1;
   start(settings);
-  const http::ClientResult result =
-      post("/v1/completions", R"({"model":"notation-llm","prompt":"hello","max_tokens":3,"stream":true})", key());
+  const http::ClientResult result = post(
+      "/v1/completions", R"({"model":"notation-llm","prompt":"hello","max_tokens":3,"stream":true})", key());
   EXPECT_EQ(result.status, 200);
   EXPECT_TRUE(result.body.ends_with("data: [DONE]\n\n")) << result.body;
   EXPECT_NE(result.body.find("\"completion_tokens\":3"), std::string::npos) << result.body;
--- a/tests/property/admission_property_test.cc
+++ b/tests/property/admission_property_test.cc
@@ -1,6 +1,5 @@
 // Limits and queues: what is leased never exceeds a ceiling, priorities are strict, shares are kept.
 #include <gtest/gtest.h>
-
 #include <rapidcheck/gtest.h>
 
 #include <set>
--- a/tests/property/cache_property_test.cc
+++ b/tests/property/cache_property_test.cc
@@ -1,6 +1,5 @@
 // The prefix index and the engine feed against plain models of what they stand for.
 #include <gtest/gtest.h>
-
 #include <rapidcheck/gtest.h>
 
 #include <set>
@@ -48,8 +47,8 @@
     }
     std::map<std::string, uint32_t> matched;
     for (const PrefixMatch& match : index.match(chain)) {
-      RC_ASSERT(match.incarnation == incarnations[match.engine]);
-      matched[match.engine] = match.blocks;
+      RC_ASSERT(match.incarnation == incarnations[std::string(match.engine)]);
+      matched[std::string(match.engine)] = match.blocks;
     }
     for (const auto& [name, blocks] : model) {
       uint32_t expected = 0;
@@ -74,7 +73,8 @@
     FeedPage page;
     page.incarnation = 7;
     page.oldest_sequence = engine.oldest_sequence();
-    for (const standins::CacheEvent& event : engine.events_after(feed.last_sequence(), 1000, TimePoint(step))) {
+    for (const standins::CacheEvent& event :
+         engine.events_after(feed.last_sequence(), 1000, TimePoint(step))) {
       page.events.push_back({event.sequence, event.stored, event.block, event.parent});
     }
     const FeedResult result = feed.on_page(page);
--- a/tests/property/input_property_test.cc
+++ b/tests/property/input_property_test.cc
@@ -1,6 +1,6 @@
-// Input from outside: whatever the bytes, a parser reports findings or a value; it never crashes or loses its place.
+// Input from outside: whatever the bytes, a parser reports findings or a value; it never crashes or loses its
+// place.
 #include <gtest/gtest.h>
-
 #include <rapidcheck/gtest.h>
 
 #include "src/common/settings.h"
--- a/tests/property/storage_property_test.cc
+++ b/tests/property/storage_property_test.cc
@@ -1,6 +1,5 @@
 // Records on disk: what was written is read, torn tails are cut, and damage is never taken for data.
 #include <gtest/gtest.h>
-
 #include <rapidcheck/gtest.h>
 
 #include "src/storage/record_log.h"
@@ -22,7 +21,8 @@
   RC_ASSERT(scan->payloads == payloads);
 }
 
-RC_GTEST_PROP(RecordLogProperty, CutsATornTailAndKeepsAllBeforeIt, (const std::vector<std::string>& payloads)) {
+RC_GTEST_PROP(RecordLogProperty, CutsATornTailAndKeepsAllBeforeIt,
+              (const std::vector<std::string>& payloads)) {
   const std::string bytes = join(payloads);
   const auto length = *rc::gen::inRange<size_t>(0, bytes.size() + 1);
   const auto scan = scan_records(std::string_view(bytes).substr(0, length));
