--- a/src/admission/row_limiter.h
+++ b/src/admission/row_limiter.h
@@ -22,6 +22,8 @@
 
   /// What to ask the owner for; called about once a second, and starts a new count.
   wire::QuotaRequest take_demand(const std::string& router, Duration since_last);
+  /// True when a request entered or runs since the last take_demand().
+  bool used() const { return running_ > 0 || asked_requests_ > 0; }
   /// True when the row has any ceiling.
   bool limited() const;
   const control::PolicyRow& row() const { return row_; }
--- a/src/router/router_cluster.cc
+++ b/src/router/router_cluster.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "src/common/hash.h"
+#include "src/router/engine_homes.h"
 #include "src/router/router_core.h"
 
 namespace stoat::router {
@@ -38,25 +39,39 @@
   return names.empty() ? region_routers() : names;
 }
 
-bool RouterCore::is_home_of(const control::Backend& backend) const {
-  if (backend.kind != control::BackendKind::kEngine || region_of(backend.zone) != region()) {
-    return false;
+std::set<std::string> RouterCore::own_engines() const {
+  std::map<std::string, std::vector<std::string>> engines_by_zone;
+  for (const auto& [name, backend] : configuration_.backends) {
+    if (backend.kind == control::BackendKind::kEngine && region_of(backend.zone) == region()) {
+      engines_by_zone[backend.zone].push_back(name);
+    }
+  }
+  std::set<std::string> own;
+  for (const auto& [zone, engines] : engines_by_zone) {
+    std::vector<std::string> routers = zone_routers(zone);
+    if (routers.empty()) {
+      routers.push_back(options_.name);  // just started: nobody else is known
+    }
+    for (const auto& [engine, home] : assign_engine_homes(engines, routers)) {
+      if (home == options_.name) {
+        own.insert(engine);
+      }
+    }
   }
-  const std::string home = rendezvous_first(hash_bytes(backend.name), zone_routers(backend.zone));
-  return home.empty() || home == options_.name;
+  return own;
 }
 
 void RouterCore::assign_homes(TimePoint now) {
+  const std::set<std::string> own = own_engines();
   for (const auto& [name, backend] : configuration_.backends) {
     outliers_.know(name);
-    if (is_home_of(backend) && feeds_.count(name) == 0) {
+    if (own.count(name) > 0 && feeds_.count(name) == 0) {
       // Spread the first polls, so that a herd of restarted routers does not ask all engines at once.
       feeds_[name].next_poll = now + Duration(random_.between(0, options_.feed_interval.count()));
     }
   }
   for (auto feed = feeds_.begin(); feed != feeds_.end();) {
-    const auto backend = configuration_.backends.find(feed->first);
-    const bool stays = backend != configuration_.backends.end() && is_home_of(backend->second);
+    const bool stays = own.count(feed->first) > 0;
     if (!stays && feed->second.snapshot_under_way) {
       --snapshots_under_way_;
     }
@@ -132,7 +147,7 @@
   followed.failures = 0;
   followed.next_poll = now + options_.feed_interval;
   followed.load = load;
-  followed.load_changed = true;
+  followed.load_known = true;
   const uint64_t gaps_before = followed.feed.gaps_found();
   const cache::FeedResult result = followed.feed.on_page(page);
   if (followed.feed.gaps_found() != gaps_before) {
@@ -263,19 +278,21 @@
   next_digest_ = now + options_.digest_interval;
   wire::LoadDigest digest;
   digest.home = options_.name;
-  for (auto& [engine, followed] : feeds_) {
-    if (followed.load_changed) {
-      followed.load_changed = false;
+  for (const auto& [engine, followed] : feeds_) {
+    if (followed.load_known) {
       digest.loads.push_back(followed.load);
     }
   }
-  if (digest.loads.empty()) {
+  std::vector<std::string> others = region_routers();
+  std::erase(others, options_.name);
+  if (digest.loads.empty() || others.empty()) {
     return;
   }
-  for (const std::string& router : region_routers()) {
-    if (router != options_.name) {
-      actions_.push_back(SendToRouter{router, digest});
-    }
+  // A stated number of routers at a time, in turn: what a router sends does not grow with the region.
+  const size_t count = std::min<size_t>(options_.digest_fanout, others.size());
+  for (size_t sent = 0; sent < count; ++sent) {
+    next_digest_target_ = (next_digest_target_ + 1) % others.size();
+    actions_.push_back(SendToRouter{others[next_digest_target_], digest});
   }
 }
 
@@ -286,8 +303,9 @@
   next_quota_ask_ = now + kQuotaInterval;
   const std::vector<std::string> routers = region_routers();
   for (auto& [key, row_limiter] : limiters_) {
-    if (!row_limiter.limited()) {
-      continue;
+    if (!row_limiter.limited() || !row_limiter.used()) {
+      continue;  // what a router asks for grows with the tenants that it serves now, not with all that there
+                 // are
     }
     const wire::QuotaRequest request = row_limiter.take_demand(options_.name, now - last_quota_ask_);
     const std::string owner =
--- a/src/router/router_core.h
+++ b/src/router/router_core.h
@@ -31,10 +31,11 @@
   uint32_t max_engine_outstanding = 48;  ///< calls of this router to one engine at once
   size_t max_queue = 2000;
   Duration feed_interval = 100ms;    ///< between polls of an engine's feed
-  Duration digest_interval = 250ms;  ///< between load digests to the other routers
-  Duration orphan_grace = 800ms;     ///< how long work goes on after its sidecar's connection was lost
-  uint32_t max_dispatches = 4;       ///< tries of one request at this router, resumes included
-  uint32_t snapshots_at_once = 2;    ///< feed snapshots fetched at the same time
+  Duration digest_interval = 250ms;  ///< between rounds of load digests to other routers
+  uint32_t digest_fanout = 12;  ///< how many routers get one in a round; the rest get theirs in later rounds
+  Duration orphan_grace = 800ms;   ///< how long work goes on after its sidecar's connection was lost
+  uint32_t max_dispatches = 4;     ///< tries of one request at this router, resumes included
+  uint32_t snapshots_at_once = 2;  ///< feed snapshots fetched at the same time
 };
 
 /// See the head of this file.
@@ -130,7 +131,7 @@
     TimePoint next_poll{0};
     bool snapshot_wanted = false;
     wire::EngineLoad load;
-    bool load_changed = false;
+    bool load_known = false;
     uint32_t failures = 0;
   };
 
@@ -171,7 +172,7 @@
   // router_cluster.cc: engine homes, prefix ownership, load digests, quota leases
   std::vector<std::string> region_routers() const;
   std::vector<std::string> zone_routers(const std::string& zone) const;
-  bool is_home_of(const control::Backend& backend) const;
+  std::set<std::string> own_engines() const;
   void assign_homes(TimePoint now);
   void poll_feeds(TimePoint now);
   void send_changes(const std::string& engine, uint64_t incarnation, bool reset,
@@ -222,6 +223,7 @@
   std::map<std::string, Followed> feeds_;
   uint32_t snapshots_under_way_ = 0;
   TimePoint next_digest_{0};
+  size_t next_digest_target_ = 0;
 
   std::vector<RouterAction> actions_;
 };
--- a/src/router/router_server.cc
+++ b/src/router/router_server.cc
@@ -31,6 +31,7 @@
       static_cast<uint32_t>(reader.integer("max_engine_outstanding", core.max_engine_outstanding, 1, 100000));
   core.feed_interval = Duration(1000 * reader.integer("feed_interval_ms", 100, 5, 60000));
   core.digest_interval = Duration(1000 * reader.integer("digest_interval_ms", 250, 5, 60000));
+  core.digest_fanout = static_cast<uint32_t>(reader.integer("digest_fanout", core.digest_fanout, 1, 10000));
   core.max_dispatches = static_cast<uint32_t>(reader.integer("max_dispatches", core.max_dispatches, 1, 20));
   settings.listen = read_endpoint(reader, "listen", "127.0.0.1:7100");
   settings.http = read_endpoint(reader, "http", "127.0.0.1:7101");
--- a/src/router/serving_table.h
+++ b/src/router/serving_table.h
@@ -1,4 +1,5 @@
-/// The back ends of the configuration by what they serve, with all that a placement looks at resolved beforehand.
+/// The back ends of the configuration by what they serve, with all that a placement looks at resolved
+/// beforehand.
 #pragma once
 
 #include <map>
@@ -33,7 +34,8 @@
 class ServingTable {
  public:
   /// To be called for every new configuration, which must outlive the entries.
-  void rebuild(const control::Configuration& configuration, EngineTable& engines, delivery::OutlierDetector& outliers) {
+  void rebuild(const control::Configuration& configuration, EngineTable& engines,
+               delivery::OutlierDetector& outliers) {
     lists_.clear();
     for (const auto& [name, backend] : configuration.backends) {
       ServingEntry entry;
--- /dev/null
+++ b/tests/unit/router_core_test.cc
@@ -0,0 +1,115 @@
+// RouterCore's answers to single messages.
+#include <gtest/gtest.h>
+
+#include "src/router/router_core.h"
+
+namespace stoat::router {
+namespace {
+
+constexpr SidecarId kSidecar = 1;
+
+class RouterCoreTest : public testing::Test {
+ protected:
+  RouterCoreTest() : core_(options(), 1, TimePoint(1), &metrics_) {
+    control::Configuration configuration;
+    configuration.version = 1;
+    configuration.models["model"] = control::Model{"model", "v1", ""};
+    configuration.backends["engine"] =
+        control::Backend{"engine", control::BackendKind::kEngine, "model", "127.0.0.1:1", "region/zone", false};
+    core_.on_configuration(configuration, TimePoint(1));
+    core_.take_actions();
+  }
+
+  static RouterOptions options() {
+    RouterOptions options;
+    options.name = "router";
+    options.zone = "region/zone";
+    return options;
+  }
+
+  static wire::SubmitRequest request() {
+    wire::SubmitRequest submit;
+    submit.request_id = 7;
+    submit.attempt = 1;
+    submit.tenant = "tenant";
+    submit.serves = "model";
+    submit.prompt = "hello";
+    submit.max_tokens = 4;
+    submit.deadline_left_ms = 1000;
+    return submit;
+  }
+
+  /// The end that the router has sent, if any.
+  std::optional<wire::RequestFinished> take_end() {
+    std::optional<wire::RequestFinished> end;
+    for (const RouterAction& action : core_.take_actions()) {
+      if (const auto* send = std::get_if<SendToSidecar>(&action)) {
+        if (const auto* finished = std::get_if<wire::RequestFinished>(&send->message.value)) {
+          end = *finished;
+        }
+      }
+    }
+    return end;
+  }
+
+  Metrics metrics_;
+  RouterCore core_;
+};
+
+TEST_F(RouterCoreTest, ADrainingRouterRefusesANewRequestAsNotRun) {
+  core_.start_draining();
+  core_.on_submit(kSidecar, request(), TimePoint(2));
+  const auto end = take_end();
+  ASSERT_TRUE(end.has_value());
+  EXPECT_EQ(end->outcome, wire::Outcome::kNotRun);
+}
+
+TEST_F(RouterCoreTest, ARefusalIsNeverCalledNotRunOnceAnotherRouterMayHaveRunIt) {
+  core_.start_draining();
+  wire::SubmitRequest submit = request();
+  submit.may_have_run = true;
+  core_.on_submit(kSidecar, submit, TimePoint(2));
+  const auto end = take_end();
+  ASSERT_TRUE(end.has_value());
+  EXPECT_EQ(end->outcome, wire::Outcome::kUnknown);
+}
+
+TEST_F(RouterCoreTest, AnUnknownModelIsRefusedAtOnce) {
+  wire::SubmitRequest submit = request();
+  submit.serves = "other";
+  core_.on_submit(kSidecar, submit, TimePoint(2));
+  const auto end = take_end();
+  ASSERT_TRUE(end.has_value());
+  EXPECT_EQ(end->reason, wire::FailureReason::kUnknownModel);
+}
+
+TEST_F(RouterCoreTest, ARequestThatMustNotBeRepeatedWaitsForItsClaim) {
+  wire::SubmitRequest submit = request();
+  submit.repeatable = false;
+  submit.idempotency_key = "bid";
+  core_.on_submit(kSidecar, submit, TimePoint(2));
+  uint64_t claim_call = 0;
+  for (const RouterAction& action : core_.take_actions()) {
+    EXPECT_FALSE(std::holds_alternative<StartCall>(action)) << "dispatched without a claim";
+    if (const auto* call = std::get_if<CallControl>(&action)) {
+      claim_call = call->call_id;
+    }
+  }
+  ASSERT_NE(claim_call, 0U);
+  core_.on_control_answer(claim_call, control::CommandResult{}, TimePoint(3));
+  bool dispatched = false;
+  for (const RouterAction& action : core_.take_actions()) {
+    dispatched |= std::holds_alternative<StartCall>(action);
+  }
+  EXPECT_TRUE(dispatched);
+}
+
+TEST_F(RouterCoreTest, ALowerConfigurationIsNotTaken) {
+  control::Configuration older;
+  older.version = 0;
+  core_.on_configuration(older, TimePoint(2));
+  EXPECT_EQ(core_.configuration().version, 1U);
+}
+
+}  // namespace
+}  // namespace stoat::router
--- a/tools/experiment_main.cc
+++ b/tools/experiment_main.cc
@@ -1,4 +1,5 @@
-/// stoat-experiment: runs placement, admission and retry experiments in the deterministic simulator and prints tables.
+/// stoat-experiment: runs placement, admission and retry experiments in the deterministic simulator and
+/// prints tables.
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -29,8 +30,8 @@
 ExperimentSettings read_settings(SettingsReader& reader) {
   ExperimentSettings settings;
   settings.what = reader.text("what", "policies");
-  const bool known = settings.what == "policies" || settings.what == "freshness" || settings.what == "flood" ||
-                     settings.what == "overload";
+  const bool known = settings.what == "policies" || settings.what == "freshness" ||
+                     settings.what == "flood" || settings.what == "overload";
   if (!known) {
     reader.add_finding("what", "must be policies, freshness, flood or overload");
   }
@@ -104,8 +105,8 @@
     std::cout << std::setw(26) << row.name;
     for (const auto& [figure, values] : row.figures) {
       std::ostringstream cell;
-      cell << std::fixed << std::setprecision(3) << values.samples.quantile(0.5) << " (" << values.samples.quantile(0)
-           << ".." << values.samples.quantile(1) << ")";
+      cell << std::fixed << std::setprecision(3) << values.samples.quantile(0.5) << " ("
+           << values.samples.quantile(0) << ".." << values.samples.quantile(1) << ")";
       std::cout << std::setw(28) << cell.str();
       report["rows"][row.name][figure] = values.to_json();
     }
@@ -140,9 +141,11 @@
 
 std::vector<Row> run_policies(const ExperimentSettings& settings) {
   std::vector<Row> rows;
-  for (const char* policy : {"round_robin", "least_outstanding", "two_choices", "prefix_hash", "lowest_ttft"}) {
+  for (const char* policy :
+       {"round_robin", "least_outstanding", "two_choices", "prefix_hash", "lowest_ttft"}) {
     if (settings.policy.empty() || settings.policy == policy) {
-      rows.push_back(run_variant(policy, settings, [&](FleetSimulationOptions& options) { options.router.policy = policy; }));
+      rows.push_back(run_variant(policy, settings,
+                                 [&](FleetSimulationOptions& options) { options.router.policy = policy; }));
     }
   }
   rows.push_back(run_variant("lowest_ttft, no lag", settings, know_everything));
@@ -152,16 +155,19 @@
 std::vector<Row> run_freshness(const ExperimentSettings& settings) {
   std::vector<Row> rows;
   for (const int delay_ms : {0, 200, 1000, 5000}) {
-    rows.push_back(run_variant("feed delay " + std::to_string(delay_ms) + " ms", settings,
-                               [&](FleetSimulationOptions& options) { options.engine.feed.delay = Duration(1000 * delay_ms); }));
+    rows.push_back(run_variant(
+        "feed delay " + std::to_string(delay_ms) + " ms", settings,
+        [&](FleetSimulationOptions& options) { options.engine.feed.delay = Duration(1000 * delay_ms); }));
   }
   for (const double gaps : {0.0, 0.01, 0.1}) {
-    rows.push_back(run_variant("feed gaps " + std::to_string(gaps).substr(0, 4), settings,
-                               [&](FleetSimulationOptions& options) { options.engine.feed.gap_probability = gaps; }));
+    rows.push_back(
+        run_variant("feed gaps " + std::to_string(gaps).substr(0, 4), settings,
+                    [&](FleetSimulationOptions& options) { options.engine.feed.gap_probability = gaps; }));
   }
   for (const int lag_ms : {0, 300, 2000}) {
-    rows.push_back(run_variant("load age " + std::to_string(lag_ms) + " ms", settings,
-                               [&](FleetSimulationOptions& options) { options.engine.load_lag = Duration(1000 * lag_ms); }));
+    rows.push_back(run_variant(
+        "load age " + std::to_string(lag_ms) + " ms", settings,
+        [&](FleetSimulationOptions& options) { options.engine.load_lag = Duration(1000 * lag_ms); }));
   }
   return rows;
 }
--- a/tools/local_fleet.cc
+++ b/tools/local_fleet.cc
@@ -227,6 +227,16 @@
   return endpoints;
 }
 
+std::vector<Endpoint> LocalFleet::control_members() const {
+  std::vector<Endpoint> members;
+  for (const std::string& text : control_endpoints_) {
+    Endpoint endpoint;
+    parse_endpoint(text, endpoint);
+    members.push_back(endpoint);
+  }
+  return members;
+}
+
 std::vector<Endpoint> LocalFleet::ledger_endpoints() const {
   std::vector<Endpoint> endpoints;
   for (const char* prefix : {"engine-", "plain-"}) {
--- a/tools/local_fleet.h
+++ b/tools/local_fleet.h
@@ -41,6 +41,8 @@
   /// Where a process serves HTTP: a sidecar's callers, a control member's administration API, others' pages.
   Endpoint http_endpoint(const std::string& name) const { return http_.at(name); }
   std::vector<Endpoint> sidecar_endpoints() const;
+  /// The control members' addresses for nodes.
+  std::vector<Endpoint> control_members() const;
   std::vector<Endpoint> ledger_endpoints() const;
   std::vector<std::string> names_with_prefix(const std::string& prefix) const;
 
--- a/tools/process_fleet.h
+++ b/tools/process_fleet.h
@@ -38,6 +38,8 @@
   void freeze(const std::string& name);
   void thaw(const std::string& name);
   bool runs(const std::string& name);
+  /// 0 when it does not run.
+  pid_t pid_of(const std::string& name) const { return processes_.at(name).pid; }
   /// The log written by a process so far.
   std::string log_of(const std::string& name) const;
   std::string work_folder() const { return work_folder_; }
