Send HTTP without Nagle's delay

Small writes waited for the acknowledgement of the one before, up to 40 ms. Ruled out: the router (going straight to the engine was as slow); the engine's model (1 ms steps). Change: TCP_NODELAY on evhttp's connections, both sides. The channels had it already.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -5,6 +5,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include "src/http/socket_options.h"
+
 namespace stoat::http {
 
 namespace {
@@ -127,7 +129,12 @@
   call->request = outgoing;
   Call* active = call.get();
   calls_[call_id] = std::move(call);
-  evhttp_make_request(active->connection, outgoing, command_of(request.method), request.path.c_str());
+  evhttp_connection* const connection = active->connection;
+  const int made =
+      evhttp_make_request(connection, outgoing, command_of(request.method), request.path.c_str());
+  if (made == 0 && calls_.count(call_id) > 0) {
+    send_without_delay(connection);
+  }
   return call_id;
 }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -9,6 +9,8 @@
 #include <cstring>
 #include <stdexcept>
 
+#include "src/http/socket_options.h"
+
 namespace stoat::http {
 
 namespace {
@@ -46,6 +48,7 @@
   path_ = path == nullptr ? "/" : path;
   query_ = query_text == nullptr ? "" : query_text;
   body_ = drain(evhttp_request_get_input_buffer(request));
+  send_without_delay(evhttp_request_get_connection(request));
   const auto on_close = [](evhttp_connection*, void* context) {
     auto* exchange = static_cast<Exchange*>(context);
     exchange->gone_ = true;
--- a/tests/unit/router_core_test.cc
+++ b/tests/unit/router_core_test.cc
@@ -1,8 +1,8 @@
 // RouterCore's answers to single messages.
-#include <gtest/gtest.h>
-
 #include "src/router/router_core.h"
 
+#include <gtest/gtest.h>
+
 namespace stoat::router {
 namespace {
 
@@ -14,8 +14,8 @@
     control::Configuration configuration;
     configuration.version = 1;
     configuration.models["model"] = control::Model{"model", "v1", ""};
-    configuration.backends["engine"] =
-        control::Backend{"engine", control::BackendKind::kEngine, "model", "127.0.0.1:1", "region/zone", false};
+    configuration.backends["engine"] = control::Backend{
+        "engine", control::BackendKind::kEngine, "model", "127.0.0.1:1", "region/zone", false};
     core_.on_configuration(configuration, TimePoint(1));
     core_.take_actions();
   }
--- a/tools/fleet_main.cc
+++ b/tools/fleet_main.cc
@@ -36,6 +36,14 @@
   settings.fleet.engines = static_cast<uint32_t>(reader.integer("engines", 3, 1, 50));
   settings.fleet.plain_backends = static_cast<uint32_t>(reader.integer("plain_backends", 1, 1, 50));
   settings.fleet.router_settings.push_back("policy=\"" + reader.text("policy", "lowest_ttft") + "\"");
+  settings.fleet.engine_settings.push_back("time_scale=" +
+                                           std::to_string(reader.number("engine_time_scale", 1, 0.01, 1000)));
+  workload.shared_tokens =
+      static_cast<uint32_t>(reader.integer("shared_tokens", workload.shared_tokens, 1, 1000000));
+  workload.middle_tokens =
+      static_cast<uint32_t>(reader.integer("middle_tokens", workload.middle_tokens, 1, 1000000));
+  workload.inner_tokens =
+      static_cast<uint32_t>(reader.integer("inner_tokens", workload.inner_tokens, 1, 1000000));
   settings.work_folder = reader.text("work_folder", "");
   settings.report_file = reader.text("report_file", "");
   settings.keep = reader.flag("keep", false);
--- a/tools/hollow_region.cc
+++ b/tools/hollow_region.cc
@@ -218,7 +218,8 @@
       const double cpu_share = std::chrono::duration<double>(router->cpu).count() / seconds;
       result.cpu_share += cpu_share / static_cast<double>(routers_.size());
       result.most_cpu_share = std::max(result.most_cpu_share, cpu_share);
-      result.index_bytes += static_cast<double>(router->core->index().memory_bytes()) / static_cast<double>(routers_.size());
+      result.index_bytes +=
+          static_cast<double>(router->core->index().memory_bytes()) / static_cast<double>(routers_.size());
       index_blocks += static_cast<double>(router->core->index().block_count());
     }
     result.indexed_blocks = index_blocks / static_cast<double>(routers_.size());
--- a/tools/hollow_region.h
+++ b/tools/hollow_region.h
@@ -1,5 +1,5 @@
-/// The routers of one region in one process, fed with synthetic cache events and loads, to measure what each of them
-/// spends on messages, processor time and memory.
+/// The routers of one region in one process, fed with synthetic cache events and loads, to measure what each
+/// of them spends on messages, processor time and memory.
 #pragma once
 
 #include <memory>
@@ -26,9 +26,9 @@
   double block_bytes_per_second = 0;   ///< sent, for block changes
   double digest_bytes_per_second = 0;  ///< sent, for load digests
   double other_bytes_per_second = 0;
-  double most_bytes_per_second = 0;    ///< sent, all kinds, by the busiest router
+  double most_bytes_per_second = 0;  ///< sent, all kinds, by the busiest router
   double messages_per_second = 0;
-  double cpu_share = 0;                ///< of one core
+  double cpu_share = 0;  ///< of one core
   double most_cpu_share = 0;
   double index_bytes = 0;
   double indexed_blocks = 0;
--- a/tools/scale_main.cc
+++ b/tools/scale_main.cc
@@ -1,4 +1,5 @@
-/// stoat-scale: hollow nodes beside real control members, and hollow routers of a region; prints what each role spends.
+/// stoat-scale: hollow nodes beside real control members, and hollow routers of a region; prints what each
+/// role spends.
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -60,11 +61,13 @@
     const HollowRegionFigures figures = run_hollow_region(region);
     std::cout << "routers " << size << ", engines " << region.engines << ", blocks per engine "
               << region.blocks_per_engine << ", changes/s " << region.changes_per_second << "\n"
-              << "  sent per router, bytes/s: block changes " << figures.block_bytes_per_second << ", load digests "
-              << figures.digest_bytes_per_second << ", other " << figures.other_bytes_per_second << ", busiest router "
-              << figures.most_bytes_per_second << "\n"
+              << "  sent per router, bytes/s: block changes " << figures.block_bytes_per_second
+              << ", load digests " << figures.digest_bytes_per_second << ", other "
+              << figures.other_bytes_per_second << ", busiest router " << figures.most_bytes_per_second
+              << "\n"
               << "  messages/s per router " << figures.messages_per_second << "\n"
-              << "  share of a core per router " << figures.cpu_share << ", busiest " << figures.most_cpu_share << "\n"
+              << "  share of a core per router " << figures.cpu_share << ", busiest "
+              << figures.most_cpu_share << "\n"
               << "  index per router: blocks " << figures.indexed_blocks << ", bytes " << figures.index_bytes
               << ", bytes per block " << figures.bytes_per_indexed_block << "\n"
               << std::flush;
@@ -99,7 +102,8 @@
 class ControlOnly {
  public:
   ControlOnly()
-      : folder_((std::filesystem::temp_directory_path() / ("stoat-scale-" + std::to_string(getpid()))).string()),
+      : folder_(
+            (std::filesystem::temp_directory_path() / ("stoat-scale-" + std::to_string(getpid()))).string()),
         processes_(std::filesystem::canonical("/proc/self/exe").parent_path().string(), folder_),
         fleet_(processes_, settings()) {
     fleet_.start();
@@ -159,7 +163,8 @@
     ControlOnly control;
     EventLoop loop;
     http::Client client(loop);
-    HollowNodes nodes(loop, control.fleet().control_members(), control.folder() + "/nodes", static_cast<size_t>(size));
+    HollowNodes nodes(loop, control.fleet().control_members(), control.folder() + "/nodes",
+                      static_cast<size_t>(size));
     run_for(loop, 4s);
     const std::string leader = control.fleet().leader();
     const pid_t leader_pid = control.processes().pid_of(leader);
@@ -170,13 +175,15 @@
     const auto seconds = static_cast<double>(settings.seconds);
     const double leader_share = (cpu_seconds(leader_pid) - cpu_before) / seconds;
     const double node_share = (cpu_seconds(getpid()) - own_cpu_before) / seconds / static_cast<double>(size);
-    const double node_bytes = static_cast<double>(nodes.sent_bytes() - bytes_before) / seconds / static_cast<double>(size);
+    const double node_bytes =
+        static_cast<double>(nodes.sent_bytes() - bytes_before) / seconds / static_cast<double>(size);
     Samples spread;
     uint64_t version = 1;
     for (int64_t number = 0; number < settings.changes; ++number) {
       const TimePoint asked = loop.now();
       uint64_t accepted = 0;
-      make_change(client, control.fleet().http_endpoint(leader), version, [&](uint64_t got) { accepted = got; });
+      make_change(client, control.fleet().http_endpoint(leader), version,
+                  [&](uint64_t got) { accepted = got; });
       while (accepted == 0 || nodes.with_version(accepted) < nodes.count()) {
         run_for(loop, 10ms);
         if (loop.now() - asked > 60s) {
@@ -201,7 +208,8 @@
   control::ControlClientOptions options;
   options.members = control.fleet().control_members();
   options.data_folder = control.folder() + "/claimer";
-  control::ControlClient client(loop, options, wire::Node{"claimer", "router", "127.0.0.1:1", "r/z", 1, 0, false}, 1);
+  control::ControlClient client(loop, options,
+                                wire::Node{"claimer", "router", "127.0.0.1:1", "r/z", 1, 0, false}, 1);
   client.start();
   run_for(loop, 2s);
   Samples latency;
@@ -230,9 +238,10 @@
   }
   loop.run();
   const double seconds = to_seconds(loop.now() - begun);
-  std::cout << settings.claims << " claims, " << settings.claims_at_once << " at once, 3 voters, synced: "
-            << static_cast<double>(settings.claims) / seconds << " a second; ms p50 " << latency.quantile(0.5)
-            << ", p99 " << latency.quantile(0.99) << "; leader's memory "
+  std::cout << settings.claims << " claims, " << settings.claims_at_once
+            << " at once, 3 voters, synced: " << static_cast<double>(settings.claims) / seconds
+            << " a second; ms p50 " << latency.quantile(0.5) << ", p99 " << latency.quantile(0.99)
+            << "; leader's memory "
             << resident_megabytes(control.processes().pid_of(control.fleet().leader())) << " MB\n";
 }
 
