--- a/simulation/trace_replay.cc
+++ b/simulation/trace_replay.cc
@@ -70,8 +70,8 @@
     request.max_tokens = body.value("max_tokens", 8U);
     request.repeatable = body.value("repeatable", true);
     request.idempotency_key = body.value("key", "");
-    request.request_class = body.value("plain", false) ? tools::RequestClass::kPlainWork
-                                                       : tools::RequestClass::kShortQuestion;
+    request.request_class =
+        body.value("plain", false) ? tools::RequestClass::kPlainWork : tools::RequestClass::kShortQuestion;
     // The shared part is made from its name, so that traces need no prompt text.
     const std::string shared = body.value("shared", "");
     while (request.prompt.size() < body.value("shared_bytes", size_t{4000}) && !shared.empty()) {
--- a/tools/experiment_main.cc
+++ b/tools/experiment_main.cc
@@ -26,6 +26,7 @@
   double requests_per_second = 0;  ///< 0: the deployment's own
   int64_t cache_blocks = 1500;
   std::string report_file;
+  std::string series_file;  ///< of the overload experiment: figures over time
 };
 
 ExperimentSettings read_settings(SettingsReader& reader) {
@@ -45,6 +46,7 @@
   settings.duration = from_seconds(reader.number("duration_s", 30, 1, 86400));
   settings.requests_per_second = reader.number("requests_per_second", 0, 0, 100000);
   settings.cache_blocks = reader.integer("cache_blocks", settings.cache_blocks, 10, 10000000);
+  settings.series_file = reader.text("series_file", "");
   settings.report_file = reader.text("report_file", "");
   return settings;
 }
@@ -217,28 +219,50 @@
   return rows;
 }
 
-/// A spike of load with every caller retrying, then normal load again: does the fleet come back?
+/// First-token p95 by second of the intended send time, over one run.
+json first_token_over_time(const std::vector<simulation::CallerRecord>& records, TimePoint start) {
+  std::map<int64_t, Samples> by_second;
+  for (const simulation::CallerRecord& record : records) {
+    if (record.finished && record.first_piece != TimePoint(0)) {
+      by_second[(record.intended - start) / 1s].add(to_seconds(record.first_piece - record.intended) * 1000);
+    }
+  }
+  json points = json::array();
+  for (const auto& [second, samples] : by_second) {
+    points.push_back({second, samples.quantile(0.95)});
+  }
+  return points;
+}
+
+/// A spike of load with every caller retrying, then normal load again: does the fleet come back? For
+/// comparison, callers who retry at once against a router that queues without end and never refuses early.
 std::vector<Row> run_overload(const ExperimentSettings& settings) {
   std::vector<Row> rows;
-  for (const bool heed : {true, false}) {
+  json series = json::object();
+  json marks = json::array();
+  for (const char* variant : {"heed Retry-After", "retry at once", "retry at once, no limits"}) {
     Row row;
-    row.name = heed ? "callers heed Retry-After" : "callers retry at once";
+    row.name = variant;
     for (uint64_t seed = 1; seed <= settings.seeds; ++seed) {
       FleetSimulationOptions options = deployment(settings, seed);
       options.callers_retry = true;
-      options.retries_heed_advice = heed;
+      options.retries_heed_advice = row.name == "heed Retry-After";
+      if (row.name == "retry at once, no limits") {
+        options.router.max_queue = 1000000;
+        options.router.max_engine_outstanding = 100000;
+      }
       FleetSimulation simulation(options);
       Random random(seed);
-      const TimePoint spike_from = simulation.now() + settings.duration / 4;
+      const TimePoint start = simulation.now();
+      const TimePoint spike_from = start + settings.duration / 4;
       const TimePoint spike_to = spike_from + settings.duration / 4;
       PlannedRequest extra;
       extra.serves = deployment_names(options.workload).model;
       extra.tenant = deployment_names(options.workload).tenants.front();
       extra.max_tokens = 64;
-      for (Duration ran{0}; ran < settings.duration; ran += 2ms) {
+      while (simulation.now() < start + settings.duration) {
         if (simulation.now() >= spike_from && simulation.now() < spike_to) {
-          extra.prompt = std::string(24000, 's') + std::to_string(random.bits()) + std::string(8000, 't');
-          extra.prompt = std::to_string(random.bits()) + extra.prompt;
+          extra.prompt = std::to_string(random.bits()) + std::string(32000, 's');
           simulation.send(extra, random.below(options.sidecars));
         }
         simulation.run_for(2ms);
@@ -250,17 +274,23 @@
       const TimePoint late = spike_to + settings.duration / 4;
       for (const simulation::CallerRecord& record : simulation.records()) {
         const bool measured = record.finished && record.first_piece != TimePoint(0);
+        const double taken = to_seconds(record.first_piece - record.intended) * 1000;
         if (measured && record.intended < spike_from) {
-          before.add(to_seconds(record.first_piece - record.intended) * 1000);
+          before.add(taken);
         } else if (measured && record.intended > late) {
-          after.add(to_seconds(record.first_piece - record.intended) * 1000);
+          after.add(taken);
         }
       }
       row.figures["p95_before_ms"].samples.add(before.quantile(0.95));
       row.figures["p95_after_ms"].samples.add(after.quantile(0.95));
+      series[variant]["ttft_p95_ms"] = first_token_over_time(simulation.records(), start);
+      marks = {to_seconds(spike_from - start), to_seconds(spike_to - start)};
     }
     rows.push_back(std::move(row));
   }
+  if (!settings.series_file.empty()) {
+    std::ofstream(settings.series_file) << json{{"series", series}, {"marks", marks}}.dump(1) << "\n";
+  }
   return rows;
 }
 
