Measure failover and recovery with stoat-scale

Cause: the time without a leader and the time to recover a large state had no tool. Ruled out: measuring them in tests; timing has no place there. Change: stoat-scale failover and recovery.

--- a/tools/scale_main.cc
+++ b/tools/scale_main.cc
@@ -1,5 +1,6 @@
 /// stoat-scale: hollow nodes beside real control members, and hollow routers of a region; prints what each
 /// role spends.
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -31,8 +32,9 @@
 ScaleSettings read_settings(SettingsReader& reader) {
   ScaleSettings settings;
   settings.what = reader.text("what", "region");
-  if (settings.what != "region" && settings.what != "nodes" && settings.what != "claims") {
-    reader.add_finding("what", "must be region, nodes or claims");
+  const std::vector<std::string> known{"region", "nodes", "claims", "failover", "recovery"};
+  if (std::find(known.begin(), known.end(), settings.what) == known.end()) {
+    reader.add_finding("what", "must be region, nodes, claims, failover or recovery");
   }
   for (const std::string& size : reader.text_list("sizes")) {
     settings.sizes.push_back(std::strtoll(size.c_str(), nullptr, 10));
@@ -202,8 +204,8 @@
   }
 }
 
-void run_claims(const ScaleSettings& settings) {
-  ControlOnly control;
+/// Makes claims, a stated number at once; returns the seconds that it took.
+double make_claims(ControlOnly& control, const ScaleSettings& settings, Samples& latency) {
   EventLoop loop;
   control::ControlClientOptions options;
   options.members = control.fleet().control_members();
@@ -212,7 +214,6 @@
                                 wire::Node{"claimer", "router", "127.0.0.1:1", "r/z", 1, 0, false}, 1);
   client.start();
   run_for(loop, 2s);
-  Samples latency;
   int64_t asked = 0;
   int64_t answered = 0;
   std::function<void()> ask = [&] {
@@ -237,7 +238,13 @@
     ask();
   }
   loop.run();
-  const double seconds = to_seconds(loop.now() - begun);
+  return to_seconds(loop.now() - begun);
+}
+
+void run_claims(const ScaleSettings& settings) {
+  ControlOnly control;
+  Samples latency;
+  const double seconds = make_claims(control, settings, latency);
   std::cout << settings.claims << " claims, " << settings.claims_at_once
             << " at once, 3 voters, synced: " << static_cast<double>(settings.claims) / seconds
             << " a second; ms p50 " << latency.quantile(0.5) << ", p99 " << latency.quantile(0.99)
@@ -245,13 +252,79 @@
             << resident_megabytes(control.processes().pid_of(control.fleet().leader())) << " MB\n";
 }
 
+/// How long there is no leader that a quorum confirms, after the leader is killed or frozen.
+void run_failover(const ScaleSettings& settings) {
+  for (const bool frozen : {false, true}) {
+    Samples taken;
+    ControlOnly control;
+    for (int64_t round = 0; round < settings.changes; ++round) {
+      const std::string leader = control.fleet().leader();
+      const TimePoint begun = monotonic_now();
+      if (frozen) {
+        control.processes().freeze(leader);
+      } else {
+        control.processes().kill(leader);
+      }
+      const auto led_by_other = [&] {
+        for (const std::string& name : control.fleet().names_with_prefix("control-")) {
+          if (name != leader && control.fleet().get(name, "/status").value("leads", false)) {
+            return true;
+          }
+        }
+        return false;
+      };
+      while (!led_by_other()) {
+        sleep_for(5ms);
+      }
+      taken.add(to_seconds(monotonic_now() - begun));
+      if (frozen) {
+        control.processes().thaw(leader);
+      } else {
+        control.processes().start(leader);
+      }
+      sleep_for(2s);
+    }
+    std::cout << "without a leader after " << (frozen ? "a freeze" : "kill -9") << ", s: p50 " << taken.quantile(0.5)
+              << ", most " << taken.quantile(1) << " over " << settings.changes << " rounds\n"
+              << std::flush;
+  }
+}
+
+/// How long a killed member with a large state needs until it serves again.
+void run_recovery(const ScaleSettings& settings) {
+  ControlOnly control;
+  Samples latency;
+  make_claims(control, settings, latency);
+  const std::string leader = control.fleet().leader();
+  control.processes().kill(leader);
+  const TimePoint begun = monotonic_now();
+  control.processes().start(leader);
+  while (!control.fleet().get(leader, "/status").is_object()) {
+    sleep_for(5ms);
+  }
+  const double serves = to_seconds(monotonic_now() - begun);
+  const auto caught_up = [&] {
+    return control.fleet().get(leader, "/status").value("claims", int64_t{0}) >= settings.claims;
+  };
+  while (!caught_up()) {
+    sleep_for(5ms);
+  }
+  std::cout << "a member with " << settings.claims << " claims: answers after " << serves << " s, has all claims after "
+            << to_seconds(monotonic_now() - begun) << " s; its memory "
+            << resident_megabytes(control.processes().pid_of(leader)) << " MB\n";
+}
+
 int run(const ScaleSettings& settings) {
   if (settings.what == "region") {
     run_region(settings);
   } else if (settings.what == "nodes") {
     run_nodes(settings);
-  } else {
+  } else if (settings.what == "claims") {
     run_claims(settings);
+  } else if (settings.what == "failover") {
+    run_failover(settings);
+  } else {
+    run_recovery(settings);
   }
   return 0;
 }
