Count an engine's pending prefill exactly instead of until the next load report

Cause: tokens sent to an engine counted as queued until the second load report after them, 0.5 s or more, although their prefill was over in 60 ms. An idle engine that held the prefix looked busy, and the request went elsewhere. Change: a router counts the missing tokens of its own requests until their first token; a candidate's queue is the greater of that and the last report.

--- a/src/placement/lowest_ttft.cc
+++ b/src/placement/lowest_ttft.cc
@@ -34,7 +34,8 @@
  private:
   double estimate(const RequestView& request, const Candidate& candidate) const {
     const uint32_t missing = request.prompt_tokens - std::min(request.prompt_tokens, candidate.cached_tokens);
-    const double queued = candidate.reported_tokens + candidate.unreported_tokens;
+    // The report lags and counts this router's requests too; what is pending is known exactly.
+    const double queued = std::max(candidate.reported_tokens, candidate.pending_tokens);
     const double running = std::max(candidate.reported_running, candidate.outstanding);
     return costs_.base_us() + costs_.prefill_us(queued + missing) + kRunningUs * running;
   }
--- a/src/placement/policy.h
+++ b/src/placement/policy.h
@@ -21,12 +21,13 @@
 struct Candidate {
   std::string_view name;  ///< holds until the next configuration
   uint64_t name_hash = 0;
-  uint64_t incarnation = 0;        ///< by the last load report; 0: none came yet
-  uint32_t cached_tokens = 0;      ///< of the prompt, as far as the index knows
-  uint32_t reported_running = 0;   ///< from the last load report, which lags
-  uint32_t reported_tokens = 0;    ///< waiting to be prefilled, from the last load report
-  uint32_t outstanding = 0;        ///< requests that this router has there now
-  uint32_t unreported_tokens = 0;  ///< sent by this router since the load report was taken
+  uint64_t incarnation = 0;       ///< by the last load report; 0: none came yet
+  uint32_t cached_tokens = 0;     ///< of the prompt, as far as the index knows
+  uint32_t reported_running = 0;  ///< from the last load report, which lags
+  uint32_t reported_tokens = 0;   ///< waiting to be prefilled, from the last load report
+  uint32_t outstanding = 0;       ///< requests that this router has there now
+  uint32_t pending_tokens =
+      0;  ///< missing tokens of this router's requests there that have no first token yet
 };
 
 /// A placement policy. Owned by one router.
--- a/src/router/engine_table.h
+++ b/src/router/engine_table.h
@@ -13,10 +13,10 @@
 struct EngineState {
   wire::EngineLoad load;
   TimePoint load_seen_at{0};
-  uint32_t outstanding = 0;        ///< calls of this router
-  uint32_t sent_tokens = 0;        ///< missing tokens sent and not yet seen in a load report
-  uint32_t sent_tokens_older = 0;  ///< those sent before the last report came; half counted, as reports lag
-  TimePoint avoid_until{0};        ///< after a refusal that will last for a while
+  uint32_t outstanding = 0;  ///< calls of this router
+  uint32_t pending_tokens =
+      0;                     ///< missing tokens of this router's requests there that have no first token yet
+  TimePoint avoid_until{0};  ///< after a refusal that will last for a while
 };
 
 /// See the head of this file.
@@ -33,8 +33,6 @@
     EngineState& state = states_[load.engine];
     state.load = load;
     state.load_seen_at = now;
-    state.sent_tokens_older = state.sent_tokens;
-    state.sent_tokens = 0;
   }
 
   void forget(const std::string& engine) { states_.erase(engine); }
--- a/src/router/router_core.h
+++ b/src/router/router_core.h
@@ -112,6 +112,7 @@
     uint32_t next_index = 0;
     std::string text;  ///< pieces passed on, kept for the claim's outcome and for going on elsewhere
     uint32_t missing_tokens = 0;
+    uint32_t pending_tokens = 0;  ///< counted in the engine's pending tokens until the first piece
     TimePoint dispatched_at{0};
     bool queue_was_empty = false;
     std::set<std::string> excluded;  ///< back ends that refused it
@@ -167,6 +168,7 @@
   void on_refused(Request& request, const CallResult& result, TimePoint now);
   void on_complete(Request& request, const CallResult& result, TimePoint now);
   void retry_elsewhere(Request& request, TimePoint now, bool exclude_backend = true);
+  void end_pending(Request& request);
   void note_first_piece(Request& request, TimePoint now);
 
   // router_cluster.cc: engine homes, prefix ownership, load digests, quota leases
--- a/src/router/router_dispatch.cc
+++ b/src/router/router_dispatch.cc
@@ -66,7 +66,7 @@
     candidate.reported_running = state.load.running;
     candidate.reported_tokens = state.load.waiting_tokens;
     candidate.outstanding = state.outstanding;
-    candidate.unreported_tokens = state.sent_tokens + state.sent_tokens_older / 2;
+    candidate.pending_tokens = state.pending_tokens;
     candidate_of[position] = static_cast<uint32_t>(candidates.size());
     candidates.push_back(candidate);
   }
@@ -98,7 +98,7 @@
   const placement::RequestView view{request.prompt_tokens, request.prefix_key};
   const placement::Candidate& chosen = candidates[policy_->choose(view, candidates, random_)];
   request.missing_tokens = request.prompt_tokens - std::min(request.prompt_tokens, chosen.cached_tokens);
-  request.queue_was_empty = chosen.reported_tokens + chosen.unreported_tokens == 0 && chosen.outstanding == 0;
+  request.queue_was_empty = chosen.reported_tokens + chosen.pending_tokens == 0 && chosen.outstanding == 0;
   const control::Backend& backend = configuration_.backends.at(std::string(chosen.name));
   const CallKind kind =
       request.submit.kind == wire::RequestKind::kCompletion ? CallKind::kComplete : CallKind::kPlain;
@@ -150,7 +150,8 @@
   if (kind == CallKind::kComplete && model != configuration_.models.end()) {
     call.expected_weights = model->second.weights_version;
   }
-  state.sent_tokens += request.missing_tokens;
+  state.pending_tokens += request.missing_tokens;
+  request.pending_tokens = request.missing_tokens;
   if (kind == CallKind::kComplete) {
     const cache::EngineSlot slot = expected_->slot_of(backend.name, request.incarnation);
     for (const cache::BlockHash block : request.chain) {
@@ -191,9 +192,17 @@
   request.call_id = 0;
   EngineState& state = engines_.at(request.backend);
   state.outstanding -= state.outstanding > 0 ? 1 : 0;
+  end_pending(request);
+}
+
+void RouterCore::end_pending(Request& request) {
+  EngineState& state = engines_.at(request.backend);
+  state.pending_tokens -= std::min(state.pending_tokens, request.pending_tokens);
+  request.pending_tokens = 0;
 }
 
 void RouterCore::note_first_piece(Request& request, TimePoint now) {
+  end_pending(request);
   if (request.queue_was_empty && request.dispatches == 1 &&
       request.submit.kind == wire::RequestKind::kCompletion) {
     costs_.observe(request.missing_tokens, now - request.dispatched_at);
@@ -235,6 +244,7 @@
   request.call_id = 0;
   EngineState& state = engines_.at(request.backend);
   state.outstanding -= state.outstanding > 0 ? 1 : 0;
+  end_pending(request);
   switch (result.end) {
     case CallEnd::kComplete:
       on_complete(request, result, now);
--- a/tools/report_main.cc
+++ b/tools/report_main.cc
@@ -100,14 +100,16 @@
 }
 
 std::string bar_script(const std::vector<Bar>& bars) {
-  std::string script = "set style fill solid 0.6\nset boxwidth 0.6\nset xtics rotate by -35\nset yrange [0:*]\nunset key\n";
+  std::string script =
+      "set style fill solid 0.6\nset boxwidth 0.6\nset xtics rotate by -35\nset yrange [0:*]\nunset key\n";
   script += "$bars << END\n";
   for (const Bar& bar : bars) {
     script += quote(bar.label) + " " + std::to_string(bar.median) + " " + std::to_string(bar.low) + " " +
               std::to_string(bar.high) + "\n";
   }
-  script += "END\nplot $bars using 0:2:xtic(1) with boxes lc rgb '#4477aa', "
-            "$bars using 0:2:3:4 with yerrorbars lc rgb 'black' pt 0\n";
+  script +=
+      "END\nplot $bars using 0:2:xtic(1) with boxes lc rgb '#4477aa', "
+      "$bars using 0:2:3:4 with yerrorbars lc rgb 'black' pt 0\n";
   return script;
 }
 
@@ -115,7 +117,8 @@
   std::string script = "set xlabel 'seconds'\nset yrange [0:*]\nset key top right\n";
   for (const double mark : report.marks) {
     const std::string at = std::to_string(mark);
-    script += "set arrow from first " + at + ", graph 0 to first " + at + ", graph 1 nohead dt 2 lc rgb 'red'\n";
+    script +=
+        "set arrow from first " + at + ", graph 0 to first " + at + ", graph 1 nohead dt 2 lc rgb 'red'\n";
   }
   std::string plot;
   for (size_t number = 0; number < report.series.size(); ++number) {
--- a/tools/scale_main.cc
+++ b/tools/scale_main.cc
@@ -284,8 +284,9 @@
       }
       sleep_for(2s);
     }
-    std::cout << "without a leader after " << (frozen ? "a freeze" : "kill -9") << ", s: p50 " << taken.quantile(0.5)
-              << ", most " << taken.quantile(1) << " over " << settings.changes << " rounds\n"
+    std::cout << "without a leader after " << (frozen ? "a freeze" : "kill -9") << ", s: p50 "
+              << taken.quantile(0.5) << ", most " << taken.quantile(1) << " over " << settings.changes
+              << " rounds\n"
               << std::flush;
   }
 }
@@ -309,8 +310,8 @@
   while (!caught_up()) {
     sleep_for(5ms);
   }
-  std::cout << "a member with " << settings.claims << " claims: answers after " << serves << " s, has all claims after "
-            << to_seconds(monotonic_now() - begun) << " s; its memory "
+  std::cout << "a member with " << settings.claims << " claims: answers after " << serves
+            << " s, has all claims after " << to_seconds(monotonic_now() - begun) << " s; its memory "
             << resident_megabytes(control.processes().pid_of(leader)) << " MB\n";
 }
 
