Drop expected blocks when the feed says that they were evicted

Cause: blocks of a dispatched request are expected at its engine for 3 to 6 s. Under cache pressure engines evict within a second; the router went on believing in blocks that it had been told were gone. Change: an eviction in the feed also removes the block from both generations of expected blocks.

--- a/src/router/router_cluster.cc
+++ b/src/router/router_cluster.cc
@@ -242,6 +242,9 @@
       index_.store(slot, change.block);
     } else {
       index_.remove(slot, change.block);
+      // What was expected there is gone as well.
+      expected_->remove(expected_->slot_of(changes.engine, changes.incarnation), change.block);
+      expected_before_->remove(expected_before_->slot_of(changes.engine, changes.incarnation), change.block);
     }
   }
   metrics_->count("stoat_router_block_changes_total", {}, static_cast<double>(changes.changes.size()));
