--- a/tests/unit/router_core_test.cc
+++ b/tests/unit/router_core_test.cc
@@ -104,6 +104,29 @@
   EXPECT_TRUE(dispatched);
 }
 
+TEST_F(RouterCoreTest, AStreamThatBrokeAfterItsSidecarWasLostIsLeftToWhoeverResumedIt) {
+  wire::EngineLoad load;
+  load.engine = "engine";
+  load.incarnation = 9;
+  core_.on_router_message(wire::LoadDigest{"home", {load}}, TimePoint(2));
+  core_.on_submit(kSidecar, request(), TimePoint(2));
+  CallId call_id = 0;
+  for (const RouterAction& action : core_.take_actions()) {
+    if (const auto* call = std::get_if<StartCall>(&action)) {
+      call_id = call->call_id;
+    }
+  }
+  ASSERT_NE(call_id, 0U);
+  core_.on_sidecar_gone(kSidecar, TimePoint(3));
+  core_.on_call_end(call_id, CallResult{}, TimePoint(4));  // broken
+  core_.tick(TimePoint(0) + 5s);
+  for (const RouterAction& action : core_.take_actions()) {
+    EXPECT_FALSE(std::holds_alternative<StartCall>(action)) << "takes the stream back";
+    const auto* stop = std::get_if<StopCall>(&action);
+    EXPECT_FALSE(stop != nullptr && stop->stop_engine) << "cancels another router's stream";
+  }
+}
+
 TEST_F(RouterCoreTest, ALowerConfigurationIsNotTaken) {
   control::Configuration older;
   older.version = 0;
