Spread a hot prefix over more routers, and gather it again as it cools

Cause: all requests of one prefix went to one router. At full size a prefix with a third of a region's load brings some 120 requests and 50,000 tokens a second to it; a router needs about 0.44 ms for a request of 25 tokens. Ruled out: spreading every prefix (each owner must learn the blocks anew); deciding at the sidecars (each sees a small part of the load). Change: the first owner of a prefix counts its requests and, above 100 a second, names more owners for 10 s at a time; sidecars choose among them by request id, homes send the blocks to all of them. Figures: in the simulator at a limit of 20 a second, 100 requests a second of one prefix use all three routers after 4 s, and one again 16 s after the load fell to 2.5 a second. Conclusion: kept; not measured on real processes.

--- a/src/router/router_cluster.cc
+++ b/src/router/router_cluster.cc
@@ -11,6 +11,7 @@
 
 constexpr Duration kQuotaInterval = 1s;
 constexpr size_t kMaxChangesPerMessage = 2000;
+constexpr Duration kHotReviewInterval = 1s;
 constexpr Duration kFeedRetry = 500ms;
 
 std::string region_of(const std::string& zone) { return zone.substr(0, zone.find('/')); }
@@ -111,7 +112,7 @@
   }
   assign_homes(now);
   if (!fresh.empty()) {
-    resend_blocks_to(fresh);
+    resend_blocks_to(fresh, now);
   }
 }
 
@@ -155,12 +156,13 @@
   }
   followed.snapshot_wanted = result.needs_snapshot;
   if (result.reset || !result.changes.empty()) {
-    send_changes(engine, page.incarnation, result.reset, result.changes);
+    send_changes(engine, page.incarnation, result.reset, result.changes, now);
   }
   engines_.on_load(load, now);
 }
 
-void RouterCore::on_feed_snapshot(const std::string& engine, const cache::FeedSnapshot& snapshot, TimePoint) {
+void RouterCore::on_feed_snapshot(const std::string& engine, const cache::FeedSnapshot& snapshot,
+                                  TimePoint now) {
   const auto found = feeds_.find(engine);
   if (found == feeds_.end()) {
     return;
@@ -173,7 +175,7 @@
   followed.snapshot_wanted = false;
   metrics_->count("stoat_router_feed_snapshots_total");
   const cache::FeedResult result = followed.feed.on_snapshot(snapshot);
-  send_changes(engine, snapshot.incarnation, true, result.changes);
+  send_changes(engine, snapshot.incarnation, true, result.changes, now);
 }
 
 void RouterCore::on_feed_failure(const std::string& engine, TimePoint now) {
@@ -194,16 +196,18 @@
 }
 
 void RouterCore::send_changes(const std::string& engine, uint64_t incarnation, bool reset,
-                              const std::vector<wire::BlockChange>& changes) {
+                              const std::vector<wire::BlockChange>& changes, TimePoint now) {
   const std::vector<std::string> routers = region_routers();
   std::map<std::string, wire::BlockChanges> by_owner;
-  std::unordered_map<uint64_t, std::string> owners;
+  std::unordered_map<uint64_t, std::vector<std::string>> owners;
   for (const wire::BlockChange& change : changes) {
-    auto [owner, fresh] = owners.try_emplace(change.root);
+    auto [found, fresh] = owners.try_emplace(change.root);
     if (fresh) {
-      owner->second = rendezvous_first(change.root, routers);
+      found->second = owners_of(change.root, routers, now);
+    }
+    for (const std::string& owner : found->second) {
+      by_owner[owner].changes.push_back(change);
     }
-    by_owner[owner->second].changes.push_back(change);
   }
   if (reset) {
     for (const std::string& router : routers) {
@@ -250,7 +254,8 @@
   metrics_->count("stoat_router_block_changes_total", {}, static_cast<double>(changes.changes.size()));
 }
 
-void RouterCore::resend_blocks_to(const std::set<std::string>& routers) {
+void RouterCore::resend_blocks(const std::function<bool(uint64_t root, const std::string& owner)>& wanted,
+                               TimePoint now) {
   const std::vector<std::string> all = region_routers();
   for (const auto& [engine, followed] : feeds_) {
     if (followed.feed.incarnation() == 0) {
@@ -258,9 +263,10 @@
     }
     std::map<std::string, std::vector<wire::BlockChange>> by_owner;
     for (const wire::BlockChange& change : followed.feed.everything()) {
-      const std::string owner = rendezvous_first(change.root, all);
-      if (routers.count(owner) > 0) {
-        by_owner[owner].push_back(change);
+      for (const std::string& owner : owners_of(change.root, all, now)) {
+        if (wanted(change.root, owner)) {
+          by_owner[owner].push_back(change);
+        }
       }
     }
     for (const auto& [owner, changes] : by_owner) {
@@ -274,6 +280,68 @@
   }
 }
 
+void RouterCore::resend_blocks_to(const std::set<std::string>& routers, TimePoint now) {
+  resend_blocks([&](uint64_t, const std::string& owner) { return routers.count(owner) > 0; }, now);
+}
+
+void RouterCore::resend_blocks_of(const std::set<uint64_t>& roots, TimePoint now) {
+  resend_blocks([&](uint64_t root, const std::string&) { return roots.count(root) > 0; }, now);
+}
+
+std::vector<std::string> RouterCore::owners_of(uint64_t root, const std::vector<std::string>& routers,
+                                               TimePoint now) const {
+  const uint32_t count = hot_prefixes_.owners(root, now);
+  if (count <= 1) {
+    return {rendezvous_first(root, routers)};
+  }
+  std::vector<std::string> owners = rendezvous_order(root, routers);
+  owners.resize(std::min<size_t>(count, owners.size()));
+  return owners;
+}
+
+void RouterCore::review_hot_prefixes(TimePoint now) {
+  if (now - last_hot_review_ < kHotReviewInterval) {
+    return;
+  }
+  const std::vector<std::string> routers = region_routers();
+  const auto owners_now = [&](uint64_t root) { return hot_prefixes_.owners(root, now); };
+  spread_by_me_.prefixes.clear();
+  for (const wire::HotPrefix& hot :
+       hot_detector_.review(now - last_hot_review_, routers.size(), owners_now)) {
+    // Only the first owner decides; the others see a part of the same requests.
+    if (rendezvous_first(hot.root, routers) == options_.name) {
+      spread_by_me_.prefixes.push_back(hot);
+    }
+  }
+  last_hot_review_ = now;
+  hot_prefixes_.forget_expired(now);
+  if (spread_by_me_.prefixes.empty()) {
+    return;
+  }
+  metrics_->set("stoat_router_hot_prefixes", static_cast<double>(spread_by_me_.prefixes.size()));
+  for (const std::string& router : routers) {
+    if (router != options_.name) {
+      actions_.push_back(SendToRouter{router, spread_by_me_});
+    }
+  }
+  for (const SidecarId sidecar : sidecars_) {
+    actions_.push_back(SendToSidecar{sidecar, spread_by_me_});
+  }
+  on_hot_prefixes(spread_by_me_, now);
+}
+
+void RouterCore::on_hot_prefixes(const wire::HotPrefixes& hot, TimePoint now) {
+  std::set<uint64_t> newly_spread;
+  for (const wire::HotPrefix& prefix : hot.prefixes) {
+    if (hot_prefixes_.learn(prefix, now)) {
+      newly_spread.insert(prefix.root);
+    }
+  }
+  if (!newly_spread.empty()) {
+    resend_blocks_of(newly_spread, now);
+  }
+}
+
 void RouterCore::send_digest(TimePoint now) {
   if (now < next_digest_) {
     return;
@@ -345,6 +413,8 @@
     pump_queues(now);
   } else if (const auto* request = std::get_if<wire::QuotaRequest>(&message.value)) {
     on_quota_request(*request, now);
+  } else if (const auto* hot = std::get_if<wire::HotPrefixes>(&message.value)) {
+    on_hot_prefixes(*hot, now);
   } else if (const auto* grant = std::get_if<wire::QuotaGrant>(&message.value)) {
     limiter(grant->kind, grant->name, now).on_grant(*grant, now);
   }
--- a/src/router/router_core.cc
+++ b/src/router/router_core.cc
@@ -42,7 +42,9 @@
       owners_changed_at_(now),
       policy_(placement::make_policy(options.policy, costs_)),
       expected_(std::make_unique<cache::PrefixIndex>()),
-      expected_before_(std::make_unique<cache::PrefixIndex>()) {
+      expected_before_(std::make_unique<cache::PrefixIndex>()),
+      hot_detector_(options.hot_requests_per_second),
+      last_hot_review_(now) {
   // Call ids of one start never meet those of another.
   last_control_call_ = random_.bits() >> 16U;
   last_call_id_ = random_.bits() >> 16U;
@@ -67,6 +69,9 @@
   if (draining_) {
     actions_.push_back(SendToSidecar{sidecar, wire::RouterDraining{true}});
   }
+  if (!spread_by_me_.prefixes.empty()) {
+    actions_.push_back(SendToSidecar{sidecar, spread_by_me_});
+  }
 }
 
 void RouterCore::on_sidecar_gone(SidecarId sidecar, TimePoint now) {
@@ -220,6 +225,9 @@
     return;
   }
   metrics_->count("stoat_router_requests_total");
+  if (!request.chain.empty()) {
+    hot_detector_.on_request(request.prefix_key);
+  }
   retry_budget_.on_first_attempt();
   Request& kept = requests_[request_id] = std::move(request);
   if (!kept.submit.resume.empty()) {
@@ -519,6 +527,7 @@
   poll_feeds(now);
   send_digest(now);
   ask_quotas(now);
+  review_hot_prefixes(now);
   index_.sweep(kSweepEntriesPerTick);
   if (now >= next_generation_) {
     next_generation_ = now + kExpectedGeneration;
--- a/src/router/router_core.h
+++ b/src/router/router_core.h
@@ -11,6 +11,7 @@
 #include "src/admission/fair_queue.h"
 #include "src/admission/row_limiter.h"
 #include "src/cache/engine_feed.h"
+#include "src/cache/hot_prefixes.h"
 #include "src/cache/prefix_index.h"
 #include "src/common/metrics.h"
 #include "src/delivery/outlier_detector.h"
@@ -33,7 +34,9 @@
   Duration feed_interval = 100ms;    ///< between polls of an engine's feed
   Duration digest_interval = 250ms;  ///< between rounds of load digests to other routers
   uint32_t digest_fanout = 12;  ///< how many routers get one in a round; the rest get theirs in later rounds
-  Duration orphan_grace = 800ms;   ///< how long work goes on after its sidecar's connection was lost
+  Duration orphan_grace = 800ms;  ///< how long work goes on after its sidecar's connection was lost
+  double hot_requests_per_second =
+      100;                         ///< of one prefix at one router; above it the prefix gets more owners
   uint32_t max_dispatches = 4;     ///< tries of one request at this router, resumes included
   uint32_t snapshots_at_once = 2;  ///< feed snapshots fetched at the same time
 };
@@ -178,12 +181,19 @@
   void assign_homes(TimePoint now);
   void poll_feeds(TimePoint now);
   void send_changes(const std::string& engine, uint64_t incarnation, bool reset,
-                    const std::vector<wire::BlockChange>& changes);
+                    const std::vector<wire::BlockChange>& changes, TimePoint now);
   void apply_changes(const wire::BlockChanges& changes);
   void send_digest(TimePoint now);
+  std::vector<std::string> owners_of(uint64_t root, const std::vector<std::string>& routers,
+                                     TimePoint now) const;
+  void review_hot_prefixes(TimePoint now);
+  void on_hot_prefixes(const wire::HotPrefixes& hot, TimePoint now);
   void ask_quotas(TimePoint now);
   void on_quota_request(const wire::QuotaRequest& request, TimePoint now);
-  void resend_blocks_to(const std::set<std::string>& routers);
+  void resend_blocks_to(const std::set<std::string>& routers, TimePoint now);
+  void resend_blocks_of(const std::set<uint64_t>& roots, TimePoint now);
+  void resend_blocks(const std::function<bool(uint64_t root, const std::string& owner)>& wanted,
+                     TimePoint now);
   std::string region() const;
 
   RouterOptions options_;
@@ -223,6 +233,10 @@
   std::unique_ptr<cache::PrefixIndex> expected_before_;
   TimePoint next_generation_{0};
   std::map<std::string, Followed> feeds_;
+  cache::HotPrefixTable hot_prefixes_;
+  cache::HotPrefixDetector hot_detector_;
+  wire::HotPrefixes spread_by_me_;
+  TimePoint last_hot_review_{0};
   uint32_t snapshots_under_way_ = 0;
   TimePoint next_digest_{0};
   size_t next_digest_target_ = 0;
--- a/src/router/router_server.cc
+++ b/src/router/router_server.cc
@@ -32,6 +32,8 @@
   core.feed_interval = Duration(1000 * reader.integer("feed_interval_ms", 100, 5, 60000));
   core.digest_interval = Duration(1000 * reader.integer("digest_interval_ms", 250, 5, 60000));
   core.digest_fanout = static_cast<uint32_t>(reader.integer("digest_fanout", core.digest_fanout, 1, 10000));
+  core.hot_requests_per_second =
+      reader.number("hot_requests_per_second", core.hot_requests_per_second, 1, 1e6);
   core.max_dispatches = static_cast<uint32_t>(reader.integer("max_dispatches", core.max_dispatches, 1, 20));
   settings.listen = read_endpoint(reader, "listen", "127.0.0.1:7100");
   settings.http = read_endpoint(reader, "http", "127.0.0.1:7101");
--- a/src/sidecar/sidecar_core.cc
+++ b/src/sidecar/sidecar_core.cc
@@ -85,7 +85,13 @@
       untried.push_back(name);
     }
   }
-  return rendezvous_first(request.prefix_key, untried.empty() ? usable : untried);
+  const std::vector<std::string>& choice = untried.empty() ? usable : untried;
+  const uint32_t owners = hot_prefixes_.owners(request.prefix_key, now);
+  if (owners <= 1 || choice.size() <= 1) {
+    return rendezvous_first(request.prefix_key, choice);
+  }
+  const std::vector<std::string> order = rendezvous_order(request.prefix_key, choice);
+  return order[request.submit.request_id % std::min<size_t>(owners, order.size())];
 }
 
 size_t SidecarCore::usable_routers(TimePoint now) const {
@@ -201,6 +207,10 @@
     if (Request* request = find(dispatched->request_id, dispatched->attempt)) {
       request->submit.resume = {dispatched->where};
     }
+  } else if (const auto* hot = std::get_if<wire::HotPrefixes>(&message.value)) {
+    for (const wire::HotPrefix& prefix : hot->prefixes) {
+      hot_prefixes_.learn(prefix, now);
+    }
   } else if (const auto* draining = std::get_if<wire::RouterDraining>(&message.value)) {
     routers_[router].draining = draining->draining;
   }
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "src/cache/hot_prefixes.h"
 #include "src/common/metrics.h"
 #include "src/common/random.h"
 #include "src/common/time.h"
@@ -133,6 +134,7 @@
   std::map<std::string, RouterState> routers_;
   std::unordered_map<uint64_t, Request> requests_;
   std::unordered_map<ExchangeId, uint64_t> exchanges_;
+  cache::HotPrefixTable hot_prefixes_;
   std::vector<SidecarAction> actions_;
 };
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -252,10 +252,24 @@
   MSGPACK_DEFINE_ARRAY(member, blank)
 };
 
+/// A prefix that several routers own.
+struct HotPrefix {
+  uint64_t root = 0;    ///< hash of the chain's first block
+  uint32_t owners = 1;  ///< the first so many routers in rendezvous order
+  MSGPACK_DEFINE_ARRAY(root, owners)
+};
+
+/// First owner of prefixes to routers and sidecars: these have several owners.
+struct HotPrefixes {
+  std::vector<HotPrefix> prefixes;
+  MSGPACK_DEFINE_ARRAY(prefixes)
+};
+
 /// Any message. New alternatives go at the end.
-using Message = Packed<SubmitRequest, RequestDispatched, StreamPiece, RequestFinished, CancelRequest,
-                       RouterDraining, ControlCall, ControlAnswer, NodePoll, NodePollAnswer, BlockChanges,
-                       LoadDigest, QuotaRequest, QuotaGrant, PeerMessage, JoinRequest, Ping, Pong>;
+using Message =
+    Packed<SubmitRequest, RequestDispatched, StreamPiece, RequestFinished, CancelRequest, RouterDraining,
+           ControlCall, ControlAnswer, NodePoll, NodePollAnswer, BlockChanges, LoadDigest, QuotaRequest,
+           QuotaGrant, PeerMessage, JoinRequest, Ping, Pong, HotPrefixes>;
 
 }  // namespace stoat::wire
 
--- a/tests/fuzz/parsers_fuzz.cc
+++ b/tests/fuzz/parsers_fuzz.cc
@@ -1,4 +1,5 @@
-// libFuzzer target for every parser that meets the outside. The first byte picks the parser. Built by the fuzz preset.
+// libFuzzer target for every parser that meets the outside. The first byte picks the parser. Built by the
+// fuzz preset.
 #include <cstddef>
 #include <cstdint>
 #include <string>
--- a/tests/simulation/fleet_scenarios_test.cc
+++ b/tests/simulation/fleet_scenarios_test.cc
@@ -389,6 +389,49 @@
   EXPECT_EQ(simulation_->engine(engine).unfinished(), 0U);
 }
 
+// Hot prefixes.
+
+TEST_F(FleetScenario, AHotPrefixIsSpreadOverMoreRoutersAndGatheredAgain) {
+  FleetSimulationOptions options = quiet_options();
+  options.router.hot_requests_per_second = 20;
+  start(options);
+  const auto routers_used = [&](Duration span, Duration between) {
+    std::set<int> used;
+    for (Duration ran{0}; ran < span; ran += between) {
+      PlannedRequest request = question("owner-1", std::to_string(ran.count()));
+      request.max_tokens = 2;
+      const size_t sent = simulation_->send(request);
+      simulation_->run_for(6ms);
+      used.insert(simulation_->router_of(sent));
+      simulation_->run_for(between - 6ms);
+    }
+    used.erase(-1);
+    return used.size();
+  };
+  EXPECT_EQ(routers_used(1s, 200ms), 1U) << "cool: one owner";
+  routers_used(4s, 10ms);  // 100 a second: more than three routers may carry at 20 each
+  EXPECT_EQ(routers_used(2s, 10ms), 3U) << "hot: all three routers";
+  routers_used(16s, 400ms);
+  EXPECT_EQ(routers_used(3s, 200ms), 1U) << "cool again";
+}
+
+TEST_F(FleetScenario, ANewOwnerOfAHotPrefixKnowsWhereItsBlocksAre) {
+  FleetSimulationOptions options = quiet_options();
+  options.router.hot_requests_per_second = 20;
+  start(options);
+  for (int number = 0; number < 500; ++number) {
+    PlannedRequest request = question("owner-1", std::to_string(number));
+    request.max_tokens = 2;
+    simulation_->send(request);
+    simulation_->run_for(10ms);
+  }
+  size_t know_it = 0;
+  for (size_t router = 0; router < simulation_->router_count(); ++router) {
+    know_it += simulation_->router(router).index().block_count() > 10;
+  }
+  EXPECT_EQ(know_it, 3U);
+}
+
 // Refusals.
 
 TEST_F(FleetScenario, WithoutAnyEngineARefusalComesWithRetryAfterAndIsNotRun) {
--- a/tests/unit/sidecar_core_test.cc
+++ b/tests/unit/sidecar_core_test.cc
@@ -1,8 +1,8 @@
 // SidecarCore's answers to single messages.
-#include <gtest/gtest.h>
-
 #include "src/sidecar/sidecar_core.h"
 
+#include <gtest/gtest.h>
+
 namespace stoat::sidecar {
 namespace {
 
