--- a/src/cache/hot_prefixes.h
+++ b/src/cache/hot_prefixes.h
@@ -1,4 +1,5 @@
-/// Prefixes that get more requests than one router should carry are given more owners, and fewer again as they cool.
+/// Prefixes that get more requests than one router should carry are given more owners, and fewer again as
+/// they cool.
 #pragma once
 
 #include <algorithm>
@@ -53,9 +54,9 @@
 
   void on_request(uint64_t root) { ++counts_[root]; }
 
-  /// The prefixes that are to be spread, judged by the requests since the last call. `owners_now` tells how many owners
-  /// a prefix has; this router then sees only its part of the requests. `router_count`: more owners than routers would
-  /// make that part look like a smaller one than it is.
+  /// The prefixes that are to be spread, judged by the requests since the last call. `owners_now` tells how
+  /// many owners a prefix has; this router then sees only its part of the requests. `router_count`: more
+  /// owners than routers would make that part look like a smaller one than it is.
   template <typename OwnersNow>
   std::vector<wire::HotPrefix> review(Duration since_last, size_t router_count, const OwnersNow& owners_now) {
     const auto most_owners = static_cast<uint32_t>(std::clamp<size_t>(router_count, 1, kMostOwners));
--- a/src/router/router_cluster.cc
+++ b/src/router/router_cluster.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "src/common/hash.h"
+#include "src/common/zone.h"
 #include "src/router/engine_homes.h"
 #include "src/router/router_core.h"
 
@@ -14,8 +15,6 @@
 constexpr Duration kHotReviewInterval = 1s;
 constexpr Duration kFeedRetry = 500ms;
 
-std::string region_of(const std::string& zone) { return zone.substr(0, zone.find('/')); }
-
 }  // namespace
 
 std::string RouterCore::region() const { return region_of(options_.zone); }
--- a/src/router/router_core.cc
+++ b/src/router/router_core.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "src/common/hash.h"
+#include "src/control/prompt_namespace.h"
 #include "src/wire/failure_reason.h"
 
 namespace stoat::router {
@@ -175,18 +176,8 @@
     request.prefix_key = hash_bytes(submit.path);
     return;
   }
-  const auto tenant = configuration_.tenants.find(submit.tenant);
-  const bool shares = tenant != configuration_.tenants.end() && !tenant->second.sharing_group.empty();
-  const auto model = configuration_.models.find(submit.serves);
-  cache::Namespace name_space;
-  name_space.group = shares ? "group/" + tenant->second.sharing_group : "tenant/" + submit.tenant;
-  name_space.model = submit.serves;
-  name_space.block_tokens = options_.block_tokens;
-  if (model != configuration_.models.end()) {
-    name_space.adapter = model->second.adapter;
-    name_space.weights_version = model->second.weights_version;
-  }
-  request.seed = cache::namespace_seed(name_space);
+  request.seed = cache::namespace_seed(
+      control::prompt_namespace(configuration_, submit.tenant, submit.serves, options_.block_tokens));
   request.chain = cache::block_chain(request.seed, submit.prompt, options_.block_tokens);
   request.prefix_key = cache::chain_root(request.seed, submit.prompt, options_.block_tokens);
 }
--- a/src/sidecar/sidecar_core.cc
+++ b/src/sidecar/sidecar_core.cc
@@ -4,6 +4,8 @@
 
 #include "src/cache/block_chain.h"
 #include "src/common/hash.h"
+#include "src/common/zone.h"
+#include "src/control/prompt_namespace.h"
 
 namespace stoat::sidecar {
 
@@ -15,8 +17,6 @@
 constexpr Duration kAvoidLostRouter = 1s;
 constexpr int64_t kRetryAfterMs = 1000;
 
-std::string region_of(const std::string& zone) { return zone.substr(0, zone.find('/')); }
-
 }  // namespace
 
 SidecarCore::SidecarCore(const SidecarOptions& options, uint64_t seed, Metrics* metrics)
@@ -32,17 +32,8 @@
   if (caller.kind != wire::RequestKind::kCompletion) {
     return hash_bytes(caller.path);
   }
-  const auto tenant = configuration_.tenants.find(caller.tenant);
-  const bool shares = tenant != configuration_.tenants.end() && !tenant->second.sharing_group.empty();
-  const auto model = configuration_.models.find(caller.serves);
-  cache::Namespace name_space;
-  name_space.group = shares ? "group/" + tenant->second.sharing_group : "tenant/" + caller.tenant;
-  name_space.model = caller.serves;
-  name_space.block_tokens = options_.block_tokens;
-  if (model != configuration_.models.end()) {
-    name_space.adapter = model->second.adapter;
-    name_space.weights_version = model->second.weights_version;
-  }
+  const cache::Namespace name_space =
+      control::prompt_namespace(configuration_, caller.tenant, caller.serves, options_.block_tokens);
   return cache::chain_root(cache::namespace_seed(name_space), caller.prompt, options_.block_tokens);
 }
 
