--- a/src/cache/prefix_index.cc
+++ b/src/cache/prefix_index.cc
@@ -189,16 +189,32 @@
   return matches;
 }
 
+bool PrefixIndex::names_swept_slot(const Entry& entry) const {
+  const auto swept = [this](EngineSlot slot) { return owners_[slot].sweeping; };
+  if (std::any_of(entry.slots.begin(), entry.slots.end(), swept)) {
+    return true;
+  }
+  if (entry.slots.back() == 0) {
+    return false;
+  }
+  const auto more = overflow_.find(entry.block);
+  return more != overflow_.end() && std::any_of(more->second.begin(), more->second.end(), swept);
+}
+
 void PrefixIndex::sweep(size_t max_entries) {
   if (dead_slots_.empty()) {
     return;
   }
   if (sweep_position_ == 0) {
     sweep_covers_ = dead_slots_.size();
+    for (const EngineSlot slot : dead_slots_) {
+      owners_[slot].sweeping = true;
+    }
   }
   for (size_t looked_at = 0; looked_at < max_entries; ++looked_at) {
     if (sweep_position_ >= entries_.size()) {
       for (size_t position = 0; position < sweep_covers_; ++position) {
+        owners_[dead_slots_[position]].sweeping = false;
         owners_[dead_slots_[position]].free = true;
       }
       dead_slots_.erase(dead_slots_.begin(),
@@ -208,7 +224,8 @@
     }
     Entry& entry = entries_[sweep_position_];
     bool emptied = false;
-    for (size_t position = 0; entry.block != 0 && position < sweep_covers_ && !emptied; ++position) {
+    const bool has_dead = entry.block != 0 && names_swept_slot(entry);
+    for (size_t position = 0; has_dead && position < sweep_covers_ && !emptied; ++position) {
       emptied = erase_slot(entry, dead_slots_[position]);
     }
     if (emptied) {
--- a/src/cache/prefix_index.h
+++ b/src/cache/prefix_index.h
@@ -58,8 +58,10 @@
     uint64_t incarnation = 0;
     bool live = false;
     bool free = true;
+    bool sweeping = false;  ///< dead, and being cleared by the present pass
   };
 
+  bool names_swept_slot(const Entry& entry) const;
   size_t find(BlockHash block) const;
   size_t find_or_insert(BlockHash block);
   void erase_at(size_t position);
