Send only the blocks that moved when a router comes or goes

Ruled out: not sending anything and waiting for the feeds (the owner of a moved prefix would know nothing of it for as long as its blocks stay). Change: a block is sent when its owner differs from the one before, or has started anew. The test failed before the change.

--- a/src/router/router_cluster.cc
+++ b/src/router/router_cluster.cc
@@ -106,12 +106,14 @@
       row_limiter.configure(configuration_.row(key.first, key.second), std::max<size_t>(1, after.size()),
                             now);
     }
-    // Ownership moves to every router that stays when one leaves.
-    fresh.insert(after.begin(), after.end());
   }
   assign_homes(now);
-  if (!fresh.empty()) {
-    resend_blocks_to(fresh, now);
+  if (!fresh.empty() || before != after) {
+    // What is owned by another router than before, or by one that knows nothing, is sent; all else stays.
+    const auto moved = [&](uint64_t root, const std::string& owner) {
+      return fresh.count(owner) > 0 || rendezvous_first(root, before) != owner;
+    };
+    resend_blocks(moved, now);
   }
 }
 
@@ -279,10 +281,6 @@
   }
 }
 
-void RouterCore::resend_blocks_to(const std::set<std::string>& routers, TimePoint now) {
-  resend_blocks([&](uint64_t, const std::string& owner) { return routers.count(owner) > 0; }, now);
-}
-
 void RouterCore::resend_blocks_of(const std::set<uint64_t>& roots, TimePoint now) {
   resend_blocks([&](uint64_t root, const std::string&) { return roots.count(root) > 0; }, now);
 }
--- a/src/router/router_core.h
+++ b/src/router/router_core.h
@@ -190,7 +190,6 @@
   void on_hot_prefixes(const wire::HotPrefixes& hot, TimePoint now);
   void ask_quotas(TimePoint now);
   void on_quota_request(const wire::QuotaRequest& request, TimePoint now);
-  void resend_blocks_to(const std::set<std::string>& routers, TimePoint now);
   void resend_blocks_of(const std::set<uint64_t>& roots, TimePoint now);
   void resend_blocks(const std::function<bool(uint64_t root, const std::string& owner)>& wanted,
                      TimePoint now);
--- a/tests/unit/router_core_test.cc
+++ b/tests/unit/router_core_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include "src/common/hash.h"
+
 namespace stoat::router {
 namespace {
 
@@ -127,6 +129,43 @@
   }
 }
 
+TEST_F(RouterCoreTest, ARouterThatLeavesMovesOnlyTheBlocksThatItOwned) {
+  const auto node = [](const std::string& name) {
+    return wire::Node{name, "router", "127.0.0.1:1", "region/zone", 1, 0, false};
+  };
+  std::vector<wire::Node> nodes{node("router")};
+  // Names are taken so that this router stays home to the engine.
+  for (int number = 0; nodes.size() < 10; ++number) {
+    const std::string name = "other-" + std::to_string(number);
+    if (rendezvous_first(hash_bytes("engine"), {"router", name}) == "router") {
+      nodes.push_back(node(name));
+    }
+  }
+  core_.on_routers({nodes.front()}, TimePoint(2));
+  cache::FeedSnapshot snapshot;
+  snapshot.incarnation = 3;
+  snapshot.sequence = 1;
+  for (uint64_t block = 1; block <= 1000; ++block) {
+    snapshot.blocks.emplace_back(hash_bytes(std::to_string(block)), 0);
+  }
+  core_.on_feed_snapshot("engine", snapshot, TimePoint(2));
+  core_.on_routers(nodes, TimePoint(3));
+  core_.take_actions();
+  ASSERT_EQ(core_.followed_engines(), 1U);
+  nodes.pop_back();
+  core_.on_routers(nodes, TimePoint(4));
+  size_t sent = 0;
+  for (const RouterAction& action : core_.take_actions()) {
+    if (const auto* send = std::get_if<SendToRouter>(&action)) {
+      if (const auto* changes = std::get_if<wire::BlockChanges>(&send->message.value)) {
+        sent += changes->changes.size();
+      }
+    }
+  }
+  EXPECT_GT(sent, 20U);
+  EXPECT_LT(sent, 250U) << "about a tenth of the blocks had the router that left as owner";
+}
+
 TEST_F(RouterCoreTest, ALowerConfigurationIsNotTaken) {
   control::Configuration older;
   older.version = 0;
