Mend lint findings in the fleet simulation

Cause: clang found two captures that were not used and two structured bindings captured by name; GCC accepts both. Ruled out: switching the findings off. Change: plain variables, no unused captures.

--- a/simulation/fleet_backends.cc
+++ b/simulation/fleet_backends.cc
@@ -411,19 +411,20 @@
       silent.push_back(key);
     }
   }
-  for (const auto& [router, call_id] : silent) {
-    const auto call = calls_.find({router, call_id});
+  for (const std::pair<size_t, router::CallId>& key : silent) {
+    const size_t router = key.first;
+    const router::CallId call_id = key.second;
+    const auto call = calls_.find(key);
     if (call == calls_.end()) {
       continue;
     }
     const uint64_t generation = call->second.generation;
     auto& readers = engines_[static_cast<size_t>(call->second.engine)].readers;
-    std::erase_if(readers,
-                  [&](const auto& entry) { return entry.second == std::make_pair(router, call_id); });
+    std::erase_if(readers, [&](const auto& entry) { return entry.second == key; });
     calls_.erase(call);
     router::CallResult broken;
     broken.end = router::CallEnd::kBroken;
-    on_router(router, generation, [this, router = router, call_id = call_id, broken] {
+    on_router(router, generation, [this, router, call_id, broken] {
       routers_[router].core->on_call_end(call_id, broken, events_.now());
     });
   }
--- a/simulation/fleet_simulation.cc
+++ b/simulation/fleet_simulation.cc
@@ -389,20 +389,18 @@
   }
   const router::SidecarId id = connection.id;
   deliver_in_order(sidecars_[sidecar].name, router.name,
-                   [this, sidecar, sidecar_generation, position, id, generation = router.generation,
-                    message = action.message] {
-                     on_router(
-                         position, generation, [this, sidecar, sidecar_generation, position, id, message] {
-                           router::RouterCore& core = *routers_[position].core;
-                           if (const auto* submit = std::get_if<wire::SubmitRequest>(&message.value)) {
-                             core.on_submit(id, *submit, events_.now());
-                           } else if (const auto* cancel = std::get_if<wire::CancelRequest>(&message.value)) {
-                             core.on_cancel(id, cancel->request_id, events_.now());
-                           } else if (const auto* ping = std::get_if<wire::Ping>(&message.value)) {
-                             router::SendToSidecar pong{id, wire::Pong{ping->number}};
-                             perform(position, pong);
-                           }
-                         });
+                   [this, position, id, generation = router.generation, message = action.message] {
+                     on_router(position, generation, [this, position, id, message] {
+                       router::RouterCore& core = *routers_[position].core;
+                       if (const auto* submit = std::get_if<wire::SubmitRequest>(&message.value)) {
+                         core.on_submit(id, *submit, events_.now());
+                       } else if (const auto* cancel = std::get_if<wire::CancelRequest>(&message.value)) {
+                         core.on_cancel(id, cancel->request_id, events_.now());
+                       } else if (const auto* ping = std::get_if<wire::Ping>(&message.value)) {
+                         router::SendToSidecar pong{id, wire::Pong{ping->number}};
+                         perform(position, pong);
+                       }
+                     });
                    });
 }
 
