Split the large files of the router and of the simulators

Ruled out: splitting classes; their state belongs together, the functions group by what they are about. No change in behaviour.

--- a/simulation/fleet_simulation.h
+++ b/simulation/fleet_simulation.h
@@ -19,6 +19,9 @@
 
 namespace stoat::simulation {
 
+/// The one zone of a simulated fleet.
+inline constexpr char kSimulatedZone[] = "region/zone";
+
 /// Size, settings and faults of a run.
 struct FleetSimulationOptions {
   uint64_t seed = 1;
--- a/src/router/router_core.cc
+++ b/src/router/router_core.cc
@@ -4,7 +4,7 @@
 
 #include "src/common/hash.h"
 #include "src/control/prompt_namespace.h"
-#include "src/wire/failure_reason.h"
+#include "src/router/router_limits.h"
 
 namespace stoat::router {
 
@@ -15,23 +15,8 @@
 using wire::FailureReason;
 using wire::Outcome;
 
-constexpr int kTooManyRequests = 429;
-constexpr int kServiceUnavailable = 503;
-constexpr char kNoQuorumMessage[] = "no quorum of control members granted the claim in time";
 constexpr Duration kExpectedGeneration = 3s;
 constexpr size_t kSweepEntriesPerTick = 2000;
-/// How long the outcome of a lost request is left to the router that may have resumed it.
-constexpr Duration kLingerTime = 10s;
-/// What a refusal for want of room or of a quorum tells the caller to wait.
-constexpr Duration kBusyRetryAfter = 1s;
-
-/// Whole milliseconds, rounded up. A refusal that asks the caller to come back always says when.
-int64_t retry_after_ms(FailureReason reason, Duration retry_after) {
-  const int64_t rounded_up = to_milliseconds(retry_after + Duration(999));
-  const int status = wire::reason_http_status(reason);
-  const bool comes_back = status == kTooManyRequests || status == kServiceUnavailable;
-  return comes_back ? std::max<int64_t>(1, rounded_up) : rounded_up;
-}
 
 }  // namespace
 
@@ -91,19 +76,6 @@
   }
 }
 
-void RouterCore::refuse(const wire::SubmitRequest& submit, SidecarId sidecar, FailureReason reason,
-                        const std::string& message, Duration retry_after, bool may_have_run) {
-  wire::RequestFinished finished;
-  finished.request_id = submit.request_id;
-  finished.attempt = submit.attempt;
-  finished.outcome = may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
-  finished.reason = reason;
-  finished.message = message;
-  finished.retry_after_ms = retry_after_ms(reason, retry_after);
-  metrics_->count("stoat_router_refusals_total", {{"reason", wire::reason_code(reason)}});
-  actions_.push_back(SendToSidecar{sidecar, finished});
-}
-
 admission::RowLimiter& RouterCore::limiter(RowKind kind, const std::string& name, TimePoint now) {
   admission::RowLimiter& row_limiter = limiters_[{kind, name}];
   if (row_limiter.row().name != name) {
@@ -231,79 +203,6 @@
   }
 }
 
-void RouterCore::request_claim(Request& request, TimePoint) {
-  request.phase = Phase::kClaiming;
-  request.claim_id = random_.bits() | 1U;
-  const uint64_t call_id = ++last_control_call_;
-  control::ClaimKey claim;
-  claim.tenant = request.submit.tenant;
-  claim.key = request.submit.idempotency_key;
-  claim.digest = request.digest;
-  claim.claim_id = request.claim_id;
-  claim_calls_[call_id] = PendingClaim{request.submit.request_id, claim};
-  actions_.push_back(CallControl{call_id, claim});
-}
-
-void RouterCore::on_control_answer(uint64_t call_id, const std::optional<control::CommandResult>& result,
-                                   TimePoint now) {
-  const auto found = claim_calls_.find(call_id);
-  if (found == claim_calls_.end()) {
-    return;
-  }
-  const PendingClaim pending = std::move(found->second);
-  claim_calls_.erase(found);
-  const uint64_t request_id = pending.request_id;
-  const auto request = requests_.find(request_id);
-  const bool waits = request != requests_.end() && request->second.phase == Phase::kClaiming &&
-                     request->second.claim_id == pending.claim.claim_id;
-  if (!waits) {
-    // The request ended meanwhile. It is never dispatched, so the key may be granted again.
-    if (result && result->code == control::ResultCode::kOk) {
-      release_claim(pending.claim);
-    }
-    return;
-  }
-  if (!result) {
-    // The claim may be granted later, but this router will not dispatch it.
-    end_claim(request->second, ClaimState::kReleased, "");
-    const bool ran_before = request->second.submit.may_have_run;
-    finish_with(request->second, ran_before ? Outcome::kUnknown : Outcome::kNotRun,
-                FailureReason::kClaimUnavailable, kNoQuorumMessage, kBusyRetryAfter, now);
-    return;
-  }
-  on_claim_result(request_id, *result, now);
-}
-
-void RouterCore::on_claim_result(uint64_t request_id, const control::CommandResult& result, TimePoint now) {
-  Request& request = requests_[request_id];
-  if (result.code == control::ResultCode::kOk) {
-    // Nobody else can hold the key now, so whatever router had the request before did not run it.
-    request.submit.may_have_run = false;
-    request.may_have_run = false;
-    enqueue(request, now);
-    return;
-  }
-  if (result.code == control::ResultCode::kDigestConflict) {
-    finish_with(request, Outcome::kNotRun, FailureReason::kClaimConflict,
-                "the idempotency key belongs to another request", Duration(0), now);
-    return;
-  }
-  if (result.claim_state == ClaimState::kSettled) {
-    wire::RequestFinished finished;
-    finished.outcome = Outcome::kComplete;
-    finished.body = result.outcome;
-    finished.prompt_tokens = request.prompt_tokens;
-    finished.message = "replayed";
-    finish(request, finished, now);
-    return;
-  }
-  const bool open = result.claim_state == ClaimState::kGranted;
-  finish_with(request, Outcome::kUnknown, open ? FailureReason::kClaimHeld : FailureReason::kOutcomeUnknown,
-              open ? "an earlier request under this key has not ended"
-                   : "an earlier request under this key may have run",
-              open ? kBusyRetryAfter : Duration(0), now);
-}
-
 void RouterCore::enqueue(Request& request, TimePoint now) {
   request.phase = Phase::kQueued;
   admission::FairQueue& queue = queues_[request.submit.serves];
@@ -364,140 +263,6 @@
   }
 }
 
-void RouterCore::expire_queued(TimePoint now) {
-  std::vector<uint64_t> expired;
-  for (const auto& [request_id, request] : requests_) {
-    const bool waits = request.phase == Phase::kClaiming || request.phase == Phase::kQueued;
-    if (waits && now >= request.start_by) {
-      expired.push_back(request_id);
-    }
-  }
-  for (const uint64_t request_id : expired) {
-    Request& request = requests_[request_id];
-    const Outcome outcome = request.may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
-    queues_[request.submit.serves].remove(request_id);
-    end_claim(request, ClaimState::kReleased, "");
-    if (request.phase == Phase::kClaiming) {
-      finish_with(request, outcome, FailureReason::kClaimUnavailable, kNoQuorumMessage, kBusyRetryAfter, now);
-    } else if (candidates_for(request, now).empty()) {
-      finish_with(request, outcome, FailureReason::kNoBackend,
-                  "no live back end serves " + request.submit.serves, kBusyRetryAfter, now);
-    } else {
-      finish_with(request, outcome, FailureReason::kDeadline, "could not be started in time", kBusyRetryAfter,
-                  now);
-    }
-  }
-}
-
-void RouterCore::uncount(Request& request, TimePoint now) {
-  if (request.counted_as_running) {
-    request.counted_as_running = false;
-    limiter(RowKind::kTenant, request.submit.tenant, now).ended();
-    limiter(RowKind::kService, request.submit.serves, now).ended();
-  }
-}
-
-void RouterCore::drop_orphans(TimePoint now) {
-  std::vector<uint64_t> orphans;
-  for (const auto& [request_id, request] : requests_) {
-    const bool lost =
-        request.orphaned_at != TimePoint(0) && now - request.orphaned_at > options_.orphan_grace;
-    // A request that must not be repeated runs on, so that a resend finds its outcome.
-    if (lost && (request.submit.repeatable || request.phase != Phase::kRunning)) {
-      orphans.push_back(request_id);
-    }
-  }
-  for (const uint64_t request_id : orphans) {
-    Request& request = requests_[request_id];
-    if (request.phase == Phase::kLingering) {
-      end_claim(request, ClaimState::kUnknown, "");
-      request.sidecar = 0;
-      finish_with(request, Outcome::kUnknown, FailureReason::kOutcomeUnknown, "left", Duration(0), now);
-      continue;
-    }
-    on_cancel(request.sidecar, request_id, now);
-  }
-}
-
-void RouterCore::on_cancel(SidecarId sidecar, uint64_t request_id, TimePoint now) {
-  const auto found = requests_.find(request_id);
-  if (found == requests_.end() || found->second.sidecar != sidecar) {
-    return;
-  }
-  Request& request = found->second;
-  if (!request.submit.repeatable && request.phase == Phase::kRunning) {
-    request.sidecar = 0;  // let it settle
-    return;
-  }
-  if (request.phase == Phase::kRunning) {
-    actions_.push_back(StopCall{request.call_id, true});
-    engines_.at(request.backend).outstanding -= engines_.at(request.backend).outstanding > 0 ? 1 : 0;
-    end_pending(request);
-    calls_.erase(request.call_id);
-    request.call_id = 0;
-  } else {
-    queues_[request.submit.serves].remove(request_id);
-    end_claim(request, ClaimState::kReleased, "");
-  }
-  metrics_->count("stoat_router_cancelled_total");
-  request.sidecar = 0;
-  finish_with(request, Outcome::kFailed, FailureReason::kNone, "cancelled", Duration(0), now);
-}
-
-void RouterCore::end_claim(const Request& request, ClaimState state, const std::string& outcome) {
-  if (request.claim_id == 0) {
-    return;
-  }
-  control::FinishClaim finish_claim;
-  finish_claim.tenant = request.submit.tenant;
-  finish_claim.key = request.submit.idempotency_key;
-  finish_claim.claim_id = request.claim_id;
-  finish_claim.state = state;
-  finish_claim.outcome = outcome;
-  actions_.push_back(CallControl{++last_control_call_, finish_claim});
-}
-
-void RouterCore::release_claim(const control::ClaimKey& claim) {
-  control::FinishClaim release;
-  release.tenant = claim.tenant;
-  release.key = claim.key;
-  release.claim_id = claim.claim_id;
-  release.state = ClaimState::kReleased;
-  actions_.push_back(CallControl{++last_control_call_, release});
-}
-
-void RouterCore::count_end(const wire::RequestFinished& finished, const Request& request) {
-  metrics_->count("stoat_router_finished_total", {{"outcome", wire::outcome_name(finished.outcome)},
-                                                  {"reason", wire::reason_code(finished.reason)}});
-  if (finished.outcome == Outcome::kComplete) {
-    metrics_->count("stoat_router_prompt_tokens_total", {}, request.prompt_tokens);
-    metrics_->count("stoat_router_cached_tokens_total", {}, finished.cached_tokens);
-  }
-}
-
-void RouterCore::finish(Request& request, const wire::RequestFinished& finished, TimePoint now) {
-  wire::RequestFinished message = finished;
-  message.request_id = request.submit.request_id;
-  message.attempt = request.submit.attempt;
-  if (request.sidecar != 0) {
-    actions_.push_back(SendToSidecar{request.sidecar, message});
-  }
-  count_end(message, request);
-  uncount(request, now);
-  requests_.erase(message.request_id);
-}
-
-void RouterCore::finish_with(Request& request, Outcome outcome, FailureReason reason,
-                             const std::string& message, Duration retry_after, TimePoint now) {
-  wire::RequestFinished finished;
-  finished.outcome = outcome;
-  finished.reason = reason;
-  finished.message = message;
-  finished.retry_after_ms = retry_after_ms(reason, retry_after);
-  finished.piece_count = request.next_index;
-  finish(request, finished, now);
-}
-
 void RouterCore::on_configuration(const control::Configuration& configuration, TimePoint now) {
   if (configuration.version < configuration_.version) {
     return;
--- a/src/router/router_core.h
+++ b/src/router/router_core.h
@@ -139,7 +139,8 @@
     uint32_t failures = 0;
   };
 
-  // router_core.cc: admission, claims, the queue, the ends of requests
+  // router_core.cc: admission and the queue; router_claims.cc: claims; router_endings.cc: the ends of
+  // requests
   bool check_submit(const wire::SubmitRequest& submit, const Request& request, TimePoint now);
   void prepare(Request& request, TimePoint now);
   void request_claim(Request& request, TimePoint now);
