--- a/simulation/control_simulation.cc
+++ b/simulation/control_simulation.cc
@@ -10,12 +10,10 @@
 using control::ChangeConfiguration;
 using control::ClaimKey;
 using control::CommandResult;
-using control::ResultCode;
 
 constexpr Duration kCallRetry = 300ms;
 constexpr Duration kCallLimit = 4s;
 constexpr Duration kNodePoll = 400ms;
-constexpr Duration kHealLimit = 15s;
 constexpr size_t kNodes = 3;
 constexpr char kTenant[] = "tenant";
 constexpr int64_t kMaxQuorumAgeMs = 3000;
--- a/src/control/configuration.cc
+++ b/src/control/configuration.cc
@@ -68,16 +68,6 @@
   return defaults;
 }
 
-std::vector<std::string> Configuration::serving(const std::string& serves, BackendKind kind) const {
-  std::vector<std::string> names;
-  for (const auto& [name, backend] : backends) {
-    if (backend.kind == kind && backend.serves == serves && !backend.draining) {
-      names.push_back(name);
-    }
-  }
-  return names;
-}
-
 std::string key_digest(const std::string& api_key) {
   return to_hex(hash_bytes(api_key, kKeyDigestSeeds[0])) + to_hex(hash_bytes(api_key, kKeyDigestSeeds[1]));
 }
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -109,9 +109,6 @@
 
   /// The row for a tenant or a service; a row of defaults when the table has none.
   PolicyRow row(RowKind kind, const std::string& name) const;
-
-  /// The names of the back ends that serve `serves` and are not draining.
-  std::vector<std::string> serving(const std::string& serves, BackendKind kind) const;
 };
 
 /// The digest under which an API key is stored.
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -141,7 +141,7 @@
         voting = member["state"] == "voting";
       }
     }
-    if (voting && one_of_the_name && members->at("members").size() > 0 &&
+    if (voting && one_of_the_name && !members->at("members").empty() &&
         members->at("waiting_to_join").empty()) {
       break;
     }
--- a/src/router/router_cluster.cc
+++ b/src/router/router_cluster.cc
@@ -13,7 +13,6 @@
 constexpr Duration kQuotaInterval = 1s;
 constexpr size_t kMaxChangesPerMessage = 2000;
 constexpr Duration kHotReviewInterval = 1s;
-constexpr Duration kFeedRetry = 500ms;
 
 }  // namespace
 
@@ -147,6 +146,7 @@
   Followed& followed = found->second;
   followed.poll_under_way = false;
   followed.failures = 0;
+  followed.backoff.reset();
   followed.next_poll = now + options_.feed_interval;
   followed.load = load;
   followed.load_known = true;
@@ -190,7 +190,7 @@
     --snapshots_under_way_;
   }
   followed.poll_under_way = false;
-  followed.next_poll = now + kFeedRetry;
+  followed.next_poll = now + followed.backoff.next(random_);
   if (++followed.failures == 2) {
     outliers_.on_failure(engine, now);
   }
--- a/src/router/router_core.cc
+++ b/src/router/router_core.cc
@@ -24,7 +24,6 @@
     : options_(options),
       random_(seed),
       metrics_(metrics),
-      started_at_(now),
       owners_changed_at_(now),
       policy_(placement::make_policy(options.policy, costs_)),
       expected_(std::make_unique<cache::PrefixIndex>()),
--- a/src/router/router_core.h
+++ b/src/router/router_core.h
@@ -14,6 +14,7 @@
 #include "src/cache/hot_prefixes.h"
 #include "src/cache/prefix_index.h"
 #include "src/common/metrics.h"
+#include "src/delivery/backoff.h"
 #include "src/delivery/outlier_detector.h"
 #include "src/delivery/retry_budget.h"
 #include "src/placement/policy.h"
@@ -41,6 +42,10 @@
   uint32_t snapshots_at_once = 2;  ///< feed snapshots fetched at the same time
 };
 
+/// Waits between polls of an engine that does not answer.
+inline constexpr Duration kFeedRetryBase = 200ms;
+inline constexpr Duration kMostFeedRetry = 2s;
+
 /// See the head of this file.
 class RouterCore {
  public:
@@ -137,6 +142,7 @@
     wire::EngineLoad load;
     bool load_known = false;
     uint32_t failures = 0;
+    delivery::Backoff backoff{kFeedRetryBase, kMostFeedRetry};
   };
 
   // router_core.cc: admission and the queue; router_claims.cc: claims; router_endings.cc: the ends of
@@ -199,7 +205,6 @@
   RouterOptions options_;
   Random random_;
   Metrics* metrics_;
-  TimePoint started_at_;
   bool draining_ = false;
   control::Configuration configuration_;
   std::vector<wire::Node> routers_;
--- a/src/router/router_endings.cc
+++ b/src/router/router_endings.cc
@@ -78,6 +78,12 @@
 void RouterCore::drop_orphans(TimePoint now) {
   std::vector<uint64_t> orphans;
   for (const auto& [request_id, request] : requests_) {
+    if (request.phase == Phase::kLingering) {
+      if (now - request.orphaned_at > kLingerTime) {
+        orphans.push_back(request_id);
+      }
+      continue;
+    }
     const bool lost =
         request.orphaned_at != TimePoint(0) && now - request.orphaned_at > options_.orphan_grace;
     // A request that must not be repeated runs on, so that a resend finds its outcome.
--- a/tests/unit/router_core_test.cc
+++ b/tests/unit/router_core_test.cc
@@ -129,6 +129,40 @@
   }
 }
 
+TEST_F(RouterCoreTest, AClaimWhoseStreamWasTakenOverIsLeftToTheOtherRouterForTenSeconds) {
+  wire::SubmitRequest submit = request();
+  submit.repeatable = false;
+  submit.idempotency_key = "bid";
+  core_.on_submit(kSidecar, submit, TimePoint(2));
+  uint64_t claim_call = 0;
+  for (const RouterAction& action : core_.take_actions()) {
+    if (const auto* call = std::get_if<CallControl>(&action)) {
+      claim_call = call->call_id;
+    }
+  }
+  core_.on_control_answer(claim_call, control::CommandResult{}, TimePoint(3));
+  CallId call_id = 0;
+  for (const RouterAction& action : core_.take_actions()) {
+    if (const auto* call = std::get_if<StartCall>(&action)) {
+      call_id = call->call_id;
+    }
+  }
+  core_.on_sidecar_gone(kSidecar, TimePoint(4));
+  core_.on_call_end(call_id, CallResult{}, TimePoint(5));  // broken
+  const auto ends_claim = [&] {
+    for (const RouterAction& action : core_.take_actions()) {
+      if (std::holds_alternative<CallControl>(action)) {
+        return true;
+      }
+    }
+    return false;
+  };
+  core_.tick(TimePoint(5) + 5s);
+  EXPECT_FALSE(ends_claim()) << "the router that resumed the stream settles it";
+  core_.tick(TimePoint(5) + 11s);
+  EXPECT_TRUE(ends_claim()) << "nobody did";
+}
+
 TEST_F(RouterCoreTest, ARouterThatLeavesMovesOnlyTheBlocksThatItOwned) {
   const auto node = [](const std::string& name) {
     return wire::Node{name, "router", "127.0.0.1:1", "region/zone", 1, 0, false};
