--- a/tests/process/fleet_fixture.h
+++ b/tests/process/fleet_fixture.h
@@ -26,7 +26,7 @@
 
 class FleetTest : public testing::Test {
  protected:
-  void start(LocalFleetSettings settings) {
+  void start(const LocalFleetSettings& settings) {
     const std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
     work_folder_ =
         (std::filesystem::temp_directory_path() / ("stoat-" + name + "-" + std::to_string(getpid())))
