Keep the body of an error answer that comes in pieces

Cause: evhttp drops what a chunk callback leaves in the buffer. An engine's refusal (409) whose body came in a segment of its own lost its body, so "not run" was not seen and the refusal went to the caller as an error. Ruled out: the test's blocking call (the lost answers were status 409, one to three ms after sending); a busy machine. Change: the client keeps such pieces for the result's body.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -42,7 +42,7 @@
     bool reusable = false;
     if (finished != nullptr && evhttp_request_get_response_code(finished) != 0 && !broken) {
       result.status = evhttp_request_get_response_code(finished);
-      result.body = take_all(evhttp_request_get_input_buffer(finished));
+      result.body = error_body + take_all(evhttp_request_get_input_buffer(finished));
       for (const evkeyval* pair = evhttp_request_get_input_headers(finished)->tqh_first; pair != nullptr;
            pair = pair->next.tqe_next) {
         result.headers.push_back({pair->key, pair->value});
@@ -66,6 +66,7 @@
   evhttp_request* request = nullptr;
   bool broken = false;
   bool any_piece = false;
+  std::string error_body;  ///< of an answer with another status than 200, as far as it came in pieces
 };
 
 Client::~Client() {
@@ -114,6 +115,8 @@
       auto* active = static_cast<Call*>(context);
       active->any_piece = true;
       if (evhttp_request_get_response_code(incoming) != HTTP_OK) {
+        // evhttp drops what a chunk callback leaves.
+        active->error_body += take_all(evhttp_request_get_input_buffer(incoming));
         return;
       }
       active->on_piece(take_all(evhttp_request_get_input_buffer(incoming)));
