Release a back end in one place; drop state that nothing read

Cause: read again as a whole, the change took a finished call off its back end's counts in three places, hashed a prompt's first block twice for each request, and kept a piece count, an arrival time and a list of ledgers that nothing read. Ruled out: changing when a call is counted; all three places did the same. Change: RouterCore::release_backend; the prefix key is the chain's first hash where there is a chain (the same value); the unread state goes. Behaviour stays as it is.

--- a/src/router/router_core.cc
+++ b/src/router/router_core.cc
@@ -131,7 +131,6 @@
 
 void RouterCore::prepare(Request& request, TimePoint now) {
   const wire::SubmitRequest& submit = request.submit;
-  request.arrived_at = now;
   request.tenant_row = configuration_.row(RowKind::kTenant, submit.tenant);
   const control::PolicyRow service_row = configuration_.row(RowKind::kService, submit.serves);
   const int64_t queue_ms = std::min(request.tenant_row.queue_time_ms, service_row.queue_time_ms);
@@ -150,7 +149,9 @@
   request.seed = cache::namespace_seed(
       control::prompt_namespace(configuration_, submit.tenant, submit.serves, options_.block_tokens));
   request.chain = cache::block_chain(request.seed, submit.prompt, options_.block_tokens);
-  request.prefix_key = cache::chain_root(request.seed, submit.prompt, options_.block_tokens);
+  request.prefix_key = request.chain.empty()
+                           ? cache::chain_root(request.seed, submit.prompt, options_.block_tokens)
+                           : request.chain.front();
 }
 
 void RouterCore::on_submit(SidecarId sidecar, wire::SubmitRequest submit, TimePoint now) {
--- a/src/router/router_core.h
+++ b/src/router/router_core.h
@@ -98,7 +98,6 @@
     wire::SubmitRequest submit;
     SidecarId sidecar = 0;
     Phase phase = Phase::kQueued;
-    TimePoint arrived_at{0};
     TimePoint start_by{0};  ///< refused when it has not started by then
     TimePoint orphaned_at{0};
     control::PolicyRow tenant_row;
@@ -178,6 +177,8 @@
   void on_refused(Request& request, const CallResult& result, TimePoint now);
   void on_complete(Request& request, const CallResult& result, TimePoint now);
   void retry_elsewhere(Request& request, TimePoint now, bool exclude_backend = true);
+  /// The request has no call at its back end any more.
+  void release_backend(Request& request);
   void end_pending(Request& request);
   void note_first_piece(Request& request, TimePoint now);
 
--- a/src/router/router_dispatch.cc
+++ b/src/router/router_dispatch.cc
@@ -189,6 +189,10 @@
   }
   actions_.push_back(StopCall{request.call_id, false});
   calls_.erase(request.call_id);
+  release_backend(request);
+}
+
+void RouterCore::release_backend(Request& request) {
   request.call_id = 0;
   EngineState& state = engines_.at(request.backend);
   state.outstanding -= state.outstanding > 0 ? 1 : 0;
@@ -241,10 +245,7 @@
   }
   Request& request = requests_[call->second];
   calls_.erase(call);
-  request.call_id = 0;
-  EngineState& state = engines_.at(request.backend);
-  state.outstanding -= state.outstanding > 0 ? 1 : 0;
-  end_pending(request);
+  release_backend(request);
   switch (result.end) {
     case CallEnd::kComplete:
       on_complete(request, result, now);
--- a/src/router/router_endings.cc
+++ b/src/router/router_endings.cc
@@ -115,10 +115,8 @@
   }
   if (request.phase == Phase::kRunning) {
     actions_.push_back(StopCall{request.call_id, true});
-    engines_.at(request.backend).outstanding -= engines_.at(request.backend).outstanding > 0 ? 1 : 0;
-    end_pending(request);
     calls_.erase(request.call_id);
-    request.call_id = 0;
+    release_backend(request);
   } else {
     queues_[request.submit.serves].remove(request_id);
     end_claim(request, ClaimState::kReleased, "");
--- a/src/router/router_server.cc
+++ b/src/router/router_server.cc
@@ -170,7 +170,6 @@
   call.kind = action.kind;
   call.request_id = action.request_id;
   call.engine_attempt = action.engine_attempt;
-  call.piece_count = action.first_index;
   const CallId call_id = action.call_id;
   log_.debug("dispatch", {{"request_id", to_hex(action.request_id)},
                           {"attempt", action.engine_attempt},
@@ -209,7 +208,6 @@
     }
     call->second.last_event = event;
     if (!event.has_usage) {
-      ++call->second.piece_count;
       core_.on_piece(call_id, event.token_index, event.text, loop_.now());
     }
   }
--- a/src/router/router_server.h
+++ b/src/router/router_server.h
@@ -45,7 +45,6 @@
     uint32_t engine_attempt = 0;
     uint64_t http_call = 0;
     StreamParser parser;
-    uint32_t piece_count = 0;
     StreamEvent last_event;
     bool malformed = false;
   };
--- a/tools/local_fleet.cc
+++ b/tools/local_fleet.cc
@@ -237,16 +237,6 @@
   return members;
 }
 
-std::vector<Endpoint> LocalFleet::ledger_endpoints() const {
-  std::vector<Endpoint> endpoints;
-  for (const char* prefix : {"engine-", "plain-"}) {
-    for (const std::string& name : names_with_prefix(prefix)) {
-      endpoints.push_back(http_.at(name));
-    }
-  }
-  return endpoints;
-}
-
 json LocalFleet::get(const std::string& name, const std::string& path) const {
   http::ClientRequest request;
   request.endpoint = http_.at(name);
--- a/tools/local_fleet.h
+++ b/tools/local_fleet.h
@@ -43,7 +43,6 @@
   std::vector<Endpoint> sidecar_endpoints() const;
   /// The control members' addresses for nodes.
   std::vector<Endpoint> control_members() const;
-  std::vector<Endpoint> ledger_endpoints() const;
   std::vector<std::string> names_with_prefix(const std::string& prefix) const;
 
   /// GET of a path of a process; a null value when it gave no JSON.
