--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -53,6 +53,8 @@
   /// Proposes a change of one item, e.g. {"tenant": item}.
   ExitStatus change(const char* item_kind, const json& item);
   ExitStatus wait_in_force(uint64_t version);
+  /// Asks again and again until `condition` holds; false when the time limit passes first.
+  bool wait_until(const std::function<bool()>& condition) const;
   std::string request_id() const;
   bool read_table(control::PolicyTable& table);
   tl::expected<control::PolicyTable, AdminError> present_table();
@@ -130,8 +132,7 @@
   if (!answer) {
     return fail(answer.error());
   }
-  const TimePoint give_up_at = monotonic_now() + std::chrono::seconds(options_.timeout_s);
-  while (options_.wait) {
+  const auto votes = [&] {
     const auto members = connection_.get("/v1/members");
     bool voting = false;
     bool one_of_the_name = true;
@@ -141,16 +142,12 @@
         voting = member["state"] == "voting";
       }
     }
-    if (voting && one_of_the_name && !members->at("members").empty() &&
-        members->at("waiting_to_join").empty()) {
-      break;
-    }
-    if (monotonic_now() >= give_up_at) {
-      std::cerr << "stoatctl: " << name
-                << " does not vote yet; a second loss now could stop the control members\n";
-      return ExitStatus::kNotInForceYet;
-    }
-    std::this_thread::sleep_for(kWaitPoll);
+    return voting && one_of_the_name && members->at("waiting_to_join").empty();
+  };
+  if (options_.wait && !wait_until(votes)) {
+    std::cerr << "stoatctl: " << name
+              << " does not vote yet; a second loss now could stop the control members\n";
+    return ExitStatus::kNotInForceYet;
   }
   std::cout << name << (options_.wait ? " has caught up and votes\n" : " is catching up\n");
   return ExitStatus::kDone;
@@ -182,26 +179,37 @@
   return options_.wait ? wait_in_force(answer->at("version").get<uint64_t>()) : ExitStatus::kDone;
 }
 
-ExitStatus Command::wait_in_force(uint64_t version) {
+bool Command::wait_until(const std::function<bool()>& condition) const {
   const TimePoint give_up_at = monotonic_now() + std::chrono::seconds(options_.timeout_s);
-  while (true) {
+  while (!condition()) {
+    if (monotonic_now() >= give_up_at) {
+      return false;
+    }
+    std::this_thread::sleep_for(kWaitPoll);
+  }
+  return true;
+}
+
+ExitStatus Command::wait_in_force(uint64_t version) {
+  std::string behind;
+  size_t node_count = 0;
+  const auto in_force = [&] {
     const auto nodes = connection_.get("/v1/nodes");
-    std::string behind;
+    behind.clear();
     for (const json& node : nodes ? nodes->at("nodes") : json::array()) {
       if (node["version"].get<uint64_t>() < version) {
         behind += " " + node["name"].get<std::string>();
       }
     }
-    if (nodes && behind.empty()) {
-      std::cout << "in force on " << nodes->at("nodes").size() << " nodes\n";
-      return ExitStatus::kDone;
-    }
-    if (monotonic_now() >= give_up_at) {
-      std::cerr << "stoatctl: version " << version << " is not in force on:" << behind << "\n";
-      return ExitStatus::kNotInForceYet;
-    }
-    std::this_thread::sleep_for(kWaitPoll);
+    node_count = nodes ? nodes->at("nodes").size() : 0;
+    return nodes && behind.empty();
+  };
+  if (!wait_until(in_force)) {
+    std::cerr << "stoatctl: version " << version << " is not in force on:" << behind << "\n";
+    return ExitStatus::kNotInForceYet;
   }
+  std::cout << "in force on " << node_count << " nodes\n";
+  return ExitStatus::kDone;
 }
 
 ExitStatus Command::add_tenant() {
@@ -264,21 +272,23 @@
     return fail(answer.error());
   }
   std::cout << "ordered, fence " << answer->at("version") << "\n";
-  const TimePoint give_up_at = monotonic_now() + std::chrono::seconds(options_.timeout_s);
-  while (options_.wait) {
+  const auto carried_out = [&] {
     const auto orders = connection_.get("/v1/orders");
     for (const json& order : orders ? orders->at("orders") : json::array()) {
       if (order["backend"] == argument(2) && order["complete"] == true) {
-        std::cout << "carried out\n";
-        return ExitStatus::kDone;
+        return true;
       }
     }
-    if (monotonic_now() >= give_up_at) {
-      std::cerr << "stoatctl: the order is not carried out yet\n";
-      return ExitStatus::kNotInForceYet;
-    }
-    std::this_thread::sleep_for(kWaitPoll);
+    return false;
+  };
+  if (!options_.wait) {
+    return ExitStatus::kDone;
+  }
+  if (!wait_until(carried_out)) {
+    std::cerr << "stoatctl: the order is not carried out yet\n";
+    return ExitStatus::kNotInForceYet;
   }
+  std::cout << "carried out\n";
   return ExitStatus::kDone;
 }
 
--- a/src/router/router_server.cc
+++ b/src/router/router_server.cc
@@ -249,44 +249,45 @@
   }
 }
 
-void RouterServer::perform(PollFeed& action) {
+void RouterServer::fetch_from_engine(const std::string& backend, const std::string& endpoint,
+                                     const std::string& path,
+                                     std::function<bool(const std::string& body)> take) {
   http::ClientRequest request;
-  request.path = "/feed?after=" + std::to_string(action.after_sequence);
+  request.path = path;
   request.timeout = kFeedTimeout;
-  const std::string backend = action.backend;
-  if (!parse_endpoint(action.endpoint, request.endpoint)) {
+  if (!parse_endpoint(endpoint, request.endpoint)) {
     core_.on_feed_failure(backend, loop_.now());
     return;
   }
-  client_.start(request, nullptr, [this, backend](const http::ClientResult& result) {
-    const auto answer = result.status == 200 ? parse_feed(backend, result.body) : std::nullopt;
-    if (answer) {
-      core_.on_feed_page(backend, answer->page, answer->load, loop_.now());
-    } else {
+  client_.start(request, nullptr, [this, backend, take = std::move(take)](const http::ClientResult& result) {
+    if (result.status != 200 || !take(result.body)) {
       core_.on_feed_failure(backend, loop_.now());
     }
     perform_actions();
   });
 }
 
+void RouterServer::perform(PollFeed& action) {
+  const std::string path = "/feed?after=" + std::to_string(action.after_sequence);
+  fetch_from_engine(action.backend, action.endpoint, path,
+                    [this, backend = action.backend](const std::string& body) {
+                      const auto answer = parse_feed(backend, body);
+                      if (answer) {
+                        core_.on_feed_page(backend, answer->page, answer->load, loop_.now());
+                      }
+                      return answer.has_value();
+                    });
+}
+
 void RouterServer::perform(FetchSnapshot& action) {
-  http::ClientRequest request;
-  request.path = "/blocks";
-  request.timeout = kFeedTimeout;
-  const std::string backend = action.backend;
-  if (!parse_endpoint(action.endpoint, request.endpoint)) {
-    core_.on_feed_failure(backend, loop_.now());
-    return;
-  }
-  client_.start(request, nullptr, [this, backend](const http::ClientResult& result) {
-    const auto snapshot = result.status == 200 ? parse_snapshot(result.body) : std::nullopt;
-    if (snapshot) {
-      core_.on_feed_snapshot(backend, *snapshot, loop_.now());
-    } else {
-      core_.on_feed_failure(backend, loop_.now());
-    }
-    perform_actions();
-  });
+  fetch_from_engine(action.backend, action.endpoint, "/blocks",
+                    [this, backend = action.backend](const std::string& body) {
+                      const auto snapshot = parse_snapshot(body);
+                      if (snapshot) {
+                        core_.on_feed_snapshot(backend, *snapshot, loop_.now());
+                      }
+                      return snapshot.has_value();
+                    });
 }
 
 void RouterServer::tick() {
--- a/src/router/router_server.h
+++ b/src/router/router_server.h
@@ -59,6 +59,9 @@
   void perform(StopCall& action);
   void perform(PollFeed& action);
   void perform(FetchSnapshot& action);
+  /// GETs a page of an engine; `take` reads the body and tells whether it could. Else the feed has failed.
+  void fetch_from_engine(const std::string& backend, const std::string& endpoint, const std::string& path,
+                         std::function<bool(const std::string& body)> take);
   void on_bytes(CallId call_id, const std::string& bytes);
   void on_done(CallId call_id, const http::ClientResult& result);
   void tick();
