--- a/tools/hollow_nodes.cc
+++ b/tools/hollow_nodes.cc
@@ -12,7 +12,8 @@
     const std::string name = "hollow-" + std::to_string(number);
     control::ControlClientOptions options;
     options.members = members;
-    options.data_folder = folder + "/" + name;
+    options.data_folder = folder;
+    options.data_folder += "/" + name;
     wire::Node node;
     node.name = name;
     node.role = number % 3 == 0 ? "router" : "sidecar";
--- a/tools/report_main.cc
+++ b/tools/report_main.cc
@@ -117,8 +117,9 @@
   std::string script = "set xlabel 'seconds'\nset yrange [0:*]\nset key top right\n";
   for (const double mark : report.marks) {
     const std::string at = std::to_string(mark);
-    script +=
-        "set arrow from first " + at + ", graph 0 to first " + at + ", graph 1 nohead dt 2 lc rgb 'red'\n";
+    script += "set arrow from first " + at;
+    script += ", graph 0 to first " + at;
+    script += ", graph 1 nohead dt 2 lc rgb 'red'\n";
   }
   std::string plot;
   for (size_t number = 0; number < report.series.size(); ++number) {
