--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -29,6 +29,7 @@
   ControlSettings settings;
   settings.name = reader.required_text("name");
   settings.listen = read_endpoint(reader, "listen", "127.0.0.1:7000");
+  settings.advertise = read_endpoint(reader, "advertise", to_string(settings.listen));
   settings.admin = read_endpoint(reader, "admin", "127.0.0.1:7001");
   settings.data_folder = reader.required_text("data_folder");
   settings.found_cluster = reader.flag("found_cluster", false);
@@ -120,7 +121,7 @@
   consensus::Snapshot first;
   first.index = 1;
   first.term = 1;
-  first.members.members.push_back({identity_.id, settings_.name, to_string(settings_.listen), true});
+  first.members.members.push_back({identity_.id, settings_.name, to_string(settings_.advertise), true});
   for (const PeerSetting& peer : settings_.peers) {
     const auto joining = blank_peers_.find(peer.name);
     if (peer.name < settings_.name || joining == blank_peers_.end() ||
@@ -246,7 +247,7 @@
       channel =
           wire::Channel::connect(loop_, peer.endpoint, on_peer, [](const std::shared_ptr<wire::Channel>&) {});
     }
-    channel->send(wire::JoinRequest{{identity_.id, settings_.name, to_string(settings_.listen), false},
+    channel->send(wire::JoinRequest{{identity_.id, settings_.name, to_string(settings_.advertise), false},
                                     core_->replica().last_index() == 0});
   }
 }
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -20,8 +20,9 @@
 /// Settings of a control member.
 struct ControlSettings {
   std::string name;
-  Endpoint listen;  ///< peers and nodes
-  Endpoint admin;   ///< operators, over HTTP
+  Endpoint listen;     ///< peers and nodes
+  Endpoint advertise;  ///< where peers and nodes reach `listen`
+  Endpoint admin;      ///< operators, over HTTP
   std::string data_folder;
   bool found_cluster = false;  ///< found a cluster once all peers are up and blank; else wait to be taken in
   std::vector<PeerSetting> peers;
--- a/src/http/socket_options.cc
+++ b/src/http/socket_options.cc
@@ -8,12 +8,15 @@
 
 namespace stoat::http {
 
-void send_without_delay(evhttp_connection* connection) {
-  const evutil_socket_t descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+void send_without_delay(int socket) {
   const int on = 1;
-  if (descriptor >= 0) {
-    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  if (socket >= 0) {
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   }
 }
 
+void send_without_delay(evhttp_connection* connection) {
+  send_without_delay(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)));
+}
+
 }  // namespace stoat::http
--- a/src/router/router_server.cc
+++ b/src/router/router_server.cc
@@ -36,6 +36,7 @@
       reader.number("hot_requests_per_second", core.hot_requests_per_second, 1, 1e6);
   core.max_dispatches = static_cast<uint32_t>(reader.integer("max_dispatches", core.max_dispatches, 1, 20));
   settings.listen = read_endpoint(reader, "listen", "127.0.0.1:7100");
+  settings.advertise = read_endpoint(reader, "advertise", to_string(settings.listen));
   settings.http = read_endpoint(reader, "http", "127.0.0.1:7101");
   settings.control.members = read_endpoints(reader, "control");
   settings.control.data_folder = reader.required_text("data_folder");
@@ -50,7 +51,7 @@
       settings_(settings),
       core_(settings.core, seed_from_device(), loop.now(), &metrics_),
       control_(loop, settings.control,
-               wire::Node{settings.core.name, "router", to_string(settings.listen), settings.core.zone,
+               wire::Node{settings.core.name, "router", to_string(settings.advertise), settings.core.zone,
                           seed_from_device(), 0, false},
                seed_from_device()),
       client_(loop),
--- a/src/router/router_server.h
+++ b/src/router/router_server.h
@@ -20,8 +20,9 @@
 /// Settings of stoat-router.
 struct RouterSettings {
   RouterOptions core;
-  Endpoint listen;  ///< sidecars and routers
-  Endpoint http;    ///< metrics and status
+  Endpoint listen;     ///< sidecars and routers
+  Endpoint advertise;  ///< where sidecars and routers reach `listen`
+  Endpoint http;       ///< metrics and status
   control::ControlClientOptions control;
   Duration backend_silence{5s};  ///< a back end that sends nothing for so long counts as lost
   Duration drain_limit{120s};    ///< longest wait for open requests at a planned stop
--- a/src/wire/channel.cc
+++ b/src/wire/channel.cc
@@ -5,11 +5,12 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <cstring>
 #include <stdexcept>
 
+#include "src/http/socket_options.h"
+
 namespace stoat::wire {
 
 namespace {
@@ -21,11 +22,6 @@
   return ++last;
 }
 
-void disable_delay(evutil_socket_t socket) {
-  const int on = 1;
-  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
 }  // namespace
 
 std::string make_frame(const Message& message) {
@@ -56,7 +52,7 @@
   bufferevent_socket_connect_hostname(connection, nullptr, AF_UNSPEC, endpoint.address.c_str(),
                                       endpoint.port);
   if (bufferevent_getfd(connection) >= 0) {
-    disable_delay(bufferevent_getfd(connection));
+    http::send_without_delay(bufferevent_getfd(connection));
   }
   return channel;
 }
@@ -130,7 +126,7 @@
 
 void Channel::on_event(bufferevent* connection, short events, void* context) {
   if ((events & BEV_EVENT_CONNECTED) != 0) {
-    disable_delay(bufferevent_getfd(connection));
+    http::send_without_delay(bufferevent_getfd(connection));
     return;
   }
   if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
@@ -149,7 +145,7 @@
   }
   const auto on_accept = [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* context) {
     auto* server = static_cast<ChannelServer*>(context);
-    disable_delay(socket);
+    http::send_without_delay(socket);
     bufferevent* connection =
         bufferevent_socket_new(server->loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     Channel::adopt(connection, server->on_message_, server->on_closed_);
--- a/tools/experiment_main.cc
+++ b/tools/experiment_main.cc
@@ -37,10 +37,7 @@
   if (!known) {
     reader.add_finding("what", "must be policies, freshness, flood or overload");
   }
-  settings.workload = reader.text("workload", "derwent");
-  if (settings.workload != "derwent" && settings.workload != "kavelwind") {
-    reader.add_finding("workload", "must be derwent or kavelwind");
-  }
+  settings.workload = read_workload_name(reader);
   settings.policy = reader.text("policy", "");
   settings.seeds = static_cast<uint64_t>(reader.integer("seeds", 3, 1, 1000));
   settings.duration = from_seconds(reader.number("duration_s", 30, 1, 86400));
--- a/tools/fleet_main.cc
+++ b/tools/fleet_main.cc
@@ -23,10 +23,7 @@
 FleetSettings read_settings(SettingsReader& reader) {
   FleetSettings settings;
   WorkloadSettings& workload = settings.fleet.workload;
-  workload.name = reader.text("workload", "derwent");
-  if (workload.name != "derwent" && workload.name != "kavelwind") {
-    reader.add_finding("workload", "must be derwent or kavelwind");
-  }
+  workload.name = read_workload_name(reader);
   workload.seed = static_cast<uint64_t>(reader.integer("seed", 1, 0, INT64_MAX));
   workload.requests_per_second = reader.number("requests_per_second", 20, 0.001, 100000);
   workload.duration = from_seconds(reader.number("duration_s", 10, 0.1, 86400));
--- a/tools/local_fleet.cc
+++ b/tools/local_fleet.cc
@@ -25,6 +25,9 @@
 
 LocalFleet::LocalFleet(ProcessFleet& processes, const LocalFleetSettings& settings)
     : processes_(processes), settings_(settings) {
+  if (settings.cuttable_links) {
+    links_ = std::make_unique<LinkProxy>();
+  }
   add_controls();
   add_backends();
   add_routers();
@@ -35,12 +38,24 @@
   return processes_.work_folder() + "/" + name + ".ledger";
 }
 
+Endpoint LocalFleet::reached_at(const std::string& name, const Endpoint& listen) {
+  if (links_ == nullptr) {
+    return listen;
+  }
+  Endpoint proxied = processes_.free_endpoint();
+  links_->add_link(name, proxied, listen);
+  return proxied;
+}
+
 void LocalFleet::add_controls() {
   http_["platform"] = processes_.free_endpoint();
   processes_.add("platform", "standin-platform",
                  {"listen=" + quoted_text(to_string(http_["platform"])), "lag_ms=200"});
+  std::vector<std::string> listens;
   for (uint32_t number = 1; number <= settings_.controls; ++number) {
-    control_endpoints_.push_back(to_string(processes_.free_endpoint()));
+    const Endpoint listen = processes_.free_endpoint();
+    listens.push_back(to_string(listen));
+    control_endpoints_.push_back(to_string(reached_at(numbered("control", number), listen)));
   }
   for (uint32_t number = 1; number <= settings_.controls; ++number) {
     const std::string name = numbered("control", number);
@@ -53,7 +68,8 @@
       }
     }
     std::vector<std::string> values{"name=" + quoted_text(name),
-                                    "listen=" + quoted_text(control_endpoints_[number - 1]),
+                                    "listen=" + quoted_text(listens[number - 1]),
+                                    "advertise=" + quoted_text(control_endpoints_[number - 1]),
                                     "admin=" + quoted_text(to_string(http_[name])),
                                     "data_folder=" + quoted_text(processes_.folder(name)),
                                     "platform=" + quoted_text(to_string(http_["platform"])),
@@ -77,6 +93,7 @@
   for (uint32_t number = 1; number <= settings_.engines; ++number) {
     const std::string name = numbered("engine", number);
     http_[name] = processes_.free_endpoint();
+    engine_endpoints_[name] = reached_at(name, http_[name]);
     std::vector<std::string> values{"name=" + quoted_text(name),
                                     "listen=" + quoted_text(to_string(http_[name])),
                                     "model=" + quoted_text(names.model),
@@ -97,9 +114,11 @@
   for (uint32_t number = 1; number <= settings_.routers; ++number) {
     const std::string name = numbered("router", number);
     http_[name] = processes_.free_endpoint();
+    const Endpoint listen = processes_.free_endpoint();
     std::vector<std::string> values{"name=" + quoted_text(name),
                                     "zone=" + quoted_text(kZone),
-                                    "listen=" + quoted_text(to_string(processes_.free_endpoint())),
+                                    "listen=" + quoted_text(to_string(listen)),
+                                    "advertise=" + quoted_text(to_string(reached_at(name, listen))),
                                     "http=" + quoted_text(to_string(http_[name])),
                                     "data_folder=" + quoted_text(processes_.folder(name)),
                                     "control_poll_ms=200",
@@ -137,7 +156,7 @@
                        {"kind", "engine"},
                        {"serves", names.model},
                        {"zone", kZone},
-                       {"endpoint", to_string(http_.at(name))}}}});
+                       {"endpoint", to_string(engine_endpoints_.at(name))}}}});
   }
   for (const std::string& name : names_with_prefix("plain-")) {
     items.push_back({{"backend",
@@ -246,6 +265,19 @@
   return body.is_discarded() ? json() : body;
 }
 
+std::vector<std::string> LocalFleet::nodes_below(uint64_t version) const {
+  std::vector<std::string> below;
+  for (const char* prefix : {"router-", "sidecar-"}) {
+    for (const std::string& name : names_with_prefix(prefix)) {
+      const json status = get(name, "/status");
+      if (!status.is_object() || status["version"] < version) {
+        below.push_back(name);
+      }
+    }
+  }
+  return below;
+}
+
 std::string LocalFleet::leader() const {
   for (const std::string& name : names_with_prefix("control-")) {
     const json status = get(name, "/status");
--- a/tools/local_fleet.h
+++ b/tools/local_fleet.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
 #include "src/http/blocking.h"
+#include "tools/link_proxy.h"
 #include "tools/process_fleet.h"
 #include "tools/workload.h"
 
@@ -25,6 +27,7 @@
   std::vector<std::string> engine_settings;
   std::vector<std::string> sidecar_settings;
   std::vector<std::string> control_settings;
+  bool cuttable_links = false;  ///< control members, routers and engines are reached through a LinkProxy
 };
 
 /// Names: control-1, router-1, sidecar-1, engine-1, plain-1, platform; counted from 1.
@@ -52,6 +55,10 @@
                            Duration limit = Duration(10s)) const;
   /// Makes a configuration change on top of the present version; throws when it is refused.
   void change(const nlohmann::json& items);
+  /// The name of the model that the engines serve.
+  std::string model() const { return deployment_names(settings_.workload).model; }
+  /// Routers and sidecars that do not have this version in force, or do not answer.
+  std::vector<std::string> nodes_below(uint64_t version) const;
   /// The name of the leading control member; empty when there is none.
   std::string leader() const;
   /// Waits until `condition` holds; false after `limit`.
@@ -59,6 +66,8 @@
   /// Runs per idempotency key, counted over the ledger files of engines and services. Outlives their kills.
   std::map<std::string, uint32_t> runs_per_key() const;
   ProcessFleet& processes() { return processes_; }
+  /// The links to control members, routers and engines, by their names; for fleets with `cuttable_links`.
+  LinkProxy& links() { return *links_; }
 
  private:
   void add_controls();
@@ -68,11 +77,15 @@
   nlohmann::json configuration_items() const;
   std::string control_list() const;
   std::string ledger_file(const std::string& name) const;
+  /// Where others reach a process that listens at `listen`.
+  Endpoint reached_at(const std::string& name, const Endpoint& listen);
 
   ProcessFleet& processes_;
   LocalFleetSettings settings_;
   std::map<std::string, Endpoint> http_;
-  std::vector<std::string> control_endpoints_;
+  std::map<std::string, Endpoint> engine_endpoints_;  ///< where routers reach the engines
+  std::vector<std::string> control_endpoints_;        ///< where peers and nodes reach the members
+  std::unique_ptr<LinkProxy> links_;
   uint64_t last_change_ = 0;
   uint64_t version_ = 0;  ///< that the last change brought
 };
--- a/tools/process_fleet.cc
+++ b/tools/process_fleet.cc
@@ -89,6 +89,8 @@
     const int log = open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
+    // A child that held this process's sockets would keep their connections open.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(program.c_str(), raw_arguments.data());
     _exit(127);
   }
--- a/tools/workload.cc
+++ b/tools/workload.cc
@@ -135,6 +135,14 @@
   return "unknown";
 }
 
+std::string read_workload_name(SettingsReader& reader) {
+  std::string name = reader.text("workload", "derwent");
+  if (name != "derwent" && name != "kavelwind") {
+    reader.add_finding("workload", "must be derwent or kavelwind");
+  }
+  return name;
+}
+
 DeploymentNames deployment_names(const WorkloadSettings& settings) {
   DeploymentNames names;
   const bool kavelwind = settings.name == "kavelwind";
--- a/tools/workload.h
+++ b/tools/workload.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "src/common/random.h"
+#include "src/common/settings.h"
 #include "src/common/time.h"
 
 namespace stoat::tools {
@@ -48,6 +49,9 @@
   Duration hot_shift{0};          ///< every so often another document becomes the hot one; 0: never
 };
 
+/// Reads the setting "workload"; another name than that of a workload becomes a finding.
+std::string read_workload_name(SettingsReader& reader);
+
 /// The service, model and tenant names of a deployment.
 struct DeploymentNames {
   std::string model;
