Close a channel whose peer takes nothing instead of keeping all that is sent

Cause: a process that is cut off in silence closes nothing, so everything that others send it waited in their memory: raft messages, load digests and block changes, for as long as the cut lasts ("regions lose each other for an hour").

Ruled out: the kernel's own limits (they bound only its buffers, a few MB); TCP keep-alive (it does not run while data is unacknowledged).

Change: a channel is closed, with its handler called, when more than 16 MB wait, or when it took nothing of what waits for 10 s; the latter also ends attempts to connect that nobody answers.

Conclusion: memory at a cut is bounded by 16 MB for each peer, and in the usual case by 10 s of traffic to it.

--- a/src/wire/channel.cc
+++ b/src/wire/channel.cc
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr size_t kLengthBytes = 4;
+/// A connection that can't be made, or takes nothing of what waits, for so long counts as cut off.
+constexpr timeval kWriteStall{10, 0};
 
 uint64_t next_channel_id() {
   static uint64_t last = 0;
@@ -40,6 +42,7 @@
   channel->on_message_ = std::move(on_message);
   channel->on_closed_ = std::move(on_closed);
   bufferevent_setcb(connection, &Channel::on_readable, nullptr, &Channel::on_event, channel.get());
+  bufferevent_set_timeouts(connection, nullptr, &kWriteStall);
   bufferevent_enable(connection, EV_READ | EV_WRITE);
   return channel;
 }
@@ -64,7 +67,13 @@
 }
 
 void Channel::send(const Message& message) {
-  if (connection_ == nullptr) {
+  if (connection_ == nullptr || overflowed_) {
+    return;
+  }
+  if (unsent_bytes() > kMaxUnsentBytes) {
+    // Not now: the sender is not to find its channel closed by its own call.
+    overflowed_ = true;
+    bufferevent_trigger_event(connection_, BEV_EVENT_ERROR, BEV_TRIG_DEFER_CALLBACKS);
     return;
   }
   const std::string frame = make_frame(message);
@@ -72,6 +81,10 @@
   bufferevent_write(connection_, frame.data(), frame.size());
 }
 
+size_t Channel::unsent_bytes() const {
+  return connection_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(connection_));
+}
+
 void Channel::close() {
   if (connection_ == nullptr) {
     return;
--- a/src/wire/channel.h
+++ b/src/wire/channel.h
@@ -19,6 +19,10 @@
 /// The largest frame that is accepted, in bytes. A longer one closes the connection.
 inline constexpr uint32_t kMaxFrameBytes = 64U << 20U;
 
+/// The most that may wait to be written on a connection, in bytes, before it counts as cut off and is closed.
+/// A message that finds less waiting is still taken whole.
+inline constexpr size_t kMaxUnsentBytes = 16U << 20U;
+
 /// One frame for a message.
 std::string make_frame(const Message& message);
 
@@ -36,13 +40,17 @@
                                           MessageHandler on_message, ClosedHandler on_closed);
   ~Channel();
 
-  /// Queues a message. Does nothing on a closed channel.
+  /// Queues a message. Does nothing on a closed channel. One that finds more than kMaxUnsentBytes waiting is
+  /// dropped, and the channel is closed soon after, with its closed handler.
   void send(const Message& message);
   /// Closes without calling the closed handler.
   void close();
   bool open() const { return connection_ != nullptr; }
   uint64_t id() const { return id_; }
   uint64_t sent_bytes() const { return sent_bytes_; }
+  /// Bytes that wait to be written, because the other side does not take them or the connection is not made
+  /// yet.
+  size_t unsent_bytes() const;
 
  private:
   Channel() = default;
@@ -54,6 +62,7 @@
   bufferevent* connection_ = nullptr;
   uint64_t id_ = 0;
   uint64_t sent_bytes_ = 0;
+  bool overflowed_ = false;  ///< more was to be sent than kMaxUnsentBytes; about to be closed
   std::shared_ptr<Channel> self_;
   MessageHandler on_message_;
   ClosedHandler on_closed_;
--- a/tools/chaos_run.cc
+++ b/tools/chaos_run.cc
@@ -165,7 +165,10 @@
 void FaultRunner::stop_and_check(const std::string& name) {
   const int status = fleet_.processes().wait_stopped(name, kStopLimit);
   if (status != 0) {
-    violations_.push_back(name + " ended with status " + std::to_string(status) + " after a planned stop");
+    std::string violation = name;
+    violation += " ended with status " + std::to_string(status);
+    violation += " after a planned stop";
+    violations_.push_back(std::move(violation));
   }
 }
 
