Keep requests in the region of their caller, and let another region serve where that one can't

Cause: a router placed requests on every engine of the configuration. It gets loads and cache events of its own region only, so engines of other regions looked idle to it and were chosen. A sidecar used routers of its own region only, so the loss of these lost its callers, and a model that only another region has was placed by a router that knows nothing of it.

Ruled out: digests between regions (bytes a second across regions for loads that are old on arrival).

Change: a router leaves engines of other regions alone as long as its own has one of the model that is neither draining nor leaving. A sidecar prefers routers of its own region, or of the regions that serve the model when its own does not, and takes any other when there are none. The simulator deals processes out to regions, with a delay between them, and can cut the first region, which has control, off from the others.

Regions on real processes are not run.

--- a/simulation/fleet_backends.cc
+++ b/simulation/fleet_backends.cc
@@ -3,6 +3,7 @@
 
 #include "simulation/fleet_simulation.h"
 #include "src/cache/block_chain.h"
+#include "src/common/zone.h"
 
 namespace stoat::simulation {
 
@@ -156,6 +157,10 @@
   if (action.kind != router::CallKind::kResume) {
     checks_.on_dispatch(events_.now(), action.backend);
   }
+  if (call.engine >= 0) {
+    const std::string region = region_of(zones_.at(routers_[router].name));
+    cross_region_dispatches_ += region_of(zones_.at(action.backend)) != region ? 1 : 0;
+  }
   if (action.kind == router::CallKind::kPlain) {
     start_plain_call(router, action);
   } else {
--- a/simulation/fleet_routers.cc
+++ b/simulation/fleet_routers.cc
@@ -68,7 +68,7 @@
   router.kept.clear();
   router::RouterOptions options = options_.router;
   options.name = router.name;
-  options.zone = kSimulatedZone;
+  options.zone = zones_.at(router.name);
   router.metrics = std::make_unique<Metrics>();
   router.core =
       std::make_unique<router::RouterCore>(options, random_.bits(), events_.now(), router.metrics.get());
--- a/simulation/fleet_sidecars.cc
+++ b/simulation/fleet_sidecars.cc
@@ -165,7 +165,7 @@
   ++sidecar.generation;
   sidecar::SidecarOptions options;
   options.name = sidecar.name;
-  options.zone = kSimulatedZone;
+  options.zone = zones_.at(sidecar.name);
   options.block_tokens = options_.router.block_tokens;
   sidecar.metrics = std::make_unique<Metrics>();
   sidecar.core = std::make_unique<sidecar::SidecarCore>(options, random_.bits(), sidecar.metrics.get());
--- a/simulation/fleet_simulation.h
+++ b/simulation/fleet_simulation.h
@@ -19,8 +19,8 @@
 
 namespace stoat::simulation {
 
-/// The one zone of a simulated fleet.
-inline constexpr char kSimulatedZone[] = "region/zone";
+/// The zone of a process by its position among those of its kind: they are dealt out to the regions in turn.
+std::string simulated_zone(size_t position, uint32_t regions);
 
 /// Size, settings and faults of a run.
 struct FleetSimulationOptions {
@@ -29,11 +29,14 @@
   uint32_t sidecars = 2;
   uint32_t engines = 6;
   uint32_t plain_backends = 2;
+  uint32_t regions = 1;
+  bool models_in_last_region_only = false;  ///< the last region alone has engines
   tools::WorkloadSettings workload;
   router::RouterOptions router;
   standins::EngineSettings engine;
   Duration least_delay{700us};  ///< one way between any two processes
   Duration most_delay{1600us};
+  Duration region_delay{10ms};  ///< added one way between regions
   bool random_faults = false;
   bool callers_retry = false;       ///< a refused caller asks again
   bool retries_heed_advice = true;  ///< it waits as long as Retry-After says
@@ -77,6 +80,10 @@
   void leave_engine_by_platform(size_t position);
   void order_weights(const std::string& version);
   void set_control_available(bool available) { control_available_ = available; }
+  /// The first region, with control, and all others lose each other: what is sent between them waits.
+  void cut_regions();
+  /// Delivers what waited.
+  void join_regions();
   void lose_next_control_answers(uint32_t count) { control_answers_to_lose_ = count; }
   void set_caller_gone(size_t record);
   void set_table(const control::PolicyTable& table);
@@ -90,6 +97,8 @@
   int engine_of(size_t record) const;
   int router_of(size_t record) const;
   TimePoint now() const { return events_.now(); }
+  /// Requests that a router sent to an engine of another region.
+  size_t cross_region_dispatches() const { return cross_region_dispatches_; }
   FleetChecks& checks() { return checks_; }
   const control::StateMachine& control_state() const { return control_state_; }
 
@@ -147,6 +156,10 @@
   void check_silent_calls();
   Duration delay();
   void deliver_in_order(const std::string& from, const std::string& to, std::function<void()> action);
+  std::string zone_of(size_t position) const { return simulated_zone(position, options_.regions); }
+  size_t engine_zone_position(size_t position) const;
+  bool cut_off(const std::string& zone) const;
+  bool control_reachable(const std::string& zone) const { return control_available_ && !cut_off(zone); }
 
   void run_sidecar_actions(size_t position);
   void perform(size_t sidecar, sidecar::SendToRouter& action);
@@ -193,6 +206,10 @@
   bool control_available_ = true;
   uint32_t control_answers_to_lose_ = 0;
   std::set<std::string> leaving_;
+  std::map<std::string, std::string> zones_;  ///< of all processes, by name
+  bool regions_cut_ = false;
+  std::vector<std::function<void()>> kept_between_regions_;
+  size_t cross_region_dispatches_ = 0;
   std::vector<tools::PlannedRequest> plan_;
   size_t next_planned_ = 0;
   TimePoint started_at_{0};
--- a/src/router/router_core.cc
+++ b/src/router/router_core.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "src/common/hash.h"
+#include "src/common/zone.h"
 #include "src/control/prompt_namespace.h"
 #include "src/router/router_limits.h"
 
@@ -25,6 +26,7 @@
       random_(seed),
       metrics_(metrics),
       owners_changed_at_(now),
+      serving_(region_of(options.zone)),
       policy_(placement::make_policy(options.policy, costs_)),
       expected_(std::make_unique<cache::PrefixIndex>()),
       expected_before_(std::make_unique<cache::PrefixIndex>()),
--- a/src/router/router_dispatch.cc
+++ b/src/router/router_dispatch.cc
@@ -56,7 +56,8 @@
     const EngineState& state = *entry.state;
     const bool other_weights = !wanted_weights.empty() && !state.load.weights_version.empty() &&
                                state.load.weights_version != wanted_weights;
-    if (other_weights || !usable(request, entry, now)) {
+    const bool out_of_reach = serving.served_locally && !entry.local;
+    if (out_of_reach || other_weights || !usable(request, entry, now)) {
       continue;
     }
     placement::Candidate candidate;
--- a/src/router/serving_table.h
+++ b/src/router/serving_table.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "src/common/hash.h"
+#include "src/common/zone.h"
 #include "src/control/configuration.h"
 #include "src/delivery/outlier_detector.h"
 #include "src/router/engine_table.h"
@@ -22,17 +23,24 @@
   delivery::OutlierDetector::Handle health = nullptr;
   uint64_t name_hash = 0;
   bool leaving = false;  ///< on the platform's list
+  bool local = true;     ///< in this router's region
 };
 
 /// The back ends of one model or service, in the order of their names.
 struct ServingList {
   std::vector<ServingEntry> entries;
   std::unordered_map<uint64_t, uint32_t> position_of_hash;  ///< by ServingEntry::name_hash
+  /// Some back end of this router's region is neither draining nor leaving; those of other regions, whose
+  /// loads and caches it does not know, are then left alone.
+  bool served_locally = false;
 };
 
 /// See the head of this file.
 class ServingTable {
  public:
+  /// `region`: of the router.
+  explicit ServingTable(std::string region) : region_(std::move(region)) {}
+
   /// To be called for every new configuration, which must outlive the entries.
   void rebuild(const control::Configuration& configuration, EngineTable& engines,
                delivery::OutlierDetector& outliers) {
@@ -43,21 +51,18 @@
       entry.state = &engines.at(name);
       entry.health = outliers.handle_of(name);
       entry.name_hash = hash_bytes(name);
-      entry.leaving = leaving_.count(name) > 0;
+      entry.local = region_of(backend.zone) == region_;
       ServingList& list = lists_[backend.serves];
       list.position_of_hash[entry.name_hash] = static_cast<uint32_t>(list.entries.size());
       list.entries.push_back(entry);
     }
+    note_leaving();
   }
 
   /// Takes the platform's list of leaving back ends.
   void set_leaving(const std::vector<std::string>& backends) {
     leaving_ = std::set<std::string>(backends.begin(), backends.end());
-    for (auto& [serves, list] : lists_) {
-      for (ServingEntry& entry : list.entries) {
-        entry.leaving = leaving_.count(entry.backend->name) > 0;
-      }
-    }
+    note_leaving();
   }
 
   /// The back ends of a model or service.
@@ -68,6 +73,17 @@
   }
 
  private:
+  void note_leaving() {
+    for (auto& [serves, list] : lists_) {
+      list.served_locally = false;
+      for (ServingEntry& entry : list.entries) {
+        entry.leaving = leaving_.count(entry.backend->name) > 0;
+        list.served_locally |= entry.local && !entry.leaving && !entry.backend->draining;
+      }
+    }
+  }
+
+  std::string region_;
   std::map<std::string, ServingList> lists_;
   std::set<std::string> leaving_;
 };
--- a/src/sidecar/sidecar_core.cc
+++ b/src/sidecar/sidecar_core.cc
@@ -63,15 +63,27 @@
   return request_id;
 }
 
-std::string SidecarCore::choose_router(const Request& request, TimePoint now) const {
-  std::vector<std::string> usable;
-  std::vector<std::string> untried;
+std::vector<std::string> SidecarCore::eligible_routers(const Request& request, TimePoint now) const {
+  const std::string region = region_of(options_.zone);
+  const std::set<std::string>& serving = serving_regions_.of(request.submit.serves);
+  const bool served_here = serving.empty() || serving.count(region) > 0;
+  std::vector<std::string> preferred;
+  std::vector<std::string> others;
   for (const auto& [name, state] : routers_) {
-    const bool same_region = region_of(state.node.zone) == region_of(options_.zone);
-    if (!same_region || state.draining || state.node.draining || now < state.avoid_until) {
+    if (state.draining || state.node.draining || now < state.avoid_until) {
       continue;
     }
-    usable.push_back(name);
+    const std::string router_region = region_of(state.node.zone);
+    const bool fits = served_here ? router_region == region : serving.count(router_region) > 0;
+    (fits ? preferred : others).push_back(name);
+  }
+  return preferred.empty() ? others : preferred;
+}
+
+std::string SidecarCore::choose_router(const Request& request, TimePoint now) const {
+  const std::vector<std::string> usable = eligible_routers(request, now);
+  std::vector<std::string> untried;
+  for (const std::string& name : usable) {
     if (request.tried.count(name) == 0) {
       untried.push_back(name);
     }
@@ -277,6 +289,7 @@
 void SidecarCore::on_configuration(const control::Configuration& configuration) {
   if (configuration.version >= configuration_.version) {
     configuration_ = configuration;
+    serving_regions_ = control::ServingRegions(configuration);
   }
 }
 
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -14,6 +14,7 @@
 #include "src/common/metrics.h"
 #include "src/common/random.h"
 #include "src/common/time.h"
+#include "src/control/serving_regions.h"
 #include "src/delivery/stream_assembler.h"
 #include "src/wire/messages.h"
 
@@ -118,6 +119,9 @@
 
   uint64_t prefix_key_of(const CallerRequest& caller) const;
   std::string choose_router(const Request& request, TimePoint now) const;
+  /// Routers that may get new requests: those of the caller's region, or of the regions that serve the model
+  /// or service when the caller's does not; any region's when these have none.
+  std::vector<std::string> eligible_routers(const Request& request, TimePoint now) const;
   void submit(uint64_t request_id, Request& request, TimePoint now);
   void resubmit(uint64_t request_id, Request& request, TimePoint now);
   void on_piece(const wire::StreamPiece& piece, TimePoint now);
@@ -131,6 +135,7 @@
   Random random_;
   Metrics* metrics_;
   control::Configuration configuration_;
+  control::ServingRegions serving_regions_;
   std::map<std::string, RouterState> routers_;
   std::unordered_map<uint64_t, Request> requests_;
   std::unordered_map<ExchangeId, uint64_t> exchanges_;
