--- a/simulation/fleet_backends.cc
+++ b/simulation/fleet_backends.cc
@@ -10,9 +10,7 @@
 namespace {
 
 constexpr Duration kBackendSilence = 5s;
-constexpr Duration kFeedTimeout = 2s;
 constexpr Duration kPlainWork = 20ms;
-constexpr size_t kFeedPage = 5000;
 
 const char* refusal_of(standins::Refusal refusal) { return standins::refusal_name(refusal); }
 
@@ -106,6 +104,7 @@
       continue;
     }
     const auto outputs = engine.model->advance(events_.now());
+    export_to_store(*engine.model);
     check_engine_ledger(position);
     for (const standins::EngineOutput& output : outputs) {
       deliver_output(position, output);
@@ -141,7 +140,8 @@
     }
     const uint64_t elsewhere_tokens =
         std::min<uint64_t>(line.prompt_tokens, held_elsewhere * options_.router.block_tokens);
-    const uint64_t wasted = elsewhere_tokens > line.cached_tokens ? elsewhere_tokens - line.cached_tokens : 0;
+    const uint64_t reused_tokens = line.cached_tokens + line.imported_tokens;
+    const uint64_t wasted = elsewhere_tokens > reused_tokens ? elsewhere_tokens - reused_tokens : 0;
     checks_.on_engine_start(events_.now(), engine.name, engine.model->incarnation(), line, prompt,
                             options_.router.block_tokens, wasted);
     return true;
@@ -233,6 +233,9 @@
   request.priority = call.priority;
   request.expected_incarnation = call.expected_incarnation;
   request.expected_weights = call.expected_weights;
+  request.import_blocks = call.kv_transfer.import_blocks;
+  request.export_blocks = call.kv_transfer.export_blocks;
+  import_from_store(request);
   seed_of_request_[call.request_id] = call.cache_seed;
   const standins::Refusal refusal = engine.model->submit(request, events_.now());
   if (refusal != standins::Refusal::kNone) {
@@ -340,75 +343,6 @@
   });
 }
 
-void FleetSimulation::perform(size_t router, router::PollFeed& action) {
-  const auto engine = static_cast<size_t>(engine_position(action.backend));
-  const uint64_t generation = routers_[router].generation;
-  const std::string name = action.backend;
-  const auto fail = [this, router, generation, name] {
-    events_.after(delay(), [this, router, generation, name] {
-      on_router(router, generation,
-                [this, router, name] { routers_[router].core->on_feed_failure(name, events_.now()); });
-    });
-  };
-  if (engines_[engine].frozen) {
-    events_.after(kFeedTimeout, fail);
-    return;
-  }
-  deliver_in_order(routers_[router].name, name, [this, router, engine, generation, name, fail, action] {
-    on_engine(
-        engine,
-        [this, router, engine, generation, name, action] {
-          standins::EngineModel& model = *engines_[engine].model;
-          cache::FeedPage page;
-          page.incarnation = model.incarnation();
-          page.oldest_sequence = model.prefix_cache().oldest_sequence();
-          for (const standins::CacheEvent& event :
-               model.prefix_cache().events_after(action.after_sequence, kFeedPage, events_.now())) {
-            page.events.push_back({event.sequence, event.stored, event.block, event.parent});
-          }
-          const standins::EngineLoadReport report = model.load(events_.now());
-          const wire::EngineLoad load{
-              name,           report.incarnation,    report.running, report.waiting, report.waiting_tokens,
-              report.leaving, report.weights_version};
-          deliver_in_order(name, routers_[router].name, [this, router, generation, name, page, load] {
-            on_router(router, generation, [this, router, name, page, load] {
-              routers_[router].core->on_feed_page(name, page, load, events_.now());
-            });
-          });
-        },
-        fail);
-  });
-}
-
-void FleetSimulation::perform(size_t router, router::FetchSnapshot& action) {
-  const auto engine = static_cast<size_t>(engine_position(action.backend));
-  const uint64_t generation = routers_[router].generation;
-  const std::string name = action.backend;
-  const auto fail = [this, router, generation, name] {
-    on_router(router, generation,
-              [this, router, name] { routers_[router].core->on_feed_failure(name, events_.now()); });
-  };
-  deliver_in_order(routers_[router].name, name, [this, router, engine, generation, name, fail] {
-    on_engine(
-        engine,
-        [this, router, engine, generation, name] {
-          const standins::EngineModel& model = *engines_[engine].model;
-          cache::FeedSnapshot snapshot;
-          snapshot.incarnation = model.incarnation();
-          snapshot.sequence = model.prefix_cache().last_sequence();
-          for (const standins::CachedBlock& block : model.prefix_cache().snapshot()) {
-            snapshot.blocks.emplace_back(block.block, block.parent);
-          }
-          deliver_in_order(name, routers_[router].name, [this, router, generation, name, snapshot] {
-            on_router(router, generation, [this, router, name, snapshot] {
-              routers_[router].core->on_feed_snapshot(name, snapshot, events_.now());
-            });
-          });
-        },
-        fail);
-  });
-}
-
 void FleetSimulation::check_silent_calls() {
   std::vector<std::pair<size_t, router::CallId>> silent;
   for (const auto& [key, call] : calls_) {
--- a/simulation/fleet_checks.cc
+++ b/simulation/fleet_checks.cc
@@ -42,20 +42,29 @@
                                   const standins::LedgerLine& line, const std::string& prompt,
                                   uint32_t block_tokens, uint64_t wasted_tokens) {
   prompt_tokens_ += line.prompt_tokens;
-  cached_tokens_ += line.cached_tokens;
+  cached_tokens_ += line.cached_tokens + line.imported_tokens;
+  imported_tokens_ += line.imported_tokens;
   wasted_tokens_ += wasted_tokens;
-  // What was reused must have been computed by this very incarnation, for this tenant, under these weights.
-  const uint64_t owner = hash_bytes(line.tenant + "\n" + line.weights_version, incarnation);
+  // What was reused must have been computed for this tenant, under these weights: by this very incarnation,
+  // or by any when it was imported.
+  const uint64_t any_engine = hash_bytes(line.tenant + "\n" + line.weights_version);
+  const uint64_t owner = hash_pair(any_engine, incarnation);
   const size_t block_bytes = block_tokens * kBytesPerToken;
-  uint64_t prefix = owner;
+  const uint32_t reused_tokens = line.cached_tokens + line.imported_tokens;
+  uint64_t prefix = 0;
   for (size_t end = block_bytes; end <= prompt.size(); end += block_bytes) {
     prefix = hash_pair(prefix, hash_bytes(std::string_view(prompt).substr(end - block_bytes, block_bytes)));
-    const bool reused = end <= line.cached_tokens * kBytesPerToken;
-    if (reused && computed_prefixes_.count(prefix) == 0) {
+    const bool cached = end <= line.cached_tokens * kBytesPerToken;
+    const bool imported = !cached && end <= reused_tokens * kBytesPerToken;
+    const uint64_t held_here = hash_pair(owner, prefix);
+    const uint64_t held_anywhere = hash_pair(any_engine, prefix);
+    if ((cached && computed_prefixes_.count(held_here) == 0) ||
+        (imported && exportable_prefixes_.count(held_anywhere) == 0)) {
       violate(now, "request of " + line.tenant + " on " + engine + " reused blocks that are not its own");
       return;
     }
-    computed_prefixes_.insert(prefix);
+    computed_prefixes_.insert(held_here);
+    exportable_prefixes_.insert(held_anywhere);
   }
 }
 
@@ -152,6 +161,7 @@
   report.prompt_tokens = prompt_tokens_;
   report.prefilled_tokens = prompt_tokens_ - cached_tokens_;
   report.wasted_tokens = wasted_tokens_;
+  report.imported_tokens = imported_tokens_;
   report.hit_rate =
       prompt_tokens_ == 0 ? 0 : static_cast<double>(cached_tokens_) / static_cast<double>(prompt_tokens_);
   report.first_token_p50_ms = first_token.quantile(0.5);
--- a/simulation/fleet_checks.h
+++ b/simulation/fleet_checks.h
@@ -37,7 +37,8 @@
   size_t not_run = 0;
   size_t unknown = 0;
   size_t failed = 0;
-  double hit_rate = 0;  ///< prompt tokens found in the engine's cache, as a share
+  double hit_rate = 0;  ///< prompt tokens found in the engine's cache or imported, as a share
+  uint64_t imported_tokens = 0;
   uint64_t prompt_tokens = 0;
   uint64_t prefilled_tokens = 0;
   uint64_t wasted_tokens = 0;  ///< prefilled although another live engine's cache held them
@@ -78,8 +79,11 @@
   std::map<std::string, TimePoint> leaving_since_;
   /// Hashes of (engine incarnation, tenant, weights, prompt prefix) that were computed there.
   std::unordered_set<uint64_t> computed_prefixes_;
+  /// The same without the incarnation: what may have been exported to a store and imported again.
+  std::unordered_set<uint64_t> exportable_prefixes_;
   uint64_t prompt_tokens_ = 0;
   uint64_t cached_tokens_ = 0;
+  uint64_t imported_tokens_ = 0;
   uint64_t wasted_tokens_ = 0;
 };
 
--- a/simulation/fleet_faults.cc
+++ b/simulation/fleet_faults.cc
@@ -54,10 +54,16 @@
       }
       break;
   }
+  if (options_.kv_store_blocks > 0 && random_.chance(0.1)) {
+    crash_kv_store();
+  }
   // Some of what was broken comes back.
   if (random_.chance(0.5)) {
     set_control_available(true);
   }
+  if (options_.kv_store_blocks > 0 && !kv_store_runs() && random_.chance(0.5)) {
+    start_kv_store();
+  }
   for (size_t position = 0; position < routers_.size(); ++position) {
     if (random_.chance(0.5)) {
       if (!router_runs(position)) {
@@ -80,6 +86,9 @@
 
 void FleetSimulation::heal_everything() {
   set_control_available(true);
+  if (options_.kv_store_blocks > 0 && !kv_store_runs()) {
+    start_kv_store();
+  }
   for (size_t position = 0; position < routers_.size(); ++position) {
     if (!router_runs(position)) {
       start_router(position);
--- a/simulation/fleet_simulation.cc
+++ b/simulation/fleet_simulation.cc
@@ -22,6 +22,7 @@
 constexpr Duration kFinishDeadline = 30s;
 constexpr Duration kEndLimit = 60s;
 constexpr char kCaller[] = "operator";
+constexpr char kStoreName[] = "kv-store";
 /// Calls go by name here; the configuration wants an address all the same.
 constexpr char kAnyEndpoint[] = "127.0.0.1:1";
 
@@ -60,6 +61,10 @@
   options_.workload.seed = options.seed;
   plan_ = tools::make_workload(options_.workload);
   const control::Configuration configuration = first_configuration();
+  if (options.kv_store_blocks > 0) {
+    zones_[kStoreName] = zone_of(0);
+    start_kv_store();
+  }
   for (uint32_t position = 0; position < options.engines; ++position) {
     engines_.emplace_back().name = numbered("engine", position);
     zones_[engines_.back().name] = zone_of(engine_zone_position(position));
@@ -120,6 +125,10 @@
     change.items.emplace_back(control::Backend{name, control::BackendKind::kPlain, names_.plain_service,
                                                kAnyEndpoint, zone_of(position), false});
   }
+  if (options_.kv_store_blocks > 0) {
+    change.items.emplace_back(control::Backend{kStoreName, control::BackendKind::kKvStore, names_.model,
+                                               kAnyEndpoint, zone_of(0), false});
+  }
   change.items.emplace_back(options_.table);
   if (control_state_.apply(change).code != control::ResultCode::kOk) {
     throw std::logic_error("the first configuration was refused");
--- a/simulation/fleet_simulation.h
+++ b/simulation/fleet_simulation.h
@@ -15,6 +15,7 @@
 #include "src/router/router_core.h"
 #include "src/sidecar/sidecar_core.h"
 #include "standins/engine_model.h"
+#include "standins/kv_store_model.h"
 #include "tools/workload.h"
 
 namespace stoat::simulation {
@@ -30,6 +31,7 @@
   uint32_t engines = 6;
   uint32_t plain_backends = 2;
   uint32_t regions = 1;
+  size_t kv_store_blocks = 0;               ///< capacity of the store of kept blocks; 0: there is none
   bool models_in_last_region_only = false;  ///< the last region alone has engines
   tools::WorkloadSettings workload;
   router::RouterOptions router;
@@ -77,6 +79,10 @@
   void freeze_engine(size_t position);
   void thaw_engine(size_t position);
   void crash_sidecar(size_t position);
+  /// The store loses all it has; down until started again.
+  void crash_kv_store() { kv_store_.reset(); }
+  void start_kv_store();
+  bool kv_store_runs() const { return kv_store_ != nullptr; }
   void leave_engine_by_platform(size_t position);
   void order_weights(const std::string& version);
   void set_control_available(bool available) { control_available_ = available; }
@@ -187,6 +193,13 @@
   void start_engine_call(size_t router, const router::StartCall& call);
   void submit_to_engine(size_t router, size_t engine, const router::StartCall& call);
   void resume_at_engine(size_t router, size_t engine, const router::StartCall& call);
+  using FeedOwnerAnswer = std::function<void(const standins::EngineCache&, const wire::EngineLoad&)>;
+  /// Asks an engine or the store for what it holds; `fail` when it is gone.
+  void ask_feed_owner(const std::string& backend, const FeedOwnerAnswer& answer,
+                      const std::function<void()>& fail);
+  wire::EngineLoad engine_load(const standins::EngineModel& model) const;
+  void import_from_store(standins::EngineRequest& request) const;
+  void export_to_store(standins::EngineModel& model);
   void start_plain_call(size_t router, const router::StartCall& call);
   void end_call(size_t router, router::CallId call_id, const router::CallResult& result);
   void deliver_output(size_t engine, const standins::EngineOutput& output);
@@ -216,6 +229,7 @@
   std::vector<SimulatedRouter> routers_;
   std::vector<SimulatedSidecar> sidecars_;
   std::vector<SimulatedEngine> engines_;
+  std::unique_ptr<standins::KvStoreModel> kv_store_;
   std::vector<CallerRecord> records_;
   std::map<uint64_t, size_t> record_of_request_;
   std::map<std::pair<size_t, sidecar::ExchangeId>, size_t> record_of_exchange_;
--- a/simulation/simulate_main.cc
+++ b/simulation/simulate_main.cc
@@ -15,6 +15,7 @@
   Duration duration{20s};
   uint32_t voters = 3;
   std::string workload;
+  size_t kv_store_blocks = 0;
 };
 
 SimulateSettings read_settings(SettingsReader& reader) {
@@ -24,6 +25,7 @@
     reader.add_finding("what", "must be control or fleet");
   }
   settings.workload = reader.text("workload", "kavelwind");
+  settings.kv_store_blocks = static_cast<size_t>(reader.integer("kv_store_blocks", 0, 0, 100000000));
   settings.first_seed = static_cast<uint64_t>(reader.integer("first_seed", 1, 0, INT64_MAX));
   settings.seeds = static_cast<uint64_t>(reader.integer("seeds", 200, 1, 100000000));
   settings.duration = from_seconds(reader.number("duration_s", 20, 0.1, 86400));
@@ -52,8 +54,9 @@
 }
 
 bool run_fleet(const SimulateSettings& settings, uint64_t seed) {
-  const FleetReport report =
-      FleetSimulation(faulty_fleet_options(seed, settings.workload, settings.duration)).run();
+  FleetSimulationOptions options = faulty_fleet_options(seed, settings.workload, settings.duration);
+  options.kv_store_blocks = settings.kv_store_blocks;
+  const FleetReport report = FleetSimulation(options).run();
   if (settings.seeds == 1 || !report.violations.empty()) {
     std::cout << "seed " << seed << ": requests " << report.requests << ", complete " << report.complete
               << ", not run " << report.not_run << ", unknown " << report.unknown << ", failed "
@@ -66,7 +69,8 @@
     std::cout << "seed " << seed << ": " << violation
               << "\n  replay: stoat-simulate --set what='\"fleet\"' --set workload='\"" << settings.workload
               << "\"' --set first_seed=" << seed
-              << " --set seeds=1 --set duration_s=" << to_seconds(settings.duration) << "\n";
+              << " --set seeds=1 --set duration_s=" << to_seconds(settings.duration)
+              << " --set kv_store_blocks=" << settings.kv_store_blocks << "\n";
   }
   return report.violations.empty();
 }
--- a/src/common/command_line.cc
+++ b/src/common/command_line.cc
@@ -49,6 +49,7 @@
         break;
       default:
         std::cout << program << " " << STOAT_VERSION << "\n";
+        poptFreeContext(context);
         std::exit(0);
     }
   }
--- a/src/control/configuration.cc
+++ b/src/control/configuration.cc
@@ -33,6 +33,27 @@
 
 }  // namespace
 
+const char* backend_kind_name(BackendKind kind) {
+  switch (kind) {
+    case BackendKind::kEngine:
+      return "engine";
+    case BackendKind::kPlain:
+      return "plain";
+    case BackendKind::kKvStore:
+      return "kv_store";
+  }
+  return "unknown";
+}
+
+std::optional<BackendKind> backend_kind_of(const std::string& name) {
+  for (const BackendKind kind : {BackendKind::kEngine, BackendKind::kPlain, BackendKind::kKvStore}) {
+    if (name == backend_kind_name(kind)) {
+      return kind;
+    }
+  }
+  return std::nullopt;
+}
+
 bool Configuration::apply(const VersionedChange& change) {
   if (change.version != version + 1) {
     return false;
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <msgpack.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,14 +30,24 @@
   bool operator==(const Model&) const = default;
 };
 
-/// What a back end is.
-enum class BackendKind : uint8_t { kEngine, kPlain };
+/// What a back end is. New kinds go at the end.
+enum class BackendKind : uint8_t {
+  kEngine,
+  kPlain,
+  kKvStore,  ///< keeps prefix blocks that engines export to it and import again
+};
+
+/// The name of a kind in the administration API.
+const char* backend_kind_name(BackendKind kind);
+
+/// The kind of a name, or nothing.
+std::optional<BackendKind> backend_kind_of(const std::string& name);
 
-/// An engine, or one instance of a plain service.
+/// An engine, one instance of a plain service, or a store of kept blocks.
 struct Backend {
   std::string name;
   BackendKind kind = BackendKind::kEngine;
-  std::string serves;    ///< model name of an engine, service name of a plain back end
+  std::string serves;    ///< model name of an engine or a store, service name of a plain back end
   std::string endpoint;  ///< "address:port"
   std::string zone;
   bool draining = false;
--- a/src/control/configuration_json.cc
+++ b/src/control/configuration_json.cc
@@ -126,11 +126,11 @@
   }
   if (kind == "backend") {
     const std::string type = reader.text("kind", true);
-    if (type != "engine" && type != "plain" && !type.empty()) {
-      reader.add("kind", "must be engine or plain");
+    const std::optional<BackendKind> backend_kind = backend_kind_of(type);
+    if (!backend_kind && !type.empty()) {
+      reader.add("kind", "must be engine, plain or kv_store");
     }
-    return ChangeItem(Backend{reader.text("name", true),
-                              type == "plain" ? BackendKind::kPlain : BackendKind::kEngine,
+    return ChangeItem(Backend{reader.text("name", true), backend_kind.value_or(BackendKind::kEngine),
                               reader.text("serves", true), reader.text("endpoint", true),
                               reader.text("zone", false), reader.flag("draining", false)});
   }
@@ -182,7 +182,7 @@
     json operator()(const Backend& backend) const {
       return {{"backend",
                {{"name", backend.name},
-                {"kind", backend.kind == BackendKind::kEngine ? "engine" : "plain"},
+                {"kind", backend_kind_name(backend.kind)},
                 {"serves", backend.serves},
                 {"endpoint", backend.endpoint},
                 {"zone", backend.zone},
--- a/src/control/control_client.cc
+++ b/src/control/control_client.cc
@@ -21,11 +21,7 @@
   last_call_id_ = random_.bits() >> 16U;
 }
 
-ControlClient::~ControlClient() {
-  for (auto& [member, channel] : channels_) {
-    channel->close();
-  }
-}
+ControlClient::~ControlClient() { wire::close_all(channels_); }
 
 std::string ControlClient::read_kept(const std::string& file) {
   const auto bytes = files_.read(file);
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -40,6 +40,9 @@
  public:
   /// Throws std::runtime_error when the disk's state is damaged or an address can't be bound.
   ControlServer(EventLoop& loop, const ControlSettings& settings);
+  ~ControlServer() { wire::close_all(peer_channels_); }
+  ControlServer(const ControlServer&) = delete;
+  ControlServer& operator=(const ControlServer&) = delete;
 
  private:
   /// A peer that has said that it has no state.
--- a/src/control/serving_regions.h
+++ b/src/control/serving_regions.h
@@ -16,7 +16,7 @@
   ServingRegions() = default;
   explicit ServingRegions(const Configuration& configuration) {
     for (const auto& [name, backend] : configuration.backends) {
-      if (!backend.draining) {
+      if (!backend.draining && backend.kind != BackendKind::kKvStore) {
         regions_[backend.serves].insert(region_of(backend.zone));
       }
     }
--- a/src/ctl/ctl_main.cc
+++ b/src/ctl/ctl_main.cc
@@ -65,7 +65,7 @@
        "VERSION"},
       {"api-key", 0, POPT_ARG_STRING, &api_key, 0, "API key of a tenant", "KEY"},
       {"group", 0, POPT_ARG_STRING, &group, 0, "tenants of one group share cached prefixes", "GROUP"},
-      {"kind", 0, POPT_ARG_STRING, &kind, 0, "engine or plain", "KIND"},
+      {"kind", 0, POPT_ARG_STRING, &kind, 0, "engine, plain or kv_store", "KIND"},
       {"serves", 0, POPT_ARG_STRING, &serves, 0, "model or service name", "NAME"},
       {"endpoint", 0, POPT_ARG_STRING, &endpoint, 0, "of a back end", "ADDRESS:PORT"},
       {"zone", 0, POPT_ARG_STRING, &zone, 0, "of a back end", "REGION/ZONE"},
--- a/src/placement/lowest_ttft.cc
+++ b/src/placement/lowest_ttft.cc
@@ -33,11 +33,18 @@
 
  private:
   double estimate(const RequestView& request, const Candidate& candidate) const {
-    const uint32_t missing = request.prompt_tokens - std::min(request.prompt_tokens, candidate.cached_tokens);
+    uint32_t missing = request.prompt_tokens - std::min(request.prompt_tokens, candidate.cached_tokens);
+    const uint32_t importable =
+        request.stored_tokens - std::min(request.stored_tokens, candidate.cached_tokens);
+    double import_us = 0;
+    if (costs_.import_pays(importable)) {
+      missing -= std::min(missing, importable);
+      import_us = costs_.import_us(importable);
+    }
     // The report lags and counts this router's requests too; what is pending is known exactly.
     const double queued = std::max(candidate.reported_tokens, candidate.pending_tokens);
     const double running = std::max(candidate.reported_running, candidate.outstanding);
-    return costs_.base_us() + costs_.prefill_us(queued + missing) + kRunningUs * running;
+    return costs_.base_us() + costs_.prefill_us(queued + missing) + import_us + kRunningUs * running;
   }
 
   /// Among equals: the one that holds most of the prompt; when none holds any, a stable choice by the prefix,
--- a/src/placement/policy.h
+++ b/src/placement/policy.h
@@ -14,7 +14,8 @@
 /// What a policy may know of a request.
 struct RequestView {
   uint32_t prompt_tokens = 0;
-  uint64_t prefix_key = 0;  ///< hash of the first block; equal for requests that share their beginning
+  uint64_t prefix_key = 0;     ///< hash of the first block; equal for requests that share their beginning
+  uint32_t stored_tokens = 0;  ///< of the prompt's beginning, in the store of kept blocks
 };
 
 /// What a policy may know of an engine that could take it.
--- a/src/router/engine_protocol.cc
+++ b/src/router/engine_protocol.cc
@@ -89,7 +89,14 @@
       break;
   }
   request.path = "/v1/completions";
+  json transfer;
+  if (!call.kv_transfer.store.empty()) {
+    transfer = {{"store", call.kv_transfer.store},
+                {"import_blocks", call.kv_transfer.import_blocks},
+                {"export_blocks", call.kv_transfer.export_blocks}};
+  }
   request.body = json{
+      {"kv_transfer", transfer},
       {"request_id", call.request_id},
       {"attempt", call.engine_attempt},
       {"idempotency_key", call.idempotency_key},
--- a/src/router/router_action.h
+++ b/src/router/router_action.h
@@ -40,6 +40,15 @@
   kPlain,     ///< a plain service's request
 };
 
+/// Blocks of the prompt that an engine moves from or to a store of kept blocks. Counted from the chain's
+/// beginning.
+struct KvTransfer {
+  std::string store;           ///< "address:port"; empty: nothing is moved
+  std::string store_name;      ///< back end
+  uint32_t import_blocks = 0;  ///< to be imported, as far as the engine does not hold them
+  uint32_t export_blocks = 0;  ///< to be exported after the prefill
+};
+
 /// Make a call to a back end; its progress comes back through on_piece() and on_call_end().
 struct StartCall {
   CallId call_id = 0;
@@ -60,6 +69,7 @@
   uint64_t expected_incarnation = 0;
   std::string expected_weights;
   bool repeatable = true;
+  KvTransfer kv_transfer;
 };
 
 /// Stop reading a call. When `stop_engine`, tell the engine to end its work too.
--- a/src/router/router_cluster.cc
+++ b/src/router/router_cluster.cc
@@ -13,6 +13,8 @@
 constexpr Duration kQuotaInterval = 1s;
 constexpr size_t kMaxChangesPerMessage = 2000;
 constexpr Duration kHotReviewInterval = 1s;
+/// Polls of a feed that fail in a row before its engine counts as silent.
+constexpr uint32_t kFailuresUntilSilent = 2;
 
 }  // namespace
 
@@ -41,7 +43,8 @@
 std::set<std::string> RouterCore::own_engines() const {
   std::map<std::string, std::vector<std::string>> engines_by_zone;
   for (const auto& [name, backend] : configuration_.backends) {
-    if (backend.kind == control::BackendKind::kEngine && region_of(backend.zone) == region()) {
+    const bool has_feed = backend.kind != control::BackendKind::kPlain;
+    if (has_feed && region_of(backend.zone) == region()) {
       engines_by_zone[backend.zone].push_back(name);
     }
   }
@@ -191,7 +194,7 @@
   }
   followed.poll_under_way = false;
   followed.next_poll = now + followed.backoff.next(random_);
-  if (++followed.failures == 2) {
+  if (++followed.failures == kFailuresUntilSilent) {
     outliers_.on_failure(engine, now);
   }
 }
@@ -347,7 +350,7 @@
   wire::LoadDigest digest;
   digest.home = options_.name;
   for (const auto& [engine, followed] : feeds_) {
-    if (followed.load_known) {
+    if (followed.load_known && followed.failures < kFailuresUntilSilent) {
       digest.loads.push_back(followed.load);
     }
   }
--- a/src/router/router_core.h
+++ b/src/router/router_core.h
@@ -85,6 +85,7 @@
   const control::Configuration& configuration() const { return configuration_; }
   const cache::PrefixIndex& index() const { return index_; }
   const EngineTable& engines() const { return engines_; }
+  const placement::CostModel& costs() const { return costs_; }
   const RouterOptions& options() const { return options_; }
   size_t followed_engines() const { return feeds_.size(); }
 
@@ -119,12 +120,21 @@
     uint32_t next_index = 0;
     std::string text;  ///< pieces passed on, kept for the claim's outcome and for going on elsewhere
     uint32_t missing_tokens = 0;
+    uint32_t import_tokens = 0;
     uint32_t pending_tokens = 0;  ///< counted in the engine's pending tokens until the first piece
     TimePoint dispatched_at{0};
     bool queue_was_empty = false;
     std::set<std::string> excluded;  ///< back ends that refused it
   };
 
+  /// What a placement chooses from.
+  struct PlacementInput {
+    std::vector<placement::Candidate> candidates;
+    const ServingEntry* store = nullptr;  ///< of kept blocks, for this prompt; nullptr: none can be used
+    uint32_t stored_blocks = 0;           ///< leading blocks of the prompt that the store holds
+    uint32_t shared_blocks = 0;  ///< leading blocks of the prompt that some engine holds or will hold
+  };
+
   /// A claim that was asked for.
   struct PendingClaim {
     uint64_t request_id = 0;
@@ -167,9 +177,16 @@
 
   // router_dispatch.cc: placement, calls to back ends, retries
   bool try_dispatch(Request& request, TimePoint now);
-  std::vector<placement::Candidate> candidates_for(const Request& request, TimePoint now);
+  PlacementInput placement_input(const Request& request, TimePoint now);
+  bool has_candidates(const Request& request, TimePoint now) {
+    return !placement_input(request, now).candidates.empty();
+  }
+  const ServingEntry* store_for(const Request& request, TimePoint now) const;
+  KvTransfer plan_transfer(Request& request, const PlacementInput& input, const placement::Candidate& chosen);
+  bool accepts_work(const ServingEntry& entry, TimePoint now) const;
   bool usable(const Request& request, const ServingEntry& entry, TimePoint now) const;
-  void start_call(Request& request, CallKind kind, const control::Backend& backend, TimePoint now);
+  void start_call(Request& request, CallKind kind, const control::Backend& backend,
+                  const KvTransfer& transfer, TimePoint now);
   void start_resume(Request& request, const wire::ResumePoint& where, TimePoint now);
   void leave_call(Request& request);
   void linger(Request& request, TimePoint now);
--- a/src/router/router_dispatch.cc
+++ b/src/router/router_dispatch.cc
@@ -18,6 +18,8 @@
 constexpr Duration kAvoidAfterRefusal = 500ms;
 constexpr Duration kLostRetryAfter = 1s;
 constexpr uint32_t kMaxResumes = 2;
+/// A store of kept blocks that was not heard of for so long is not used.
+constexpr Duration kStoreSilence = 5s;
 /// Refusals by engines that have restarted, which do not count as tries of a request.
 constexpr uint32_t kMaxRestartsMet = 8;
 
@@ -27,27 +29,45 @@
 
 }  // namespace
 
+bool RouterCore::accepts_work(const ServingEntry& entry, TimePoint now) const {
+  return !entry.backend->draining && !entry.leaving && !entry.state->load.leaving &&
+         now >= entry.state->avoid_until && outliers_.usable(entry.health, now);
+}
+
 bool RouterCore::usable(const Request& request, const ServingEntry& entry, TimePoint now) const {
   const control::Backend& backend = *entry.backend;
-  if (backend.kind != backend_kind(request.submit) || backend.draining || entry.leaving) {
+  if (backend.kind != backend_kind(request.submit) ||
+      entry.state->outstanding >= options_.max_engine_outstanding) {
     return false;
   }
   if (!request.excluded.empty() && request.excluded.count(backend.name) > 0) {
     return false;
   }
-  const EngineState& state = *entry.state;
-  if (state.load.leaving || now < state.avoid_until || state.outstanding >= options_.max_engine_outstanding) {
-    return false;
+  return accepts_work(entry, now);
+}
+
+const ServingEntry* RouterCore::store_for(const Request& request, TimePoint now) const {
+  const ServingEntry* best = nullptr;
+  uint64_t best_weight = 0;
+  for (const ServingEntry& entry : serving_.of(request.submit.serves).stores) {
+    const bool known = entry.state->load.incarnation != 0 && now - entry.state->load_seen_at < kStoreSilence;
+    // Rendezvous, so that all blocks of a prefix are in one store.
+    const uint64_t weight = hash_pair(request.prefix_key, entry.name_hash);
+    if (entry.local && known && accepts_work(entry, now) && (best == nullptr || weight > best_weight)) {
+      best = &entry;
+      best_weight = weight;
+    }
   }
-  return outliers_.usable(entry.health, now);
+  return best;
 }
 
-std::vector<placement::Candidate> RouterCore::candidates_for(const Request& request, TimePoint now) {
+RouterCore::PlacementInput RouterCore::placement_input(const Request& request, TimePoint now) {
+  PlacementInput input;
   const ServingList& serving = serving_.of(request.submit.serves);
   const auto model = configuration_.models.find(request.submit.serves);
-  const std::string wanted_weights =
-      model == configuration_.models.end() ? "" : model->second.weights_version;
-  std::vector<placement::Candidate> candidates;
+  const std::string_view wanted_weights =
+      model == configuration_.models.end() ? std::string_view() : model->second.weights_version;
+  std::vector<placement::Candidate>& candidates = input.candidates;
   candidates.reserve(serving.entries.size());
   constexpr uint32_t kNoCandidate = UINT32_MAX;
   std::vector<uint32_t> candidate_of(serving.entries.size(), kNoCandidate);
@@ -71,7 +91,15 @@
     candidate_of[position] = static_cast<uint32_t>(candidates.size());
     candidates.push_back(candidate);
   }
-  const auto add_cached_tokens = [&](const cache::PrefixMatch& match) {
+  input.store = store_for(request, now);
+  const auto add_match = [&](const cache::PrefixMatch& match) {
+    if (input.store != nullptr && match.engine_hash == input.store->name_hash) {
+      if (match.incarnation == input.store->state->load.incarnation) {
+        input.stored_blocks = std::max(input.stored_blocks, match.blocks);
+      }
+      return;
+    }
+    input.shared_blocks = std::max(input.shared_blocks, match.blocks);
     const auto position = serving.position_of_hash.find(match.engine_hash);
     if (position == serving.position_of_hash.end() || candidate_of[position->second] == kNoCandidate) {
       return;
@@ -85,29 +113,66 @@
   const std::array<const cache::PrefixIndex*, 3> indexes{&index_, expected_.get(), expected_before_.get()};
   for (const cache::PrefixIndex* index : indexes) {
     for (const cache::PrefixMatch& match : index->match(request.chain)) {
-      add_cached_tokens(match);
+      add_match(match);
     }
   }
-  return candidates;
+  return input;
+}
+
+KvTransfer RouterCore::plan_transfer(Request& request, const PlacementInput& input,
+                                     const placement::Candidate& chosen) {
+  KvTransfer transfer;
+  request.import_tokens = 0;
+  if (input.store == nullptr) {
+    return transfer;
+  }
+  const uint32_t stored_tokens = input.stored_blocks * options_.block_tokens;
+  const uint32_t importable = stored_tokens - std::min(stored_tokens, chosen.cached_tokens);
+  if (costs_.import_pays(importable)) {
+    transfer.import_blocks = input.stored_blocks;
+    request.import_tokens = importable;
+    request.missing_tokens -= std::min(request.missing_tokens, importable);
+    metrics_->count("stoat_router_imported_tokens_total", {}, importable);
+  } else if (importable > 0) {
+    costs_.note_no_import();
+  }
+  // What another request had in common with this one is worth keeping.
+  if (input.shared_blocks > input.stored_blocks) {
+    transfer.export_blocks = input.shared_blocks;
+    const uint64_t incarnation = input.store->state->load.incarnation;
+    const cache::EngineSlot slot = expected_->slot_of(input.store->backend->name, incarnation);
+    for (uint32_t block = input.stored_blocks; block < input.shared_blocks; ++block) {
+      expected_->store(slot, request.chain[block]);
+    }
+    metrics_->count("stoat_router_exported_blocks_total", {}, input.shared_blocks - input.stored_blocks);
+  }
+  if (transfer.import_blocks > 0 || transfer.export_blocks > 0) {
+    transfer.store = input.store->backend->endpoint;
+    transfer.store_name = input.store->backend->name;
+  }
+  return transfer;
 }
 
 bool RouterCore::try_dispatch(Request& request, TimePoint now) {
-  const std::vector<placement::Candidate> candidates = candidates_for(request, now);
-  if (candidates.empty()) {
+  const PlacementInput input = placement_input(request, now);
+  if (input.candidates.empty()) {
     return false;
   }
-  const placement::RequestView view{request.prompt_tokens, request.prefix_key};
-  const placement::Candidate& chosen = candidates[policy_->choose(view, candidates, random_)];
+  const placement::RequestView view{request.prompt_tokens, request.prefix_key,
+                                    input.stored_blocks * options_.block_tokens};
+  const placement::Candidate& chosen = input.candidates[policy_->choose(view, input.candidates, random_)];
   request.missing_tokens = request.prompt_tokens - std::min(request.prompt_tokens, chosen.cached_tokens);
   request.queue_was_empty = chosen.reported_tokens + chosen.pending_tokens == 0 && chosen.outstanding == 0;
   const control::Backend& backend = configuration_.backends.at(std::string(chosen.name));
   const CallKind kind =
       request.submit.kind == wire::RequestKind::kCompletion ? CallKind::kComplete : CallKind::kPlain;
-  start_call(request, kind, backend, now);
+  const KvTransfer transfer = plan_transfer(request, input, chosen);
+  start_call(request, kind, backend, transfer, now);
   return true;
 }
 
-void RouterCore::start_call(Request& request, CallKind kind, const control::Backend& backend, TimePoint now) {
+void RouterCore::start_call(Request& request, CallKind kind, const control::Backend& backend,
+                            const KvTransfer& transfer, TimePoint now) {
   EngineState& state = engines_.at(backend.name);
   const uint64_t request_id = request.submit.request_id;
   request.phase = Phase::kRunning;
@@ -147,6 +212,7 @@
   call.cache_seed = request.seed;
   call.max_tokens = request.submit.max_tokens;
   call.priority = request.tenant_row.priority;
+  call.kv_transfer = transfer;
   const auto model = configuration_.models.find(request.submit.serves);
   if (kind == CallKind::kComplete && model != configuration_.models.end()) {
     call.expected_weights = model->second.weights_version;
@@ -181,7 +247,7 @@
     retry_elsewhere(request, now);
     return;
   }
-  start_call(request, CallKind::kResume, backend->second, now);
+  start_call(request, CallKind::kResume, backend->second, KvTransfer(), now);
 }
 
 void RouterCore::leave_call(Request& request) {
@@ -210,7 +276,11 @@
   end_pending(request);
   if (request.queue_was_empty && request.dispatches == 1 &&
       request.submit.kind == wire::RequestKind::kCompletion) {
-    costs_.observe(request.missing_tokens, now - request.dispatched_at);
+    if (request.import_tokens > 0) {
+      costs_.observe_import(request.import_tokens, request.missing_tokens, now - request.dispatched_at);
+    } else {
+      costs_.observe(request.missing_tokens, now - request.dispatched_at);
+    }
   }
   request.queue_was_empty = false;
 }
@@ -374,7 +444,7 @@
     request_claim(request, now);  // came for a resume, and the run turned out never to have begun
     return;
   }
-  if (candidates_for(request, now).empty()) {
+  if (!has_candidates(request, now)) {
     request.excluded.clear();
   }
   if (request.start_by < now + kLostRetryAfter) {
--- a/src/router/router_endings.cc
+++ b/src/router/router_endings.cc
@@ -57,7 +57,7 @@
     end_claim(request, ClaimState::kReleased, "");
     if (request.phase == Phase::kClaiming) {
       finish_with(request, outcome, FailureReason::kClaimUnavailable, kNoQuorumMessage, kBusyRetryAfter, now);
-    } else if (candidates_for(request, now).empty()) {
+    } else if (!has_candidates(request, now)) {
       finish_with(request, outcome, FailureReason::kNoBackend,
                   "no live back end serves " + request.submit.serves, kBusyRetryAfter, now);
     } else {
--- a/src/router/router_server.cc
+++ b/src/router/router_server.cc
@@ -358,6 +358,10 @@
           {"index_entries", core_.index().block_count()},
           {"followed_engines", core_.followed_engines()},
           {"control_contact_age_ms", control_.contact_age_ms()},
+          {"learned_costs_us",
+           {{"base", core_.costs().base_us()},
+            {"prefill_token", core_.costs().prefill_us_per_token()},
+            {"import_token", core_.costs().import_us_per_token()}}},
           {"engines", std::move(engines)}};
 }
 
--- a/src/router/router_server.h
+++ b/src/router/router_server.h
@@ -36,6 +36,9 @@
  public:
   /// Throws std::runtime_error when an address can't be bound.
   RouterServer(EventLoop& loop, const RouterSettings& settings);
+  ~RouterServer() { wire::close_all(router_channels_); }
+  RouterServer(const RouterServer&) = delete;
+  RouterServer& operator=(const RouterServer&) = delete;
 
  private:
   /// A call to a back end under way.
--- a/src/router/serving_table.h
+++ b/src/router/serving_table.h
@@ -28,11 +28,12 @@
 
 /// The back ends of one model or service, in the order of their names.
 struct ServingList {
-  std::vector<ServingEntry> entries;
+  std::vector<ServingEntry> entries;                        ///< those that run requests
   std::unordered_map<uint64_t, uint32_t> position_of_hash;  ///< by ServingEntry::name_hash
   /// Some back end of this router's region is neither draining nor leaving; those of other regions, whose
   /// loads and caches it does not know, are then left alone.
   bool served_locally = false;
+  std::vector<ServingEntry> stores;  ///< of kept blocks; they run no requests
 };
 
 /// See the head of this file.
@@ -53,6 +54,10 @@
       entry.name_hash = hash_bytes(name);
       entry.local = region_of(backend.zone) == region_;
       ServingList& list = lists_[backend.serves];
+      if (backend.kind == control::BackendKind::kKvStore) {
+        list.stores.push_back(entry);
+        continue;
+      }
       list.position_of_hash[entry.name_hash] = static_cast<uint32_t>(list.entries.size());
       list.entries.push_back(entry);
     }
@@ -80,6 +85,9 @@
         entry.leaving = leaving_.count(entry.backend->name) > 0;
         list.served_locally |= entry.local && !entry.leaving && !entry.backend->draining;
       }
+      for (ServingEntry& store : list.stores) {
+        store.leaving = leaving_.count(store.backend->name) > 0;
+      }
     }
   }
 
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -36,6 +36,9 @@
  public:
   /// Throws std::runtime_error when the address can't be bound.
   SidecarServer(EventLoop& loop, const SidecarSettings& settings);
+  ~SidecarServer() { wire::close_all(channels_); }
+  SidecarServer(const SidecarServer&) = delete;
+  SidecarServer& operator=(const SidecarServer&) = delete;
 
  private:
   void on_call(const http::ExchangePtr& exchange, AnswerForm form);
--- a/src/wire/channel.cc
+++ b/src/wire/channel.cc
@@ -161,7 +161,7 @@
     http::send_without_delay(socket);
     bufferevent* connection =
         bufferevent_socket_new(server->loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-    Channel::adopt(connection, server->on_message_, server->on_closed_);
+    server->keep(Channel::adopt(connection, server->on_message_, server->on_closed_));
   };
   listener_ = evconnlistener_new_bind(loop.base(), on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
                                       -1, reinterpret_cast<sockaddr*>(&storage), length);
@@ -170,7 +170,19 @@
   }
 }
 
-ChannelServer::~ChannelServer() { stop_listening(); }
+ChannelServer::~ChannelServer() {
+  stop_listening();
+  for (const std::weak_ptr<Channel>& accepted : accepted_) {
+    if (const auto channel = accepted.lock()) {
+      channel->close();
+    }
+  }
+}
+
+void ChannelServer::keep(const std::shared_ptr<Channel>& channel) {
+  std::erase_if(accepted_, [](const std::weak_ptr<Channel>& accepted) { return accepted.expired(); });
+  accepted_.push_back(channel);
+}
 
 void ChannelServer::stop_listening() {
   if (listener_ != nullptr) {
--- a/src/wire/channel.h
+++ b/src/wire/channel.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -68,6 +69,16 @@
   ClosedHandler on_closed_;
 };
 
+/// Closes the channels of a map, for owners that go away.
+template <typename Key>
+void close_all(const std::map<Key, std::shared_ptr<Channel>>& channels) {
+  for (const auto& [key, channel] : channels) {
+    if (channel != nullptr) {
+      channel->close();
+    }
+  }
+}
+
 /// Listens for channels.
 class ChannelServer {
  public:
@@ -81,8 +92,11 @@
   void stop_listening();
 
  private:
+  void keep(const std::shared_ptr<Channel>& channel);
+
   EventLoop& loop_;
   evconnlistener* listener_ = nullptr;
+  std::vector<std::weak_ptr<Channel>> accepted_;  ///< closed with the server
   Channel::MessageHandler on_message_;
   Channel::ClosedHandler on_closed_;
 };
--- a/standins/engine_main.cc
+++ b/standins/engine_main.cc
@@ -5,7 +5,9 @@
 #include "src/common/hash.h"
 #include "src/common/log.h"
 #include "src/common/server_program.h"
+#include "src/http/client.h"
 #include "src/http/common_routes.h"
+#include "standins/cache_pages.h"
 #include "standins/engine_model.h"
 
 namespace stoat::standins {
@@ -13,8 +15,8 @@
 
 using nlohmann::json;
 
-constexpr size_t kMaxFeedPage = 5000;
 constexpr Duration kStepPeriod = 1ms;
+constexpr Duration kStoreTimeout = 500ms;
 /// A comment goes out on streams that wait, so that their readers can tell a queue from a dead engine.
 constexpr Duration kKeepAlivePeriod = 1s;
 
@@ -55,7 +57,8 @@
       : loop_(loop),
         log_("engine"),
         model_(settings.engine, seed_from_device() | 1U, settings.seed),
-        server_(loop, settings.listen) {
+        server_(loop, settings.listen),
+        client_(loop) {
     server_.route("POST", "/v1/completions",
                   [this](const http::ExchangePtr& exchange) { complete(exchange); });
     server_.route("POST", "/v1/resume", [this](const http::ExchangePtr& exchange) { resume(exchange); });
@@ -114,6 +117,7 @@
       return;
     }
     EngineRequest request;
+    Endpoint store;
     try {
       request.request_id = body->value("request_id", next_own_id_++);
       request.attempt = body->value("attempt", 0U);
@@ -126,10 +130,54 @@
       request.priority = body->value("priority", 0);
       request.expected_incarnation = body->value("expected_incarnation", uint64_t{0});
       request.expected_weights = body->value("expected_weights", "");
+      read_transfer(body->value("kv_transfer", json()), request, store);
     } catch (const json::exception& error) {
       http::reply_json(*exchange, 400, {{"error", {{"code", "bad_field"}, {"message", error.what()}}}});
       return;
     }
+    const bool stream = body->value("stream", false);
+    if (request.import_blocks == 0) {
+      submit(exchange, request, stream, store);
+      return;
+    }
+    // What the store no longer has is prefilled.
+    ask_store(store, "/import", chain_of(request, request.import_blocks),
+              [this, exchange, request, stream, store](uint32_t blocks) mutable {
+                request.import_blocks = std::min(request.import_blocks, blocks);
+                submit(exchange, request, stream, store);
+              });
+  }
+
+  static void read_transfer(const json& transfer, EngineRequest& request, Endpoint& store) {
+    if (transfer.is_object() && parse_endpoint(transfer.value("store", ""), store)) {
+      request.import_blocks = transfer.value("import_blocks", 0U);
+      request.export_blocks = transfer.value("export_blocks", 0U);
+    }
+  }
+
+  json chain_of(const EngineRequest& request, size_t blocks) const {
+    auto chain = cache::block_chain(request.cache_seed, request.prompt, model_.settings().block_tokens);
+    chain.resize(std::min(chain.size(), blocks));
+    return chain;
+  }
+
+  /// Calls back with the number of blocks that the store has; 0 when it does not answer.
+  void ask_store(const Endpoint& store, const std::string& path, const json& chain,
+                 std::function<void(uint32_t blocks)> on_answer) {
+    http::ClientRequest request;
+    request.endpoint = store;
+    request.method = "POST";
+    request.path = path;
+    request.timeout = kStoreTimeout;
+    request.body = json{{"chain", chain}}.dump();
+    client_.start(request, nullptr, [on_answer = std::move(on_answer)](const http::ClientResult& result) {
+      const json answer = json::parse(result.body, nullptr, false);
+      on_answer(answer.is_object() ? answer.value("blocks", 0U) : 0U);
+    });
+  }
+
+  void submit(const http::ExchangePtr& exchange, const EngineRequest& request, bool stream,
+              const Endpoint& store) {
     const Refusal refusal = model_.submit(request, loop_.now());
     if (refusal != Refusal::kNone) {
       const int status = refusal == Refusal::kFull ? 429 : 409;
@@ -139,7 +187,21 @@
                         {"incarnation", model_.incarnation()}});
       return;
     }
-    add_reader({request.request_id, request.attempt}, exchange, body->value("stream", false));
+    const StreamKey key{request.request_id, request.attempt};
+    if (request.export_blocks > 0) {
+      export_to_[key] = store;
+    }
+    add_reader(key, exchange, stream);
+  }
+
+  void send_exports() {
+    for (const EngineExport& due : model_.take_exports()) {
+      const auto store = export_to_.find({due.request_id, due.attempt});
+      if (store != export_to_.end()) {
+        ask_store(store->second, "/export", due.chain, [](uint32_t) {});
+        export_to_.erase(store);
+      }
+    }
   }
 
   void add_reader(const StreamKey& key, const http::ExchangePtr& exchange, bool stream) {
@@ -189,6 +251,7 @@
       return;
     }
     const StreamKey key{body->value("request_id", uint64_t{0}), body->value("attempt", 0U)};
+    export_to_.erase(key);
     const bool known = model_.cancel(key.first, key.second);
     if (const auto found = readers_.find(key); found != readers_.end()) {
       found->second.exchange->abort();
@@ -208,6 +271,7 @@
                           {"weights_version", line.weights_version},
                           {"prompt_tokens", line.prompt_tokens},
                           {"cached_tokens", line.cached_tokens},
+                          {"imported_tokens", line.imported_tokens},
                           {"backend", model_.settings().name}};
       ledger_output_ << entry.dump() << "\n" << std::flush;
     }
@@ -218,6 +282,7 @@
     for (const EngineOutput& output : model_.advance(loop_.now())) {
       deliver(output);
     }
+    send_exports();
   }
 
   void deliver(const EngineOutput& output) {
@@ -271,25 +336,11 @@
 
   void feed(const http::ExchangePtr& exchange) {
     const uint64_t after = std::strtoull(exchange->query("after").c_str(), nullptr, 10);
-    json events = json::array();
-    for (const CacheEvent& event : model_.prefix_cache().events_after(after, kMaxFeedPage, loop_.now())) {
-      events.push_back({event.sequence, event.stored ? 1 : 0, event.block, event.parent});
-    }
-    http::reply_json(*exchange, 200,
-                     {{"load", load_json()},
-                      {"oldest", model_.prefix_cache().oldest_sequence()},
-                      {"events", std::move(events)}});
+    http::reply_json(*exchange, 200, feed_page(model_.prefix_cache(), after, load_json(), loop_.now()));
   }
 
   void blocks(const http::ExchangePtr& exchange) {
-    json list = json::array();
-    for (const CachedBlock& block : model_.prefix_cache().snapshot()) {
-      list.push_back({block.block, block.parent});
-    }
-    http::reply_json(*exchange, 200,
-                     {{"incarnation", model_.incarnation()},
-                      {"sequence", model_.prefix_cache().last_sequence()},
-                      {"blocks", std::move(list)}});
+    http::reply_json(*exchange, 200, blocks_page(model_.prefix_cache(), model_.incarnation()));
   }
 
   void order(const http::ExchangePtr& exchange) {
@@ -314,6 +365,7 @@
                        {"weights_version", line.weights_version},
                        {"prompt_tokens", line.prompt_tokens},
                        {"cached_tokens", line.cached_tokens},
+                       {"imported_tokens", line.imported_tokens},
                        {"finished", line.finished},
                        {"cancelled", line.cancelled}});
     }
@@ -331,7 +383,9 @@
   Metrics metrics_;
   EngineModel model_;
   http::Server server_;
+  http::Client client_;
   std::map<StreamKey, Reader> readers_;
+  std::map<StreamKey, Endpoint> export_to_;  ///< stores that wait for a run's blocks
   std::ofstream ledger_output_;
   size_t ledger_written_ = 0;
   uint64_t next_own_id_ = 1;
--- a/standins/engine_model.cc
+++ b/standins/engine_model.cc
@@ -63,7 +63,7 @@
   stream.next_index = request.first_index;
   stream.ledger_line = ledger_.size();
   ledger_.push_back({request.request_id, request.attempt, request.idempotency_key, request.tenant,
-                     weights_version_, stream.prompt_tokens, 0, false, false, false});
+                     weights_version_, stream.prompt_tokens, 0, 0, false, false, false});
   streams_[key] = std::move(stream);
   const auto place = std::find_if(waiting_.begin(), waiting_.end(), [&](const StreamKey& other) {
     return streams_[other].request.priority < request.priority;
@@ -77,19 +77,39 @@
   return Refusal::kNone;
 }
 
+void EngineModel::start_prefill(Stream& stream, TimePoint now) {
+  const size_t held = cache_.match(stream.chain);
+  stream.cached_tokens = static_cast<uint32_t>(held * settings_.block_tokens);
+  const size_t importable = std::min<size_t>(stream.request.import_blocks, stream.chain.size());
+  stream.phase = Phase::kPrefill;
+  if (importable > held) {
+    stream.imported_tokens = static_cast<uint32_t>((importable - held) * settings_.block_tokens);
+    const double import_us = settings_.import_us_per_token * stream.imported_tokens;
+    stream.imported_at = now + scaled(settings_.import_base + Duration(static_cast<int64_t>(import_us)));
+    stream.phase = Phase::kImport;
+  }
+  LedgerLine& line = ledger_[stream.ledger_line];
+  line.cached_tokens = stream.cached_tokens;
+  line.imported_tokens = stream.imported_tokens;
+  line.started = true;
+  // The last token is always computed, so that there is something to sample from.
+  const uint32_t whole = stream.prompt_tokens + stream.request.first_index;
+  const uint32_t reused = stream.cached_tokens + stream.imported_tokens;
+  stream.prefill_left = std::max<uint32_t>(1, whole - std::min(whole, reused));
+}
+
+void EngineModel::end_import(Stream& stream, TimePoint now) {
+  const uint32_t reused = stream.cached_tokens + stream.imported_tokens;
+  cache_.store(stream.chain, 0, reused / settings_.block_tokens, now);
+  stream.phase = Phase::kPrefill;
+}
+
 void EngineModel::start_waiting(TimePoint now) {
   while (!waiting_.empty() && running_.size() < settings_.max_running) {
     const StreamKey key = waiting_.front();
     waiting_.erase(waiting_.begin());
     Stream& stream = streams_[key];
-    const size_t held = cache_.match(stream.chain);
-    stream.cached_tokens = static_cast<uint32_t>(held * settings_.block_tokens);
-    ledger_[stream.ledger_line].cached_tokens = stream.cached_tokens;
-    ledger_[stream.ledger_line].started = true;
-    // The last token is always computed, so that there is something to sample from.
-    const uint32_t whole = stream.prompt_tokens + stream.request.first_index;
-    stream.prefill_left = std::max<uint32_t>(1, whole - std::min(whole, stream.cached_tokens));
-    stream.phase = Phase::kPrefill;
+    start_prefill(stream, now);
     running_.push_back(key);
   }
   note_load(now);
@@ -109,6 +129,12 @@
       length += settings_.decode_per_sequence;
       continue;
     }
+    if (stream.phase == Phase::kImport && stream.imported_at <= now) {
+      end_import(stream, now);
+    }
+    if (stream.phase == Phase::kImport) {
+      continue;
+    }
     stream.planned_prefill = std::min(prefill_budget, stream.prefill_left);
     prefill_budget -= stream.planned_prefill;
     length += Duration(static_cast<int64_t>(settings_.prefill_us_per_token * stream.planned_prefill));
@@ -142,13 +168,16 @@
   output.index = stream.next_index;
   output.finished = true;
   output.prompt_tokens = stream.prompt_tokens;
-  output.cached_tokens = stream.cached_tokens;
+  output.cached_tokens = stream.cached_tokens + stream.imported_tokens;
   return output;
 }
 
 void EngineModel::finish_iteration(std::vector<EngineOutput>& outputs) {
   for (const StreamKey& key : running_) {
     Stream& stream = streams_[key];
+    if (stream.phase == Phase::kImport) {
+      continue;
+    }
     if (stream.phase == Phase::kPrefill) {
       stream.prefill_left -= stream.planned_prefill;
       stream.planned_prefill = 0;
@@ -157,6 +186,11 @@
       }
       cache_.store(stream.chain, 0, stream.chain.size(), iteration_end_);
       stream.phase = Phase::kDecode;
+      const size_t exported = std::min<size_t>(stream.request.export_blocks, stream.chain.size());
+      if (exported > 0) {
+        const auto end = stream.chain.begin() + static_cast<std::ptrdiff_t>(exported);
+        exports_.push_back({key.first, key.second, {stream.chain.begin(), end}});
+      }
     }
     emit_token(stream, outputs);
     if (stream.phase == Phase::kFinished) {
@@ -182,6 +216,12 @@
   return outputs;
 }
 
+std::vector<EngineExport> EngineModel::take_exports() {
+  std::vector<EngineExport> exports;
+  exports.swap(exports_);
+  return exports;
+}
+
 void EngineModel::forget_old_streams(TimePoint now) {
   while (!finished_.empty()) {
     const auto found = streams_.find(finished_.front());
--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -26,9 +26,11 @@
   double prefill_us_per_token = 10;    ///< added for each prefilled token
   double time_scale = 1;               ///< how many times faster than life it runs
   FeedFaults feed;
-  Duration load_lag{300ms};        ///< age of the load report
-  Duration stream_retention{30s};  ///< how long a finished stream can be resumed
-  Duration weights_load_time{2s};  ///< to load a model version
+  Duration load_lag{300ms};          ///< age of the load report
+  Duration stream_retention{30s};    ///< how long a finished stream can be resumed
+  Duration weights_load_time{2s};    ///< to load a model version
+  double import_us_per_token = 1.2;  ///< to import kept blocks: 164 KB a token over some 1,100 Gbit/s
+  Duration import_base{1500us};      ///< of one import
 };
 
 /// A request as the engine sees it.
@@ -44,6 +46,15 @@
   int32_t priority = 0;
   uint64_t expected_incarnation = 0;  ///< 0: any
   std::string expected_weights;       ///< empty: any
+  uint32_t import_blocks = 0;         ///< leading blocks that the store of kept blocks has for it
+  uint32_t export_blocks = 0;         ///< leading blocks to be exported after the prefill
+};
+
+/// Blocks that are to be sent to the store of kept blocks.
+struct EngineExport {
+  uint64_t request_id = 0;
+  uint32_t attempt = 0;
+  std::vector<cache::BlockHash> chain;  ///< from its beginning
 };
 
 /// Why a request was not taken. Each of them means that nothing ran.
@@ -72,7 +83,8 @@
   std::string weights_version;
   uint32_t prompt_tokens = 0;
   uint32_t cached_tokens = 0;
-  bool started = false;  ///< its prefill has begun; `cached_tokens` holds from then on
+  uint32_t imported_tokens = 0;
+  bool started = false;  ///< its prefill has begun; the tokens hold from then on
   bool finished = false;
   bool cancelled = false;
 };
@@ -101,6 +113,8 @@
               std::vector<EngineOutput>& outputs) const;
   /// Runs the iterations that end by `now`; gives what came out of them.
   std::vector<EngineOutput> advance(TimePoint now);
+  /// What has become due for export since the last call.
+  std::vector<EngineExport> take_exports();
   /// When the iteration under way ends; nothing to do when Duration::max().
   TimePoint next_event() const { return iteration_running_ ? iteration_end_ : TimePoint::max(); }
 
@@ -124,7 +138,7 @@
 
  private:
   using StreamKey = std::pair<uint64_t, uint32_t>;
-  enum class Phase : uint8_t { kWaiting, kPrefill, kDecode, kFinished };
+  enum class Phase : uint8_t { kWaiting, kImport, kPrefill, kDecode, kFinished };
   struct Stream {
     EngineRequest request;
     std::vector<cache::BlockHash> chain;
@@ -135,10 +149,14 @@
     uint32_t next_index = 0;
     uint32_t prompt_tokens = 0;
     uint32_t cached_tokens = 0;
+    uint32_t imported_tokens = 0;
+    TimePoint imported_at{0};  ///< when its import ends
     size_t ledger_line = 0;
     TimePoint finished_at{0};
   };
   void begin_iteration(TimePoint now);
+  void start_prefill(Stream& stream, TimePoint now);
+  void end_import(Stream& stream, TimePoint now);
   void start_waiting(TimePoint now);
   void finish_iteration(std::vector<EngineOutput>& outputs);
   void emit_token(Stream& stream, std::vector<EngineOutput>& outputs);
@@ -159,6 +177,7 @@
   std::vector<StreamKey> waiting_;
   std::vector<StreamKey> running_;
   std::deque<StreamKey> finished_;
+  std::vector<EngineExport> exports_;
   size_t active_ = 0;
   bool iteration_running_ = false;
   TimePoint iteration_end_{0};
--- a/tools/experiment_main.cc
+++ b/tools/experiment_main.cc
@@ -17,6 +17,9 @@
 using simulation::FleetSimulation;
 using simulation::FleetSimulationOptions;
 
+/// Capacity of the store of kept blocks where an experiment has one.
+constexpr size_t kStoreBlocks = 20000;
+
 struct ExperimentSettings {
   std::string what;
   std::string workload;
@@ -87,6 +90,8 @@
     figures["ttft_p99_ms"].samples.add(report.first_token_p99_ms);
     figures["wasted_share"].samples.add(static_cast<double>(report.wasted_tokens) /
                                         static_cast<double>(std::max<uint64_t>(1, report.prompt_tokens)));
+    figures["imported_share"].samples.add(static_cast<double>(report.imported_tokens) /
+                                          static_cast<double>(std::max<uint64_t>(1, report.prompt_tokens)));
     figures["complete_share"].samples.add(static_cast<double>(report.complete) /
                                           static_cast<double>(std::max<size_t>(1, report.requests)));
     for (const std::string& violation : report.violations) {
@@ -149,6 +154,9 @@
                                  [&](FleetSimulationOptions& options) { options.router.policy = policy; }));
     }
   }
+  rows.push_back(run_variant("lowest_ttft, kept-KV store", settings, [](FleetSimulationOptions& options) {
+    options.kv_store_blocks = kStoreBlocks;
+  }));
   rows.push_back(run_variant("lowest_ttft, no lag", settings, know_everything));
   return rows;
 }
--- a/tools/fleet_main.cc
+++ b/tools/fleet_main.cc
@@ -32,6 +32,7 @@
   settings.fleet.sidecars = static_cast<uint32_t>(reader.integer("sidecars", 1, 1, 50));
   settings.fleet.engines = static_cast<uint32_t>(reader.integer("engines", 3, 1, 50));
   settings.fleet.plain_backends = static_cast<uint32_t>(reader.integer("plain_backends", 1, 1, 50));
+  settings.fleet.kv_stores = static_cast<uint32_t>(reader.integer("kv_stores", 1, 0, 10));
   settings.fleet.router_settings.push_back("policy=\"" + reader.text("policy", "lowest_ttft") + "\"");
   settings.fleet.engine_settings.push_back("time_scale=" +
                                            std::to_string(reader.number("engine_time_scale", 1, 0.01, 1000)));
@@ -55,7 +56,8 @@
   std::signal(SIGINT, [](int) { stop_wanted = 1; });
   std::signal(SIGTERM, [](int) { stop_wanted = 1; });
   std::cout << "the fleet is up; stop it with Ctrl-C\n";
-  for (const char* prefix : {"sidecar-", "router-", "control-", "engine-", "plain-", "platform"}) {
+  for (const char* prefix :
+       {"sidecar-", "router-", "control-", "engine-", "plain-", "kv-store-", "platform"}) {
     for (const std::string& name : fleet.names_with_prefix(prefix)) {
       std::cout << "  " << name << "  http://" << to_string(fleet.http_endpoint(name)) << "\n";
     }
--- a/tools/local_fleet.cc
+++ b/tools/local_fleet.cc
@@ -108,6 +108,12 @@
                    {"name=" + quoted_text(name), "listen=" + quoted_text(to_string(http_[name])),
                     "ledger_file=" + quoted_text(ledger_file(name))});
   }
+  for (uint32_t number = 1; number <= settings_.kv_stores; ++number) {
+    const std::string name = numbered("kv-store", number);
+    http_[name] = processes_.free_endpoint();
+    processes_.add(name, "standin-kv-store",
+                   {"name=" + quoted_text(name), "listen=" + quoted_text(to_string(http_[name]))});
+  }
 }
 
 void LocalFleet::add_routers() {
@@ -150,22 +156,21 @@
     items.push_back({{"tenant", {{"name", tenant}, {"api_keys", {tool_api_key(tenant)}}}}});
   }
   items.push_back({{"model", {{"name", names.model}, {"weights_version", "v1"}}}});
-  for (const std::string& name : names_with_prefix("engine-")) {
-    items.push_back({{"backend",
-                      {{"name", name},
-                       {"kind", "engine"},
-                       {"serves", names.model},
-                       {"zone", kZone},
-                       {"endpoint", to_string(engine_endpoints_.at(name))}}}});
-  }
-  for (const std::string& name : names_with_prefix("plain-")) {
-    items.push_back({{"backend",
-                      {{"name", name},
-                       {"kind", "plain"},
-                       {"serves", names.plain_service},
-                       {"zone", kZone},
-                       {"endpoint", to_string(http_.at(name))}}}});
-  }
+  const auto add_backends = [&](const char* prefix, const char* kind, const std::string& serves) {
+    for (const std::string& name : names_with_prefix(prefix)) {
+      const auto proxied = engine_endpoints_.find(name);
+      const Endpoint& endpoint = proxied == engine_endpoints_.end() ? http_.at(name) : proxied->second;
+      items.push_back({{"backend",
+                        {{"name", name},
+                         {"kind", kind},
+                         {"serves", serves},
+                         {"zone", kZone},
+                         {"endpoint", to_string(endpoint)}}}});
+    }
+  };
+  add_backends("engine-", "engine", names.model);
+  add_backends("plain-", "plain", names.plain_service);
+  add_backends("kv-store-", "kv_store", names.model);
   items.push_back({{"table", {{{"kind", "service"}, {"name", names.plain_service}, {"repeatable", false}}}}});
   return items;
 }
@@ -224,7 +229,8 @@
 
 std::vector<std::string> LocalFleet::stop() {
   std::vector<std::string> unclean;
-  for (const char* prefix : {"sidecar-", "router-", "engine-", "plain-", "control-", "platform"}) {
+  for (const char* prefix :
+       {"sidecar-", "router-", "engine-", "plain-", "kv-store-", "control-", "platform"}) {
     const std::vector<std::string> names = names_with_prefix(prefix);
     for (const std::string& name : names) {
       processes_.ask_to_stop(name);
--- a/tools/local_fleet.h
+++ b/tools/local_fleet.h
@@ -22,6 +22,7 @@
   uint32_t sidecars = 1;
   uint32_t engines = 3;
   uint32_t plain_backends = 1;
+  uint32_t kv_stores = 0;
   WorkloadSettings workload;  ///< tenants, model and service that are configured
   std::vector<std::string> router_settings;
   std::vector<std::string> engine_settings;
@@ -30,7 +31,7 @@
   bool cuttable_links = false;  ///< control members, routers and engines are reached through a LinkProxy
 };
 
-/// Names: control-1, router-1, sidecar-1, engine-1, plain-1, platform; counted from 1.
+/// Names: control-1, router-1, sidecar-1, engine-1, plain-1, kv-store-1, platform; counted from 1.
 class LocalFleet {
  public:
   LocalFleet(ProcessFleet& processes, const LocalFleetSettings& settings);
