--- a/simulation/fleet_backends.cc
+++ b/simulation/fleet_backends.cc
@@ -42,6 +42,7 @@
 }
 
 void FleetSimulation::crash_engine(size_t position) {
+  trace_.fault(events_.now(), engines_[position].name + " is lost");
   check_engine_ledger(position);
   break_engine_calls(position);
   engines_[position].model.reset();
@@ -149,6 +150,7 @@
 }
 
 void FleetSimulation::perform(size_t router, router::StartCall& action) {
+  trace_.call(events_.now(), routers_[router].name, action);
   BackendCall& call = calls_[{router, action.call_id}];
   call.call = action;
   call.generation = routers_[router].generation;
@@ -173,6 +175,7 @@
   if (call == calls_.end()) {
     return;
   }
+  trace_.call_end(events_.now(), routers_[router].name, call->second.call.request_id, result);
   const std::string backend = call->second.call.backend;
   const uint64_t generation = call->second.generation;
   deliver_in_order(backend, routers_[router].name, [this, router, call_id, generation, result] {
--- a/simulation/fleet_routers.cc
+++ b/simulation/fleet_routers.cc
@@ -26,6 +26,7 @@
 }
 
 void FleetSimulation::perform(size_t router, router::SendToSidecar& action) {
+  trace_.message(events_.now(), routers_[router].name, "sidecar", action.message);
   for (const auto& [ends, connection] : connections_) {
     if (connection.id != action.sidecar) {
       continue;
@@ -61,6 +62,7 @@
 
 void FleetSimulation::start_router(size_t position) {
   SimulatedRouter& router = routers_[position];
+  trace_.fault(events_.now(), router.name + " starts");
   ++router.generation;
   router.frozen = false;
   router.stopping = false;
@@ -78,6 +80,7 @@
 }
 
 void FleetSimulation::lose_router(size_t position) {
+  trace_.fault(events_.now(), routers_[position].name + " is lost");
   SimulatedRouter& router = routers_[position];
   ++router.generation;
   router.core.reset();
@@ -110,10 +113,14 @@
   }
 }
 
-void FleetSimulation::freeze_router(size_t position) { routers_[position].frozen = true; }
+void FleetSimulation::freeze_router(size_t position) {
+  trace_.fault(events_.now(), routers_[position].name + " freezes");
+  routers_[position].frozen = true;
+}
 
 void FleetSimulation::thaw_router(size_t position) {
   SimulatedRouter& router = routers_[position];
+  trace_.fault(events_.now(), router.name + " runs on");
   router.frozen = false;
   std::vector<std::function<void()>> kept;
   kept.swap(router.kept);
--- a/simulation/fleet_sidecars.cc
+++ b/simulation/fleet_sidecars.cc
@@ -19,6 +19,7 @@
 }
 
 void FleetSimulation::perform(size_t sidecar, sidecar::SendToRouter& action) {
+  trace_.message(events_.now(), sidecars_[sidecar].name, action.router, action.message);
   size_t position = 0;
   while (position < routers_.size() && routers_[position].name != action.router) {
     ++position;
--- a/simulation/fleet_simulation.cc
+++ b/simulation/fleet_simulation.cc
@@ -1,6 +1,7 @@
 #include "simulation/fleet_simulation.h"
 
 #include <algorithm>
+#include <iostream>
 #include <stdexcept>
 
 #include "src/common/hash.h"
@@ -57,7 +58,10 @@
 }
 
 FleetSimulation::FleetSimulation(const FleetSimulationOptions& options)
-    : options_(options), random_(options.seed), names_(tools::deployment_names(options.workload)) {
+    : options_(options),
+      random_(options.seed),
+      names_(tools::deployment_names(options.workload)),
+      trace_(options.trace_request, std::cerr) {
   options_.workload.seed = options.seed;
   plan_ = tools::make_workload(options_.workload);
   const control::Configuration configuration = first_configuration();
@@ -345,6 +349,7 @@
       claim->at_ms = to_milliseconds(events_.now());
     }
     const control::CommandResult result = control_state_.apply(command);
+    trace_.command(events_.now(), routers_[router].name, command, result);
     if (control_answers_to_lose_ > 0) {
       --control_answers_to_lose_;
       events_.after(1s, [this, router, generation, action, deadline] {
--- a/simulation/fleet_simulation.h
+++ b/simulation/fleet_simulation.h
@@ -11,6 +11,7 @@
 
 #include "simulation/event_queue.h"
 #include "simulation/fleet_checks.h"
+#include "simulation/request_trace.h"
 #include "src/control/state_machine.h"
 #include "src/router/router_core.h"
 #include "src/sidecar/sidecar_core.h"
@@ -40,6 +41,7 @@
   Duration most_delay{1600us};
   Duration region_delay{10ms};  ///< added one way between regions
   bool random_faults = false;
+  uint64_t trace_request = 0;       ///< id of a request whose way is printed to standard error; 0: none
   bool callers_retry = false;       ///< a refused caller asks again
   bool retries_heed_advice = true;  ///< it waits as long as Retry-After says
   control::PolicyTable table;
@@ -242,6 +244,7 @@
   TimePoint next_fault_{0};
   uint64_t weights_number_ = 1;
   FleetChecks checks_;
+  RequestTrace trace_;
 };
 
 }  // namespace stoat::simulation
--- a/simulation/simulate_main.cc
+++ b/simulation/simulate_main.cc
@@ -16,6 +16,7 @@
   uint32_t voters = 3;
   std::string workload;
   size_t kv_store_blocks = 0;
+  uint64_t trace_request = 0;
 };
 
 SimulateSettings read_settings(SettingsReader& reader) {
@@ -26,6 +27,7 @@
   }
   settings.workload = reader.text("workload", "kavelwind");
   settings.kv_store_blocks = static_cast<size_t>(reader.integer("kv_store_blocks", 0, 0, 100000000));
+  settings.trace_request = std::strtoull(reader.text("trace_request", "0").c_str(), nullptr, 16);
   settings.first_seed = static_cast<uint64_t>(reader.integer("first_seed", 1, 0, INT64_MAX));
   settings.seeds = static_cast<uint64_t>(reader.integer("seeds", 200, 1, 100000000));
   settings.duration = from_seconds(reader.number("duration_s", 20, 0.1, 86400));
@@ -56,6 +58,7 @@
 bool run_fleet(const SimulateSettings& settings, uint64_t seed) {
   FleetSimulationOptions options = faulty_fleet_options(seed, settings.workload, settings.duration);
   options.kv_store_blocks = settings.kv_store_blocks;
+  options.trace_request = settings.trace_request;
   const FleetReport report = FleetSimulation(options).run();
   if (settings.seeds == 1 || !report.violations.empty()) {
     std::cout << "seed " << seed << ": requests " << report.requests << ", complete " << report.complete
--- a/src/control/command.h
+++ b/src/control/command.h
@@ -19,10 +19,12 @@
 struct ClaimKey {
   std::string tenant;
   std::string key;
-  uint64_t digest = 0;    ///< of the request; the same key with another digest is a conflict
-  uint64_t claim_id = 0;  ///< random, one for each attempt to claim
-  int64_t at_ms = 0;      ///< wall clock of the router; drives retention
-  MSGPACK_DEFINE_ARRAY(tenant, key, digest, claim_id, at_ms)
+  uint64_t digest = 0;      ///< of the request; the same key with another digest is a conflict
+  uint64_t claim_id = 0;    ///< random, one for each attempt to claim
+  int64_t at_ms = 0;        ///< wall clock of the router; drives retention
+  uint64_t request_id = 0;  ///< 0: of no request that could be given up
+  uint32_t attempt = 0;     ///< the sidecar's count of its submissions of this request
+  MSGPACK_DEFINE_ARRAY(tenant, key, digest, claim_id, at_ms, request_id, attempt)
 };
 
 /// How a claimed request ended.
@@ -36,7 +38,9 @@
   ClaimState state = ClaimState::kSettled;
   std::string outcome;  ///< the answer that a resend gets; bounded by kMaxClaimOutcomeBytes
   int64_t at_ms = 0;    ///< wall clock of the accepting member; drives retention
-  MSGPACK_DEFINE_ARRAY(tenant, key, claim_id, state, outcome, at_ms)
+  uint64_t request_id = 0;
+  uint32_t attempt = 0;  ///< a release closes this and all earlier attempts of the request for ever
+  MSGPACK_DEFINE_ARRAY(tenant, key, claim_id, state, outcome, at_ms, request_id, attempt)
 };
 
 /// What an order tells an engine to do.
--- a/src/control/state_machine.cc
+++ b/src/control/state_machine.cc
@@ -1,5 +1,7 @@
 #include "src/control/state_machine.h"
 
+#include <algorithm>
+
 #include "src/common/settings.h"
 
 namespace stoat::control {
@@ -131,9 +133,38 @@
   return result;
 }
 
+bool StateMachine::is_closed(const std::string& name, const ClaimKey& claim) const {
+  const auto closed = closed_.find(name);
+  return closed != closed_.end() &&
+         std::any_of(closed->second.begin(), closed->second.end(), [&](const ClosedAttempts& attempts) {
+           return attempts.request_id == claim.request_id && claim.attempt <= attempts.up_to_attempt;
+         });
+}
+
+void StateMachine::close_attempts(const std::string& name, const FinishClaim& release) {
+  std::vector<ClosedAttempts>& closed = closed_[name];
+  const auto known = std::find_if(closed.begin(), closed.end(), [&](const ClosedAttempts& attempts) {
+    return attempts.request_id == release.request_id;
+  });
+  if (known != closed.end()) {
+    known->up_to_attempt = std::max(known->up_to_attempt, release.attempt);
+    return;
+  }
+  closed.push_back({release.request_id, release.attempt});
+  if (closed.size() > kMaxClosedRequests) {
+    closed.erase(closed.begin());
+  }
+}
+
 CommandResult StateMachine::apply_claim(const ClaimKey& claim) {
   CommandResult result;
-  auto [found, fresh] = claims_.try_emplace(claim_name(claim.tenant, claim.key));
+  const std::string name = claim_name(claim.tenant, claim.key);
+  if (is_closed(name, claim)) {
+    result.code = ResultCode::kClaimHeld;
+    result.claim_state = ClaimState::kReleased;
+    return result;
+  }
+  auto [found, fresh] = claims_.try_emplace(name);
   Claim& held = found->second;
   const bool released = !fresh && held.state == ClaimState::kReleased;
   if (released && held.claim_id == claim.claim_id) {
@@ -162,6 +193,9 @@
 CommandResult StateMachine::apply_finish(const FinishClaim& finish) {
   CommandResult result;
   const std::string name = claim_name(finish.tenant, finish.key);
+  if (finish.state == ClaimState::kReleased && finish.request_id != 0) {
+    close_attempts(name, finish);
+  }
   if (finish.state == ClaimState::kReleased && claims_.count(name) == 0) {
     // The release overtook its claim: keep it, so that the claim is refused when it comes.
     claims_[name] = Claim{0, finish.claim_id, finish.at_ms, ClaimState::kReleased, ""};
@@ -214,6 +248,7 @@
 
 CommandResult StateMachine::apply_expire(const ExpireClaims& expire) {
   std::erase_if(claims_, [&](const auto& entry) { return entry.second.at_ms < expire.before_ms; });
+  std::erase_if(closed_, [&](const auto& entry) { return claims_.count(entry.first) == 0; });
   return {};
 }
 
@@ -232,14 +267,20 @@
   std::deque<KeptAnswer> answers;
   std::map<std::string, Order> orders;
   std::map<std::string, Claim> claims;
-  MSGPACK_DEFINE_ARRAY(configuration, changes, history, answers, orders, claims)
+  std::map<std::string, std::vector<ClosedAttempts>> closed;
+  MSGPACK_DEFINE_ARRAY(configuration, changes, history, answers, orders, claims, closed)
 };
 
 }  // namespace
 
 std::string StateMachine::save() const {
-  const SavedState saved{configuration_, changes_, history_,
-                         answers_,       orders_,  {claims_.begin(), claims_.end()}};
+  const SavedState saved{configuration_,
+                         changes_,
+                         history_,
+                         answers_,
+                         orders_,
+                         {claims_.begin(), claims_.end()},
+                         {closed_.begin(), closed_.end()}};
   return wire::encode(saved);
 }
 
@@ -254,6 +295,7 @@
   answers_ = std::move(saved->answers);
   orders_ = std::move(saved->orders);
   claims_ = {saved->claims.begin(), saved->claims.end()};
+  closed_ = {saved->closed.begin(), saved->closed.end()};
   return true;
 }
 
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -38,6 +38,17 @@
   MSGPACK_DEFINE_ARRAY(digest, claim_id, at_ms, state, outcome)
 };
 
+/// Attempts of a request that will never be granted a key, because its router gave it up and may have told
+/// its caller that it did not run.
+struct ClosedAttempts {
+  uint64_t request_id = 0;
+  uint32_t up_to_attempt = 0;
+  MSGPACK_DEFINE_ARRAY(request_id, up_to_attempt)
+};
+
+/// How many requests that were given up are remembered for one key; the oldest goes first.
+inline constexpr size_t kMaxClosedRequests = 16;
+
 /// The last order given to a back end.
 struct Order {
   uint64_t fence = 0;
@@ -75,6 +86,8 @@
  private:
   CommandResult apply_change(const ChangeConfiguration& change);
   CommandResult apply_claim(const ClaimKey& claim);
+  bool is_closed(const std::string& name, const ClaimKey& claim) const;
+  void close_attempts(const std::string& name, const FinishClaim& release);
   CommandResult apply_finish(const FinishClaim& finish);
   CommandResult apply_order(const IssueOrder& order);
   CommandResult apply_complete(const CompleteOrder& complete);
@@ -88,6 +101,8 @@
   std::deque<KeptAnswer> answers_;
   std::map<std::string, Order> orders_;
   std::unordered_map<std::string, Claim> claims_;
+  /// By claim; only for keys that were released.
+  std::unordered_map<std::string, std::vector<ClosedAttempts>> closed_;
 };
 
 /// What is wrong with a change, judged against the configuration that it is based on.
--- a/src/router/router_claims.cc
+++ b/src/router/router_claims.cc
@@ -21,6 +21,8 @@
   claim.key = request.submit.idempotency_key;
   claim.digest = request.digest;
   claim.claim_id = request.claim_id;
+  claim.request_id = request.submit.request_id;
+  claim.attempt = request.submit.attempt;
   claim_calls_[call_id] = PendingClaim{request.submit.request_id, claim};
   actions_.push_back(CallControl{call_id, claim});
 }
@@ -95,6 +97,8 @@
   finish_claim.claim_id = request.claim_id;
   finish_claim.state = state;
   finish_claim.outcome = outcome;
+  finish_claim.request_id = request.submit.request_id;
+  finish_claim.attempt = request.submit.attempt;
   actions_.push_back(CallControl{++last_control_call_, finish_claim});
 }
 
@@ -104,6 +108,8 @@
   release.key = claim.key;
   release.claim_id = claim.claim_id;
   release.state = ClaimState::kReleased;
+  release.request_id = claim.request_id;
+  release.attempt = claim.attempt;
   actions_.push_back(CallControl{++last_control_call_, release});
 }
 
--- a/src/router/router_core.cc
+++ b/src/router/router_core.cc
@@ -148,12 +148,30 @@
     request.prefix_key = hash_bytes(submit.path);
     return;
   }
-  request.seed = cache::namespace_seed(
-      control::prompt_namespace(configuration_, submit.tenant, submit.serves, options_.block_tokens));
-  request.chain = cache::block_chain(request.seed, submit.prompt, options_.block_tokens);
-  request.prefix_key = request.chain.empty()
-                           ? cache::chain_root(request.seed, submit.prompt, options_.block_tokens)
-                           : request.chain.front();
+  hash_prompt(request);
+}
+
+void RouterCore::hash_prompt(Request& request) const {
+  const wire::SubmitRequest& submit = request.submit;
+  if (submit.kind != wire::RequestKind::kCompletion) {
+    return;
+  }
+  const cache::Namespace name_space =
+      control::prompt_namespace(configuration_, submit.tenant, submit.serves, options_.block_tokens);
+  const uint64_t seed = cache::namespace_seed(name_space);
+  if (seed == request.seed) {
+    return;
+  }
+  request.seed = seed;
+  request.weights_version = name_space.weights_version;
+  request.chain = cache::block_chain(seed, submit.prompt, options_.block_tokens);
+  request.prefix_key = request.chain.empty() ? cache::chain_root(seed, submit.prompt, options_.block_tokens)
+                                             : request.chain.front();
+}
+
+bool RouterCore::is_whole(const Request& request) {
+  return request.submit.kind == wire::RequestKind::kCompletion && request.submit.max_tokens > 0 &&
+         request.next_index >= request.submit.max_tokens;
 }
 
 void RouterCore::on_submit(SidecarId sidecar, wire::SubmitRequest submit, TimePoint now) {
@@ -168,6 +186,9 @@
       old.sidecar = sidecar;
       old.orphaned_at = TimePoint(0);
       old.submit.attempt = std::max(old.submit.attempt, submit.attempt);
+      // The sidecar may have tried other routers in between.
+      old.submit.may_have_run |= submit.may_have_run;
+      old.may_have_run |= submit.may_have_run;
       return;
     }
     submit.resume = {wire::ResumePoint{old.backend, old.incarnation, old.engine_attempt, old.claim_id}};
@@ -216,7 +237,7 @@
         static_cast<int64_t>(costs_.prefill_us(ahead) / static_cast<double>(engine_count)));
     if (now + expected > request.start_by) {
       end_claim(request, ClaimState::kReleased, "");
-      finish_with(request, request.submit.may_have_run ? Outcome::kUnknown : Outcome::kNotRun,
+      finish_with(request, request.may_have_run ? Outcome::kUnknown : Outcome::kNotRun,
                   FailureReason::kDeadline, "the queue is longer than the request can wait",
                   now + expected - request.start_by + kBusyRetryAfter, now);
       return;
--- a/src/router/router_core.h
+++ b/src/router/router_core.h
@@ -103,6 +103,7 @@
     TimePoint orphaned_at{0};
     control::PolicyRow tenant_row;
     uint64_t seed = 0;
+    std::string weights_version;  ///< of the namespace that `seed` stands for
     std::vector<cache::BlockHash> chain;
     cache::BlockHash prefix_key = 0;
     uint32_t prompt_tokens = 0;
@@ -117,6 +118,7 @@
     uint32_t resumes = 0;
     uint32_t restarts_met = 0;  ///< refusals by engines that had restarted
     bool may_have_run = false;
+    bool ran_before_call = false;  ///< what `may_have_run` was before the call under way
     uint32_t next_index = 0;
     std::string text;  ///< pieces passed on, kept for the claim's outcome and for going on elsewhere
     uint32_t missing_tokens = 0;
@@ -158,6 +160,10 @@
   // requests
   bool check_submit(const wire::SubmitRequest& submit, const Request& request, TimePoint now);
   void prepare(Request& request, TimePoint now);
+  /// Hashes the prompt anew when its namespace has changed, by a change of weights above all.
+  void hash_prompt(Request& request) const;
+  /// All that was asked for was delivered; only the end got lost.
+  static bool is_whole(const Request& request);
   void request_claim(Request& request, TimePoint now);
   void on_claim_result(uint64_t request_id, const control::CommandResult& result, TimePoint now);
   void enqueue(Request& request, TimePoint now);
@@ -193,6 +199,7 @@
   void on_broken(Request& request, TimePoint now);
   void on_refused(Request& request, const CallResult& result, TimePoint now);
   void on_complete(Request& request, const CallResult& result, TimePoint now);
+  void complete(Request& request, const CallResult& result, TimePoint now);
   void retry_elsewhere(Request& request, TimePoint now, bool exclude_backend = true);
   /// The request has no call at its back end any more.
   void release_backend(Request& request);
--- a/src/router/router_dispatch.cc
+++ b/src/router/router_dispatch.cc
@@ -154,6 +154,7 @@
 }
 
 bool RouterCore::try_dispatch(Request& request, TimePoint now) {
+  hash_prompt(request);
   const PlacementInput input = placement_input(request, now);
   if (input.candidates.empty()) {
     return false;
@@ -203,6 +204,7 @@
   // Attempt numbers at engines must not meet those that another router gave to the same request.
   request.engine_attempt = static_cast<uint32_t>(random_.bits() >> 33U) | 1U;
   request.incarnation = state.load.incarnation;
+  request.ran_before_call = request.may_have_run;
   request.may_have_run = true;
   call.engine_attempt = request.engine_attempt;
   call.expected_incarnation = request.incarnation;
@@ -213,10 +215,7 @@
   call.max_tokens = request.submit.max_tokens;
   call.priority = request.tenant_row.priority;
   call.kv_transfer = transfer;
-  const auto model = configuration_.models.find(request.submit.serves);
-  if (kind == CallKind::kComplete && model != configuration_.models.end()) {
-    call.expected_weights = model->second.weights_version;
-  }
+  call.expected_weights = request.weights_version;
   state.pending_tokens += request.missing_tokens;
   request.pending_tokens = request.missing_tokens;
   if (kind == CallKind::kComplete) {
@@ -239,6 +238,7 @@
   request.incarnation = where.incarnation;
   request.engine_attempt = where.engine_attempt;
   request.may_have_run = true;
+  request.ran_before_call = true;  // whatever becomes of the resume, the run may have begun
   request.claim_id = where.claim_id;
   ++request.resumes;
   const auto backend = configuration_.backends.find(where.engine);
@@ -323,8 +323,7 @@
       break;
     case CallEnd::kNotSent:
       outliers_.on_failure(request.backend, now);
-      // A resume that could not be sent says nothing of the run itself.
-      request.may_have_run = request.submit.may_have_run || request.resumes > 0 || request.next_index > 0;
+      request.may_have_run = request.ran_before_call;
       retry_elsewhere(request, now);
       break;
     case CallEnd::kRefused:
@@ -360,6 +359,11 @@
     on_broken(request, now);
     return;
   }
+  complete(request, result, now);
+}
+
+void RouterCore::complete(Request& request, const CallResult& result, TimePoint now) {
+  const bool is_completion = request.submit.kind == wire::RequestKind::kCompletion;
   wire::RequestFinished finished;
   finished.outcome = Outcome::kComplete;
   finished.http_status = result.http_status == 0 ? 200 : result.http_status;
@@ -384,14 +388,14 @@
     if (++request.restarts_met <= kMaxRestartsMet) {
       // It is up again, only empty: as good a choice as any.
       --request.dispatches;
-      request.may_have_run = request.submit.may_have_run || request.next_index > 0;
+      request.may_have_run = request.ran_before_call;
       retry_elsewhere(request, now, false);
       return;
     }
   } else {
     state.avoid_until = now + kAvoidAfterRefusal;
   }
-  request.may_have_run = request.submit.may_have_run || request.next_index > 0;
+  request.may_have_run = request.ran_before_call;
   retry_elsewhere(request, now);
 }
 
@@ -422,6 +426,14 @@
 }
 
 void RouterCore::retry_elsewhere(Request& request, TimePoint now, bool exclude_backend) {
+  if (is_whole(request)) {
+    CallResult whole;
+    whole.end = CallEnd::kComplete;
+    whole.piece_count = request.next_index;
+    whole.prompt_tokens = request.prompt_tokens;
+    complete(request, whole, now);
+    return;
+  }
   const bool may_go_on = request.submit.repeatable || !request.may_have_run;
   if (!may_go_on) {
     metrics_->count("stoat_router_unknown_total");
--- a/tests/simulation/fleet_scenarios_test.cc
+++ b/tests/simulation/fleet_scenarios_test.cc
@@ -469,5 +469,27 @@
   EXPECT_EQ(report.complete + report.not_run, sent_count);
 }
 
+TEST_F(FleetScenario, ABidThatWasRefusedNeverRunsLaterAtARouterThatWakes) {
+  start();
+  const size_t probe = send_until_streaming(question("owner-1", "who owns this prefix?"));
+  const auto owner = static_cast<size_t>(simulation_->router_of(probe));
+  expect_complete(probe);
+  const auto set_leaving = [&](bool leaving) {
+    for (size_t engine = 0; engine < simulation_->engine_count(); ++engine) {
+      simulation_->engine(engine).set_leaving(leaving);
+    }
+    simulation_->run_for(1s);
+  };
+  set_leaving(true);
+  simulation_->freeze_router(owner);
+  const size_t sent = simulation_->send(bid("bid-1"));
+  ASSERT_TRUE(simulation_->run_until_ended(sent));
+  ASSERT_EQ(record(sent).result.outcome, Outcome::kNotRun);
+  set_leaving(false);
+  simulation_->thaw_router(owner);
+  simulation_->run_for(5s);
+  EXPECT_EQ(simulation_->checks().runs_of_key("bid-1"), 0U);
+}
+
 }  // namespace
 }  // namespace stoat::simulation
--- a/tests/simulation/kv_store_scenarios_test.cc
+++ b/tests/simulation/kv_store_scenarios_test.cc
@@ -106,5 +106,23 @@
   EXPECT_LE(report.imported_tokens, 6U * 3968U);
 }
 
+/// Random faults, the store's loss among them.
+class KvStoreSeeds : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(KvStoreSeeds, HoldsAllChecksUnderRandomFaults) {
+  constexpr uint64_t kSeedsOfTest = 10;
+  for (uint64_t seed = GetParam() * kSeedsOfTest; seed < (GetParam() + 1) * kSeedsOfTest; ++seed) {
+    FleetSimulationOptions options = faulty_fleet_options(seed, seed % 2 == 0 ? "derwent" : "kavelwind", 20s);
+    options.kv_store_blocks = 400;
+    const FleetReport report = FleetSimulation(options).run();
+    EXPECT_TRUE(report.violations.empty())
+        << report.violations.front()
+        << "; replay: stoat-simulate --set what='\"fleet\"' --set kv_store_blocks=400 --set workload='\""
+        << options.workload.name << "\"' --set seeds=1 --set first_seed=" << seed;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, KvStoreSeeds, testing::Range(uint64_t{0}, uint64_t{6}));
+
 }  // namespace
 }  // namespace stoat::simulation
--- a/tests/unit/router_core_test.cc
+++ b/tests/unit/router_core_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "src/common/hash.h"
+#include "src/control/prompt_namespace.h"
 
 namespace stoat::router {
 namespace {
@@ -54,6 +55,17 @@
     return end;
   }
 
+  /// The last call to a back end that the router has asked for, if any.
+  std::optional<StartCall> take_call() {
+    std::optional<StartCall> last;
+    for (const RouterAction& action : core_.take_actions()) {
+      if (const auto* call = std::get_if<StartCall>(&action)) {
+        last = *call;
+      }
+    }
+    return last;
+  }
+
   Metrics metrics_;
   RouterCore core_;
 };
@@ -200,6 +212,107 @@
   EXPECT_LT(sent, 250U) << "about a tenth of the blocks had the router that left as owner";
 }
 
+TEST_F(RouterCoreTest, AResendThatMayHaveRunElsewhereIsNotCalledNotRunWhenItsClaimFails) {
+  wire::SubmitRequest submit = request();
+  submit.repeatable = false;
+  submit.idempotency_key = "bid";
+  core_.on_submit(kSidecar, submit, TimePoint(2));
+  uint64_t claim_call = 0;
+  for (const RouterAction& action : core_.take_actions()) {
+    if (const auto* call = std::get_if<CallControl>(&action)) {
+      claim_call = call->call_id;
+    }
+  }
+  // The router was frozen meanwhile; its sidecar has tried others before it came back here.
+  submit.attempt = 4;
+  submit.may_have_run = true;
+  core_.on_submit(kSidecar, submit, TimePoint(3));
+  core_.on_control_answer(claim_call, std::nullopt, TimePoint(4));
+  const auto end = take_end();
+  ASSERT_TRUE(end.has_value());
+  EXPECT_EQ(end->outcome, wire::Outcome::kUnknown);
+}
+
+TEST_F(RouterCoreTest, AStreamWhoseLastPieceWasDeliveredIsCompleteWithoutAnotherRun) {
+  wire::SubmitRequest submit = request();
+  submit.attempt = 2;
+  submit.may_have_run = true;
+  submit.next_index = submit.max_tokens;
+  submit.delivered = "all of it";
+  submit.resume = {wire::ResumePoint{"engine", 9, 5, 0}};
+  core_.on_submit(kSidecar, submit, TimePoint(2));
+  const auto resume = take_call();
+  ASSERT_TRUE(resume.has_value());
+  CallResult unknown;
+  unknown.end = CallEnd::kUnknownStream;
+  core_.on_call_end(resume->call_id, unknown, TimePoint(3));
+  std::optional<wire::RequestFinished> end;
+  for (const RouterAction& action : core_.take_actions()) {
+    EXPECT_FALSE(std::holds_alternative<StartCall>(action)) << "generates more than was asked for";
+    if (const auto* send = std::get_if<SendToSidecar>(&action)) {
+      if (const auto* finished = std::get_if<wire::RequestFinished>(&send->message.value)) {
+        end = *finished;
+      }
+    }
+  }
+  ASSERT_TRUE(end.has_value());
+  EXPECT_EQ(end->outcome, wire::Outcome::kComplete);
+  EXPECT_EQ(end->piece_count, submit.max_tokens);
+}
+
+TEST_F(RouterCoreTest, ARefusalAfterAnEngineThatMayHaveRunItIsNotCalledNotRun) {
+  control::Configuration configuration = core_.configuration();
+  configuration.version = 2;
+  configuration.backends["other"] =
+      control::Backend{"other", control::BackendKind::kEngine, "model", "127.0.0.1:2", "region/zone", false};
+  core_.on_configuration(configuration, TimePoint(2));
+  core_.on_submit(kSidecar, request(), TimePoint(3));
+  auto call = take_call();
+  ASSERT_TRUE(call.has_value());
+  core_.on_call_end(call->call_id, CallResult{}, TimePoint(4));  // broken: may have run
+  CallResult refused;
+  refused.end = CallEnd::kRefused;
+  refused.refusal = "loading";
+  std::optional<wire::RequestFinished> end;
+  for (int64_t at = 5; at < 40 && !end; ++at) {
+    std::vector<CallId> open;
+    for (const RouterAction& action : core_.take_actions()) {
+      if (const auto* started = std::get_if<StartCall>(&action)) {
+        open.push_back(started->call_id);
+      } else if (const auto* send = std::get_if<SendToSidecar>(&action)) {
+        if (const auto* finished = std::get_if<wire::RequestFinished>(&send->message.value)) {
+          end = *finished;
+        }
+      }
+    }
+    for (const CallId call_id : open) {
+      core_.on_call_end(call_id, refused, TimePoint(0) + at * 1s);
+    }
+    core_.tick(TimePoint(0) + at * 1s);
+  }
+  ASSERT_TRUE(end.has_value());
+  EXPECT_NE(end->outcome, wire::Outcome::kNotRun);
+}
+
+TEST_F(RouterCoreTest, AQueuedRequestFollowsAChangeOfWeights) {
+  control::Configuration configuration = core_.configuration();
+  configuration.version = 2;
+  configuration.backends["engine"].draining = true;
+  core_.on_configuration(configuration, TimePoint(2));
+  core_.on_submit(kSidecar, request(), TimePoint(3));
+  ASSERT_FALSE(take_call().has_value());
+  configuration.version = 3;
+  configuration.backends["engine"].draining = false;
+  configuration.models["model"].weights_version = "v2";
+  core_.on_configuration(configuration, TimePoint(4));
+  const auto call = take_call();
+  ASSERT_TRUE(call.has_value());
+  EXPECT_EQ(call->expected_weights, "v2");
+  const cache::Namespace expected =
+      control::prompt_namespace(configuration, "tenant", "model", options().block_tokens);
+  EXPECT_EQ(call->cache_seed, cache::namespace_seed(expected)) << "blocks of the older weights would match";
+}
+
 TEST_F(RouterCoreTest, ALowerConfigurationIsNotTaken) {
   control::Configuration older;
   older.version = 0;
