--- a/src/router/router_core.cc
+++ b/src/router/router_core.cc
@@ -307,6 +307,7 @@
   send_digest(now);
   ask_quotas(now);
   review_hot_prefixes(now);
+  start_hedges(now);
   index_.sweep(kSweepEntriesPerTick);
   if (now >= next_generation_) {
     next_generation_ = now + kExpectedGeneration;
--- a/src/router/router_core.h
+++ b/src/router/router_core.h
@@ -40,6 +40,8 @@
       100;                         ///< of one prefix at one router; above it the prefix gets more owners
   uint32_t max_dispatches = 4;     ///< tries of one request at this router, resumes included
   uint32_t snapshots_at_once = 2;  ///< feed snapshots fetched at the same time
+  double hedge_factor = 3;         ///< a first token this many times later than expected is hedged; 0: never
+  Duration hedge_floor = 400ms;    ///< no request is hedged sooner
 };
 
 /// Waits between polls of an engine that does not answer.
@@ -94,6 +96,16 @@
   /// router settles it as unknown.
   enum class Phase : uint8_t { kClaiming, kQueued, kRunning, kLingering };
 
+  /// A second run of a repeatable request whose first token is late. Whichever run gives the first piece goes
+  /// on.
+  struct Hedge {
+    CallId call_id = 0;  ///< 0: none
+    std::string backend;
+    uint64_t incarnation = 0;
+    uint32_t engine_attempt = 0;
+    uint32_t pending_tokens = 0;
+  };
+
   /// One request under way.
   struct Request {
     wire::SubmitRequest submit;
@@ -125,6 +137,9 @@
     uint32_t import_tokens = 0;
     uint32_t pending_tokens = 0;  ///< counted in the engine's pending tokens until the first piece
     TimePoint dispatched_at{0};
+    Duration expected_first_token{0};  ///< from the dispatch on
+    uint32_t first_index = 0;          ///< that the call under way is to give
+    Hedge hedge;
     bool queue_was_empty = false;
     std::set<std::string> excluded;  ///< back ends that refused it
   };
@@ -188,6 +203,7 @@
     return !placement_input(request, now).candidates.empty();
   }
   const ServingEntry* store_for(const Request& request, TimePoint now) const;
+  Duration expected_first_token(const Request& request, const placement::Candidate& chosen) const;
   KvTransfer plan_transfer(Request& request, const PlacementInput& input, const placement::Candidate& chosen);
   bool accepts_work(const ServingEntry& entry, TimePoint now) const;
   bool usable(const Request& request, const ServingEntry& entry, TimePoint now) const;
@@ -203,9 +219,21 @@
   void retry_elsewhere(Request& request, TimePoint now, bool exclude_backend = true);
   /// The request has no call at its back end any more.
   void release_backend(Request& request);
+  void release_backend(const std::string& backend, uint32_t pending_tokens);
+  StartCall new_run(const Request& request, const control::Backend& backend, const KvTransfer& transfer);
+  void expect_blocks(const Request& request, const std::string& backend, uint64_t incarnation);
+  void tell_where(const Request& request);
   void end_pending(Request& request);
   void note_first_piece(Request& request, TimePoint now);
 
+  // router_hedge.cc: second runs of requests whose first token is late
+  void start_hedges(TimePoint now);
+  bool hedge_due(const Request& request, TimePoint now) const;
+  void start_hedge(Request& request, TimePoint now);
+  void promote_hedge(Request& request, TimePoint now);
+  void drop_hedge(Request& request);
+  void on_hedge_end(Request& request, const CallResult& result, TimePoint now);
+
   // router_cluster.cc: engine homes, prefix ownership, load digests, quota leases
   std::vector<std::string> region_routers() const;
   std::vector<std::string> zone_routers(const std::string& zone) const;
--- a/src/router/router_dispatch.cc
+++ b/src/router/router_dispatch.cc
@@ -153,6 +153,12 @@
   return transfer;
 }
 
+Duration RouterCore::expected_first_token(const Request& request, const placement::Candidate& chosen) const {
+  const double queued = std::max(chosen.reported_tokens, chosen.pending_tokens);
+  const double first_us = costs_.base_us() + costs_.prefill_us(queued + request.missing_tokens);
+  return Duration(static_cast<int64_t>(first_us));
+}
+
 bool RouterCore::try_dispatch(Request& request, TimePoint now) {
   hash_prompt(request);
   const PlacementInput input = placement_input(request, now);
@@ -163,6 +169,7 @@
                                     input.stored_blocks * options_.block_tokens};
   const placement::Candidate& chosen = input.candidates[policy_->choose(view, input.candidates, random_)];
   request.missing_tokens = request.prompt_tokens - std::min(request.prompt_tokens, chosen.cached_tokens);
+  request.expected_first_token = expected_first_token(request, chosen);
   request.queue_was_empty = chosen.reported_tokens + chosen.pending_tokens == 0 && chosen.outstanding == 0;
   const control::Backend& backend = configuration_.backends.at(std::string(chosen.name));
   const CallKind kind =
@@ -185,29 +192,47 @@
   ++state.outstanding;
   outliers_.on_dispatch(backend.name, now);
 
-  StartCall call;
+  request.first_index = request.next_index;
+  if (kind == CallKind::kResume) {
+    StartCall call = new_run(request, backend, KvTransfer());
+    call.call_id = request.call_id;
+    call.kind = kind;
+    call.engine_attempt = request.engine_attempt;
+    call.expected_incarnation = request.incarnation;
+    call.prompt.clear();
+    actions_.push_back(std::move(call));
+    return;
+  }
+  StartCall call = new_run(request, backend, transfer);
   call.call_id = request.call_id;
   call.kind = kind;
+  request.engine_attempt = call.engine_attempt;
+  request.incarnation = call.expected_incarnation;
+  request.ran_before_call = request.may_have_run;
+  request.may_have_run = true;
+  state.pending_tokens += request.missing_tokens;
+  request.pending_tokens = request.missing_tokens;
+  if (kind == CallKind::kComplete) {
+    expect_blocks(request, backend.name, request.incarnation);
+  }
+  tell_where(request);
+  actions_.push_back(std::move(call));
+}
+
+StartCall RouterCore::new_run(const Request& request, const control::Backend& backend,
+                              const KvTransfer& transfer) {
+  StartCall call;
   call.backend = backend.name;
   call.endpoint = backend.endpoint;
-  call.request_id = request_id;
+  call.request_id = request.submit.request_id;
   call.idempotency_key = request.submit.idempotency_key;
   call.tenant = request.submit.tenant;
   call.first_index = request.next_index;
   call.repeatable = request.submit.repeatable;
-  if (kind == CallKind::kResume) {
-    call.engine_attempt = request.engine_attempt;
-    call.expected_incarnation = request.incarnation;
-    actions_.push_back(std::move(call));
-    return;
-  }
   // Attempt numbers at engines must not meet those that another router gave to the same request.
-  request.engine_attempt = static_cast<uint32_t>(random_.bits() >> 33U) | 1U;
-  request.incarnation = state.load.incarnation;
-  request.ran_before_call = request.may_have_run;
-  request.may_have_run = true;
-  call.engine_attempt = request.engine_attempt;
-  call.expected_incarnation = request.incarnation;
+  call.engine_attempt = static_cast<uint32_t>(random_.bits() >> 33U) | 1U;
+  call.expected_incarnation = engines_.at(backend.name).load.incarnation;
+  call.expected_weights = request.weights_version;
   call.prompt = request.submit.prompt;
   call.method = request.submit.method;
   call.path = request.submit.path;
@@ -215,22 +240,24 @@
   call.max_tokens = request.submit.max_tokens;
   call.priority = request.tenant_row.priority;
   call.kv_transfer = transfer;
-  call.expected_weights = request.weights_version;
-  state.pending_tokens += request.missing_tokens;
-  request.pending_tokens = request.missing_tokens;
-  if (kind == CallKind::kComplete) {
-    const cache::EngineSlot slot = expected_->slot_of(backend.name, request.incarnation);
-    for (const cache::BlockHash block : request.chain) {
-      expected_->store(slot, block);
-    }
+  return call;
+}
+
+void RouterCore::expect_blocks(const Request& request, const std::string& backend, uint64_t incarnation) {
+  const cache::EngineSlot slot = expected_->slot_of(backend, incarnation);
+  for (const cache::BlockHash block : request.chain) {
+    expected_->store(slot, block);
+  }
+}
+
+void RouterCore::tell_where(const Request& request) {
+  if (request.sidecar == 0) {
+    return;
   }
   const wire::ResumePoint where{request.backend, request.incarnation, request.engine_attempt,
                                 request.claim_id};
-  if (request.sidecar != 0) {
-    actions_.push_back(
-        SendToSidecar{request.sidecar, wire::RequestDispatched{request_id, request.submit.attempt, where}});
-  }
-  actions_.push_back(std::move(call));
+  const wire::RequestDispatched dispatched{request.submit.request_id, request.submit.attempt, where};
+  actions_.push_back(SendToSidecar{request.sidecar, dispatched});
 }
 
 void RouterCore::start_resume(Request& request, const wire::ResumePoint& where, TimePoint now) {
@@ -254,6 +281,7 @@
   if (request.call_id == 0) {
     return;
   }
+  drop_hedge(request);
   actions_.push_back(StopCall{request.call_id, false});
   calls_.erase(request.call_id);
   release_backend(request);
@@ -261,9 +289,14 @@
 
 void RouterCore::release_backend(Request& request) {
   request.call_id = 0;
-  EngineState& state = engines_.at(request.backend);
+  release_backend(request.backend, request.pending_tokens);
+  request.pending_tokens = 0;
+}
+
+void RouterCore::release_backend(const std::string& backend, uint32_t pending_tokens) {
+  EngineState& state = engines_.at(backend);
   state.outstanding -= state.outstanding > 0 ? 1 : 0;
-  end_pending(request);
+  state.pending_tokens -= std::min(state.pending_tokens, pending_tokens);
 }
 
 void RouterCore::end_pending(Request& request) {
@@ -292,6 +325,11 @@
     return;
   }
   Request& request = requests_[call->second];
+  if (call_id == request.hedge.call_id) {
+    promote_hedge(request, now);
+  } else {
+    drop_hedge(request);
+  }
   if (index < request.next_index) {
     return;
   }
@@ -316,6 +354,16 @@
   }
   Request& request = requests_[call->second];
   calls_.erase(call);
+  if (call_id == request.hedge.call_id) {
+    on_hedge_end(request, result, now);
+    return;
+  }
+  const bool other_runs = request.hedge.call_id != 0;
+  if (other_runs && (result.end == CallEnd::kBroken || result.end == CallEnd::kNotSent)) {
+    outliers_.on_failure(request.backend, now);
+    promote_hedge(request, now);
+    return;
+  }
   release_backend(request);
   switch (result.end) {
     case CallEnd::kComplete:
--- a/src/router/router_endings.cc
+++ b/src/router/router_endings.cc
@@ -136,6 +136,7 @@
 }
 
 void RouterCore::finish(Request& request, const wire::RequestFinished& finished, TimePoint now) {
+  drop_hedge(request);
   wire::RequestFinished message = finished;
   message.request_id = request.submit.request_id;
   message.attempt = request.submit.attempt;
--- a/src/router/router_server.cc
+++ b/src/router/router_server.cc
@@ -35,6 +35,8 @@
   core.hot_requests_per_second =
       reader.number("hot_requests_per_second", core.hot_requests_per_second, 1, 1e6);
   core.max_dispatches = static_cast<uint32_t>(reader.integer("max_dispatches", core.max_dispatches, 1, 20));
+  core.hedge_factor = reader.number("hedge_factor", core.hedge_factor, 0, 1000);
+  core.hedge_floor = Duration(1000 * reader.integer("hedge_floor_ms", 400, 1, 600000));
   settings.listen = read_endpoint(reader, "listen", "127.0.0.1:7100");
   settings.advertise = read_endpoint(reader, "advertise", to_string(settings.listen));
   settings.http = read_endpoint(reader, "http", "127.0.0.1:7101");
--- a/tests/simulation/fleet_scenarios_test.cc
+++ b/tests/simulation/fleet_scenarios_test.cc
@@ -491,5 +491,38 @@
   EXPECT_EQ(simulation_->checks().runs_of_key("bid-1"), 0U);
 }
 
+TEST_F(FleetScenario, AQuestionAtAFrozenEngineIsHedgedAndTheLosersWorkIsCancelled) {
+  start();
+  const size_t probe = send_until_streaming(question("owner-1", "warm"));
+  const auto engine = static_cast<size_t>(simulation_->engine_of(probe));
+  expect_complete(probe);
+  simulation_->run_for(1s);
+  simulation_->freeze_engine(engine);
+  const size_t sent = simulation_->send(question("owner-1", "late"));
+  ASSERT_TRUE(simulation_->run_until_ended(sent, 2s)) << "waited for the frozen engine";
+  EXPECT_EQ(record(sent).result.outcome, Outcome::kComplete);
+  EXPECT_EQ(simulation_->checks().runs_of_request(record(sent).request_id), 1U)
+      << "the frozen one has not begun";
+  simulation_->thaw_engine(engine);
+  simulation_->run_for(1s);
+  EXPECT_EQ(simulation_->engine(engine).unfinished(), 0U) << "generates for nobody";
+}
+
+TEST_F(FleetScenario, ABidAtAFrozenEngineIsNeverHedged) {
+  start();
+  const size_t probe = send_until_streaming(question("owner-1", "warm"));
+  const auto engine = static_cast<size_t>(simulation_->engine_of(probe));
+  expect_complete(probe);
+  simulation_->run_for(1s);
+  simulation_->freeze_engine(engine);
+  const size_t sent = simulation_->send(bid("bid-1"));
+  simulation_->run_for(3s);
+  EXPECT_FALSE(record(sent).finished);
+  EXPECT_EQ(simulation_->checks().runs_of_key("bid-1"), 0U);
+  simulation_->thaw_engine(engine);
+  expect_complete(sent);
+  EXPECT_EQ(simulation_->checks().runs_of_key("bid-1"), 1U);
+}
+
 }  // namespace
 }  // namespace stoat::simulation
--- a/tools/experiment_main.cc
+++ b/tools/experiment_main.cc
@@ -36,9 +36,9 @@
   ExperimentSettings settings;
   settings.what = reader.text("what", "policies");
   const bool known = settings.what == "policies" || settings.what == "freshness" ||
-                     settings.what == "flood" || settings.what == "overload";
+                     settings.what == "flood" || settings.what == "overload" || settings.what == "hedging";
   if (!known) {
-    reader.add_finding("what", "must be policies, freshness, flood or overload");
+    reader.add_finding("what", "must be policies, freshness, flood, overload or hedging");
   }
   settings.workload = read_workload_name(reader);
   settings.policy = reader.text("policy", "");
@@ -224,6 +224,36 @@
   return rows;
 }
 
+/// Engines that stand still for a while, one at a time: what does a second run of late requests bring?
+std::vector<Row> run_hedging(const ExperimentSettings& settings) {
+  constexpr Duration kFrozen = 1500ms;
+  constexpr Duration kBetween = 3s;
+  std::vector<Row> rows;
+  for (const double factor : {0.0, 3.0}) {
+    Row row;
+    row.name = factor > 0 ? "engines freeze, hedging" : "engines freeze, no hedging";
+    for (uint64_t seed = 1; seed <= settings.seeds; ++seed) {
+      FleetSimulationOptions options = deployment(settings, seed);
+      options.router.hedge_factor = factor;
+      FleetSimulation simulation(options);
+      Random random(seed);
+      for (Duration ran{0}; ran < settings.duration; ran += kBetween) {
+        const size_t engine = random.below(options.engines);
+        simulation.freeze_engine(engine);
+        simulation.run_for(kFrozen);
+        simulation.thaw_engine(engine);
+        simulation.run_for(kBetween - kFrozen);
+      }
+      const FleetReport report = simulation.finish();
+      row.add(report);
+      row.figures["prefilled_share"].samples.add(static_cast<double>(report.prefilled_tokens) /
+                                                 static_cast<double>(report.prompt_tokens));
+    }
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
 /// First-token p95 by second of the intended send time, over one run.
 json first_token_over_time(const std::vector<simulation::CallerRecord>& records, TimePoint start) {
   std::map<int64_t, Samples> by_second;
@@ -305,6 +335,8 @@
     rows = run_policies(settings);
   } else if (settings.what == "freshness") {
     rows = run_freshness(settings);
+  } else if (settings.what == "hedging") {
+    rows = run_hedging(settings);
   } else if (settings.what == "flood") {
     rows = run_flood(settings);
   } else {
