Mend a data race between the disk thread and the metrics of a control member

Cause: the first ThreadSanitizer run (unit, property and process tests, preset tsan) named one place, in 8 reports: the loop read the size of the log that the disk thread writes.

Figures: before, process.ProcessFailures.WithoutFaults... fails under ThreadSanitizer with this report.

Conclusion: no effect on what was written; a metric could have been torn, and a start could have crashed.

--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -135,9 +135,11 @@
   consensus::RestoredState restored;
   restored.snapshot = first;
   restored.hard_state.term = 1;
+  driver_.reset();  // its thread must not write at the same time
   const auto written = store_.write_snapshot(wire::encode(first), restored.hard_state, {});
   if (!written) {
     log_.error("cannot write the first state", {{"error", written.error().message}});
+    start_core({});
     return;
   }
   log_.info("founded", {{"members", first.members.members.size()}});
--- a/src/control/durable_driver.cc
+++ b/src/control/durable_driver.cc
@@ -29,6 +29,7 @@
       send_(std::move(send)),
       after_apply_(std::move(after_apply)),
       on_failure_(std::move(on_failure)),
+      log_bytes_(store.log_bytes()),
       disk_thread_([this] { run_disk(); }) {}
 
 DurableDriver::~DurableDriver() {
@@ -136,8 +137,13 @@
     ++syncs;
   }
   auto done = std::make_shared<std::vector<Job>>(std::move(batch));
-  loop_.post([this, done, result, syncs] {
+  const uint64_t log_bytes = store_.log_bytes();
+  loop_.post([this, alive = std::weak_ptr<const bool>(alive_), done, result, syncs, log_bytes] {
+    if (alive.expired()) {
+      return;
+    }
     syncs_ += syncs;
+    log_bytes_ = log_bytes;
     if (!result) {
       failed_ = true;
       on_failure_(result.error());
--- a/src/control/durable_driver.h
+++ b/src/control/durable_driver.h
@@ -30,7 +30,8 @@
   /// To be called after every call into the core.
   void drive();
   uint64_t syncs() const { return syncs_; }
-  uint64_t log_bytes() const { return store_.log_bytes(); }
+  /// Size of the log file after the last write that has completed.
+  uint64_t log_bytes() const { return log_bytes_; }
 
  private:
   using OutputPtr = std::shared_ptr<consensus::Output>;
@@ -57,6 +58,9 @@
   bool driving_ = false;
   size_t jobs_open_ = 0;
   uint64_t syncs_ = 0;
+  uint64_t log_bytes_ = 0;
+  /// Goes with the driver; what the disk thread has posted and runs later looks whether it is still there.
+  std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
   std::mutex mutex_;
   std::condition_variable wake_;
   std::deque<Job> jobs_;
