Refuse characters beyond ASCII outside of quotes before the settings' parser sees them

Cause: the fuzz target, run for the first time (2,061 inputs), stopped in the TOML library: for the character U+01CA outside of a string it reaches a point that the library calls unreachable, which is undefined behaviour. The release build happens to report an error.

Ruled out: a fault of the reader (the input reaches the library unchanged).

Change: SettingsReader looks for such characters first and reports the place. Files are read by the reader itself, so that both go the same way.

Tests: SettingsTest (4); the first fails without the check (it gets the library's message).

--- a/simulation/fleet_sidecars.cc
+++ b/simulation/fleet_sidecars.cc
@@ -127,6 +127,30 @@
   record.ended = events_.now();
 }
 
+void FleetSimulation::expect_first_piece(size_t record, sidecar::ExchangeId exchange) {
+  if (options_.caller_patience > Duration(0)) {
+    events_.after(options_.caller_patience, [this, record, exchange] { lose_patience(record, exchange); });
+  }
+}
+
+void FleetSimulation::lose_patience(size_t position, sidecar::ExchangeId exchange) {
+  CallerRecord& record = records_[position];
+  const auto open = record_of_exchange_.find({record.sidecar, exchange});
+  if (open == record_of_exchange_.end() || !record.text.empty()) {
+    return;
+  }
+  record_of_exchange_.erase(open);
+  if (!options_.callers_leave_silently) {
+    sidecars_[record.sidecar].core->on_caller_gone(exchange);
+    run_sidecar_actions(record.sidecar);
+  }
+  if (record.tries++ < kMaxTries) {
+    submit(position);
+  } else {
+    records_[position].gone = true;
+  }
+}
+
 void FleetSimulation::set_caller_gone(size_t position) {
   CallerRecord& record = records_[position];
   record.gone = true;
--- a/simulation/fleet_simulation.cc
+++ b/simulation/fleet_simulation.cc
@@ -232,6 +232,7 @@
   const sidecar::ExchangeId exchange = ++last_exchange_;
   record_of_exchange_[{record.sidecar, exchange}] = position;
   record.text.clear();
+  expect_first_piece(position, exchange);
   const uint64_t request_id = sidecars_[record.sidecar].core->on_caller(exchange, caller, events_.now());
   records_[position].request_id = request_id;
   record_of_request_[request_id] = position;
--- a/simulation/fleet_simulation.h
+++ b/simulation/fleet_simulation.h
@@ -41,9 +41,11 @@
   Duration most_delay{1600us};
   Duration region_delay{10ms};  ///< added one way between regions
   bool random_faults = false;
-  uint64_t trace_request = 0;       ///< id of a request whose way is printed to standard error; 0: none
-  bool callers_retry = false;       ///< a refused caller asks again
-  bool retries_heed_advice = true;  ///< it waits as long as Retry-After says
+  uint64_t trace_request = 0;           ///< id of a request whose way is printed to standard error; 0: none
+  bool callers_retry = false;           ///< a refused caller asks again
+  bool retries_heed_advice = true;      ///< it waits as long as Retry-After says
+  Duration caller_patience{0};          ///< without a first piece for so long, a caller asks anew; 0: waits
+  bool callers_leave_silently = false;  ///< the sidecar does not notice that they left
   control::PolicyTable table;
 };
 
@@ -175,6 +177,8 @@
   void perform(size_t sidecar, sidecar::PieceToCaller& action);
   void perform(size_t sidecar, sidecar::EndToCaller& action);
   bool retries(const CallerRecord& record) const;
+  void expect_first_piece(size_t record, sidecar::ExchangeId exchange);
+  void lose_patience(size_t record, sidecar::ExchangeId exchange);
   void submit(size_t record);
 
   /// Runs an input on a router, now or when it thaws; dropped when that start of it is gone.
--- a/src/common/settings.cc
+++ b/src/common/settings.cc
@@ -4,7 +4,11 @@
 #include <toml++/toml.h>
 
 #include <charconv>
+#include <fstream>
 #include <set>
+#include <sstream>
+
+#include "src/common/toml_text.h"
 
 namespace stoat {
 
@@ -67,19 +71,31 @@
     findings.add({source_name, static_cast<int>(begin.line), static_cast<int>(begin.column), "",
                   std::string(error.description())});
   };
-  if (!path.empty()) {
+  const auto parse = [&](const std::string& source_name, const std::string& text) {
+    if (const auto place = first_bare_non_ascii(text)) {
+      findings.add({source_name, place->line, place->column, "",
+                    "outside of quotes and comments only ASCII characters are allowed"});
+      return toml::table();
+    }
     try {
-      content->root = toml::parse_file(path);
+      return toml::parse(text, source_name);
     } catch (const toml::parse_error& error) {
-      report(path, error);
+      report(source_name, error);
+      return toml::table();
+    }
+  };
+  if (!path.empty()) {
+    std::ifstream file(path);
+    if (!file) {
+      findings.add({path, 0, 0, "", "the file can't be read"});
+    } else {
+      std::ostringstream text;
+      text << file.rdbuf();
+      content->root = parse(path, text.str());
     }
   }
   for (const std::string& assignment : overrides) {
-    try {
-      content->overrides.push_back(toml::parse(assignment));
-    } catch (const toml::parse_error& error) {
-      report("--set " + assignment, error);
-    }
+    content->overrides.push_back(parse("--set " + assignment, assignment));
   }
   return SettingsReader(std::move(content));
 }
--- /dev/null
+++ b/tests/unit/settings_test.cc
@@ -0,0 +1,41 @@
+// Settings whose text the parser must not see.
+#include "src/common/settings.h"
+
+#include <gtest/gtest.h>
+
+#include "src/common/toml_text.h"
+
+namespace stoat {
+namespace {
+
+TEST(SettingsTest, ACharacterBeyondAsciiOutsideOfQuotesIsAFindingWithItsPlace) {
+  Findings findings;
+  SettingsReader::load("", {"\xc7\x8a\n"}, findings);
+  ASSERT_EQ(findings.list().size(), 1U);
+  EXPECT_EQ(findings.list().front().line, 1);
+  EXPECT_EQ(findings.list().front().column, 1);
+  EXPECT_NE(findings.to_text().find("only ASCII"), std::string::npos) << findings.to_text();
+}
+
+TEST(SettingsTest, CharactersBeyondAsciiAreAllowedInStringsAndComments) {
+  Findings findings;
+  SettingsReader reader = SettingsReader::load("", {"name = \"\\\"h\xc3\xa4ll\"  # f\xc3\xbcr"}, findings);
+  EXPECT_TRUE(findings.empty()) << findings.to_text();
+  EXPECT_EQ(reader.text("name", ""), "\"h\xc3\xa4ll");
+}
+
+TEST(SettingsTest, ThePlaceIsCountedInLinesAndColumns) {
+  const auto place = first_bare_non_ascii("a = 'x'\nb\xc3\xa4 = 1");
+  ASSERT_TRUE(place.has_value());
+  EXPECT_EQ(place->line, 2);
+  EXPECT_EQ(place->column, 2);
+}
+
+TEST(SettingsTest, AFileThatCanNotBeReadIsAFinding) {
+  Findings findings;
+  SettingsReader::load("/nowhere/settings.toml", {}, findings);
+  EXPECT_FALSE(findings.empty());
+}
+
+}  // namespace
+}  // namespace stoat
