Report a table without a name instead of aborting

Ruled out: switching the library's assertion off; what follows it is undefined.

Change: the look at the text before the parser also finds table headers that do not begin with a key.

Conclusion: mended for what was found; the fuzz target goes on.

--- a/src/common/settings.cc
+++ b/src/common/settings.cc
@@ -72,9 +72,8 @@
                   std::string(error.description())});
   };
   const auto parse = [&](const std::string& source_name, const std::string& text) {
-    if (const auto place = first_bare_non_ascii(text)) {
-      findings.add({source_name, place->line, place->column, "",
-                    "outside of quotes and comments only ASCII characters are allowed"});
+    if (const auto finding = check_toml_text(text)) {
+      findings.add({source_name, finding->line, finding->column, "", finding->message});
       return toml::table();
     }
     try {
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -25,12 +25,28 @@
 }
 
 TEST(SettingsTest, ThePlaceIsCountedInLinesAndColumns) {
-  const auto place = first_bare_non_ascii("a = 'x'\nb\xc3\xa4 = 1");
+  const auto place = check_toml_text("a = 'x'\nb\xc3\xa4 = 1");
   ASSERT_TRUE(place.has_value());
   EXPECT_EQ(place->line, 2);
   EXPECT_EQ(place->column, 2);
 }
 
+TEST(SettingsTest, ATableWithoutANameIsAFindingWithItsPlace) {
+  for (const char* text : {"[)", "a = 1\n[[ .b]]", "[=]"}) {
+    Findings findings;
+    SettingsReader::load("", {text}, findings);
+    EXPECT_FALSE(findings.empty()) << text;
+  }
+}
+
+TEST(SettingsTest, TablesAndNestedArraysPass) {
+  const std::string text = "a = [\n  [1, 2],\n  [{b = 1}],\n]\n[table.'one']\nx = '['\n[[more]]\n[ \"q\" ]\n";
+  EXPECT_FALSE(check_toml_text(text).has_value()) << check_toml_text(text)->message;
+  Findings findings;
+  SettingsReader::load("", {text}, findings);
+  EXPECT_TRUE(findings.empty()) << findings.to_text();
+}
+
 TEST(SettingsTest, AFileThatCanNotBeReadIsAFinding) {
   Findings findings;
   SettingsReader::load("/nowhere/settings.toml", {}, findings);
