Send block changes as bare hashes, and only the last change of a block

Each change carried the root of its chain, which its owner never read, and a flag: 20 bytes and more.

Ruled out: batching over a longer time (later knowledge for fewer headers; headers are a small part).

Change: a batch is two lists, stored and evicted; of a block that changed more than once only the last change counts.

--- a/src/cache/engine_feed.cc
+++ b/src/cache/engine_feed.cc
@@ -79,8 +79,8 @@
   return result;
 }
 
-std::vector<wire::BlockChange> EngineFeed::everything() const {
-  std::vector<wire::BlockChange> changes;
+std::vector<BlockChange> EngineFeed::everything() const {
+  std::vector<BlockChange> changes;
   changes.reserve(roots_.size());
   for (const auto& [block, root] : roots_) {
     changes.push_back({root, block, true});
--- a/src/cache/engine_feed.h
+++ b/src/cache/engine_feed.h
@@ -32,11 +32,18 @@
   std::vector<std::pair<BlockHash, BlockHash>> blocks;  ///< block and parent, in any order
 };
 
+/// One change of an engine's cache.
+struct BlockChange {
+  BlockHash root = 0;   ///< hash of the chain's first block
+  BlockHash block = 0;  ///< hash of the changed block
+  bool stored = true;   ///< false: evicted
+};
+
 /// What a page or a snapshot changed.
 struct FeedResult {
   bool reset = false;  ///< all that was known before is void
   bool needs_snapshot = false;
-  std::vector<wire::BlockChange> changes;
+  std::vector<BlockChange> changes;
 };
 
 /// See the head of this file.
@@ -47,7 +54,7 @@
   /// Takes a snapshot; the result tells everything anew.
   FeedResult on_snapshot(const FeedSnapshot& snapshot);
   /// All that is known, as stored changes; for a router that newly owns a part of it.
-  std::vector<wire::BlockChange> everything() const;
+  std::vector<BlockChange> everything() const;
 
   uint64_t incarnation() const { return incarnation_; }
   uint64_t last_sequence() const { return last_sequence_; }
--- a/src/router/router_cluster.cc
+++ b/src/router/router_cluster.cc
@@ -199,18 +199,37 @@
   }
 }
 
+wire::BlockChanges RouterCore::make_batch(const std::string& engine, uint64_t incarnation, bool reset,
+                                          const std::vector<cache::BlockChange>& changes) {
+  // Of a block that changed more than once only the last change counts.
+  std::unordered_map<cache::BlockHash, bool> last;
+  for (const cache::BlockChange& change : changes) {
+    last[change.block] = change.stored;
+  }
+  wire::BlockChanges batch{engine, incarnation, reset, {}, {}};
+  for (const cache::BlockChange& change : changes) {
+    const auto found = last.find(change.block);
+    if (found == last.end()) {
+      continue;
+    }
+    (found->second ? batch.stored : batch.evicted).push_back(change.block);
+    last.erase(found);
+  }
+  return batch;
+}
+
 void RouterCore::send_changes(const std::string& engine, uint64_t incarnation, bool reset,
-                              const std::vector<wire::BlockChange>& changes, TimePoint now) {
+                              const std::vector<cache::BlockChange>& changes, TimePoint now) {
   const std::vector<std::string> routers = region_routers();
-  std::map<std::string, wire::BlockChanges> by_owner;
+  std::map<std::string, std::vector<cache::BlockChange>> by_owner;
   std::unordered_map<uint64_t, std::vector<std::string>> owners;
-  for (const wire::BlockChange& change : changes) {
+  for (const cache::BlockChange& change : changes) {
     auto [found, fresh] = owners.try_emplace(change.root);
     if (fresh) {
       found->second = owners_of(change.root, routers, now);
     }
     for (const std::string& owner : found->second) {
-      by_owner[owner].changes.push_back(change);
+      by_owner[owner].push_back(change);
     }
   }
   if (reset) {
@@ -219,24 +238,28 @@
     }
     by_owner.try_emplace(options_.name);
   }
-  for (auto& [owner, batch] : by_owner) {
-    batch.engine = engine;
-    batch.incarnation = incarnation;
-    batch.reset = reset;
-    if (owner.empty() || owner == options_.name) {
-      apply_changes(batch);
-      continue;
-    }
-    for (size_t first = 0; first == 0 || first < batch.changes.size(); first += kMaxChangesPerMessage) {
-      wire::BlockChanges part;
-      part.engine = engine;
-      part.incarnation = incarnation;
-      part.reset = reset && first == 0;
-      const size_t last = std::min(batch.changes.size(), first + kMaxChangesPerMessage);
-      part.changes.assign(batch.changes.begin() + static_cast<std::ptrdiff_t>(first),
-                          batch.changes.begin() + static_cast<std::ptrdiff_t>(last));
-      actions_.push_back(SendToRouter{owner, part});
-    }
+  for (const auto& [owner, changes_of_owner] : by_owner) {
+    send_batch(owner, make_batch(engine, incarnation, reset, changes_of_owner));
+  }
+}
+
+void RouterCore::send_batch(const std::string& owner, const wire::BlockChanges& batch) {
+  if (owner.empty() || owner == options_.name) {
+    apply_changes(batch);
+    return;
+  }
+  const auto part_of = [](const std::vector<uint64_t>& blocks, size_t first) {
+    const size_t begin = std::min(first, blocks.size());
+    const size_t end = std::min(first + kMaxChangesPerMessage, blocks.size());
+    return std::vector<uint64_t>(blocks.begin() + static_cast<std::ptrdiff_t>(begin),
+                                 blocks.begin() + static_cast<std::ptrdiff_t>(end));
+  };
+  const size_t longest = std::max(batch.stored.size(), batch.evicted.size());
+  for (size_t first = 0; first == 0 || first < longest; first += kMaxChangesPerMessage) {
+    wire::BlockChanges part{batch.engine, batch.incarnation, batch.reset && first == 0, {}, {}};
+    part.stored = part_of(batch.stored, first);
+    part.evicted = part_of(batch.evicted, first);
+    actions_.push_back(SendToRouter{owner, part});
   }
 }
 
@@ -245,17 +268,20 @@
     index_.drop_engine(changes.engine);
   }
   const cache::EngineSlot slot = index_.slot_of(changes.engine, changes.incarnation);
-  for (const wire::BlockChange& change : changes.changes) {
-    if (change.stored) {
-      index_.store(slot, change.block);
-    } else {
-      index_.remove(slot, change.block);
-      // What was expected there is gone as well.
-      expected_->remove(expected_->slot_of(changes.engine, changes.incarnation), change.block);
-      expected_before_->remove(expected_before_->slot_of(changes.engine, changes.incarnation), change.block);
+  for (const cache::BlockHash block : changes.stored) {
+    index_.store(slot, block);
+  }
+  if (!changes.evicted.empty()) {
+    // What was expected there is gone as well.
+    const cache::EngineSlot expected_slot = expected_->slot_of(changes.engine, changes.incarnation);
+    const cache::EngineSlot before_slot = expected_before_->slot_of(changes.engine, changes.incarnation);
+    for (const cache::BlockHash block : changes.evicted) {
+      index_.remove(slot, block);
+      expected_->remove(expected_slot, block);
+      expected_before_->remove(before_slot, block);
     }
   }
-  metrics_->count("stoat_router_block_changes_total", {}, static_cast<double>(changes.changes.size()));
+  metrics_->count("stoat_router_block_changes_total", {}, static_cast<double>(changes.size()));
 }
 
 void RouterCore::resend_blocks(const std::function<bool(uint64_t root, const std::string& owner)>& wanted,
@@ -265,8 +291,8 @@
     if (followed.feed.incarnation() == 0) {
       continue;
     }
-    std::map<std::string, std::vector<wire::BlockChange>> by_owner;
-    for (const wire::BlockChange& change : followed.feed.everything()) {
+    std::map<std::string, std::vector<cache::BlockChange>> by_owner;
+    for (const cache::BlockChange& change : followed.feed.everything()) {
       for (const std::string& owner : owners_of(change.root, all, now)) {
         if (wanted(change.root, owner)) {
           by_owner[owner].push_back(change);
@@ -274,12 +300,7 @@
       }
     }
     for (const auto& [owner, changes] : by_owner) {
-      const wire::BlockChanges batch{engine, followed.feed.incarnation(), false, changes};
-      if (owner == options_.name) {
-        apply_changes(batch);
-      } else {
-        actions_.push_back(SendToRouter{owner, batch});
-      }
+      send_batch(owner, make_batch(engine, followed.feed.incarnation(), false, changes));
     }
   }
 }
--- a/src/router/router_core.h
+++ b/src/router/router_core.h
@@ -241,7 +241,10 @@
   void assign_homes(TimePoint now);
   void poll_feeds(TimePoint now);
   void send_changes(const std::string& engine, uint64_t incarnation, bool reset,
-                    const std::vector<wire::BlockChange>& changes, TimePoint now);
+                    const std::vector<cache::BlockChange>& changes, TimePoint now);
+  static wire::BlockChanges make_batch(const std::string& engine, uint64_t incarnation, bool reset,
+                                       const std::vector<cache::BlockChange>& changes);
+  void send_batch(const std::string& owner, const wire::BlockChanges& batch);
   void apply_changes(const wire::BlockChanges& changes);
   void send_digest(TimePoint now);
   std::vector<std::string> owners_of(uint64_t root, const std::vector<std::string>& routers,
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -170,21 +170,16 @@
                        routers_given, leaving)
 };
 
-/// One change of an engine's cache.
-struct BlockChange {
-  uint64_t root = 0;   ///< hash of the chain's first block
-  uint64_t block = 0;  ///< hash of the changed block
-  bool stored = true;  ///< false: evicted
-  MSGPACK_DEFINE_ARRAY(root, block, stored)
-};
-
-/// Engine home to prefix owner: what changed in one engine's cache.
+/// Engine home to prefix owner: what changed in one engine's cache. The owner needs no roots; no block stands
+/// in both lists.
 struct BlockChanges {
   std::string engine;
   uint64_t incarnation = 0;
   bool reset = false;  ///< drop all that is known of the engine first
-  std::vector<BlockChange> changes;
-  MSGPACK_DEFINE_ARRAY(engine, incarnation, reset, changes)
+  std::vector<uint64_t> stored;
+  std::vector<uint64_t> evicted;
+  MSGPACK_DEFINE_ARRAY(engine, incarnation, reset, stored, evicted)
+  size_t size() const { return stored.size() + evicted.size(); }
 };
 
 /// One engine's load, as its home last saw it.
--- a/tests/property/cache_property_test.cc
+++ b/tests/property/cache_property_test.cc
@@ -91,7 +91,7 @@
   // A gap at the very end shows only with the next event: compare where none is open.
   if (feed.last_sequence() == engine.last_sequence()) {
     std::set<BlockHash> known;
-    for (const wire::BlockChange& change : feed.everything()) {
+    for (const cache::BlockChange& change : feed.everything()) {
       known.insert(change.block);
     }
     std::set<BlockHash> held;
--- a/tests/unit/router_core_test.cc
+++ b/tests/unit/router_core_test.cc
@@ -204,7 +204,7 @@
   for (const RouterAction& action : core_.take_actions()) {
     if (const auto* send = std::get_if<SendToRouter>(&action)) {
       if (const auto* changes = std::get_if<wire::BlockChanges>(&send->message.value)) {
-        sent += changes->changes.size();
+        sent += changes->size();
       }
     }
   }
--- a/tools/benchmark_main.cc
+++ b/tools/benchmark_main.cc
@@ -54,10 +54,10 @@
     changes.incarnation = load.incarnation;
     // Some engines hold a part of the prompt; all hold much else.
     for (size_t block = 0; engine % 4 == 0 && block < random.below(chain.size()); ++block) {
-      changes.changes.push_back({chain.front(), chain[block], true});
+      changes.stored.push_back(chain[block]);
     }
-    while (changes.changes.size() < kIndexedBlocks / kCandidates) {
-      changes.changes.push_back({1, random.bits(), true});
+    while (changes.stored.size() < kIndexedBlocks / kCandidates) {
+      changes.stored.push_back(random.bits());
     }
     core->on_router_message(changes, TimePoint(1));
   }
--- a/tools/experiment_main.cc
+++ b/tools/experiment_main.cc
@@ -28,6 +28,7 @@
   uint64_t seeds = 3;
   Duration duration{30s};
   double requests_per_second = 0;  ///< 0: the deployment's own
+  double spike_per_second = 500;   ///< further requests while the overload lasts
   int64_t cache_blocks = 1500;
   std::string report_file;
   std::string series_file;  ///< of the overload experiment: figures over time
@@ -47,6 +48,7 @@
   settings.seeds = static_cast<uint64_t>(reader.integer("seeds", 3, 1, 1000));
   settings.duration = from_seconds(reader.number("duration_s", 30, 1, 86400));
   settings.requests_per_second = reader.number("requests_per_second", 0, 0, 100000);
+  settings.spike_per_second = reader.number("spike_per_second", settings.spike_per_second, 1, 100000);
   settings.cache_blocks = reader.integer("cache_blocks", settings.cache_blocks, 10, 10000000);
   settings.series_file = reader.text("series_file", "");
   settings.report_file = reader.text("report_file", "");
@@ -335,12 +337,13 @@
       extra.serves = deployment_names(options.workload).model;
       extra.tenant = deployment_names(options.workload).tenants.front();
       extra.max_tokens = 64;
+      const Duration step = from_seconds(1 / settings.spike_per_second);
       while (simulation.now() < start + settings.duration) {
         if (simulation.now() >= spike_from && simulation.now() < spike_to) {
           extra.prompt = std::to_string(random.bits()) + std::string(32000, 's');
           simulation.send(extra, random.below(options.sidecars));
         }
-        simulation.run_for(2ms);
+        simulation.run_for(step);
       }
       const FleetReport report = simulation.finish();
       row.add(report);
