Let nodes fetch a missed configuration from one another while no control member answers

The version that rides on sidecars' requests was read by nobody.

Ruled out: pushing changes between routers (each change would be sent by everyone to everyone).

Change: a node without a fresh answer of control for 2 s asks a router picked at random, and takes only a higher version. Load digests carry the version too; who sees a higher one asks control at once, at most every 200 ms.

Conclusion: a node that is blank and finds neither control nor a kept router list still waits; it has nobody to ask.

--- a/src/control/control_client.cc
+++ b/src/control/control_client.cc
@@ -12,6 +12,7 @@
 constexpr char kKeptRoutersFile[] = "routers";
 constexpr Duration kTick = 20ms;
 constexpr Duration kCallRetry = 150ms;
+constexpr Duration kNewsPollSpacing = 200ms;
 
 }  // namespace
 
@@ -45,6 +46,9 @@
     on_configuration(follower_.configuration());
   }
   const auto routers = wire::decode<std::vector<wire::Node>>(read_kept(kKeptRoutersFile));
+  if (routers) {
+    learn_peers(*routers);
+  }
   if (routers && on_routers) {
     on_routers(*routers);
   }
@@ -58,6 +62,7 @@
 }
 
 void ControlClient::start() {
+  started_at_ = loop_.now();
   load_kept();
   // A herd of restarted nodes spreads its first polls.
   next_poll_ = loop_.now() + Duration(random_.between(0, options_.poll_interval.count() / 4));
@@ -140,6 +145,12 @@
     next_poll_ = now + options_.poll_interval;
     poll();
   }
+  const bool no_contact = now - std::max(last_contact_, started_at_) > options_.peers_after;
+  if (no_contact && now >= next_peer_poll_) {
+    next_peer_poll_ =
+        now + options_.poll_interval + Duration(random_.between(0, options_.poll_interval.count()));
+    poll_peer();
+  }
   std::vector<uint64_t> expired;
   for (auto& [call_id, call] : calls_) {
     if (now >= call.deadline) {
@@ -182,19 +193,71 @@
   }
 }
 
+void ControlClient::take(const wire::NodePollAnswer& answer) {
+  if (!follower_.on_answer(answer)) {
+    return;
+  }
+  keep(kKeptFile, wire::encode(follower_.configuration()));
+  if (on_configuration) {
+    on_configuration(follower_.configuration());
+  }
+  next_poll_ = loop_.now();  // tell the new version at once
+}
+
+void ControlClient::on_version_seen(uint64_t version) {
+  // Not with each message: many may come before the answer does.
+  if (version > follower_.configuration().version && loop_.now() - poll_sent_at_ > kNewsPollSpacing) {
+    next_poll_ = std::min(next_poll_, loop_.now());
+  }
+}
+
+wire::NodePollAnswer ControlClient::answer_peer(const wire::NodePoll& poll) const {
+  wire::NodePollAnswer answer;
+  answer.quorum_age_ms = -1;
+  answer.version = follower_.configuration().version;
+  if (answer.version > poll.node.configuration_version) {
+    answer.snapshot.push_back(follower_.configuration());
+  }
+  return answer;
+}
+
+void ControlClient::learn_peers(const std::vector<wire::Node>& routers) {
+  peers_.clear();
+  for (const wire::Node& router : routers) {
+    if (router.name != self_.name) {
+      peers_.push_back(router.endpoint);
+    }
+  }
+}
+
+void ControlClient::poll_peer() {
+  Endpoint endpoint;
+  if (peers_.empty() || !parse_endpoint(peers_[random_.below(peers_.size())], endpoint)) {
+    return;
+  }
+  if (peer_channel_ != nullptr) {
+    peer_channel_->close();
+  }
+  // Another peer each time: the one asked last may itself be behind, or gone.
+  peer_channel_ = wire::Channel::connect(
+      loop_, endpoint,
+      [this](const std::shared_ptr<wire::Channel>&, const wire::Message& message) {
+        if (const auto* answer = std::get_if<wire::NodePollAnswer>(&message.value)) {
+          take(*answer);
+        }
+      },
+      [](const std::shared_ptr<wire::Channel>&) {});
+  self_.configuration_version = follower_.configuration().version;
+  peer_channel_->send(wire::NodePoll{self_, routers_digest_});
+}
+
 void ControlClient::on_poll_answer(const std::string& member, const wire::NodePollAnswer& answer) {
   if (member != poll_member_) {
     return;
   }
   poll_open_ = false;
   const bool stale = answer.quorum_age_ms < 0 || answer.quorum_age_ms > options_.max_quorum_age_ms;
-  if (follower_.on_answer(answer)) {
-    keep(kKeptFile, wire::encode(follower_.configuration()));
-    if (on_configuration) {
-      on_configuration(follower_.configuration());
-    }
-    next_poll_ = loop_.now();  // tell the new version at once
-  }
+  take(answer);
   if (stale) {
     // Cut off in silence, it still answers politely. Leave it for any other.
     poll_member_.clear();
@@ -206,6 +269,9 @@
     leader_ = answer.leader;
     poll_member_ = answer.leader;
   }
+  if (answer.routers_given) {
+    learn_peers(answer.routers);
+  }
   if (answer.routers_given && on_routers) {
     routers_digest_ = answer.routers_digest;
     keep(kKeptRoutersFile, wire::encode(answer.routers));
--- a/src/control/control_client.h
+++ b/src/control/control_client.h
@@ -27,6 +27,7 @@
   Duration call_deadline = 3s;       ///< after which a call is given up
   Duration finish_deadline = 30s;    ///< the same for calls whose loss would only leave a claim open
   int64_t max_quorum_age_ms = 3000;  ///< a member that was confirmed longer ago is left
+  Duration peers_after = 2s;  ///< without a fresh answer of control, routers are asked for the configuration
 };
 
 /// See the head of this file.
@@ -51,6 +52,10 @@
 
   void start();
   void set_draining();
+  /// Another process has this version in force; when it is newer, control is asked at once.
+  void on_version_seen(uint64_t version);
+  /// What to answer to another node that asks this one, because no control member answers it.
+  wire::NodePollAnswer answer_peer(const wire::NodePoll& poll) const;
   const Configuration& configuration() const { return follower_.configuration(); }
   /// Milliseconds since a member with a fresh quorum answered; -1: never.
   int64_t contact_age_ms() const;
@@ -77,6 +82,9 @@
   void on_call_answer(const wire::ControlAnswer& answer);
   std::string any_member();
   void leave(const std::string& member);
+  void take(const wire::NodePollAnswer& answer);
+  void learn_peers(const std::vector<wire::Node>& routers);
+  void poll_peer();
 
   EventLoop& loop_;
   ControlClientOptions options_;
@@ -92,6 +100,10 @@
   bool poll_open_ = false;
   TimePoint next_poll_{0};
   TimePoint last_contact_{-1};
+  TimePoint started_at_{0};
+  std::vector<std::string> peers_;  ///< addresses of the other routers
+  std::shared_ptr<wire::Channel> peer_channel_;
+  TimePoint next_peer_poll_{0};
   uint64_t routers_digest_ = 0;
   std::map<uint64_t, PendingCall> calls_;
   uint64_t last_call_id_ = 0;
--- a/src/router/router_cluster.cc
+++ b/src/router/router_cluster.cc
@@ -370,6 +370,7 @@
   next_digest_ = now + options_.digest_interval;
   wire::LoadDigest digest;
   digest.home = options_.name;
+  digest.configuration_version = configuration_.version;
   for (const auto& [engine, followed] : feeds_) {
     if (followed.load_known && followed.failures < kFailuresUntilSilent) {
       digest.loads.push_back(followed.load);
--- a/src/router/router_server.cc
+++ b/src/router/router_server.cc
@@ -97,7 +97,15 @@
     channel->send(wire::Pong{ping->number});
     return;
   }
+  if (const auto* poll = std::get_if<wire::NodePoll>(&message.value)) {
+    channel->send(control_.answer_peer(*poll));
+    return;
+  }
+  if (const auto* digest = std::get_if<wire::LoadDigest>(&message.value)) {
+    control_.on_version_seen(digest->configuration_version);
+  }
   if (auto* submit = std::get_if<wire::SubmitRequest>(&message.value)) {
+    control_.on_version_seen(submit->configuration_version);
     if (sidecars_.emplace(channel->id(), channel).second) {
       core_.on_sidecar_connected(channel->id());
     }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -148,7 +148,8 @@
   bool operator==(const Node&) const = default;
 };
 
-/// Node to control: heartbeat, and a request for what is new.
+/// Node to control: heartbeat, and a request for what is new. Also node to router, when no control member
+/// answers.
 struct NodePoll {
   Node node;
   uint64_t routers_digest = 0;  ///< of the router list that the node has
@@ -198,7 +199,8 @@
 struct LoadDigest {
   std::string home;
   std::vector<EngineLoad> loads;
-  MSGPACK_DEFINE_ARRAY(home, loads)
+  uint64_t configuration_version = 0;  ///< that the home has in force
+  MSGPACK_DEFINE_ARRAY(home, loads, configuration_version)
 };
 
 /// Router to the owner of a row's quota: what it used and would use.
--- a/tests/process/failures_test.cc
+++ b/tests/process/failures_test.cc
@@ -183,5 +183,25 @@
   EXPECT_TRUE(LocalFleet::wait_until(all_loaded, 10s));
 }
 
+TEST_F(ProcessFailures, ARouterThatMissedAChangeLearnsItFromItsPeersWhileNoControlMemberAnswers) {
+  LocalFleetSettings settings = small_fleet("derwent");
+  settings.routers = 3;
+  start(settings);
+  processes_->freeze("router-3");
+  // Not --wait: one router can't have it.
+  const CommandOutput added = stoatctl("tenant add late --api-key k");
+  ASSERT_EQ(added.status, 0) << added.text;
+  const auto has_it = [&](const std::string& name) {
+    const nlohmann::json status = fleet_->get(name, "/status");
+    return status.is_object() && status["version"] >= 2;
+  };
+  ASSERT_TRUE(LocalFleet::wait_until([&] { return has_it("router-1") && has_it("router-2"); }, 10s));
+  for (const std::string& name : fleet_->names_with_prefix("control-")) {
+    processes_->kill(name);
+  }
+  processes_->thaw("router-3");
+  EXPECT_TRUE(LocalFleet::wait_until([&] { return has_it("router-3"); }, 15s));
+}
+
 }  // namespace
 }  // namespace stoat::tools
