--- a/src/router/engine_protocol.cc
+++ b/src/router/engine_protocol.cc
@@ -8,33 +8,17 @@
 
 using nlohmann::json;
 
-constexpr std::string_view kDataField = "data: ";
-constexpr std::string_view kEndMark = "[DONE]";
 constexpr Duration kCancelTimeout = 2s;
 
 }  // namespace
 
 bool StreamParser::feed(const std::string& bytes, const std::function<void(const StreamEvent&)>& on_event) {
-  buffer_ += bytes;
-  size_t begin = 0;
-  for (size_t end = buffer_.find('\n'); end != std::string::npos; end = buffer_.find('\n', begin)) {
-    const std::string line = buffer_.substr(begin, end - begin);
-    begin = end + 1;
-    if (!take_line(line, on_event)) {
-      return false;
-    }
-  }
-  buffer_.erase(0, begin);
-  return true;
+  return stream_.feed(bytes, [&](const std::string& data) { return take_data(data, on_event); });
 }
 
-bool StreamParser::take_line(const std::string& line,
+bool StreamParser::take_data(const std::string& data,
                              const std::function<void(const StreamEvent&)>& on_event) {
-  if (!line.starts_with(kDataField)) {
-    return true;  // an empty line, a comment, or a field that is not used here
-  }
-  const std::string data = line.substr(kDataField.size());
-  if (data == kEndMark) {
+  if (data == http::kStreamEndMark) {
     done_ = true;
     return true;
   }
--- a/src/router/engine_protocol.h
+++ b/src/router/engine_protocol.h
@@ -8,6 +8,7 @@
 
 #include "src/cache/engine_feed.h"
 #include "src/http/client.h"
+#include "src/http/event_stream.h"
 #include "src/router/router_action.h"
 
 namespace stoat::router {
@@ -31,9 +32,9 @@
   bool done() const { return done_; }
 
  private:
-  bool take_line(const std::string& line, const std::function<void(const StreamEvent&)>& on_event);
+  bool take_data(const std::string& data, const std::function<void(const StreamEvent&)>& on_event);
 
-  std::string buffer_;
+  http::EventStream stream_;
   bool done_ = false;
 };
 
--- a/src/router/router_core.h
+++ b/src/router/router_core.h
@@ -196,7 +196,7 @@
   void uncount(Request& request, TimePoint now);
   void count_end(const wire::RequestFinished& finished, const Request& request);
 
-  // router_dispatch.cc: placement, calls to back ends, retries
+  // router_placement.cc: candidates, the choice of one, transfers of kept blocks
   bool try_dispatch(Request& request, TimePoint now);
   PlacementInput placement_input(const Request& request, TimePoint now);
   bool has_candidates(const Request& request, TimePoint now) {
@@ -207,6 +207,8 @@
   KvTransfer plan_transfer(Request& request, const PlacementInput& input, const placement::Candidate& chosen);
   bool accepts_work(const ServingEntry& entry, TimePoint now) const;
   bool usable(const Request& request, const ServingEntry& entry, TimePoint now) const;
+
+  // router_dispatch.cc: calls to back ends, retries
   void start_call(Request& request, CallKind kind, const control::Backend& backend,
                   const KvTransfer& transfer, TimePoint now);
   void start_resume(Request& request, const wire::ResumePoint& where, TimePoint now);
--- a/tests/process/failures_test.cc
+++ b/tests/process/failures_test.cc
@@ -87,7 +87,7 @@
   settings.workload.requests_per_second = 25;
   start(settings);
   // The sidecars are restarted below: a caller that connects to a stopped one can't be served by anyone.
-  std::vector<TimedFault> steps;
+  std::vector<TimedAction> steps;
   Duration at{500000};
   std::vector<std::string> names = fleet_->names_with_prefix("router-");
   const std::vector<std::string> controls = fleet_->names_with_prefix("control-");
@@ -110,14 +110,10 @@
   start(settings);
   WorkloadSettings workload = settings.workload;
   workload.duration = 200ms;
-  EventLoop loop;
-  LoadRunner runner(loop, fleet_->sidecar_endpoints(), make_workload(workload));
-  runner.on_finished = [&loop] { loop.stop(); };
   // All are sent within 200 ms; the stop comes while many still stream.
-  loop.after(260ms, [this] { processes_->ask_to_stop("sidecar-1"); });
-  runner.start();
-  loop.run();
-  const nlohmann::json report = make_report(runner.records());
+  const auto records = run_workload(fleet_->sidecar_endpoints(), workload,
+                                    {{260ms, [this] { processes_->ask_to_stop("sidecar-1"); }}});
+  const nlohmann::json report = make_report(records);
   EXPECT_EQ(report["complete"], report["requests"]) << report.dump(1);
   EXPECT_EQ(processes_->wait_stopped("sidecar-1", 10s), 0);
 }
--- a/tests/process/fleet_fixture.h
+++ b/tests/process/fleet_fixture.h
@@ -12,12 +12,6 @@
 
 namespace stoat::tools {
 
-/// Something that is done while the load runs.
-struct TimedFault {
-  Duration at{0};
-  std::function<void()> action;
-};
-
 /// What a command printed, and its exit status.
 struct CommandOutput {
   int status = 0;
@@ -53,20 +47,13 @@
   }
 
   /// Sends the workload, doing the faults on the way; returns the report with the ledgers' checks.
-  nlohmann::json run_load(Duration duration, const std::vector<TimedFault>& faults = {}) {
+  nlohmann::json run_load(Duration duration, const std::vector<TimedAction>& faults = {}) {
     WorkloadSettings workload = workload_;
     workload.duration = duration;
     workload.seed = ++load_seed_;
-    EventLoop loop;
-    LoadRunner runner(loop, fleet_->sidecar_endpoints(), make_workload(workload));
-    runner.on_finished = [&loop] { loop.stop(); };
-    for (const TimedFault& fault : faults) {
-      loop.after(fault.at, fault.action);
-    }
-    runner.start();
-    loop.run();
-    nlohmann::json report = make_report(runner.records());
-    report["ledgers"] = check_ledgers(runner.records(), fleet_->runs_per_key());
+    const auto records = run_workload(fleet_->sidecar_endpoints(), workload, faults);
+    nlohmann::json report = make_report(records);
+    report["ledgers"] = check_ledgers(records, fleet_->runs_per_key());
     return report;
   }
 
--- a/tests/process/interfaces_test.cc
+++ b/tests/process/interfaces_test.cc
@@ -125,8 +125,9 @@
 }
 
 TEST_F(Interfaces, EveryProgramTellsItsVersionAndItsHelp) {
-  for (const char* program : {"stoat-sidecar", "stoat-router", "stoat-control", "stoatctl", "stoat-load",
-                              "stoat-fleet", "standin-engine", "standin-service", "standin-platform"}) {
+  for (const char* program :
+       {"stoat-sidecar", "stoat-router", "stoat-control", "stoatctl", "stoat-load", "stoat-fleet",
+        "standin-engine", "standin-service", "standin-platform", "standin-kv-store", "stoat-chaos"}) {
     const std::string path = std::string(STOAT_BIN_DIR) + "/" + program;
     EXPECT_EQ(run_command(path + " --version").status, 0) << program;
     EXPECT_NE(run_command(path + " --help").text.find("Usage"), std::string::npos) << program;
--- a/tests/simulation/fleet_scenarios_test.cc
+++ b/tests/simulation/fleet_scenarios_test.cc
@@ -1,8 +1,8 @@
 // Named failures of the request path, each placed by hand in the simulator.
 #include <gtest/gtest.h>
 
-#include "simulation/fleet_simulation.h"
 #include "src/common/hash.h"
+#include "tests/simulation/fleet_scenario_fixture.h"
 
 namespace stoat::simulation {
 namespace {
@@ -12,79 +12,7 @@
 using wire::FailureReason;
 using wire::Outcome;
 
-class FleetScenario : public testing::Test {
- protected:
-  static FleetSimulationOptions quiet_options() {
-    FleetSimulationOptions options = faulty_fleet_options(5, "kavelwind", 0s);
-    options.random_faults = false;
-    options.engine.feed.gap_probability = 0;
-    return options;
-  }
-
-  void start(const FleetSimulationOptions& options = quiet_options()) {
-    simulation_ = std::make_unique<FleetSimulation>(options);
-  }
-
-  static PlannedRequest bid(const std::string& key) {
-    PlannedRequest request;
-    request.request_class = RequestClass::kDecision;
-    request.tenant = "owner-1";
-    request.serves = "bidmodel";
-    request.prompt = shared_text() + "bid " + key;
-    request.max_tokens = 40;
-    request.repeatable = false;
-    request.idempotency_key = key;
-    return request;
-  }
-
-  static PlannedRequest question(const std::string& tenant, const std::string& text) {
-    PlannedRequest request;
-    request.tenant = tenant;
-    request.serves = "bidmodel";
-    request.prompt = shared_text() + text;
-    request.max_tokens = 40;
-    return request;
-  }
-
-  static std::string shared_text() {
-    std::string text;
-    for (int word = 0; word < 400; ++word) {
-      text += "word" + std::to_string(word) + " ";
-    }
-    return text;
-  }
-
-  const CallerRecord& record(size_t position) const { return simulation_->records()[position]; }
-
-  /// Sends a request and runs until it streams.
-  size_t send_until_streaming(const PlannedRequest& request) {
-    const size_t sent = simulation_->send(request);
-    for (int wait = 0; wait < 5000 && record(sent).text.size() < 20; ++wait) {
-      simulation_->run_for(1ms);
-    }
-    EXPECT_FALSE(record(sent).text.empty());
-    EXPECT_FALSE(record(sent).finished);
-    return sent;
-  }
-
-  void expect_complete(size_t sent) {
-    ASSERT_TRUE(simulation_->run_until_ended(sent));
-    EXPECT_EQ(record(sent).result.outcome, Outcome::kComplete)
-        << static_cast<int>(record(sent).result.reason) << " " << record(sent).result.message;
-  }
-
-  void TearDown() override {
-    if (simulation_ == nullptr) {
-      return;
-    }
-    const FleetReport report = simulation_->finish();
-    for (const std::string& violation : report.violations) {
-      ADD_FAILURE() << violation;
-    }
-  }
-
-  std::unique_ptr<FleetSimulation> simulation_;
-};
+class FleetScenario : public FleetScenarioFixture {};
 
 // Cache entries.
 
@@ -491,38 +419,5 @@
   EXPECT_EQ(simulation_->checks().runs_of_key("bid-1"), 0U);
 }
 
-TEST_F(FleetScenario, AQuestionAtAFrozenEngineIsHedgedAndTheLosersWorkIsCancelled) {
-  start();
-  const size_t probe = send_until_streaming(question("owner-1", "warm"));
-  const auto engine = static_cast<size_t>(simulation_->engine_of(probe));
-  expect_complete(probe);
-  simulation_->run_for(1s);
-  simulation_->freeze_engine(engine);
-  const size_t sent = simulation_->send(question("owner-1", "late"));
-  ASSERT_TRUE(simulation_->run_until_ended(sent, 2s)) << "waited for the frozen engine";
-  EXPECT_EQ(record(sent).result.outcome, Outcome::kComplete);
-  EXPECT_EQ(simulation_->checks().runs_of_request(record(sent).request_id), 1U)
-      << "the frozen one has not begun";
-  simulation_->thaw_engine(engine);
-  simulation_->run_for(1s);
-  EXPECT_EQ(simulation_->engine(engine).unfinished(), 0U) << "generates for nobody";
-}
-
-TEST_F(FleetScenario, ABidAtAFrozenEngineIsNeverHedged) {
-  start();
-  const size_t probe = send_until_streaming(question("owner-1", "warm"));
-  const auto engine = static_cast<size_t>(simulation_->engine_of(probe));
-  expect_complete(probe);
-  simulation_->run_for(1s);
-  simulation_->freeze_engine(engine);
-  const size_t sent = simulation_->send(bid("bid-1"));
-  simulation_->run_for(3s);
-  EXPECT_FALSE(record(sent).finished);
-  EXPECT_EQ(simulation_->checks().runs_of_key("bid-1"), 0U);
-  simulation_->thaw_engine(engine);
-  expect_complete(sent);
-  EXPECT_EQ(simulation_->checks().runs_of_key("bid-1"), 1U);
-}
-
 }  // namespace
 }  // namespace stoat::simulation
--- a/tools/chaos_run.cc
+++ b/tools/chaos_run.cc
@@ -296,19 +296,15 @@
   WorkloadSettings workload = settings.workload;
   workload.duration = settings.duration;
   workload.seed = settings.seed;
-  EventLoop loop;
-  LoadRunner load(loop, fleet.sidecar_endpoints(), make_workload(workload));
-  load.on_finished = [&loop] { loop.stop(); };
-  load.start();
-  loop.run();
+  const auto records = run_workload(fleet.sidecar_endpoints(), workload);
   fault_thread.join();
   stop_operators = true;
   operator_thread.join();
 
   ChaosReport report;
   report.events = faults.events();
-  report.load = make_report(load.records());
-  report.load["ledgers"] = check_ledgers(load.records(), fleet.runs_per_key());
+  report.load = make_report(records);
+  report.load["ledgers"] = check_ledgers(records, fleet.runs_per_key());
   report.load["accepted_changes"] = operators.accepted();
   report.violations = load_violations(report.load);
   const auto add = [&](const std::vector<std::string>& found) {
--- a/tools/fleet_main.cc
+++ b/tools/fleet_main.cc
@@ -70,13 +70,9 @@
 }
 
 nlohmann::json run_load(const LocalFleet& fleet, const WorkloadSettings& workload) {
-  EventLoop loop;
-  LoadRunner runner(loop, fleet.sidecar_endpoints(), make_workload(workload));
-  runner.on_finished = [&loop] { loop.stop(); };
-  runner.start();
-  loop.run();
-  nlohmann::json report = make_report(runner.records());
-  report["ledgers"] = check_ledgers(runner.records(), fleet.runs_per_key());
+  const auto records = run_workload(fleet.sidecar_endpoints(), workload);
+  nlohmann::json report = make_report(records);
+  report["ledgers"] = check_ledgers(records, fleet.runs_per_key());
   return report;
 }
 
--- a/tools/load_main.cc
+++ b/tools/load_main.cc
@@ -59,16 +59,12 @@
 }
 
 int run(const LoadSettings& settings) {
-  EventLoop loop;
-  LoadRunner runner(loop, settings.sidecars, make_workload(settings.workload));
-  runner.on_finished = [&loop] { loop.stop(); };
-  runner.start();
-  loop.run();
-  json report = make_report(runner.records());
+  const auto records = run_workload(settings.sidecars, settings.workload);
+  json report = make_report(records);
   report["workload"] = settings.workload.name;
   report["seed"] = settings.workload.seed;
   if (!settings.ledgers.empty()) {
-    report["ledgers"] = check_ledgers(runner.records(), read_ledgers(settings.ledgers));
+    report["ledgers"] = check_ledgers(records, read_ledgers(settings.ledgers));
   }
   if (!settings.report_file.empty()) {
     std::ofstream(settings.report_file) << report.dump(2) << "\n";
--- a/tools/load_runner.cc
+++ b/tools/load_runner.cc
@@ -93,23 +93,16 @@
 }
 
 void LoadRunner::on_bytes(size_t position, const std::string& bytes) {
-  std::string& buffer = readings_[position].buffer;
-  buffer += bytes;
-  size_t begin = 0;
-  for (size_t end = buffer.find('\n'); end != std::string::npos; end = buffer.find('\n', begin)) {
-    const std::string line = buffer.substr(begin, end - begin);
-    begin = end + 1;
-    if (line.starts_with("data: ")) {
-      on_event(position, line.substr(6));
-    }
-  }
-  buffer.erase(0, begin);
+  readings_[position].stream.feed(bytes, [this, position](const std::string& data) {
+    on_event(position, data);
+    return true;
+  });
 }
 
 void LoadRunner::on_event(size_t position, const std::string& data) {
   RequestRecord& record = records_[position];
   Reading& reading = readings_[position];
-  if (data == "[DONE]") {
+  if (data == http::kStreamEndMark) {
     reading.done = true;
     return;
   }
@@ -171,6 +164,20 @@
   }
 }
 
+std::vector<RequestRecord> run_workload(const std::vector<Endpoint>& sidecars,
+                                        const WorkloadSettings& workload,
+                                        const std::vector<TimedAction>& actions) {
+  EventLoop loop;
+  LoadRunner runner(loop, sidecars, make_workload(workload));
+  runner.on_finished = [&loop] { loop.stop(); };
+  for (const TimedAction& timed : actions) {
+    loop.after(timed.at, timed.action);
+  }
+  runner.start();
+  loop.run();
+  return runner.records();
+}
+
 json make_report(const std::vector<RequestRecord>& records) {
   Samples first_token;
   Samples between;
--- a/tools/load_runner.h
+++ b/tools/load_runner.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "src/http/client.h"
+#include "src/http/event_stream.h"
 #include "tools/quantiles.h"
 #include "tools/workload.h"
 
@@ -44,7 +45,7 @@
  private:
   /// Reads one answer as it comes.
   struct Reading {
-    std::string buffer;
+    http::EventStream stream;
     std::string text;
     bool done = false;
   };
@@ -65,6 +66,17 @@
   bool finished_ = false;
 };
 
+/// Something that is done while a load runs.
+struct TimedAction {
+  Duration at{0};
+  std::function<void()> action;
+};
+
+/// Sends a workload to sidecars, does the actions on the way, and returns when all answers are in.
+std::vector<RequestRecord> run_workload(const std::vector<Endpoint>& sidecars,
+                                        const WorkloadSettings& workload,
+                                        const std::vector<TimedAction>& actions = {});
+
 /// The report on a finished run.
 nlohmann::json make_report(const std::vector<RequestRecord>& records);
 
