Mend the last lint findings

Cause: the lint of the whole (in a fresh clone, all other files clean) named tools/chaos_run.cc and tests/unit/channel_test.cc. Change: append instead of concatenating; the results of bind and listen are checked. Conclusion: none on behaviour.

--- a/tests/unit/channel_test.cc
+++ b/tests/unit/channel_test.cc
@@ -17,8 +17,8 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    listen(socket_, 1);
+    EXPECT_EQ(::bind(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+    EXPECT_EQ(::listen(socket_, 1), 0);
     socklen_t length = sizeof(address);
     getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &length);
     endpoint_ = {"127.0.0.1", ntohs(address.sin_port)};
--- a/tools/chaos_run.cc
+++ b/tools/chaos_run.cc
@@ -184,9 +184,10 @@
 void FaultRunner::order_weights() {
   const std::string version = "v" + std::to_string(++weights_number_);
   for (const std::string& engine : fleet_.names_with_prefix("engine-")) {
-    const json order = {{"operator_request_id", "chaos-" + engine + "-" + version},
-                        {"backend", engine},
-                        {"weights_version", version}};
+    std::string request_id = "chaos-" + engine;
+    request_id += "-" + version;
+    const json order = {
+        {"operator_request_id", request_id}, {"backend", engine}, {"weights_version", version}};
     fleet_.admin("POST", "/v1/orders", order, kOperatorLimit);
   }
   try {
