Wait in the fleet runner until every router knows the others

Cause: ProcessFailures.ARouterThatMissedAChangeLearnsItFromItsPeers... failed once in the whole suite and passed 3 of 3 times alone. The failing run's router-3 had no kept router list: it was frozen before its first one came, so it had nobody to ask. (Its data folder has no `routers` file; router-1's names all three.)

Ruled out: load (the router answered its status page all along, at version 1).

Change: a router's status tells how many routers it knows, and the fleet runner waits for all of them before a test or a demonstration begins. The test's own assertions are unchanged.

--- a/src/router/router_server.cc
+++ b/src/router/router_server.cc
@@ -367,6 +367,7 @@
           {"queued_requests", core_.queued_requests()},
           {"index_entries", core_.index().block_count()},
           {"followed_engines", core_.followed_engines()},
+          {"known_routers", router_endpoints_.size()},
           {"control_contact_age_ms", control_.contact_age_ms()},
           {"learned_costs_us",
            {{"base", core_.costs().base_us()},
--- a/tools/local_fleet.cc
+++ b/tools/local_fleet.cc
@@ -219,10 +219,11 @@
     const auto knows_engines = [&] {
       const json status = get(name, "/status");
       return status.is_object() && status["version"] >= version_ &&
-             status["engines"].size() >= settings_.engines;
+             status["engines"].size() >= settings_.engines && status["known_routers"] >= settings_.routers;
     };
     if (!wait_until(knows_engines, limit)) {
-      throw std::runtime_error(name + " does not know the engines; status " + get(name, "/status").dump());
+      throw std::runtime_error(name + " does not know the engines and routers; status " +
+                               get(name, "/status").dump());
     }
   }
 }
