Bound lists of a frame by its bytes, and their nesting by 64

Cause: the fuzz target, after 16,777 inputs, stopped for want of memory: a frame of 7 bytes that claims a list of 3.7 billion elements made the decoder ask for the memory of all of them first. A damaged or hostile frame could take a process's memory that way.

Ruled out: the bound on a frame's length (64 MB): it says nothing of what the frame claims.

Change: the decoder gets limits: no list, map or text longer than the frame, no nesting deeper than 64.

Before: CodecTest (2) fails, with std::bad_alloc and "insufficient bytes". After: both refuse by the limit. scripts/test: 175 passed, 0 failed.

Conclusion: the fuzz target is worth a long run; it was not run again after this.

--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -14,6 +14,9 @@
   std::string message;
 };
 
+/// How deep the lists of a message may be nested.
+inline constexpr size_t kMaxDepth = 64;
+
 /// Encodes a value that defines MSGPACK_DEFINE_ARRAY (or is a standard type).
 template <typename Value>
 std::string encode(const Value& value) {
@@ -27,7 +30,11 @@
 tl::expected<Value, CodecError> decode(std::string_view bytes) {
   try {
     size_t offset = 0;
-    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset);
+    // Every element takes a byte or more: a longer list is a lie, and memory would be taken for it first.
+    const msgpack::unpack_limit limit(bytes.size(), bytes.size(), bytes.size(), bytes.size(), bytes.size(),
+                                      kMaxDepth);
+    const msgpack::object_handle handle =
+        msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
     if (offset != bytes.size()) {
       return tl::make_unexpected(CodecError{"bytes follow the message"});
     }
