Mend what a last reading of the change found

Cause: reading the whole change once more. - The channel to a peer was not closed with its ControlClient: an edit of the destructor had not taken effect. Its handler holds the client's address. - Hedges looked for an engine before they asked whether the retry budget has one left, in each tick and for each late request; in an overload all are late. - A queued request's namespace was hashed at each try to dispatch it; now once for each version of the configuration. - A resume copied the prompt and cleared it again. - The choice of a candidate and its missing tokens stood twice (dispatch and hedge), the store's name twice in the simulator, the search for a claim's call three times in a test file. KvTransfer::store_name was written and never read.

Ruled out as not the same logic: the shapes that boilerplate of settings and main functions shares.

Change: as said; behaviour and all assertions as before.

--- a/simulation/fleet_feeds.cc
+++ b/simulation/fleet_feeds.cc
@@ -8,7 +8,6 @@
 
 constexpr Duration kFeedTimeout = 2s;
 constexpr size_t kFeedPage = 5000;
-constexpr char kStoreName[] = "kv-store";
 
 }  // namespace
 
--- a/simulation/fleet_simulation.cc
+++ b/simulation/fleet_simulation.cc
@@ -23,7 +23,6 @@
 constexpr Duration kFinishDeadline = 30s;
 constexpr Duration kEndLimit = 60s;
 constexpr char kCaller[] = "operator";
-constexpr char kStoreName[] = "kv-store";
 /// Calls go by name here; the configuration wants an address all the same.
 constexpr char kAnyEndpoint[] = "127.0.0.1:1";
 
--- a/simulation/fleet_simulation.h
+++ b/simulation/fleet_simulation.h
@@ -21,6 +21,9 @@
 
 namespace stoat::simulation {
 
+/// The name of the one store of kept blocks.
+inline constexpr char kStoreName[] = "kv-store";
+
 /// The zone of a process by its position among those of its kind: they are dealt out to the regions in turn.
 std::string simulated_zone(size_t position, uint32_t regions);
 
--- a/src/control/control_client.cc
+++ b/src/control/control_client.cc
@@ -22,7 +22,12 @@
   last_call_id_ = random_.bits() >> 16U;
 }
 
-ControlClient::~ControlClient() { wire::close_all(channels_); }
+ControlClient::~ControlClient() {
+  wire::close_all(channels_);
+  if (peer_channel_ != nullptr) {
+    peer_channel_->close();
+  }
+}
 
 std::string ControlClient::read_kept(const std::string& file) {
   const auto bytes = files_.read(file);
--- a/src/delivery/retry_budget.h
+++ b/src/delivery/retry_budget.h
@@ -10,9 +10,11 @@
  public:
   explicit RetryBudget(double share = 0.2, double most = 50) : share_(share), most_(most), level_(kStart) {}
   void on_first_attempt() { level_ = std::min(most_, level_ + share_); }
+  /// True when take() would be.
+  bool allows_one() const { return level_ >= 1; }
   /// True when a retry may be made; it is then paid for.
   bool take() {
-    if (level_ < 1) {
+    if (!allows_one()) {
       return false;
     }
     level_ -= 1;
--- a/src/router/router_action.h
+++ b/src/router/router_action.h
@@ -44,7 +44,6 @@
 /// beginning.
 struct KvTransfer {
   std::string store;           ///< "address:port"; empty: nothing is moved
-  std::string store_name;      ///< back end
   uint32_t import_blocks = 0;  ///< to be imported, as far as the engine does not hold them
   uint32_t export_blocks = 0;  ///< to be exported after the prefill
 };
--- a/src/router/router_core.cc
+++ b/src/router/router_core.cc
@@ -153,9 +153,12 @@
 
 void RouterCore::hash_prompt(Request& request) const {
   const wire::SubmitRequest& submit = request.submit;
-  if (submit.kind != wire::RequestKind::kCompletion) {
+  const bool up_to_date =
+      request.hashed_at_version != 0 && request.hashed_at_version == configuration_.version;
+  if (submit.kind != wire::RequestKind::kCompletion || up_to_date) {
     return;
   }
+  request.hashed_at_version = configuration_.version;
   const cache::Namespace name_space =
       control::prompt_namespace(configuration_, submit.tenant, submit.serves, options_.block_tokens);
   const uint64_t seed = cache::namespace_seed(name_space);
--- a/src/router/router_core.h
+++ b/src/router/router_core.h
@@ -115,7 +115,8 @@
     TimePoint orphaned_at{0};
     control::PolicyRow tenant_row;
     uint64_t seed = 0;
-    std::string weights_version;  ///< of the namespace that `seed` stands for
+    uint64_t hashed_at_version = 0;  ///< of the configuration when `seed` was last looked at; 0: never
+    std::string weights_version;     ///< of the namespace that `seed` stands for
     std::vector<cache::BlockHash> chain;
     cache::BlockHash prefix_key = 0;
     uint32_t prompt_tokens = 0;
@@ -203,6 +204,8 @@
     return !placement_input(request, now).candidates.empty();
   }
   const ServingEntry* store_for(const Request& request, TimePoint now) const;
+  const placement::Candidate& choose(const Request& request, const PlacementInput& input);
+  static uint32_t missing_tokens(const Request& request, const placement::Candidate& candidate);
   Duration expected_first_token(const Request& request, const placement::Candidate& chosen) const;
   KvTransfer plan_transfer(Request& request, const PlacementInput& input, const placement::Candidate& chosen);
   bool accepts_work(const ServingEntry& entry, TimePoint now) const;
@@ -222,6 +225,8 @@
   /// The request has no call at its back end any more.
   void release_backend(Request& request);
   void release_backend(const std::string& backend, uint32_t pending_tokens);
+  /// What a run and a resume have in common.
+  static StartCall new_call(const Request& request, const control::Backend& backend);
   StartCall new_run(const Request& request, const control::Backend& backend, const KvTransfer& transfer);
   void expect_blocks(const Request& request, const std::string& backend, uint64_t incarnation);
   void tell_where(const Request& request);
--- a/src/router/router_dispatch.cc
+++ b/src/router/router_dispatch.cc
@@ -35,12 +35,11 @@
 
   request.first_index = request.next_index;
   if (kind == CallKind::kResume) {
-    StartCall call = new_run(request, backend, KvTransfer());
+    StartCall call = new_call(request, backend);
     call.call_id = request.call_id;
     call.kind = kind;
     call.engine_attempt = request.engine_attempt;
     call.expected_incarnation = request.incarnation;
-    call.prompt.clear();
     actions_.push_back(std::move(call));
     return;
   }
@@ -60,8 +59,7 @@
   actions_.push_back(std::move(call));
 }
 
-StartCall RouterCore::new_run(const Request& request, const control::Backend& backend,
-                              const KvTransfer& transfer) {
+StartCall RouterCore::new_call(const Request& request, const control::Backend& backend) {
   StartCall call;
   call.backend = backend.name;
   call.endpoint = backend.endpoint;
@@ -70,6 +68,12 @@
   call.tenant = request.submit.tenant;
   call.first_index = request.next_index;
   call.repeatable = request.submit.repeatable;
+  return call;
+}
+
+StartCall RouterCore::new_run(const Request& request, const control::Backend& backend,
+                              const KvTransfer& transfer) {
+  StartCall call = new_call(request, backend);
   // Attempt numbers at engines must not meet those that another router gave to the same request.
   call.engine_attempt = static_cast<uint32_t>(random_.bits() >> 33U) | 1U;
   call.expected_incarnation = engines_.at(backend.name).load.incarnation;
--- a/src/router/router_hedge.cc
+++ b/src/router/router_hedge.cc
@@ -21,6 +21,9 @@
     return;
   }
   for (auto& [request_id, request] : requests_) {
+    if (!retry_budget_.allows_one()) {
+      return;  // in an overload everything is late; do not look for engines that can't be paid
+    }
     if (hedge_due(request, now)) {
       start_hedge(request, now);
     }
@@ -36,14 +39,12 @@
   if (input.candidates.empty() || !retry_budget_.take()) {
     return;
   }
-  const placement::RequestView view{request.prompt_tokens, request.prefix_key,
-                                    input.stored_blocks * options_.block_tokens};
-  const placement::Candidate& chosen = input.candidates[policy_->choose(view, input.candidates, random_)];
+  const placement::Candidate& chosen = choose(request, input);
   const control::Backend& backend = configuration_.backends.at(std::string(chosen.name));
   StartCall call = new_run(request, backend, KvTransfer());
   call.call_id = ++last_call_id_;
   calls_[call.call_id] = request.submit.request_id;
-  const uint32_t missing = request.prompt_tokens - std::min(request.prompt_tokens, chosen.cached_tokens);
+  const uint32_t missing = missing_tokens(request, chosen);
   request.hedge = Hedge{call.call_id, backend.name, call.expected_incarnation, call.engine_attempt, missing};
   EngineState& state = engines_.at(backend.name);
   ++state.outstanding;
--- a/src/router/router_placement.cc
+++ b/src/router/router_placement.cc
@@ -140,7 +140,6 @@
   }
   if (transfer.import_blocks > 0 || transfer.export_blocks > 0) {
     transfer.store = input.store->backend->endpoint;
-    transfer.store_name = input.store->backend->name;
   }
   return transfer;
 }
@@ -151,16 +150,24 @@
   return Duration(static_cast<int64_t>(first_us));
 }
 
+const placement::Candidate& RouterCore::choose(const Request& request, const PlacementInput& input) {
+  const placement::RequestView view{request.prompt_tokens, request.prefix_key,
+                                    input.stored_blocks * options_.block_tokens};
+  return input.candidates[policy_->choose(view, input.candidates, random_)];
+}
+
+uint32_t RouterCore::missing_tokens(const Request& request, const placement::Candidate& candidate) {
+  return request.prompt_tokens - std::min(request.prompt_tokens, candidate.cached_tokens);
+}
+
 bool RouterCore::try_dispatch(Request& request, TimePoint now) {
   hash_prompt(request);
   const PlacementInput input = placement_input(request, now);
   if (input.candidates.empty()) {
     return false;
   }
-  const placement::RequestView view{request.prompt_tokens, request.prefix_key,
-                                    input.stored_blocks * options_.block_tokens};
-  const placement::Candidate& chosen = input.candidates[policy_->choose(view, input.candidates, random_)];
-  request.missing_tokens = request.prompt_tokens - std::min(request.prompt_tokens, chosen.cached_tokens);
+  const placement::Candidate& chosen = choose(request, input);
+  request.missing_tokens = missing_tokens(request, chosen);
   request.expected_first_token = expected_first_token(request, chosen);
   request.queue_was_empty = chosen.reported_tokens + chosen.pending_tokens == 0 && chosen.outstanding == 0;
   const control::Backend& backend = configuration_.backends.at(std::string(chosen.name));
--- a/tests/unit/router_core_test.cc
+++ b/tests/unit/router_core_test.cc
@@ -55,6 +55,17 @@
     return end;
   }
 
+  /// The control call by which the router asked for a claim; 0 when it did not.
+  uint64_t take_claim_call() {
+    uint64_t claim_call = 0;
+    for (const RouterAction& action : core_.take_actions()) {
+      if (const auto* call = std::get_if<CallControl>(&action)) {
+        claim_call = call->call_id;
+      }
+    }
+    return claim_call;
+  }
+
   /// The last call to a back end that the router has asked for, if any.
   std::optional<StartCall> take_call() {
     std::optional<StartCall> last;
@@ -124,12 +135,8 @@
   load.incarnation = 9;
   core_.on_router_message(wire::LoadDigest{"home", {load}}, TimePoint(2));
   core_.on_submit(kSidecar, request(), TimePoint(2));
-  CallId call_id = 0;
-  for (const RouterAction& action : core_.take_actions()) {
-    if (const auto* call = std::get_if<StartCall>(&action)) {
-      call_id = call->call_id;
-    }
-  }
+  const auto call = take_call();
+  const CallId call_id = call ? call->call_id : 0;
   ASSERT_NE(call_id, 0U);
   core_.on_sidecar_gone(kSidecar, TimePoint(3));
   core_.on_call_end(call_id, CallResult{}, TimePoint(4));  // broken
@@ -146,19 +153,10 @@
   submit.repeatable = false;
   submit.idempotency_key = "bid";
   core_.on_submit(kSidecar, submit, TimePoint(2));
-  uint64_t claim_call = 0;
-  for (const RouterAction& action : core_.take_actions()) {
-    if (const auto* call = std::get_if<CallControl>(&action)) {
-      claim_call = call->call_id;
-    }
-  }
+  const uint64_t claim_call = take_claim_call();
   core_.on_control_answer(claim_call, control::CommandResult{}, TimePoint(3));
-  CallId call_id = 0;
-  for (const RouterAction& action : core_.take_actions()) {
-    if (const auto* call = std::get_if<StartCall>(&action)) {
-      call_id = call->call_id;
-    }
-  }
+  const auto call = take_call();
+  const CallId call_id = call ? call->call_id : 0;
   core_.on_sidecar_gone(kSidecar, TimePoint(4));
   core_.on_call_end(call_id, CallResult{}, TimePoint(5));  // broken
   const auto ends_claim = [&] {
@@ -217,12 +215,7 @@
   submit.repeatable = false;
   submit.idempotency_key = "bid";
   core_.on_submit(kSidecar, submit, TimePoint(2));
-  uint64_t claim_call = 0;
-  for (const RouterAction& action : core_.take_actions()) {
-    if (const auto* call = std::get_if<CallControl>(&action)) {
-      claim_call = call->call_id;
-    }
-  }
+  const uint64_t claim_call = take_claim_call();
   // The router was frozen meanwhile; its sidecar has tried others before it came back here.
   submit.attempt = 4;
   submit.may_have_run = true;
