--- a/src/common/settings.cc
+++ b/src/common/settings.cc
@@ -249,4 +249,14 @@
   return endpoints;
 }
 
+std::vector<Endpoint> read_seeds(SettingsReader& settings) {
+  constexpr int64_t kMaxPort = 65535;
+  std::vector<Endpoint> seeds = read_endpoints(settings, "seeds");
+  const int64_t port = settings.integer("internal_port", 0, 0, kMaxPort);
+  for (Endpoint& seed : seeds) {
+    seed.port = port == 0 ? seed.port : static_cast<uint16_t>(port);
+  }
+  return seeds;
+}
+
 }  // namespace stoat
--- a/src/common/settings.h
+++ b/src/common/settings.h
@@ -62,4 +62,7 @@
 /// Reads a list of endpoints; malformed ones become findings.
 std::vector<Endpoint> read_endpoints(SettingsReader& settings, const std::string& key);
 
+/// Reads the list "seeds". Where "internal_port" is given, it replaces the port of each.
+std::vector<Endpoint> read_seeds(SettingsReader& settings);
+
 }  // namespace stoat
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -100,6 +100,11 @@
   TimePoint quorum_confirmed_at() const { return quorum_confirmed_at_; }
   /// Leader only: how far a member's log is known to match.
   uint64_t match_of(MemberId member) const;
+  /// Leader only: when a member last answered.
+  TimePoint last_answer_of(MemberId member) const;
+  /// Leader only: true once an entry of its own term is committed, so that its commit index covers all that
+  /// was acknowledged before.
+  bool term_committed() const { return leads() && commit_ >= term_start_index_; }
   /// True when this member counts in quorums.
   bool is_voter() const;
 
--- a/src/consensus/replica_leader.cc
+++ b/src/consensus/replica_leader.cc
@@ -314,6 +314,11 @@
   }
 }
 
+TimePoint Replica::last_answer_of(MemberId member) const {
+  const auto found = progress_.find(member);
+  return found == progress_.end() ? TimePoint(0) : found->second.last_answer;
+}
+
 bool Replica::hand_over(TimePoint now) {
   if (role_ != Role::kLeader) {
     return false;
--- a/src/control/command.h
+++ b/src/control/command.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "src/control/configuration.h"
+#include "src/fleet/fleet_state.h"
 
 namespace stoat::control {
 
@@ -70,7 +71,8 @@
 
 /// Any command. New alternatives go at the end.
 using Command =
-    wire::Packed<ChangeConfiguration, ClaimKey, FinishClaim, IssueOrder, CompleteOrder, ExpireClaims>;
+    wire::Packed<ChangeConfiguration, ClaimKey, FinishClaim, IssueOrder, CompleteOrder, ExpireClaims,
+                 fleet::PutConfiguration, fleet::NameWeights, fleet::RetireBackend>;
 
 /// How a command ended.
 enum class ResultCode : uint8_t {
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -36,11 +36,35 @@
     fail_waiting(wire::CallStatus::kUnavailable);
   }
   was_leader_ = leads;
-  if (leads) {
+  if (leads && options_.target_voters > 0) {
+    keep_members(now);
+  } else if (leads) {
     promote_learners(now);
   }
 }
 
+void ControlCore::keep_members(TimePoint now) {
+  std::vector<MemberView> views;
+  for (const consensus::Member& member : replica_.members().members) {
+    MemberView view;
+    view.member = member;
+    const bool self = member.id == replica_.id();
+    const uint64_t match = self ? replica_.last_index() : replica_.match_of(member.id);
+    view.caught_up = match > 0 && match + options_.learner_lag_entries >= replica_.last_index();
+    view.silence = self ? Duration(0) : now - replica_.last_answer_of(member.id);
+    views.push_back(view);
+  }
+  std::vector<consensus::Member> joining;
+  for (const auto& [name, member] : joining_) {
+    if (now - joining_heard_[name] < options_.planner.joining_lease) {
+      joining.push_back(member);
+    }
+  }
+  if (const auto list = plan_members(views, joining, options_.target_voters, options_.planner)) {
+    replica_.propose_members(*list, now);
+  }
+}
+
 void ControlCore::fail_waiting(wire::CallStatus status) {
   for (const auto& [index, call] : waiting_) {
     answers_.push_back({call.token, status, {}});
@@ -233,7 +257,8 @@
     return;
   }
   joining_[member.name] = member;
-  if (!replica_.leads()) {
+  joining_heard_[member.name] = now;
+  if (!replica_.leads() || options_.target_voters > 0) {
     return;
   }
   // A name that is not in the list yet (a spare) may come in as a learner by itself; a voter is replaced by
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "src/consensus/replica.h"
+#include "src/control/member_planner.h"
 #include "src/control/state_machine.h"
 #include "src/wire/messages.h"
 
@@ -20,6 +21,9 @@
   Duration node_lease = 5s;            ///< a node that has not polled for so long is gone
   Duration claim_retention = 7200s;    ///< by the wall clock of the members
   uint64_t learner_lag_entries = 200;  ///< a learner that lags no more than this is made a voter
+  /// 0: operators replace voters. Else the leader keeps so many voters by itself; see member_planner.h.
+  size_t target_voters = 0;
+  PlannerOptions planner;
 };
 
 /// The answer to a waiting call.
@@ -88,6 +92,7 @@
   void apply(const consensus::Entry& entry);
   void fail_waiting(wire::CallStatus status);
   void promote_learners(TimePoint now);
+  void keep_members(TimePoint now);
   void expire_claims(int64_t wall_ms, TimePoint now);
 
   ControlOptions options_;
@@ -101,6 +106,7 @@
   std::vector<CallAnswer> answers_;
   std::map<std::string, SeenNode> nodes_;
   std::map<std::string, consensus::Member> joining_;
+  std::map<std::string, TimePoint> joining_heard_;  ///< by name
   std::vector<std::string> leaving_;
   TimePoint led_since_{0};
   TimePoint next_expiry_{0};
--- /dev/null
+++ b/src/control/engine_orders.h
@@ -0,0 +1,32 @@
+/// How a control member speaks to engines: orders and questions for their state. The form on the wire is the
+/// implementation's.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "src/control/weight_rollout.h"
+
+namespace stoat::control {
+
+/// An order to load a version of a model's weights, when running requests have finished.
+struct VersionOrder {
+  std::string engine;   ///< the incarnation that it is meant for
+  std::string address;  ///< "address:port"
+  std::string model;
+  uint64_t version = 0;
+  std::string holder;  ///< who gives orders
+  uint64_t fence = 0;  ///< of the holder's term; engines refuse lower ones
+  uint64_t expected_sequence = 0;
+};
+
+/// See the head of this file. Each callback is called exactly once.
+class EngineOrders {
+ public:
+  virtual ~EngineOrders() = default;
+  virtual void send(const VersionOrder& order, std::function<void(OrderAnswer)> on_answer) = 0;
+  /// `on_report` gets nullptr when no report came.
+  virtual void ask(const std::string& address, std::function<void(const EngineReport*)> on_report) = 0;
+};
+
+}  // namespace stoat::control
--- /dev/null
+++ b/src/control/fleet_nodes.cc
@@ -0,0 +1,182 @@
+/// FleetServer: the routers that follow this member, and the registry of back ends.
+#include <algorithm>
+
+#include "src/control/fleet_server.h"
+
+namespace stoat::control {
+
+namespace {
+
+/// A router that has said nothing for so long is not listed.
+constexpr Duration kRouterLease = 1500ms;
+/// A follower leaves a new configuration to the leader for so long before it sends it as well.
+constexpr Duration kFollowerDelay = 400ms;
+/// Retirements that go with each update. A router hears a few updates a second.
+constexpr size_t kRecentRetired = 64;
+
+}  // namespace
+
+void FleetServer::heartbeat(const fleet::BackendRecord& record) {
+  if (!registry_.on_heartbeat(record, loop_.now())) {
+    return;
+  }
+  unsent_heartbeats_.push_back(record);
+  notice_changes();
+}
+
+bool FleetServer::retired(const std::string& id, fleet::BackendState state) const {
+  return core_->state().fleet().retired_state(id) >= state;
+}
+
+void FleetServer::send_heartbeats() {
+  if (unsent_heartbeats_.empty()) {
+    return;
+  }
+  fleet::HeartbeatBatch batch;
+  batch.records.swap(unsent_heartbeats_);
+  for (const consensus::Member& member : core_->replica().members().members) {
+    if (member.id == identity_.id) {
+      continue;
+    }
+    if (const ChannelPtr channel = channel_to(member.address)) {
+      channel->send(batch);
+    }
+  }
+}
+
+void FleetServer::keep_registry() {
+  registry_.expire(loop_.now());
+  notice_changes();
+  const TimePoint now = loop_.now();
+  std::erase_if(routers_, [&](const auto& entry) {
+    return now - entry.second.at > kRouterLease && !entry.second.channel->open();
+  });
+}
+
+int64_t FleetServer::confirmed_age_ms() const {
+  const consensus::Replica& replica = core_->replica();
+  const bool current = replica.term_committed() && core_->applied_index() >= replica.commit_index();
+  const TimePoint confirmed = replica.quorum_confirmed_at();
+  if (!current || confirmed < leader_since_) {
+    return -1;
+  }
+  // Rounded up, since this bounds how long a key may still be honoured.
+  return to_milliseconds(loop_.now() - confirmed) + 1;
+}
+
+std::vector<fleet::RouterRecord> FleetServer::ready_routers() const {
+  std::vector<fleet::RouterRecord> list;
+  const TimePoint now = loop_.now();
+  for (const auto& [name, router] : routers_) {
+    if (router.status.router.ready && now - router.at < kRouterLease) {
+      list.push_back(router.status.router);
+    }
+  }
+  return list;
+}
+
+std::vector<fleet::BackendLoad> FleetServer::loads_beside(const std::string& router) const {
+  std::map<std::string, fleet::BackendLoad> sums;
+  const TimePoint now = loop_.now();
+  for (const auto& [name, seen] : routers_) {
+    if (name == router || now - seen.at > kRouterLease) {
+      continue;
+    }
+    for (const fleet::BackendLoad& load : seen.status.loads) {
+      fleet::BackendLoad& sum = sums[load.backend];
+      sum.backend = load.backend;
+      sum.outstanding += load.outstanding;
+      sum.prefill_tokens += load.prefill_tokens;
+    }
+  }
+  std::vector<fleet::BackendLoad> list;
+  list.reserve(sums.size());
+  for (auto& [name, sum] : sums) {
+    list.push_back(std::move(sum));
+  }
+  return list;
+}
+
+fleet::FleetUpdate FleetServer::make_update() const {
+  const fleet::FleetState& state = core_->state().fleet();
+  fleet::FleetUpdate update;
+  update.leads = core_->replica().leads();
+  update.quorum_age_ms = update.leads ? confirmed_age_ms() : -1;
+  update.configuration_version = state.configuration().version;
+  update.weights = state.weights();
+  const auto& retired = state.retired();
+  const size_t skip = retired.size() > kRecentRetired ? retired.size() - kRecentRetired : 0;
+  update.retired.assign(retired.begin() + static_cast<std::ptrdiff_t>(skip), retired.end());
+  for (const consensus::Member& member : core_->replica().members().members) {
+    update.members.push_back(member.address);
+  }
+  update.router_count = static_cast<uint32_t>(ready_routers().size());
+  return update;
+}
+
+void FleetServer::update_router(RouterSeen& router, fleet::FleetUpdate update, bool prompted) {
+  const fleet::FleetConfiguration& configuration = core_->state().fleet().configuration();
+  const TimePoint now = loop_.now();
+  if (router.status.configuration_version >= configuration.version) {
+    router.stale_since = TimePoint(0);
+  } else if (router.stale_since == TimePoint(0)) {
+    router.stale_since = now;
+  }
+  const bool stale = router.stale_since != TimePoint(0);
+  if (stale && (update.leads || now - router.stale_since >= kFollowerDelay)) {
+    update.configuration.push_back(configuration);
+    router.status.configuration_version = configuration.version;  // until it says otherwise
+  }
+  if (update.leads || !prompted) {
+    update.registry_given = router.status.registry_digest != registry_.digest();
+  } else {
+    update.registry_given = router.status.registry_digest == 0;
+  }
+  if (update.registry_given) {
+    update.registry = registry_.records();
+    router.status.registry_digest = registry_.digest();
+  }
+  if (prompted && update.leads) {
+    update.loads = loads_beside(router.status.router.name);
+  }
+  router.channel->send(update);
+}
+
+void FleetServer::on_router_status(const ChannelPtr& channel, const fleet::RouterStatus& status) {
+  RouterSeen& router = routers_[status.router.name];
+  router.status = status;
+  router.channel = channel;
+  router.at = loop_.now();
+  fleet::FleetUpdate update = make_update();
+  update.answers = status.sequence;
+  update_router(router, std::move(update), true);
+}
+
+void FleetServer::push_to_routers() {
+  const fleet::FleetUpdate update = make_update();
+  for (auto& [name, router] : routers_) {
+    if (router.channel->open()) {
+      update_router(router, update, false);
+    }
+  }
+}
+
+void FleetServer::notice_changes() {
+  const fleet::FleetState& state = core_->state().fleet();
+  if (state.revision() != noticed_revision_) {
+    for (const fleet::RetiredBackend& retired : state.retired()) {
+      registry_.retire(retired.id, retired.state);
+    }
+  }
+  const bool retired_more = state.retired().size() != noticed_retired_;
+  const bool changed = state.revision() != noticed_revision_ || registry_.digest() != noticed_digest_;
+  noticed_revision_ = state.revision();
+  noticed_digest_ = registry_.digest();
+  noticed_retired_ = state.retired().size();
+  // The leader tells all that is new; the others only what must reach every router soon.
+  if (changed && (core_->replica().leads() || retired_more)) {
+    push_to_routers();
+  }
+}
+
+}  // namespace stoat::control
--- /dev/null
+++ b/src/control/fleet_rollout.cc
@@ -0,0 +1,98 @@
+/// FleetServer: carries out the steps of the weight rollout.
+#include "src/common/hash.h"
+#include "src/control/fleet_server.h"
+
+namespace stoat::control {
+
+namespace {
+
+/// Orders are given only while a quorum has confirmed the leader this recently.
+constexpr Duration kOrderLease = 400ms;
+
+}  // namespace
+
+bool FleetServer::may_order() const {
+  const consensus::Replica& replica = core_->replica();
+  const TimePoint now = loop_.now();
+  if (!replica.term_committed() || now - replica.quorum_confirmed_at() > kOrderLease) {
+    return false;
+  }
+  // A former leader may have ordered until its own lease had ended.
+  return now - leader_since_ > settings_.holder_lease + kOrderLease;
+}
+
+void FleetServer::roll_out_weights() {
+  if (!core_->replica().leads() || rollout_.fenced_off() || !may_order()) {
+    return;
+  }
+  const auto& weights = core_->state().fleet().weights();
+  if (weights.empty()) {
+    return;
+  }
+  for (const RolloutStep& step : rollout_.plan(registry_.records(), weights, loop_.now())) {
+    take_step(step);
+  }
+  notice_changes();
+}
+
+void FleetServer::take_step(const RolloutStep& step) {
+  switch (step.kind) {
+    case RolloutStep::Kind::kAnnounce:
+      registry_.set_loading(step.engine.id, true);
+      break;
+    case RolloutStep::Kind::kOrder:
+      send_order(step);
+      break;
+    case RolloutStep::Kind::kCheck:
+      check_engine(step);
+      break;
+    case RolloutStep::Kind::kRelease:
+      registry_.set_loading(step.engine.id, false);
+      break;
+  }
+}
+
+void FleetServer::send_order(const RolloutStep& step) {
+  VersionOrder order;
+  order.engine = step.engine.id;
+  order.address = step.engine.address;
+  order.model = step.model;
+  order.version = step.version;
+  order.holder = settings_.name;
+  order.fence = core_->replica().term();
+  order.expected_sequence = step.expected_sequence;
+  log_.info("orders weights", {{"engine", order.engine},
+                               {"model", order.model},
+                               {"version", order.version},
+                               {"fence", order.fence},
+                               {"expected_sequence", order.expected_sequence}});
+  metrics_.count("stoat_control_orders_total");
+  const uint64_t term = core_->replica().term();
+  orders_.send(order, [this, engine = order.engine, term](OrderAnswer answer) {
+    if (term != core_->replica().term()) {
+      return;
+    }
+    log_.info("order answered", {{"engine", engine}, {"answer", static_cast<int>(answer)}});
+    rollout_.on_order_answer(engine, answer, loop_.now());
+  });
+}
+
+void FleetServer::check_engine(const RolloutStep& step) {
+  const std::string engine = step.engine.id;
+  const uint64_t term = core_->replica().term();
+  orders_.ask(step.engine.address, [this, engine, term](const EngineReport* report) {
+    if (term != core_->replica().term()) {
+      return;
+    }
+    if (report == nullptr) {
+      rollout_.on_order_answer(engine, OrderAnswer::kNone, loop_.now());
+      return;
+    }
+    for (const fleet::ModelVersion& entry : report->models) {
+      registry_.set_version(engine, entry.model, entry.version);
+    }
+    rollout_.on_report(engine, *report, loop_.now());
+  });
+}
+
+}  // namespace stoat::control
--- /dev/null
+++ b/src/control/fleet_server.cc
@@ -0,0 +1,390 @@
+#include "src/control/fleet_server.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+#include "src/common/hash.h"
+#include "src/common/random.h"
+
+namespace stoat::control {
+
+namespace {
+
+constexpr Duration kTick = 10ms;
+constexpr Duration kJoinInterval = 150ms;
+constexpr Duration kHeartbeatBatch = 100ms;
+constexpr Duration kRegistryInterval = 200ms;
+constexpr Duration kRolloutInterval = 20ms;
+constexpr Duration kStopGrace = 300ms;
+/// Callers turn to another member after a second without an answer.
+constexpr Duration kCallLimit = 2500ms;
+
+}  // namespace
+
+FleetControlSettings read_fleet_control_settings(SettingsReader& reader) {
+  FleetControlSettings settings;
+  settings.name = reader.required_text("name");
+  settings.zone = reader.text("zone", "");
+  settings.region = reader.text("region", "");
+  settings.internal = read_endpoint(reader, "internal", "127.0.0.1:7000");
+  settings.seeds = read_seeds(reader);
+  settings.data_folder = reader.required_text("data_folder");
+  settings.first_start = reader.flag("first_start", false);
+  const int64_t losses = reader.integer("tolerated_losses", 2, 0, 50);
+  settings.core.target_voters = static_cast<size_t>(2 * losses + 1);
+  settings.core.entries_per_snapshot =
+      static_cast<uint64_t>(reader.integer("entries_per_snapshot", 100, 10, 100000000));
+  settings.core.replica.election_timeout =
+      Duration(1000 * reader.integer("election_timeout_ms", 500, 50, 60000));
+  settings.core.replica.heartbeat_interval = Duration(1000 * reader.integer("heartbeat_ms", 100, 5, 10000));
+  settings.registry.lost_after = Duration(1000 * reader.integer("backend_lost_ms", 4000, 100, 600000));
+  settings.holder_lease = Duration(1000 * reader.integer("holder_lease_ms", 3000, 0, 600000));
+  settings.rollout.load_share = reader.number("load_share", settings.rollout.load_share, 0.001, 1.0);
+  return settings;
+}
+
+FleetServer::FleetServer(EventLoop& loop, FleetControlSettings settings, EngineOrders& orders)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      orders_(orders),
+      files_(settings_.data_folder),
+      store_(files_),
+      registry_(settings_.registry),
+      rollout_(settings_.rollout) {
+  start_core(restore());
+  if (core_->replica().last_index() == 0 && settings_.first_start && !settings_.seeds.empty() &&
+      settings_.seeds.front().address == settings_.internal.address) {
+    found();
+  }
+  channels_ = std::make_unique<wire::ChannelServer>(
+      loop, settings_.internal,
+      [this](const ChannelPtr& channel, wire::Message message) { on_message(channel, std::move(message)); },
+      [](const ChannelPtr&) {});
+  loop.every(kTick, [this] { tick(); });
+  loop.every(kJoinInterval, [this] { ask_to_join(); });
+  loop.every(kHeartbeatBatch, [this] { send_heartbeats(); });
+  loop.every(kRegistryInterval, [this] { keep_registry(); });
+  loop.every(kRolloutInterval, [this] { roll_out_weights(); });
+  log_.info("started", {{"name", settings_.name},
+                        {"internal", to_string(settings_.internal)},
+                        {"identity", to_hex(identity_.id)},
+                        {"first_start", settings_.first_start},
+                        {"last_index", core_->replica().last_index()}});
+}
+
+FleetServer::~FleetServer() { wire::close_all(peers_); }
+
+consensus::RestoredState FleetServer::restore() {
+  auto identity = store_.load_identity();
+  if (!identity) {
+    throw std::runtime_error(identity.error().path + ": " + identity.error().message);
+  }
+  consensus::RestoredState restored;
+  if (identity->has_value()) {
+    identity_ = **identity;
+    auto loaded = store_.load();
+    if (!loaded) {
+      throw std::runtime_error(loaded.error().path + ": " + loaded.error().message);
+    }
+    restored = std::move(*loaded);
+    return restored;
+  }
+  // A blank disk never comes back under an identity that may have voted.
+  identity_ = storage::DiskIdentity{seed_from_device() | 1U, settings_.name};
+  if (!store_.save_identity(identity_)) {
+    throw std::runtime_error("cannot write the identity to " + settings_.data_folder);
+  }
+  return restored;
+}
+
+void FleetServer::start_core(const consensus::RestoredState& restored) {
+  settings_.core.replica.id = identity_.id;
+  driver_.reset();
+  core_ = std::make_unique<ControlCore>(settings_.core, restored, seed_from_device(), loop_.now());
+  driver_ = std::make_unique<DurableDriver>(
+      loop_, *core_, store_, [this](const consensus::Message& message) { send_to_peer(message); },
+      [this] { deliver_answers(); },
+      [this](const storage::FileError& error) {
+        log_.error("cannot write, stopping", {{"file", error.path}, {"error", error.message}});
+        loop_.stop();
+      });
+  for (const fleet::RetiredBackend& retired : core_->state().fleet().retired()) {
+    registry_.retire(retired.id, retired.state);
+  }
+}
+
+void FleetServer::found() {
+  consensus::Snapshot first;
+  first.index = 1;
+  first.term = 1;
+  first.members.members.push_back(
+      {identity_.id, to_hex(identity_.id), to_string(settings_.internal), true});
+  first.state = StateMachine().save();
+  consensus::RestoredState restored;
+  restored.snapshot = first;
+  restored.hard_state.term = 1;
+  driver_.reset();  // its thread must not write at the same time
+  const auto written = store_.write_snapshot(wire::encode(first), restored.hard_state, {});
+  if (!written) {
+    throw std::runtime_error("cannot write the first state: " + written.error().message);
+  }
+  log_.info("founded the fleet");
+  start_core(restored);
+}
+
+FleetServer::ChannelPtr FleetServer::channel_to(const std::string& address) {
+  ChannelPtr& channel = peers_[address];
+  if (channel != nullptr && channel->open()) {
+    return channel;
+  }
+  Endpoint endpoint;
+  if (!parse_endpoint(address, endpoint)) {
+    return nullptr;
+  }
+  channel = wire::Channel::connect(
+      loop_, endpoint,
+      [this](const ChannelPtr& from, wire::Message message) { on_message(from, std::move(message)); },
+      [](const ChannelPtr&) {});
+  return channel;
+}
+
+FleetServer::ChannelPtr FleetServer::leader_channel() {
+  const std::string address = core_->leader_address();
+  return address.empty() || core_->replica().leads() ? nullptr : channel_to(address);
+}
+
+void FleetServer::send_to_peer(const consensus::Message& message) {
+  const auto send_to = [&](const consensus::Member& member) {
+    if (member.id != message.to) {
+      return false;
+    }
+    if (const ChannelPtr channel = channel_to(member.address)) {
+      channel->send(wire::PeerMessage{message});
+    }
+    return true;
+  };
+  const auto& members = core_->replica().members().members;
+  if (std::any_of(members.begin(), members.end(), send_to)) {
+    return;
+  }
+  // Answers to a leader that is not in this member's list yet go back on the connection they came from.
+  const auto back = peers_.find("id " + to_hex(message.to));
+  if (back != peers_.end() && back->second != nullptr) {
+    back->second->send(wire::PeerMessage{message});
+  }
+}
+
+void FleetServer::on_message(const ChannelPtr& channel, wire::Message message) {
+  const TimePoint now = loop_.now();
+  if (auto* peer = std::get_if<wire::PeerMessage>(&message.value)) {
+    peers_["id " + to_hex(peer->message.from)] = channel;
+    core_->on_peer(peer->message, now);
+    driver_->drive();
+  } else if (auto* status = std::get_if<fleet::RouterStatus>(&message.value)) {
+    on_router_status(channel, *status);
+  } else if (auto* batch = std::get_if<fleet::HeartbeatBatch>(&message.value)) {
+    for (const fleet::BackendRecord& record : batch->records) {
+      registry_.on_heartbeat(record, now);
+    }
+    notice_changes();
+  } else if (auto* call = std::get_if<wire::ControlCall>(&message.value)) {
+    on_control_call(channel, std::move(*call));
+  } else if (auto* answer = std::get_if<wire::ControlAnswer>(&message.value)) {
+    finish(answer->call_id, answer->status == wire::CallStatus::kDone, std::nullopt);
+  } else if (auto* read = std::get_if<fleet::ConfirmedRead>(&message.value)) {
+    on_confirmed_read(channel, *read);
+  } else if (auto* read_answer = std::get_if<fleet::ConfirmedReadAnswer>(&message.value)) {
+    finish(read_answer->call_id, read_answer->confirmed, read_answer->source);
+  } else if (auto* join = std::get_if<wire::JoinRequest>(&message.value)) {
+    on_join(channel, *join);
+  } else if (auto* addresses = std::get_if<fleet::MemberAddresses>(&message.value)) {
+    join_addresses_.insert(addresses->addresses.begin(), addresses->addresses.end());
+  }
+}
+
+bool FleetServer::accepts(const Command& command) const {
+  // While the fleet is founded, a configuration waits until it would be on enough disks.
+  const auto& members = core_->replica().members().members;
+  const auto voters = std::count_if(members.begin(), members.end(),
+                                    [](const consensus::Member& member) { return member.voter; });
+  return static_cast<size_t>(voters) >= settings_.core.target_voters ||
+         std::holds_alternative<fleet::RetireBackend>(command.value);
+}
+
+void FleetServer::on_control_call(const ChannelPtr& channel, wire::ControlCall call) {
+  const uint64_t call_id = call.call_id;
+  const auto answer = [channel, call_id](bool done) {
+    wire::ControlAnswer reply;
+    reply.call_id = call_id;
+    reply.status = done ? wire::CallStatus::kDone : wire::CallStatus::kUnavailable;
+    channel->send(reply);
+  };
+  if (!core_->replica().leads()) {
+    answer(false);  // never passed on twice: the caller's member asks again
+    return;
+  }
+  commit(std::move(call.command), answer);
+}
+
+void FleetServer::on_confirmed_read(const ChannelPtr& channel, const fleet::ConfirmedRead& read) {
+  const uint64_t call_id = read.call_id;
+  const auto answer = [channel, call_id](const std::optional<std::string>& source) {
+    channel->send(fleet::ConfirmedReadAnswer{call_id, source.has_value(), source.value_or("")});
+  };
+  if (!core_->replica().leads()) {
+    answer(std::nullopt);
+    return;
+  }
+  read_configuration(answer);
+}
+
+void FleetServer::on_join(const ChannelPtr& channel, const wire::JoinRequest& request) {
+  core_->on_join(request, loop_.now());
+  fleet::MemberAddresses addresses;
+  for (const consensus::Member& member : core_->replica().members().members) {
+    addresses.addresses.push_back(member.address);
+  }
+  channel->send(addresses);
+}
+
+void FleetServer::ask_to_join() {
+  const auto& members = core_->replica().members().members;
+  const bool member = std::any_of(members.begin(), members.end(), [this](const consensus::Member& entry) {
+    return entry.id == identity_.id;
+  });
+  const bool led = core_->replica().leader() != 0;
+  if (member && led) {
+    join_addresses_.clear();
+    return;
+  }
+  if (member && core_->replica().is_voter()) {
+    return;  // an election is under way; its own messages find the others
+  }
+  std::set<std::string> addresses = join_addresses_;
+  for (const Endpoint& seed : settings_.seeds) {
+    addresses.insert(to_string(seed));
+  }
+  for (const consensus::Member& entry : members) {
+    addresses.insert(entry.address);
+  }
+  addresses.erase(to_string(settings_.internal));
+  for (const std::string& address : addresses) {
+    if (const ChannelPtr channel = channel_to(address)) {
+      channel->send(wire::JoinRequest{
+          {identity_.id, to_hex(identity_.id), to_string(settings_.internal), false},
+          core_->replica().last_index() == 0});
+    }
+  }
+}
+
+uint64_t FleetServer::add_waiting(Waiting waiting) {
+  const uint64_t token = ++last_token_;
+  waiting.expires = loop_.now() + kCallLimit;
+  waiting_[token] = std::move(waiting);
+  return token;
+}
+
+void FleetServer::finish(uint64_t token, bool done, const std::optional<std::string>& source) {
+  const auto found = waiting_.find(token);
+  if (found == waiting_.end()) {
+    return;
+  }
+  const Waiting waiting = std::move(found->second);
+  waiting_.erase(found);
+  if (waiting.on_done) {
+    waiting.on_done(done);
+  }
+  if (waiting.on_read) {
+    const bool known = source.has_value() && !source->empty();
+    waiting.on_read(done && known ? source : std::nullopt);
+  }
+}
+
+void FleetServer::commit(Command command, Committed on_done) {
+  Waiting waiting;
+  waiting.on_done = std::move(on_done);
+  const uint64_t token = add_waiting(std::move(waiting));
+  if (core_->replica().leads()) {
+    if (!accepts(command)) {
+      finish(token, false, std::nullopt);
+      return;
+    }
+    core_->call(token, std::move(command), 0, loop_.now());
+    driver_->drive();
+    return;
+  }
+  const ChannelPtr leader = leader_channel();
+  if (leader == nullptr) {
+    finish(token, false, std::nullopt);
+    return;
+  }
+  leader->send(wire::ControlCall{token, std::move(command)});
+}
+
+void FleetServer::read_configuration(std::function<void(std::optional<std::string>)> on_read) {
+  Waiting waiting;
+  waiting.on_read = std::move(on_read);
+  const uint64_t token = add_waiting(std::move(waiting));
+  if (core_->replica().leads()) {
+    core_->read(token, loop_.now());
+    driver_->drive();
+    return;
+  }
+  const ChannelPtr leader = leader_channel();
+  if (leader == nullptr) {
+    finish(token, false, std::nullopt);
+    return;
+  }
+  leader->send(fleet::ConfirmedRead{token});
+}
+
+void FleetServer::deliver_answers() {
+  if (delivering_) {
+    return;
+  }
+  delivering_ = true;
+  for (const CallAnswer& answer : core_->take_answers()) {
+    finish(answer.token, answer.status == wire::CallStatus::kDone, core_->state().fleet().source());
+  }
+  delivering_ = false;
+  notice_changes();
+}
+
+void FleetServer::tick() {
+  const TimePoint now = loop_.now();
+  core_->tick(now);
+  driver_->drive();
+  const bool leads = core_->replica().leads();
+  if (leads != led_) {
+    led_ = leads;
+    leader_since_ = now;
+    rollout_.reset();
+    for (const fleet::BackendRecord& record : registry_.records()) {
+      registry_.set_loading(record.id, false);
+    }
+    log_.info(leads ? "leads" : "leads no more", {{"term", core_->replica().term()}});
+    metrics_.set("stoat_control_leads", leads ? 1 : 0);
+  }
+  std::vector<uint64_t> expired;
+  for (const auto& [token, waiting] : waiting_) {
+    if (now >= waiting.expires) {
+      expired.push_back(token);
+    }
+  }
+  for (const uint64_t token : expired) {
+    finish(token, false, std::nullopt);
+  }
+}
+
+void FleetServer::stop() {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  log_.info("stopping", {{"leads", core_->replica().leads()}});
+  core_->replica().hand_over(loop_.now());
+  driver_->drive();
+  loop_.after(kStopGrace, [this] { loop_.stop(); });
+}
+
+}  // namespace stoat::control
--- /dev/null
+++ b/src/control/fleet_server.h
@@ -0,0 +1,154 @@
+/// A control member for fleets that keep themselves: the replicated log with self-healing membership, the
+/// registry of back ends, the routers that follow it, and the rollout of weights. The calls of operators, back
+/// ends and callers come in through its public methods; their form on the wire is the caller's.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/common/log.h"
+#include "src/common/metrics.h"
+#include "src/common/settings.h"
+#include "src/control/control_core.h"
+#include "src/control/durable_driver.h"
+#include "src/control/engine_orders.h"
+#include "src/control/weight_rollout.h"
+#include "src/fleet/backend_registry.h"
+#include "src/http/event_loop.h"
+#include "src/storage/replica_store.h"
+#include "src/wire/channel.h"
+
+namespace stoat::control {
+
+/// Settings of a fleet control member.
+struct FleetControlSettings {
+  std::string name;
+  std::string zone;
+  std::string region;
+  Endpoint internal;                 ///< of the protocol between the system's own processes
+  std::vector<Endpoint> seeds;       ///< internal endpoints of members to ask at the start
+  std::string data_folder;
+  bool first_start = false;          ///< the fleet starts for the first time: the first seed founds it
+  ControlOptions core;
+  RolloutOptions rollout;
+  fleet::RegistryOptions registry;
+  Duration holder_lease = 3s;        ///< how long a former holder's orders keep a new one waiting
+};
+
+/// Reads the settings of a fleet control member.
+FleetControlSettings read_fleet_control_settings(SettingsReader& reader);
+
+/// See the head of this file.
+class FleetServer {
+ public:
+  /// Throws std::runtime_error when the disk's state is damaged or an address can't be bound.
+  FleetServer(EventLoop& loop, FleetControlSettings settings, EngineOrders& orders);
+  ~FleetServer();
+  FleetServer(const FleetServer&) = delete;
+  FleetServer& operator=(const FleetServer&) = delete;
+
+  /// Called with true once a command is durable and applied; with false when that is not known.
+  using Committed = std::function<void(bool)>;
+  /// Proposes a command, at the leader wherever it is.
+  void commit(Command command, Committed on_done);
+  /// Gives the operator's document of the newest configuration; nullopt when this can't be confirmed.
+  void read_configuration(std::function<void(std::optional<std::string>)> on_read);
+  /// Takes a heartbeat; passes it on to the other members and, when it tells something new, to the routers.
+  void heartbeat(const fleet::BackendRecord& record);
+  /// True when a back end is known to be retired at least as far as `state`.
+  bool retired(const std::string& id, fleet::BackendState state) const;
+  /// The routers that are ready, as this member hears of them.
+  std::vector<fleet::RouterRecord> ready_routers() const;
+  /// Re-reads what may change while the process runs: the seeds.
+  void set_seeds(std::vector<Endpoint> seeds) { settings_.seeds = std::move(seeds); }
+  /// Stops in an orderly way: hands leadership over, then ends the loop.
+  void stop();
+  const Metrics& metrics() const { return metrics_; }
+
+ private:
+  struct Waiting {
+    Committed on_done;
+    std::function<void(std::optional<std::string>)> on_read;
+    TimePoint expires{0};
+  };
+  struct RouterSeen {
+    fleet::RouterStatus status;
+    std::shared_ptr<wire::Channel> channel;
+    TimePoint at{0};
+    TimePoint stale_since{0};  ///< since when its configuration has been behind; 0: it is not
+  };
+  using ChannelPtr = std::shared_ptr<wire::Channel>;
+
+  // fleet_server.cc: the replicated log and its peers
+  consensus::RestoredState restore();
+  void start_core(const consensus::RestoredState& restored);
+  void found();
+  void on_message(const ChannelPtr& channel, wire::Message message);
+  void on_control_call(const ChannelPtr& channel, wire::ControlCall call);
+  void on_confirmed_read(const ChannelPtr& channel, const fleet::ConfirmedRead& read);
+  void on_join(const ChannelPtr& channel, const wire::JoinRequest& request);
+  void send_to_peer(const consensus::Message& message);
+  ChannelPtr channel_to(const std::string& address);
+  ChannelPtr leader_channel();
+  void deliver_answers();
+  void finish(uint64_t token, bool done, const std::optional<std::string>& source);
+  void tick();
+  void ask_to_join();
+  uint64_t add_waiting(Waiting waiting);
+  bool accepts(const Command& command) const;
+
+  // fleet_nodes.cc: routers and the registry
+  void on_router_status(const ChannelPtr& channel, const fleet::RouterStatus& status);
+  fleet::FleetUpdate make_update() const;
+  void update_router(RouterSeen& router, fleet::FleetUpdate update, bool prompted);
+  void push_to_routers();
+  void notice_changes();
+  void send_heartbeats();
+  void keep_registry();
+  int64_t confirmed_age_ms() const;
+  std::vector<fleet::BackendLoad> loads_beside(const std::string& router) const;
+
+  // fleet_rollout.cc: new weights
+  void roll_out_weights();
+  void take_step(const RolloutStep& step);
+  void send_order(const RolloutStep& step);
+  void check_engine(const RolloutStep& step);
+  bool may_order() const;
+
+  EventLoop& loop_;
+  FleetControlSettings settings_;
+  EngineOrders& orders_;
+  Logger log_{"control"};
+  Metrics metrics_;
+  storage::DiskFileSystem files_;
+  storage::ReplicaStore store_;
+  storage::DiskIdentity identity_;
+  std::unique_ptr<ControlCore> core_;
+  std::unique_ptr<DurableDriver> driver_;
+  std::unique_ptr<wire::ChannelServer> channels_;
+  std::map<std::string, ChannelPtr> peers_;  ///< by internal address
+  std::set<std::string> join_addresses_;     ///< whom else to ask to be taken in
+  std::map<uint64_t, Waiting> waiting_;
+  uint64_t last_token_ = 0;
+  bool delivering_ = false;
+  bool stopping_ = false;
+
+  fleet::BackendRegistry registry_;
+  std::vector<fleet::BackendRecord> unsent_heartbeats_;
+  std::map<std::string, RouterSeen> routers_;  ///< by name
+  uint64_t noticed_revision_ = 0;
+  uint64_t noticed_digest_ = 0;
+  size_t noticed_retired_ = 0;
+
+  WeightRollout rollout_;
+  bool led_ = false;
+  TimePoint leader_since_{0};
+};
+
+}  // namespace stoat::control
--- a/src/control/state_machine.cc
+++ b/src/control/state_machine.cc
@@ -77,6 +77,9 @@
     CommandResult operator()(const IssueOrder& order) const { return state.apply_order(order); }
     CommandResult operator()(const CompleteOrder& complete) const { return state.apply_complete(complete); }
     CommandResult operator()(const ExpireClaims& expire) const { return state.apply_expire(expire); }
+    CommandResult operator()(const fleet::PutConfiguration& put) const { return state.apply_fleet(put); }
+    CommandResult operator()(const fleet::NameWeights& named) const { return state.apply_fleet(named); }
+    CommandResult operator()(const fleet::RetireBackend& retired) const { return state.apply_fleet(retired); }
   };
   return std::visit(Applier{*this}, command.value);
 }
@@ -268,7 +271,8 @@
   std::map<std::string, Order> orders;
   std::map<std::string, Claim> claims;
   std::map<std::string, std::vector<ClosedAttempts>> closed;
-  MSGPACK_DEFINE_ARRAY(configuration, changes, history, answers, orders, claims, closed)
+  fleet::FleetState fleet;
+  MSGPACK_DEFINE_ARRAY(configuration, changes, history, answers, orders, claims, closed, fleet)
 };
 
 }  // namespace
@@ -280,7 +284,8 @@
                          answers_,
                          orders_,
                          {claims_.begin(), claims_.end()},
-                         {closed_.begin(), closed_.end()}};
+                         {closed_.begin(), closed_.end()},
+                         fleet_};
   return wire::encode(saved);
 }
 
@@ -296,6 +301,7 @@
   orders_ = std::move(saved->orders);
   claims_ = {saved->claims.begin(), saved->claims.end()};
   closed_ = {saved->closed.begin(), saved->closed.end()};
+  fleet_ = std::move(saved->fleet);
   return true;
 }
 
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -79,11 +79,17 @@
   const std::deque<VersionedChange>& changes() const { return changes_; }
   const std::deque<HistoryLine>& history() const { return history_; }
   const std::map<std::string, Order>& orders() const { return orders_; }
+  const fleet::FleetState& fleet() const { return fleet_; }
   size_t claim_count() const { return claims_.size(); }
   /// The claim of a tenant's key, or nullptr.
   const Claim* claim(const std::string& tenant, const std::string& key) const;
 
  private:
+  template <typename FleetCommand>
+  CommandResult apply_fleet(const FleetCommand& command) {
+    fleet_.apply(command);
+    return {};
+  }
   CommandResult apply_change(const ChangeConfiguration& change);
   CommandResult apply_claim(const ClaimKey& claim);
   bool is_closed(const std::string& name, const ClaimKey& claim) const;
@@ -103,6 +109,7 @@
   std::unordered_map<std::string, Claim> claims_;
   /// By claim; only for keys that were released.
   std::unordered_map<std::string, std::vector<ClosedAttempts>> closed_;
+  fleet::FleetState fleet_;
 };
 
 /// What is wrong with a change, judged against the configuration that it is based on.
--- /dev/null
+++ b/src/control/weight_rollout.cc
@@ -0,0 +1,163 @@
+#include "src/control/weight_rollout.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace stoat::control {
+
+namespace {
+
+using fleet::BackendRecord;
+using fleet::BackendState;
+using fleet::ModelVersion;
+
+/// The model of an engine that lags the most, with the version it should have; empty when none lags.
+ModelVersion wanted(const BackendRecord& engine, const std::map<std::string, uint64_t>& weights) {
+  for (const ModelVersion& entry : engine.models) {
+    const auto named = weights.find(entry.model);
+    if (named != weights.end() && entry.version < named->second) {
+      return ModelVersion{entry.model, named->second};
+    }
+  }
+  return {};
+}
+
+bool takes_orders(const BackendRecord& engine) {
+  return engine.state == BackendState::kReady && !engine.lost && !engine.models.empty();
+}
+
+}  // namespace
+
+void WeightRollout::reset() {
+  loads_.clear();
+  order_sequences_.clear();
+  fenced_off_ = false;
+}
+
+std::vector<RolloutStep> WeightRollout::plan(const std::vector<BackendRecord>& engines,
+                                             const std::map<std::string, uint64_t>& weights, TimePoint now) {
+  std::vector<RolloutStep> steps;
+  std::map<std::string, const BackendRecord*> by_id;
+  for (const BackendRecord& engine : engines) {
+    by_id[engine.id] = &engine;
+  }
+  for (auto entry = loads_.begin(); entry != loads_.end();) {
+    const auto known = by_id.find(entry->first);
+    if (known == by_id.end()) {
+      entry = loads_.erase(entry);
+      continue;
+    }
+    if (entry->second.done || !takes_orders(*known->second)) {
+      steps.push_back(RolloutStep{RolloutStep::Kind::kRelease, *known->second, entry->second.model,
+                                  entry->second.version, 0});
+      entry = loads_.erase(entry);
+      continue;
+    }
+    advance(*known->second, entry->second, now, steps);
+    ++entry;
+  }
+  start_loads(engines, weights, now, steps);
+  return steps;
+}
+
+void WeightRollout::start_loads(const std::vector<BackendRecord>& engines,
+                                const std::map<std::string, uint64_t>& weights, TimePoint now,
+                                std::vector<RolloutStep>& steps) {
+  std::map<std::string, size_t> engines_of;  // by service
+  std::map<std::string, size_t> loading_of;
+  for (const BackendRecord& engine : engines) {
+    engines_of[engine.service] += takes_orders(engine) ? 1 : 0;
+    loading_of[engine.service] += loads_.count(engine.id);
+  }
+  for (const BackendRecord& engine : engines) {
+    if (!takes_orders(engine) || loads_.count(engine.id) > 0) {
+      continue;
+    }
+    const ModelVersion target = wanted(engine, weights);
+    const double share = options_.load_share * static_cast<double>(engines_of[engine.service]);
+    if (target.version == 0 || static_cast<double>(loading_of[engine.service]) >= std::ceil(share)) {
+      continue;
+    }
+    Load load;
+    load.model = target.model;
+    load.version = target.version;
+    load.started = now;
+    load.next = now + options_.announce_lead;
+    loads_[engine.id] = load;
+    ++loading_of[engine.service];
+    steps.push_back(RolloutStep{RolloutStep::Kind::kAnnounce, engine, target.model, target.version, 0});
+  }
+}
+
+void WeightRollout::advance(const BackendRecord& engine, Load& load, TimePoint now,
+                            std::vector<RolloutStep>& steps) {
+  if (engine.version_of(load.model) >= load.version && load.phase != Phase::kAnnounced && !load.asking) {
+    load.done = true;
+    steps.push_back(RolloutStep{RolloutStep::Kind::kRelease, engine, load.model, load.version, 0});
+    return;
+  }
+  if (load.asking || now < load.next) {
+    return;
+  }
+  if (load.phase == Phase::kOrdered && now - load.started > options_.load_limit) {
+    load.phase = Phase::kAnnounced;
+    load.started = now;
+  }
+  load.asking = true;
+  if (load.phase == Phase::kAnnounced) {
+    steps.push_back(RolloutStep{RolloutStep::Kind::kOrder, engine, load.model, load.version,
+                                order_sequences_[engine.id]});
+  } else {
+    steps.push_back(RolloutStep{RolloutStep::Kind::kCheck, engine, load.model, load.version, 0});
+  }
+}
+
+void WeightRollout::on_order_answer(const std::string& engine, OrderAnswer answer, TimePoint now) {
+  const auto found = loads_.find(engine);
+  fenced_off_ = fenced_off_ || answer == OrderAnswer::kFenced;
+  if (found == loads_.end()) {
+    return;
+  }
+  Load& load = found->second;
+  load.asking = false;
+  switch (answer) {
+    case OrderAnswer::kTaken:
+      load.phase = Phase::kOrdered;
+      load.next = now + options_.first_check;
+      ++order_sequences_[engine];
+      break;
+    case OrderAnswer::kHoldsAlready:
+    case OrderAnswer::kConflict:
+    case OrderAnswer::kNone:
+      // What the engine has now is asked next: the order may have been taken, or another be under way.
+      load.phase = Phase::kWaiting;
+      load.next = now + (answer == OrderAnswer::kHoldsAlready ? Duration(0) : options_.retry_delay);
+      break;
+    case OrderAnswer::kFenced:
+    case OrderAnswer::kRefused:
+      load.done = true;
+      break;
+  }
+}
+
+void WeightRollout::on_report(const std::string& engine, const EngineReport& report, TimePoint now) {
+  const auto found = loads_.find(engine);
+  if (found == loads_.end()) {
+    return;
+  }
+  Load& load = found->second;
+  load.asking = false;
+  order_sequences_[engine] = report.order_sequence;
+  load.next = now + options_.check_interval;
+  const auto has = std::find_if(report.models.begin(), report.models.end(),
+                                [&](const ModelVersion& entry) { return entry.model == load.model; });
+  if (has != report.models.end() && has->version >= load.version && !report.busy) {
+    load.done = true;
+  } else if (!report.busy) {
+    load.phase = Phase::kAnnounced;  // not under way there: order again
+  } else {
+    load.phase = Phase::kOrdered;
+  }
+}
+
+}  // namespace stoat::control
--- /dev/null
+++ b/src/control/weight_rollout.h
@@ -0,0 +1,94 @@
+/// Decides which engines get new weights next. Free of I/O: is told what the engines have and how the orders
+/// went, gives the steps to take. Runs on the leader only.
+///
+/// An engine is first announced as loading, so that routers send it nothing; a moment later it gets its order;
+/// then it is asked for its state until it has the version. Versions that a newer one has overtaken are
+/// skipped. A bounded share of the engines loads at once.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/common/time.h"
+#include "src/fleet/backend_record.h"
+
+namespace stoat::control {
+
+/// Settings of a rollout.
+struct RolloutOptions {
+  double load_share = 0.25;          ///< of the engines that load at once, rounded up
+  Duration announce_lead = 40ms;     ///< between the announcement and the order
+  Duration first_check = 700ms;      ///< from the order to the first question for its result
+  Duration check_interval = 300ms;   ///< between such questions
+  Duration retry_delay = 400ms;      ///< after an order that was refused or got no answer
+  Duration load_limit = 6s;          ///< an order without result is given up on and sent again
+};
+
+/// What an engine told of itself.
+struct EngineReport {
+  bool busy = false;           ///< an order is under way
+  uint64_t order_sequence = 0; ///< orders taken since its start
+  std::vector<fleet::ModelVersion> models;
+};
+
+/// How an order was answered.
+enum class OrderAnswer : uint8_t {
+  kTaken,
+  kHoldsAlready,
+  kConflict,  ///< another is under way, or its sequence differs
+  kFenced,    ///< a higher fence was seen
+  kRefused,   ///< any other refusal; certainly not taken
+  kNone,      ///< no answer: it may have been taken, or be carried out later
+};
+
+/// One step to take.
+struct RolloutStep {
+  enum class Kind : uint8_t { kAnnounce, kOrder, kCheck, kRelease };
+  Kind kind = Kind::kAnnounce;
+  fleet::BackendRecord engine;
+  std::string model;
+  uint64_t version = 0;
+  uint64_t expected_sequence = 0;  ///< of an order: what the engine's count of orders must be
+};
+
+/// See the head of this file.
+class WeightRollout {
+ public:
+  explicit WeightRollout(const RolloutOptions& options) : options_(options) {}
+
+  /// Forgets what is under way, on a change of leadership.
+  void reset();
+  /// The steps due now. `engines` are the registered back ends, `weights` the named versions.
+  std::vector<RolloutStep> plan(const std::vector<fleet::BackendRecord>& engines,
+                                const std::map<std::string, uint64_t>& weights, TimePoint now);
+  void on_order_answer(const std::string& engine, OrderAnswer answer, TimePoint now);
+  void on_report(const std::string& engine, const EngineReport& report, TimePoint now);
+  /// True when a fence higher than this leader's was seen; it must then stop ordering.
+  bool fenced_off() const { return fenced_off_; }
+  size_t under_way() const { return loads_.size(); }
+
+ private:
+  enum class Phase : uint8_t { kAnnounced, kOrdered, kWaiting };
+  struct Load {
+    std::string model;
+    uint64_t version = 0;
+    Phase phase = Phase::kAnnounced;
+    TimePoint started{0};
+    TimePoint next{0};
+    bool asking = false;  ///< an order or a question is on its way
+    bool done = false;
+  };
+  void start_loads(const std::vector<fleet::BackendRecord>& engines,
+                   const std::map<std::string, uint64_t>& weights, TimePoint now,
+                   std::vector<RolloutStep>& steps);
+  void advance(const fleet::BackendRecord& engine, Load& load, TimePoint now,
+               std::vector<RolloutStep>& steps);
+
+  RolloutOptions options_;
+  std::map<std::string, Load> loads_;               ///< by engine
+  std::map<std::string, uint64_t> order_sequences_;  ///< by engine: orders that it has taken
+  bool fenced_off_ = false;
+};
+
+}  // namespace stoat::control
--- /dev/null
+++ b/src/dispatch/backend_pool.cc
@@ -0,0 +1,148 @@
+#include "src/dispatch/backend_pool.h"
+
+#include <algorithm>
+#include <set>
+
+#include "src/common/hash.h"
+
+namespace stoat::dispatch {
+
+namespace {
+
+/// True when the weights of any model differ, so that kept KV cache is worth nothing.
+bool weights_differ(const fleet::BackendRecord& left, const fleet::BackendRecord& right) {
+  return left.models != right.models;
+}
+
+}  // namespace
+
+BackendPool::~BackendPool() {
+  for (const auto& [id, backend] : backends_) {
+    for (const auto& connection : backend->idle) {
+      connection->close();
+    }
+  }
+}
+
+void BackendPool::update(const std::vector<fleet::BackendRecord>& records) {
+  std::set<std::string> present;
+  for (const fleet::BackendRecord& record : records) {
+    present.insert(record.id);
+    BackendPtr& backend = backends_[record.id];
+    if (backend == nullptr) {
+      backend = std::make_shared<Backend>();
+      backend->name_hash = hash_bytes(record.id);
+      parse_endpoint(record.address, backend->endpoint);
+      outliers_.know(record.id);
+    } else if (weights_differ(backend->record, record)) {
+      backend->memory.clear();
+    }
+    backend->record = record;
+    const auto retired = retired_.find(record.id);
+    if (retired != retired_.end()) {
+      backend->record.state = std::max(backend->record.state, retired->second);
+    }
+  }
+  for (auto entry = backends_.begin(); entry != backends_.end();) {
+    if (present.count(entry->first) > 0) {
+      ++entry;
+      continue;
+    }
+    for (const auto& connection : entry->second->idle) {
+      connection->close();
+    }
+    entry->second->idle.clear();
+    outliers_.forget(entry->first);
+    entry = backends_.erase(entry);
+  }
+}
+
+void BackendPool::retire(const std::vector<fleet::RetiredBackend>& retired) {
+  for (const fleet::RetiredBackend& entry : retired) {
+    fleet::BackendState& state = retired_.emplace(entry.id, entry.state).first->second;
+    state = std::max(state, entry.state);
+    const auto known = backends_.find(entry.id);
+    if (known != backends_.end()) {
+      known->second->record.state = std::max(known->second->record.state, entry.state);
+    }
+  }
+}
+
+void BackendPool::set_other_loads(const std::vector<fleet::BackendLoad>& loads) {
+  for (const auto& [id, backend] : backends_) {
+    backend->others_outstanding = 0;
+    backend->others_prefill_tokens = 0;
+  }
+  for (const fleet::BackendLoad& load : loads) {
+    const auto known = backends_.find(load.backend);
+    if (known != backends_.end()) {
+      known->second->others_outstanding = load.outstanding;
+      known->second->others_prefill_tokens = load.prefill_tokens;
+    }
+  }
+}
+
+std::vector<BackendPtr> BackendPool::serving(const std::string& service) const {
+  std::vector<BackendPtr> list;
+  for (const auto& [id, backend] : backends_) {
+    const fleet::BackendRecord& record = backend->record;
+    if (record.service == service && record.state == fleet::BackendState::kReady) {
+      list.push_back(backend);
+    }
+  }
+  return list;
+}
+
+std::vector<fleet::BackendLoad> BackendPool::own_loads() const {
+  std::vector<fleet::BackendLoad> loads;
+  for (const auto& [id, backend] : backends_) {
+    if (backend->outstanding > 0) {
+      loads.push_back({id, backend->outstanding, static_cast<uint32_t>(backend->prefill_tokens)});
+    }
+  }
+  return loads;
+}
+
+std::shared_ptr<EngineConnection> BackendPool::take_connection(const BackendPtr& backend) {
+  const TimePoint now = loop_.now();
+  while (!backend->idle.empty()) {
+    const auto connection = backend->idle.back();
+    backend->idle.pop_back();
+    if (connection->usable() && now < connection->idle_until()) {
+      return connection;
+    }
+    discard(backend, connection);
+  }
+  const std::weak_ptr<Backend> weak = backend;
+  auto connection = EngineConnection::connect(
+      loop_, backend->endpoint, [this, weak](EngineConnection* lost) { drop_idle(weak, lost); });
+  if (connection != nullptr) {
+    ++backend->connections;
+    ++connects_;
+  }
+  return connection;
+}
+
+void BackendPool::drop_idle(const std::weak_ptr<Backend>& weak, EngineConnection* connection) {
+  const BackendPtr backend = weak.lock();
+  if (backend == nullptr) {
+    return;
+  }
+  backend->connections -= std::erase_if(
+      backend->idle, [connection](const auto& entry) { return entry.get() == connection; });
+}
+
+void BackendPool::release(const BackendPtr& backend, const std::shared_ptr<EngineConnection>& connection) {
+  if (connection->usable() && backend->record.state == fleet::BackendState::kReady) {
+    backend->idle.push_back(connection);
+    return;
+  }
+  discard(backend, connection);
+}
+
+void BackendPool::discard(const BackendPtr& backend, const std::shared_ptr<EngineConnection>& connection) {
+  connection->close();
+  backend->connections -= backend->connections > 0 ? 1 : 0;
+}
+
+}  // namespace stoat::dispatch
--- /dev/null
+++ b/src/dispatch/backend_pool.h
@@ -0,0 +1,72 @@
+/// The back ends as this router sees and uses them: what the registry says, the connections to each, and its
+/// own requests under way there.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/delivery/outlier_detector.h"
+#include "src/dispatch/engine_connection.h"
+#include "src/fleet/backend_record.h"
+#include "src/fleet/fleet_messages.h"
+#include "src/placement/part_placement.h"
+
+namespace stoat::dispatch {
+
+/// One back end.
+struct Backend {
+  fleet::BackendRecord record;
+  Endpoint endpoint;
+  uint64_t name_hash = 0;
+  std::vector<std::shared_ptr<EngineConnection>> idle;  ///< the last one was used last
+  size_t connections = 0;                               ///< idle ones and those in use
+  uint32_t outstanding = 0;
+  uint64_t prefill_tokens = 0;  ///< of own requests without a first event
+  uint32_t others_outstanding = 0;
+  uint64_t others_prefill_tokens = 0;
+  placement::ChainMemory memory;
+};
+
+using BackendPtr = std::shared_ptr<Backend>;
+
+/// See the head of this file.
+class BackendPool {
+ public:
+  explicit BackendPool(EventLoop& loop) : loop_(loop) {}
+  ~BackendPool();
+  BackendPool(const BackendPool&) = delete;
+  BackendPool& operator=(const BackendPool&) = delete;
+
+  /// Takes the registry's present records. Back ends that are in it no more get no new requests.
+  void update(const std::vector<fleet::BackendRecord>& records);
+  /// Applies retirements, which hold for ever.
+  void retire(const std::vector<fleet::RetiredBackend>& retired);
+  /// Takes the loads that the other routers have told.
+  void set_other_loads(const std::vector<fleet::BackendLoad>& loads);
+  /// Back ends of a service that may get new requests, by id.
+  std::vector<BackendPtr> serving(const std::string& service) const;
+  /// Own requests under way, for the other routers.
+  std::vector<fleet::BackendLoad> own_loads() const;
+
+  /// An idle connection, or a new one; nullptr when none is to be had.
+  std::shared_ptr<EngineConnection> take_connection(const BackendPtr& backend);
+  /// Gives a connection back after its answer was whole, or closes it.
+  void release(const BackendPtr& backend, const std::shared_ptr<EngineConnection>& connection);
+  /// Closes a connection, which cancels what runs on it.
+  void discard(const BackendPtr& backend, const std::shared_ptr<EngineConnection>& connection);
+  delivery::OutlierDetector& outliers() { return outliers_; }
+  uint64_t connects() const { return connects_; }
+
+ private:
+  void drop_idle(const std::weak_ptr<Backend>& weak, EngineConnection* connection);
+
+  EventLoop& loop_;
+  std::map<std::string, BackendPtr> backends_;  ///< by id
+  std::map<std::string, fleet::BackendState> retired_;
+  delivery::OutlierDetector outliers_;
+  uint64_t connects_ = 0;
+};
+
+}  // namespace stoat::dispatch
--- /dev/null
+++ b/src/dispatch/request_run.h
@@ -0,0 +1,135 @@
+/// One attempt of a caller on its way: choosing a back end, sending, reading the answer, sending again where
+/// that is allowed, and the one final answer.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "src/common/log.h"
+#include "src/common/metrics.h"
+#include "src/common/random.h"
+#include "src/delivery/event_splitter.h"
+#include "src/delivery/window_budget.h"
+#include "src/dispatch/backend_pool.h"
+#include "src/dispatch/request_fields.h"
+#include "src/edge/caller_request.h"
+#include "src/routing/route_table.h"
+
+struct event;
+
+namespace stoat::dispatch {
+
+/// A version of a model's weights as this router knows it to be wanted.
+struct WantedVersion {
+  uint64_t version = 0;
+  TimePoint known_since{0};
+};
+
+/// What all requests of a router share.
+struct DispatchContext {
+  EventLoop& loop;
+  const HeaderNames& names;
+  BackendPool& pool;
+  Metrics& metrics;
+  const Logger& log;
+  Random random{0};
+  std::string zone = {};
+  uint32_t router_count = 1;
+  Duration old_weights_limit = 6s;  ///< after a version was named, engines with older weights are used no more
+  delivery::WindowBudgetOptions budget_options = {};
+  std::map<std::string, delivery::WindowBudget> budgets = {};  ///< by service
+  std::map<std::string, WantedVersion> wanted = {};            ///< by model
+  placement::PlacementCosts costs = {};
+
+  delivery::WindowBudget& budget_of(const std::string& service) {
+    return budgets.try_emplace(service, budget_options).first->second;
+  }
+};
+
+/// Everything about a request that is fixed before it is sent.
+struct RunPlan {
+  edge::CallerRequest request;
+  RequestFields fields;
+  std::shared_ptr<const routing::RouteTable> table;  ///< keeps route and tenant alive
+  const fleet::Route* route = nullptr;
+  const fleet::Tenant* tenant = nullptr;  ///< nullptr on open routes
+  std::string service;
+  TimePoint arrived{0};
+};
+
+/// See the head of this file. Lives until its final answer or the caller's leaving; on_done is then called.
+class RequestRun : public ExchangeListener, public std::enable_shared_from_this<RequestRun> {
+ public:
+  using DoneHandler = std::function<void(RequestRun*)>;
+  RequestRun(DispatchContext& context, RunPlan plan, std::shared_ptr<edge::CallerAnswer> answer,
+             DoneHandler on_done);
+  ~RequestRun() override;
+  RequestRun(const RequestRun&) = delete;
+  RequestRun& operator=(const RequestRun&) = delete;
+
+  void start();
+  /// The caller has left: stops the engine's work.
+  void cancel();
+  const edge::CallerAnswer* answer() const { return answer_.get(); }
+
+  void on_answer_head(int status, const http1::Headers& headers) override;
+  void on_answer_body(std::string_view piece) override;
+  void on_answer_complete() override;
+  void on_exchange_failure(ExchangeFailure failure) override;
+
+ private:
+  /// What is known of whether any engine has run the request.
+  enum class Ran : uint8_t { kNo, kMaybe };
+  enum class AnswerKind : uint8_t { kNone, kWhole, kEvents, kNotRun, kFailure };
+
+  void arm_timer(TimePoint at);
+  void on_timer();
+  void try_dispatch();
+  std::vector<BackendPtr> candidates();
+  BackendPtr choose(const std::vector<BackendPtr>& candidates);
+  void send_to(const BackendPtr& backend);
+  std::string request_head(const Backend& backend, TimePoint now) const;
+  bool set_by_system(const std::string& name) const;
+  bool may_repeat(bool certainly_not_run);
+  void on_not_run();
+  void on_failed_run();
+  void end_exchange(bool keep_connection);
+  void note_first_event();
+  void start_stream();
+  void forward_event(const delivery::StreamEvent& event);
+  void finish_whole();
+  void reply_own(int status, const char* reason, double retry_after_s);
+  void give_up(const char* reason);
+  void break_off(const char* reason);
+  void done(const char* outcome, int status);
+
+  DispatchContext& context_;
+  RunPlan plan_;
+  std::shared_ptr<edge::CallerAnswer> answer_;
+  DoneHandler on_done_;
+  event* timer_ = nullptr;
+  TimePoint give_up_at_{0};    ///< the caller's deadline or the route's time-out
+  TimePoint wait_until_{0};    ///< until when it may wait for a back end
+  bool waiting_ = false;
+  bool finished_ = false;
+  Ran ran_ = Ran::kNo;
+  uint32_t runs_ = 0;          ///< engines that may have run it
+  uint32_t refusals_ = 0;      ///< engines that said that they did not
+  std::set<std::string> tried_;
+  placement::PromptChain chain_;
+
+  BackendPtr backend_;
+  std::shared_ptr<EngineConnection> connection_;
+  uint64_t counted_prefill_ = 0;  ///< tokens counted at backend_ until the first event
+  AnswerKind kind_ = AnswerKind::kNone;
+  edge::AnswerHead head_;
+  std::string body_;
+  delivery::EventSplitter splitter_;
+  bool streaming_ = false;  ///< the answer's head has gone to the caller
+  std::optional<int64_t> last_event_id_;
+  TimePoint first_event_at_{0};
+};
+
+}  // namespace stoat::dispatch
--- /dev/null
+++ b/src/edge/caller_connection.h
@@ -0,0 +1,70 @@
+/// One connection of a caller: reads a request, waits for its answer, writes it, and goes on to the next.
+#pragma once
+
+#include <event2/event.h>
+
+#include "src/edge/edge_server.h"
+#include "src/http1/head_check.h"
+
+namespace stoat::edge {
+
+/// See the head of this file. Owned by the EdgeServer and by the answer under way.
+class CallerConnection : public CallerAnswer,
+                         public http1::MessageSink,
+                         public std::enable_shared_from_this<CallerConnection> {
+ public:
+  CallerConnection(EdgeServer& server, evutil_socket_t socket);
+  ~CallerConnection() override;
+  CallerConnection(const CallerConnection&) = delete;
+  CallerConnection& operator=(const CallerConnection&) = delete;
+
+  void reply(const AnswerHead& head, std::string_view body) override;
+  void start(const AnswerHead& head) override;
+  void send(std::string_view piece) override;
+  void finish() override;
+  void abort() override;
+  size_t unsent() const override;
+
+  bool on_head() override;
+  bool on_body(std::string_view piece) override;
+  void on_complete() override;
+
+  /// True while a request is being read or answered.
+  bool busy() const { return phase_ != Phase::kIdle; }
+  /// Closes at once, whatever is under way. The handler hears of an open request.
+  void close();
+
+ private:
+  enum class Phase : uint8_t {
+    kIdle,     ///< no byte of a request has come
+    kHead,     ///< part of a head has come
+    kBody,     ///< the head is read
+    kAnswer,   ///< the request is whole; its answer is due or under way
+    kFlushing  ///< the last answer is being written, then the connection closes
+  };
+  void read();
+  void read_head();
+  void read_body();
+  void after_answer();
+  void refuse(int status, std::string_view reason);
+  void write_head(const AnswerHead& head, bool chunked, size_t length);
+  void write(std::string_view bytes);
+  void close_when_written();
+  void arm_timer(Duration delay);
+  void on_timer();
+  void on_event(short events);
+  void hand_over();
+
+  EdgeServer& server_;
+  bufferevent* connection_ = nullptr;
+  event* timer_ = nullptr;
+  http1::MessageParser parser_;
+  CallerRequest request_;
+  Phase phase_ = Phase::kIdle;
+  bool close_after_ = false;   ///< the answer under way is the connection's last
+  bool chunked_ = false;       ///< the answer under way is sent in chunks
+  bool reading_ = false;       ///< inside read(): answers that come at once must not re-enter it
+  bool body_too_long_ = false;
+};
+
+}  // namespace stoat::edge
--- /dev/null
+++ b/src/fleet/backend_record.h
@@ -0,0 +1,64 @@
+/// What the fleet knows of one running back end, built from its own heartbeats.
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+namespace stoat::fleet {
+
+/// Where a back end is in its life.
+enum class BackendState : uint8_t {
+  kReady,
+  kDraining,  ///< gets no new request
+  kGone,      ///< has signed off
+};
+
+/// A model at a back end, and the version of its weights.
+struct ModelVersion {
+  std::string model;
+  uint64_t version = 0;
+  MSGPACK_DEFINE_ARRAY(model, version)
+  bool operator==(const ModelVersion&) const = default;
+};
+
+/// One incarnation of a back end. Of two records with one id the one with the higher sequence is newer.
+struct BackendRecord {
+  std::string id;  ///< new at every start of the back end
+  std::string service;
+  std::string address;  ///< "address:port"
+  std::string zone;
+  uint32_t slots = 0;
+  BackendState state = BackendState::kReady;
+  uint64_t sequence = 0;  ///< rises with every heartbeat
+  std::vector<ModelVersion> models;
+  bool lost = false;     ///< its heartbeats have stopped
+  bool loading = false;  ///< new weights are being loaded: send it nothing
+  MSGPACK_DEFINE_ARRAY(id, service, address, zone, slots, state, sequence, models, lost, loading)
+  bool operator==(const BackendRecord&) const = default;
+  /// The version of a model's weights, or 0 when it has no such model.
+  uint64_t version_of(const std::string& model) const {
+    for (const ModelVersion& entry : models) {
+      if (entry.model == model) {
+        return entry.version;
+      }
+    }
+    return 0;
+  }
+};
+
+/// A router of the fleet, as the directory names it.
+struct RouterRecord {
+  std::string name;
+  std::string address;  ///< "address:port" for callers
+  std::string zone;
+  std::string region;
+  bool ready = false;
+  MSGPACK_DEFINE_ARRAY(name, address, zone, region, ready)
+  bool operator==(const RouterRecord&) const = default;
+};
+
+}  // namespace stoat::fleet
+
+MSGPACK_ADD_ENUM(stoat::fleet::BackendState);
--- /dev/null
+++ b/src/fleet/backend_registry.cc
@@ -0,0 +1,123 @@
+#include "src/fleet/backend_registry.h"
+
+#include <algorithm>
+
+#include "src/common/hash.h"
+#include "src/wire/codec.h"
+
+namespace stoat::fleet {
+
+uint64_t digest_of(const std::vector<BackendRecord>& records) {
+  uint64_t digest = 0;
+  for (BackendRecord record : records) {
+    record.sequence = 0;
+    digest += hash_bytes(wire::encode(record));  // a sum: the order of the records does not matter
+  }
+  return digest;
+}
+
+bool BackendRegistry::on_heartbeat(const BackendRecord& record, TimePoint now) {
+  const auto known = seen_.find(record.id);
+  if (known != seen_.end() && record.sequence <= known->second.record.sequence) {
+    return false;
+  }
+  BackendRecord updated = record;
+  updated.lost = false;
+  const auto retired = retired_.find(record.id);
+  if (retired != retired_.end()) {
+    if (known == seen_.end() && retired->second == BackendState::kGone) {
+      return false;  // a late heartbeat of a back end that has ended
+    }
+    updated.state = std::max(updated.state, retired->second);
+  }
+  if (known != seen_.end()) {
+    updated.loading = known->second.record.loading;
+    // A heartbeat may have been on its way while new weights were loaded; within one start they only go up.
+    for (ModelVersion& entry : updated.models) {
+      entry.version = std::max(entry.version, known->second.record.version_of(entry.model));
+    }
+    updated.state = std::max(updated.state, known->second.record.state);
+  } else {
+    forget_predecessor(record);
+  }
+  seen_[record.id] = Seen{updated, now};
+  update_digest();
+  return true;
+}
+
+void BackendRegistry::forget_predecessor(const BackendRecord& record) {
+  // An address belongs to one back end at a time: who registers there last is the one that lives. The former
+  // holder is remembered as gone, so that a late heartbeat of it changes nothing.
+  for (auto position = seen_.begin(); position != seen_.end();) {
+    if (position->second.record.address != record.address) {
+      ++position;
+      continue;
+    }
+    retired_[position->first] = BackendState::kGone;
+    position = seen_.erase(position);
+  }
+}
+
+void BackendRegistry::retire(const std::string& id, BackendState state) {
+  BackendState& retired = retired_.emplace(id, state).first->second;
+  retired = std::max(retired, state);
+  const auto known = seen_.find(id);
+  if (known != seen_.end()) {
+    known->second.record.state = std::max(known->second.record.state, state);
+    update_digest();
+  }
+}
+
+void BackendRegistry::set_loading(const std::string& id, bool loading) {
+  const auto known = seen_.find(id);
+  if (known != seen_.end() && known->second.record.loading != loading) {
+    known->second.record.loading = loading;
+    update_digest();
+  }
+}
+
+void BackendRegistry::set_version(const std::string& id, const std::string& model, uint64_t version) {
+  const auto known = seen_.find(id);
+  if (known == seen_.end()) {
+    return;
+  }
+  for (ModelVersion& entry : known->second.record.models) {
+    if (entry.model == model) {
+      entry.version = version;
+    }
+  }
+  update_digest();
+}
+
+void BackendRegistry::expire(TimePoint now) {
+  bool changed = false;
+  for (auto& [id, seen] : seen_) {
+    const bool lost = now - seen.at > options_.lost_after;
+    changed = changed || lost != seen.record.lost;
+    seen.record.lost = lost;
+  }
+  changed = std::erase_if(seen_, [&](const auto& entry) {
+              return now - entry.second.at > options_.forget_after;
+            }) > 0 || changed;
+  if (changed) {
+    update_digest();
+  }
+}
+
+std::vector<BackendRecord> BackendRegistry::records() const {
+  std::vector<BackendRecord> list;
+  list.reserve(seen_.size());
+  for (const auto& [id, seen] : seen_) {
+    list.push_back(seen.record);
+  }
+  return list;
+}
+
+const BackendRecord* BackendRegistry::find(const std::string& id) const {
+  const auto known = seen_.find(id);
+  return known == seen_.end() ? nullptr : &known->second.record;
+}
+
+void BackendRegistry::update_digest() { digest_ = digest_of(records()); }
+
+}  // namespace stoat::fleet
--- /dev/null
+++ b/src/fleet/backend_registry.h
@@ -0,0 +1,59 @@
+/// The back ends that have registered, as soft state of a control member: heartbeats rebuild it, members pass
+/// heartbeats on to one another, and the replicated retirements go before everything that a heartbeat says.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/common/time.h"
+#include "src/fleet/backend_record.h"
+
+namespace stoat::fleet {
+
+/// Settings of a registry.
+struct RegistryOptions {
+  Duration lost_after = 4s;     ///< silence after which a back end counts as lost
+  Duration forget_after = 30s;  ///< silence after which it is forgotten
+};
+
+/// See the head of this file.
+class BackendRegistry {
+ public:
+  explicit BackendRegistry(const RegistryOptions& options) : options_(options) {}
+
+  /// Takes a heartbeat. Returns true when it is newer than what was known.
+  bool on_heartbeat(const BackendRecord& record, TimePoint now);
+  /// Applies a replicated retirement.
+  void retire(const std::string& id, BackendState state);
+  /// Marks back ends whose new weights are being loaded, or no longer are.
+  void set_loading(const std::string& id, bool loading);
+  /// Notes the version of a model that a back end was seen to have.
+  void set_version(const std::string& id, const std::string& model, uint64_t version);
+  /// Marks lost back ends and forgets old ones. To be called a few times a second.
+  void expire(TimePoint now);
+
+  /// All that is known, by id.
+  std::vector<BackendRecord> records() const;
+  const BackendRecord* find(const std::string& id) const;
+  /// A hash of all that matters to routers: changes with every change but that of a sequence.
+  uint64_t digest() const { return digest_; }
+
+ private:
+  struct Seen {
+    BackendRecord record;
+    TimePoint at{0};
+  };
+  void forget_predecessor(const BackendRecord& record);
+  void update_digest();
+
+  RegistryOptions options_;
+  std::map<std::string, Seen> seen_;
+  std::map<std::string, BackendState> retired_;
+  uint64_t digest_ = 0;
+};
+
+/// The digest that a registry with these records has.
+uint64_t digest_of(const std::vector<BackendRecord>& records);
+
+}  // namespace stoat::fleet
--- /dev/null
+++ b/src/fleet/fleet_configuration.cc
@@ -0,0 +1,75 @@
+#include "src/fleet/fleet_configuration.h"
+
+#include <map>
+#include <set>
+
+namespace stoat::fleet {
+
+namespace {
+
+void add(Findings& findings, const std::string& key, const std::string& message) {
+  Finding finding;
+  finding.file = "configuration";
+  finding.key = key;
+  finding.message = message;
+  findings.add(finding);
+}
+
+void check_route(const Route& route, const std::set<std::string>& services, Findings& findings) {
+  const std::string place = "routes." + route.name;
+  uint64_t weight = 0;
+  for (const ServiceShare& share : route.shares) {
+    weight += share.weight;
+    if (services.count(share.service) == 0) {
+      add(findings, place, "unknown service '" + share.service + "'");
+    }
+  }
+  if (weight == 0) {
+    add(findings, place, "the weights add up to 0");
+  }
+  if (route.timeout_ms <= 0) {
+    add(findings, place, "the time-out must be above 0");
+  }
+}
+
+void check_places(const std::vector<Route>& routes, Findings& findings) {
+  std::set<std::pair<std::string, std::string>> places;
+  for (const Route& route : routes) {
+    if (!places.emplace(route.host, route.path_prefix).second) {
+      add(findings, "routes." + route.name, "another route has the same host and path prefix");
+    }
+  }
+}
+
+void check_keys(const std::vector<Tenant>& tenants, Findings& findings) {
+  std::map<std::string, std::string> holders;
+  for (const Tenant& tenant : tenants) {
+    for (const std::string& key : tenant.keys) {
+      const auto [holder, added] = holders.emplace(key, tenant.name);
+      if (!added && holder->second != tenant.name) {
+        add(findings, "tenants." + tenant.name, "shares a key with tenant '" + holder->second + "'");
+      }
+    }
+  }
+}
+
+}  // namespace
+
+void check_configuration(const FleetConfiguration& configuration, Findings& findings) {
+  if (configuration.version == 0) {
+    add(findings, "version", "must be a whole number above 0");
+  }
+  std::set<std::string> services;
+  for (const Service& service : configuration.services) {
+    if (!services.insert(service.name).second) {
+      add(findings, "services." + service.name, "another service has the same name");
+    }
+  }
+  for (const Route& route : configuration.routes) {
+    check_route(route, services, findings);
+  }
+  check_places(configuration.routes, findings);
+  check_keys(configuration.tenants, findings);
+}
+
+}  // namespace stoat::fleet
--- /dev/null
+++ b/src/fleet/fleet_messages.h
@@ -0,0 +1,77 @@
+/// What routers and control members send one another about the fleet.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/fleet/backend_record.h"
+#include "src/fleet/fleet_configuration.h"
+#include "src/fleet/fleet_state.h"
+
+namespace stoat::fleet {
+
+/// How many requests a router has under way at a back end.
+struct BackendLoad {
+  std::string backend;
+  uint32_t outstanding = 0;
+  uint32_t prefill_tokens = 0;  ///< of requests without a first event yet
+  MSGPACK_DEFINE_ARRAY(backend, outstanding, prefill_tokens)
+};
+
+/// Router to each control member, a few times a second.
+struct RouterStatus {
+  RouterRecord router;
+  uint64_t sequence = 0;               ///< echoed by the answer
+  uint64_t configuration_version = 0;  ///< that it has in force
+  uint64_t registry_digest = 0;        ///< of the back ends that it knows
+  std::vector<BackendLoad> loads;
+  MSGPACK_DEFINE_ARRAY(router, sequence, configuration_version, registry_digest, loads)
+};
+
+/// Control member to router: the answer to a status, or unprompted when something has changed.
+struct FleetUpdate {
+  uint64_t answers = 0;  ///< sequence of the status that is answered; 0: unprompted
+  bool leads = false;
+  /// Since a quorum last confirmed the sender as leader with all that is committed applied; negative: not.
+  int64_t quorum_age_ms = -1;
+  uint64_t configuration_version = 0;             ///< that the sender holds
+  std::vector<FleetConfiguration> configuration;  ///< empty or one
+  bool registry_given = false;
+  std::vector<BackendRecord> registry;  ///< counts when registry_given
+  std::vector<RetiredBackend> retired;  ///< recent ones
+  std::map<std::string, uint64_t> weights;
+  std::vector<std::string> members;  ///< "address:port" of the internal protocol of each control member
+  uint32_t router_count = 0;         ///< live routers
+  std::vector<BackendLoad> loads;    ///< of all other routers together
+  MSGPACK_DEFINE_ARRAY(answers, leads, quorum_age_ms, configuration_version, configuration, registry_given,
+                       registry, retired, weights, members, router_count, loads)
+};
+
+/// Control member to control member: heartbeats that came in there.
+struct HeartbeatBatch {
+  std::vector<BackendRecord> records;
+  MSGPACK_DEFINE_ARRAY(records)
+};
+
+/// Control member to the leader: the configuration, confirmed to be the newest.
+struct ConfirmedRead {
+  uint64_t call_id = 0;
+  MSGPACK_DEFINE_ARRAY(call_id)
+};
+
+/// The answer to a ConfirmedRead.
+struct ConfirmedReadAnswer {
+  uint64_t call_id = 0;
+  bool confirmed = false;
+  std::string source;  ///< the operator's document; empty when there is none yet
+  MSGPACK_DEFINE_ARRAY(call_id, confirmed, source)
+};
+
+/// Control member to one that asks to join: whom else to ask.
+struct MemberAddresses {
+  std::vector<std::string> addresses;
+  MSGPACK_DEFINE_ARRAY(addresses)
+};
+
+}  // namespace stoat::fleet
--- /dev/null
+++ b/src/fleet/fleet_state.h
@@ -0,0 +1,72 @@
+/// The replicated part of the fleet's state: what was acknowledged to operators and back ends and must never
+/// be forgotten. Applied in log order; deterministic.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/fleet/backend_record.h"
+#include "src/fleet/fleet_configuration.h"
+
+namespace stoat::fleet {
+
+/// Puts a whole configuration in force when its version is above the one held.
+struct PutConfiguration {
+  FleetConfiguration configuration;
+  std::string source;  ///< the operator's document, given back as it came
+  MSGPACK_DEFINE_ARRAY(configuration, source)
+};
+
+/// Names the version of a model's weights that all engines are to have. A lower one changes nothing.
+struct NameWeights {
+  std::string model;
+  uint64_t version = 0;
+  MSGPACK_DEFINE_ARRAY(model, version)
+};
+
+/// Records that a back end is draining or gone. It never becomes ready again under the same id.
+struct RetireBackend {
+  std::string id;
+  BackendState state = BackendState::kDraining;
+  MSGPACK_DEFINE_ARRAY(id, state)
+};
+
+/// One retired back end. Kept for kMaxRetired retirements after it.
+struct RetiredBackend {
+  std::string id;
+  BackendState state = BackendState::kDraining;
+  MSGPACK_DEFINE_ARRAY(id, state)
+};
+
+/// How many retired back ends are remembered; the oldest goes first. A late heartbeat comes within seconds.
+inline constexpr size_t kMaxRetired = 4096;
+
+/// See the head of this file.
+class FleetState {
+ public:
+  void apply(const PutConfiguration& command);
+  void apply(const NameWeights& command);
+  void apply(const RetireBackend& command);
+
+  const FleetConfiguration& configuration() const { return configuration_; }
+  const std::string& source() const { return source_; }
+  /// The named version of each model's weights.
+  const std::map<std::string, uint64_t>& weights() const { return weights_; }
+  /// Retired back ends, oldest first.
+  const std::vector<RetiredBackend>& retired() const { return retired_; }
+  /// The state of a retired back end; kReady when it is not retired.
+  BackendState retired_state(const std::string& id) const;
+  /// Counts what was applied with an effect; lets followers see that something is new.
+  uint64_t revision() const { return revision_; }
+  MSGPACK_DEFINE_ARRAY(configuration_, source_, weights_, retired_, revision_)
+
+ private:
+  FleetConfiguration configuration_;
+  std::string source_;
+  std::map<std::string, uint64_t> weights_;
+  std::vector<RetiredBackend> retired_;
+  uint64_t revision_ = 0;
+};
+
+}  // namespace stoat::fleet
--- /dev/null
+++ b/src/gateway/gateway_server.cc
@@ -0,0 +1,213 @@
+#include "src/gateway/gateway_server.h"
+
+#include "src/fleet/backend_registry.h"
+
+namespace stoat::gateway {
+
+namespace {
+
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr Duration kStopCheck = 50ms;
+
+}  // namespace
+
+GatewaySettings read_gateway_settings(SettingsReader& reader) {
+  GatewaySettings settings;
+  settings.name = reader.required_text("name");
+  settings.zone = reader.text("zone", "");
+  settings.region = reader.text("region", "");
+  settings.listen = read_endpoint(reader, "listen", "127.0.0.1:8080");
+  settings.link.seeds = read_seeds(reader);
+  settings.fail_closed = reader.flag("fail_closed", true);
+  const int64_t revocation_ms = reader.integer("revocation_ms", 5000, 100, 3600000);
+  // The rest is for the way from the edge to the engine.
+  settings.link.key_lease = Duration(900 * revocation_ms);
+  const int64_t grace_ms = 1000 * reader.integer("grace_s", 8, 1, 3600);
+  settings.stop_grace = Duration(1000 * grace_ms) - 700ms;
+  settings.stop_listen = settings.stop_grace / 2;
+  settings.old_weights_limit = Duration(1000 * reader.integer("old_weights_ms", 6500, 0, 3600000));
+  settings.budget.ratio = reader.number("repeat_ratio", 0.2, 0, 10);
+  settings.budget.slack = reader.number("repeat_slack", 50, 0, 1e6);
+  settings.budget.window = std::chrono::seconds(reader.integer("repeat_window_s", 10, 1, 3600));
+  return settings;
+}
+
+GatewayServer::GatewayServer(EventLoop& loop, const GatewaySettings& settings,
+                             const dispatch::HeaderNames& names)
+    : loop_(loop),
+      settings_(settings),
+      names_(names),
+      pool_(loop),
+      context_{loop, names_, pool_, metrics_, log_},
+      link_(
+          loop, settings.link, [this] { return make_status(); },
+          [this](const fleet::FleetUpdate& update) { on_update(update); }),
+      edge_(loop, settings.listen, *this) {
+  context_.random = Random(seed_from_device());
+  context_.zone = settings.zone;
+  context_.budget_options = settings.budget;
+  context_.old_weights_limit = settings.old_weights_limit;
+  log_.info("started", {{"name", settings.name}, {"listen", to_string(settings.listen)}});
+}
+
+GatewayServer::~GatewayServer() = default;
+
+bool GatewayServer::ready() const {
+  return !stopping_ && table_ != nullptr && (!settings_.fail_closed || link_.keys_confirmed());
+}
+
+fleet::RouterStatus GatewayServer::make_status() const {
+  fleet::RouterStatus status;
+  status.router.name = settings_.name;
+  status.router.address = to_string(settings_.listen);
+  status.router.zone = settings_.zone;
+  status.router.region = settings_.region;
+  status.router.ready = ready();
+  status.configuration_version = table_ == nullptr ? 0 : table_->configuration().version;
+  status.registry_digest = registry_digest_;
+  status.loads = pool_.own_loads();
+  return status;
+}
+
+void GatewayServer::on_update(const fleet::FleetUpdate& update) {
+  for (const fleet::FleetConfiguration& configuration : update.configuration) {
+    take_configuration(configuration);
+  }
+  pool_.retire(update.retired);
+  if (update.registry_given) {
+    pool_.update(update.registry);
+    registry_digest_ = fleet::digest_of(update.registry);
+  }
+  for (const auto& [model, version] : update.weights) {
+    dispatch::WantedVersion& wanted = context_.wanted[model];
+    if (version > wanted.version) {
+      wanted = {version, loop_.now()};
+      log_.info("weights named", {{"model", model}, {"version", version}});
+    }
+  }
+  if (update.router_count > 0) {
+    context_.router_count = update.router_count;
+  }
+  if (update.leads && update.answers > 0) {
+    pool_.set_other_loads(update.loads);
+  }
+}
+
+void GatewayServer::take_configuration(const fleet::FleetConfiguration& configuration) {
+  if (table_ != nullptr && configuration.version <= table_->configuration().version) {
+    return;
+  }
+  table_ = std::make_shared<routing::RouteTable>(
+      std::make_shared<const fleet::FleetConfiguration>(configuration));
+  link_.set_configuration_version(configuration.version);
+  edge::EdgeLimits limits;
+  limits.header_bytes = configuration.limits.header_bytes;
+  limits.body_bytes = configuration.limits.body_bytes;
+  limits.header_timeout = Duration(1000 * configuration.limits.header_timeout_ms);
+  limits.idle_timeout = Duration(1000 * configuration.limits.idle_timeout_ms);
+  edge_.set_limits(limits);
+  log_.info("configuration in force", {{"version", configuration.version},
+                                       {"routes", configuration.routes.size()},
+                                       {"tenants", configuration.tenants.size()}});
+}
+
+void GatewayServer::refuse(const dispatch::RunPlan& plan, edge::CallerAnswer& answer, int status,
+                           const char* reason) {
+  edge::AnswerHead head;
+  head.status = status;
+  if (!plan.fields.id.empty()) {
+    head.headers.add(names_.request_id, plan.fields.id);
+  }
+  head.headers.add("Content-Type", "text/plain");
+  if (status == kUnavailable) {
+    head.headers.add("Retry-After", "0.5");
+  }
+  log_.info("request refused", {{"request", plan.fields.id},
+                                {"status", status},
+                                {"reason", reason},
+                                {"version", table_ == nullptr ? 0 : table_->configuration().version}});
+  metrics_.count("stoat_router_requests_total", {{"status", std::to_string(status)}});
+  answer.reply(head, std::string(reason) + "\n");
+}
+
+bool GatewayServer::admit(dispatch::RunPlan& plan, edge::CallerAnswer& answer) {
+  if (table_ == nullptr) {
+    refuse(plan, answer, kUnavailable, "no configuration yet");
+    return false;
+  }
+  plan.table = table_;
+  const std::string* host = plan.request.headers.find("Host");
+  plan.route = host == nullptr ? nullptr : table_->find(*host, plan.request.target);
+  if (plan.route == nullptr) {
+    refuse(plan, answer, kNotFound, "no route");
+    return false;
+  }
+  if (!table_->has_tenants() || plan.route->open) {
+    return true;
+  }
+  plan.tenant = table_->tenant_of_key(plan.fields.key);
+  if (settings_.fail_closed && !link_.keys_confirmed()) {
+    refuse(plan, answer, kUnavailable, "keys can't be confirmed");
+    return false;
+  }
+  if (plan.tenant == nullptr) {
+    refuse(plan, answer, kUnauthorized, "unknown key");
+    return false;
+  }
+  return true;
+}
+
+void GatewayServer::on_request(edge::CallerRequest request, std::shared_ptr<edge::CallerAnswer> answer) {
+  dispatch::RunPlan plan;
+  plan.arrived = loop_.now();
+  plan.fields = dispatch::read_fields(request.headers, names_);
+  plan.request = std::move(request);
+  if (!admit(plan, *answer)) {
+    return;
+  }
+  plan.service = splits_.choose(*plan.route);
+  const auto run = std::make_shared<dispatch::RequestRun>(
+      context_, std::move(plan), answer,
+      [this](dispatch::RequestRun* ended) { runs_.erase(ended->answer()); });
+  runs_[answer.get()] = run;
+  run->start();
+}
+
+void GatewayServer::on_gone(const edge::CallerAnswer* answer) {
+  const auto found = runs_.find(answer);
+  if (found != runs_.end()) {
+    const auto run = found->second;
+    run->cancel();
+  }
+}
+
+void GatewayServer::stop() {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stop_began_ = loop_.now();
+  log_.info("stopping", {{"requests", runs_.size()}});
+  edge_.start_draining();
+  link_.tell_now();
+  loop_.every(kStopCheck, [this] { check_stopped(); });
+}
+
+void GatewayServer::check_stopped() {
+  const Duration since = loop_.now() - stop_began_;
+  if (since >= settings_.stop_listen) {
+    edge_.stop_listening();
+    if (edge_.busy_count() == 0) {
+      log_.info("stopped");
+      loop_.stop();
+    }
+  }
+  if (since >= settings_.stop_grace) {
+    log_.warning("stopped with open requests", {{"requests", runs_.size()}});
+    loop_.stop();
+  }
+}
+
+}  // namespace stoat::gateway
--- /dev/null
+++ b/src/gateway/gateway_server.h
@@ -0,0 +1,77 @@
+/// The router for fleets with routes: the edge, the routes in force, the back ends, and the requests under way.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/dispatch/request_run.h"
+#include "src/edge/edge_server.h"
+#include "src/gateway/control_link.h"
+#include "src/http/server.h"
+#include "src/routing/route_table.h"
+
+namespace stoat::gateway {
+
+/// Settings of a router.
+struct GatewaySettings {
+  std::string name;
+  std::string zone;
+  std::string region;
+  Endpoint listen;  ///< for callers
+  ControlLinkOptions link;
+  bool fail_closed = true;        ///< without a confirmed configuration, keys are not honoured
+  Duration stop_grace = 7s;       ///< from SIGTERM to the end at the latest
+  Duration stop_listen = 3s;      ///< from SIGTERM until new connections are refused
+  Duration old_weights_limit = 6s;
+  delivery::WindowBudgetOptions budget;
+};
+
+/// Reads the settings of a router.
+GatewaySettings read_gateway_settings(SettingsReader& reader);
+
+/// See the head of this file.
+class GatewayServer : public edge::RequestHandler {
+ public:
+  /// Throws std::runtime_error when an address can't be bound.
+  GatewayServer(EventLoop& loop, const GatewaySettings& settings, const dispatch::HeaderNames& names);
+  ~GatewayServer() override;
+  GatewayServer(const GatewayServer&) = delete;
+  GatewayServer& operator=(const GatewayServer&) = delete;
+
+  void on_request(edge::CallerRequest request, std::shared_ptr<edge::CallerAnswer> answer) override;
+  void on_gone(const edge::CallerAnswer* answer) override;
+  /// True while the router should get traffic.
+  bool ready() const;
+  /// Stops in an orderly way, then ends the loop.
+  void stop();
+  void set_seeds(std::vector<Endpoint> seeds) { link_.set_seeds(std::move(seeds)); }
+  const Metrics& metrics() const { return metrics_; }
+
+ private:
+  void on_update(const fleet::FleetUpdate& update);
+  void take_configuration(const fleet::FleetConfiguration& configuration);
+  fleet::RouterStatus make_status() const;
+  void refuse(const dispatch::RunPlan& plan, edge::CallerAnswer& answer, int status, const char* reason);
+  bool admit(dispatch::RunPlan& plan, edge::CallerAnswer& answer);
+  void check_stopped();
+
+  EventLoop& loop_;
+  GatewaySettings settings_;
+  dispatch::HeaderNames names_;
+  Logger log_{"router"};
+  Metrics metrics_;
+  dispatch::BackendPool pool_;
+  dispatch::DispatchContext context_;
+  std::shared_ptr<const routing::RouteTable> table_;
+  routing::SplitChooser splits_;
+  uint64_t registry_digest_ = 0;
+  std::map<const edge::CallerAnswer*, std::shared_ptr<dispatch::RequestRun>> runs_;
+  ControlLink link_;
+  edge::EdgeServer edge_;
+  bool stopping_ = false;
+  TimePoint stop_began_{0};
+};
+
+}  // namespace stoat::gateway
--- a/src/http/socket_options.cc
+++ b/src/http/socket_options.cc
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace stoat::http {
 
@@ -15,6 +16,39 @@
   }
 }
 
+void limit_silence(int socket, Duration limit) {
+  const auto milliseconds = static_cast<unsigned int>(to_milliseconds(limit));
+  if (socket >= 0) {
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+  }
+}
+
+bufferevent* connect_to(event_base* base, const Endpoint& endpoint, Duration silence_limit) {
+  sockaddr_storage address{};
+  int length = sizeof(address);
+  const std::string text = to_string(endpoint);
+  if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&address), &length) != 0) {
+    return nullptr;
+  }
+  const int descriptor = socket(address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    return nullptr;
+  }
+  send_without_delay(descriptor);
+  limit_silence(descriptor, silence_limit);
+  bufferevent* connection =
+      bufferevent_socket_new(base, descriptor, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  if (connection == nullptr) {
+    ::close(descriptor);
+    return nullptr;
+  }
+  if (bufferevent_socket_connect(connection, reinterpret_cast<sockaddr*>(&address), length) != 0) {
+    bufferevent_free(connection);
+    return nullptr;
+  }
+  return connection;
+}
+
 void send_without_delay(evhttp_connection* connection) {
   send_without_delay(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)));
 }
--- a/src/http/socket_options.h
+++ b/src/http/socket_options.h
@@ -1,13 +1,26 @@
 /// Options of the sockets below evhttp.
 #pragma once
 
+#include "src/common/settings.h"
+#include "src/common/time.h"
+
 struct evhttp_connection;
+struct bufferevent;
+struct event_base;
 
 namespace stoat::http {
 
 /// Makes small writes leave at once. Otherwise the kernel holds a token back until the one before it is
 /// acknowledged, which takes up to 40 ms.
 void send_without_delay(int socket);
+
+/// Closes a connection, or gives up making it, once what was sent has gone unacknowledged for so long.
+void limit_silence(int socket, Duration limit);
+
+/// A bufferevent that is connecting to an endpoint, without delay for small writes and with limit_silence().
+/// Its callbacks are deferred. nullptr when the endpoint is malformed or no socket is to be had.
+bufferevent* connect_to(event_base* base, const Endpoint& endpoint, Duration silence_limit);
+
 /// The same for the socket of an HTTP connection.
 void send_without_delay(evhttp_connection* connection);
 
--- /dev/null
+++ b/src/http1/message.cc
@@ -0,0 +1,140 @@
+#include "src/http1/message.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace stoat::http1 {
+
+bool same_name(std::string_view left, std::string_view right) {
+  return left.size() == right.size() &&
+         std::equal(left.begin(), left.end(), right.begin(), [](char a, char b) {
+           return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b));
+         });
+}
+
+const std::string* Headers::find(std::string_view name) const {
+  for (const HeaderLine& line : lines_) {
+    if (same_name(line.name, name)) {
+      return &line.value;
+    }
+  }
+  return nullptr;
+}
+
+bool Headers::has_token(std::string_view name, std::string_view token) const {
+  const std::string* value = find(name);
+  if (value == nullptr) {
+    return false;
+  }
+  std::string_view rest = *value;
+  while (!rest.empty()) {
+    const size_t comma = rest.find(',');
+    std::string_view item = rest.substr(0, comma);
+    while (!item.empty() && item.front() == ' ') {
+      item.remove_prefix(1);
+    }
+    while (!item.empty() && item.back() == ' ') {
+      item.remove_suffix(1);
+    }
+    if (same_name(item, token)) {
+      return true;
+    }
+    rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
+  }
+  return false;
+}
+
+bool is_hop_header(std::string_view name) {
+  static constexpr std::array<std::string_view, 9> kNames = {
+      "connection", "keep-alive",        "transfer-encoding", "te",          "trailer",
+      "upgrade",    "proxy-connection", "content-length",    "expect"};
+  return std::any_of(kNames.begin(), kNames.end(),
+                     [&](std::string_view hop) { return same_name(hop, name); });
+}
+
+MessageParser::MessageParser(Kind kind, MessageSink& sink) : kind_(kind), sink_(sink) { reset(); }
+
+void MessageParser::reset() {
+  http_parser_init(&parser_, kind_ == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+  parser_.data = this;
+  headers_ = Headers();
+  target_.clear();
+  in_value_ = true;
+  begun_ = false;
+  complete_ = false;
+  stopped_ = false;
+}
+
+http_parser_settings MessageParser::make_settings() {
+  http_parser_settings settings;
+  http_parser_settings_init(&settings);
+  settings.on_url = [](http_parser* parser, const char* bytes, size_t length) {
+    self(parser).target_.append(bytes, length);
+    return 0;
+  };
+  settings.on_header_field = [](http_parser* parser, const char* bytes, size_t length) {
+    MessageParser& reader = self(parser);
+    if (reader.in_value_) {
+      reader.headers_.add("", "");
+      reader.in_value_ = false;
+    }
+    reader.headers_.lines().back().name.append(bytes, length);
+    return 0;
+  };
+  settings.on_header_value = [](http_parser* parser, const char* bytes, size_t length) {
+    MessageParser& reader = self(parser);
+    reader.in_value_ = true;
+    if (!reader.headers_.lines().empty()) {
+      reader.headers_.lines().back().value.append(bytes, length);
+    }
+    return 0;
+  };
+  settings.on_headers_complete = [](http_parser* parser) {
+    MessageParser& reader = self(parser);
+    reader.stopped_ = !reader.sink_.on_head();
+    return reader.stopped_ ? -1 : 0;
+  };
+  settings.on_body = [](http_parser* parser, const char* bytes, size_t length) {
+    MessageParser& reader = self(parser);
+    reader.stopped_ = !reader.sink_.on_body(std::string_view(bytes, length));
+    return reader.stopped_ ? -1 : 0;
+  };
+  settings.on_message_complete = [](http_parser* parser) {
+    self(parser).complete_ = true;
+    http_parser_pause(parser, 1);  // what follows is not part of this message
+    return 0;
+  };
+  return settings;
+}
+
+ParseState MessageParser::feed(std::string_view bytes, size_t& used) {
+  static const http_parser_settings kSettings = make_settings();
+  begun_ = begun_ || !bytes.empty();
+  used = http_parser_execute(&parser_, &kSettings, bytes.data(), bytes.size());
+  const ParseState state = outcome();
+  if (state == ParseState::kComplete) {
+    http_parser_pause(&parser_, 0);
+    sink_.on_complete();
+  }
+  return state;
+}
+
+ParseState MessageParser::outcome() const {
+  if (stopped_) {
+    return ParseState::kStopped;
+  }
+  if (complete_) {
+    return ParseState::kComplete;
+  }
+  return HTTP_PARSER_ERRNO(&parser_) == HPE_OK && parser_.upgrade == 0 ? ParseState::kMore
+                                                                       : ParseState::kMalformed;
+}
+
+ParseState MessageParser::finish() {
+  size_t used = 0;
+  const ParseState state = feed(std::string_view(), used);
+  return state == ParseState::kMore ? ParseState::kMalformed : state;
+}
+
+}  // namespace stoat::http1
--- a/src/wire/channel.cc
+++ b/src/wire/channel.cc
@@ -49,15 +49,15 @@
 
 std::shared_ptr<Channel> Channel::connect(EventLoop& loop, const Endpoint& endpoint,
                                           MessageHandler on_message, ClosedHandler on_closed) {
-  bufferevent* connection =
-      bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-  auto channel = adopt(connection, std::move(on_message), std::move(on_closed));
-  bufferevent_socket_connect_hostname(connection, nullptr, AF_UNSPEC, endpoint.address.c_str(),
-                                      endpoint.port);
-  if (bufferevent_getfd(connection) >= 0) {
-    http::send_without_delay(bufferevent_getfd(connection));
+  bufferevent* connection = http::connect_to(loop.base(), endpoint, kSilenceLimit);
+  if (connection == nullptr) {
+    // As when the other side refuses: a channel that reports its end from the loop.
+    connection = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    auto channel = adopt(connection, std::move(on_message), std::move(on_closed));
+    bufferevent_trigger_event(connection, BEV_EVENT_ERROR, BEV_TRIG_DEFER_CALLBACKS);
+    return channel;
   }
-  return channel;
+  return adopt(connection, std::move(on_message), std::move(on_closed));
 }
 
 Channel::~Channel() {
@@ -159,6 +159,7 @@
   const auto on_accept = [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* context) {
     auto* server = static_cast<ChannelServer*>(context);
     http::send_without_delay(socket);
+    http::limit_silence(socket, kSilenceLimit);
     bufferevent* connection =
         bufferevent_socket_new(server->loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     server->keep(Channel::adopt(connection, server->on_message_, server->on_closed_));
--- a/src/wire/channel.h
+++ b/src/wire/channel.h
@@ -24,6 +24,9 @@
 /// A message that finds less waiting is still taken whole.
 inline constexpr size_t kMaxUnsentBytes = 16U << 20U;
 
+/// How long what was sent may go unacknowledged before a connection counts as cut off and is closed.
+inline constexpr Duration kSilenceLimit = 1500ms;
+
 /// One frame for a message.
 std::string make_frame(const Message& message);
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -4,6 +4,7 @@
 #include "src/consensus/message.h"
 #include "src/control/command.h"
 #include "src/control/configuration.h"
+#include "src/fleet/fleet_messages.h"
 #include "src/wire/codec.h"
 
 namespace stoat::wire {
@@ -266,7 +267,9 @@
 using Message =
     Packed<SubmitRequest, RequestDispatched, StreamPiece, RequestFinished, CancelRequest, RouterDraining,
            ControlCall, ControlAnswer, NodePoll, NodePollAnswer, BlockChanges, LoadDigest, QuotaRequest,
-           QuotaGrant, PeerMessage, JoinRequest, Ping, Pong, HotPrefixes>;
+           QuotaGrant, PeerMessage, JoinRequest, Ping, Pong, HotPrefixes, fleet::RouterStatus,
+           fleet::FleetUpdate, fleet::HeartbeatBatch, fleet::ConfirmedRead, fleet::ConfirmedReadAnswer,
+           fleet::MemberAddresses>;
 
 }  // namespace stoat::wire
 
