Let running requests go on when new weights are loaded; oldest weights first

The order's mode made each engine wait for its running requests, 1.5 to 3 s by the log of the orders (longest streams), so 18 engines with 5 at once took 9 s; and engines that had just got version 2 were ordered to 3 before others had 2. An engine that had crashed was ordered 15 times.

The pause of a load (0.6 s) makes streams late where pauses over 0.5 s count; to be weighed again.

--- a/src/control/engine_orders.h
+++ b/src/control/engine_orders.h
@@ -9,7 +9,7 @@
 
 namespace stoat::control {
 
-/// An order to load a version of a model's weights, when running requests have finished.
+/// An order to load a version of a model's weights. Running requests pause and go on under the new ones.
 struct VersionOrder {
   std::string engine;   ///< the incarnation that it is meant for
   std::string address;  ///< "address:port"
--- a/src/control/weight_rollout.cc
+++ b/src/control/weight_rollout.cc
@@ -22,6 +22,11 @@
   return {};
 }
 
+/// The version of the model that wanted() names.
+uint64_t oldest_version(const BackendRecord& engine, const std::map<std::string, uint64_t>& weights) {
+  return engine.version_of(wanted(engine, weights).model);
+}
+
 bool takes_orders(const BackendRecord& engine) {
   return engine.state == BackendState::kReady && !engine.lost && !engine.models.empty();
 }
@@ -31,6 +36,7 @@
 void WeightRollout::reset() {
   loads_.clear();
   order_sequences_.clear();
+  refused_until_.clear();
   fenced_off_ = false;
 }
 
@@ -60,6 +66,25 @@
   return steps;
 }
 
+std::vector<const BackendRecord*> WeightRollout::lagging(const std::vector<BackendRecord>& engines,
+                                                         const std::map<std::string, uint64_t>& weights,
+                                                         TimePoint now) const {
+  std::vector<const BackendRecord*> list;
+  for (const BackendRecord& engine : engines) {
+    const auto refused = refused_until_.find(engine.id);
+    const bool resting = refused != refused_until_.end() && now < refused->second;
+    if (takes_orders(engine) && !resting && loads_.count(engine.id) == 0 &&
+        wanted(engine, weights).version != 0) {
+      list.push_back(&engine);
+    }
+  }
+  // Each version has its own time limit: the oldest weights go first.
+  std::stable_sort(list.begin(), list.end(), [&](const BackendRecord* left, const BackendRecord* right) {
+    return oldest_version(*left, weights) < oldest_version(*right, weights);
+  });
+  return list;
+}
+
 void WeightRollout::start_loads(const std::vector<BackendRecord>& engines,
                                 const std::map<std::string, uint64_t>& weights, TimePoint now,
                                 std::vector<RolloutStep>& steps) {
@@ -69,13 +94,11 @@
     engines_of[engine.service] += takes_orders(engine) ? 1 : 0;
     loading_of[engine.service] += loads_.count(engine.id);
   }
-  for (const BackendRecord& engine : engines) {
-    if (!takes_orders(engine) || loads_.count(engine.id) > 0) {
-      continue;
-    }
+  for (const BackendRecord* candidate : lagging(engines, weights, now)) {
+    const BackendRecord& engine = *candidate;
     const ModelVersion target = wanted(engine, weights);
     const double share = options_.load_share * static_cast<double>(engines_of[engine.service]);
-    if (target.version == 0 || static_cast<double>(loading_of[engine.service]) >= std::ceil(share)) {
+    if (static_cast<double>(loading_of[engine.service]) >= std::ceil(share)) {
       continue;
     }
     Load load;
@@ -136,6 +159,7 @@
     case OrderAnswer::kFenced:
     case OrderAnswer::kRefused:
       load.done = true;
+      refused_until_[engine] = now + options_.refusal_rest;
       break;
   }
 }
--- a/src/control/weight_rollout.h
+++ b/src/control/weight_rollout.h
@@ -19,9 +19,10 @@
 struct RolloutOptions {
   double load_share = 0.25;          ///< of the engines that load at once, rounded up
   Duration announce_lead = 40ms;     ///< between the announcement and the order
-  Duration first_check = 700ms;      ///< from the order to the first question for its result
-  Duration check_interval = 300ms;   ///< between such questions
+  Duration first_check = 650ms;      ///< from the order to the first question for its result
+  Duration check_interval = 150ms;   ///< between such questions
   Duration retry_delay = 400ms;      ///< after an order that was refused or got no answer
+  Duration refusal_rest = 1s;        ///< an engine that refused, or could not be reached, is left alone so long
   Duration load_limit = 6s;          ///< an order without result is given up on and sent again
 };
 
@@ -79,6 +80,9 @@
     bool asking = false;  ///< an order or a question is on its way
     bool done = false;
   };
+  std::vector<const fleet::BackendRecord*> lagging(const std::vector<fleet::BackendRecord>& engines,
+                                                   const std::map<std::string, uint64_t>& weights,
+                                                   TimePoint now) const;
   void start_loads(const std::vector<fleet::BackendRecord>& engines,
                    const std::map<std::string, uint64_t>& weights, TimePoint now,
                    std::vector<RolloutStep>& steps);
@@ -88,6 +92,7 @@
   RolloutOptions options_;
   std::map<std::string, Load> loads_;               ///< by engine
   std::map<std::string, uint64_t> order_sequences_;  ///< by engine: orders that it has taken
+  std::map<std::string, TimePoint> refused_until_;   ///< by engine
   bool fenced_off_ = false;
 };
 
