Take KV cache of shared parts from an engine that should hold them

Ruled out: keeping each prompt at one engine alone, which can't hold while the weights change or an engine is full.

Change: choose_source() names the engine of the same weights that should hold the longest shared beginning; a request sent elsewhere carries it as its KV source. Loading, lost and failing engines are no source.

What is left is read again because routers don't know what the others sent where.

--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -178,7 +178,32 @@
          http1::same_name(names.expected_weights, name) || http1::same_name(names.last_event_id, name);
 }
 
-std::string RequestRun::request_head(const Backend& backend, TimePoint now) const {
+BackendPtr RequestRun::cache_source(const Backend& target) const {
+  if (chain_.links.size() < 2) {
+    return nullptr;
+  }
+  const TimePoint now = context_.loop.now();
+  const std::string& model = plan_.fields.model;
+  std::vector<BackendPtr> holders;
+  std::vector<placement::EngineView> views;
+  for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
+    // What is kept under other weights must not be used, and a dead source holds the request up.
+    const auto health = context_.pool.outliers().handle_of(backend->record.id);
+    if (backend->record.version_of(model) != target.record.version_of(model) || backend->record.loading ||
+        backend->record.lost || !delivery::OutlierDetector::usable(health, now)) {
+      continue;
+    }
+    placement::EngineView view;
+    view.name_hash = backend->name_hash;
+    view.memory = &backend->memory;
+    holders.push_back(backend);
+    views.push_back(view);
+  }
+  const auto source = placement::choose_source(chain_, target.name_hash, target.memory, views, now);
+  return source ? holders[*source] : nullptr;
+}
+
+std::string RequestRun::request_head(const Backend& backend, const BackendPtr& source, TimePoint now) const {
   const HeaderNames& names = context_.names;
   std::string head = plan_.request.method + " " + plan_.request.target + " HTTP/1.1\r\n";
   const auto add = [&head](const std::string& name, const std::string& value) {
@@ -207,6 +232,9 @@
     const uint32_t tenant_priority = plan_.tenant == nullptr ? 0 : plan_.tenant->priority;
     const uint32_t urgency = std::min(kMaxUrgency, tenant_priority * kRoutePriorities + plan_.route->priority);
     add(names.urgency, std::to_string(urgency));
+    if (source != nullptr) {
+      add(names.kv_source, source->record.address);
+    }
   }
   if (!plan_.request.body.empty() || plan_.request.method == "POST" || plan_.request.method == "PUT") {
     add("Content-Length", std::to_string(plan_.request.body.size()));
@@ -228,6 +256,7 @@
   body_.clear();
   splitter_.reset();
   ++backend->outstanding;
+  const BackendPtr source = cache_source(*backend);
   if (!chain_.links.empty()) {
     counted_prefill_ =
         chain_.prompt_tokens - std::min(chain_.prompt_tokens, backend->memory.cached_tokens(chain_, now));
@@ -237,7 +266,7 @@
   context_.pool.outliers().on_dispatch(backend->record.id, now);
   const std::string id = plan_.fields.id;
   const std::string id_name = context_.names.request_id;
-  connection->send(request_head(*backend, now), plan_.request.body, this,
+  connection->send(request_head(*backend, source, now), plan_.request.body, this,
                    [id, id_name](int, const http1::Headers& headers) {
                      const std::string* echoed = headers.find(id_name);
                      return echoed == nullptr || *echoed == id;
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -89,8 +89,9 @@
   void try_dispatch();
   std::vector<BackendPtr> candidates();
   BackendPtr choose(const std::vector<BackendPtr>& candidates);
+  BackendPtr cache_source(const Backend& target) const;
   void send_to(const BackendPtr& backend);
-  std::string request_head(const Backend& backend, TimePoint now) const;
+  std::string request_head(const Backend& backend, const BackendPtr& source, TimePoint now) const;
   bool set_by_system(const std::string& name) const;
   bool may_repeat(bool certainly_not_run);
   void on_not_run();
--- a/src/placement/part_placement.cc
+++ b/src/placement/part_placement.cc
@@ -85,6 +85,32 @@
   return best;
 }
 
+std::optional<size_t> choose_source(const PromptChain& chain, uint64_t target, const ChainMemory& target_memory,
+                                    const std::vector<EngineView>& engines, TimePoint now) {
+  const uint32_t shared = shared_tokens(chain);
+  uint32_t most = std::min(shared, target_memory.cached_tokens(chain, now));
+  if (engines.empty() || most >= shared) {
+    return std::nullopt;
+  }
+  const size_t home = home_of(chain, engines);
+  std::optional<size_t> best;
+  for (size_t position = 0; position < engines.size(); ++position) {
+    const EngineView& engine = engines[position];
+    if (engine.name_hash == target) {
+      continue;
+    }
+    uint32_t held = std::min(shared, engine.memory->cached_tokens(chain, now));
+    if (position == home) {
+      held = std::max(held, shared);
+    }
+    if (held > most) {
+      most = held;
+      best = position;
+    }
+  }
+  return best;
+}
+
 size_t choose_least_loaded(const std::vector<EngineView>& engines, uint64_t random) {
   size_t best = 0;
   double best_load = 0;
--- a/src/placement/part_placement.h
+++ b/src/placement/part_placement.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -62,6 +63,12 @@
 size_t choose_engine(const PromptChain& chain, const std::vector<EngineView>& engines,
                      const PlacementCosts& costs, TimePoint now);
 
+/// The engine from which the target should take KV cache of the chain's shared parts before it reads the rest:
+/// the one that should hold the most of them. Nothing when the target should hold as much itself. `target` is
+/// the hash of the target's name; it may be among `engines`, which must have the target's weights.
+std::optional<size_t> choose_source(const PromptChain& chain, uint64_t target, const ChainMemory& target_memory,
+                                    const std::vector<EngineView>& engines, TimePoint now);
+
 /// The engine for a call without a prompt: the least loaded for its size, at random among equals.
 size_t choose_least_loaded(const std::vector<EngineView>& engines, uint64_t random);
 
