--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -233,7 +233,9 @@
     const uint32_t urgency = std::min(kMaxUrgency, tenant_priority * kRoutePriorities + plan_.route->priority);
     add(names.urgency, std::to_string(urgency));
     if (source != nullptr) {
+      // The target may have newer weights than this router knows; what the source keeps would be stale there.
       add(names.kv_source, source->record.address);
+      add(names.expected_weights, std::to_string(version));
     }
   }
   if (!plan_.request.body.empty() || plan_.request.method == "POST" || plan_.request.method == "PUT") {
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -26,7 +26,8 @@
   settings.link.key_lease = Duration(900 * revocation_ms);
   const int64_t grace_ms = 1000 * reader.integer("grace_s", 8, 1, 3600);
   settings.stop_grace = Duration(1000 * grace_ms) - 700ms;
-  settings.stop_listen = settings.stop_grace / 2;
+  // What comes in until then is still served; the longest streams take most of the rest.
+  settings.stop_listen = settings.stop_grace * 3 / 10;
   settings.old_weights_limit = Duration(1000 * reader.integer("old_weights_ms", 6500, 0, 3600000));
   settings.budget.ratio = reader.number("repeat_ratio", 0.2, 0, 10);
   settings.budget.slack = reader.number("repeat_slack", 50, 0, 1e6);
--- a/src/http/event_loop.h
+++ b/src/http/event_loop.h
@@ -34,6 +34,8 @@
   void after(Duration delay, std::function<void()> action);
   /// Calls `action` on SIGTERM and SIGINT.
   void on_terminate(const std::function<void()>& action);
+  /// Calls `action` on a signal.
+  void on_signal(int signal_number, std::function<void()> action);
   /// From any thread: calls `action` on the loop's thread.
   void post(std::function<void()> action);
 
