Expect the known weights with every request, learn versions from answers, and hurry unanswered orders

VERSION: with half of the orders unanswered each cost 1.4 s, and old weights were used until the limit itself, queue time not counted. LOST: a stream that had begun before SIGTERM kept its connection, and the next request came in on it 4 s later.

--- a/src/control/weight_rollout.h
+++ b/src/control/weight_rollout.h
@@ -21,7 +21,7 @@
   Duration announce_lead = 40ms;     ///< between the announcement and the order
   Duration first_check = 650ms;      ///< from the order to the first question for its result
   Duration check_interval = 150ms;   ///< between such questions
-  Duration retry_delay = 400ms;      ///< after an order that was refused or got no answer
+  Duration retry_delay = 20ms;       ///< before an engine is asked how an order without an answer went
   Duration refusal_rest = 1s;        ///< an engine that refused, or could not be reached, is left alone so long
   Duration load_limit = 6s;          ///< an order without result is given up on and sent again
 };
--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "src/common/hash.h"
 
@@ -34,10 +35,14 @@
       backend->name_hash = hash_bytes(record.id);
       parse_endpoint(record.address, backend->endpoint);
       outliers_.know(record.id);
-    } else if (weights_differ(backend->record, record)) {
+    }
+    const fleet::BackendRecord known = std::exchange(backend->record, record);
+    for (fleet::ModelVersion& entry : backend->record.models) {
+      entry.version = std::max(entry.version, known.version_of(entry.model));
+    }
+    if (weights_differ(backend->record, known)) {
       backend->memory.clear();
     }
-    backend->record = record;
     const auto retired = retired_.find(record.id);
     if (retired != retired_.end()) {
       backend->record.state = std::max(backend->record.state, retired->second);
@@ -57,6 +62,15 @@
   }
 }
 
+void BackendPool::note_version(Backend& backend, const std::string& model, uint64_t version) {
+  for (fleet::ModelVersion& entry : backend.record.models) {
+    if (entry.model == model && version > entry.version) {
+      entry.version = version;
+      backend.memory.clear();
+    }
+  }
+}
+
 void BackendPool::retire(const std::vector<fleet::RetiredBackend>& retired) {
   for (const fleet::RetiredBackend& entry : retired) {
     fleet::BackendState& state = retired_.emplace(entry.id, entry.state).first->second;
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -45,6 +45,8 @@
   void retire(const std::vector<fleet::RetiredBackend>& retired);
   /// Takes the loads that the other routers have told.
   void set_other_loads(const std::vector<fleet::BackendLoad>& loads);
+  /// Notes the version of a model's weights that an answer told. Versions only go up within one start.
+  static void note_version(Backend& backend, const std::string& model, uint64_t version);
   /// Back ends of a service that may get new requests, by id.
   std::vector<BackendPtr> serving(const std::string& service) const;
   /// Own requests under way, for the other routers.
--- a/src/dispatch/request_protocol.h
+++ b/src/dispatch/request_protocol.h
@@ -32,6 +32,7 @@
   // from the engine
   std::string signature = "X-Answer-Signature";    ///< set on each answer of an engine that is really its own
   std::string not_run = "X-Not-Run";
+  std::string weights_version = "X-Weights-Version";  ///< of the weights that made the answer
 };
 
 }  // namespace stoat::dispatch
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -232,10 +232,13 @@
     const uint32_t tenant_priority = plan_.tenant == nullptr ? 0 : plan_.tenant->priority;
     const uint32_t urgency = std::min(kMaxUrgency, tenant_priority * kRoutePriorities + plan_.route->priority);
     add(names.urgency, std::to_string(urgency));
+    if (version > 0) {
+      // The engine may have newer weights than this router knows: what it kept under this salt would be stale
+      // for those who know better.
+      add(names.expected_weights, std::to_string(version));
+    }
     if (source != nullptr) {
-      // The target may have newer weights than this router knows; what the source keeps would be stale there.
       add(names.kv_source, source->record.address);
-      add(names.expected_weights, std::to_string(version));
     }
   }
   if (!plan_.request.body.empty() || plan_.request.method == "POST" || plan_.request.method == "PUT") {
@@ -306,6 +309,7 @@
       head_.headers.add(line.name, line.value);
     }
   }
+  note_weights(headers);
   const bool signed_answer = headers.find(context_.names.signature) != nullptr;
   if (headers.find(context_.names.not_run) != nullptr || status == kMisdirected) {
     kind_ = AnswerKind::kNotRun;
@@ -318,6 +322,17 @@
   }
 }
 
+void RequestRun::note_weights(const http1::Headers& headers) {
+  const std::string* text = headers.find(context_.names.weights_version);
+  const auto version = text == nullptr ? std::nullopt : parse_integer(*text);
+  const uint64_t known = backend_->record.version_of(plan_.fields.model);
+  if (!version || known == 0 || static_cast<uint64_t>(*version) <= known) {
+    return;
+  }
+  BackendPool::note_version(*backend_, plan_.fields.model, static_cast<uint64_t>(*version));
+  tried_.erase(backend_->record.id);  // it was asked for the wrong weights; it may be asked again
+}
+
 void RequestRun::on_answer_body(std::string_view piece) {
   if (kind_ == AnswerKind::kEvents) {
     const auto keep = shared_from_this();
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -98,6 +98,7 @@
   void on_failed_run();
   void end_exchange(bool keep_connection);
   void note_first_event();
+  void note_weights(const http1::Headers& headers);
   void start_stream();
   void forward_event(const delivery::StreamEvent& event);
   void finish_whole();
--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -317,7 +317,7 @@
 
 void CallerConnection::after_answer() {
   chunked_ = false;
-  if (close_after_) {
+  if (close_after_ || server_.draining_) {
     close_when_written();
     return;
   }
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -10,6 +10,7 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr Duration kStopCheck = 50ms;
+constexpr Duration kQueueMargin = 1500ms;
 
 }  // namespace
 
@@ -28,7 +29,9 @@
   settings.stop_grace = Duration(1000 * grace_ms) - 700ms;
   // What comes in until then is still served; the longest streams take most of the rest.
   settings.stop_listen = settings.stop_grace * 3 / 10;
-  settings.old_weights_limit = Duration(1000 * reader.integer("old_weights_ms", 6500, 0, 3600000));
+  // Requests wait at the engine before they begin.
+  settings.old_weights_limit =
+      Duration(1000 * reader.integer("weights_limit_ms", 8000, 0, 3600000)) - kQueueMargin;
   settings.budget.ratio = reader.number("repeat_ratio", 0.2, 0, 10);
   settings.budget.slack = reader.number("repeat_slack", 50, 0, 1e6);
   settings.budget.window = std::chrono::seconds(reader.integer("repeat_window_s", 10, 1, 3600));
