Guess a KV source in rendezvous order when this router knows of none

Cause: during a rollout the home of a chain moves to each engine that comes up with new weights; routers took the new home to hold what it had never seen, and named no source.

Ruled out: a source only from own sends (the state before): it knows a seventh of what was sent.

Change: choose_source() falls back to the next engine in rendezvous order, the former home.

--- a/src/placement/part_placement.cc
+++ b/src/placement/part_placement.cc
@@ -89,26 +89,31 @@
                                     const std::vector<EngineView>& engines, TimePoint now) {
   const uint32_t shared = shared_tokens(chain);
   uint32_t most = std::min(shared, target_memory.cached_tokens(chain, now));
-  if (engines.empty() || most >= shared) {
+  if (most >= shared) {
     return std::nullopt;
   }
-  const size_t home = home_of(chain, engines);
   std::optional<size_t> best;
+  std::vector<EngineView> others;
+  std::vector<size_t> positions;
   for (size_t position = 0; position < engines.size(); ++position) {
     const EngineView& engine = engines[position];
     if (engine.name_hash == target) {
       continue;
     }
-    uint32_t held = std::min(shared, engine.memory->cached_tokens(chain, now));
-    if (position == home) {
-      held = std::max(held, shared);
-    }
+    others.push_back(engine);
+    positions.push_back(position);
+    const uint32_t held = std::min(shared, engine.memory->cached_tokens(chain, now));
     if (held > most) {
       most = held;
       best = position;
     }
   }
-  return best;
+  if (most >= shared || others.empty()) {
+    return best;
+  }
+  // What other routers sent is not known here, but they send it to its home: the target itself, or the engine
+  // that was home before the target came into use, which is the next in rendezvous order.
+  return positions[home_of(chain, others)];
 }
 
 size_t choose_least_loaded(const std::vector<EngineView>& engines, uint64_t random) {
