Keep shared parts in the store, and watch the store from the leader

Cause: an engine's memory holds some 8 s of what passes through it (own parts of prompts push shared ones out), so a shared part was read again by its own home; and the store was not used. With the store down each request that named it lost 300 ms.

Change: a request whose engine was not sent its chain within 2 s takes the store as source, one not sent within 8 s also as target; engines stay the source while no store answers. The leader keeps a question open at each store (StoreWatch) and tells routers which answer.

--- a/src/control/engine_orders.h
+++ b/src/control/engine_orders.h
@@ -1,8 +1,9 @@
-/// How a control member speaks to engines: orders and questions for their state. The form on the wire is the
+/// How a control member speaks to engines and KV stores: orders and questions for their state. The form on the wire is the
 /// implementation's.
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "src/control/weight_rollout.h"
@@ -27,6 +28,10 @@
   virtual void send(const VersionOrder& order, std::function<void(OrderAnswer)> on_answer) = 0;
   /// `on_report` gets nullptr when no report came.
   virtual void ask(const std::string& address, std::function<void(const EngineReport*)> on_report) = 0;
+  /// Waits up to a second for news of a KV store after event number `since`. Tells the number of its newest
+  /// event, or nullopt when it can't be reached.
+  virtual void watch_store(const std::string& address, uint64_t since,
+                           std::function<void(std::optional<uint64_t>)> on_news) = 0;
 };
 
 }  // namespace stoat::control
--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -46,6 +46,7 @@
 
 void FleetServer::keep_registry() {
   registry_.expire(loop_.now());
+  watch_stores();
   notice_changes();
   const TimePoint now = loop_.now();
   std::erase_if(routers_, [&](const auto& entry) {
@@ -53,6 +54,19 @@
   });
 }
 
+void FleetServer::watch_stores() {
+  if (!core_->replica().leads()) {
+    return;
+  }
+  std::vector<std::string> addresses;
+  for (const fleet::Service& service : core_->state().fleet().configuration().services) {
+    if (!service.store_address.empty()) {
+      addresses.push_back(service.store_address);
+    }
+  }
+  stores_.poll(addresses, loop_.now());
+}
+
 int64_t FleetServer::confirmed_age_ms() const {
   const consensus::Replica& replica = core_->replica();
   const bool current = replica.term_committed() && core_->applied_index() >= replica.commit_index();
@@ -110,6 +124,7 @@
   for (const consensus::Member& member : core_->replica().members().members) {
     update.members.push_back(member.address);
   }
+  update.stores = stores_.live();
   update.router_count = static_cast<uint32_t>(ready_routers().size());
   return update;
 }
@@ -169,7 +184,10 @@
     }
   }
   const bool retired_more = state.retired().size() != noticed_retired_;
-  const bool changed = state.revision() != noticed_revision_ || registry_.digest() != noticed_digest_;
+  const std::vector<std::string> stores = stores_.live();
+  const bool changed = state.revision() != noticed_revision_ || registry_.digest() != noticed_digest_ ||
+                       stores != noticed_stores_;
+  noticed_stores_ = stores;
   noticed_revision_ = state.revision();
   noticed_digest_ = registry_.digest();
   noticed_retired_ = state.retired().size();
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -13,7 +13,7 @@
 constexpr Duration kTick = 10ms;
 constexpr Duration kJoinInterval = 150ms;
 constexpr Duration kHeartbeatBatch = 100ms;
-constexpr Duration kRegistryInterval = 200ms;
+constexpr Duration kRegistryInterval = 100ms;
 constexpr Duration kRolloutInterval = 20ms;
 constexpr Duration kStopGrace = 300ms;
 /// Callers turn to another member after a second without an answer.
@@ -50,6 +50,7 @@
       files_(settings_.data_folder),
       store_(files_),
       registry_(settings_.registry),
+      stores_(orders),
       rollout_(settings_.rollout) {
   start_core(restore());
   if (core_->replica().last_index() == 0 && settings_.first_start && !settings_.seeds.empty() &&
@@ -359,6 +360,7 @@
     led_ = leads;
     leader_since_ = now;
     rollout_.reset();
+    stores_.reset();
     for (const fleet::BackendRecord& record : registry_.records()) {
       registry_.set_loading(record.id, false);
     }
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -18,6 +18,7 @@
 #include "src/control/control_core.h"
 #include "src/control/durable_driver.h"
 #include "src/control/engine_orders.h"
+#include "src/control/store_watch.h"
 #include "src/control/weight_rollout.h"
 #include "src/fleet/backend_registry.h"
 #include "src/http/event_loop.h"
@@ -111,6 +112,7 @@
   void notice_changes();
   void send_heartbeats();
   void keep_registry();
+  void watch_stores();
   int64_t confirmed_age_ms() const;
   std::vector<fleet::BackendLoad> loads_beside(const std::string& router) const;
 
@@ -146,6 +148,8 @@
   uint64_t noticed_digest_ = 0;
   size_t noticed_retired_ = 0;
 
+  StoreWatch stores_;
+  std::vector<std::string> noticed_stores_;
   WeightRollout rollout_;
   bool led_ = false;
   TimePoint leader_since_{0};
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -23,6 +23,8 @@
 constexpr uint32_t kMaxRefusals = 3;
 /// How often a waiting request looks for a back end again.
 constexpr Duration kWaitStep = 25ms;
+/// What was sent to an engine this recently is there; an offer of a source would be for nothing.
+constexpr Duration kSurelyHeld = 2s;
 /// Answers up to this size are held until they are whole.
 constexpr size_t kMaxWholeBody = 4U << 20U;
 /// A request that could not be placed is told to come back after so long.
@@ -203,7 +205,25 @@
   return source ? holders[*source] : nullptr;
 }
 
-std::string RequestRun::request_head(const Backend& backend, const BackendPtr& source, TimePoint now) const {
+CachePlan RequestRun::plan_cache(const Backend& target) const {
+  CachePlan plan;
+  const TimePoint now = context_.loop.now();
+  const uint32_t shared = placement::shared_tokens(chain_);
+  if (shared == 0 || target.memory.cached_tokens(chain_, now, kSurelyHeld) >= shared) {
+    return plan;
+  }
+  plan.source = context_.store;
+  if (context_.store.empty()) {
+    const BackendPtr holder = cache_source(target);
+    plan.source = holder == nullptr ? "" : holder->record.address;
+  }
+  if (target.memory.cached_tokens(chain_, now) < shared) {
+    plan.target = context_.store;
+  }
+  return plan;
+}
+
+std::string RequestRun::request_head(const Backend& backend, const CachePlan& cache, TimePoint now) const {
   const HeaderNames& names = context_.names;
   std::string head = plan_.request.method + " " + plan_.request.target + " HTTP/1.1\r\n";
   const auto add = [&head](const std::string& name, const std::string& value) {
@@ -237,8 +257,11 @@
       // for those who know better.
       add(names.expected_weights, std::to_string(version));
     }
-    if (source != nullptr) {
-      add(names.kv_source, source->record.address);
+    if (!cache.source.empty()) {
+      add(names.kv_source, cache.source);
+    }
+    if (!cache.target.empty()) {
+      add(names.kv_target, cache.target);
     }
   }
   if (!plan_.request.body.empty() || plan_.request.method == "POST" || plan_.request.method == "PUT") {
@@ -261,7 +284,7 @@
   body_.clear();
   splitter_.reset();
   ++backend->outstanding;
-  const BackendPtr source = cache_source(*backend);
+  const CachePlan cache = plan_cache(*backend);
   if (!chain_.links.empty()) {
     counted_prefill_ =
         chain_.prompt_tokens - std::min(chain_.prompt_tokens, backend->memory.cached_tokens(chain_, now));
@@ -271,7 +294,7 @@
   context_.pool.outliers().on_dispatch(backend->record.id, now);
   const std::string id = plan_.fields.id;
   const std::string id_name = context_.names.request_id;
-  connection->send(request_head(*backend, source, now), plan_.request.body, this,
+  connection->send(request_head(*backend, cache, now), plan_.request.body, this,
                    [id, id_name](int, const http1::Headers& headers) {
                      const std::string* echoed = headers.find(id_name);
                      return echoed == nullptr || *echoed == id;
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -41,6 +41,7 @@
   delivery::WindowBudgetOptions budget_options = {};
   std::map<std::string, delivery::WindowBudget> budgets = {};  ///< by service
   std::map<std::string, WantedVersion> wanted = {};            ///< by model
+  std::string store = {};  ///< address of a live store of KV cache; empty: none
   placement::PlacementCosts costs = {};
 
   delivery::WindowBudget& budget_of(const std::string& service) {
@@ -59,6 +60,12 @@
   TimePoint arrived{0};
 };
 
+/// Where a request's engine takes KV cache from, and where it sends what it has read; empty: nowhere.
+struct CachePlan {
+  std::string source;
+  std::string target;
+};
+
 /// See the head of this file. Lives until its final answer or the caller's leaving; on_done is then called.
 class RequestRun : public ExchangeListener, public std::enable_shared_from_this<RequestRun> {
  public:
@@ -91,7 +98,8 @@
   BackendPtr choose(const std::vector<BackendPtr>& candidates);
   BackendPtr cache_source(const Backend& target) const;
   void send_to(const BackendPtr& backend);
-  std::string request_head(const Backend& backend, const BackendPtr& source, TimePoint now) const;
+  CachePlan plan_cache(const Backend& target) const;
+  std::string request_head(const Backend& backend, const CachePlan& cache, TimePoint now) const;
   bool set_by_system(const std::string& name) const;
   bool may_repeat(bool certainly_not_run);
   void on_not_run();
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -44,8 +44,9 @@
   std::vector<std::string> members;  ///< "address:port" of the internal protocol of each control member
   uint32_t router_count = 0;         ///< live routers
   std::vector<BackendLoad> loads;    ///< of all other routers together
+  std::vector<std::string> stores;   ///< addresses of KV stores that answer; counts from the leader only
   MSGPACK_DEFINE_ARRAY(answers, leads, quorum_age_ms, configuration_version, configuration, registry_given,
-                       registry, retired, weights, members, router_count, loads)
+                       registry, retired, weights, members, router_count, loads, stores)
 };
 
 /// Control member to control member: heartbeats that came in there.
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -94,6 +94,9 @@
   if (update.router_count > 0) {
     context_.router_count = update.router_count;
   }
+  if (update.leads) {
+    context_.store = update.stores.empty() ? "" : update.stores.front();
+  }
   if (update.leads && update.answers > 0) {
     pool_.set_other_loads(update.loads);
   }
--- a/src/placement/part_placement.cc
+++ b/src/placement/part_placement.cc
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// How long an engine is taken to hold a chain that nobody uses.
-constexpr Duration kHoldTime = 20s;
 /// Chains remembered for one engine before old ones are dropped.
 constexpr size_t kMaxChains = 4096;
 
@@ -29,6 +27,8 @@
   return best;
 }
 
+}  // namespace
+
 uint32_t shared_tokens(const PromptChain& chain) {
   uint32_t tokens = 0;
   for (size_t position = 0; position + 1 < chain.links.size(); ++position) {
@@ -37,8 +37,6 @@
   return tokens;
 }
 
-}  // namespace
-
 void ChainMemory::note(const PromptChain& chain, TimePoint now) {
   for (const ChainLink& link : chain.links) {
     last_used_[link.hash] = now;
@@ -48,11 +46,11 @@
   }
 }
 
-uint32_t ChainMemory::cached_tokens(const PromptChain& chain, TimePoint now) const {
+uint32_t ChainMemory::cached_tokens(const PromptChain& chain, TimePoint now, Duration hold) const {
   uint32_t tokens = 0;
   for (const ChainLink& link : chain.links) {
     const auto found = last_used_.find(link.hash);
-    if (found == last_used_.end() || now - found->second > kHoldTime) {
+    if (found == last_used_.end() || now - found->second > hold) {
       break;
     }
     tokens += link.tokens;
--- a/src/placement/part_placement.h
+++ b/src/placement/part_placement.h
@@ -27,12 +27,18 @@
   uint32_t prompt_tokens = 0;
 };
 
+/// Tokens of the parts that other prompts can share: all but the last.
+uint32_t shared_tokens(const PromptChain& chain);
+
+/// How long an engine is taken to hold a chain that nobody uses.
+inline constexpr Duration kHoldTime = 8s;
+
 /// Which chains were sent to an engine, and when.
 class ChainMemory {
  public:
   void note(const PromptChain& chain, TimePoint now);
-  /// Tokens at the chain's beginning that the engine should still hold.
-  uint32_t cached_tokens(const PromptChain& chain, TimePoint now) const;
+  /// Tokens at the chain's beginning that the engine should still hold: those sent there within `hold`.
+  uint32_t cached_tokens(const PromptChain& chain, TimePoint now, Duration hold = kHoldTime) const;
   void clear() { last_used_.clear(); }
 
  private:
