Count older weights as good as new for 1.2 s after a version is named

Cause: credit falls only from 1.5 s after a version is named, but placement fled to the few engines that had it at once, and their queues and their reading of shared parts grew.

Ruled out: no penalty at all: requests on old weights lose a fifth of their credit after that.

Change: kOldWeightsFree.

--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -23,6 +23,8 @@
 constexpr uint32_t kMaxRefusals = 3;
 /// How often a waiting request looks for a back end again.
 constexpr Duration kWaitStep = 25ms;
+/// So long after a version was named, older weights still do; the few engines that have it are not overrun.
+constexpr Duration kOldWeightsFree = 1200ms;
 /// What was sent to an engine this recently is there; an offer of a source would be for nothing.
 constexpr Duration kSurelyHeld = 2s;
 /// Answers up to this size are held until they are whole.
@@ -143,6 +145,7 @@
     view.prefill_tokens = backend->prefill_tokens + backend->others_prefill_tokens;
     view.slots = backend->record.slots;
     view.old_weights = wanted != context_.wanted.end() &&
+                       context_.loop.now() - wanted->second.known_since > kOldWeightsFree &&
                        backend->record.version_of(plan_.fields.model) < wanted->second.version;
     view.same_zone = backend->record.zone == context_.zone;
     views.push_back(view);
