--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -203,12 +203,15 @@
   }
 }
 
+size_t FleetServer::voter_count() const {
+  const auto& members = core_->replica().members().members;
+  return static_cast<size_t>(std::count_if(members.begin(), members.end(),
+                                           [](const consensus::Member& member) { return member.voter; }));
+}
+
 bool FleetServer::accepts(const Command& command) const {
   // While the fleet is founded, a configuration waits until it would be on enough disks.
-  const auto& members = core_->replica().members().members;
-  const auto voters = std::count_if(members.begin(), members.end(),
-                                    [](const consensus::Member& member) { return member.voter; });
-  return static_cast<size_t>(voters) >= settings_.core.target_voters ||
+  return voter_count() >= settings_.core.target_voters ||
          std::holds_alternative<fleet::RetireBackend>(command.value);
 }
 
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -71,6 +71,8 @@
   /// Stops in an orderly way: hands leadership over, then ends the loop.
   void stop();
   const Metrics& metrics() const { return metrics_; }
+  /// Voters of the member list that this member has.
+  size_t voter_count() const;
 
  private:
   struct Waiting {
--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -34,6 +34,15 @@
   std::vector<control::VersionOrder> orders;
 };
 
+/// Runs something on a loop's thread and gives its result.
+template <typename Action>
+auto run_on(EventLoop& loop, Action action) {
+  auto task = std::make_shared<std::packaged_task<decltype(action())()>>(std::move(action));
+  auto result = task->get_future();
+  loop.post([task] { (*task)(); });
+  return result.get();
+}
+
 /// A port of the loopback address that was free a moment ago.
 inline uint16_t free_port() {
   const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -97,13 +106,6 @@
   auto on_loop(Action action) {
     return run_on(loop_, std::move(action));
   }
-  template <typename Action>
-  static auto run_on(EventLoop& loop, Action action) {
-    auto task = std::make_shared<std::packaged_task<decltype(action())()>>(std::move(action));
-    auto result = task->get_future();
-    loop.post([task] { (*task)(); });
-    return result.get();
-  }
   /// Waits until a condition, which runs on the loop's thread, holds.
   template <typename Condition>
   bool wait_for(const Condition& condition) {
--- /dev/null
+++ b/tests/unit/fleet_parts_test.cc
@@ -0,0 +1,263 @@
+/// Small parts of the fleet: configuration checks, replicated state, registry, routes, placement, budgets,
+/// event splitting.
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include "src/delivery/event_splitter.h"
+#include "src/delivery/window_budget.h"
+#include "src/dispatch/request_fields.h"
+#include "src/fleet/backend_registry.h"
+#include "src/fleet/fleet_state.h"
+#include "src/placement/part_placement.h"
+#include "src/routing/route_table.h"
+
+namespace stoat {
+namespace {
+
+fleet::FleetConfiguration sample() {
+  fleet::FleetConfiguration configuration;
+  configuration.version = 3;
+  configuration.services.resize(2);
+  configuration.services[0].name = "a";
+  configuration.services[1].name = "b";
+  fleet::Route route;
+  route.name = "r";
+  route.host = "H.example";
+  route.path_prefix = "/p/";
+  route.timeout_ms = 100;
+  route.shares = {{"a", 3}, {"b", 1}};
+  configuration.routes = {route};
+  configuration.tenants = {{"t", {"k"}, 0, false}};
+  return configuration;
+}
+
+std::string findings_of(const fleet::FleetConfiguration& configuration) {
+  Findings findings;
+  fleet::check_configuration(configuration, findings);
+  return findings.to_text();
+}
+
+TEST(FleetConfiguration, EachContradictionIsAFindingWithItsPlace) {
+  EXPECT_EQ(findings_of(sample()), "");
+  auto broken = sample();
+  broken.routes[0].shares = {{"nobody", 0}};
+  broken.routes[0].timeout_ms = 0;
+  broken.routes.push_back(broken.routes[0]);
+  broken.tenants.push_back({"u", {"k"}, 0, false});
+  const std::string text = findings_of(broken);
+  EXPECT_NE(text.find("unknown service 'nobody'"), std::string::npos);
+  EXPECT_NE(text.find("weights add up to 0"), std::string::npos);
+  EXPECT_NE(text.find("time-out"), std::string::npos);
+  EXPECT_NE(text.find("same host and path prefix"), std::string::npos);
+  EXPECT_NE(text.find("shares a key with tenant 't'"), std::string::npos);
+}
+
+TEST(FleetState, OnlyAHigherVersionHolds) {
+  fleet::FleetState state;
+  auto configuration = sample();
+  state.apply(fleet::PutConfiguration{configuration, "three"});
+  configuration.version = 2;
+  state.apply(fleet::PutConfiguration{configuration, "two"});
+  configuration.version = 3;
+  state.apply(fleet::PutConfiguration{configuration, "other three"});
+  EXPECT_EQ(state.source(), "three");
+  EXPECT_EQ(state.revision(), 1U);
+}
+
+TEST(FleetState, WeightsOnlyGoUpAndARetiredBackEndStaysRetired) {
+  fleet::FleetState state;
+  state.apply(fleet::NameWeights{"m", 4});
+  state.apply(fleet::NameWeights{"m", 2});
+  EXPECT_EQ(state.weights().at("m"), 4U);
+  state.apply(fleet::RetireBackend{"e", fleet::BackendState::kGone});
+  state.apply(fleet::RetireBackend{"e", fleet::BackendState::kDraining});
+  EXPECT_EQ(state.retired_state("e"), fleet::BackendState::kGone);
+  EXPECT_EQ(state.retired_state("f"), fleet::BackendState::kReady);
+}
+
+fleet::BackendRecord heartbeat(const std::string& id, uint64_t sequence, const std::string& address = "x:1") {
+  fleet::BackendRecord record;
+  record.id = id;
+  record.address = address;
+  record.sequence = sequence;
+  record.models = {{"m", 1}};
+  return record;
+}
+
+TEST(BackendRegistry, ALateHeartbeatChangesNothing) {
+  fleet::BackendRegistry registry({});
+  EXPECT_TRUE(registry.on_heartbeat(heartbeat("e", 5), 1s));
+  EXPECT_FALSE(registry.on_heartbeat(heartbeat("e", 4), 2s));
+  EXPECT_FALSE(registry.on_heartbeat(heartbeat("e", 5), 2s));
+}
+
+TEST(BackendRegistry, TheFormerHolderOfAnAddressNeverComesBack) {
+  fleet::BackendRegistry registry({});
+  registry.on_heartbeat(heartbeat("old", 5), 1s);
+  registry.on_heartbeat(heartbeat("new", 1), 2s);
+  EXPECT_EQ(registry.find("old"), nullptr);
+  EXPECT_FALSE(registry.on_heartbeat(heartbeat("old", 6), 3s));
+  ASSERT_NE(registry.find("new"), nullptr);
+}
+
+TEST(BackendRegistry, ARetiredBackEndNeverBecomesReadyAgain) {
+  fleet::BackendRegistry registry({});
+  registry.on_heartbeat(heartbeat("e", 1), 1s);
+  registry.retire("e", fleet::BackendState::kDraining);
+  registry.on_heartbeat(heartbeat("e", 2), 2s);
+  EXPECT_EQ(registry.find("e")->state, fleet::BackendState::kDraining);
+}
+
+TEST(BackendRegistry, SilenceMakesItLostAndAHeartbeatBringsItBack) {
+  fleet::BackendRegistry registry({});
+  registry.on_heartbeat(heartbeat("e", 1), 1s);
+  const uint64_t digest = registry.digest();
+  registry.expire(6s);
+  EXPECT_TRUE(registry.find("e")->lost);
+  EXPECT_NE(registry.digest(), digest);
+  registry.on_heartbeat(heartbeat("e", 2), 7s);
+  EXPECT_FALSE(registry.find("e")->lost);
+  registry.expire(60s);
+  EXPECT_EQ(registry.find("e"), nullptr);
+}
+
+TEST(BackendRegistry, WeightsOfOneStartOnlyGoUp) {
+  fleet::BackendRegistry registry({});
+  registry.on_heartbeat(heartbeat("e", 1), 1s);
+  registry.set_version("e", "m", 3);
+  registry.on_heartbeat(heartbeat("e", 2), 2s);
+  EXPECT_EQ(registry.find("e")->version_of("m"), 3U);
+}
+
+TEST(RouteTable, TheLongestPrefixOfTheHostWins) {
+  auto configuration = sample();
+  configuration.routes.push_back(configuration.routes[0]);
+  configuration.routes[1].name = "long";
+  configuration.routes[1].path_prefix = "/p/q/";
+  const routing::RouteTable table(std::make_shared<const fleet::FleetConfiguration>(configuration));
+  EXPECT_EQ(table.find("h.EXAMPLE:80", "/p/q/x?y=/")->name, "long");
+  EXPECT_EQ(table.find("h.example", "/p/qq")->name, "r");
+  EXPECT_EQ(table.find("h.example", "/p"), nullptr);
+  EXPECT_EQ(table.find("other", "/p/"), nullptr);
+  EXPECT_EQ(table.tenant_of_key("k")->name, "t");
+  EXPECT_EQ(table.tenant_of_key("x"), nullptr);
+}
+
+TEST(SplitChooser, GivesEachPartItsShare) {
+  routing::SplitChooser chooser;
+  const auto configuration = sample();
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 400; ++i) {
+    ++counts[chooser.choose(configuration.routes[0])];
+  }
+  EXPECT_EQ(counts["a"], 300);
+  EXPECT_EQ(counts["b"], 100);
+}
+
+TEST(SplitChooser, APartOfNoWeightGetsNothing) {
+  routing::SplitChooser chooser;
+  auto configuration = sample();
+  configuration.routes[0].shares = {{"a", 0}, {"b", 2}};
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(chooser.choose(configuration.routes[0]), "b");
+  }
+}
+
+placement::PromptChain chain(std::initializer_list<std::pair<uint64_t, uint32_t>> links) {
+  placement::PromptChain result;
+  for (const auto& [hash, tokens] : links) {
+    result.links.push_back({hash, tokens});
+    result.prompt_tokens += tokens;
+  }
+  return result;
+}
+
+TEST(PartPlacement, AChainStaysAtItsHomeUntilThatIsLoaded) {
+  std::vector<placement::ChainMemory> memories(3);
+  std::vector<placement::EngineView> engines(3);
+  for (size_t i = 0; i < 3; ++i) {
+    engines[i].name_hash = i + 1;
+    engines[i].memory = &memories[i];
+    engines[i].slots = 8;
+    engines[i].same_zone = true;
+  }
+  const auto prompt = chain({{1, 4000}, {2, 500}});
+  const size_t home = placement::choose_engine(prompt, engines, {}, 1s);
+  engines[home].outstanding = 2;
+  EXPECT_EQ(placement::choose_engine(prompt, engines, {}, 1s), home);
+  engines[home].prefill_tokens = 20000;
+  EXPECT_NE(placement::choose_engine(prompt, engines, {}, 1s), home);
+}
+
+TEST(PartPlacement, TheSourceIsWhoWasSentTheChain) {
+  std::vector<placement::ChainMemory> memories(3);
+  std::vector<placement::EngineView> engines(3);
+  for (size_t i = 0; i < 3; ++i) {
+    engines[i].name_hash = i + 1;
+    engines[i].memory = &memories[i];
+  }
+  const auto prompt = chain({{1, 4000}, {2, 500}});
+  memories[2].note(prompt, 1s);
+  EXPECT_EQ(placement::choose_source(prompt, 1, memories[0], engines, 1s), std::optional<size_t>(2));
+  memories[0].note(prompt, 1s);
+  EXPECT_EQ(placement::choose_source(prompt, 1, memories[0], engines, 1s), std::nullopt);
+  EXPECT_NE(placement::choose_source(prompt, 1, memories[0], engines, 60s), std::optional<size_t>(0));
+}
+
+TEST(WindowBudget, BoundsRepeatsOverAnyWindow) {
+  delivery::WindowBudgetOptions options;
+  options.slack = 20;
+  delivery::WindowBudget budget(options);
+  int taken = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const TimePoint now(i * 5000);
+    budget.on_request(now);
+    taken += budget.take(now, 4) ? 1 : 0;
+  }
+  EXPECT_LE(taken, 0.2 * 1000 + 20.0 / 4);
+  EXPECT_GE(taken, 100);
+  EXPECT_TRUE(budget.take(60s, 4));
+}
+
+RC_GTEST_PROP(EventSplitter, GivesTheSameEventsHoweverTheBytesAreCut, (std::vector<uint8_t> cuts)) {
+  std::string stream;
+  for (int id = 1; id <= 20; ++id) {
+    const std::string end = id % 3 == 0 ? "\r\n" : "\n";
+    stream += "id: " + std::to_string(id) + end + "data: " + std::string(id % 7, 'x') + end + end;
+  }
+  delivery::EventSplitter splitter;
+  std::string joined;
+  std::vector<int64_t> ids;
+  size_t position = 0;
+  size_t turn = 0;
+  while (position < stream.size()) {
+    const size_t length = cuts.empty() ? stream.size() : 1 + cuts[turn++ % cuts.size()] % 40;
+    splitter.feed(std::string_view(stream).substr(position, length), [&](const delivery::StreamEvent& event) {
+      joined += event.bytes;
+      ids.push_back(event.id.value_or(-1));
+    });
+    position += length;
+  }
+  RC_ASSERT(joined == stream);
+  RC_ASSERT(ids.size() == 20U);
+  RC_ASSERT(ids.front() == 1 && ids.back() == 20);
+  RC_ASSERT(splitter.pending() == 0U);
+}
+
+TEST(RequestFields, ReadsPartsAndIgnoresMalformedOnes) {
+  http1::Headers headers;
+  headers.add("x-prompt-parts", "5c:800,91:410");
+  headers.add("X-Token-Counts", "1460,80");
+  headers.add("AUTHORIZATION", "bearer key");
+  headers.add("X-Deadline-Ms", "12x");
+  const auto fields = dispatch::read_fields(headers, dispatch::HeaderNames());
+  ASSERT_EQ(fields.parts.size(), 2U);
+  EXPECT_EQ(fields.parts[1].tokens, 410U);
+  EXPECT_EQ(fields.prompt_tokens, 1460U);
+  EXPECT_EQ(fields.key, "key");
+  EXPECT_FALSE(fields.deadline_ms);
+}
+
+}  // namespace
+}  // namespace stoat
--- /dev/null
+++ b/tests/unit/platform_bodies_test.cc
@@ -0,0 +1,82 @@
+/// The adapter's reading of the target platform's bodies.
+#include "platform/bodies.h"
+
+#include <gtest/gtest.h>
+
+namespace stoat::platform {
+namespace {
+
+constexpr char kConfiguration[] = R"({"version":7,
+ "routes":[{"name":"r1","host":"h","path_prefix":"/a/","kind":"streaming","timeout_ms":15000.0,
+   "target_latency_ms":800,"priority":1,"traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+   "attempts":2,"public":false,"sticky":true,"resumable":true,"gap_target_ms":500},
+  {"name":"r2","host":"h","path_prefix":"/b/","kind":"unsafe","timeout_ms":100,"service":"s2"}],
+ "services":[{"name":"s1","health_path":"/health","connection_limit":300,
+   "engine":{"slots":48,"key_value_tokens":107924,"key_value_bytes":163840,"models":[{"name":"m"}]}},
+  {"name":"s2"},{"name":"s3","key_value_store":"172.20.0.2:8781","zone":"z"}],
+ "limits":{"header_bytes":1000,"body_bytes":2000,"header_timeout_ms":30,"idle_timeout_ms":40},
+ "tenants":[{"name":"t","access_keys":["k1","k2"],"priority":1,"isolated":true}],"later":{"unknown":1}})";
+
+std::optional<fleet::FleetConfiguration> read(const std::string& text, std::string* findings_text = nullptr) {
+  Findings findings;
+  auto configuration = read_configuration(text, findings);
+  if (findings_text != nullptr) {
+    *findings_text = findings.to_text();
+  }
+  return configuration;
+}
+
+std::string with(const std::string& from, const std::string& to) {
+  std::string text = kConfiguration;
+  return text.replace(text.find(from), from.size(), to);
+}
+
+TEST(PlatformBodies, ReadsAWholeConfiguration) {
+  const auto configuration = read(kConfiguration);
+  ASSERT_TRUE(configuration);
+  EXPECT_EQ(configuration->version, 7U);
+  EXPECT_EQ(configuration->routes[0].shares.size(), 2U);
+  EXPECT_EQ(configuration->routes[0].timeout_ms, 15000);
+  EXPECT_TRUE(configuration->routes[0].resumable);
+  EXPECT_EQ(configuration->routes[1].kind, fleet::RouteKind::kUnsafe);
+  EXPECT_EQ(configuration->services[2].store_address, "172.20.0.2:8781");
+  EXPECT_EQ(configuration->limits.idle_timeout_ms, 40);
+  EXPECT_TRUE(configuration->tenants[0].isolated);
+}
+
+TEST(PlatformBodies, RefusesWhatIsInvalidAndNamesThePlace) {
+  std::string findings;
+  EXPECT_FALSE(read(std::string(kConfiguration).substr(0, 400), &findings));
+  EXPECT_FALSE(read(with("\"timeout_ms\":100", "\"timeout_ms\":0"), &findings));
+  EXPECT_NE(findings.find("routes.r2"), std::string::npos) << findings;
+  EXPECT_FALSE(read(with("\"service\":\"s2\"}]", "\"service\":\"gone\"}]")));
+  EXPECT_FALSE(read(with("/b/", "/a/")));
+  EXPECT_FALSE(read(with("\"kind\":\"unsafe\"", "\"kind\":\"other\""), &findings));
+  EXPECT_NE(findings.find("routes[1].kind"), std::string::npos) << findings;
+  EXPECT_FALSE(read(with("\"version\":7", "\"version\":\"7\"")));
+  EXPECT_FALSE(read("[]"));
+  EXPECT_FALSE(read(""));
+}
+
+TEST(PlatformBodies, ReadsHeartbeats) {
+  const auto record = read_heartbeat(
+      "i-1", R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":48,"state":"draining","sequence":4,
+               "models":[{"name":"m","version":2,"adapters":[]}]})");
+  ASSERT_TRUE(record);
+  EXPECT_EQ(record->id, "i-1");
+  EXPECT_EQ(record->state, fleet::BackendState::kDraining);
+  EXPECT_EQ(record->version_of("m"), 2U);
+  EXPECT_FALSE(read_heartbeat("i-1", R"({"service":"s"})"));
+  EXPECT_FALSE(read_heartbeat("i-1", "{"));
+}
+
+TEST(PlatformBodies, ReadsWeightsReportsAndEvents) {
+  EXPECT_EQ(read_named_weights(R"({"model":"m","version":2})")->version, 2U);
+  EXPECT_FALSE(read_named_weights(R"({"model":"m"})"));
+  EXPECT_TRUE(read_report(R"({"busy":true,"sequence":2,"models":[]})")->busy);
+  EXPECT_EQ(read_next_event(R"({"epoch":1,"next_page_token":120})"), std::optional<uint64_t>(120));
+  EXPECT_FALSE(read_next_event("nonsense"));
+}
+
+}  // namespace
+}  // namespace stoat::platform
--- /dev/null
+++ b/tests/unit/weight_rollout_test.cc
@@ -0,0 +1,116 @@
+/// The rollout of weights: order of engines, bounds, lost and late orders.
+#include "src/control/weight_rollout.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace stoat::control {
+namespace {
+
+using Kind = RolloutStep::Kind;
+
+fleet::BackendRecord engine(const std::string& id, uint64_t version) {
+  fleet::BackendRecord record;
+  record.id = id;
+  record.service = "s";
+  record.models = {{"m", version}};
+  return record;
+}
+
+std::vector<std::string> ids(const std::vector<RolloutStep>& steps, Kind kind) {
+  std::vector<std::string> list;
+  for (const RolloutStep& step : steps) {
+    if (step.kind == kind) {
+      list.push_back(step.engine.id);
+    }
+  }
+  return list;
+}
+
+class WeightRolloutTest : public ::testing::Test {
+ protected:
+  std::vector<RolloutStep> plan(TimePoint now) { return rollout_.plan(engines_, weights_, now); }
+  std::vector<fleet::BackendRecord> engines_;
+  std::map<std::string, uint64_t> weights_ = {{"m", 2}};
+  WeightRollout rollout_{RolloutOptions{}};
+};
+
+TEST_F(WeightRolloutTest, BoundsHowManyLoadAtOnce) {
+  for (int i = 0; i < 8; ++i) {
+    engines_.push_back(engine("e" + std::to_string(i), 1));
+  }
+  EXPECT_EQ(ids(plan(1s), Kind::kAnnounce).size(), 2U);
+  EXPECT_EQ(ids(plan(1s + 1ms), Kind::kAnnounce).size(), 0U);
+}
+
+TEST_F(WeightRolloutTest, TheOldestWeightsGoFirst) {
+  // Found on the bench: engines that had just got version 2 were ordered to 3 before others had 2.
+  engines_ = {engine("a", 2), engine("b", 2), engine("c", 1), engine("d", 2)};
+  weights_["m"] = 3;
+  EXPECT_EQ(ids(plan(1s), Kind::kAnnounce), std::vector<std::string>{"c"});
+}
+
+TEST_F(WeightRolloutTest, OrdersALittleAfterTheAnnouncementThenAsksThenReleases) {
+  engines_ = {engine("a", 1)};
+  EXPECT_EQ(ids(plan(1s), Kind::kAnnounce).size(), 1U);
+  EXPECT_TRUE(plan(1s + 10ms).empty());
+  const auto ordered = plan(1s + 50ms);
+  ASSERT_EQ(ids(ordered, Kind::kOrder).size(), 1U);
+  EXPECT_EQ(ordered[0].version, 2U);
+  EXPECT_EQ(ordered[0].expected_sequence, 0U);
+  EXPECT_TRUE(plan(1s + 60ms).empty());
+  rollout_.on_order_answer("a", OrderAnswer::kTaken, 1s + 60ms);
+  EXPECT_EQ(ids(plan(2s), Kind::kCheck).size(), 1U);
+  rollout_.on_report("a", EngineReport{false, 1, {{"m", 2}}}, 2s);
+  engines_ = {engine("a", 2)};
+  EXPECT_EQ(ids(plan(2s + 1ms), Kind::kRelease).size(), 1U);
+  EXPECT_EQ(rollout_.under_way(), 0U);
+}
+
+TEST_F(WeightRolloutTest, SkipsVersionsThatANewerOneHasOvertaken) {
+  engines_ = {engine("a", 1)};
+  weights_["m"] = 7;
+  EXPECT_EQ(plan(1s).at(0).version, 7U);
+}
+
+TEST_F(WeightRolloutTest, AnOrderWithoutAnswerIsGivenAgainWithTheSequenceThatTheEngineTells) {
+  engines_ = {engine("a", 1)};
+  plan(1s);
+  plan(1s + 50ms);
+  rollout_.on_order_answer("a", OrderAnswer::kNone, 1s + 300ms);
+  EXPECT_EQ(ids(plan(1s + 400ms), Kind::kCheck).size(), 1U);
+  rollout_.on_report("a", EngineReport{false, 3, {{"m", 1}}}, 1s + 410ms);
+  const auto again = plan(2s);
+  ASSERT_EQ(ids(again, Kind::kOrder).size(), 1U);
+  EXPECT_EQ(again[0].expected_sequence, 3U);
+}
+
+TEST_F(WeightRolloutTest, LeavesAnEngineAloneForAWhileThatCouldNotBeReached) {
+  // Found on the bench: an engine that had crashed was ordered 15 times in a second.
+  engines_ = {engine("a", 1)};
+  plan(1s);
+  plan(1s + 50ms);
+  rollout_.on_order_answer("a", OrderAnswer::kRefused, 1s + 50ms);
+  EXPECT_EQ(ids(plan(1s + 60ms), Kind::kRelease).size(), 1U);
+  EXPECT_TRUE(plan(1s + 500ms).empty());
+  EXPECT_EQ(ids(plan(1s + 1200ms), Kind::kAnnounce).size(), 1U);
+}
+
+TEST_F(WeightRolloutTest, StopsWhenAHigherFenceWasSeen) {
+  engines_ = {engine("a", 1)};
+  plan(1s);
+  plan(1s + 50ms);
+  rollout_.on_order_answer("a", OrderAnswer::kFenced, 1s + 50ms);
+  EXPECT_TRUE(rollout_.fenced_off());
+}
+
+TEST_F(WeightRolloutTest, OrdersNothingOfEnginesThatLeaveOrAreLost) {
+  engines_ = {engine("a", 1), engine("b", 1)};
+  engines_[0].state = fleet::BackendState::kDraining;
+  engines_[1].lost = true;
+  EXPECT_TRUE(plan(1s).empty());
+}
+
+}  // namespace
+}  // namespace stoat::control
