Give each named version of weights its own time limit

A third version that was named restarted the clock of the second, so that an engine that came back with the first was still used 8.5 s after the second had been named. A router that restarts counted from its start.

Ruled out: a slow rollout: the engines had crashed, and came back after the limit.

Change: WantedWeights keeps each version with its time; control members tell how old each naming is.

Test WantedWeights.EachVersionHasItsOwnLimitHoweverSoonAnotherFollows.

--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -11,6 +11,8 @@
 constexpr Duration kRouterLease = 1500ms;
 /// A follower leaves a new configuration to the leader for so long before it sends it as well.
 constexpr Duration kFollowerDelay = 400ms;
+/// Named versions of a model that go with each update.
+constexpr size_t kNamedVersions = 6;
 /// Retirements that go with each update. A router hears a few updates a second.
 constexpr size_t kRecentRetired = 64;
 
@@ -117,7 +119,9 @@
   update.leads = core_->replica().leads();
   update.quorum_age_ms = update.leads ? confirmed_age_ms() : -1;
   update.configuration_version = state.configuration().version;
-  update.weights = state.weights();
+  for (const NamedSince& named : named_) {
+    update.weights.push_back({named.model, named.version, to_milliseconds(loop_.now() - named.at)});
+  }
   const auto& retired = state.retired();
   const size_t skip = retired.size() > kRecentRetired ? retired.size() - kRecentRetired : 0;
   update.retired.assign(retired.begin() + static_cast<std::ptrdiff_t>(skip), retired.end());
@@ -176,9 +180,25 @@
   }
 }
 
+void FleetServer::notice_named_weights() {
+  for (const auto& [model, version] : core_->state().fleet().weights()) {
+    const bool known = std::any_of(named_.begin(), named_.end(), [&, &name = model, &number = version](
+                                                                     const NamedSince& named) {
+      return named.model == name && named.version >= number;
+    });
+    if (!known) {
+      named_.push_back({model, version, loop_.now()});
+    }
+  }
+  while (named_.size() > kNamedVersions * core_->state().fleet().weights().size()) {
+    named_.erase(named_.begin());
+  }
+}
+
 void FleetServer::notice_changes() {
   const fleet::FleetState& state = core_->state().fleet();
   if (state.revision() != noticed_revision_) {
+    notice_named_weights();
     for (const fleet::RetiredBackend& retired : state.retired()) {
       registry_.retire(retired.id, retired.state);
     }
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -80,6 +80,12 @@
     std::function<void(std::optional<std::string>)> on_read;
     TimePoint expires{0};
   };
+  /// A named version of weights, and when this member learned of it.
+  struct NamedSince {
+    std::string model;
+    uint64_t version = 0;
+    TimePoint at{0};
+  };
   struct RouterSeen {
     fleet::RouterStatus status;
     std::shared_ptr<wire::Channel> channel;
@@ -112,6 +118,7 @@
   void update_router(RouterSeen& router, fleet::FleetUpdate update, bool prompted);
   void push_to_routers();
   void notice_changes();
+  void notice_named_weights();
   void send_heartbeats();
   void keep_registry();
   void watch_stores();
@@ -147,6 +154,7 @@
   std::vector<fleet::BackendRecord> unsent_heartbeats_;
   std::map<std::string, RouterSeen> routers_;  ///< by name
   uint64_t noticed_revision_ = 0;
+  std::vector<NamedSince> named_;  ///< oldest first; the newest few of each model
   uint64_t noticed_digest_ = 0;
   size_t noticed_retired_ = 0;
 
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -107,10 +107,32 @@
   give_up("time-out");
 }
 
+void WantedWeights::note(uint64_t version, TimePoint since) {
+  constexpr size_t kMostVersions = 16;
+  const auto [entry, added] = since_.emplace(version, since);
+  entry->second = std::min(entry->second, since);
+  if (added && since_.size() > kMostVersions) {
+    since_.erase(since_.begin());
+  }
+}
+
+std::optional<Duration> WantedWeights::outdated_for(uint64_t version, TimePoint now) const {
+  // Each version has its own limit: the lowest one above counts, however soon others followed.
+  const auto next = since_.upper_bound(version);
+  return next == since_.end() ? std::nullopt : std::optional<Duration>(now - next->second);
+}
+
+std::optional<Duration> RequestRun::outdated_for(const Backend& backend) const {
+  const auto wanted = context_.wanted.find(plan_.fields.model);
+  if (wanted == context_.wanted.end()) {
+    return std::nullopt;
+  }
+  return wanted->second.outdated_for(backend.record.version_of(plan_.fields.model), context_.loop.now());
+}
+
 std::vector<BackendPtr> RequestRun::candidates() {
   const TimePoint now = context_.loop.now();
   const fleet::Service* service = plan_.table->service(plan_.service);
-  const auto wanted = context_.wanted.find(plan_.fields.model);
   std::vector<BackendPtr> usable;
   std::vector<BackendPtr> doubtful;
   for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
@@ -118,8 +140,7 @@
     if (record.loading || tried_.count(record.id) > 0) {
       continue;
     }
-    if (wanted != context_.wanted.end() && record.version_of(plan_.fields.model) < wanted->second.version &&
-        now - wanted->second.known_since > context_.old_weights_limit) {
+    if (outdated_for(*backend).value_or(Duration(0)) > context_.old_weights_limit) {
       continue;
     }
     if (service != nullptr && service->connection_limit > 0 && backend->idle.empty() &&
@@ -134,7 +155,6 @@
 }
 
 BackendPtr RequestRun::choose(const std::vector<BackendPtr>& candidates) {
-  const auto wanted = context_.wanted.find(plan_.fields.model);
   std::vector<placement::EngineView> views;
   views.reserve(candidates.size());
   for (const BackendPtr& backend : candidates) {
@@ -144,9 +164,7 @@
     view.outstanding = backend->outstanding + backend->others_outstanding;
     view.prefill_tokens = backend->prefill_tokens + backend->others_prefill_tokens;
     view.slots = backend->record.slots;
-    view.old_weights = wanted != context_.wanted.end() &&
-                       context_.loop.now() - wanted->second.known_since > kOldWeightsFree &&
-                       backend->record.version_of(plan_.fields.model) < wanted->second.version;
+    view.old_weights = outdated_for(*backend).value_or(Duration(0)) > kOldWeightsFree;
     view.same_zone = backend->record.zone == context_.zone;
     views.push_back(view);
   }
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -21,10 +21,17 @@
 
 namespace stoat::dispatch {
 
-/// A version of a model's weights as this router knows it to be wanted.
-struct WantedVersion {
-  uint64_t version = 0;
-  TimePoint known_since{0};
+/// The versions of a model's weights that were named, each with the time since when engines should have it.
+class WantedWeights {
+ public:
+  /// Notes a named version. Of several times for one version the earliest counts.
+  void note(uint64_t version, TimePoint since);
+  /// How long a version has been out of date; nullopt when no higher one is named.
+  std::optional<Duration> outdated_for(uint64_t version, TimePoint now) const;
+  uint64_t newest() const { return since_.empty() ? 0 : since_.rbegin()->first; }
+
+ private:
+  std::map<uint64_t, TimePoint> since_;  ///< by version
 };
 
 /// What all requests of a router share.
@@ -40,7 +47,7 @@
   Duration old_weights_limit = 6s;  ///< after a version was named, engines with older weights are used no more
   delivery::WindowBudgetOptions budget_options = {};
   std::map<std::string, delivery::WindowBudget> budgets = {};  ///< by service
-  std::map<std::string, WantedVersion> wanted = {};            ///< by model
+  std::map<std::string, WantedWeights> wanted = {};            ///< by model
   std::string store = {};  ///< address of a live store of KV cache; empty: none
   placement::PlacementCosts costs = {};
 
@@ -95,6 +102,7 @@
   void on_timer();
   void try_dispatch();
   std::vector<BackendPtr> candidates();
+  std::optional<Duration> outdated_for(const Backend& backend) const;
   BackendPtr choose(const std::vector<BackendPtr>& candidates);
   BackendPtr cache_source(const Backend& target) const;
   void send_to(const BackendPtr& backend);
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -29,6 +29,14 @@
   MSGPACK_DEFINE_ARRAY(router, sequence, configuration_version, registry_digest, loads)
 };
 
+/// A version of a model's weights that was named, and how long ago as far as the sender knows.
+struct NamedVersion {
+  std::string model;
+  uint64_t version = 0;
+  int64_t age_ms = 0;
+  MSGPACK_DEFINE_ARRAY(model, version, age_ms)
+};
+
 /// Control member to router: the answer to a status, or unprompted when something has changed.
 struct FleetUpdate {
   uint64_t answers = 0;  ///< sequence of the status that is answered; 0: unprompted
@@ -40,7 +48,7 @@
   bool registry_given = false;
   std::vector<BackendRecord> registry;  ///< counts when registry_given
   std::vector<RetiredBackend> retired;  ///< recent ones
-  std::map<std::string, uint64_t> weights;
+  std::vector<NamedVersion> weights;        ///< the newest few of each model, oldest first
   std::vector<std::string> members;  ///< "address:port" of the internal protocol of each control member
   uint32_t router_count = 0;         ///< live routers
   std::vector<BackendLoad> loads;    ///< of all other routers together
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -84,12 +84,13 @@
     pool_.update(update.registry);
     registry_digest_ = fleet::digest_of(update.registry);
   }
-  for (const auto& [model, version] : update.weights) {
-    dispatch::WantedVersion& wanted = context_.wanted[model];
-    if (version > wanted.version) {
-      wanted = {version, loop_.now()};
-      log_.info("weights named", {{"model", model}, {"version", version}});
+  for (const fleet::NamedVersion& named : update.weights) {
+    dispatch::WantedWeights& wanted = context_.wanted[named.model];
+    if (named.version > wanted.newest()) {
+      log_.info("weights named",
+                {{"model", named.model}, {"version", named.version}, {"age_ms", named.age_ms}});
     }
+    wanted.note(named.version, loop_.now() - Duration(1000 * named.age_ms));
   }
   if (update.router_count > 0) {
     context_.router_count = update.router_count;
--- a/tests/unit/fleet_parts_test.cc
+++ b/tests/unit/fleet_parts_test.cc
@@ -7,6 +7,7 @@
 #include "src/delivery/event_splitter.h"
 #include "src/delivery/window_budget.h"
 #include "src/dispatch/request_fields.h"
+#include "src/dispatch/request_run.h"
 #include "src/fleet/backend_registry.h"
 #include "src/fleet/fleet_state.h"
 #include "src/placement/part_placement.h"
@@ -220,6 +221,18 @@
   EXPECT_TRUE(budget.take(60s, 4));
 }
 
+TEST(WantedWeights, EachVersionHasItsOwnLimitHoweverSoonAnotherFollows) {
+  // Found on the bench: a third version restarted the clock of the second, and an engine that came back with
+  // the first was used 8.5 s after the second had been named.
+  dispatch::WantedWeights wanted;
+  wanted.note(2, 4s);
+  wanted.note(3, 12s);
+  wanted.note(2, 5s);
+  EXPECT_EQ(wanted.outdated_for(1, 13s), std::optional<Duration>(9s));
+  EXPECT_EQ(wanted.outdated_for(2, 13s), std::optional<Duration>(1s));
+  EXPECT_EQ(wanted.outdated_for(3, 13s), std::nullopt);
+}
+
 RC_GTEST_PROP(EventSplitter, GivesTheSameEventsHoweverTheBytesAreCut, (std::vector<uint8_t> cuts)) {
   std::string stream;
   for (int id = 1; id <= 20; ++id) {
