Let streams that may not be resumed go on from a copy of their run

Change: a streaming request that may not be resumed names another engine of the same weights for a copy, and goes on there once when its engine breaks off, only while both engines still have the weights that it began on.

--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <utility>
 
 #include "src/common/hash.h"
 
@@ -179,7 +180,7 @@
   const std::vector<BackendPtr> found = candidates();
   if (!found.empty()) {
     waiting_ = false;
-    send_to(choose(found));
+    send_to(choose(found), "");
     return;
   }
   if (now >= wait_until_ || ran_ != Ran::kNo) {
@@ -284,6 +285,12 @@
     if (!cache.target.empty()) {
       add(names.kv_target, cache.target);
     }
+    if (!cache.backup.empty()) {
+      add(names.kv_backup, cache.backup);
+    }
+    if (!cache.from.empty()) {
+      add(names.kv_from, cache.from);
+    }
   }
   if (!plan_.request.body.empty() || plan_.request.method == "POST" || plan_.request.method == "PUT") {
     add("Content-Length", std::to_string(plan_.request.body.size()));
@@ -291,7 +298,51 @@
   return head + "\r\n";
 }
 
-void RequestRun::send_to(const BackendPtr& backend) {
+BackendPtr RequestRun::choose_backup(const Backend& target) const {
+  const fleet::Service* service = plan_.table->service(plan_.service);
+  const bool wanted = plan_.route->kind == fleet::RouteKind::kStreaming && !plan_.route->resumable;
+  if (!wanted || service == nullptr || !service->engine.backups) {
+    return nullptr;
+  }
+  const TimePoint now = context_.loop.now();
+  BackendPtr best;
+  for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
+    const auto health = context_.pool.outliers().handle_of(backend->record.id);
+    const bool sound = !backend->record.loading && !backend->record.lost &&
+                       delivery::OutlierDetector::usable(health, now);
+    if (!sound || backend->record.id == target.record.id ||
+        backend->record.version_of(plan_.fields.model) != target.record.version_of(plan_.fields.model)) {
+      continue;
+    }
+    // Copies within a zone are cheaper; among equals the less loaded engine has more room.
+    const auto rank = [&](const Backend& entry) {
+      return std::make_pair(entry.record.zone != target.record.zone,
+                            entry.outstanding + entry.others_outstanding);
+    };
+    if (best == nullptr || rank(*backend) < rank(*best)) {
+      best = backend;
+    }
+  }
+  return best;
+}
+
+bool RequestRun::go_on_from_copy(const Backend& failed) {
+  const BackendPtr holder = std::exchange(backup_, nullptr);
+  const std::string& model = plan_.fields.model;
+  // A copy is worth nothing once the weights of either engine have changed: it was made under others.
+  const bool same_weights = holder != nullptr && !holder->record.loading && !failed.record.loading &&
+                            holder->record.version_of(model) == run_weights_ &&
+                            failed.record.version_of(model) == run_weights_;
+  if (!same_weights || from_copy_ || context_.loop.now() >= give_up_at_ ||
+      !context_.budget_of(plan_.service).take(context_.loop.now(), context_.router_count)) {
+    return false;
+  }
+  context_.metrics.count("stoat_router_copies_used_total");
+  send_to(holder, failed.record.address);
+  return true;
+}
+
+void RequestRun::send_to(const BackendPtr& backend, const std::string& copy_of) {
   const TimePoint now = context_.loop.now();
   const auto connection = context_.pool.take_connection(backend);
   tried_.insert(backend->record.id);
@@ -305,7 +356,15 @@
   body_.clear();
   splitter_.reset();
   ++backend->outstanding;
-  const CachePlan cache = plan_cache(*backend);
+  from_copy_ = !copy_of.empty();
+  run_weights_ = from_copy_ ? run_weights_ : backend->record.version_of(plan_.fields.model);
+  CachePlan cache = plan_cache(*backend);
+  if (from_copy_) {
+    cache = CachePlan{"", "", "", copy_of + "/" + plan_.fields.id};
+  } else if (const BackendPtr backup = choose_backup(*backend)) {
+    backup_ = backup;
+    cache.backup = backup->record.address;
+  }
   if (!chain_.links.empty()) {
     counted_prefill_ =
         chain_.prompt_tokens - std::min(chain_.prompt_tokens, backend->memory.cached_tokens(chain_, now));
@@ -485,6 +544,10 @@
 
 void RequestRun::on_not_run() {
   ++refusals_;
+  if (from_copy_) {
+    give_up("no copy of the run");
+    return;
+  }
   if (may_repeat(true)) {
     context_.metrics.count("stoat_router_repeats_total");
     try_dispatch();
@@ -500,6 +563,7 @@
   context_.metrics.count("stoat_router_exchange_failures_total",
                          {{"kind", std::to_string(static_cast<int>(failure))}});
   const std::string backend = backend_->record.id;
+  const BackendPtr failed = backend_;
   end_exchange(false);
   if (failure == ExchangeFailure::kNotConnected) {
     on_not_run();
@@ -516,6 +580,9 @@
     try_dispatch();
     return;
   }
+  if (go_on_from_copy(*failed)) {
+    return;
+  }
   if (streaming_) {
     break_off("the engine broke off");
     return;
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -71,6 +71,8 @@
 struct CachePlan {
   std::string source;
   std::string target;
+  std::string backup;  ///< the engine that gets a copy of the run's memory
+  std::string from;    ///< of a run that goes on from such a copy: where it ran, and its id
 };
 
 /// See the head of this file. Lives until its final answer or the caller's leaving; on_done is then called.
@@ -105,7 +107,10 @@
   std::optional<Duration> outdated_for(const Backend& backend) const;
   BackendPtr choose(const std::vector<BackendPtr>& candidates);
   BackendPtr cache_source(const Backend& target) const;
-  void send_to(const BackendPtr& backend);
+  /// `copy_of`: the address of the failed engine whose run goes on from its copy; empty: a run from the start.
+  void send_to(const BackendPtr& backend, const std::string& copy_of);
+  BackendPtr choose_backup(const Backend& target) const;
+  bool go_on_from_copy(const Backend& failed);
   CachePlan plan_cache(const Backend& target) const;
   std::string request_head(const Backend& backend, const CachePlan& cache, TimePoint now) const;
   bool set_by_system(const std::string& name) const;
@@ -139,6 +144,9 @@
   placement::PromptChain chain_;
 
   BackendPtr backend_;
+  BackendPtr backup_;         ///< has a copy of the run at backend_
+  bool from_copy_ = false;    ///< the run at backend_ goes on from a copy
+  uint64_t run_weights_ = 0;  ///< version of the weights that the run began on
   std::shared_ptr<EngineConnection> connection_;
   uint64_t counted_prefill_ = 0;  ///< tokens counted at backend_ until the first event
   AnswerKind kind_ = AnswerKind::kNone;
--- a/src/fleet/fleet_configuration.h
+++ b/src/fleet/fleet_configuration.h
@@ -56,7 +56,8 @@
   uint64_t kv_tokens = 0;           ///< memory for KV cache, in tokens
   double kv_bytes_per_token = 0;    ///< size of the KV cache of one token
   std::vector<std::string> models;  ///< names of the models that it serves
-  MSGPACK_DEFINE_ARRAY(slots, kv_tokens, kv_bytes_per_token, models)
+  bool backups = false;             ///< a run's memory can be copied to another engine while it grows
+  MSGPACK_DEFINE_ARRAY(slots, kv_tokens, kv_bytes_per_token, models, backups)
   bool operator==(const EngineProfile&) const = default;
 };
 
--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -143,6 +143,8 @@
     configuration.services.resize(2);
     configuration.services[0].name = "calls";
     configuration.services[1].name = "models";
+    configuration.services[1].runs_models = true;
+    configuration.services[1].engine.backups = true;
     configuration.tenants = {{"t1", {"k1"}, 0, false}, {"t2", {"k2"}, 0, true}};
     return configuration;
   }
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -247,6 +247,63 @@
   EXPECT_NE(answer.find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+TEST_F(GatewayTest, AStreamThatMayNotBeResumedGoesOnFromItsCopy) {
+  std::atomic<int> sends{0};
+  const auto handler = [&](const SeenRequest& request) -> Script {
+    const std::string head = stream_head(request.header("X-Request-Id"));
+    if (++sends == 1) {
+      EXPECT_NE(request.header("X-Kv-Backup"), "");
+      return {send_step(head + chunk(event(1))), wait_step(std::chrono::milliseconds(30)), reset_step()};
+    }
+    EXPECT_NE(request.header("X-Kv-From").find("/q1"), std::string::npos);
+    EXPECT_EQ(request.header("Last-Event-Id"), "1");
+    return {send_step(head + chunk(event(2)) + "0\r\n\r\n")};
+  };
+  ScriptedEngine engine(handler);
+  ScriptedEngine other(handler);
+  add_engine("e1", "models", engine);
+  add_engine("e2", "models", other);
+  const std::string answer = ask("POST", "/stream/", "q1", std::string(kChain) + "Content-Length: 0\r\n");
+  EXPECT_NE(answer.find(event(1)), std::string::npos);
+  EXPECT_NE(answer.find(event(2)), std::string::npos);
+  EXPECT_NE(answer.find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(GatewayTest, ACopyIsNotUsedOnceWeightsHaveChanged) {
+  // Found on the bench (STALE): the failed engine had new weights by the end of its run.
+  const auto handler = [&](const SeenRequest& request) -> Script {
+    const std::string head = "HTTP/1.1 200 OK\r\n" + own(request.header("X-Request-Id")) +
+                             "X-Weights-Version: 2\r\nTransfer-Encoding: chunked\r\n\r\n";
+    return {send_step(head + chunk(event(1))), wait_step(std::chrono::milliseconds(30)), reset_step()};
+  };
+  ScriptedEngine engine(handler);
+  ScriptedEngine other(handler);
+  add_engine("e1", "models", engine);
+  add_engine("e2", "models", other);
+  const std::string answer = ask("POST", "/stream/", "q1", std::string(kChain) + "Content-Length: 0\r\n");
+  EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
+  EXPECT_EQ(engine.requests().size() + other.requests().size(), 1U);
+}
+
+TEST_F(GatewayTest, AStreamWithoutACopyIsBrokenOff) {
+  std::atomic<int> sends{0};
+  const auto handler = [&](const SeenRequest& request) -> Script {
+    const std::string id = request.header("X-Request-Id");
+    if (++sends == 1) {
+      return {send_step(stream_head(id) + chunk(event(1))), wait_step(std::chrono::milliseconds(30)),
+              reset_step()};
+    }
+    return {send_step(whole_answer(503, "X-Request-Id: " + id + "\r\nX-Not-Run: 1\r\n", ""))};
+  };
+  ScriptedEngine engine(handler);
+  ScriptedEngine other(handler);
+  add_engine("e1", "models", engine);
+  add_engine("e2", "models", other);
+  const std::string answer = ask("POST", "/stream/", "q1", std::string(kChain) + "Content-Length: 0\r\n");
+  EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
+  EXPECT_EQ(sends, 2);
+}
+
 TEST_F(GatewayTest, NamesTheExpectedWeightsAndLearnsNewerOnesFromAnswers) {
   std::atomic<int> sends{0};
   ScriptedEngine engine([&](const SeenRequest& request) -> Script {
