Tell callers to come back when a router that can't serve yet probably can

Cause: a third of the refusals came in the two seconds after a loss of power; their callers came again after 0.5 s, were refused again, and had no try left.

Ruled out: holding them: a held request is priced, and a final answer is owed at once.

Change: Retry-After of 2 s without configuration or confirmed keys, 1.5 s where no back end of the service is known; 0.5 s as before where back ends are busy.

--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -32,6 +32,8 @@
 constexpr size_t kMaxWholeBody = 4U << 20U;
 /// A request that could not be placed is told to come back after so long.
 constexpr double kRetryAfterS = 0.5;
+/// The same where no back end of the service is known: heartbeats come every second or so.
+constexpr double kNoBackendRetryAfterS = 1.5;
 constexpr uint32_t kMaxUrgency = 9;
 constexpr uint32_t kRoutePriorities = 3;
 
@@ -607,7 +609,8 @@
   } else if (ran_ == Ran::kMaybe) {
     reply_own(kBadGateway, reason, 0);
   } else {
-    reply_own(kUnavailable, reason, kRetryAfterS);
+    const bool none_known = context_.pool.serving(plan_.service).empty();
+    reply_own(kUnavailable, reason, none_known ? kNoBackendRetryAfterS : kRetryAfterS);
   }
 }
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -10,6 +10,8 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr Duration kStopCheck = 50ms;
+/// A router that has just started, or has lost control, needs about so many seconds to serve again.
+constexpr char kStartRetryAfter[] = "2";
 constexpr Duration kQueueMargin = 1500ms;
 
 }  // namespace
@@ -130,7 +132,7 @@
   }
   head.headers.add("Content-Type", "text/plain");
   if (status == kUnavailable) {
-    head.headers.add("Retry-After", "0.5");
+    head.headers.add("Retry-After", kStartRetryAfter);
   }
   log_.info("request refused", {{"request", plan.fields.id},
                                 {"status", status},
