Find engines that have gone dark while a stream is quiet

Cause: a stream whose engine lost power waited until the caller gave up: nothing was being sent, so nothing went unacknowledged.

Ruled out: a time-out on silence, since an engine's silence is no reason to end an answer sooner.

Change: keep-alive probes each second on connections to back ends, with the limit on unacknowledged data as before. The sources are formatted anew.

--- a/src/control/command.h
+++ b/src/control/command.h
@@ -70,9 +70,8 @@
 };
 
 /// Any command. New alternatives go at the end.
-using Command =
-    wire::Packed<ChangeConfiguration, ClaimKey, FinishClaim, IssueOrder, CompleteOrder, ExpireClaims,
-                 fleet::PutConfiguration, fleet::NameWeights, fleet::RetireBackend>;
+using Command = wire::Packed<ChangeConfiguration, ClaimKey, FinishClaim, IssueOrder, CompleteOrder,
+                             ExpireClaims, fleet::PutConfiguration, fleet::NameWeights, fleet::RetireBackend>;
 
 /// How a command ended.
 enum class ResultCode : uint8_t {
--- a/src/control/engine_orders.h
+++ b/src/control/engine_orders.h
@@ -1,5 +1,5 @@
-/// How a control member speaks to engines and KV stores: orders and questions for their state. The form on the wire is the
-/// implementation's.
+/// How a control member speaks to engines and KV stores: orders and questions for their state. The form on
+/// the wire is the implementation's.
 #pragma once
 
 #include <functional>
--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -182,10 +182,10 @@
 
 void FleetServer::notice_named_weights() {
   for (const auto& [model, version] : core_->state().fleet().weights()) {
-    const bool known = std::any_of(named_.begin(), named_.end(), [&, &name = model, &number = version](
-                                                                     const NamedSince& named) {
-      return named.model == name && named.version >= number;
-    });
+    const bool known = std::any_of(named_.begin(), named_.end(),
+                                   [&, &name = model, &number = version](const NamedSince& named) {
+                                     return named.model == name && named.version >= number;
+                                   });
     if (!known) {
       named_.push_back({model, version, loop_.now()});
     }
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -118,8 +118,7 @@
   consensus::Snapshot first;
   first.index = 1;
   first.term = 1;
-  first.members.members.push_back(
-      {identity_.id, to_hex(identity_.id), to_string(settings_.internal), true});
+  first.members.members.push_back({identity_.id, to_hex(identity_.id), to_string(settings_.internal), true});
   first.state = StateMachine().save();
   consensus::RestoredState restored;
   restored.snapshot = first;
@@ -274,9 +273,9 @@
   addresses.erase(to_string(settings_.internal));
   for (const std::string& address : addresses) {
     if (const ChannelPtr channel = channel_to(address)) {
-      channel->send(wire::JoinRequest{
-          {identity_.id, to_hex(identity_.id), to_string(settings_.internal), false},
-          core_->replica().last_index() == 0});
+      channel->send(
+          wire::JoinRequest{{identity_.id, to_hex(identity_.id), to_string(settings_.internal), false},
+                            core_->replica().last_index() == 0});
     }
   }
 }
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -1,6 +1,6 @@
 /// A control member for fleets that keep themselves: the replicated log with self-healing membership, the
-/// registry of back ends, the routers that follow it, and the rollout of weights. The calls of operators, back
-/// ends and callers come in through its public methods; their form on the wire is the caller's.
+/// registry of back ends, the routers that follow it, and the rollout of weights. The calls of operators,
+/// back ends and callers come in through its public methods; their form on the wire is the caller's.
 #pragma once
 
 #include <deque>
@@ -32,14 +32,14 @@
   std::string name;
   std::string zone;
   std::string region;
-  Endpoint internal;                 ///< of the protocol between the system's own processes
-  std::vector<Endpoint> seeds;       ///< internal endpoints of members to ask at the start
+  Endpoint internal;            ///< of the protocol between the system's own processes
+  std::vector<Endpoint> seeds;  ///< internal endpoints of members to ask at the start
   std::string data_folder;
-  bool first_start = false;          ///< the fleet starts for the first time: the first seed founds it
+  bool first_start = false;  ///< the fleet starts for the first time: the first seed founds it
   ControlOptions core;
   RolloutOptions rollout;
   fleet::RegistryOptions registry;
-  Duration holder_lease = 3s;        ///< how long a former holder's orders keep a new one waiting
+  Duration holder_lease = 3s;  ///< how long a former holder's orders keep a new one waiting
 };
 
 /// Reads the settings of a fleet control member.
--- a/src/control/member_planner.cc
+++ b/src/control/member_planner.cc
@@ -54,11 +54,11 @@
   return list;
 }
 
-std::optional<MemberList> take_in(const std::vector<MemberView>& present, const std::vector<Member>& joining) {
+std::optional<MemberList> take_in(const std::vector<MemberView>& present,
+                                  const std::vector<Member>& joining) {
   for (const Member& newcomer : joining) {
-    const bool known = std::any_of(present.begin(), present.end(), [&](const MemberView& view) {
-      return view.member.id == newcomer.id;
-    });
+    const bool known = std::any_of(present.begin(), present.end(),
+                                   [&](const MemberView& view) { return view.member.id == newcomer.id; });
     if (!known) {
       MemberList list = list_of(present);
       list.members.push_back(newcomer);
--- a/src/control/member_planner.h
+++ b/src/control/member_planner.h
@@ -13,9 +13,9 @@
 
 /// Settings of the planner.
 struct PlannerOptions {
-  Duration voter_silence = 1500ms;   ///< a voter silent for so long may be replaced by a learner
-  Duration learner_silence = 10s;    ///< a learner silent for so long is dropped
-  Duration joining_lease = 1500ms;   ///< how long a request to join counts
+  Duration voter_silence = 1500ms;  ///< a voter silent for so long may be replaced by a learner
+  Duration learner_silence = 10s;   ///< a learner silent for so long is dropped
+  Duration joining_lease = 1500ms;  ///< how long a request to join counts
 };
 
 /// What the leader knows of one member of the present list.
--- a/src/control/store_watch.cc
+++ b/src/control/store_watch.cc
@@ -28,17 +28,19 @@
 void StoreWatch::ask(const std::string& address, Store& store, TimePoint now) {
   store.asking = true;
   const uint64_t generation = store.generation;
-  engines_.watch_store(address, store.next_event, [this, address, generation, now](std::optional<uint64_t> next) {
-    const auto found = stores_.find(address);
-    if (found == stores_.end() || found->second.generation != generation) {
-      return;
-    }
-    Store& asked = found->second;
-    asked.asking = false;
-    asked.live = next.has_value();
-    asked.next_event = next.value_or(0);
-    asked.next_question = now + kRetryInterval;  // counted from the question: an open one has waited longer
-  });
+  engines_.watch_store(
+      address, store.next_event, [this, address, generation, now](std::optional<uint64_t> next) {
+        const auto found = stores_.find(address);
+        if (found == stores_.end() || found->second.generation != generation) {
+          return;
+        }
+        Store& asked = found->second;
+        asked.asking = false;
+        asked.live = next.has_value();
+        asked.next_event = next.value_or(0);
+        asked.next_question =
+            now + kRetryInterval;  // counted from the question: an open one has waited longer
+      });
 }
 
 std::vector<std::string> StoreWatch::live() const {
--- a/src/control/weight_rollout.h
+++ b/src/control/weight_rollout.h
@@ -1,9 +1,9 @@
 /// Decides which engines get new weights next. Free of I/O: is told what the engines have and how the orders
 /// went, gives the steps to take. Runs on the leader only.
 ///
-/// An engine is first announced as loading, so that routers send it nothing; a moment later it gets its order;
-/// then it is asked for its state until it has the version. Versions that a newer one has overtaken are
-/// skipped. A bounded share of the engines loads at once.
+/// An engine is first announced as loading, so that routers send it nothing; a moment later it gets its
+/// order; then it is asked for its state until it has the version. Versions that a newer one has overtaken
+/// are skipped. A bounded share of the engines loads at once.
 #pragma once
 
 #include <map>
@@ -17,19 +17,19 @@
 
 /// Settings of a rollout.
 struct RolloutOptions {
-  double load_share = 0.25;          ///< of the engines that load at once, rounded up
-  Duration announce_lead = 40ms;     ///< between the announcement and the order
-  Duration first_check = 650ms;      ///< from the order to the first question for its result
-  Duration check_interval = 150ms;   ///< between such questions
-  Duration retry_delay = 20ms;       ///< before an engine is asked how an order without an answer went
-  Duration refusal_rest = 1s;        ///< an engine that refused, or could not be reached, is left alone so long
-  Duration load_limit = 6s;          ///< an order without result is given up on and sent again
+  double load_share = 0.25;         ///< of the engines that load at once, rounded up
+  Duration announce_lead = 40ms;    ///< between the announcement and the order
+  Duration first_check = 650ms;     ///< from the order to the first question for its result
+  Duration check_interval = 150ms;  ///< between such questions
+  Duration retry_delay = 20ms;      ///< before an engine is asked how an order without an answer went
+  Duration refusal_rest = 1s;  ///< an engine that refused, or could not be reached, is left alone so long
+  Duration load_limit = 6s;    ///< an order without result is given up on and sent again
 };
 
 /// What an engine told of itself.
 struct EngineReport {
-  bool busy = false;           ///< an order is under way
-  uint64_t order_sequence = 0; ///< orders taken since its start
+  bool busy = false;            ///< an order is under way
+  uint64_t order_sequence = 0;  ///< orders taken since its start
   std::vector<fleet::ModelVersion> models;
 };
 
@@ -90,7 +90,7 @@
                std::vector<RolloutStep>& steps);
 
   RolloutOptions options_;
-  std::map<std::string, Load> loads_;               ///< by engine
+  std::map<std::string, Load> loads_;                ///< by engine
   std::map<std::string, uint64_t> order_sequences_;  ///< by engine: orders that it has taken
   std::map<std::string, TimePoint> refused_until_;   ///< by engine
   bool fenced_off_ = false;
--- a/src/delivery/event_splitter.h
+++ b/src/delivery/event_splitter.h
@@ -18,8 +18,8 @@
 /// See the head of this file.
 class EventSplitter {
  public:
-  /// Takes the next bytes and calls `on_event(const StreamEvent&)` for each event that is now whole. The event
-  /// is valid during the call.
+  /// Takes the next bytes and calls `on_event(const StreamEvent&)` for each event that is now whole. The
+  /// event is valid during the call.
   template <typename Handler>
   void feed(std::string_view bytes, const Handler& on_event) {
     buffer_.append(bytes);
--- a/src/delivery/window_budget.h
+++ b/src/delivery/window_budget.h
@@ -11,10 +11,10 @@
 
 /// The fleet's bound.
 struct WindowBudgetOptions {
-  double ratio = 0.2;      ///< of the requests of the window
-  double slack = 50;       ///< repeats allowed besides, over all routers
+  double ratio = 0.2;  ///< of the requests of the window
+  double slack = 50;   ///< repeats allowed besides, over all routers
   Duration window = 10s;
-  double caution = 0.75;   ///< the part of the bound that is used
+  double caution = 0.75;  ///< the part of the bound that is used
 };
 
 /// See the head of this file. One for each service.
@@ -32,8 +32,9 @@
       requests += entry.requests;
       repeats += entry.repeats;
     }
-    const double bound = options_.caution * (options_.ratio * static_cast<double>(requests) +
-                                             options_.slack / static_cast<double>(routers == 0 ? 1 : routers));
+    const double bound =
+        options_.caution * (options_.ratio * static_cast<double>(requests) +
+                            options_.slack / static_cast<double>(routers == 0 ? 1 : routers));
     if (static_cast<double>(repeats + 1) > bound) {
       return false;
     }
--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -147,8 +147,8 @@
   if (backend == nullptr) {
     return;
   }
-  backend->connections -= std::erase_if(
-      backend->idle, [connection](const auto& entry) { return entry.get() == connection; });
+  backend->connections -=
+      std::erase_if(backend->idle, [connection](const auto& entry) { return entry.get() == connection; });
 }
 
 void BackendPool::release(const BackendPtr& backend, const std::shared_ptr<EngineConnection>& connection) {
--- a/src/dispatch/engine_connection.cc
+++ b/src/dispatch/engine_connection.cc
@@ -46,6 +46,7 @@
   if (socket == nullptr) {
     return nullptr;
   }
+  http::probe_when_quiet(bufferevent_getfd(socket));
   std::shared_ptr<EngineConnection> connection(new EngineConnection(loop));
   connection->connection_ = socket;
   connection->on_unusable_ = std::move(on_unusable);
--- a/src/dispatch/request_fields.h
+++ b/src/dispatch/request_fields.h
@@ -21,7 +21,7 @@
 struct RequestFields {
   std::string id;
   std::optional<int64_t> deadline_ms;
-  std::string key;    ///< the caller's access key; empty: none
+  std::string key;  ///< the caller's access key; empty: none
   std::string model;
   std::vector<PromptPart> parts;
   uint32_t prompt_tokens = 0;
--- a/src/dispatch/request_protocol.h
+++ b/src/dispatch/request_protocol.h
@@ -1,5 +1,5 @@
-/// The names and forms that requests and answers use on the wire, as data: one dialect for each kind of caller
-/// and engine. The request path knows only these fields.
+/// The names and forms that requests and answers use on the wire, as data: one dialect for each kind of
+/// caller and engine. The request path knows only these fields.
 #pragma once
 
 #include <string>
@@ -11,18 +11,18 @@
   // from the caller
   std::string request_id = "X-Request-Id";
   std::string deadline_ms = "X-Deadline-Ms";
-  std::string prompt_parts = "X-Prompt-Parts";     ///< ID:TOKENS, joined by commas
-  std::string token_counts = "X-Token-Counts";     ///< of the prompt, and the most to be made: "1460,80"
+  std::string prompt_parts = "X-Prompt-Parts";  ///< ID:TOKENS, joined by commas
+  std::string token_counts = "X-Token-Counts";  ///< of the prompt, and the most to be made: "1460,80"
   std::string model = "X-Model";
   std::string last_event_id = "Last-Event-Id";
   std::string credential = "Authorization";
-  std::string credential_scheme = "Bearer";        ///< the word before the key
+  std::string credential_scheme = "Bearer";  ///< the word before the key
   // to the engine
   std::string tenant = "X-Tenant";
   std::string expected_backend = "X-Expected-Backend";
   std::string expected_weights = "X-Expected-Weights";
   std::string cache_salt = "X-Cache-Salt";
-  std::string urgency = "X-Urgency";               ///< 0 to 9, 0 first
+  std::string urgency = "X-Urgency";  ///< 0 to 9, 0 first
   std::string kv_source = "X-Kv-Source";
   std::string kv_target = "X-Kv-Target";
   std::string pin_ms = "X-Pin-Ms";
@@ -30,7 +30,7 @@
   std::string kv_backup = "X-Kv-Backup";
   std::string kv_from = "X-Kv-From";
   // from the engine
-  std::string signature = "X-Answer-Signature";    ///< set on each answer of an engine that is really its own
+  std::string signature = "X-Answer-Signature";  ///< set on each answer of an engine that is really its own
   std::string not_run = "X-Not-Run";
   std::string weights_version = "X-Weights-Version";  ///< of the weights that made the answer
 };
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -63,7 +63,9 @@
       answer_(std::move(answer)),
       on_done_(std::move(on_done)),
       last_event_id_(plan_.fields.last_event_id) {
-  const auto on_timeout = [](evutil_socket_t, short, void* run) { static_cast<RequestRun*>(run)->on_timer(); };
+  const auto on_timeout = [](evutil_socket_t, short, void* run) {
+    static_cast<RequestRun*>(run)->on_timer();
+  };
   timer_ = event_new(context.loop.base(), -1, 0, on_timeout, this);
 }
 
@@ -147,7 +149,8 @@
       continue;
     }
     if (service != nullptr && service->connection_limit > 0 && backend->idle.empty() &&
-        backend->connections >= std::max<size_t>(2, service->connection_limit / (context_.router_count + 1))) {
+        backend->connections >=
+            std::max<size_t>(2, service->connection_limit / (context_.router_count + 1))) {
       continue;
     }
     const auto health = context_.pool.outliers().handle_of(record.id);
@@ -196,9 +199,9 @@
 bool RequestRun::set_by_system(const std::string& name) const {
   const HeaderNames& names = context_.names;
   const std::array<const std::string*, 12> own = {
-      &names.credential, &names.tenant,    &names.deadline_ms, &names.expected_backend,
-      &names.cache_salt, &names.urgency,   &names.kv_source,   &names.kv_target,
-      &names.pin_ms,     &names.hold,      &names.kv_backup,   &names.kv_from};
+      &names.credential, &names.tenant,  &names.deadline_ms, &names.expected_backend,
+      &names.cache_salt, &names.urgency, &names.kv_source,   &names.kv_target,
+      &names.pin_ms,     &names.hold,    &names.kv_backup,   &names.kv_from};
   return std::any_of(own.begin(), own.end(),
                      [&](const std::string* header) { return http1::same_name(*header, name); }) ||
          http1::same_name(names.expected_weights, name) || http1::same_name(names.last_event_id, name);
@@ -271,10 +274,11 @@
   if (!chain_.links.empty()) {
     const uint64_t version = backend.record.version_of(plan_.fields.model);
     const bool isolated = plan_.tenant != nullptr && plan_.tenant->isolated;
-    add(names.cache_salt, (isolated ? "t-" + plan_.tenant->name : std::string("s")) + "-v" +
-                              std::to_string(version));
+    add(names.cache_salt,
+        (isolated ? "t-" + plan_.tenant->name : std::string("s")) + "-v" + std::to_string(version));
     const uint32_t tenant_priority = plan_.tenant == nullptr ? 0 : plan_.tenant->priority;
-    const uint32_t urgency = std::min(kMaxUrgency, tenant_priority * kRoutePriorities + plan_.route->priority);
+    const uint32_t urgency =
+        std::min(kMaxUrgency, tenant_priority * kRoutePriorities + plan_.route->priority);
     add(names.urgency, std::to_string(urgency));
     if (version > 0) {
       // The engine may have newer weights than this router knows: what it kept under this salt would be stale
@@ -310,8 +314,8 @@
   BackendPtr best;
   for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
     const auto health = context_.pool.outliers().handle_of(backend->record.id);
-    const bool sound = !backend->record.loading && !backend->record.lost &&
-                       delivery::OutlierDetector::usable(health, now);
+    const bool sound =
+        !backend->record.loading && !backend->record.lost && delivery::OutlierDetector::usable(health, now);
     if (!sound || backend->record.id == target.record.id ||
         backend->record.version_of(plan_.fields.model) != target.record.version_of(plan_.fields.model)) {
       continue;
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -44,7 +44,8 @@
   Random random{0};
   std::string zone = {};
   uint32_t router_count = 1;
-  Duration old_weights_limit = 6s;  ///< after a version was named, engines with older weights are used no more
+  Duration old_weights_limit =
+      6s;  ///< after a version was named, engines with older weights are used no more
   delivery::WindowBudgetOptions budget_options = {};
   std::map<std::string, delivery::WindowBudget> budgets = {};  ///< by service
   std::map<std::string, WantedWeights> wanted = {};            ///< by model
@@ -107,7 +108,8 @@
   std::optional<Duration> outdated_for(const Backend& backend) const;
   BackendPtr choose(const std::vector<BackendPtr>& candidates);
   BackendPtr cache_source(const Backend& target) const;
-  /// `copy_of`: the address of the failed engine whose run goes on from its copy; empty: a run from the start.
+  /// `copy_of`: the address of the failed engine whose run goes on from its copy; empty: a run from the
+  /// start.
   void send_to(const BackendPtr& backend, const std::string& copy_of);
   BackendPtr choose_backup(const Backend& target) const;
   bool go_on_from_copy(const Backend& failed);
@@ -133,13 +135,13 @@
   std::shared_ptr<edge::CallerAnswer> answer_;
   DoneHandler on_done_;
   event* timer_ = nullptr;
-  TimePoint give_up_at_{0};    ///< the caller's deadline or the route's time-out
-  TimePoint wait_until_{0};    ///< until when it may wait for a back end
+  TimePoint give_up_at_{0};  ///< the caller's deadline or the route's time-out
+  TimePoint wait_until_{0};  ///< until when it may wait for a back end
   bool waiting_ = false;
   bool finished_ = false;
   Ran ran_ = Ran::kNo;
-  uint32_t runs_ = 0;          ///< engines that may have run it
-  uint32_t refusals_ = 0;      ///< engines that said that they did not
+  uint32_t runs_ = 0;      ///< engines that may have run it
+  uint32_t refusals_ = 0;  ///< engines that said that they did not
   std::set<std::string> tried_;
   placement::PromptChain chain_;
 
--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -17,17 +17,15 @@
 /// Bytes of following requests that are taken in while an answer is due.
 constexpr size_t kMaxReadAhead = 256U << 10U;
 
-const char* reason_of(int status) {
-  return http_status_str(static_cast<http_status>(status));
-}
+const char* reason_of(int status) { return http_status_str(static_cast<http_status>(status)); }
 
 }  // namespace
 
 CallerConnection::CallerConnection(EdgeServer& server, evutil_socket_t socket)
     : server_(server), parser_(http1::MessageParser::Kind::kRequest, *this) {
   http::send_without_delay(socket);
-  connection_ = bufferevent_socket_new(server.loop_.base(), socket,
-                                       BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  connection_ =
+      bufferevent_socket_new(server.loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   const auto on_readable = [](bufferevent*, void* context) {
     static_cast<CallerConnection*>(context)->read();
   };
@@ -152,8 +150,8 @@
     refuse(431, "the head is too long");
     return;
   }
-  const std::string_view head(reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length))),
-                              length);
+  const std::string_view head(
+      reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length))), length);
   const http1::HeadFault fault = http1::check_request_head(head);
   if (fault != http1::HeadFault::kNone) {
     refuse(400, http1::to_text(fault));
--- a/src/edge/edge_server.h
+++ b/src/edge/edge_server.h
@@ -1,6 +1,6 @@
-/// The callers' side: listens, reads requests strictly and within limits, and writes answers. One request at a
-/// time on a connection; bytes of the next one wait. Connections are counted against nothing but the idle and
-/// header times of the limits.
+/// The callers' side: listens, reads requests strictly and within limits, and writes answers. One request at
+/// a time on a connection; bytes of the next one wait. Connections are counted against nothing but the idle
+/// and header times of the limits.
 #pragma once
 
 #include <event2/bufferevent.h>
--- a/src/fleet/backend_registry.cc
+++ b/src/fleet/backend_registry.cc
@@ -96,9 +96,10 @@
     changed = changed || lost != seen.record.lost;
     seen.record.lost = lost;
   }
-  changed = std::erase_if(seen_, [&](const auto& entry) {
-              return now - entry.second.at > options_.forget_after;
-            }) > 0 || changed;
+  changed =
+      std::erase_if(seen_, [&](const auto& entry) { return now - entry.second.at > options_.forget_after; }) >
+          0 ||
+      changed;
   if (changed) {
     update_digest();
   }
--- a/src/fleet/fleet_configuration.h
+++ b/src/fleet/fleet_configuration.h
@@ -1,5 +1,5 @@
-/// The whole configuration of a fleet as operators put it in force: routes, services, limits and tenants under
-/// one version. Plain data with a MessagePack form, and its checks.
+/// The whole configuration of a fleet as operators put it in force: routes, services, limits and tenants
+/// under one version. Plain data with a MessagePack form, and its checks.
 #pragma once
 
 #include <cstdint>
@@ -45,9 +45,7 @@
                        attempts, open, sticky, resumable, shares)
   bool operator==(const Route&) const = default;
   /// True when a request of this route may run more than once.
-  bool repeatable() const {
-    return kind == RouteKind::kSafe || (kind == RouteKind::kStreaming && resumable);
-  }
+  bool repeatable() const { return kind == RouteKind::kSafe || (kind == RouteKind::kStreaming && resumable); }
 };
 
 /// What is told of the engines of a service that runs models.
@@ -65,7 +63,8 @@
 struct Service {
   std::string name;
   std::string health_path;
-  uint32_t connection_limit = 0;  ///< connections that one back end takes from all callers together; 0: unknown
+  uint32_t connection_limit =
+      0;  ///< connections that one back end takes from all callers together; 0: unknown
   bool runs_models = false;
   EngineProfile engine;       ///< counts when runs_models
   std::string store_address;  ///< "address:port" of a KV store; empty for ordinary services
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -48,11 +48,11 @@
   bool registry_given = false;
   std::vector<BackendRecord> registry;  ///< counts when registry_given
   std::vector<RetiredBackend> retired;  ///< recent ones
-  std::vector<NamedVersion> weights;        ///< the newest few of each model, oldest first
-  std::vector<std::string> members;  ///< "address:port" of the internal protocol of each control member
-  uint32_t router_count = 0;         ///< live routers
-  std::vector<BackendLoad> loads;    ///< of all other routers together
-  std::vector<std::string> stores;   ///< addresses of KV stores that answer; counts from the leader only
+  std::vector<NamedVersion> weights;    ///< the newest few of each model, oldest first
+  std::vector<std::string> members;     ///< "address:port" of the internal protocol of each control member
+  uint32_t router_count = 0;            ///< live routers
+  std::vector<BackendLoad> loads;       ///< of all other routers together
+  std::vector<std::string> stores;      ///< addresses of KV stores that answer; counts from the leader only
   MSGPACK_DEFINE_ARRAY(answers, leads, quorum_age_ms, configuration_version, configuration, registry_given,
                        registry, retired, weights, members, router_count, loads, stores)
 };
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -59,8 +59,8 @@
   }
   for (const std::string& address : wanted) {
     Member& member = members_[address];
-    const bool silent = member.channel != nullptr &&
-                        now - std::max(member.heard, member.opened) > options_.answer_limit;
+    const bool silent =
+        member.channel != nullptr && now - std::max(member.heard, member.opened) > options_.answer_limit;
     if (member.channel != nullptr && member.channel->open() && !silent) {
       continue;
     }
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -18,10 +18,10 @@
 
 /// Settings of a link.
 struct ControlLinkOptions {
-  std::vector<Endpoint> seeds;           ///< internal endpoints of some control members
+  std::vector<Endpoint> seeds;  ///< internal endpoints of some control members
   Duration status_interval = 400ms;
-  Duration answer_limit = 1200ms;        ///< a member silent for so long is connected to anew
-  Duration key_lease = 4500ms;           ///< how long a confirmation lets keys be honoured
+  Duration answer_limit = 1200ms;  ///< a member silent for so long is connected to anew
+  Duration key_lease = 4500ms;     ///< how long a confirmation lets keys be honoured
 };
 
 /// See the head of this file.
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -109,8 +109,8 @@
   if (table_ != nullptr && configuration.version <= table_->configuration().version) {
     return;
   }
-  table_ = std::make_shared<routing::RouteTable>(
-      std::make_shared<const fleet::FleetConfiguration>(configuration));
+  table_ =
+      std::make_shared<routing::RouteTable>(std::make_shared<const fleet::FleetConfiguration>(configuration));
   link_.set_configuration_version(configuration.version);
   edge::EdgeLimits limits;
   limits.header_bytes = configuration.limits.header_bytes;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -1,4 +1,5 @@
-/// The router for fleets with routes: the edge, the routes in force, the back ends, and the requests under way.
+/// The router for fleets with routes: the edge, the routes in force, the back ends, and the requests under
+/// way.
 #pragma once
 
 #include <map>
@@ -21,9 +22,9 @@
   std::string region;
   Endpoint listen;  ///< for callers
   ControlLinkOptions link;
-  bool fail_closed = true;        ///< without a confirmed configuration, keys are not honoured
-  Duration stop_grace = 7s;       ///< from SIGTERM to the end at the latest
-  Duration stop_listen = 3s;      ///< from SIGTERM until new connections are refused
+  bool fail_closed = true;    ///< without a confirmed configuration, keys are not honoured
+  Duration stop_grace = 7s;   ///< from SIGTERM to the end at the latest
+  Duration stop_listen = 3s;  ///< from SIGTERM until new connections are refused
   Duration old_weights_limit = 6s;
   delivery::WindowBudgetOptions budget;
 };
--- a/src/http/event_loop.cc
+++ b/src/http/event_loop.cc
@@ -76,7 +76,9 @@
 void EventLoop::on_signal(int signal_number, std::function<void()> action) {
   auto timer = std::make_unique<Timer>();
   timer->action = std::move(action);
-  const auto on_signal = [](evutil_socket_t, short, void* context) { static_cast<Timer*>(context)->action(); };
+  const auto on_signal = [](evutil_socket_t, short, void* context) {
+    static_cast<Timer*>(context)->action();
+  };
   timer->handle = event_new(base_, signal_number, EV_SIGNAL | EV_PERSIST, on_signal, timer.get());
   event_add(timer->handle, nullptr);
   timers_.push_back(std::move(timer));
--- a/src/http/socket_options.cc
+++ b/src/http/socket_options.cc
@@ -23,6 +23,18 @@
   }
 }
 
+void probe_when_quiet(int socket) {
+  const int on = 1;
+  const int seconds = 1;
+  const int probes = 2;
+  if (socket >= 0) {
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+  }
+}
+
 bufferevent* connect_to(event_base* base, const Endpoint& endpoint, Duration silence_limit) {
   sockaddr_storage address{};
   int length = sizeof(address);
--- a/src/http/socket_options.h
+++ b/src/http/socket_options.h
@@ -17,6 +17,10 @@
 /// Closes a connection, or gives up making it, once what was sent has gone unacknowledged for so long.
 void limit_silence(int socket, Duration limit);
 
+/// Lets the kernel ask a quiet peer for a sign of life every second; with limit_silence() a connection to a
+/// machine that has gone dark ends even while nothing is being sent.
+void probe_when_quiet(int socket);
+
 /// A bufferevent that is connecting to an endpoint, without delay for small writes and with limit_silence().
 /// Its callbacks are deferred. nullptr when the endpoint is malformed or no socket is to be had.
 bufferevent* connect_to(event_base* base, const Endpoint& endpoint, Duration silence_limit);
--- a/src/http1/head_check.h
+++ b/src/http1/head_check.h
@@ -9,15 +9,15 @@
 /// What is wrong with a head.
 enum class HeadFault : unsigned char {
   kNone,
-  kBareLineEnd,    ///< a carriage return or line feed that is not part of a pair
-  kFolded,         ///< a header line that goes on in the next one
-  kControlByte,    ///< a NUL or another control character
-  kSpaceInName,    ///< white space before the colon, or an empty name
-  kNoHost,         ///< no Host header, or several
-  kTarget,         ///< not a path
-  kLength,         ///< a malformed or repeated Content-Length, or one beside Transfer-Encoding
-  kEncoding,       ///< a Transfer-Encoding other than a single "chunked"
-  kVersion,        ///< neither HTTP/1.1 nor HTTP/1.0
+  kBareLineEnd,  ///< a carriage return or line feed that is not part of a pair
+  kFolded,       ///< a header line that goes on in the next one
+  kControlByte,  ///< a NUL or another control character
+  kSpaceInName,  ///< white space before the colon, or an empty name
+  kNoHost,       ///< no Host header, or several
+  kTarget,       ///< not a path
+  kLength,       ///< a malformed or repeated Content-Length, or one beside Transfer-Encoding
+  kEncoding,     ///< a Transfer-Encoding other than a single "chunked"
+  kVersion,      ///< neither HTTP/1.1 nor HTTP/1.0
 };
 
 /// A short text for a fault.
--- a/src/http1/message.cc
+++ b/src/http1/message.cc
@@ -47,7 +47,7 @@
 
 bool is_hop_header(std::string_view name) {
   static constexpr std::array<std::string_view, 9> kNames = {
-      "connection", "keep-alive",        "transfer-encoding", "te",          "trailer",
+      "connection", "keep-alive",       "transfer-encoding", "te",    "trailer",
       "upgrade",    "proxy-connection", "content-length",    "expect"};
   return std::any_of(kNames.begin(), kNames.end(),
                      [&](std::string_view hop) { return same_name(hop, name); });
--- a/src/placement/part_placement.cc
+++ b/src/placement/part_placement.cc
@@ -83,8 +83,9 @@
   return best;
 }
 
-std::optional<size_t> choose_source(const PromptChain& chain, uint64_t target, const ChainMemory& target_memory,
-                                    const std::vector<EngineView>& engines, TimePoint now) {
+std::optional<size_t> choose_source(const PromptChain& chain, uint64_t target,
+                                    const ChainMemory& target_memory, const std::vector<EngineView>& engines,
+                                    TimePoint now) {
   const uint32_t shared = shared_tokens(chain);
   uint32_t most = std::min(shared, target_memory.cached_tokens(chain, now));
   if (most >= shared) {
--- a/src/placement/part_placement.h
+++ b/src/placement/part_placement.h
@@ -1,8 +1,8 @@
 /// Chooses the engine for a prompt of named parts: the one with the lowest expected time to the first token.
 ///
-/// Without any state a chain of shared parts belongs to the engine that comes first in rendezvous order, so all
-/// routers send it to the same place. On top of that come what this router has sent where, the work that waits
-/// at each engine, and the version of its weights.
+/// Without any state a chain of shared parts belongs to the engine that comes first in rendezvous order, so
+/// all routers send it to the same place. On top of that come what this router has sent where, the work that
+/// waits at each engine, and the version of its weights.
 #pragma once
 
 #include <cstdint>
@@ -49,10 +49,10 @@
 struct EngineView {
   uint64_t name_hash = 0;
   const ChainMemory* memory = nullptr;
-  uint32_t outstanding = 0;      ///< requests under way there, of all routers as far as known
-  uint64_t prefill_tokens = 0;   ///< of requests there that have no first token yet
+  uint32_t outstanding = 0;     ///< requests under way there, of all routers as far as known
+  uint64_t prefill_tokens = 0;  ///< of requests there that have no first token yet
   uint32_t slots = 1;
-  bool old_weights = false;      ///< a newer version is named
+  bool old_weights = false;  ///< a newer version is named
   bool same_zone = false;
 };
 
@@ -69,11 +69,13 @@
 size_t choose_engine(const PromptChain& chain, const std::vector<EngineView>& engines,
                      const PlacementCosts& costs, TimePoint now);
 
-/// The engine from which the target should take KV cache of the chain's shared parts before it reads the rest:
-/// the one that should hold the most of them. Nothing when the target should hold as much itself. `target` is
-/// the hash of the target's name; it may be among `engines`, which must have the target's weights.
-std::optional<size_t> choose_source(const PromptChain& chain, uint64_t target, const ChainMemory& target_memory,
-                                    const std::vector<EngineView>& engines, TimePoint now);
+/// The engine from which the target should take KV cache of the chain's shared parts before it reads the
+/// rest: the one that should hold the most of them. Nothing when the target should hold as much itself.
+/// `target` is the hash of the target's name; it may be among `engines`, which must have the target's
+/// weights.
+std::optional<size_t> choose_source(const PromptChain& chain, uint64_t target,
+                                    const ChainMemory& target_memory, const std::vector<EngineView>& engines,
+                                    TimePoint now);
 
 /// The engine for a call without a prompt: the least loaded for its size, at random among equals.
 size_t choose_least_loaded(const std::vector<EngineView>& engines, uint64_t random);
--- a/standins/scripted_engine.cc
+++ b/standins/scripted_engine.cc
@@ -116,7 +116,8 @@
       break;
     }
     input.append(bytes, static_cast<size_t>(count));
-    for (size_t end = input.find("\r\n\r\n"); open && end != std::string::npos; end = input.find("\r\n\r\n")) {
+    for (size_t end = input.find("\r\n\r\n"); open && end != std::string::npos;
+         end = input.find("\r\n\r\n")) {
       SeenRequest request;
       request.head = input.substr(0, end + 2);
       request.connection = connection;
--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -21,14 +21,16 @@
 /// Notes the orders and takes all of them.
 class NotedOrders : public control::EngineOrders {
  public:
-  void send(const control::VersionOrder& order, std::function<void(control::OrderAnswer)> on_answer) override {
+  void send(const control::VersionOrder& order,
+            std::function<void(control::OrderAnswer)> on_answer) override {
     orders.push_back(order);
     on_answer(control::OrderAnswer::kTaken);
   }
   void ask(const std::string&, std::function<void(const control::EngineReport*)> on_report) override {
     on_report(nullptr);
   }
-  void watch_store(const std::string&, uint64_t, std::function<void(std::optional<uint64_t>)> on_news) override {
+  void watch_store(const std::string&, uint64_t,
+                   std::function<void(std::optional<uint64_t>)> on_news) override {
     on_news(std::nullopt);
   }
   std::vector<control::VersionOrder> orders;
--- a/tests/unit/edge_test.cc
+++ b/tests/unit/edge_test.cc
@@ -1,5 +1,5 @@
-/// The edge over raw sockets: each framing that two programs could read in two ways is refused, and what stands
-/// after it is never taken as a request.
+/// The edge over raw sockets: each framing that two programs could read in two ways is refused, and what
+/// stands after it is never taken as a request.
 #include <gtest/gtest.h>
 
 #include <atomic>
@@ -152,12 +152,14 @@
 }
 
 TEST_F(EdgeTest, BoundsHeadAndBody) {
-  EXPECT_EQ(exchange("GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(3000, 'x')).substr(0, 12), "HTTP/1.1 431");
-  EXPECT_EQ(exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5001\r\n\r\n").substr(0, 12), "HTTP/1.1 413");
+  EXPECT_EQ(exchange("GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(3000, 'x')).substr(0, 12),
+            "HTTP/1.1 431");
+  EXPECT_EQ(exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5001\r\n\r\n").substr(0, 12),
+            "HTTP/1.1 413");
   const std::string chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
-  EXPECT_EQ(
-      exchange("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + chunk).substr(0, 12),
-      "HTTP/1.1 413");
+  EXPECT_EQ(exchange("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + chunk)
+                .substr(0, 12),
+            "HTTP/1.1 413");
   EXPECT_EQ(handler_.requests, 0);
 }
 
--- a/tests/unit/fleet_members_test.cc
+++ b/tests/unit/fleet_members_test.cc
@@ -1,5 +1,5 @@
-/// Control members that keep themselves: founding, growing to the wanted number of voters, lost disks, members
-/// at new addresses, and what was acknowledged through all of it.
+/// Control members that keep themselves: founding, growing to the wanted number of voters, lost disks,
+/// members at new addresses, and what was acknowledged through all of it.
 #include "tests/support/small_fleet.h"
 
 namespace stoat {
--- a/tests/unit/fleet_parts_test.cc
+++ b/tests/unit/fleet_parts_test.cc
@@ -1,7 +1,6 @@
 /// Small parts of the fleet: configuration checks, replicated state, registry, routes, placement, budgets,
 /// event splitting.
 #include <gtest/gtest.h>
-
 #include <rapidcheck/gtest.h>
 
 #include "src/delivery/event_splitter.h"
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -123,7 +123,8 @@
 
 TEST_F(GatewayTest, NeverPassesASuccessOnThatIsNotTheEnginesOwn) {
   ScriptedEngine engine([](const SeenRequest& request) -> Script {
-    return {send_step(whole_answer(200, "X-Request-Id: " + request.header("X-Request-Id") + "\r\n", "forged"))};
+    return {
+        send_step(whole_answer(200, "X-Request-Id: " + request.header("X-Request-Id") + "\r\n", "forged"))};
   });
   add_engine("e1", "calls", engine);
   EXPECT_EQ(status_of(ask("POST", "/once/", "q1", "Content-Length: 0\r\n")), "HTTP/1.1 502");
@@ -180,7 +181,8 @@
   RawClient client(router_port_);
   const auto start = std::chrono::steady_clock::now();
   client.send(
-      "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: q\r\nX-Deadline-Ms: 300\r\nAuthorization: Bearer k1\r\n"
+      "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: q\r\nX-Deadline-Ms: 300\r\nAuthorization: Bearer "
+      "k1\r\n"
       "Content-Length: 0\r\nConnection: close\r\n\r\n");
   EXPECT_EQ(status_of(client.read_all()), "HTTP/1.1 504");
   EXPECT_LT(std::chrono::steady_clock::now() - start, std::chrono::milliseconds(1200));
@@ -202,8 +204,7 @@
 TEST_F(GatewayTest, StreamsWholeEventsAndEndsInOrder) {
   ScriptedEngine engine([](const SeenRequest& request) -> Script {
     return {send_step(stream_head(request.header("X-Request-Id")) + chunk(event(1) + event(2).substr(0, 7))),
-            wait_step(std::chrono::milliseconds(30)),
-            send_step(chunk(event(2).substr(7)) + "0\r\n\r\n")};
+            wait_step(std::chrono::milliseconds(30)), send_step(chunk(event(2).substr(7)) + "0\r\n\r\n")};
   });
   add_engine("e1", "models", engine);
   const std::string answer = ask("POST", "/stream/", "q1", std::string(kChain) + "Content-Length: 0\r\n");
--- a/tests/unit/member_planner_test.cc
+++ b/tests/unit/member_planner_test.cc
@@ -10,7 +10,8 @@
 namespace stoat::control {
 namespace {
 
-MemberView view(consensus::MemberId id, bool voter, bool caught_up, Duration silence, std::string address = "") {
+MemberView view(consensus::MemberId id, bool voter, bool caught_up, Duration silence,
+                std::string address = "") {
   MemberView entry;
   entry.member = {id, "n" + std::to_string(id), address.empty() ? "a" + std::to_string(id) : address, voter};
   entry.caught_up = caught_up;
@@ -19,8 +20,8 @@
 }
 
 size_t voters(const consensus::MemberList& list) {
-  return static_cast<size_t>(
-      std::count_if(list.members.begin(), list.members.end(), [](const auto& member) { return member.voter; }));
+  return static_cast<size_t>(std::count_if(list.members.begin(), list.members.end(),
+                                           [](const auto& member) { return member.voter; }));
 }
 
 bool has(const consensus::MemberList& list, consensus::MemberId id) {
--- a/tests/unit/platform_bodies_test.cc
+++ b/tests/unit/platform_bodies_test.cc
@@ -1,8 +1,8 @@
 /// The adapter's reading of the target platform's bodies.
-#include "platform/bodies.h"
-
 #include <gtest/gtest.h>
 
+#include "platform/bodies.h"
+
 namespace stoat::platform {
 namespace {
 
@@ -60,7 +60,8 @@
 
 TEST(PlatformBodies, ReadsHeartbeats) {
   const auto record = read_heartbeat(
-      "i-1", R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":48,"state":"draining","sequence":4,
+      "i-1",
+      R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":48,"state":"draining","sequence":4,
                "models":[{"name":"m","version":2,"adapters":[]}]})");
   ASSERT_TRUE(record);
   EXPECT_EQ(record->id, "i-1");
