--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -125,7 +125,7 @@
 std::shared_ptr<EngineConnection> BackendPool::take_connection(const BackendPtr& backend) {
   const TimePoint now = loop_.now();
   while (!backend->idle.empty()) {
-    const auto connection = backend->idle.back();
+    auto connection = backend->idle.back();
     backend->idle.pop_back();
     if (connection->usable() && now < connection->idle_until()) {
       return connection;
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
--- a/src/http1/message.cc
+++ b/src/http1/message.cc
@@ -109,9 +109,9 @@
 }
 
 ParseState MessageParser::feed(std::string_view bytes, size_t& used) {
-  static const http_parser_settings kSettings = make_settings();
+  static const http_parser_settings settings = make_settings();
   begun_ = begun_ || !bytes.empty();
-  used = http_parser_execute(&parser_, &kSettings, bytes.data(), bytes.size());
+  used = http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
   const ParseState state = outcome();
   if (state == ParseState::kComplete) {
     http_parser_pause(&parser_, 0);
--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -52,9 +52,12 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t length = sizeof(address);
-  ::bind(socket, reinterpret_cast<sockaddr*>(&address), length);
-  ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
+  const bool bound = ::bind(socket, reinterpret_cast<sockaddr*>(&address), length) == 0 &&
+                     ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length) == 0;
   ::close(socket);
+  if (!bound) {
+    throw std::runtime_error("no free port");
+  }
   return ntohs(address.sin_port);
 }
 
--- a/tests/unit/fleet_members_test.cc
+++ b/tests/unit/fleet_members_test.cc
@@ -42,7 +42,8 @@
     auto result = std::make_shared<std::promise<std::optional<std::string>>>();
     auto future = result->get_future();
     loop_.post([this, result] {
-      server_->read_configuration([result](std::optional<std::string> source) { result->set_value(source); });
+      server_->read_configuration(
+          [result](const std::optional<std::string>& source) { result->set_value(source); });
     });
     return future.get();
   }
--- a/tests/unit/fleet_parts_test.cc
+++ b/tests/unit/fleet_parts_test.cc
@@ -236,7 +236,8 @@
   std::string stream;
   for (int id = 1; id <= 20; ++id) {
     const std::string end = id % 3 == 0 ? "\r\n" : "\n";
-    stream += "id: " + std::to_string(id) + end + "data: " + std::string(id % 7, 'x') + end + end;
+    stream.append("id: ").append(std::to_string(id)).append(end).append("data: ");
+    stream.append(static_cast<size_t>(id % 7), 'x').append(end).append(end);
   }
   delivery::EventSplitter splitter;
   std::string joined;
--- a/tests/unit/member_planner_test.cc
+++ b/tests/unit/member_planner_test.cc
@@ -11,7 +11,7 @@
 namespace {
 
 MemberView view(consensus::MemberId id, bool voter, bool caught_up, Duration silence,
-                std::string address = "") {
+                const std::string& address = "") {
   MemberView entry;
   entry.member = {id, "n" + std::to_string(id), address.empty() ? "a" + std::to_string(id) : address, voter};
   entry.caught_up = caught_up;
