Take KV cache from an engine that is known to hold it before asking the store

Cause: after new weights the store's link is the bottleneck: some 36 prompts a second that take 1 GB and send 1.5 GB each want 90 GB/s of its 39; moves that would wait too long are not begun, and the parts are read again.

Change: the source is an engine to which this router sent the whole shared chain within 8 s, else the store; engines are guessed only while no store answers.

--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -227,7 +227,8 @@
     holders.push_back(backend);
     views.push_back(view);
   }
-  const auto source = placement::choose_source(chain_, target.name_hash, target.memory, views, now);
+  const auto source =
+      placement::choose_source(chain_, target.name_hash, target.memory, views, now, context_.store.empty());
   return source ? holders[*source] : nullptr;
 }
 
@@ -238,11 +239,8 @@
   if (shared == 0 || target.memory.cached_tokens(chain_, now, kSurelyHeld) >= shared) {
     return plan;
   }
-  plan.source = context_.store;
-  if (context_.store.empty()) {
-    const BackendPtr holder = cache_source(target);
-    plan.source = holder == nullptr ? "" : holder->record.address;
-  }
+  const BackendPtr holder = cache_source(target);
+  plan.source = holder == nullptr ? context_.store : holder->record.address;
   if (target.memory.cached_tokens(chain_, now) < shared) {
     plan.target = context_.store;
   }
--- a/src/placement/part_placement.cc
+++ b/src/placement/part_placement.cc
@@ -85,7 +85,7 @@
 
 std::optional<size_t> choose_source(const PromptChain& chain, uint64_t target,
                                     const ChainMemory& target_memory, const std::vector<EngineView>& engines,
-                                    TimePoint now) {
+                                    TimePoint now, bool guess) {
   const uint32_t shared = shared_tokens(chain);
   uint32_t most = std::min(shared, target_memory.cached_tokens(chain, now));
   if (most >= shared) {
@@ -107,8 +107,8 @@
       best = position;
     }
   }
-  if (most >= shared || others.empty()) {
-    return best;
+  if (most >= shared || others.empty() || !guess) {
+    return most >= shared ? best : std::nullopt;
   }
   // What other routers sent is not known here, but they send it to its home: the target itself, or the engine
   // that was home before the target came into use, which is the next in rendezvous order.
--- a/src/placement/part_placement.h
+++ b/src/placement/part_placement.h
@@ -70,12 +70,12 @@
                      const PlacementCosts& costs, TimePoint now);
 
 /// The engine from which the target should take KV cache of the chain's shared parts before it reads the
-/// rest: the one that should hold the most of them. Nothing when the target should hold as much itself.
-/// `target` is the hash of the target's name; it may be among `engines`, which must have the target's
-/// weights.
+/// rest. Nothing when the target should hold as much itself. `target` is the hash of the target's name; it
+/// may be among `engines`, which must have the target's weights. Where no engine is known to hold all shared
+/// parts, `guess` names the likeliest all the same; without it there is no source.
 std::optional<size_t> choose_source(const PromptChain& chain, uint64_t target,
                                     const ChainMemory& target_memory, const std::vector<EngineView>& engines,
-                                    TimePoint now);
+                                    TimePoint now, bool guess);
 
 /// The engine for a call without a prompt: the least loaded for its size, at random among equals.
 size_t choose_least_loaded(const std::vector<EngineView>& engines, uint64_t random);
--- a/tests/unit/fleet_parts_test.cc
+++ b/tests/unit/fleet_parts_test.cc
@@ -199,10 +199,25 @@
   }
   const auto prompt = chain({{1, 4000}, {2, 500}});
   memories[2].note(prompt, 1s);
-  EXPECT_EQ(placement::choose_source(prompt, 1, memories[0], engines, 1s), std::optional<size_t>(2));
+  EXPECT_EQ(placement::choose_source(prompt, 1, memories[0], engines, 1s, false), std::optional<size_t>(2));
   memories[0].note(prompt, 1s);
-  EXPECT_EQ(placement::choose_source(prompt, 1, memories[0], engines, 1s), std::nullopt);
-  EXPECT_NE(placement::choose_source(prompt, 1, memories[0], engines, 60s), std::optional<size_t>(0));
+  EXPECT_EQ(placement::choose_source(prompt, 1, memories[0], engines, 1s, false), std::nullopt);
+  EXPECT_NE(placement::choose_source(prompt, 1, memories[0], engines, 60s, true), std::optional<size_t>(0));
+}
+
+TEST(PartPlacement, WithoutAGuessOnlyAKnownHolderIsASource) {
+  std::vector<placement::ChainMemory> memories(2);
+  std::vector<placement::EngineView> engines(2);
+  for (size_t i = 0; i < 2; ++i) {
+    engines[i].name_hash = i + 1;
+    engines[i].memory = &memories[i];
+  }
+  const auto prompt = chain({{1, 4000}, {2, 3000}, {3, 500}});
+  EXPECT_EQ(placement::choose_source(prompt, 1, memories[0], engines, 1s, false), std::nullopt);
+  EXPECT_EQ(placement::choose_source(prompt, 1, memories[0], engines, 1s, true), std::optional<size_t>(1));
+  memories[1].note(chain({{1, 4000}, {7, 10}}),
+                   1s);  // holds a part of what is shared: the store may hold all
+  EXPECT_EQ(placement::choose_source(prompt, 1, memories[0], engines, 1s, false), std::nullopt);
 }
 
 TEST(WindowBudget, BoundsRepeatsOverAnyWindow) {
