Go on from a copy only after a first event

Ruled out: a lost answer that was taken for a refusal: the trace shows the run at the holder, 1 ms after the first.

Change: go_on_from_copy() needs a delivered event.

Test GatewayTest.ACopyIsNotUsedBeforeTheFirstEvent, seen to fail first (2 sends in place of 1).

--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -336,7 +336,9 @@
   const bool same_weights = holder != nullptr && !holder->record.loading && !failed.record.loading &&
                             holder->record.version_of(model) == run_weights_ &&
                             failed.record.version_of(model) == run_weights_;
-  if (!same_weights || from_copy_ || context_.loop.now() >= give_up_at_ ||
+  // Without an event to go on after, the engine would take the request as a new run.
+  const bool begun = streaming_ && last_event_id_.has_value();
+  if (!begun || !same_weights || from_copy_ || context_.loop.now() >= give_up_at_ ||
       !context_.budget_of(plan_.service).take(context_.loop.now(), context_.router_count)) {
     return false;
   }
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -270,6 +270,18 @@
   EXPECT_NE(answer.find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+TEST_F(GatewayTest, ACopyIsNotUsedBeforeTheFirstEvent) {
+  // Found on the bench (TWICE): without an event to go on after, the engine takes the request as a new run.
+  const auto handler = [](const SeenRequest&) -> Script { return {reset_step()}; };
+  ScriptedEngine engine(handler);
+  ScriptedEngine other(handler);
+  add_engine("e1", "models", engine);
+  add_engine("e2", "models", other);
+  EXPECT_EQ(status_of(ask("POST", "/stream/", "q1", std::string(kChain) + "Content-Length: 0\r\n")),
+            "HTTP/1.1 502");
+  EXPECT_EQ(engine.requests().size() + other.requests().size(), 1U);
+}
+
 TEST_F(GatewayTest, ACopyIsNotUsedOnceWeightsHaveChanged) {
   // Found on the bench (STALE): the failed engine had new weights by the end of its run.
   const auto handler = [&](const SeenRequest& request) -> Script {
