--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -76,26 +76,9 @@
 FleetServer::~FleetServer() { wire::close_all(peers_); }
 
 consensus::RestoredState FleetServer::restore() {
-  auto identity = store_.load_identity();
-  if (!identity) {
-    throw std::runtime_error(identity.error().path + ": " + identity.error().message);
-  }
-  consensus::RestoredState restored;
-  if (identity->has_value()) {
-    identity_ = **identity;
-    auto loaded = store_.load();
-    if (!loaded) {
-      throw std::runtime_error(loaded.error().path + ": " + loaded.error().message);
-    }
-    restored = std::move(*loaded);
-    return restored;
-  }
-  // A blank disk never comes back under an identity that may have voted.
-  identity_ = storage::DiskIdentity{seed_from_device() | 1U, settings_.name};
-  if (!store_.save_identity(identity_)) {
-    throw std::runtime_error("cannot write the identity to " + settings_.data_folder);
-  }
-  return restored;
+  auto restored = storage::restore_member(store_, settings_.name);
+  identity_ = restored.identity;
+  return std::move(restored.state);
 }
 
 void FleetServer::start_core(const consensus::RestoredState& restored) {
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -3,9 +3,7 @@
 #include <event2/event.h>
 
 #include <algorithm>
-#include <array>
 #include <cstdio>
-#include <utility>
 
 #include "src/common/hash.h"
 
@@ -23,19 +21,12 @@
 constexpr uint32_t kMaxRefusals = 3;
 /// How often a waiting request looks for a back end again.
 constexpr Duration kWaitStep = 25ms;
-/// So long after a version was named, older weights still do; the few engines that have it are not overrun.
-constexpr Duration kOldWeightsFree = 1200ms;
-/// What was sent to an engine this recently is there; an offer of a source would be for nothing.
-constexpr Duration kSurelyHeld = 2s;
 /// Answers up to this size are held until they are whole.
 constexpr size_t kMaxWholeBody = 4U << 20U;
 /// A request that could not be placed is told to come back after so long.
 constexpr double kRetryAfterS = 0.5;
 /// The same where no back end of the service is known: heartbeats come every second or so.
 constexpr double kNoBackendRetryAfterS = 1.5;
-constexpr uint32_t kMaxUrgency = 9;
-constexpr uint32_t kRoutePriorities = 3;
-
 uint64_t chain_seed(const RunPlan& plan) {
   return plan.tenant != nullptr && plan.tenant->isolated ? hash_bytes(plan.tenant->name) : 0;
 }
@@ -111,74 +102,6 @@
   give_up("time-out");
 }
 
-void WantedWeights::note(uint64_t version, TimePoint since) {
-  constexpr size_t kMostVersions = 16;
-  const auto [entry, added] = since_.emplace(version, since);
-  entry->second = std::min(entry->second, since);
-  if (added && since_.size() > kMostVersions) {
-    since_.erase(since_.begin());
-  }
-}
-
-std::optional<Duration> WantedWeights::outdated_for(uint64_t version, TimePoint now) const {
-  // Each version has its own limit: the lowest one above counts, however soon others followed.
-  const auto next = since_.upper_bound(version);
-  return next == since_.end() ? std::nullopt : std::optional<Duration>(now - next->second);
-}
-
-std::optional<Duration> RequestRun::outdated_for(const Backend& backend) const {
-  const auto wanted = context_.wanted.find(plan_.fields.model);
-  if (wanted == context_.wanted.end()) {
-    return std::nullopt;
-  }
-  return wanted->second.outdated_for(backend.record.version_of(plan_.fields.model), context_.loop.now());
-}
-
-std::vector<BackendPtr> RequestRun::candidates() {
-  const TimePoint now = context_.loop.now();
-  const fleet::Service* service = plan_.table->service(plan_.service);
-  std::vector<BackendPtr> usable;
-  std::vector<BackendPtr> doubtful;
-  for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
-    const fleet::BackendRecord& record = backend->record;
-    if (record.loading || tried_.count(record.id) > 0) {
-      continue;
-    }
-    if (outdated_for(*backend).value_or(Duration(0)) > context_.old_weights_limit) {
-      continue;
-    }
-    if (service != nullptr && service->connection_limit > 0 && backend->idle.empty() &&
-        backend->connections >=
-            std::max<size_t>(2, service->connection_limit / (context_.router_count + 1))) {
-      continue;
-    }
-    const auto health = context_.pool.outliers().handle_of(record.id);
-    const bool healthy = !record.lost && delivery::OutlierDetector::usable(health, now);
-    (healthy ? usable : doubtful).push_back(backend);
-  }
-  return usable.empty() ? doubtful : usable;
-}
-
-BackendPtr RequestRun::choose(const std::vector<BackendPtr>& candidates) {
-  std::vector<placement::EngineView> views;
-  views.reserve(candidates.size());
-  for (const BackendPtr& backend : candidates) {
-    placement::EngineView view;
-    view.name_hash = backend->name_hash;
-    view.memory = &backend->memory;
-    view.outstanding = backend->outstanding + backend->others_outstanding;
-    view.prefill_tokens = backend->prefill_tokens + backend->others_prefill_tokens;
-    view.slots = backend->record.slots;
-    view.old_weights = outdated_for(*backend).value_or(Duration(0)) > kOldWeightsFree;
-    view.same_zone = backend->record.zone == context_.zone;
-    views.push_back(view);
-  }
-  const size_t position = chain_.links.empty()
-                              ? placement::choose_least_loaded(views, context_.random.bits())
-                              : placement::choose_engine(chain_, views, context_.costs, context_.loop.now());
-  return candidates[position];
-}
-
 void RequestRun::try_dispatch() {
   const TimePoint now = context_.loop.now();
   const std::vector<BackendPtr> found = candidates();
@@ -195,198 +118,6 @@
   arm_timer(std::min(wait_until_, now + kWaitStep));
 }
 
-bool RequestRun::set_by_system(const std::string& name) const {
-  const HeaderNames& names = context_.names;
-  const std::array<const std::string*, 12> own = {
-      &names.credential, &names.tenant,  &names.deadline_ms, &names.expected_backend,
-      &names.cache_salt, &names.urgency, &names.kv_source,   &names.kv_target,
-      &names.pin_ms,     &names.hold,    &names.kv_backup,   &names.kv_from};
-  return std::any_of(own.begin(), own.end(),
-                     [&](const std::string* header) { return http1::same_name(*header, name); }) ||
-         http1::same_name(names.expected_weights, name) || http1::same_name(names.last_event_id, name);
-}
-
-BackendPtr RequestRun::cache_source(const Backend& target) const {
-  if (chain_.links.size() < 2) {
-    return nullptr;
-  }
-  const TimePoint now = context_.loop.now();
-  const std::string& model = plan_.fields.model;
-  std::vector<BackendPtr> holders;
-  std::vector<placement::EngineView> views;
-  for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
-    // What is kept under other weights must not be used, and a dead source holds the request up.
-    const auto health = context_.pool.outliers().handle_of(backend->record.id);
-    if (backend->record.version_of(model) != target.record.version_of(model) || backend->record.loading ||
-        backend->record.lost || !delivery::OutlierDetector::usable(health, now)) {
-      continue;
-    }
-    placement::EngineView view;
-    view.name_hash = backend->name_hash;
-    view.memory = &backend->memory;
-    holders.push_back(backend);
-    views.push_back(view);
-  }
-  const auto source =
-      placement::choose_source(chain_, target.name_hash, target.memory, views, now, context_.store.empty());
-  return source ? holders[*source] : nullptr;
-}
-
-CachePlan RequestRun::plan_cache(const Backend& target) const {
-  CachePlan plan;
-  const TimePoint now = context_.loop.now();
-  const uint32_t shared = placement::shared_tokens(chain_);
-  if (shared == 0 || target.memory.cached_tokens(chain_, now, kSurelyHeld) >= shared) {
-    return plan;
-  }
-  const BackendPtr holder = cache_source(target);
-  plan.source = holder == nullptr ? context_.store : holder->record.address;
-  if (target.memory.cached_tokens(chain_, now) < shared) {
-    plan.target = context_.store;
-  }
-  return plan;
-}
-
-std::string RequestRun::request_head(const Backend& backend, const CachePlan& cache, TimePoint now) const {
-  const HeaderNames& names = context_.names;
-  std::string head = plan_.request.method + " " + plan_.request.target + " HTTP/1.1\r\n";
-  const auto add = [&head](const std::string& name, const std::string& value) {
-    head += name + ": " + value + "\r\n";
-  };
-  for (const http1::HeaderLine& line : plan_.request.headers.lines()) {
-    const bool named_by_connection = plan_.request.headers.has_token("Connection", line.name);
-    if (!http1::is_hop_header(line.name) && !set_by_system(line.name) && !named_by_connection) {
-      add(line.name, line.value);
-    }
-  }
-  const int64_t left_ms = std::max<int64_t>(1, to_milliseconds(give_up_at_ - now));
-  add(names.deadline_ms, std::to_string(left_ms));
-  add(names.expected_backend, backend.record.id);
-  if (plan_.tenant != nullptr) {
-    add(names.tenant, plan_.tenant->name);
-  }
-  if (last_event_id_) {
-    add(names.last_event_id, std::to_string(*last_event_id_));
-  }
-  if (!chain_.links.empty()) {
-    const uint64_t version = backend.record.version_of(plan_.fields.model);
-    const bool isolated = plan_.tenant != nullptr && plan_.tenant->isolated;
-    add(names.cache_salt,
-        (isolated ? "t-" + plan_.tenant->name : std::string("s")) + "-v" + std::to_string(version));
-    const uint32_t tenant_priority = plan_.tenant == nullptr ? 0 : plan_.tenant->priority;
-    const uint32_t urgency =
-        std::min(kMaxUrgency, tenant_priority * kRoutePriorities + plan_.route->priority);
-    add(names.urgency, std::to_string(urgency));
-    if (version > 0) {
-      // The engine may have newer weights than this router knows: what it kept under this salt would be stale
-      // for those who know better.
-      add(names.expected_weights, std::to_string(version));
-    }
-    if (!cache.source.empty()) {
-      add(names.kv_source, cache.source);
-    }
-    if (!cache.target.empty()) {
-      add(names.kv_target, cache.target);
-    }
-    if (!cache.backup.empty()) {
-      add(names.kv_backup, cache.backup);
-    }
-    if (!cache.from.empty()) {
-      add(names.kv_from, cache.from);
-    }
-  }
-  if (!plan_.request.body.empty() || plan_.request.method == "POST" || plan_.request.method == "PUT") {
-    add("Content-Length", std::to_string(plan_.request.body.size()));
-  }
-  return head + "\r\n";
-}
-
-BackendPtr RequestRun::choose_backup(const Backend& target) const {
-  const fleet::Service* service = plan_.table->service(plan_.service);
-  const bool wanted = plan_.route->kind == fleet::RouteKind::kStreaming && !plan_.route->resumable;
-  if (!wanted || service == nullptr || !service->engine.backups) {
-    return nullptr;
-  }
-  const TimePoint now = context_.loop.now();
-  BackendPtr best;
-  for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
-    const auto health = context_.pool.outliers().handle_of(backend->record.id);
-    const bool sound =
-        !backend->record.loading && !backend->record.lost && delivery::OutlierDetector::usable(health, now);
-    if (!sound || backend->record.id == target.record.id ||
-        backend->record.version_of(plan_.fields.model) != target.record.version_of(plan_.fields.model)) {
-      continue;
-    }
-    // Copies within a zone are cheaper; among equals the less loaded engine has more room.
-    const auto rank = [&](const Backend& entry) {
-      return std::make_pair(entry.record.zone != target.record.zone,
-                            entry.outstanding + entry.others_outstanding);
-    };
-    if (best == nullptr || rank(*backend) < rank(*best)) {
-      best = backend;
-    }
-  }
-  return best;
-}
-
-bool RequestRun::go_on_from_copy(const Backend& failed) {
-  const BackendPtr holder = std::exchange(backup_, nullptr);
-  const std::string& model = plan_.fields.model;
-  // A copy is worth nothing once the weights of either engine have changed: it was made under others.
-  const bool same_weights = holder != nullptr && !holder->record.loading && !failed.record.loading &&
-                            holder->record.version_of(model) == run_weights_ &&
-                            failed.record.version_of(model) == run_weights_;
-  // Without an event to go on after, the engine would take the request as a new run.
-  const bool begun = streaming_ && last_event_id_.has_value();
-  if (!begun || !same_weights || from_copy_ || context_.loop.now() >= give_up_at_ ||
-      !context_.budget_of(plan_.service).take(context_.loop.now(), context_.router_count)) {
-    return false;
-  }
-  context_.metrics.count("stoat_router_copies_used_total");
-  send_to(holder, failed.record.address);
-  return true;
-}
-
-void RequestRun::send_to(const BackendPtr& backend, const std::string& copy_of) {
-  const TimePoint now = context_.loop.now();
-  const auto connection = context_.pool.take_connection(backend);
-  tried_.insert(backend->record.id);
-  if (connection == nullptr) {
-    on_not_run();
-    return;
-  }
-  backend_ = backend;
-  connection_ = connection;
-  kind_ = AnswerKind::kNone;
-  body_.clear();
-  splitter_.reset();
-  ++backend->outstanding;
-  from_copy_ = !copy_of.empty();
-  run_weights_ = from_copy_ ? run_weights_ : backend->record.version_of(plan_.fields.model);
-  CachePlan cache = plan_cache(*backend);
-  if (from_copy_) {
-    cache = CachePlan{"", "", "", copy_of + "/" + plan_.fields.id};
-  } else if (const BackendPtr backup = choose_backup(*backend)) {
-    backup_ = backup;
-    cache.backup = backup->record.address;
-  }
-  if (!chain_.links.empty()) {
-    counted_prefill_ =
-        chain_.prompt_tokens - std::min(chain_.prompt_tokens, backend->memory.cached_tokens(chain_, now));
-    backend->prefill_tokens += counted_prefill_;
-    backend->memory.note(chain_, now);
-  }
-  context_.pool.outliers().on_dispatch(backend->record.id, now);
-  const std::string id = plan_.fields.id;
-  const std::string id_name = context_.names.request_id;
-  connection->send(request_head(*backend, cache, now), plan_.request.body, this,
-                   [id, id_name](int, const http1::Headers& headers) {
-                     const std::string* echoed = headers.find(id_name);
-                     return echoed == nullptr || *echoed == id;
-                   });
-  arm_timer(give_up_at_);
-}
-
 void RequestRun::note_first_event() {
   if (backend_ != nullptr && counted_prefill_ > 0) {
     backend_->prefill_tokens -= std::min(backend_->prefill_tokens, counted_prefill_);
--- a/src/storage/replica_store.cc
+++ b/src/storage/replica_store.cc
@@ -1,5 +1,8 @@
 #include "src/storage/replica_store.h"
 
+#include <stdexcept>
+
+#include "src/common/random.h"
 #include "src/storage/record_log.h"
 #include "src/wire/codec.h"
 
@@ -164,4 +167,29 @@
   return files_.replace(kLogFile, bytes);
 }
 
+RestoredMember restore_member(ReplicaStore& store, const std::string& name) {
+  const auto fail = [](const FileError& error) {
+    throw std::runtime_error(error.path + ": " + error.message);
+  };
+  RestoredMember member;
+  auto identity = store.load_identity();
+  if (!identity) {
+    fail(identity.error());
+  }
+  if (!identity->has_value()) {
+    member.identity = DiskIdentity{seed_from_device() | 1U, name};
+    if (const auto written = store.save_identity(member.identity); !written) {
+      fail(written.error());
+    }
+    return member;
+  }
+  member.identity = **identity;
+  auto loaded = store.load();
+  if (!loaded) {
+    fail(loaded.error());
+  }
+  member.state = std::move(*loaded);
+  return member;
+}
+
 }  // namespace stoat::storage
--- a/src/storage/replica_store.h
+++ b/src/storage/replica_store.h
@@ -41,4 +41,15 @@
   consensus::HardState hard_state_;
 };
 
+/// A member as it starts: who it is, and what its disk held.
+struct RestoredMember {
+  DiskIdentity identity;
+  consensus::RestoredState state;
+};
+
+/// Loads a member's identity and state. A blank disk gets a new identity, which is written at once: it never
+/// comes back under one that may have voted. Throws std::runtime_error on damage, or when the identity can't
+/// be written.
+RestoredMember restore_member(ReplicaStore& store, const std::string& name);
+
 }  // namespace stoat::storage
