Compare header names in one place; take out state that nothing reads

Cause: the last reading of the change: head_check.cc had a comparison of its own beside http1::same_name, and a caller's connection noted that its answer is chunked, which nothing asked.

Ruled out: a fault in the second comparison: the new test passed before the change as well.

Change: same_name() in both; chunked_ is gone; EdgeTest.TakesHeadersWhoseNamesAreTheBeginningOfOthers. No behaviour changes.

--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -27,6 +27,7 @@
 constexpr double kRetryAfterS = 0.5;
 /// The same where no back end of the service is known: heartbeats come every second or so.
 constexpr double kNoBackendRetryAfterS = 1.5;
+
 uint64_t chain_seed(const RunPlan& plan) {
   return plan.tenant != nullptr && plan.tenant->isolated ? hash_bytes(plan.tenant->name) : 0;
 }
--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -270,7 +270,6 @@
 
 void CallerConnection::start(const AnswerHead& head) {
   if (phase_ == Phase::kAnswer && connection_ != nullptr) {
-    chunked_ = true;
     write_head(head, true, 0);
   }
 }
@@ -315,7 +314,6 @@
 }
 
 void CallerConnection::after_answer() {
-  chunked_ = false;
   if (close_after_ || server_.draining_) {
     close_when_written();
     return;
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -62,7 +62,6 @@
   CallerRequest request_;
   Phase phase_ = Phase::kIdle;
   bool close_after_ = false;  ///< the answer under way is the connection's last
-  bool chunked_ = false;      ///< the answer under way is sent in chunks
   bool reading_ = false;      ///< inside read(): answers that come at once must not re-enter it
   bool body_too_long_ = false;
 };
--- a/src/http1/head_check.cc
+++ b/src/http1/head_check.cc
@@ -1,7 +1,8 @@
 #include "src/http1/head_check.h"
 
 #include <algorithm>
-#include <cctype>
+
+#include "src/http1/message.h"
 
 namespace stoat::http1 {
 
@@ -14,12 +15,6 @@
   int encodings = 0;
 };
 
-bool equal_ignoring_case(std::string_view left, std::string_view right) {
-  return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
-    return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b));
-  });
-}
-
 std::string_view trim(std::string_view text) {
   while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
     text.remove_prefix(1);
@@ -67,13 +62,13 @@
     return HeadFault::kSpaceInName;
   }
   const std::string_view value = trim(line.substr(colon + 1));
-  if (equal_ignoring_case(name, "host")) {
+  if (same_name(name, "host")) {
     ++framing.hosts;
-  } else if (equal_ignoring_case(name, "content-length")) {
+  } else if (same_name(name, "content-length")) {
     return check_length(value, framing);
-  } else if (equal_ignoring_case(name, "transfer-encoding")) {
+  } else if (same_name(name, "transfer-encoding")) {
     ++framing.encodings;
-    if (framing.encodings > 1 || !equal_ignoring_case(value, "chunked")) {
+    if (framing.encodings > 1 || !same_name(value, "chunked")) {
       return HeadFault::kEncoding;
     }
   }
--- a/tests/unit/edge_test.cc
+++ b/tests/unit/edge_test.cc
@@ -101,6 +101,12 @@
   EXPECT_NE(client.read_until("[ok]").find("[ok]"), std::string::npos);
 }
 
+TEST_F(EdgeTest, TakesHeadersWhoseNamesAreTheBeginningOfOthers) {
+  const std::string answer =
+      exchange("GET /a HTTP/1.1\r\nHost: h\r\nH: 1\r\nContent: x\r\nTransfer: y\r\n\r\n");
+  EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200");
+}
+
 TEST_F(EdgeTest, RefusesTwoLengths) {
   expect_refused("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nContent-Length: 44\r\n\r\n");
 }
