Let all routers know who holds a chain of prompt parts, and take KV cache from there

Change: a chain counts as held from its run's first event, under the weights that made it; until then it is pending, which draws requests there but makes no source. Routers tell the leader, which tells the others within some 80 ms (PlacementNews). place() chooses target and source together: any sound holder with the same weights, draining ones too, is a source; reading again what another engine holds, or leaving an unknown chain's home, costs in the choice. The store gets only prompts that share 1,000 tokens and that it is not known to hold.

--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -11,6 +11,10 @@
 constexpr Duration kRouterLease = 1500ms;
 /// A follower leaves a new configuration to the leader for so long before it sends it as well.
 constexpr Duration kFollowerDelay = 400ms;
+/// News of routers are passed on together, this long after the first of them.
+constexpr Duration kNewsDelay = 30ms;
+/// Placements kept for one router until they are passed on.
+constexpr size_t kMaxNews = 1024;
 /// Named versions of a model that go with each update.
 constexpr size_t kNamedVersions = 6;
 /// Retirements that go with each update. A router hears a few updates a second.
@@ -171,6 +175,30 @@
   update_router(router, std::move(update), true);
 }
 
+void FleetServer::on_placement_news(const ChannelPtr& channel, const fleet::PlacementNews& news) {
+  for (auto& [name, router] : routers_) {
+    if (router.channel == channel || router.news.placements.size() > kMaxNews) {
+      continue;
+    }
+    router.news.placements.insert(router.news.placements.end(), news.placements.begin(),
+                                  news.placements.end());
+  }
+  if (!news_waiting_) {
+    news_waiting_ = true;
+    loop_.after(kNewsDelay, [this] { pass_on_news(); });
+  }
+}
+
+void FleetServer::pass_on_news() {
+  news_waiting_ = false;
+  for (auto& [name, router] : routers_) {
+    if (!router.news.placements.empty() && router.channel->open()) {
+      router.channel->send(router.news);
+    }
+    router.news.placements.clear();
+  }
+}
+
 void FleetServer::push_to_routers() {
   const fleet::FleetUpdate update = make_update();
   for (auto& [name, router] : routers_) {
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -165,6 +165,8 @@
     driver_->drive();
   } else if (auto* status = std::get_if<fleet::RouterStatus>(&message.value)) {
     on_router_status(channel, *status);
+  } else if (auto* news = std::get_if<fleet::PlacementNews>(&message.value)) {
+    on_placement_news(channel, *news);
   } else if (auto* batch = std::get_if<fleet::HeartbeatBatch>(&message.value)) {
     for (const fleet::BackendRecord& record : batch->records) {
       registry_.on_heartbeat(record, now);
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -90,7 +90,8 @@
     fleet::RouterStatus status;
     std::shared_ptr<wire::Channel> channel;
     TimePoint at{0};
-    TimePoint stale_since{0};  ///< since when its configuration has been behind; 0: it is not
+    fleet::PlacementNews news;  ///< of the other routers, not sent yet
+    TimePoint stale_since{0};   ///< since when its configuration has been behind; 0: it is not
   };
   using ChannelPtr = std::shared_ptr<wire::Channel>;
 
@@ -117,6 +118,8 @@
   fleet::FleetUpdate make_update() const;
   void update_router(RouterSeen& router, fleet::FleetUpdate update, bool prompted);
   void push_to_routers();
+  void on_placement_news(const ChannelPtr& channel, const fleet::PlacementNews& news);
+  void pass_on_news();
   void notice_changes();
   void notice_named_weights();
   void send_heartbeats();
@@ -153,6 +156,7 @@
   fleet::BackendRegistry registry_;
   std::vector<fleet::BackendRecord> unsent_heartbeats_;
   std::map<std::string, RouterSeen> routers_;  ///< by name
+  bool news_waiting_ = false;
   uint64_t noticed_revision_ = 0;
   std::vector<NamedSince> named_;  ///< oldest first; the newest few of each model
   uint64_t noticed_digest_ = 0;
--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -8,15 +8,6 @@
 
 namespace stoat::dispatch {
 
-namespace {
-
-/// True when the weights of any model differ, so that kept KV cache is worth nothing.
-bool weights_differ(const fleet::BackendRecord& left, const fleet::BackendRecord& right) {
-  return left.models != right.models;
-}
-
-}  // namespace
-
 BackendPool::~BackendPool() {
   for (const auto& [id, backend] : backends_) {
     for (const auto& connection : backend->idle) {
@@ -33,6 +24,7 @@
     if (backend == nullptr) {
       backend = std::make_shared<Backend>();
       backend->name_hash = hash_bytes(record.id);
+      backend->zone_hash = hash_bytes(record.zone);
       parse_endpoint(record.address, backend->endpoint);
       outliers_.know(record.id);
     }
@@ -40,9 +32,6 @@
     for (fleet::ModelVersion& entry : backend->record.models) {
       entry.version = std::max(entry.version, known.version_of(entry.model));
     }
-    if (weights_differ(backend->record, known)) {
-      backend->memory.clear();
-    }
     const auto retired = retired_.find(record.id);
     if (retired != retired_.end()) {
       backend->record.state = std::max(backend->record.state, retired->second);
@@ -66,7 +55,6 @@
   for (fleet::ModelVersion& entry : backend.record.models) {
     if (entry.model == model && version > entry.version) {
       entry.version = version;
-      backend.memory.clear();
     }
   }
 }
@@ -96,17 +84,24 @@
   }
 }
 
-std::vector<BackendPtr> BackendPool::serving(const std::string& service) const {
+std::vector<BackendPtr> BackendPool::up_to(fleet::BackendState state, const std::string& service) const {
   std::vector<BackendPtr> list;
   for (const auto& [id, backend] : backends_) {
-    const fleet::BackendRecord& record = backend->record;
-    if (record.service == service && record.state == fleet::BackendState::kReady) {
+    if (backend->record.service == service && backend->record.state <= state) {
       list.push_back(backend);
     }
   }
   return list;
 }
 
+std::vector<BackendPtr> BackendPool::serving(const std::string& service) const {
+  return up_to(fleet::BackendState::kReady, service);
+}
+
+std::vector<BackendPtr> BackendPool::present(const std::string& service) const {
+  return up_to(fleet::BackendState::kDraining, service);
+}
+
 BackendPtr BackendPool::find(const std::string& id) const {
   const auto known = backends_.find(id);
   return known == backends_.end() ? nullptr : known->second;
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -20,6 +20,7 @@
   fleet::BackendRecord record;
   Endpoint endpoint;
   uint64_t name_hash = 0;
+  uint64_t zone_hash = 0;
   std::vector<std::shared_ptr<EngineConnection>> idle;  ///< the last one was used last
   size_t connections = 0;                               ///< idle ones and those in use
   uint32_t outstanding = 0;
@@ -49,6 +50,8 @@
   static void note_version(Backend& backend, const std::string& model, uint64_t version);
   /// Back ends of a service that may get new requests, by id.
   std::vector<BackendPtr> serving(const std::string& service) const;
+  /// Those and the ones that are draining, whose KV cache may still be taken.
+  std::vector<BackendPtr> present(const std::string& service) const;
   /// A known back end, or nullptr.
   BackendPtr find(const std::string& id) const;
   /// Own requests under way, for the other routers.
@@ -64,6 +67,7 @@
   uint64_t connects() const { return connects_; }
 
  private:
+  std::vector<BackendPtr> up_to(fleet::BackendState state, const std::string& service) const;
   void drop_idle(const std::weak_ptr<Backend>& weak, EngineConnection* connection);
 
   EventLoop& loop_;
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -108,7 +108,7 @@
   const std::vector<BackendPtr> found = candidates();
   if (!found.empty()) {
     waiting_ = false;
-    send_to(choose(found), "");
+    dispatch(found);
     return;
   }
   if (now >= wait_until_ || ran_ != Ran::kNo) {
@@ -130,6 +130,9 @@
   if (backend_ == nullptr) {
     return;
   }
+  if (!begun_at_engine_ && !chain_.links.empty()) {
+    backend_->memory.drop_pending(chain_);
+  }
   note_first_event();
   backend_->outstanding -= backend_->outstanding > 0 ? 1 : 0;
   if (keep_connection) {
@@ -189,6 +192,10 @@
     return;
   }
   note_first_event();
+  if (!begun_at_engine_ && !chain_.links.empty()) {
+    begun_at_engine_ = true;
+    note_chain_read();
+  }
   if (event.id && last_event_id_ && *event.id <= *last_event_id_) {
     return;  // the caller has it already
   }
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -2,6 +2,7 @@
 /// that is allowed, and the one final answer.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -15,6 +16,7 @@
 #include "src/dispatch/backend_pool.h"
 #include "src/dispatch/request_fields.h"
 #include "src/edge/caller_request.h"
+#include "src/fleet/fleet_messages.h"
 #include "src/routing/route_table.h"
 
 struct event;
@@ -50,6 +52,9 @@
   std::map<std::string, delivery::WindowBudget> budgets = {};  ///< by service
   std::map<std::string, WantedWeights> wanted = {};            ///< by model
   std::string store = {};  ///< address of a live store of KV cache; empty: none
+  placement::ChainMemory store_memory{placement::kStoreHoldTime};
+  /// Tells the other routers who holds a chain.
+  std::function<void(fleet::ChainPlacement)> tell_placement = [](const fleet::ChainPlacement&) {};
   placement::PlacementCosts costs = {};
 
   delivery::WindowBudget& budget_of(const std::string& service) {
@@ -104,16 +109,19 @@
   void arm_timer(TimePoint at);
   void on_timer();
   void try_dispatch();
-  std::vector<BackendPtr> candidates();
+  std::vector<BackendPtr> candidates() const;
+  placement::EngineView view_of(const Backend& backend) const;
   std::optional<Duration> outdated_for(const Backend& backend) const;
-  BackendPtr choose(const std::vector<BackendPtr>& candidates);
-  BackendPtr cache_source(const Backend& target) const;
-  /// `copy_of`: the address of the failed engine whose run goes on from its copy; empty: a run from the
-  /// start.
-  void send_to(const BackendPtr& backend, const std::string& copy_of);
+  /// Places the request on one of the candidates, of which there is at least one, and sends it there.
+  void dispatch(const std::vector<BackendPtr>& candidates);
+  void send_to(const BackendPtr& backend, CachePlan cache);
+  /// Counts the tokens that the engine has to read before this request's first event.
+  void count_prefill(const CachePlan& cache);
+  /// Notes that the engine holds the prompt now.
+  void note_chain_read();
   BackendPtr choose_backup(const Backend& target) const;
   bool go_on_from_copy(const Backend& failed);
-  CachePlan plan_cache(const Backend& target) const;
+  CachePlan plan_cache(const Backend& target, const Backend* holder) const;
   std::string request_head(const Backend& backend, const CachePlan& cache, TimePoint now) const;
   bool set_by_system(const std::string& name) const;
   bool may_repeat(bool certainly_not_run);
@@ -150,6 +158,8 @@
   bool from_copy_ = false;    ///< the run at backend_ goes on from a copy
   uint64_t run_weights_ = 0;  ///< version of the weights that the run began on
   std::shared_ptr<EngineConnection> connection_;
+  bool stores_chain_ = false;     ///< the engine at backend_ sends what it reads to the store
+  bool begun_at_engine_ = false;  ///< the run at backend_ has made its first event
   uint64_t counted_prefill_ = 0;  ///< tokens counted at backend_ until the first event
   AnswerKind kind_ = AnswerKind::kNone;
   edge::AnswerHead head_;
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -11,8 +11,12 @@
 
 /// So long after a version was named, older weights still do; the few engines that have it are not overrun.
 constexpr Duration kOldWeightsFree = 1200ms;
-/// What was sent to an engine this recently is there; an offer of a source would be for nothing.
+/// What was held by an engine this recently still is.
 constexpr Duration kSurelyHeld = 2s;
+/// Parts that others hold are told to the other routers again after so long.
+constexpr Duration kTellAgain = 3s;
+/// The store gets a prompt's own part as well, so only prompts that share much are sent there.
+constexpr uint32_t kMinStoredTokens = 1000;
 constexpr uint32_t kMaxUrgency = 9;
 constexpr uint32_t kRoutePriorities = 3;
 
@@ -41,7 +45,7 @@
   return wanted->second.outdated_for(backend.record.version_of(plan_.fields.model), context_.loop.now());
 }
 
-std::vector<BackendPtr> RequestRun::candidates() {
+std::vector<BackendPtr> RequestRun::candidates() const {
   const TimePoint now = context_.loop.now();
   const fleet::Service* service = plan_.table->service(plan_.service);
   std::vector<BackendPtr> usable;
@@ -66,24 +70,46 @@
   return usable.empty() ? doubtful : usable;
 }
 
-BackendPtr RequestRun::choose(const std::vector<BackendPtr>& candidates) {
+placement::EngineView RequestRun::view_of(const Backend& backend) const {
+  placement::EngineView view;
+  view.name_hash = backend.name_hash;
+  view.memory = &backend.memory;
+  view.weights = backend.record.version_of(plan_.fields.model);
+  view.outstanding = backend.outstanding + backend.others_outstanding;
+  view.prefill_tokens = backend.prefill_tokens + backend.others_prefill_tokens;
+  view.slots = backend.record.slots;
+  view.zone_hash = backend.zone_hash;
+  view.old_weights = outdated_for(backend).value_or(Duration(0)) > kOldWeightsFree;
+  view.same_zone = backend.record.zone == context_.zone;
+  // A dead source holds the request up.
+  const auto health = context_.pool.outliers().handle_of(backend.record.id);
+  view.sound = !backend.record.loading && !backend.record.lost &&
+               delivery::OutlierDetector::usable(health, context_.loop.now());
+  return view;
+}
+
+void RequestRun::dispatch(const std::vector<BackendPtr>& candidates) {
   std::vector<placement::EngineView> views;
+  std::vector<BackendPtr> engines = candidates;
   views.reserve(candidates.size());
   for (const BackendPtr& backend : candidates) {
-    placement::EngineView view;
-    view.name_hash = backend->name_hash;
-    view.memory = &backend->memory;
-    view.outstanding = backend->outstanding + backend->others_outstanding;
-    view.prefill_tokens = backend->prefill_tokens + backend->others_prefill_tokens;
-    view.slots = backend->record.slots;
-    view.old_weights = outdated_for(*backend).value_or(Duration(0)) > kOldWeightsFree;
-    view.same_zone = backend->record.zone == context_.zone;
-    views.push_back(view);
+    views.push_back(view_of(*backend));
+  }
+  if (chain_.links.empty()) {
+    send_to(engines[placement::choose_least_loaded(views, context_.random.bits())], CachePlan{});
+    return;
   }
-  const size_t position = chain_.links.empty()
-                              ? placement::choose_least_loaded(views, context_.random.bits())
-                              : placement::choose_engine(chain_, views, context_.costs, context_.loop.now());
-  return candidates[position];
+  // Those that can't take the request may still hold what its engine needs.
+  for (const BackendPtr& backend : context_.pool.present(plan_.service)) {
+    if (std::find(candidates.begin(), candidates.end(), backend) == candidates.end()) {
+      engines.push_back(backend);
+      views.push_back(view_of(*backend));
+      views.back().candidate = false;
+    }
+  }
+  const placement::Placement placed = placement::place(chain_, views, context_.costs, context_.loop.now());
+  const BackendPtr holder = placed.source ? engines[*placed.source] : nullptr;
+  send_to(engines[placed.target], plan_cache(*engines[placed.target], holder.get()));
 }
 
 bool RequestRun::set_by_system(const std::string& name) const {
@@ -97,42 +123,19 @@
          http1::same_name(names.expected_weights, name) || http1::same_name(names.last_event_id, name);
 }
 
-BackendPtr RequestRun::cache_source(const Backend& target) const {
-  if (chain_.links.size() < 2) {
-    return nullptr;
-  }
-  const TimePoint now = context_.loop.now();
-  const std::string& model = plan_.fields.model;
-  std::vector<BackendPtr> holders;
-  std::vector<placement::EngineView> views;
-  for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
-    // What is kept under other weights must not be used, and a dead source holds the request up.
-    const auto health = context_.pool.outliers().handle_of(backend->record.id);
-    if (backend->record.version_of(model) != target.record.version_of(model) || backend->record.loading ||
-        backend->record.lost || !delivery::OutlierDetector::usable(health, now)) {
-      continue;
-    }
-    placement::EngineView view;
-    view.name_hash = backend->name_hash;
-    view.memory = &backend->memory;
-    holders.push_back(backend);
-    views.push_back(view);
-  }
-  const auto source =
-      placement::choose_source(chain_, target.name_hash, target.memory, views, now, context_.store.empty());
-  return source ? holders[*source] : nullptr;
-}
-
-CachePlan RequestRun::plan_cache(const Backend& target) const {
+CachePlan RequestRun::plan_cache(const Backend& target, const Backend* holder) const {
   CachePlan plan;
   const TimePoint now = context_.loop.now();
-  const uint32_t shared = placement::shared_tokens(chain_);
-  if (shared == 0 || target.memory.cached_tokens(chain_, now, kSurelyHeld) >= shared) {
+  const uint64_t weights = target.record.version_of(plan_.fields.model);
+  if (target.memory.held_since(chain_, weights, now, kSurelyHeld)) {
     return plan;
   }
-  const BackendPtr holder = cache_source(target);
-  plan.source = holder == nullptr ? context_.store : holder->record.address;
-  if (target.memory.cached_tokens(chain_, now) < shared) {
+  const uint32_t shared = placement::shared_tokens(chain_);
+  const bool stored = context_.store_memory.held_tokens(chain_, weights, now) >= shared;
+  const bool surely_held = holder != nullptr && holder->memory.held_since(chain_, weights, now, kSurelyHeld);
+  // Engines drop what is unused within seconds, the store later.
+  plan.source = holder == nullptr || (stored && !surely_held) ? context_.store : holder->record.address;
+  if (!stored && shared >= kMinStoredTokens) {
     plan.target = context_.store;
   }
   return plan;
@@ -234,11 +237,13 @@
     return false;
   }
   context_.metrics.count("stoat_router_copies_used_total");
-  send_to(holder, failed.record.address);
+  CachePlan cache;
+  cache.from = failed.record.address + "/" + plan_.fields.id;
+  send_to(holder, cache);
   return true;
 }
 
-void RequestRun::send_to(const BackendPtr& backend, const std::string& copy_of) {
+void RequestRun::send_to(const BackendPtr& backend, CachePlan cache) {
   const TimePoint now = context_.loop.now();
   const auto connection = context_.pool.take_connection(backend);
   tried_.insert(backend->record.id);
@@ -252,20 +257,16 @@
   body_.clear();
   splitter_.reset();
   ++backend->outstanding;
-  from_copy_ = !copy_of.empty();
+  begun_at_engine_ = false;
+  stores_chain_ = !cache.target.empty();
+  from_copy_ = !cache.from.empty();
   run_weights_ = from_copy_ ? run_weights_ : backend->record.version_of(plan_.fields.model);
-  CachePlan cache = plan_cache(*backend);
-  if (from_copy_) {
-    cache = CachePlan{"", "", "", copy_of + "/" + plan_.fields.id};
-  } else if (const BackendPtr backup = choose_backup(*backend)) {
-    backup_ = backup;
-    cache.backup = backup->record.address;
+  if (!from_copy_) {
+    backup_ = choose_backup(*backend);
+    cache.backup = backup_ == nullptr ? "" : backup_->record.address;
   }
   if (!chain_.links.empty()) {
-    counted_prefill_ =
-        chain_.prompt_tokens - std::min(chain_.prompt_tokens, backend->memory.cached_tokens(chain_, now));
-    backend->prefill_tokens += counted_prefill_;
-    backend->memory.note(chain_, now);
+    count_prefill(cache);
   }
   context_.pool.outliers().on_dispatch(backend->record.id, now);
   const std::string id = plan_.fields.id;
@@ -278,4 +279,38 @@
   arm_timer(give_up_at_);
 }
 
+void RequestRun::count_prefill(const CachePlan& cache) {
+  const TimePoint now = context_.loop.now();
+  uint32_t present = backend_->memory.cached_tokens(chain_, run_weights_, now);
+  if (!cache.source.empty() && cache.source != context_.store) {
+    present = std::max(present, placement::shared_tokens(chain_));
+  }
+  counted_prefill_ = chain_.prompt_tokens - std::min(chain_.prompt_tokens, present);
+  backend_->prefill_tokens += counted_prefill_;
+  backend_->memory.note_pending(chain_, run_weights_, now);
+}
+
+void RequestRun::note_chain_read() {
+  const TimePoint now = context_.loop.now();
+  fleet::ChainPlacement placement;
+  placement.holder = backend_->record.id;
+  placement.weights = run_weights_;
+  for (size_t position = 0; position + 1 < chain_.links.size(); ++position) {
+    placement.links.push_back(chain_.links[position].hash);
+  }
+  if (placement.links.empty()) {
+    return;
+  }
+  const bool known = backend_->memory.held_since(chain_, run_weights_, now, kTellAgain);
+  backend_->memory.note_held(placement.links, run_weights_, now);
+  if (!known) {
+    context_.tell_placement(placement);
+  }
+  if (stores_chain_) {
+    context_.store_memory.note_held(placement.links, run_weights_, now);
+    placement.holder.clear();
+    context_.tell_placement(placement);
+  }
+}
+
 }  // namespace stoat::dispatch
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -29,6 +29,20 @@
   MSGPACK_DEFINE_ARRAY(router, sequence, configuration_version, registry_digest, loads)
 };
 
+/// A back end, or a store of KV cache, holds a chain of prompt parts.
+struct ChainPlacement {
+  std::string holder;           ///< id of the back end; empty: the store
+  uint64_t weights = 0;         ///< version that made it
+  std::vector<uint64_t> links;  ///< hashes of the chain up to each shared part
+  MSGPACK_DEFINE_ARRAY(holder, weights, links)
+};
+
+/// Router to the leader, and on to the other routers: what was read lately.
+struct PlacementNews {
+  std::vector<ChainPlacement> placements;
+  MSGPACK_DEFINE_ARRAY(placements)
+};
+
 /// A version of a model's weights that was named, and how long ago as far as the sender knows.
 struct NamedVersion {
   std::string model;
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -13,11 +13,12 @@
 }  // namespace
 
 ControlLink::ControlLink(EventLoop& loop, ControlLinkOptions options, StatusMaker make_status,
-                         UpdateHandler on_update)
+                         UpdateHandler on_update, NewsHandler on_news)
     : loop_(loop),
       options_(std::move(options)),
       make_status_(std::move(make_status)),
-      on_update_(std::move(on_update)) {
+      on_update_(std::move(on_update)),
+      on_news_(std::move(on_news)) {
   loop.every(options_.status_interval, [this] { tick(); });
   loop.after(Duration(0), [this] { tick(); });
 }
@@ -102,13 +103,27 @@
   member.channel->send(status);
 }
 
+void ControlLink::send_to_leader(const fleet::PlacementNews& news) {
+  const auto leader = members_.find(leader_);
+  if (leader != members_.end() && leader->second.channel != nullptr) {
+    leader->second.channel->send(news);
+  }
+}
+
 void ControlLink::on_message(const std::string& address, wire::Message message) {
+  if (const auto* news = std::get_if<fleet::PlacementNews>(&message.value)) {
+    on_news_(*news);
+    return;
+  }
   const auto found = members_.find(address);
   auto* update = std::get_if<fleet::FleetUpdate>(&message.value);
   if (found == members_.end() || update == nullptr) {
     return;
   }
   found->second.heard = loop_.now();
+  if (update->leads) {
+    leader_ = address;
+  }
   if (!update->members.empty()) {
     told_members_ = update->members;
   }
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -28,9 +28,11 @@
 class ControlLink {
  public:
   using UpdateHandler = std::function<void(const fleet::FleetUpdate&)>;
+  using NewsHandler = std::function<void(const fleet::PlacementNews&)>;
   using StatusMaker = std::function<fleet::RouterStatus()>;
 
-  ControlLink(EventLoop& loop, ControlLinkOptions options, StatusMaker make_status, UpdateHandler on_update);
+  ControlLink(EventLoop& loop, ControlLinkOptions options, StatusMaker make_status, UpdateHandler on_update,
+              NewsHandler on_news);
   ~ControlLink();
   ControlLink(const ControlLink&) = delete;
   ControlLink& operator=(const ControlLink&) = delete;
@@ -42,6 +44,8 @@
   void set_seeds(std::vector<Endpoint> seeds) { options_.seeds = std::move(seeds); }
   /// Tells all members at once, for example that this router is about to stop.
   void tell_now();
+  /// Sends news to the leader, which tells the other routers; lost when no leader is known.
+  void send_to_leader(const fleet::PlacementNews& news);
   size_t connected() const;
 
  private:
@@ -61,8 +65,10 @@
   ControlLinkOptions options_;
   StatusMaker make_status_;
   UpdateHandler on_update_;
+  NewsHandler on_news_;
   Logger log_{"link"};
   std::map<std::string, Member> members_;  ///< by internal address
+  std::string leader_;                     ///< internal address of the member that last said that it leads
   std::vector<std::string> told_members_;  ///< as the members last listed themselves
   uint64_t last_sequence_ = 0;
   uint64_t configuration_version_ = 0;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -13,6 +13,8 @@
 /// A router that has just started, or has lost control, needs about so many seconds to serve again.
 constexpr char kStartRetryAfter[] = "2";
 constexpr Duration kQueueMargin = 1500ms;
+/// Placements are told together, this long after the first of them.
+constexpr Duration kNewsDelay = 50ms;
 
 }  // namespace
 
@@ -49,12 +51,14 @@
       context_{loop, names_, pool_, metrics_, log_},
       link_(
           loop, settings.link, [this] { return make_status(); },
-          [this](const fleet::FleetUpdate& update) { on_update(update); }),
+          [this](const fleet::FleetUpdate& update) { on_update(update); },
+          [this](const fleet::PlacementNews& news) { on_news(news); }),
       edge_(loop, settings.listen, *this) {
   context_.random = Random(seed_from_device());
   context_.zone = settings.zone;
   context_.budget_options = settings.budget;
   context_.old_weights_limit = settings.old_weights_limit;
+  context_.tell_placement = [this](fleet::ChainPlacement placement) { tell_placement(std::move(placement)); };
   log_.info("started", {{"name", settings.name}, {"listen", to_string(settings.listen)}});
 }
 
@@ -98,13 +102,38 @@
     context_.router_count = update.router_count;
   }
   if (update.leads) {
-    context_.store = update.stores.empty() ? "" : update.stores.front();
+    const std::string store = update.stores.empty() ? "" : update.stores.front();
+    if (store != context_.store) {
+      context_.store_memory = placement::ChainMemory(placement::kStoreHoldTime);  // it comes back empty
+    }
+    context_.store = store;
   }
   if (update.leads && update.answers > 0) {
     pool_.set_other_loads(update.loads);
   }
 }
 
+void GatewayServer::tell_placement(fleet::ChainPlacement placement) {
+  if (untold_placements_.placements.empty()) {
+    loop_.after(kNewsDelay, [this] {
+      link_.send_to_leader(untold_placements_);
+      untold_placements_.placements.clear();
+    });
+  }
+  untold_placements_.placements.push_back(std::move(placement));
+}
+
+void GatewayServer::on_news(const fleet::PlacementNews& news) {
+  const TimePoint now = loop_.now();
+  for (const fleet::ChainPlacement& placement : news.placements) {
+    if (placement.holder.empty()) {
+      context_.store_memory.note_held(placement.links, placement.weights, now);
+    } else if (const dispatch::BackendPtr holder = pool_.find(placement.holder)) {
+      holder->memory.note_held(placement.links, placement.weights, now);
+    }
+  }
+}
+
 void GatewayServer::take_configuration(const fleet::FleetConfiguration& configuration) {
   if (table_ != nullptr && configuration.version <= table_->configuration().version) {
     return;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -54,6 +54,9 @@
 
  private:
   void on_update(const fleet::FleetUpdate& update);
+  void on_news(const fleet::PlacementNews& news);
+  /// Keeps a placement for the other routers, which hear of it a little later.
+  void tell_placement(fleet::ChainPlacement placement);
   void take_configuration(const fleet::FleetConfiguration& configuration);
   fleet::RouterStatus make_status() const;
   void refuse(const dispatch::RunPlan& plan, edge::CallerAnswer& answer, int status, const char* reason);
@@ -70,6 +73,7 @@
   std::shared_ptr<const routing::RouteTable> table_;
   routing::SplitChooser splits_;
   uint64_t registry_digest_ = 0;
+  fleet::PlacementNews untold_placements_;
   std::map<const edge::CallerAnswer*, std::shared_ptr<dispatch::RequestRun>> runs_;
   ControlLink link_;
   edge::EdgeServer edge_;
--- a/src/placement/part_placement.cc
+++ b/src/placement/part_placement.cc
@@ -1,6 +1,7 @@
 #include "src/placement/part_placement.h"
 
 #include <algorithm>
+#include <map>
 
 #include "src/common/hash.h"
 
@@ -8,25 +9,110 @@
 
 namespace {
 
-/// Chains remembered for one engine before old ones are dropped.
-constexpr size_t kMaxChains = 4096;
+/// Links remembered for one engine before old ones are dropped.
+constexpr size_t kMaxLinks = 4096;
 
-/// The position of the engine that the chain's shared parts belong to.
-size_t home_of(const PromptChain& chain, const std::vector<EngineView>& engines) {
+/// What is known of one chain among the engines with the same weights.
+struct WeightsGroup {
+  std::optional<size_t> home;  ///< the candidate that the chain belongs to when nobody is known to hold it
+  uint64_t home_rank = 0;
+  uint32_t best_cached = 0;     ///< held or being read anywhere
+  std::vector<size_t> sources;  ///< engines that hold `source_tokens`
+  uint32_t source_tokens = 0;   ///< the most shared tokens that any sound engine holds
+};
+
+using Groups = std::map<uint64_t, WeightsGroup>;  ///< by version of the weights
+
+uint64_t home_key(const PromptChain& chain) {
   const size_t shared = chain.links.size() > 1 ? chain.links.size() - 2 : 0;
-  const uint64_t key = chain.links.empty() ? 0 : chain.links[shared].hash;
-  size_t best = 0;
-  uint64_t best_weight = 0;
+  return chain.links.empty() ? 0 : chain.links[shared].hash;
+}
+
+Groups group_by_weights(const PromptChain& chain, const std::vector<EngineView>& engines, TimePoint now) {
+  Groups groups;
+  const uint64_t key = home_key(chain);
+  const uint32_t shared = shared_tokens(chain);
   for (size_t position = 0; position < engines.size(); ++position) {
-    const uint64_t weight = hash_pair(key, engines[position].name_hash);
-    if (position == 0 || weight > best_weight) {
+    const EngineView& engine = engines[position];
+    WeightsGroup& group = groups[engine.weights];
+    const uint64_t rank = hash_pair(key, engine.name_hash);
+    if (engine.candidate && (!group.home || rank > group.home_rank)) {
+      group.home = position;
+      group.home_rank = rank;
+    }
+    if (engine.memory == nullptr) {
+      continue;
+    }
+    group.best_cached = std::max(group.best_cached,
+                                 std::min(shared, engine.memory->cached_tokens(chain, engine.weights, now)));
+    const uint32_t held = std::min(shared, engine.memory->held_tokens(chain, engine.weights, now));
+    if (!engine.sound || held == 0 || held < group.source_tokens) {
+      continue;
+    }
+    if (held > group.source_tokens) {
+      group.sources.clear();
+    }
+    group.source_tokens = held;
+    group.sources.push_back(position);
+  }
+  return groups;
+}
+
+/// The source for a target: one in its zone if there is one, the least busy among equals.
+std::optional<size_t> source_for(size_t target, const WeightsGroup& group,
+                                 const std::vector<EngineView>& engines) {
+  std::optional<size_t> best;
+  const auto rank = [&](size_t position) {
+    const EngineView& engine = engines[position];
+    return std::make_pair(engine.zone_hash != engines[target].zone_hash, engine.outstanding);
+  };
+  for (const size_t position : group.sources) {
+    if (position != target && (!best || rank(position) < rank(*best))) {
       best = position;
-      best_weight = weight;
     }
   }
   return best;
 }
 
+/// How a chain would be served at one engine, and the expected time of it.
+struct Option {
+  Placement placement;
+  double cost_ms = 0;
+};
+
+Option consider(size_t position, const PromptChain& chain, const std::vector<EngineView>& engines,
+                const WeightsGroup& group, const PlacementCosts& costs, TimePoint now) {
+  const EngineView& engine = engines[position];
+  const uint32_t shared = shared_tokens(chain);
+  const uint32_t own =
+      engine.memory == nullptr ? 0 : engine.memory->cached_tokens(chain, engine.weights, now);
+  Option option;
+  option.placement.target = position;
+  uint32_t present = std::min(own, chain.prompt_tokens);
+  if (group.source_tokens > own) {
+    option.placement.source = source_for(position, group, engines);
+  }
+  if (option.placement.source) {
+    const uint32_t moved = group.source_tokens - own;
+    const bool across = engines[*option.placement.source].zone_hash != engine.zone_hash;
+    option.cost_ms += costs.move_setup_ms + moved * costs.move_ms_per_token * (across ? 2 : 1);
+    present = group.source_tokens;
+  }
+  option.placement.missing_tokens = chain.prompt_tokens - std::min(chain.prompt_tokens, present);
+  option.cost_ms += (option.placement.missing_tokens + static_cast<double>(engine.prefill_tokens)) /
+                    costs.prefill_tokens_per_ms;
+  // What another engine holds or is reading should not be read again. Where nobody is known to, the other
+  // routers' requests go to the chain's home.
+  const bool at_home = group.home == position;
+  const uint32_t expected = group.best_cached > 0 || at_home ? group.best_cached : shared / 2;
+  option.cost_ms += (expected - std::min(expected, present)) * costs.reread_ms_per_token;
+  option.cost_ms += engine.outstanding * costs.per_outstanding_ms;
+  option.cost_ms += engine.outstanding >= engine.slots ? costs.full_ms : 0;
+  option.cost_ms += engine.old_weights ? costs.old_weights_ms : 0;
+  option.cost_ms += engine.same_zone ? 0 : costs.other_zone_ms;
+  return option;
+}
+
 }  // namespace
 
 uint32_t shared_tokens(const PromptChain& chain) {
@@ -37,20 +123,56 @@
   return tokens;
 }
 
-void ChainMemory::note(const PromptChain& chain, TimePoint now) {
+ChainMemory::Entry& ChainMemory::entry_for(uint64_t link, uint64_t weights) {
+  Entry& entry = entries_[link];
+  if (entry.weights < weights) {
+    entry = Entry();  // an engine drops all it had with its old weights
+    entry.weights = weights;
+  }
+  return entry;
+}
+
+void ChainMemory::note_pending(const PromptChain& chain, uint64_t weights, TimePoint now) {
+  for (const ChainLink& link : chain.links) {
+    Entry& entry = entry_for(link.hash, weights);
+    entry.pending_until = std::max(entry.pending_until, now + kPendingTime);
+  }
+  drop_old(now);
+}
+
+void ChainMemory::note_held(const std::vector<uint64_t>& links, uint64_t weights, TimePoint now) {
+  for (const uint64_t link : links) {
+    Entry& entry = entry_for(link, weights);
+    if (entry.weights == weights) {
+      entry.held_at = now;
+    }
+  }
+  drop_old(now);
+}
+
+void ChainMemory::drop_pending(const PromptChain& chain) {
   for (const ChainLink& link : chain.links) {
-    last_used_[link.hash] = now;
+    const auto found = entries_.find(link.hash);
+    if (found != entries_.end()) {
+      found->second.pending_until = TimePoint(0);
+    }
   }
-  if (last_used_.size() > kMaxChains) {
-    std::erase_if(last_used_, [now](const auto& entry) { return now - entry.second > kHoldTime / 2; });
+}
+
+void ChainMemory::drop_old(TimePoint now) {
+  if (entries_.size() > kMaxLinks) {
+    std::erase_if(entries_, [this, now](const auto& entry) {
+      return !entry.second.held(now, hold_time_ / 2) && entry.second.pending_until <= now;
+    });
   }
 }
 
-uint32_t ChainMemory::cached_tokens(const PromptChain& chain, TimePoint now, Duration hold) const {
+uint32_t ChainMemory::cached_tokens(const PromptChain& chain, uint64_t weights, TimePoint now) const {
   uint32_t tokens = 0;
   for (const ChainLink& link : chain.links) {
-    const auto found = last_used_.find(link.hash);
-    if (found == last_used_.end() || now - found->second > hold) {
+    const auto found = entries_.find(link.hash);
+    if (found == entries_.end() || found->second.weights != weights ||
+        (!found->second.held(now, hold_time_) && found->second.pending_until <= now)) {
       break;
     }
     tokens += link.tokens;
@@ -58,78 +180,63 @@
   return tokens;
 }
 
-size_t choose_engine(const PromptChain& chain, const std::vector<EngineView>& engines,
-                     const PlacementCosts& costs, TimePoint now) {
-  const size_t home = home_of(chain, engines);
-  size_t best = home;
-  double best_cost = 0;
-  for (size_t position = 0; position < engines.size(); ++position) {
-    const EngineView& engine = engines[position];
-    uint32_t cached = engine.memory == nullptr ? 0 : engine.memory->cached_tokens(chain, now);
-    if (position == home) {
-      cached = std::max(cached, shared_tokens(chain));
-    }
-    const uint32_t missing = chain.prompt_tokens - std::min(chain.prompt_tokens, cached);
-    double cost = (missing + static_cast<double>(engine.prefill_tokens)) / costs.prefill_tokens_per_ms;
-    cost += engine.outstanding * costs.per_outstanding_ms;
-    cost += engine.outstanding >= engine.slots ? costs.full_ms : 0;
-    cost += engine.old_weights ? costs.old_weights_ms : 0;
-    cost += engine.same_zone ? 0 : costs.other_zone_ms;
-    if (position == 0 || cost < best_cost) {
-      best = position;
-      best_cost = cost;
+uint32_t ChainMemory::held_tokens(const PromptChain& chain, uint64_t weights, TimePoint now) const {
+  uint32_t tokens = 0;
+  for (const ChainLink& link : chain.links) {
+    const auto found = entries_.find(link.hash);
+    if (found == entries_.end() || found->second.weights != weights || !found->second.held(now, hold_time_)) {
+      break;
     }
+    tokens += link.tokens;
   }
-  return best;
+  return tokens;
 }
 
-std::optional<size_t> choose_source(const PromptChain& chain, uint64_t target,
-                                    const ChainMemory& target_memory, const std::vector<EngineView>& engines,
-                                    TimePoint now, bool guess) {
-  const uint32_t shared = shared_tokens(chain);
-  uint32_t most = std::min(shared, target_memory.cached_tokens(chain, now));
-  if (most >= shared) {
-    return std::nullopt;
+bool ChainMemory::held_since(const PromptChain& chain, uint64_t weights, TimePoint now, Duration age) const {
+  for (size_t position = 0; position + 1 < chain.links.size(); ++position) {
+    const auto found = entries_.find(chain.links[position].hash);
+    if (found == entries_.end() || found->second.weights != weights || !found->second.held(now, age)) {
+      return false;
+    }
   }
-  std::optional<size_t> best;
-  std::vector<EngineView> others;
-  std::vector<size_t> positions;
+  return true;
+}
+
+Placement place(const PromptChain& chain, const std::vector<EngineView>& engines, const PlacementCosts& costs,
+                TimePoint now) {
+  const Groups groups = group_by_weights(chain, engines, now);
+  std::optional<Option> best;
   for (size_t position = 0; position < engines.size(); ++position) {
-    const EngineView& engine = engines[position];
-    if (engine.name_hash == target) {
+    if (!engines[position].candidate) {
       continue;
     }
-    others.push_back(engine);
-    positions.push_back(position);
-    const uint32_t held = std::min(shared, engine.memory->cached_tokens(chain, now));
-    if (held > most) {
-      most = held;
-      best = position;
+    const Option option =
+        consider(position, chain, engines, groups.at(engines[position].weights), costs, now);
+    if (!best || option.cost_ms < best->cost_ms) {
+      best = option;
     }
   }
-  if (most >= shared || others.empty() || !guess) {
-    return most >= shared ? best : std::nullopt;
-  }
-  // What other routers sent is not known here, but they send it to its home: the target itself, or the engine
-  // that was home before the target came into use, which is the next in rendezvous order.
-  return positions[home_of(chain, others)];
+  return best->placement;
 }
 
 size_t choose_least_loaded(const std::vector<EngineView>& engines, uint64_t random) {
-  size_t best = 0;
+  std::optional<size_t> best;
   double best_load = 0;
   for (size_t step = 0; step < engines.size(); ++step) {
     const size_t position = (step + random) % engines.size();
     const EngineView& engine = engines[position];
+    if (!engine.candidate) {
+      continue;
+    }
     const double load =
         static_cast<double>(engine.outstanding) / static_cast<double>(std::max(1U, engine.slots)) +
         (engine.same_zone ? 0.0 : 0.01);
-    if (step == 0 || load < best_load) {
+    if (!best || load < best_load) {
       best = position;
       best_load = load;
     }
   }
-  return best;
+  return best.value_or(0);
 }
 
 }  // namespace stoat::placement
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -264,11 +264,12 @@
 };
 
 /// Any message. New alternatives go at the end.
-using Message = Packed<SubmitRequest, RequestDispatched, StreamPiece, RequestFinished, CancelRequest,
-                       RouterDraining, ControlCall, ControlAnswer, NodePoll, NodePollAnswer, BlockChanges,
-                       LoadDigest, QuotaRequest, QuotaGrant, PeerMessage, JoinRequest, Ping, Pong,
-                       HotPrefixes, fleet::RouterStatus, fleet::FleetUpdate, fleet::HeartbeatBatch,
-                       fleet::ConfirmedRead, fleet::ConfirmedReadAnswer, fleet::MemberAddresses>;
+using Message =
+    Packed<SubmitRequest, RequestDispatched, StreamPiece, RequestFinished, CancelRequest, RouterDraining,
+           ControlCall, ControlAnswer, NodePoll, NodePollAnswer, BlockChanges, LoadDigest, QuotaRequest,
+           QuotaGrant, PeerMessage, JoinRequest, Ping, Pong, HotPrefixes, fleet::RouterStatus,
+           fleet::FleetUpdate, fleet::HeartbeatBatch, fleet::ConfirmedRead, fleet::ConfirmedReadAnswer,
+           fleet::MemberAddresses, fleet::PlacementNews>;
 
 }  // namespace stoat::wire
 
--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -85,6 +85,7 @@
     router.link.status_interval = 50ms;
     router.budget.slack = 100;
     router_port_ = router.listen.port;
+    control_endpoint_ = control.internal;
     control_ = std::make_unique<control::FleetServer>(control_loop_, control, orders_);
     router_ = std::make_unique<gateway::GatewayServer>(loop_, router, names_);
     control_thread_ = std::thread([this] { control_loop_.run(); });
@@ -210,6 +211,7 @@
   NotedOrders orders_;
   std::filesystem::path folder_;
   uint16_t router_port_ = 0;
+  Endpoint control_endpoint_;  ///< of the protocol between the system's own processes
   uint64_t sequence_ = 0;
   std::unique_ptr<control::FleetServer> control_;
   std::unique_ptr<gateway::GatewayServer> router_;
--- a/tests/unit/fleet_parts_test.cc
+++ b/tests/unit/fleet_parts_test.cc
@@ -173,51 +173,109 @@
   return result;
 }
 
-TEST(PartPlacement, AChainStaysAtItsHomeUntilThatIsLoaded) {
-  std::vector<placement::ChainMemory> memories(3);
-  std::vector<placement::EngineView> engines(3);
-  for (size_t i = 0; i < 3; ++i) {
-    engines[i].name_hash = i + 1;
-    engines[i].memory = &memories[i];
-    engines[i].slots = 8;
-    engines[i].same_zone = true;
+/// Three engines with the same weights, all usable.
+class PartPlacementTest : public ::testing::Test {
+ protected:
+  static constexpr uint64_t kWeights = 4;
+  PartPlacementTest() : memories_(3), engines_(3) {
+    for (size_t i = 0; i < 3; ++i) {
+      engines_[i].name_hash = i + 1;
+      engines_[i].memory = &memories_[i];
+      engines_[i].weights = kWeights;
+      engines_[i].slots = 8;
+      engines_[i].same_zone = true;
+    }
   }
-  const auto prompt = chain({{1, 4000}, {2, 500}});
-  const size_t home = placement::choose_engine(prompt, engines, {}, 1s);
-  engines[home].outstanding = 2;
-  EXPECT_EQ(placement::choose_engine(prompt, engines, {}, 1s), home);
-  engines[home].prefill_tokens = 20000;
-  EXPECT_NE(placement::choose_engine(prompt, engines, {}, 1s), home);
+  void allow_only(size_t target) {
+    for (size_t i = 0; i < engines_.size(); ++i) {
+      engines_[i].candidate = i == target;
+    }
+  }
+  placement::Placement place(TimePoint now = 1s) const {
+    return placement::place(prompt_, engines_, {}, now);
+  }
+
+  placement::PromptChain prompt_ = chain({{1, 4000}, {2, 500}});
+  std::vector<placement::ChainMemory> memories_;
+  std::vector<placement::EngineView> engines_;
+};
+
+TEST_F(PartPlacementTest, AChainStaysAtItsHomeUntilThatIsLoaded) {
+  const size_t home = place().target;
+  engines_[home].outstanding = 2;
+  EXPECT_EQ(place().target, home);
+  engines_[home].prefill_tokens = 20000;
+  EXPECT_NE(place().target, home);
 }
 
-TEST(PartPlacement, TheSourceIsWhoWasSentTheChain) {
-  std::vector<placement::ChainMemory> memories(3);
-  std::vector<placement::EngineView> engines(3);
-  for (size_t i = 0; i < 3; ++i) {
-    engines[i].name_hash = i + 1;
-    engines[i].memory = &memories[i];
-  }
-  const auto prompt = chain({{1, 4000}, {2, 500}});
-  memories[2].note(prompt, 1s);
-  EXPECT_EQ(placement::choose_source(prompt, 1, memories[0], engines, 1s, false), std::optional<size_t>(2));
-  memories[0].note(prompt, 1s);
-  EXPECT_EQ(placement::choose_source(prompt, 1, memories[0], engines, 1s, false), std::nullopt);
-  EXPECT_NE(placement::choose_source(prompt, 1, memories[0], engines, 60s, true), std::optional<size_t>(0));
+TEST_F(PartPlacementTest, TheSourceIsAKnownHolder) {
+  allow_only(0);
+  EXPECT_EQ(place().source, std::nullopt);
+  memories_[2].note_held({1}, kWeights, 1s);
+  EXPECT_EQ(place().source, std::optional<size_t>(2));
+  EXPECT_EQ(place().missing_tokens, 500U);
+  memories_[0].note_held({1}, kWeights, 1s);
+  EXPECT_EQ(place().source, std::nullopt);
+}
+
+TEST_F(PartPlacementTest, AHolderIsForgottenAfterItsTime) {
+  allow_only(0);
+  memories_[2].note_held({1}, kWeights, 1s);
+  EXPECT_EQ(place(1s + placement::kHoldTime + 1ms).source, std::nullopt);
+}
+
+TEST_F(PartPlacementTest, TheSourceIsTheHolderOfTheLongestBeginning) {
+  prompt_ = chain({{1, 2000}, {2, 3000}, {3, 500}});
+  allow_only(0);
+  memories_[1].note_held({1}, kWeights, 1s);
+  EXPECT_EQ(place().source, std::optional<size_t>(1));
+  EXPECT_EQ(place().missing_tokens, 3500U);
+  memories_[2].note_held({1, 2}, kWeights, 1s);
+  EXPECT_EQ(place().source, std::optional<size_t>(2));
+  EXPECT_EQ(place().missing_tokens, 500U);
+}
+
+TEST_F(PartPlacementTest, AmongHoldersTheOneInTheTargetsZoneIsTheSource) {
+  allow_only(0);
+  engines_[1].zone_hash = 7;
+  memories_[1].note_held({1}, kWeights, 1s);
+  memories_[2].note_held({1}, kWeights, 1s);
+  EXPECT_EQ(place().source, std::optional<size_t>(2));
+}
+
+TEST_F(PartPlacementTest, WhatIsStillBeingReadIsNoSourceButDrawsTheRequestThere) {
+  const size_t other = (place().target + 1) % 3;
+  memories_[other].note_pending(prompt_, kWeights, 1s);
+  engines_[other].prefill_tokens = 4500;
+  EXPECT_EQ(place().target, other);
+  EXPECT_EQ(place().source, std::nullopt);
+  memories_[other].drop_pending(prompt_);
+  EXPECT_NE(place().target, other);
+}
+
+TEST_F(PartPlacementTest, AHolderUnderOtherWeightsIsNoSource) {
+  allow_only(0);
+  memories_[2].note_held({1}, kWeights - 1, 1s);
+  EXPECT_EQ(place().source, std::nullopt);
+  memories_[2].note_held({1}, kWeights + 1, 1s);
+  EXPECT_EQ(place().source, std::nullopt);
+  memories_[2].note_held({1}, kWeights, 1s);  // late news of weights that are gone
+  EXPECT_EQ(place().source, std::nullopt);
+}
+
+TEST_F(PartPlacementTest, AnUnsoundHolderIsNoSource) {
+  allow_only(0);
+  memories_[2].note_held({1}, kWeights, 1s);
+  engines_[2].sound = false;
+  EXPECT_EQ(place().source, std::nullopt);
 }
 
-TEST(PartPlacement, WithoutAGuessOnlyAKnownHolderIsASource) {
-  std::vector<placement::ChainMemory> memories(2);
-  std::vector<placement::EngineView> engines(2);
-  for (size_t i = 0; i < 2; ++i) {
-    engines[i].name_hash = i + 1;
-    engines[i].memory = &memories[i];
+TEST_F(PartPlacementTest, AnEngineThatMayNotBeUsedIsNeverTheTarget) {
+  memories_[2].note_held({1}, kWeights, 1s);
+  for (size_t target = 0; target < 3; ++target) {
+    allow_only(target);
+    EXPECT_EQ(place().target, target);
   }
-  const auto prompt = chain({{1, 4000}, {2, 3000}, {3, 500}});
-  EXPECT_EQ(placement::choose_source(prompt, 1, memories[0], engines, 1s, false), std::nullopt);
-  EXPECT_EQ(placement::choose_source(prompt, 1, memories[0], engines, 1s, true), std::optional<size_t>(1));
-  memories[1].note(chain({{1, 4000}, {7, 10}}),
-                   1s);  // holds a part of what is shared: the store may hold all
-  EXPECT_EQ(placement::choose_source(prompt, 1, memories[0], engines, 1s, false), std::nullopt);
 }
 
 TEST(WindowBudget, BoundsRepeatsOverAnyWindow) {
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -335,6 +335,65 @@
   EXPECT_EQ(engine.requests().size(), 2U);
 }
 
+TEST_F(GatewayTest, TellsTheOtherRoutersWhoHoldsAChain) {
+  ScriptedEngine engine([](const SeenRequest& request) -> Script {
+    return {send_step(stream_head(request.header("X-Request-Id")) + chunk(event(1)) + "0\r\n\r\n")};
+  });
+  add_engine("e1", "models", engine);
+  // Another router, as control sees it.
+  auto heard = std::make_shared<std::vector<fleet::ChainPlacement>>();
+  auto greeted = std::make_shared<std::atomic<bool>>(false);
+  const auto channel = on_loop([&] {
+    auto opened = wire::Channel::connect(
+        loop_, control_endpoint_,
+        [heard, greeted](const std::shared_ptr<wire::Channel>&, const wire::Message& message) {
+          if (const auto* news = std::get_if<fleet::PlacementNews>(&message.value)) {
+            heard->insert(heard->end(), news->placements.begin(), news->placements.end());
+          }
+          *greeted = true;
+        },
+        [](const std::shared_ptr<wire::Channel>&) {});
+    fleet::RouterStatus status;
+    status.router.name = "r2";
+    status.sequence = 1;
+    opened->send(status);
+    return opened;
+  });
+  ASSERT_TRUE(wait_for([&] { return greeted->load(); }));
+  ask("POST", "/stream/", "q1", std::string(kChain) + "Content-Length: 0\r\n");
+  ASSERT_TRUE(wait_for([&] { return !heard->empty(); }));
+  EXPECT_EQ(heard->front().holder, "e1");
+  EXPECT_EQ(heard->front().weights, 1U);
+  EXPECT_EQ(heard->front().links.size(), 1U);  // the last part is the request's own
+  on_loop([&] {
+    channel->close();
+    return true;
+  });
+}
+
+TEST_F(GatewayTest, TakesCacheFromTheEngineThatHoldsIt) {
+  const auto stream = [](const SeenRequest& request) -> Script {
+    return {send_step(stream_head(request.header("X-Request-Id")) + chunk(event(1)) + "0\r\n\r\n")};
+  };
+  ScriptedEngine first(stream);
+  ScriptedEngine second(stream);
+  add_engine("e1", "models", first);
+  ask("POST", "/stream/", "q1", std::string(kChain) + "Content-Length: 0\r\n");
+  ASSERT_EQ(first.requests().size(), 1U);
+  EXPECT_EQ(first.requests()[0].header("X-Kv-Source"), "");
+  add_engine("e2", "models", second);
+  // The holder takes no more requests, but is there still.
+  test::run_on(control_loop_, [&] {
+    control_->commit(fleet::RetireBackend{"e1", fleet::BackendState::kDraining}, [](bool) {});
+    return true;
+  });
+  for (int tries = 0; tries < 100 && second.requests().empty(); ++tries) {
+    ask("POST", "/stream/", "q2-" + std::to_string(tries), std::string(kChain) + "Content-Length: 0\r\n");
+  }
+  ASSERT_FALSE(second.requests().empty());
+  EXPECT_EQ(second.requests()[0].header("X-Kv-Source"), first.address());
+}
+
 TEST_F(GatewayTest, KeepsAnIsolatedTenantsCacheApart) {
   ScriptedEngine engine([](const SeenRequest& request) -> Script {
     return {send_step(stream_head(request.header("X-Request-Id")) + chunk(event(1)) + "0\r\n\r\n")};
