Keep long prompts from short ones' way; pace orders of weights by loads

Orders: an engine counted against the bound while it was only announced.

Change: a third of the engines, by the order of their names' hashes, is meant for prompts under 2,000 tokens, the others for longer ones; to leave one's own costs 300 ms in placement. At most a sixth of a service's engines has an order under way, and as many more are announced meanwhile. A copy is used only at an engine that is sound at that moment.

--- a/src/control/weight_rollout.cc
+++ b/src/control/weight_rollout.cc
@@ -44,8 +44,10 @@
                                              const std::map<std::string, uint64_t>& weights, TimePoint now) {
   std::vector<RolloutStep> steps;
   std::map<std::string, const BackendRecord*> by_id;
+  engines_of_.clear();
   for (const BackendRecord& engine : engines) {
     by_id[engine.id] = &engine;
+    engines_of_[engine.service] += takes_orders(engine) ? 1 : 0;
   }
   for (auto entry = loads_.begin(); entry != loads_.end();) {
     const auto known = by_id.find(entry->first);
@@ -85,29 +87,40 @@
   return list;
 }
 
+size_t WeightRollout::bound_of(const std::string& service) const {
+  const auto known = engines_of_.find(service);
+  const double engines = known == engines_of_.end() ? 0 : static_cast<double>(known->second);
+  return static_cast<size_t>(std::ceil(options_.load_share * engines));
+}
+
+size_t WeightRollout::ordered_of(const std::string& service) const {
+  return static_cast<size_t>(std::count_if(loads_.begin(), loads_.end(), [&](const auto& entry) {
+    const Load& load = entry.second;
+    return load.service == service && (load.phase != Phase::kAnnounced || load.asking);
+  }));
+}
+
 void WeightRollout::start_loads(const std::vector<BackendRecord>& engines,
                                 const std::map<std::string, uint64_t>& weights, TimePoint now,
                                 std::vector<RolloutStep>& steps) {
-  std::map<std::string, size_t> engines_of;  // by service
-  std::map<std::string, size_t> loading_of;
+  std::map<std::string, size_t> under_way_of;  // by service
   for (const BackendRecord& engine : engines) {
-    engines_of[engine.service] += takes_orders(engine) ? 1 : 0;
-    loading_of[engine.service] += loads_.count(engine.id);
+    under_way_of[engine.service] += loads_.count(engine.id);
   }
   for (const BackendRecord* candidate : lagging(engines, weights, now)) {
     const BackendRecord& engine = *candidate;
     const ModelVersion target = wanted(engine, weights);
-    const double share = options_.load_share * static_cast<double>(engines_of[engine.service]);
-    if (static_cast<double>(loading_of[engine.service]) >= std::ceil(share)) {
+    if (under_way_of[engine.service] >= 2 * bound_of(engine.service)) {
       continue;
     }
     Load load;
+    load.service = engine.service;
     load.model = target.model;
     load.version = target.version;
     load.started = now;
     load.next = now + options_.announce_lead;
     loads_[engine.id] = load;
-    ++loading_of[engine.service];
+    ++under_way_of[engine.service];
     steps.push_back(RolloutStep{RolloutStep::Kind::kAnnounce, engine, target.model, target.version, 0});
   }
 }
@@ -126,6 +139,9 @@
     load.phase = Phase::kAnnounced;
     load.started = now;
   }
+  if (load.phase == Phase::kAnnounced && ordered_of(load.service) >= bound_of(load.service)) {
+    return;  // it goes on emptying
+  }
   load.asking = true;
   if (load.phase == Phase::kAnnounced) {
     steps.push_back(RolloutStep{RolloutStep::Kind::kOrder, engine, load.model, load.version,
--- a/src/control/weight_rollout.h
+++ b/src/control/weight_rollout.h
@@ -1,9 +1,10 @@
 /// Decides which engines get new weights next. Free of I/O: is told what the engines have and how the orders
 /// went, gives the steps to take. Runs on the leader only.
 ///
-/// An engine is first announced as loading, so that routers send it nothing; a moment later it gets its
-/// order; then it is asked for its state until it has the version. Versions that a newer one has overtaken
-/// are skipped. A bounded share of the engines loads at once.
+/// An engine is first announced as loading, so that routers send it nothing more and let runs go on
+/// elsewhere; some hundred milliseconds later it gets its order; then it is asked for its state until it has
+/// the version. Versions that a newer one has overtaken are skipped. A bounded share of the engines loads at
+/// once, and as many more may be emptying meanwhile.
 #pragma once
 
 #include <map>
@@ -17,8 +18,8 @@
 
 /// Settings of a rollout.
 struct RolloutOptions {
-  double load_share = 0.25;         ///< of the engines that load at once, rounded up
-  Duration announce_lead = 40ms;    ///< between the announcement and the order
+  double load_share = 0.166;        ///< of the engines that load at once, rounded up
+  Duration announce_lead = 150ms;   ///< between the announcement and the order
   Duration first_check = 650ms;     ///< from the order to the first question for its result
   Duration check_interval = 150ms;  ///< between such questions
   Duration retry_delay = 20ms;      ///< before an engine is asked how an order without an answer went
@@ -72,6 +73,7 @@
  private:
   enum class Phase : uint8_t { kAnnounced, kOrdered, kWaiting };
   struct Load {
+    std::string service;
     std::string model;
     uint64_t version = 0;
     Phase phase = Phase::kAnnounced;
@@ -80,6 +82,10 @@
     bool asking = false;  ///< an order or a question is on its way
     bool done = false;
   };
+  /// How many engines of a service have an order under way.
+  size_t ordered_of(const std::string& service) const;
+  /// How many engines of a service may load at once.
+  size_t bound_of(const std::string& service) const;
   std::vector<const fleet::BackendRecord*> lagging(const std::vector<fleet::BackendRecord>& engines,
                                                    const std::map<std::string, uint64_t>& weights,
                                                    TimePoint now) const;
@@ -90,6 +96,7 @@
                std::vector<RolloutStep>& steps);
 
   RolloutOptions options_;
+  std::map<std::string, size_t> engines_of_;         ///< by service: engines that take orders
   std::map<std::string, Load> loads_;                ///< by engine
   std::map<std::string, uint64_t> order_sequences_;  ///< by engine: orders that it has taken
   std::map<std::string, TimePoint> refused_until_;   ///< by engine
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -56,6 +56,7 @@
   /// Tells the other routers who holds a chain.
   std::function<void(fleet::ChainPlacement)> tell_placement = [](const fleet::ChainPlacement&) {};
   placement::PlacementCosts costs = {};
+  double short_lane_share = 0.33;  ///< of the engines: those meant for short prompts
 
   delivery::WindowBudget& budget_of(const std::string& service) {
     return budgets.try_emplace(service, budget_options).first->second;
@@ -119,8 +120,13 @@
   void count_prefill(const CachePlan& cache);
   /// Notes that the engine holds the prompt now.
   void note_chain_read();
+  /// True when a back end is fit to keep, or to go on from, a copy of a run.
+  bool may_hold_copy(const Backend& backend) const;
   BackendPtr choose_backup(const Backend& target) const;
-  bool go_on_from_copy(const Backend& failed);
+  /// True when the run at `origin` can go on from its copy.
+  bool copy_usable(const Backend& origin) const;
+  /// Goes on from the copy of the run at an engine that failed.
+  bool go_on_from_copy(const Backend& origin);
   CachePlan plan_cache(const Backend& target, const Backend* holder) const;
   std::string request_head(const Backend& backend, const CachePlan& cache, TimePoint now) const;
   bool set_by_system(const std::string& name) const;
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -107,6 +107,7 @@
       views.back().candidate = false;
     }
   }
+  placement::mark_lanes(chain_, views, context_.short_lane_share);
   const placement::Placement placed = placement::place(chain_, views, context_.costs, context_.loop.now());
   const BackendPtr holder = placed.source ? engines[*placed.source] : nullptr;
   send_to(engines[placed.target], plan_cache(*engines[placed.target], holder.get()));
@@ -195,19 +196,21 @@
   return head + "\r\n";
 }
 
+bool RequestRun::may_hold_copy(const Backend& backend) const {
+  const auto health = context_.pool.outliers().handle_of(backend.record.id);
+  return backend.record.state == fleet::BackendState::kReady && !backend.record.loading &&
+         !backend.record.lost && delivery::OutlierDetector::usable(health, context_.loop.now());
+}
+
 BackendPtr RequestRun::choose_backup(const Backend& target) const {
   const fleet::Service* service = plan_.table->service(plan_.service);
   const bool wanted = plan_.route->kind == fleet::RouteKind::kStreaming && !plan_.route->resumable;
   if (!wanted || service == nullptr || !service->engine.backups) {
     return nullptr;
   }
-  const TimePoint now = context_.loop.now();
   BackendPtr best;
   for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
-    const auto health = context_.pool.outliers().handle_of(backend->record.id);
-    const bool sound =
-        !backend->record.loading && !backend->record.lost && delivery::OutlierDetector::usable(health, now);
-    if (!sound || backend->record.id == target.record.id ||
+    if (!may_hold_copy(*backend) || backend->record.id == target.record.id ||
         backend->record.version_of(plan_.fields.model) != target.record.version_of(plan_.fields.model)) {
       continue;
     }
@@ -223,23 +226,26 @@
   return best;
 }
 
-bool RequestRun::go_on_from_copy(const Backend& failed) {
-  const BackendPtr holder = std::exchange(backup_, nullptr);
+bool RequestRun::copy_usable(const Backend& origin) const {
   const std::string& model = plan_.fields.model;
   // A copy is worth nothing once the weights of either engine have changed: it was made under others.
-  const bool same_weights = holder != nullptr && !holder->record.loading && !failed.record.loading &&
-                            holder->record.version_of(model) == run_weights_ &&
-                            failed.record.version_of(model) == run_weights_;
+  const bool same_weights = backup_ != nullptr && may_hold_copy(*backup_) && !origin.record.loading &&
+                            backup_->record.version_of(model) == run_weights_ &&
+                            origin.record.version_of(model) == run_weights_;
   // Without an event to go on after, the engine would take the request as a new run.
   const bool begun = streaming_ && last_event_id_.has_value();
-  if (!begun || !same_weights || from_copy_ || context_.loop.now() >= give_up_at_ ||
+  return begun && same_weights && context_.loop.now() < give_up_at_;
+}
+
+bool RequestRun::go_on_from_copy(const Backend& origin) {
+  if (from_copy_ || !copy_usable(origin) ||
       !context_.budget_of(plan_.service).take(context_.loop.now(), context_.router_count)) {
     return false;
   }
   context_.metrics.count("stoat_router_copies_used_total");
   CachePlan cache;
-  cache.from = failed.record.address + "/" + plan_.fields.id;
-  send_to(holder, cache);
+  cache.from = origin.record.address + "/" + plan_.fields.id;
+  send_to(std::exchange(backup_, nullptr), cache);
   return true;
 }
 
--- a/tests/unit/fleet_parts_test.cc
+++ b/tests/unit/fleet_parts_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <set>
+
 #include "src/delivery/event_splitter.h"
 #include "src/delivery/window_budget.h"
 #include "src/dispatch/request_fields.h"
@@ -278,6 +280,34 @@
   }
 }
 
+TEST_F(PartPlacementTest, ShortAndLongPromptsHaveEnginesOfTheirOwn) {
+  const auto lane_of = [&](uint32_t tokens) {
+    std::set<size_t> lane;
+    const auto prompt = chain({{1, tokens / 2}, {2, tokens / 2}});
+    placement::mark_lanes(prompt, engines_, 0.33);
+    for (size_t i = 0; i < engines_.size(); ++i) {
+      if (engines_[i].in_lane) {
+        lane.insert(i);
+      }
+    }
+    EXPECT_EQ(lane.count(placement::place(prompt, engines_, {}, 1s).target), 1U);
+    return lane;
+  };
+  const auto short_lane = lane_of(600);
+  const auto long_lane = lane_of(9000);
+  EXPECT_EQ(short_lane.size(), 1U);
+  EXPECT_EQ(long_lane.size(), 2U);
+  EXPECT_EQ(long_lane.count(*short_lane.begin()), 0U);
+}
+
+TEST_F(PartPlacementTest, AnotherLaneIsUsedWhenTheOwnOneIsFull) {
+  placement::mark_lanes(prompt_, engines_, 0.33);
+  for (placement::EngineView& engine : engines_) {
+    engine.prefill_tokens = engine.in_lane ? 30000 : 0;
+  }
+  EXPECT_FALSE(engines_[place().target].in_lane);
+}
+
 TEST(WindowBudget, BoundsRepeatsOverAnyWindow) {
   delivery::WindowBudgetOptions options;
   options.slack = 20;
