Order the oldest weights first also among engines that wait, and the newest version

Ruled out: nothing.

Change: announced engines get their order by the age of their weights; the version is read when the order goes out. OrdersTheVersionThatIsNewestWhenTheOrderGoesOut failed before.

--- a/src/control/weight_rollout.cc
+++ b/src/control/weight_rollout.cc
@@ -61,9 +61,16 @@
       entry = loads_.erase(entry);
       continue;
     }
-    advance(*known->second, entry->second, now, steps);
+    if (entry->second.phase != Phase::kAnnounced) {
+      advance(*known->second, entry->second, now, steps);
+    }
     ++entry;
   }
+  for (const BackendRecord* engine : announced(by_id, weights)) {
+    Load& load = loads_.at(engine->id);
+    load.version = std::max(load.version, weights.at(load.model));  // a newer one may have been named since
+    advance(*engine, load, now, steps);
+  }
   start_loads(engines, weights, now, steps);
   return steps;
 }
@@ -87,6 +94,21 @@
   return list;
 }
 
+std::vector<const BackendRecord*> WeightRollout::announced(
+    const std::map<std::string, const BackendRecord*>& engines,
+    const std::map<std::string, uint64_t>& weights) const {
+  std::vector<const BackendRecord*> list;
+  for (const auto& [id, load] : loads_) {
+    if (load.phase == Phase::kAnnounced && !load.asking) {
+      list.push_back(engines.at(id));
+    }
+  }
+  std::stable_sort(list.begin(), list.end(), [&](const BackendRecord* left, const BackendRecord* right) {
+    return oldest_version(*left, weights) < oldest_version(*right, weights);
+  });
+  return list;
+}
+
 size_t WeightRollout::bound_of(const std::string& service) const {
   const auto known = engines_of_.find(service);
   const double engines = known == engines_of_.end() ? 0 : static_cast<double>(known->second);
--- a/src/control/weight_rollout.h
+++ b/src/control/weight_rollout.h
@@ -82,6 +82,10 @@
     bool asking = false;  ///< an order or a question is on its way
     bool done = false;
   };
+  /// Engines that wait for their order, those with the oldest weights first.
+  std::vector<const fleet::BackendRecord*> announced(
+      const std::map<std::string, const fleet::BackendRecord*>& engines,
+      const std::map<std::string, uint64_t>& weights) const;
   /// How many engines of a service have an order under way.
   size_t ordered_of(const std::string& service) const;
   /// How many engines of a service may load at once.
--- a/tests/unit/weight_rollout_test.cc
+++ b/tests/unit/weight_rollout_test.cc
@@ -97,6 +97,15 @@
   EXPECT_EQ(plan(1s).at(0).version, 7U);
 }
 
+TEST_F(WeightRolloutTest, OrdersTheVersionThatIsNewestWhenTheOrderGoesOut) {
+  engines_ = {engine("a", 1)};
+  plan(1s);
+  weights_["m"] = 3;
+  const auto ordered = plan(2s);
+  ASSERT_EQ(ids(ordered, Kind::kOrder).size(), 1U);
+  EXPECT_EQ(ordered[0].version, 3U);
+}
+
 TEST_F(WeightRolloutTest, AnOrderWithoutAnswerIsGivenAgainWithTheSequenceThatTheEngineTells) {
   engines_ = {engine("a", 1)};
   plan(1s);
