Say in the log why a run did not go on from its copy

Ruled out: nothing.

Change: why_no_copy() gives the reason, which is logged.

Three crashes of a third of the engines during rollouts: no single cause to mend.

--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -123,8 +123,8 @@
   /// True when a back end is fit to keep, or to go on from, a copy of a run.
   bool may_hold_copy(const Backend& backend) const;
   BackendPtr choose_backup(const Backend& target) const;
-  /// True when the run at `origin` can go on from its copy.
-  bool copy_usable(const Backend& origin) const;
+  /// Why the run at `origin` can't go on from its copy; nullptr when it can.
+  const char* why_no_copy(const Backend& origin) const;
   /// Goes on from the copy of the run at an engine that failed.
   bool go_on_from_copy(const Backend& origin);
   CachePlan plan_cache(const Backend& target, const Backend* holder) const;
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -226,20 +226,40 @@
   return best;
 }
 
-bool RequestRun::copy_usable(const Backend& origin) const {
+const char* RequestRun::why_no_copy(const Backend& origin) const {
   const std::string& model = plan_.fields.model;
-  // A copy is worth nothing once the weights of either engine have changed: it was made under others.
-  const bool same_weights = backup_ != nullptr && may_hold_copy(*backup_) && !origin.record.loading &&
-                            backup_->record.version_of(model) == run_weights_ &&
-                            origin.record.version_of(model) == run_weights_;
   // Without an event to go on after, the engine would take the request as a new run.
-  const bool begun = streaming_ && last_event_id_.has_value();
-  return begun && same_weights && context_.loop.now() < give_up_at_;
+  if (!streaming_ || !last_event_id_) {
+    return "no event yet";
+  }
+  if (backup_ == nullptr) {
+    return from_copy_ ? "went on from a copy already" : "no copy";
+  }
+  // A copy is worth nothing once the weights of either engine have changed: it was made under others.
+  if (origin.record.loading || origin.record.version_of(model) != run_weights_ ||
+      backup_->record.version_of(model) != run_weights_) {
+    return "weights changed";
+  }
+  if (!may_hold_copy(*backup_)) {
+    return "the engine with the copy is not sound";
+  }
+  if (context_.loop.now() >= give_up_at_) {
+    return "no time left";
+  }
+  return nullptr;
 }
 
 bool RequestRun::go_on_from_copy(const Backend& origin) {
-  if (from_copy_ || !copy_usable(origin) ||
+  const char* reason = why_no_copy(origin);
+  if (reason == nullptr &&
       !context_.budget_of(plan_.service).take(context_.loop.now(), context_.router_count)) {
+    reason = "no budget for repeats";
+  }
+  if (reason != nullptr) {
+    context_.log.info("copy not used", {{"request", plan_.fields.id},
+                                        {"backend", origin.record.id},
+                                        {"reason", reason},
+                                        {"weights", run_weights_}});
     return false;
   }
   context_.metrics.count("stoat_router_copies_used_total");
