Write the story of each request that fails or is late; never wait for the log's reader

Cause: only failures had a line, made at each call as text; writing to standard output waited for its reader; there was no way from a request's id to its cause.

Ruled out: a line for each decision as it is taken: at 170 requests a second that is some 700 lines a second, most about requests that went well. Making standard output non-blocking: the flag would hold for every process that shares it.

Change: typed events in src/events, one form of line that is read back (src/common/log_line), a writer that only writes what poll() says goes without waiting, with a bounded buffer and a count of what was lost (src/common/log_writer). A request's events are kept until it ends and are written when it failed, was late, or is in the sample (1 in 64, the same at all routers), 200 lines a second at most; what was left out is told every 5 s. Processes log what changes their view: back ends, configurations, weights, key lease, leader, members, stores, routers. 'stoatctl explain ID FILE...' puts the lines in order and says why.

--- a/src/common/log.cc
+++ b/src/common/log.cc
@@ -2,43 +2,56 @@
 
 #include <easylogging++.h>
 
+#include "src/common/log_writer.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace stoat {
 
-std::string Logger::format(std::string_view sentence, std::initializer_list<LogField> fields) const {
-  std::string line = "[" + part_ + "] " + std::string(sentence);
-  for (const LogField& field : fields) {
-    const bool quote = field.value.empty() || field.value.find(' ') != std::string::npos;
-    line += " " + field.key + "=" + (quote ? "\"" + field.value + "\"" : field.value);
+namespace {
+
+/// Hands each line of easylogging++ to the writer, which never waits.
+class WriterCallback : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) override {
+    standard_log_writer().write(data->logMessage()->message());
   }
-  return line;
+};
+
+}  // namespace
+
+std::string Logger::format(LogLevel level, std::string_view sentence,
+                           std::initializer_list<LogField> fields) const {
+  return to_text(LogLine{log_now(), level, part_, std::string(sentence), fields});
 }
 
 void Logger::debug(std::string_view sentence, std::initializer_list<LogField> fields) const {
   if (el::Loggers::getLogger("default")->enabled(el::Level::Debug)) {
-    LOG(DEBUG) << format(sentence, fields);
+    LOG(DEBUG) << format(LogLevel::kDebug, sentence, fields);
   }
 }
 
 void Logger::info(std::string_view sentence, std::initializer_list<LogField> fields) const {
-  LOG(INFO) << format(sentence, fields);
+  LOG(INFO) << format(LogLevel::kInfo, sentence, fields);
 }
 
 void Logger::warning(std::string_view sentence, std::initializer_list<LogField> fields) const {
-  LOG(WARNING) << format(sentence, fields);
+  LOG(WARNING) << format(LogLevel::kWarning, sentence, fields);
 }
 
 void Logger::error(std::string_view sentence, std::initializer_list<LogField> fields) const {
-  LOG(ERROR) << format(sentence, fields);
+  LOG(ERROR) << format(LogLevel::kError, sentence, fields);
+}
+
+void Logger::write(LogTime time, std::string_view sentence, std::vector<LogField> fields) const {
+  LOG(INFO) << to_text(LogLine{time, LogLevel::kInfo, part_, std::string(sentence), std::move(fields)});
 }
 
 void configure_logging(const std::string& level) {
   el::Configurations configuration;
   configuration.setToDefault();
-  configuration.setGlobally(el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   const bool debug_on = level == "debug";
   const bool info_on = debug_on || (level != "warning" && level != "error");
   const bool warning_on = level != "error";
@@ -46,6 +59,9 @@
   configuration.set(el::Level::Info, el::ConfigurationType::Enabled, info_on ? "true" : "false");
   configuration.set(el::Level::Warning, el::ConfigurationType::Enabled, warning_on ? "true" : "false");
   el::Loggers::reconfigureAllLoggers(configuration);
+  el::Helpers::installLogDispatchCallback<WriterCallback>("stoat writer");
 }
 
+void flush_logs() { standard_log_writer().flush(); }
+
 }  // namespace stoat
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -1,23 +1,14 @@
-/// Structured logging in one form: "[part] short sentence key=value key=value".
+/// Structured logging in one form; see log_line.h.
 #pragma once
 
 #include <initializer_list>
 #include <string>
 #include <string_view>
-#include <type_traits>
+#include <vector>
 
-namespace stoat {
-
-/// One key=value fact of a log line. Text values with spaces are quoted.
-struct LogField {
-  LogField(std::string_view field_key, std::string_view text) : key(field_key), value(text) {}
-  LogField(std::string_view field_key, const char* text) : key(field_key), value(text) {}
-  template <typename Number, typename = std::enable_if_t<std::is_arithmetic_v<Number>>>
-  LogField(std::string_view field_key, Number number) : key(field_key), value(std::to_string(number)) {}
+#include "src/common/log_line.h"
 
-  std::string key;
-  std::string value;
-};
+namespace stoat {
 
 /// Writes lines with the fixed prefix of one part of the program.
 class Logger {
@@ -28,12 +19,23 @@
   void warning(std::string_view sentence, std::initializer_list<LogField> fields = {}) const;
   void error(std::string_view sentence, std::initializer_list<LogField> fields = {}) const;
 
+  /// Writes a typed event: a struct with `kSentence` and `fields()`.
+  template <typename Event>
+  void event(const Event& what) const {
+    write(log_now(), Event::kSentence, what.fields());
+  }
+  /// Writes a line of information that stands for another time.
+  void write(LogTime time, std::string_view sentence, std::vector<LogField> fields) const;
+
  private:
-  std::string format(std::string_view sentence, std::initializer_list<LogField> fields) const;
+  std::string format(LogLevel level, std::string_view sentence, std::initializer_list<LogField> fields) const;
   std::string part_;
 };
 
 /// Directs log lines to standard output. `level` is debug, info, warning or error; anything else means info.
 void configure_logging(const std::string& level);
 
+/// Writes what waits for its reader, as far as that goes without waiting.
+void flush_logs();
+
 }  // namespace stoat
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -4,6 +4,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <map>
@@ -23,6 +24,8 @@
   void count(const std::string& name, const Labels& labels = {}, double amount = 1);
   /// Sets a gauge, which is made at its first use.
   void set(const std::string& name, double value, const Labels& labels = {});
+  /// Adds to a histogram of seconds, which is made at its first use.
+  void observe(const std::string& name, double seconds, const Labels& labels = {});
   /// All metrics in the Prometheus text format.
   std::string to_text() const;
 
@@ -30,6 +33,7 @@
   std::shared_ptr<prometheus::Registry> registry_;
   std::map<std::string, prometheus::Family<prometheus::Counter>*> counters_;
   std::map<std::string, prometheus::Family<prometheus::Gauge>*> gauges_;
+  std::map<std::string, prometheus::Family<prometheus::Histogram>*> histograms_;
 };
 
 }  // namespace stoat
--- a/src/common/server_program.h
+++ b/src/common/server_program.h
@@ -50,6 +50,7 @@
 int run_server_program(int argc, const char** argv, const char* program, const char* description,
                        Settings (*read)(SettingsReader&)) {
   constexpr Duration kFileCheck = 1s;
+  constexpr Duration kLogFlush = 1s;
   const CommandLine command_line = parse_command_line(argc, argv, program, description);
   const auto settings = load_program_settings<Settings>(command_line, read);
   try {
@@ -66,7 +67,9 @@
         }
       });
     }
+    loop.every(kLogFlush, [] { flush_logs(); });
     loop.run();
+    flush_logs();
   } catch (const std::exception& error) {
     std::cerr << program << ": " << error.what() << "\n";
     return 1;
--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "src/control/fleet_server.h"
+#include "src/events/fleet_events.h"
 
 namespace stoat::control {
 
@@ -54,9 +55,14 @@
   registry_.expire(loop_.now());
   watch_stores();
   notice_changes();
+  note_members();
   const TimePoint now = loop_.now();
   std::erase_if(routers_, [&](const auto& entry) {
-    return now - entry.second.at > kRouterLease && !entry.second.channel->open();
+    const bool silent = now - entry.second.at > kRouterLease && !entry.second.channel->open();
+    if (silent) {
+      log_.event(events::RouterChanged{entry.first, "silent", entry.second.status.configuration_version});
+    }
+    return silent;
   });
 }
 
@@ -166,7 +172,12 @@
 }
 
 void FleetServer::on_router_status(const ChannelPtr& channel, const fleet::RouterStatus& status) {
+  const bool known = routers_.count(status.router.name) > 0;
   RouterSeen& router = routers_[status.router.name];
+  if (!known || router.status.router.ready != status.router.ready) {
+    const char* change = status.router.ready ? "ready" : known ? "not ready" : "appeared";
+    log_.event(events::RouterChanged{status.router.name, change, status.configuration_version});
+  }
   router.status = status;
   router.channel = channel;
   router.at = loop_.now();
@@ -216,6 +227,7 @@
                                    });
     if (!known) {
       named_.push_back({model, version, loop_.now()});
+      log_.event(events::WeightsNamed{model, version, 0});
     }
   }
   while (named_.size() > kNamedVersions * core_->state().fleet().weights().size()) {
@@ -223,6 +235,33 @@
   }
 }
 
+void FleetServer::note_events() {
+  const std::vector<fleet::BackendRecord> records = registry_.records();
+  for (const events::BackendChanged& change : events::backend_changes(noted_registry_, records)) {
+    log_.event(change);
+  }
+  noted_registry_ = records;
+  const fleet::FleetConfiguration& configuration = core_->state().fleet().configuration();
+  if (configuration.version != noted_configuration_) {
+    noted_configuration_ = configuration.version;
+    log_.event(events::ConfigurationInForce{configuration.version, configuration.routes.size(),
+                                            configuration.tenants.size()});
+  }
+}
+
+void FleetServer::note_members() {
+  events::MembersChanged change;
+  for (const consensus::Member& member : core_->replica().members().members) {
+    ++(member.voter ? change.voters : change.learners);
+    change.members += change.members.empty() ? "" : ",";
+    change.members += member.voter ? member.address : "(" + member.address + ")";
+  }
+  if (change.members != noted_members_) {
+    noted_members_ = change.members;
+    log_.event(change);
+  }
+}
+
 void FleetServer::notice_changes() {
   const fleet::FleetState& state = core_->state().fleet();
   if (state.revision() != noticed_revision_) {
@@ -235,6 +274,9 @@
   const std::vector<std::string> stores = stores_.live();
   const bool changed = state.revision() != noticed_revision_ || registry_.digest() != noticed_digest_ ||
                        stores != noticed_stores_;
+  if (changed) {
+    note_events();
+  }
   noticed_stores_ = stores;
   noticed_revision_ = state.revision();
   noticed_digest_ = registry_.digest();
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -122,6 +122,8 @@
   void pass_on_news();
   void notice_changes();
   void notice_named_weights();
+  void note_events();
+  void note_members();
   void send_heartbeats();
   void keep_registry();
   void watch_stores();
@@ -157,6 +159,9 @@
   std::vector<fleet::BackendRecord> unsent_heartbeats_;
   std::map<std::string, RouterSeen> routers_;  ///< by name
   bool news_waiting_ = false;
+  std::vector<fleet::BackendRecord> noted_registry_;  ///< as last logged, like the next two
+  uint64_t noted_configuration_ = 0;
+  std::string noted_members_;
   uint64_t noticed_revision_ = 0;
   std::vector<NamedSince> named_;  ///< oldest first; the newest few of each model
   uint64_t noticed_digest_ = 0;
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -9,6 +9,7 @@
 #include "src/common/hash.h"
 #include "src/common/random.h"
 #include "src/control/configuration_json.h"
+#include "src/ctl/explain.h"
 #include "src/ctl/policy_csv.h"
 #include "src/ctl/text_table.h"
 
@@ -42,6 +43,7 @@
   ExitStatus show_orders();
   ExitStatus table_get();
   ExitStatus table_check();
+  ExitStatus explain_request();
   ExitStatus table_diff();
   ExitStatus table_apply();
 
@@ -325,6 +327,12 @@
   return ExitStatus::kDone;
 }
 
+ExitStatus Command::explain_request() {
+  const std::vector<std::string> files(options_.arguments.begin() + 2, options_.arguments.end());
+  const bool known = print_explanation(options_.arguments[1], files, std::cout, std::cerr);
+  return known ? ExitStatus::kDone : ExitStatus::kRefused;
+}
+
 ExitStatus Command::table_check() {
   control::PolicyTable table;
   if (!read_table(table)) {
@@ -362,6 +370,7 @@
   size_t argument_count;
   const char* help;
   std::function<ExitStatus(Command&)> run;
+  bool more_arguments = false;  ///< argument_count is the least number
 };
 
 const std::vector<CommandEntry>& all_commands() {
@@ -397,6 +406,8 @@
       {"table diff", "FILE", 1, "show what a CSV file would change", &Command::table_diff},
       {"table apply", "FILE", 1, "put a CSV file in force (--wait: until every live node has it)",
        &Command::table_apply},
+      {"explain", "REQUEST_ID FILE...", 2,
+       "tell from logs what happened to a request, without any connection", &Command::explain_request, true},
   };
   return commands;
 }
@@ -431,7 +442,8 @@
     if (words == 0) {
       continue;
     }
-    if (options.arguments.size() != words + entry.argument_count) {
+    const size_t given = options.arguments.size() - words;
+    if (given < entry.argument_count || (given > entry.argument_count && !entry.more_arguments)) {
       std::cerr << "stoatctl: usage: stoatctl " << entry.words << " " << entry.arguments << "\n";
       return ExitStatus::kBadInput;
     }
--- a/src/dispatch/engine_connection.cc
+++ b/src/dispatch/engine_connection.cc
@@ -35,6 +35,18 @@
 
 }  // namespace
 
+const char* to_text(ExchangeFailure failure) {
+  switch (failure) {
+    case ExchangeFailure::kNotConnected:
+      return "not connected";
+    case ExchangeFailure::kBroken:
+      return "broken off";
+    case ExchangeFailure::kMalformed:
+      return "malformed answer";
+  }
+  return "unknown";
+}
+
 EngineConnection::EngineConnection(EventLoop& loop)
     : loop_(loop), parser_(http1::MessageParser::Kind::kResponse, *this) {}
 
--- a/src/dispatch/engine_connection.h
+++ b/src/dispatch/engine_connection.h
@@ -22,6 +22,9 @@
   kMalformed,     ///< bytes that are no answer
 };
 
+/// The failure in words, for the log.
+const char* to_text(ExchangeFailure failure);
+
 /// Hears of one exchange. After on_complete or on_failure nothing more comes.
 class ExchangeListener {
  public:
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -53,7 +53,8 @@
       plan_(std::move(plan)),
       answer_(std::move(answer)),
       on_done_(std::move(on_done)),
-      last_event_id_(plan_.fields.last_event_id) {
+      last_event_id_(plan_.fields.last_event_id),
+      story_(plan_.fields.id) {
   const auto on_timeout = [](evutil_socket_t, short, void* run) {
     static_cast<RequestRun*>(run)->on_timer();
   };
@@ -86,6 +87,9 @@
   wait_until_ = std::min(give_up_at_, plan_.arrived + Duration(1000 * objective_ms / 5));
   chain_ = make_chain(plan_);
   context_.budget_of(plan_.service).on_request(plan_.arrived);
+  story_.add(events::RequestAccepted{route.name, plan_.service,
+                                     plan_.tenant == nullptr ? "" : plan_.tenant->name,
+                                     plan_.table->configuration().version, limit_ms, chain_.prompt_tokens});
   try_dispatch();
 }
 
@@ -115,10 +119,23 @@
     give_up("no back end");
     return;
   }
+  if (!waiting_) {
+    note_waiting();
+  }
   waiting_ = true;
   arm_timer(std::min(wait_until_, now + kWaitStep));
 }
 
+void RequestRun::note_waiting() {
+  events::RequestWaits waits;
+  for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
+    ++waits.known;
+    waits.tried += tried_.count(backend->record.id) > 0 ? 1 : 0;
+    waits.loading += backend->record.loading ? 1 : 0;
+  }
+  story_.add(waits);
+}
+
 void RequestRun::note_first_event() {
   if (backend_ != nullptr && counted_prefill_ > 0) {
     backend_->prefill_tokens -= std::min(backend_->prefill_tokens, counted_prefill_);
@@ -207,6 +224,11 @@
   if (event.id) {
     last_event_id_ = event.id;
   }
+  const TimePoint now = context_.loop.now();
+  if (last_event_at_ > TimePoint(0)) {
+    longest_pause_ = std::max(longest_pause_, now - last_event_at_);
+  }
+  last_event_at_ = now;
   answer_->send(event.bytes);
 }
 
@@ -214,6 +236,7 @@
   const auto keep = shared_from_this();
   if (kind_ == AnswerKind::kNotRun) {
     context_.pool.outliers().on_success(backend_->record.id);
+    story_.add(events::RequestNotRun{backend_->record.id, head_.status});
     end_exchange(true);
     on_not_run();
     return;
@@ -271,19 +294,30 @@
   done(failed ? "engine failure" : "complete", head_.status);
 }
 
-bool RequestRun::may_repeat(bool certainly_not_run) {
+const char* RequestRun::why_not_again(bool certainly_not_run) {
   const TimePoint now = context_.loop.now();
   if (now >= give_up_at_) {
-    return false;
+    return "no time left";
   }
-  if (certainly_not_run) {
-    if (refusals_ >= kMaxRefusals) {
-      return false;
-    }
-  } else if (!plan_.route->repeatable() || runs_ >= plan_.route->attempts) {
-    return false;
+  if (certainly_not_run && refusals_ >= kMaxRefusals) {
+    return "refused too often";
+  }
+  if (!certainly_not_run && !plan_.route->repeatable()) {
+    return "may have run, and must not run twice";
   }
-  return context_.budget_of(plan_.service).take(now, context_.router_count);
+  if (!certainly_not_run && runs_ >= plan_.route->attempts) {
+    return "all attempts of the route are used";
+  }
+  return context_.budget_of(plan_.service).take(now, context_.router_count) ? nullptr
+                                                                            : "no budget for repeats";
+}
+
+bool RequestRun::may_repeat(bool certainly_not_run) {
+  const char* reason = why_not_again(certainly_not_run);
+  if (reason != nullptr) {
+    story_.add(events::NotSentAgain{reason});
+  }
+  return reason == nullptr;
 }
 
 void RequestRun::on_not_run() {
@@ -306,19 +340,18 @@
   context_.pool.outliers().on_failure(backend_->record.id, now);
   context_.metrics.count("stoat_router_exchange_failures_total",
                          {{"kind", std::to_string(static_cast<int>(failure))}});
-  const std::string backend = backend_->record.id;
   const BackendPtr failed = backend_;
   end_exchange(false);
   if (failure == ExchangeFailure::kNotConnected) {
+    story_.add(events::RequestNotRun{failed->record.id, 0});
     on_not_run();
     return;
   }
   ++runs_;
   ran_ = Ran::kMaybe;
-  context_.log.info("exchange failed", {{"request", plan_.fields.id},
-                                        {"backend", backend},
-                                        {"failure", static_cast<int>(failure)},
-                                        {"streaming", streaming_}});
+  const auto health = context_.pool.outliers().handle_of(failed->record.id);
+  story_.add(events::ExchangeFailed{failed->record.id, to_text(failure), streaming_,
+                                    !delivery::OutlierDetector::usable(health, now)});
   if (may_repeat(false)) {
     context_.metrics.count("stoat_router_repeats_total");
     try_dispatch();
@@ -385,6 +418,28 @@
   done("the caller left", 0);
 }
 
+bool RequestRun::late(TimePoint now) const {
+  const fleet::Route& route = *plan_.route;
+  const TimePoint answered = first_event_at_ > TimePoint(0) ? first_event_at_ : now;
+  const bool paused = route.gap_target_ms > 0 && longest_pause_ > Duration(1000 * route.gap_target_ms);
+  return paused ||
+         (route.target_latency_ms > 0 && answered - plan_.arrived > Duration(1000 * route.target_latency_ms));
+}
+
+void RequestRun::observe(bool success, TimePoint now) const {
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  const Metrics::Labels labels = {{"route", plan_.route->name}};
+  const auto seconds = [&](TimePoint at) {
+    return static_cast<double>((at - plan_.arrived).count()) / kMicrosecondsPerSecond;
+  };
+  if (success) {
+    context_.metrics.observe("stoat_router_request_seconds", seconds(now), labels);
+  }
+  if (first_event_at_ > TimePoint(0)) {
+    context_.metrics.observe("stoat_router_first_event_seconds", seconds(first_event_at_), labels);
+  }
+}
+
 void RequestRun::done(const char* outcome, int status) {
   if (finished_) {
     return;
@@ -394,15 +449,14 @@
   const TimePoint now = context_.loop.now();
   context_.metrics.count("stoat_router_requests_total", {{"status", std::to_string(status)}});
   const bool success = status >= 200 && status < kFirstError;
-  if (!success) {
-    context_.log.info("request ended", {{"request", plan_.fields.id},
-                                        {"route", plan_.route->name},
-                                        {"outcome", outcome},
-                                        {"status", status},
-                                        {"engines", tried_.size()},
-                                        {"refusals", refusals_},
-                                        {"ms", to_milliseconds(now - plan_.arrived)}});
-  }
+  const bool is_late = late(now);
+  observe(success, now);
+  const int64_t first_ms =
+      first_event_at_ > TimePoint(0) ? to_milliseconds(first_event_at_ - plan_.arrived) : -1;
+  story_.add(events::RequestEnded{outcome, status, static_cast<uint32_t>(tried_.size()), refusals_,
+                                  to_milliseconds(now - plan_.arrived), first_ms,
+                                  to_milliseconds(longest_pause_), is_late});
+  story_.finish(context_.stories, !success || is_late, outcome, now);
   on_done_(this);
 }
 
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -16,6 +16,8 @@
 #include "src/dispatch/backend_pool.h"
 #include "src/dispatch/request_fields.h"
 #include "src/edge/caller_request.h"
+#include "src/events/request_events.h"
+#include "src/events/request_story.h"
 #include "src/fleet/fleet_messages.h"
 #include "src/routing/route_table.h"
 
@@ -42,7 +44,7 @@
   const HeaderNames& names;
   BackendPool& pool;
   Metrics& metrics;
-  const Logger& log;
+  events::StoryBook& stories;
   Random random{0};
   std::string zone = {};
   uint32_t router_count = 1;
@@ -76,10 +78,11 @@
 
 /// Where a request's engine takes KV cache from, and where it sends what it has read; empty: nowhere.
 struct CachePlan {
-  std::string source;
-  std::string target;
-  std::string backup;  ///< the engine that gets a copy of the run's memory
-  std::string from;    ///< of a run that goes on from such a copy: where it ran, and its id
+  std::string source = {};
+  std::string target = {};
+  std::string backup = {};  ///< the engine that gets a copy of the run's memory
+  std::string from = {};    ///< of a run that goes on from such a copy: where it ran, and its id
+  uint32_t candidates = 1;  ///< engines that it was placed among, for the log
 };
 
 /// See the head of this file. Lives until its final answer or the caller's leaving; on_done is then called.
@@ -110,6 +113,7 @@
   void arm_timer(TimePoint at);
   void on_timer();
   void try_dispatch();
+  void note_waiting();
   std::vector<BackendPtr> candidates() const;
   placement::EngineView view_of(const Backend& backend) const;
   std::optional<Duration> outdated_for(const Backend& backend) const;
@@ -130,7 +134,11 @@
   CachePlan plan_cache(const Backend& target, const Backend* holder) const;
   std::string request_head(const Backend& backend, const CachePlan& cache, TimePoint now) const;
   bool set_by_system(const std::string& name) const;
+  /// Why the request may not be sent again; nullptr when it may, which then counts as a repeat.
+  const char* why_not_again(bool certainly_not_run);
   bool may_repeat(bool certainly_not_run);
+  /// True when it ended later, or paused longer, than its route aims at.
+  bool late(TimePoint now) const;
   void on_not_run();
   void on_failed_run();
   void end_exchange(bool keep_connection);
@@ -142,6 +150,7 @@
   void reply_own(int status, const char* reason, double retry_after_s);
   void give_up(const char* reason);
   void break_off(const char* reason);
+  void observe(bool success, TimePoint now) const;
   void done(const char* outcome, int status);
 
   DispatchContext& context_;
@@ -174,6 +183,9 @@
   bool streaming_ = false;  ///< the answer's head has gone to the caller
   std::optional<int64_t> last_event_id_;
   TimePoint first_event_at_{0};
+  TimePoint last_event_at_{0};
+  Duration longest_pause_{0};
+  events::RequestStory story_;
 };
 
 }  // namespace stoat::dispatch
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -96,7 +96,8 @@
     views.push_back(view_of(*backend));
   }
   if (chain_.links.empty()) {
-    send_to(engines[placement::choose_least_loaded(views, context_.random.bits())], CachePlan{});
+    send_to(engines[placement::choose_least_loaded(views, context_.random.bits())],
+            CachePlan{.candidates = static_cast<uint32_t>(candidates.size())});
     return;
   }
   // Those that can't take the request may still hold what its engine needs.
@@ -110,7 +111,9 @@
   placement::mark_lanes(chain_, views, context_.short_lane_share);
   const placement::Placement placed = placement::place(chain_, views, context_.costs, context_.loop.now());
   const BackendPtr holder = placed.source ? engines[*placed.source] : nullptr;
-  send_to(engines[placed.target], plan_cache(*engines[placed.target], holder.get()));
+  CachePlan cache = plan_cache(*engines[placed.target], holder.get());
+  cache.candidates = static_cast<uint32_t>(candidates.size());
+  send_to(engines[placed.target], std::move(cache));
 }
 
 bool RequestRun::set_by_system(const std::string& name) const {
@@ -250,16 +253,16 @@
 }
 
 bool RequestRun::go_on_from_copy(const Backend& origin) {
+  if (plan_.route->kind != fleet::RouteKind::kStreaming || plan_.route->resumable) {
+    return false;  // no copies are made
+  }
   const char* reason = why_no_copy(origin);
   if (reason == nullptr &&
       !context_.budget_of(plan_.service).take(context_.loop.now(), context_.router_count)) {
     reason = "no budget for repeats";
   }
   if (reason != nullptr) {
-    context_.log.info("copy not used", {{"request", plan_.fields.id},
-                                        {"backend", origin.record.id},
-                                        {"reason", reason},
-                                        {"weights", run_weights_}});
+    story_.add(events::CopyNotUsed{origin.record.id, reason, run_weights_});
     return false;
   }
   context_.metrics.count("stoat_router_copies_used_total");
@@ -274,9 +277,15 @@
   const auto connection = context_.pool.take_connection(backend);
   tried_.insert(backend->record.id);
   if (connection == nullptr) {
+    story_.add(events::RequestNotRun{backend->record.id, 0});
     on_not_run();
     return;
   }
+  events::RequestSent sent;
+  sent.backend = backend->record.id;
+  sent.candidates = cache.candidates;
+  sent.outstanding = backend->outstanding + backend->others_outstanding;
+  sent.queued_tokens = backend->prefill_tokens + backend->others_prefill_tokens;
   backend_ = backend;
   connection_ = connection;
   kind_ = AnswerKind::kNone;
@@ -294,6 +303,11 @@
   if (!chain_.links.empty()) {
     count_prefill(cache);
   }
+  sent.missing_tokens = counted_prefill_;
+  sent.weights = run_weights_;
+  sent.cache_source = cache.source;
+  sent.copy_of = cache.from;
+  story_.add(sent);
   context_.pool.outliers().on_dispatch(backend->record.id, now);
   const std::string id = plan_.fields.id;
   const std::string id_name = context_.names.request_id;
--- /dev/null
+++ b/src/events/fleet_events.h
@@ -0,0 +1,114 @@
+/// What changes the fleet's view that a process has, as typed events for the log. docs/OPERATIONS.md explains
+/// each.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "src/common/log_line.h"
+#include "src/fleet/backend_record.h"
+
+namespace stoat::events {
+
+/// A configuration is in force from now on.
+struct ConfigurationInForce {
+  static constexpr const char* kSentence = "configuration in force";
+  uint64_t version = 0;
+  size_t routes = 0;
+  size_t tenants = 0;
+  std::vector<LogField> fields() const {
+    return {{"version", version}, {"routes", routes}, {"tenants", tenants}};
+  }
+};
+
+/// A version of a model's weights is named.
+struct WeightsNamed {
+  static constexpr const char* kSentence = "weights named";
+  std::string model;
+  uint64_t version = 0;
+  int64_t age_ms = 0;  ///< since it was named, as far as this process knows
+  std::vector<LogField> fields() const {
+    return {{"model", model}, {"version", version}, {"age_ms", age_ms}};
+  }
+};
+
+/// A back end appeared, went, or changed.
+struct BackendChanged {
+  static constexpr const char* kSentence = "backend changed";
+  std::string backend;
+  std::string service;
+  std::string address;
+  const char* change = "";
+  uint64_t weights = 0;
+  std::vector<LogField> fields() const {
+    return {{"backend", backend},
+            {"service", service},
+            {"address", address},
+            {"change", change},
+            {"weights", weights}};
+  }
+};
+
+/// Access keys may be honoured from now on, or no more.
+struct KeyLeaseChanged {
+  static constexpr const char* kSentence = "key lease changed";
+  bool held = false;
+  int64_t left_ms = 0;  ///< of the lease; negative: since when it has ended
+  std::vector<LogField> fields() const { return {{"held", held}, {"left_ms", left_ms}}; }
+};
+
+/// A control member answers, or has stopped to.
+struct ControlMemberChanged {
+  static constexpr const char* kSentence = "control member changed";
+  std::string member;
+  bool reached = false;
+  int64_t silent_ms = 0;
+  std::vector<LogField> fields() const {
+    return {{"member", member}, {"reached", reached}, {"silent_ms", silent_ms}};
+  }
+};
+
+/// Another control member leads.
+struct LeaderChanged {
+  static constexpr const char* kSentence = "leader changed";
+  std::string from;
+  std::string to;
+  std::vector<LogField> fields() const { return {{"from", from}, {"to", to}}; }
+};
+
+/// The store of KV cache answers, or has stopped to.
+struct StoreChanged {
+  static constexpr const char* kSentence = "store changed";
+  std::string from;  ///< address; empty: none
+  std::string to;
+  std::vector<LogField> fields() const { return {{"from", from}, {"to", to}}; }
+};
+
+/// A router tells its state for the first time, is ready or not any more, or is no longer heard.
+struct RouterChanged {
+  static constexpr const char* kSentence = "router changed";
+  std::string router;
+  const char* change = "";
+  uint64_t configuration_version = 0;
+  std::vector<LogField> fields() const {
+    return {{"router", router}, {"change", change}, {"version", configuration_version}};
+  }
+};
+
+/// The list of control members has changed.
+struct MembersChanged {
+  static constexpr const char* kSentence = "members changed";
+  size_t voters = 0;
+  size_t learners = 0;
+  std::string members;  ///< internal addresses; learners in brackets
+  std::vector<LogField> fields() const {
+    return {{"voters", voters}, {"learners", learners}, {"members", members}};
+  }
+};
+
+/// What has changed between two states of the registry.
+std::vector<BackendChanged> backend_changes(const std::vector<fleet::BackendRecord>& before,
+                                            const std::vector<fleet::BackendRecord>& after);
+
+}  // namespace stoat::events
--- /dev/null
+++ b/src/events/request_events.h
@@ -0,0 +1,139 @@
+/// What may happen to a request at a router, as typed events for the log. docs/OPERATIONS.md explains each.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "src/common/log_line.h"
+
+namespace stoat::events {
+
+/// The request came in and its route and tenant were found.
+struct RequestAccepted {
+  static constexpr const char* kSentence = "request accepted";
+  std::string route;
+  std::string service;
+  std::string tenant;
+  uint64_t configuration_version = 0;
+  int64_t time_left_ms = 0;  ///< until the caller or the route gives it up
+  uint32_t prompt_tokens = 0;
+  std::vector<LogField> fields() const {
+    return {{"route", route},
+            {"service", service},
+            {"tenant", tenant},
+            {"version", configuration_version},
+            {"time_left_ms", time_left_ms},
+            {"prompt_tokens", prompt_tokens}};
+  }
+};
+
+/// No back end can take it now; it waits a little for one.
+struct RequestWaits {
+  static constexpr const char* kSentence = "request waits";
+  uint32_t known = 0;    ///< back ends of the service
+  uint32_t tried = 0;    ///< of them: have had this request
+  uint32_t loading = 0;  ///< of them: load weights
+  std::vector<LogField> fields() const { return {{"known", known}, {"tried", tried}, {"loading", loading}}; }
+};
+
+/// It was sent to a back end.
+struct RequestSent {
+  static constexpr const char* kSentence = "request sent";
+  std::string backend;
+  uint32_t candidates = 0;
+  uint32_t outstanding = 0;     ///< requests under way there before it
+  uint64_t queued_tokens = 0;   ///< prompt tokens waiting to be read there before it
+  uint64_t missing_tokens = 0;  ///< of its prompt that are not known to be held there
+  uint64_t weights = 0;
+  std::string cache_source;  ///< address; empty: none
+  std::string copy_of;       ///< the run that it goes on from; empty: a run from the start
+  std::vector<LogField> fields() const {
+    return {{"backend", backend},
+            {"candidates", candidates},
+            {"outstanding", outstanding},
+            {"queued_tokens", queued_tokens},
+            {"missing_tokens", missing_tokens},
+            {"weights", weights},
+            {"cache_source", cache_source},
+            {"copy_of", copy_of}};
+  }
+};
+
+/// A back end said that it did not run it, or no connection was made.
+struct RequestNotRun {
+  static constexpr const char* kSentence = "request not run";
+  std::string backend;
+  int status = 0;  ///< 0: no connection
+  std::vector<LogField> fields() const { return {{"backend", backend}, {"status", status}}; }
+};
+
+/// The exchange with a back end broke.
+struct ExchangeFailed {
+  static constexpr const char* kSentence = "exchange failed";
+  std::string backend;
+  const char* failure = "";
+  bool streaming = false;  ///< events had gone to the caller
+  bool ejected = false;    ///< the back end gets no requests for a while now
+  std::vector<LogField> fields() const {
+    return {{"backend", backend}, {"failure", failure}, {"streaming", streaming}, {"ejected", ejected}};
+  }
+};
+
+/// It may not, or can't, be sent again.
+struct NotSentAgain {
+  static constexpr const char* kSentence = "request not sent again";
+  const char* reason = "";
+  std::vector<LogField> fields() const { return {{"reason", reason}}; }
+};
+
+/// The run could not go on from its copy at another engine.
+struct CopyNotUsed {
+  static constexpr const char* kSentence = "copy not used";
+  std::string backend;
+  const char* reason = "";
+  uint64_t weights = 0;
+  std::vector<LogField> fields() const {
+    return {{"backend", backend}, {"reason", reason}, {"weights", weights}};
+  }
+};
+
+/// The final answer has gone to the caller, or the caller has left.
+struct RequestEnded {
+  static constexpr const char* kSentence = "request ended";
+  std::string outcome;
+  int status = 0;  ///< 0: none, the connection was closed
+  uint32_t backends = 0;
+  uint32_t refusals = 0;
+  int64_t total_ms = 0;
+  int64_t first_event_ms = -1;  ///< -1: there was none
+  int64_t longest_pause_ms = 0;
+  bool late = false;  ///< beyond the route's objective
+  std::vector<LogField> fields() const {
+    return {{"outcome", outcome},
+            {"status", status},
+            {"backends", backends},
+            {"refusals", refusals},
+            {"ms", total_ms},
+            {"first_event_ms", first_event_ms},
+            {"longest_pause_ms", longest_pause_ms},
+            {"late", late}};
+  }
+};
+
+/// It was answered without being sent: no route, no key, or the router can't serve.
+struct RequestTurnedAway {
+  static constexpr const char* kSentence = "request turned away";
+  int status = 0;
+  const char* reason = "";
+  uint64_t configuration_version = 0;
+  int64_t keys_left_ms = 0;  ///< how long keys are still honoured; negative: since when not
+  std::vector<LogField> fields() const {
+    return {{"status", status},
+            {"reason", reason},
+            {"version", configuration_version},
+            {"keys_left_ms", keys_left_ms}};
+  }
+};
+
+}  // namespace stoat::events
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "src/events/fleet_events.h"
+
 namespace stoat::gateway {
 
 namespace {
@@ -72,6 +74,10 @@
     if (member.channel != nullptr) {
       member.channel->close();
     }
+    if (member.reached) {
+      member.reached = false;
+      log_.event(events::ControlMemberChanged{address, false, to_milliseconds(now - member.heard)});
+    }
     member.opened = now;
     member.sent.clear();
     member.channel = wire::Channel::connect(
@@ -83,6 +89,11 @@
   }
 }
 
+int64_t ControlLink::keys_left_ms() const {
+  constexpr int64_t kNever = -1000000;
+  return confirmed_until_ == Duration::min() ? kNever : to_milliseconds(confirmed_until_ - loop_.now());
+}
+
 size_t ControlLink::connected() const {
   const TimePoint now = loop_.now();
   return static_cast<size_t>(std::count_if(members_.begin(), members_.end(), [&](const auto& entry) {
@@ -120,10 +131,7 @@
   if (found == members_.end() || update == nullptr) {
     return;
   }
-  found->second.heard = loop_.now();
-  if (update->leads) {
-    leader_ = address;
-  }
+  note_heard(address, found->second, update->leads);
   if (!update->members.empty()) {
     told_members_ = update->members;
   }
@@ -134,6 +142,18 @@
   }
 }
 
+void ControlLink::note_heard(const std::string& address, Member& member, bool leads) {
+  if (!member.reached) {
+    member.reached = true;
+    log_.event(events::ControlMemberChanged{address, true, 0});
+  }
+  member.heard = loop_.now();
+  if (leads && leader_ != address) {
+    log_.event(events::LeaderChanged{leader_, address});
+    leader_ = address;
+  }
+}
+
 void ControlLink::extend_lease(Member& member, const fleet::FleetUpdate& update) {
   const auto sent = member.sent.find(update.answers);
   if (sent == member.sent.end()) {
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -41,6 +41,8 @@
   void set_configuration_version(uint64_t version) { configuration_version_ = version; }
   /// True while keys may be honoured.
   bool keys_confirmed() const { return loop_.now() < confirmed_until_; }
+  /// For how long keys may still be honoured; negative: since when not.
+  int64_t keys_left_ms() const;
   void set_seeds(std::vector<Endpoint> seeds) { options_.seeds = std::move(seeds); }
   /// Tells all members at once, for example that this router is about to stop.
   void tell_now();
@@ -53,12 +55,14 @@
     std::shared_ptr<wire::Channel> channel;
     TimePoint heard{0};
     TimePoint opened{0};
+    bool reached = false;                ///< as last logged
     std::map<uint64_t, TimePoint> sent;  ///< statuses without an answer, by sequence
   };
   void tick();
   void connect_members();
   void tell(Member& member);
   void on_message(const std::string& address, wire::Message message);
+  void note_heard(const std::string& address, Member& member, bool leads);
   void extend_lease(Member& member, const fleet::FleetUpdate& update);
 
   EventLoop& loop_;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -1,5 +1,6 @@
 #include "src/gateway/gateway_server.h"
 
+#include "src/events/fleet_events.h"
 #include "src/fleet/backend_registry.h"
 
 namespace stoat::gateway {
@@ -36,6 +37,8 @@
   // Requests wait at the engine before they begin.
   settings.old_weights_limit =
       Duration(1000 * reader.integer("weights_limit_ms", 8000, 0, 3600000)) - kQueueMargin;
+  settings.stories.lines_per_second = reader.number("log_lines_per_second", 200, 0, 1e6);
+  settings.stories.sample_one_in = static_cast<uint32_t>(reader.integer("log_sample_one_in", 64, 1, 1000000));
   settings.budget.ratio = reader.number("repeat_ratio", 0.2, 0, 10);
   settings.budget.slack = reader.number("repeat_slack", 50, 0, 1e6);
   settings.budget.window = std::chrono::seconds(reader.integer("repeat_window_s", 10, 1, 3600));
@@ -47,8 +50,9 @@
     : loop_(loop),
       settings_(settings),
       names_(names),
+      stories_(log_, settings.stories),
       pool_(loop),
-      context_{loop, names_, pool_, metrics_, log_},
+      context_{loop, names_, pool_, metrics_, stories_},
       link_(
           loop, settings.link, [this] { return make_status(); },
           [this](const fleet::FleetUpdate& update) { on_update(update); },
@@ -68,7 +72,16 @@
   return !stopping_ && table_ != nullptr && (!settings_.fail_closed || link_.keys_confirmed());
 }
 
-fleet::RouterStatus GatewayServer::make_status() const {
+void GatewayServer::note_key_lease() {
+  const bool held = link_.keys_confirmed();
+  if (held != keys_held_) {
+    keys_held_ = held;
+    log_.event(events::KeyLeaseChanged{held, link_.keys_left_ms()});
+  }
+}
+
+fleet::RouterStatus GatewayServer::make_status() {
+  note_key_lease();
   fleet::RouterStatus status;
   status.router.name = settings_.name;
   status.router.address = to_string(settings_.listen);
@@ -87,14 +100,17 @@
   }
   pool_.retire(update.retired);
   if (update.registry_given) {
+    for (const events::BackendChanged& change : events::backend_changes(registry_, update.registry)) {
+      log_.event(change);
+    }
+    registry_ = update.registry;
     pool_.update(update.registry);
     registry_digest_ = fleet::digest_of(update.registry);
   }
   for (const fleet::NamedVersion& named : update.weights) {
     dispatch::WantedWeights& wanted = context_.wanted[named.model];
     if (named.version > wanted.newest()) {
-      log_.info("weights named",
-                {{"model", named.model}, {"version", named.version}, {"age_ms", named.age_ms}});
+      log_.event(events::WeightsNamed{named.model, named.version, named.age_ms});
     }
     wanted.note(named.version, loop_.now() - Duration(1000 * named.age_ms));
   }
@@ -104,6 +120,7 @@
   if (update.leads) {
     const std::string store = update.stores.empty() ? "" : update.stores.front();
     if (store != context_.store) {
+      log_.event(events::StoreChanged{context_.store, store});
       context_.store_memory = placement::ChainMemory(placement::kStoreHoldTime);  // it comes back empty
     }
     context_.store = store;
@@ -147,9 +164,8 @@
   limits.header_timeout = Duration(1000 * configuration.limits.header_timeout_ms);
   limits.idle_timeout = Duration(1000 * configuration.limits.idle_timeout_ms);
   edge_.set_limits(limits);
-  log_.info("configuration in force", {{"version", configuration.version},
-                                       {"routes", configuration.routes.size()},
-                                       {"tenants", configuration.tenants.size()}});
+  log_.event(events::ConfigurationInForce{configuration.version, configuration.routes.size(),
+                                          configuration.tenants.size()});
 }
 
 void GatewayServer::refuse(const dispatch::RunPlan& plan, edge::CallerAnswer& answer, int status,
@@ -163,10 +179,10 @@
   if (status == kUnavailable) {
     head.headers.add("Retry-After", kStartRetryAfter);
   }
-  log_.info("request refused", {{"request", plan.fields.id},
-                                {"status", status},
-                                {"reason", reason},
-                                {"version", table_ == nullptr ? 0 : table_->configuration().version}});
+  events::RequestStory story(plan.fields.id);
+  story.add(events::RequestTurnedAway{status, reason, table_ == nullptr ? 0 : table_->configuration().version,
+                                      link_.keys_left_ms()});
+  story.finish(stories_, true, reason, loop_.now());
   metrics_.count("stoat_router_requests_total", {{"status", std::to_string(status)}});
   answer.reply(head, std::string(reason) + "\n");
 }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -27,6 +27,7 @@
   Duration stop_listen = 3s;  ///< from SIGTERM until new connections are refused
   Duration old_weights_limit = 6s;
   delivery::WindowBudgetOptions budget;
+  events::StoryOptions stories;
 };
 
 /// Reads the settings of a router.
@@ -58,7 +59,8 @@
   /// Keeps a placement for the other routers, which hear of it a little later.
   void tell_placement(fleet::ChainPlacement placement);
   void take_configuration(const fleet::FleetConfiguration& configuration);
-  fleet::RouterStatus make_status() const;
+  fleet::RouterStatus make_status();
+  void note_key_lease();
   void refuse(const dispatch::RunPlan& plan, edge::CallerAnswer& answer, int status, const char* reason);
   bool admit(dispatch::RunPlan& plan, edge::CallerAnswer& answer);
   void check_stopped();
@@ -68,11 +70,14 @@
   dispatch::HeaderNames names_;
   Logger log_{"router"};
   Metrics metrics_;
+  events::StoryBook stories_;
   dispatch::BackendPool pool_;
   dispatch::DispatchContext context_;
   std::shared_ptr<const routing::RouteTable> table_;
   routing::SplitChooser splits_;
   uint64_t registry_digest_ = 0;
+  std::vector<fleet::BackendRecord> registry_;  ///< as last told
+  bool keys_held_ = false;                      ///< as last logged
   fleet::PlacementNews untold_placements_;
   std::map<const edge::CallerAnswer*, std::shared_ptr<dispatch::RequestRun>> runs_;
   ControlLink link_;
