Begin to load new weights a quarter of their limit after they are named

Change: an engine's first order comes a quarter of weights_limit_ms after the naming of the first version that it lacks, with the newest version of that moment. WeightRolloutDelay.* is the test.

--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -39,6 +39,8 @@
   settings.core.replica.heartbeat_interval = Duration(1000 * reader.integer("heartbeat_ms", 100, 5, 10000));
   settings.registry.lost_after = Duration(1000 * reader.integer("backend_lost_ms", 4000, 100, 600000));
   settings.holder_lease = Duration(1000 * reader.integer("holder_lease_ms", 3000, 0, 600000));
+  // Versions that follow soon are then loaded in one: a load costs an engine its cache.
+  settings.rollout.start_delay = Duration(1000 * reader.integer("weights_limit_ms", 8000, 0, 3600000)) / 4;
   settings.rollout.load_share = reader.number("load_share", settings.rollout.load_share, 0.001, 1.0);
   return settings;
 }
--- a/src/control/weight_rollout.cc
+++ b/src/control/weight_rollout.cc
@@ -43,6 +43,7 @@
 std::vector<RolloutStep> WeightRollout::plan(const std::vector<BackendRecord>& engines,
                                              const std::map<std::string, uint64_t>& weights, TimePoint now) {
   std::vector<RolloutStep> steps;
+  note_named(weights, now);
   std::map<std::string, const BackendRecord*> by_id;
   engines_of_.clear();
   for (const BackendRecord& engine : engines) {
@@ -82,7 +83,8 @@
   for (const BackendRecord& engine : engines) {
     const auto refused = refused_until_.find(engine.id);
     const bool resting = refused != refused_until_.end() && now < refused->second;
-    if (takes_orders(engine) && !resting && loads_.count(engine.id) == 0 &&
+    const bool due = now - lagging_since(engine, weights) >= options_.start_delay;
+    if (takes_orders(engine) && !resting && due && loads_.count(engine.id) == 0 &&
         wanted(engine, weights).version != 0) {
       list.push_back(&engine);
     }
@@ -109,6 +111,28 @@
   return list;
 }
 
+void WeightRollout::note_named(const std::map<std::string, uint64_t>& weights, TimePoint now) {
+  constexpr size_t kMostVersions = 16;
+  for (const auto& [model, version] : weights) {
+    auto& versions = named_at_[model];
+    versions.emplace(version, now);
+    if (versions.size() > kMostVersions) {
+      versions.erase(versions.begin());
+    }
+  }
+}
+
+TimePoint WeightRollout::lagging_since(const BackendRecord& engine,
+                                       const std::map<std::string, uint64_t>& weights) const {
+  const ModelVersion target = wanted(engine, weights);
+  const auto versions = named_at_.find(target.model);
+  if (versions == named_at_.end()) {
+    return TimePoint(0);
+  }
+  const auto first = versions->second.upper_bound(engine.version_of(target.model));
+  return first == versions->second.end() ? TimePoint(0) : first->second;
+}
+
 size_t WeightRollout::bound_of(const std::string& service) const {
   const auto known = engines_of_.find(service);
   const double engines = known == engines_of_.end() ? 0 : static_cast<double>(known->second);
--- a/src/control/weight_rollout.h
+++ b/src/control/weight_rollout.h
@@ -19,6 +19,7 @@
 /// Settings of a rollout.
 struct RolloutOptions {
   double load_share = 0.166;        ///< of the engines that load at once, rounded up
+  Duration start_delay{0};          ///< from the naming of a version to the first order for it
   Duration announce_lead = 150ms;   ///< between the announcement and the order
   Duration first_check = 650ms;     ///< from the order to the first question for its result
   Duration check_interval = 150ms;  ///< between such questions
@@ -99,11 +100,18 @@
   void advance(const fleet::BackendRecord& engine, Load& load, TimePoint now,
                std::vector<RolloutStep>& steps);
 
+  /// Notes versions that are named for the first time, and forgets those that all later ones have overtaken.
+  void note_named(const std::map<std::string, uint64_t>& weights, TimePoint now);
+  /// When the first version above the engine's was named.
+  TimePoint lagging_since(const fleet::BackendRecord& engine,
+                          const std::map<std::string, uint64_t>& weights) const;
+
   RolloutOptions options_;
-  std::map<std::string, size_t> engines_of_;         ///< by service: engines that take orders
-  std::map<std::string, Load> loads_;                ///< by engine
-  std::map<std::string, uint64_t> order_sequences_;  ///< by engine: orders that it has taken
-  std::map<std::string, TimePoint> refused_until_;   ///< by engine
+  std::map<std::string, std::map<uint64_t, TimePoint>> named_at_;  ///< by model and version
+  std::map<std::string, size_t> engines_of_;                       ///< by service: engines that take orders
+  std::map<std::string, Load> loads_;                              ///< by engine
+  std::map<std::string, uint64_t> order_sequences_;                ///< by engine: orders that it has taken
+  std::map<std::string, TimePoint> refused_until_;                 ///< by engine
   bool fenced_off_ = false;
 };
 
--- a/tests/unit/weight_rollout_test.cc
+++ b/tests/unit/weight_rollout_test.cc
@@ -106,6 +106,20 @@
   EXPECT_EQ(ordered[0].version, 3U);
 }
 
+TEST(WeightRolloutDelay, VersionsThatFollowSoonAreLoadedInOne) {
+  RolloutOptions options;
+  options.start_delay = 2s;
+  WeightRollout rollout(options);
+  const std::vector<fleet::BackendRecord> engines = {engine("a", 1)};
+  EXPECT_TRUE(rollout.plan(engines, {{"m", 1}}, 1s).empty());
+  EXPECT_TRUE(rollout.plan(engines, {{"m", 2}}, 5s).empty());
+  EXPECT_TRUE(rollout.plan(engines, {{"m", 3}}, 6s).empty());
+  // The first of them counts, so that its limit is kept.
+  const auto steps = rollout.plan(engines, {{"m", 3}}, 7s);
+  ASSERT_EQ(ids(steps, Kind::kAnnounce).size(), 1U);
+  EXPECT_EQ(steps.front().version, 3U);
+}
+
 TEST_F(WeightRolloutTest, AnOrderWithoutAnswerIsGivenAgainWithTheSequenceThatTheEngineTells) {
   engines_ = {engine("a", 1)};
   plan(1s);
