Weigh older weights less, and keep a quarter of the engines for short prompts

Cause: right after the first engines had new weights, placement sent them nearly all long prompts (250 ms against older ones), cold and few as they were; short prompts needed less of the fleet than a third.

Change: old_weights_ms 120, short_lane_share 0.25.

--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -58,7 +58,7 @@
   /// Tells the other routers who holds a chain.
   std::function<void(fleet::ChainPlacement)> tell_placement = [](const fleet::ChainPlacement&) {};
   placement::PlacementCosts costs = {};
-  double short_lane_share = 0.33;  ///< of the engines: those meant for short prompts
+  double short_lane_share = 0.25;  ///< of the engines: those meant for short prompts
 
   delivery::WindowBudget& budget_of(const std::string& service) {
     return budgets.try_emplace(service, budget_options).first->second;
--- a/src/placement/part_placement.h
+++ b/src/placement/part_placement.h
@@ -91,7 +91,7 @@
   double prefill_tokens_per_ms = 38.0;
   double per_outstanding_ms = 1.0;
   double full_ms = 400.0;
-  double old_weights_ms = 250.0;
+  double old_weights_ms = 120.0;
   double other_zone_ms = 2.0;
   double other_lane_ms = 300.0;
   double move_setup_ms = 4.0;
