--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -52,7 +52,7 @@
 }
 
 const std::map<std::string, Words>& phrases() {
-  static const std::map<std::string, Words> kPhrases = {
+  static const std::map<std::string, Words> phrase_of = {
       {events::RequestAccepted::kSentence,
        [](const LogLine& line) {
          return "came in on route " + line.field("route") + " for service " + line.field("service") +
@@ -82,25 +82,25 @@
                 " ms)";
        }},
   };
-  return kPhrases;
+  return phrase_of;
 }
 
 bool is_fleet_event(const LogLine& line) {
-  static const std::vector<std::string> kSentences = {events::ConfigurationInForce::kSentence,
-                                                      events::WeightsNamed::kSentence,
-                                                      events::BackendChanged::kSentence,
-                                                      events::KeyLeaseChanged::kSentence,
-                                                      events::ControlMemberChanged::kSentence,
-                                                      events::LeaderChanged::kSentence,
-                                                      events::StoreChanged::kSentence,
-                                                      events::RouterChanged::kSentence,
-                                                      events::MembersChanged::kSentence,
-                                                      "started",
-                                                      "stopping",
-                                                      "stopped",
-                                                      "leads",
-                                                      "leads no more"};
-  return std::find(kSentences.begin(), kSentences.end(), line.sentence) != kSentences.end();
+  static const std::vector<std::string> sentences = {events::ConfigurationInForce::kSentence,
+                                                     events::WeightsNamed::kSentence,
+                                                     events::BackendChanged::kSentence,
+                                                     events::KeyLeaseChanged::kSentence,
+                                                     events::ControlMemberChanged::kSentence,
+                                                     events::LeaderChanged::kSentence,
+                                                     events::StoreChanged::kSentence,
+                                                     events::RouterChanged::kSentence,
+                                                     events::MembersChanged::kSentence,
+                                                     "started",
+                                                     "stopping",
+                                                     "stopped",
+                                                     "leads",
+                                                     "leads no more"};
+  return std::find(sentences.begin(), sentences.end(), line.sentence) != sentences.end();
 }
 
 void sort_by_time(std::vector<PlacedLine>& lines) {
--- /dev/null
+++ b/src/dispatch/request_end.cc
@@ -0,0 +1,114 @@
+/// RequestRun: the end of a request, and what is told of it.
+#include <event2/event.h>
+
+#include <cstdio>
+
+#include "src/dispatch/request_run.h"
+
+namespace stoat::dispatch {
+
+namespace {
+
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+/// A request that could not be placed is told to come back after so long.
+constexpr double kRetryAfterS = 0.5;
+/// The same where no back end of the service is known: heartbeats come every second or so.
+constexpr double kNoBackendRetryAfterS = 1.5;
+
+}  // namespace
+
+void RequestRun::give_up(const char* reason) {
+  if (finished_) {
+    return;
+  }
+  const bool at_work = backend_ != nullptr;
+  if (at_work) {
+    end_exchange(false);
+  }
+  if (streaming_) {
+    break_off(reason);
+    return;
+  }
+  if (at_work) {
+    reply_own(kGatewayTimeout, reason, 0);
+  } else if (ran_ == Ran::kMaybe) {
+    reply_own(kBadGateway, reason, 0);
+  } else {
+    const bool none_known = context_.pool.serving(plan_.service).empty();
+    reply_own(kUnavailable, reason, none_known ? kNoBackendRetryAfterS : kRetryAfterS);
+  }
+}
+
+void RequestRun::reply_own(int status, const char* reason, double retry_after_s) {
+  edge::AnswerHead head;
+  head.status = status;
+  head.headers.add(context_.names.request_id, plan_.fields.id);
+  head.headers.add("Content-Type", "text/plain");
+  if (retry_after_s > 0) {
+    char text[16];
+    std::snprintf(text, sizeof(text), "%.2f", retry_after_s);
+    head.headers.add("Retry-After", text);
+  }
+  answer_->reply(head, std::string(reason) + "\n");
+  done(reason, status);
+}
+
+void RequestRun::break_off(const char* reason) {
+  if (backend_ != nullptr) {
+    end_exchange(false);
+  }
+  answer_->abort();
+  done(reason, 0);
+}
+
+void RequestRun::cancel() {
+  if (backend_ != nullptr) {
+    end_exchange(false);
+  }
+  done("the caller left", 0);
+}
+
+bool RequestRun::late(TimePoint now) const {
+  const fleet::Route& route = *plan_.route;
+  const TimePoint answered = first_event_at_ > TimePoint(0) ? first_event_at_ : now;
+  const bool paused = route.gap_target_ms > 0 && longest_pause_ > Duration(1000 * route.gap_target_ms);
+  return paused ||
+         (route.target_latency_ms > 0 && answered - plan_.arrived > Duration(1000 * route.target_latency_ms));
+}
+
+void RequestRun::observe(bool success, TimePoint now) const {
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  const Metrics::Labels labels = {{"route", plan_.route->name}};
+  const auto seconds = [&](TimePoint at) {
+    return static_cast<double>((at - plan_.arrived).count()) / kMicrosecondsPerSecond;
+  };
+  if (success) {
+    context_.metrics.observe("stoat_router_request_seconds", seconds(now), labels);
+  }
+  if (first_event_at_ > TimePoint(0)) {
+    context_.metrics.observe("stoat_router_first_event_seconds", seconds(first_event_at_), labels);
+  }
+}
+
+void RequestRun::done(const char* outcome, int status) {
+  if (finished_) {
+    return;
+  }
+  finished_ = true;
+  event_del(timer_);
+  const TimePoint now = context_.loop.now();
+  context_.metrics.count("stoat_router_requests_total", {{"status", std::to_string(status)}});
+  const bool success = status >= 200 && status < kFirstError;
+  const bool is_late = late(now);
+  observe(success, now);
+  const int64_t first_ms =
+      first_event_at_ > TimePoint(0) ? to_milliseconds(first_event_at_ - plan_.arrived) : -1;
+  story_.add(events::RequestEnded{outcome, status, static_cast<uint32_t>(tried_.size()), refusals_,
+                                  to_milliseconds(now - plan_.arrived), first_ms,
+                                  to_milliseconds(longest_pause_), is_late});
+  story_.finish(context_.stories, !success || is_late, outcome, now);
+  on_done_(this);
+}
+
+}  // namespace stoat::dispatch
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -25,6 +25,10 @@
 
 namespace stoat::dispatch {
 
+/// Statuses that decide or end a request's run.
+inline constexpr int kFirstError = 300;
+inline constexpr int kBadGateway = 502;
+
 /// The versions of a model's weights that were named, each with the time since when engines should have it.
 class WantedWeights {
  public:
