Ask a new leader for the key lease at once

Ruled out: a late confirmation by the quorum: the leader's first update bore it.

Change: a router that hears of another leader sends its state there at once. The lease is counted as before, from the sending of the question. SlowQuestionsTest.ARouterAsksANewLeaderForItsKeyLeaseAtOnce failed before (5 s without a lease), passes in 0.6 s.

--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -151,6 +151,7 @@
   if (leads && leader_ != address) {
     log_.event(events::LeaderChanged{leader_, address});
     leader_ = address;
+    tell(member);  // its answer carries the key lease
   }
 }
 
--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -66,8 +66,9 @@
 /// "t1"'s, "k2" that of "t2", which is isolated.
 class SmallFleet : public ::testing::Test {
  protected:
-  /// `repeat_slack`: the repeats that the router may make besides a share of its requests.
-  explicit SmallFleet(double repeat_slack = 100) {
+  /// `repeat_slack`: the repeats that the router may make besides a share of its requests. `status_interval`:
+  /// between the router's questions to control.
+  explicit SmallFleet(double repeat_slack = 100, Duration status_interval = 50ms) {
     folder_ = std::filesystem::temp_directory_path() / ("stoat-small-fleet-" + std::to_string(::getpid()));
     std::filesystem::remove_all(folder_);
     control::FleetControlSettings control;
@@ -83,7 +84,7 @@
     router.zone = "z1";
     router.listen = {"127.0.0.1", free_port()};
     router.link.seeds = {control.internal};
-    router.link.status_interval = 50ms;
+    router.link.status_interval = status_interval;
     router.budget.slack = repeat_slack;
     router_port_ = router.listen.port;
     control_endpoint_ = control.internal;
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -141,6 +141,18 @@
   }
 }
 
+/// A router that asks control only each 20 s by itself.
+class SlowQuestionsTest : public test::SmallFleet {
+ protected:
+  SlowQuestionsTest() : SmallFleet(100, 20s) {}
+};
+
+TEST_F(SlowQuestionsTest, ARouterAsksANewLeaderForItsKeyLeaseAtOnce) {
+  // Found in an incident: after a loss of power of all machines, keys were honoured up to 0.4 s after there
+  // was a leader.
+  EXPECT_TRUE(configure(make_configuration(1)));  // waits 5 s at most until the router is ready
+}
+
 TEST_F(GatewayTest, GivesTheEnginesOwnFailureBackUnchanged) {
   ScriptedEngine engine([](const SeenRequest& request) -> Script {
     return {send_step(whole_answer(500, own(request.header("X-Request-Id")), "broken"))};
