Check an engine's soundness in one place

Cause: the last reading of the change: whether a back end is heard, not loading and not ejected stood three times in request_send.cc (for sending, for copies, for sources).

Ruled out: a difference between the three: candidates() has left loading engines out before it asks.

Change: is_sound(). No behaviour changes.

The other tests were not run again.

--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -20,6 +20,12 @@
 constexpr uint32_t kMaxUrgency = 9;
 constexpr uint32_t kRoutePriorities = 3;
 
+/// True when a back end is heard, has its weights in place, and has not failed too often lately.
+bool is_sound(BackendPool& pool, const Backend& backend, TimePoint now) {
+  const auto health = pool.outliers().handle_of(backend.record.id);
+  return !backend.record.loading && !backend.record.lost && delivery::OutlierDetector::usable(health, now);
+}
+
 }  // namespace
 
 void WantedWeights::note(uint64_t version, TimePoint since) {
@@ -63,9 +69,7 @@
             std::max<size_t>(2, service->connection_limit / (context_.router_count + 1))) {
       continue;
     }
-    const auto health = context_.pool.outliers().handle_of(record.id);
-    const bool healthy = !record.lost && delivery::OutlierDetector::usable(health, now);
-    (healthy ? usable : doubtful).push_back(backend);
+    (is_sound(context_.pool, *backend, now) ? usable : doubtful).push_back(backend);
   }
   return usable.empty() ? doubtful : usable;
 }
@@ -82,9 +86,7 @@
   view.old_weights = outdated_for(backend).value_or(Duration(0)) > kOldWeightsFree;
   view.same_zone = backend.record.zone == context_.zone;
   // A dead source holds the request up.
-  const auto health = context_.pool.outliers().handle_of(backend.record.id);
-  view.sound = !backend.record.loading && !backend.record.lost &&
-               delivery::OutlierDetector::usable(health, context_.loop.now());
+  view.sound = is_sound(context_.pool, backend, context_.loop.now());
   return view;
 }
 
@@ -200,9 +202,8 @@
 }
 
 bool RequestRun::may_hold_copy(const Backend& backend) const {
-  const auto health = context_.pool.outliers().handle_of(backend.record.id);
-  return backend.record.state == fleet::BackendState::kReady && !backend.record.loading &&
-         !backend.record.lost && delivery::OutlierDetector::usable(health, context_.loop.now());
+  return backend.record.state == fleet::BackendState::kReady &&
+         is_sound(context_.pool, backend, context_.loop.now());
 }
 
 BackendPtr RequestRun::choose_backup(const Backend& target) const {
