Let requests wait for a router's first configuration; tell routers of a confirmed leader at once

Most callers were at their last attempt then: 84 were never served. Ruled out: a longer Retry-After, since callers with no attempt left don't come back. Change: such requests wait, for 2.5 s or half of their time at most. A leader that is confirmed tells its routers at once, which then renew their key lease at once; elections begin after 250 ms without a leader, not 500.

--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -35,8 +35,8 @@
   settings.core.entries_per_snapshot =
       static_cast<uint64_t>(reader.integer("entries_per_snapshot", 100, 10, 100000000));
   settings.core.replica.election_timeout =
-      Duration(1000 * reader.integer("election_timeout_ms", 500, 50, 60000));
-  settings.core.replica.heartbeat_interval = Duration(1000 * reader.integer("heartbeat_ms", 100, 5, 10000));
+      Duration(1000 * reader.integer("election_timeout_ms", 250, 50, 60000));
+  settings.core.replica.heartbeat_interval = Duration(1000 * reader.integer("heartbeat_ms", 50, 5, 10000));
   settings.registry.lost_after = Duration(1000 * reader.integer("backend_lost_ms", 4000, 100, 600000));
   settings.holder_lease = Duration(1000 * reader.integer("holder_lease_ms", 3000, 0, 600000));
   // Versions that follow soon are then loaded in one: a load costs an engine its cache.
@@ -353,9 +353,14 @@
     for (const fleet::BackendRecord& record : registry_.records()) {
       registry_.set_loading(record.id, false);
     }
+    routers_know_leader_ = false;
     log_.info(leads ? "leads" : "leads no more", {{"term", core_->replica().term()}});
     metrics_.set("stoat_control_leads", leads ? 1 : 0);
   }
+  if (leads && !routers_know_leader_ && confirmed_age_ms() >= 0) {
+    routers_know_leader_ = true;
+    push_to_routers();  // they wait for the key lease, after a restart for the configuration as well
+  }
   std::vector<uint64_t> expired;
   for (const auto& [token, waiting] : waiting_) {
     if (now >= waiting.expires) {
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -171,6 +171,7 @@
   std::vector<std::string> noticed_stores_;
   WeightRollout rollout_;
   bool led_ = false;
+  bool routers_know_leader_ = false;  ///< they were told that this member leads and is confirmed
   TimePoint leader_since_{0};
 };
 
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -82,6 +82,10 @@
   story_.add(events::RequestAccepted{route.name, plan_.service,
                                      plan_.tenant == nullptr ? "" : plan_.tenant->name,
                                      plan_.table->configuration().version, limit_ms, chain_.prompt_tokens});
+  if (context_.loop.now() >= give_up_at_) {
+    give_up("no time left");  // it has waited for the router's start
+    return;
+  }
   try_dispatch();
 }
 
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -91,7 +91,7 @@
 
 int64_t ControlLink::keys_left_ms() const {
   constexpr int64_t kNever = -1000000;
-  return confirmed_until_ == Duration::min() ? kNever : to_milliseconds(confirmed_until_ - loop_.now());
+  return ever_confirmed() ? to_milliseconds(confirmed_until_ - loop_.now()) : kNever;
 }
 
 size_t ControlLink::connected() const {
@@ -139,6 +139,10 @@
   const auto again = members_.find(address);
   if (again != members_.end()) {
     extend_lease(again->second, *update);
+    const bool could_confirm = update->leads && update->quorum_age_ms >= 0 && update->answers == 0;
+    if (could_confirm && !keys_confirmed()) {
+      tell(again->second);  // the lease counts from a question of this router
+    }
   }
 }
 
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -41,6 +41,8 @@
   void set_configuration_version(uint64_t version) { configuration_version_ = version; }
   /// True while keys may be honoured.
   bool keys_confirmed() const { return loop_.now() < confirmed_until_; }
+  /// True once keys could be honoured for the first time since the start.
+  bool ever_confirmed() const { return confirmed_until_ != Duration::min(); }
   /// For how long keys may still be honoured; negative: since when not.
   int64_t keys_left_ms() const;
   void set_seeds(std::vector<Endpoint> seeds) { options_.seeds = std::move(seeds); }
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -16,6 +16,8 @@
 constexpr Duration kQueueMargin = 1500ms;
 /// Placements are told together, this long after the first of them.
 constexpr Duration kNewsDelay = 50ms;
+/// How often a starting router looks after the requests that wait.
+constexpr Duration kStartCheck = 20ms;
 
 }  // namespace
 
@@ -37,6 +39,7 @@
   // Requests wait at the engine before they begin.
   settings.old_weights_limit =
       Duration(1000 * reader.integer("weights_limit_ms", 8000, 0, 3600000)) - kQueueMargin;
+  settings.start_wait = Duration(1000 * reader.integer("start_wait_ms", 2500, 0, 60000));
   settings.stories.lines_per_second = reader.number("log_lines_per_second", 200, 0, 1e6);
   settings.stories.sample_one_in = static_cast<uint32_t>(reader.integer("log_sample_one_in", 64, 1, 1000000));
   settings.budget.ratio = reader.number("repeat_ratio", 0.2, 0, 10);
@@ -214,9 +217,49 @@
   return true;
 }
 
+bool GatewayServer::starting() const {
+  return table_ == nullptr || (settings_.fail_closed && !link_.ever_confirmed());
+}
+
+bool GatewayServer::wait_for_start(edge::CallerRequest& request, std::shared_ptr<edge::CallerAnswer>& answer) {
+  const TimePoint now = loop_.now();
+  const auto limit_ms = dispatch::read_fields(request.headers, names_).deadline_ms;
+  WaitingRequest waiting{std::move(request), std::move(answer), now,
+                         now + start_wait(limit_ms, settings_.start_wait)};
+  if (!start_queue_.add(waiting)) {
+    request = std::move(waiting.request);
+    answer = std::move(waiting.answer);
+    return false;
+  }
+  if (start_queue_.size() == 1) {
+    loop_.after(kStartCheck, [this] { check_start_queue(); });
+  }
+  return true;
+}
+
+void GatewayServer::check_start_queue() {
+  std::vector<WaitingRequest> due =
+      starting() ? start_queue_.take_expired(loop_.now()) : start_queue_.take_all();
+  for (WaitingRequest& waiting : due) {
+    serve(std::move(waiting.request), std::move(waiting.answer), waiting.arrived);
+  }
+  if (start_queue_.size() > 0) {
+    loop_.after(kStartCheck, [this] { check_start_queue(); });
+  }
+}
+
 void GatewayServer::on_request(edge::CallerRequest request, std::shared_ptr<edge::CallerAnswer> answer) {
+  if (starting() && wait_for_start(request, answer)) {
+    return;
+  }
+  const TimePoint now = loop_.now();
+  serve(std::move(request), std::move(answer), now);
+}
+
+void GatewayServer::serve(edge::CallerRequest request, std::shared_ptr<edge::CallerAnswer> answer,
+                          TimePoint arrived) {
   dispatch::RunPlan plan;
-  plan.arrived = loop_.now();
+  plan.arrived = arrived;
   plan.fields = dispatch::read_fields(request.headers, names_);
   plan.request = std::move(request);
   if (!admit(plan, *answer)) {
@@ -231,6 +274,7 @@
 }
 
 void GatewayServer::on_gone(const edge::CallerAnswer* answer) {
+  start_queue_.remove(answer);
   const auto found = runs_.find(answer);
   if (found != runs_.end()) {
     const auto run = found->second;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -10,6 +10,7 @@
 #include "src/dispatch/request_run.h"
 #include "src/edge/edge_server.h"
 #include "src/gateway/control_link.h"
+#include "src/gateway/start_queue.h"
 #include "src/http/server.h"
 #include "src/routing/route_table.h"
 
@@ -26,6 +27,9 @@
   Duration stop_grace = 7s;   ///< from SIGTERM to the end at the latest
   Duration stop_listen = 3s;  ///< from SIGTERM until new connections are refused
   Duration old_weights_limit = 6s;
+  /// How long a request may wait for a router that has just started. Members elect a leader within a second of
+  /// a restart, and back ends are heard within a second or so.
+  Duration start_wait = 2500ms;
   delivery::WindowBudgetOptions budget;
   events::StoryOptions stories;
 };
@@ -62,6 +66,13 @@
   fleet::RouterStatus make_status();
   void note_key_lease();
   void refuse(const dispatch::RunPlan& plan, edge::CallerAnswer& answer, int status, const char* reason);
+  /// True until the router can decide about requests for the first time since it started.
+  bool starting() const;
+  /// Keeps a request until the router can decide about it. False when there is no room.
+  bool wait_for_start(edge::CallerRequest& request, std::shared_ptr<edge::CallerAnswer>& answer);
+  /// Serves what waits when the start is over, and refuses what has waited for too long.
+  void check_start_queue();
+  void serve(edge::CallerRequest request, std::shared_ptr<edge::CallerAnswer> answer, TimePoint arrived);
   bool admit(dispatch::RunPlan& plan, edge::CallerAnswer& answer);
   void check_stopped();
 
@@ -80,6 +91,7 @@
   bool keys_held_ = false;                      ///< as last logged
   fleet::PlacementNews untold_placements_;
   std::map<const edge::CallerAnswer*, std::shared_ptr<dispatch::RequestRun>> runs_;
+  StartQueue start_queue_;
   ControlLink link_;
   edge::EdgeServer edge_;
   bool stopping_ = false;
