Follow the events of all caches at the leader; name a source of KV cache for every request

Cause: shared parts read again were the largest price on every site. Isolated tenants make the working set 1.06M tokens for 0.90M of memory. Change: the leader keeps a question for events open at each cache and tells routers the changes of those parts that prompts share. A part is known by owner and name, not by its chain, so that events can be matched. The store competes with engines as a source by what it holds. A source is named for every request, as a miss costs a millisecond.

--- a/src/control/engine_orders.h
+++ b/src/control/engine_orders.h
@@ -5,8 +5,10 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "src/control/weight_rollout.h"
+#include "src/fleet/fleet_messages.h"
 
 namespace stoat::control {
 
@@ -21,6 +23,14 @@
   uint64_t expected_sequence = 0;
 };
 
+/// What a cache tells of its changes.
+struct CacheEvents {
+  uint64_t epoch = 0;                        ///< changes when the cache has restarted, which empties it
+  uint64_t next_event = 0;                   ///< to ask from the next time
+  bool gap = false;                          ///< changes before these are not to be had any more
+  std::vector<fleet::PartHolding> holdings;  ///< in order
+};
+
 /// See the head of this file. Each callback is called exactly once.
 class EngineOrders {
  public:
@@ -28,10 +38,10 @@
   virtual void send(const VersionOrder& order, std::function<void(OrderAnswer)> on_answer) = 0;
   /// `on_report` gets nullptr when no report came.
   virtual void ask(const std::string& address, std::function<void(const EngineReport*)> on_report) = 0;
-  /// Waits up to a second for news of a KV store after event number `since`. Tells the number of its newest
-  /// event, or nullopt when it can't be reached.
-  virtual void watch_store(const std::string& address, uint64_t since,
-                           std::function<void(std::optional<uint64_t>)> on_news) = 0;
+  /// Waits up to a second for changes in the cache of an engine or a store after event number `since`. Gets
+  /// nullptr when it can't be reached.
+  virtual void follow_cache(const std::string& address, uint64_t since,
+                            std::function<void(const CacheEvents*)> on_events) = 0;
 };
 
 }  // namespace stoat::control
--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -53,7 +53,7 @@
 
 void FleetServer::keep_registry() {
   registry_.expire(loop_.now());
-  watch_stores();
+  choose_caches();
   notice_changes();
   note_members();
   const TimePoint now = loop_.now();
@@ -66,17 +66,38 @@
   });
 }
 
-void FleetServer::watch_stores() {
+void FleetServer::choose_caches() {
   if (!core_->replica().leads()) {
     return;
   }
-  std::vector<std::string> addresses;
+  std::vector<FollowedCache> caches;
   for (const fleet::Service& service : core_->state().fleet().configuration().services) {
     if (!service.store_address.empty()) {
-      addresses.push_back(service.store_address);
+      caches.push_back({service.store_address, service.store_address, true});
+    }
+  }
+  for (const fleet::BackendRecord& record : registry_.records()) {
+    if (!record.models.empty()) {
+      caches.push_back({record.id, record.address, false});
+    }
+  }
+  caches_.follow(caches);
+}
+
+void FleetServer::follow_caches() {
+  if (!core_->replica().leads()) {
+    return;
+  }
+  caches_.poll(loop_.now());
+  const fleet::CacheNews news = caches_.take_changes();
+  if (news.caches.empty()) {
+    return;
+  }
+  for (auto& [name, router] : routers_) {
+    if (router.channel->open()) {
+      router.channel->send(news);
     }
   }
-  stores_.poll(addresses, loop_.now());
 }
 
 int64_t FleetServer::confirmed_age_ms() const {
@@ -138,7 +159,7 @@
   for (const consensus::Member& member : core_->replica().members().members) {
     update.members.push_back(member.address);
   }
-  update.stores = stores_.live();
+  update.stores = caches_.live_stores();
   update.router_count = static_cast<uint32_t>(ready_routers().size());
   return update;
 }
@@ -178,15 +199,22 @@
     const char* change = status.router.ready ? "ready" : known ? "not ready" : "appeared";
     log_.event(events::RouterChanged{status.router.name, change, status.configuration_version});
   }
+  const bool reconnected = router.channel != channel;
   router.status = status;
   router.channel = channel;
   router.at = loop_.now();
   fleet::FleetUpdate update = make_update();
   update.answers = status.sequence;
   update_router(router, std::move(update), true);
+  if (reconnected && core_->replica().leads()) {
+    channel->send(caches_.everything());
+  }
 }
 
 void FleetServer::on_placement_news(const ChannelPtr& channel, const fleet::PlacementNews& news) {
+  for (const fleet::ChainPlacement& placement : news.placements) {
+    caches_.note_shared(placement.links);
+  }
   for (auto& [name, router] : routers_) {
     if (router.channel == channel || router.news.placements.size() > kMaxNews) {
       continue;
@@ -271,7 +299,7 @@
     }
   }
   const bool retired_more = state.retired().size() != noticed_retired_;
-  const std::vector<std::string> stores = stores_.live();
+  const std::vector<std::string> stores = caches_.live_stores();
   const bool changed = state.revision() != noticed_revision_ || registry_.digest() != noticed_digest_ ||
                        stores != noticed_stores_;
   if (changed) {
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -14,6 +14,7 @@
 constexpr Duration kJoinInterval = 150ms;
 constexpr Duration kHeartbeatBatch = 100ms;
 constexpr Duration kRegistryInterval = 100ms;
+constexpr Duration kCacheInterval = 30ms;
 constexpr Duration kRolloutInterval = 20ms;
 constexpr Duration kStopGrace = 300ms;
 /// Callers turn to another member after a second without an answer.
@@ -52,7 +53,7 @@
       files_(settings_.data_folder),
       store_(files_),
       registry_(settings_.registry),
-      stores_(orders),
+      caches_(orders),
       rollout_(settings_.rollout) {
   start_core(restore());
   if (core_->replica().last_index() == 0 && settings_.first_start && !settings_.seeds.empty() &&
@@ -67,6 +68,7 @@
   loop.every(kJoinInterval, [this] { ask_to_join(); });
   loop.every(kHeartbeatBatch, [this] { send_heartbeats(); });
   loop.every(kRegistryInterval, [this] { keep_registry(); });
+  loop.every(kCacheInterval, [this] { follow_caches(); });
   loop.every(kRolloutInterval, [this] { roll_out_weights(); });
   log_.info("started", {{"name", settings_.name},
                         {"internal", to_string(settings_.internal)},
@@ -349,7 +351,7 @@
     led_ = leads;
     leader_since_ = now;
     rollout_.reset();
-    stores_.reset();
+    caches_.reset();
     for (const fleet::BackendRecord& record : registry_.records()) {
       registry_.set_loading(record.id, false);
     }
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -15,10 +15,10 @@
 #include "src/common/log.h"
 #include "src/common/metrics.h"
 #include "src/common/settings.h"
+#include "src/control/cache_watch.h"
 #include "src/control/control_core.h"
 #include "src/control/durable_driver.h"
 #include "src/control/engine_orders.h"
-#include "src/control/store_watch.h"
 #include "src/control/weight_rollout.h"
 #include "src/fleet/backend_registry.h"
 #include "src/http/event_loop.h"
@@ -126,7 +126,8 @@
   void note_members();
   void send_heartbeats();
   void keep_registry();
-  void watch_stores();
+  void choose_caches();
+  void follow_caches();
   int64_t confirmed_age_ms() const;
   std::vector<fleet::BackendLoad> loads_beside(const std::string& router) const;
 
@@ -167,7 +168,7 @@
   uint64_t noticed_digest_ = 0;
   size_t noticed_retired_ = 0;
 
-  StoreWatch stores_;
+  CacheWatch caches_;
   std::vector<std::string> noticed_stores_;
   WeightRollout rollout_;
   bool led_ = false;
--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -107,6 +107,14 @@
   return known == backends_.end() ? nullptr : known->second;
 }
 
+void BackendPool::keep_followed(TimePoint until) {
+  for (const auto& [id, backend] : backends_) {
+    if (backend->cache_followed) {
+      backend->memory.follow_until(until);
+    }
+  }
+}
+
 std::vector<fleet::BackendLoad> BackendPool::own_loads() const {
   std::vector<fleet::BackendLoad> loads;
   for (const auto& [id, backend] : backends_) {
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -28,6 +28,7 @@
   uint32_t others_outstanding = 0;
   uint64_t others_prefill_tokens = 0;
   placement::ChainMemory memory;
+  bool cache_followed = false;  ///< control tells the events of its cache
 };
 
 using BackendPtr = std::shared_ptr<Backend>;
@@ -54,6 +55,8 @@
   std::vector<BackendPtr> present(const std::string& service) const;
   /// A known back end, or nullptr.
   BackendPtr find(const std::string& id) const;
+  /// Control still tells the events of the caches that it follows: they count until then.
+  void keep_followed(TimePoint until);
   /// Own requests under way, for the other routers.
   std::vector<fleet::BackendLoad> own_loads() const;
 
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -20,17 +20,12 @@
 /// Answers up to this size are held until they are whole.
 constexpr size_t kMaxWholeBody = 4U << 20U;
 
-uint64_t chain_seed(const RunPlan& plan) {
-  return plan.tenant != nullptr && plan.tenant->isolated ? hash_bytes(plan.tenant->name) : 0;
-}
-
 placement::PromptChain make_chain(const RunPlan& plan) {
   placement::PromptChain chain;
-  uint64_t hash = hash_pair(chain_seed(plan), hash_bytes(plan.fields.model));
+  const std::string owner = plan.cache_owner();
   uint32_t total = 0;
   for (const PromptPart& part : plan.fields.parts) {
-    hash = hash_pair(hash, part.id);
-    chain.links.push_back({hash, part.tokens});
+    chain.links.push_back({placement::part_hash(owner, plan.fields.model, part.id), part.tokens});
     total += part.tokens;
   }
   chain.prompt_tokens = std::max(total, plan.fields.prompt_tokens);
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -19,6 +19,7 @@
 #include "src/events/request_events.h"
 #include "src/events/request_story.h"
 #include "src/fleet/fleet_messages.h"
+#include "src/placement/cache_namespace.h"
 #include "src/routing/route_table.h"
 
 struct event;
@@ -59,6 +60,7 @@
   std::map<std::string, WantedWeights> wanted = {};            ///< by model
   std::string store = {};  ///< address of a live store of KV cache; empty: none
   placement::ChainMemory store_memory{placement::kStoreHoldTime};
+  bool store_followed = false;  ///< control tells the store's events
   /// Tells the other routers who holds a chain.
   std::function<void(fleet::ChainPlacement)> tell_placement = [](const fleet::ChainPlacement&) {};
   placement::PlacementCosts costs = {};
@@ -78,6 +80,12 @@
   const fleet::Tenant* tenant = nullptr;  ///< nullptr on open routes
   std::string service;
   TimePoint arrived{0};
+
+  /// Whose cache it uses.
+  std::string cache_owner() const {
+    const bool isolated = tenant != nullptr && tenant->isolated;
+    return isolated ? placement::owner_of_tenant(tenant->name) : placement::shared_owner();
+  }
 };
 
 /// Where a request's engine takes KV cache from, and where it sends what it has read; empty: nowhere.
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -11,8 +11,6 @@
 
 /// So long after a version was named, older weights still do; the few engines that have it are not overrun.
 constexpr Duration kOldWeightsFree = 1200ms;
-/// What was held by an engine this recently still is.
-constexpr Duration kSurelyHeld = 2s;
 /// Parts that others hold are told to the other routers again after so long.
 constexpr Duration kTellAgain = 3s;
 /// The store gets a prompt's own part as well, so only prompts that share much are sent there.
@@ -111,7 +109,9 @@
     }
   }
   placement::mark_lanes(chain_, views, context_.short_lane_share);
-  const placement::Placement placed = placement::place(chain_, views, context_.costs, context_.loop.now());
+  const placement::ChainMemory* store = context_.store.empty() ? nullptr : &context_.store_memory;
+  const placement::Placement placed =
+      placement::place(chain_, views, store, context_.costs, context_.loop.now());
   const BackendPtr holder = placed.source ? engines[*placed.source] : nullptr;
   CachePlan cache = plan_cache(*engines[placed.target], holder.get());
   cache.candidates = static_cast<uint32_t>(candidates.size());
@@ -133,13 +133,10 @@
   CachePlan plan;
   const TimePoint now = context_.loop.now();
   const uint64_t weights = target.record.version_of(plan_.fields.model);
-  if (target.memory.held_since(chain_, weights, now, kSurelyHeld)) {
-    return plan;
-  }
   const uint32_t shared = placement::shared_tokens(chain_);
   const bool stored = context_.store_memory.held_tokens(chain_, weights, now) >= shared;
-  const bool surely_held = holder != nullptr && holder->memory.held_since(chain_, weights, now, kSurelyHeld);
-  // Engines drop what is unused within seconds, the store later.
+  // An engine takes only what it lacks, and a miss costs a millisecond: a source is named in any case.
+  const bool surely_held = holder != nullptr && holder->memory.surely_holds(chain_, weights, now);
   plan.source = holder == nullptr || (stored && !surely_held) ? context_.store : holder->record.address;
   if (!stored && shared >= kMinStoredTokens) {
     plan.target = context_.store;
@@ -170,9 +167,7 @@
   }
   if (!chain_.links.empty()) {
     const uint64_t version = backend.record.version_of(plan_.fields.model);
-    const bool isolated = plan_.tenant != nullptr && plan_.tenant->isolated;
-    add(names.cache_salt,
-        (isolated ? "t-" + plan_.tenant->name : std::string("s")) + "-v" + std::to_string(version));
+    add(names.cache_salt, placement::to_salt({plan_.cache_owner(), version}));
     const uint32_t tenant_priority = plan_.tenant == nullptr ? 0 : plan_.tenant->priority;
     const uint32_t urgency =
         std::min(kMaxUrgency, tenant_priority * kRoutePriorities + plan_.route->priority);
@@ -325,6 +320,8 @@
   uint32_t present = backend_->memory.cached_tokens(chain_, run_weights_, now);
   if (!cache.source.empty() && cache.source != context_.store) {
     present = std::max(present, placement::shared_tokens(chain_));
+  } else if (!cache.source.empty()) {
+    present = std::max(present, context_.store_memory.held_tokens(chain_, run_weights_, now));
   }
   counted_prefill_ = chain_.prompt_tokens - std::min(chain_.prompt_tokens, present);
   backend_->prefill_tokens += counted_prefill_;
@@ -342,7 +339,7 @@
   if (placement.links.empty()) {
     return;
   }
-  const bool known = backend_->memory.held_since(chain_, run_weights_, now, kTellAgain);
+  const bool known = backend_->memory.seen_since(chain_, run_weights_, now, kTellAgain);
   backend_->memory.note_held(placement.links, run_weights_, now);
   if (!known) {
     context_.tell_placement(placement);
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -43,6 +43,30 @@
   MSGPACK_DEFINE_ARRAY(placements)
 };
 
+/// What an engine or a store holds of one part of prompts.
+struct PartHolding {
+  uint64_t part = 0;     ///< placement::part_hash
+  uint64_t weights = 0;  ///< version that made it
+  uint32_t tokens = 0;   ///< from its beginning; 0: nothing any more
+  MSGPACK_DEFINE_ARRAY(part, weights, tokens)
+};
+
+/// What has changed in one cache.
+struct CacheChanges {
+  std::string holder;     ///< id of the back end; address of a store
+  bool store = false;     ///< it is a store
+  bool followed = false;  ///< its changes come to the sender; without, nothing new will be told
+  bool anew = false;      ///< what was told before counts no more
+  std::vector<PartHolding> holdings;
+  MSGPACK_DEFINE_ARRAY(holder, store, followed, anew, holdings)
+};
+
+/// Leader to router: changes in caches, of the parts that prompts share.
+struct CacheNews {
+  std::vector<CacheChanges> caches;
+  MSGPACK_DEFINE_ARRAY(caches)
+};
+
 /// A version of a model's weights that was named, and how long ago as far as the sender knows.
 struct NamedVersion {
   std::string model;
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -15,12 +15,13 @@
 }  // namespace
 
 ControlLink::ControlLink(EventLoop& loop, ControlLinkOptions options, StatusMaker make_status,
-                         UpdateHandler on_update, NewsHandler on_news)
+                         UpdateHandler on_update, NewsHandler on_news, CacheHandler on_cache_news)
     : loop_(loop),
       options_(std::move(options)),
       make_status_(std::move(make_status)),
       on_update_(std::move(on_update)),
-      on_news_(std::move(on_news)) {
+      on_news_(std::move(on_news)),
+      on_cache_news_(std::move(on_cache_news)) {
   loop.every(options_.status_interval, [this] { tick(); });
   loop.after(Duration(0), [this] { tick(); });
 }
@@ -126,6 +127,10 @@
     on_news_(*news);
     return;
   }
+  if (const auto* cache_news = std::get_if<fleet::CacheNews>(&message.value)) {
+    on_cache_news_(*cache_news);
+    return;
+  }
   const auto found = members_.find(address);
   auto* update = std::get_if<fleet::FleetUpdate>(&message.value);
   if (found == members_.end() || update == nullptr) {
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -29,10 +29,11 @@
  public:
   using UpdateHandler = std::function<void(const fleet::FleetUpdate&)>;
   using NewsHandler = std::function<void(const fleet::PlacementNews&)>;
+  using CacheHandler = std::function<void(const fleet::CacheNews&)>;
   using StatusMaker = std::function<fleet::RouterStatus()>;
 
   ControlLink(EventLoop& loop, ControlLinkOptions options, StatusMaker make_status, UpdateHandler on_update,
-              NewsHandler on_news);
+              NewsHandler on_news, CacheHandler on_cache_news);
   ~ControlLink();
   ControlLink(const ControlLink&) = delete;
   ControlLink& operator=(const ControlLink&) = delete;
@@ -72,6 +73,7 @@
   StatusMaker make_status_;
   UpdateHandler on_update_;
   NewsHandler on_news_;
+  CacheHandler on_cache_news_;
   Logger log_{"link"};
   std::map<std::string, Member> members_;  ///< by internal address
   std::string leader_;                     ///< internal address of the member that last said that it leads
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -16,6 +16,8 @@
 constexpr Duration kQueueMargin = 1500ms;
 /// Placements are told together, this long after the first of them.
 constexpr Duration kNewsDelay = 50ms;
+/// Events of caches count for so long after the leader was heard, which answers every 400 ms.
+constexpr Duration kEventsTrust = 1500ms;
 /// How often a starting router looks after the requests that wait.
 constexpr Duration kStartCheck = 20ms;
 
@@ -59,7 +61,8 @@
       link_(
           loop, settings.link, [this] { return make_status(); },
           [this](const fleet::FleetUpdate& update) { on_update(update); },
-          [this](const fleet::PlacementNews& news) { on_news(news); }),
+          [this](const fleet::PlacementNews& news) { on_news(news); },
+          [this](const fleet::CacheNews& news) { on_cache_news(news); }),
       edge_(loop, settings.listen, *this) {
   context_.random = Random(seed_from_device());
   context_.zone = settings.zone;
@@ -125,8 +128,13 @@
     if (store != context_.store) {
       log_.event(events::StoreChanged{context_.store, store});
       context_.store_memory = placement::ChainMemory(placement::kStoreHoldTime);  // it comes back empty
+      context_.store_followed = false;
     }
     context_.store = store;
+    pool_.keep_followed(loop_.now() + kEventsTrust);
+    if (context_.store_followed) {
+      context_.store_memory.follow_until(loop_.now() + kEventsTrust);
+    }
   }
   if (update.leads && update.answers > 0) {
     pool_.set_other_loads(update.loads);
@@ -154,6 +162,29 @@
   }
 }
 
+void GatewayServer::on_cache_news(const fleet::CacheNews& news) {
+  const TimePoint until = loop_.now() + kEventsTrust;
+  for (const fleet::CacheChanges& changes : news.caches) {
+    const dispatch::BackendPtr backend = changes.store ? nullptr : pool_.find(changes.holder);
+    if (changes.store && context_.store.empty() && changes.followed) {
+      context_.store = changes.holder;  // told before the next update
+    }
+    const bool known = changes.store ? changes.holder == context_.store : backend != nullptr;
+    if (!known) {
+      continue;
+    }
+    placement::ChainMemory& memory = changes.store ? context_.store_memory : backend->memory;
+    (changes.store ? context_.store_followed : backend->cache_followed) = changes.followed;
+    memory.follow_until(changes.followed ? until : TimePoint(0));
+    if (changes.anew) {
+      memory.forget_holdings();
+    }
+    for (const fleet::PartHolding& holding : changes.holdings) {
+      memory.set_holding(holding.part, holding.weights, holding.tokens);
+    }
+  }
+}
+
 void GatewayServer::take_configuration(const fleet::FleetConfiguration& configuration) {
   if (table_ != nullptr && configuration.version <= table_->configuration().version) {
     return;
@@ -221,7 +252,8 @@
   return table_ == nullptr || (settings_.fail_closed && !link_.ever_confirmed());
 }
 
-bool GatewayServer::wait_for_start(edge::CallerRequest& request, std::shared_ptr<edge::CallerAnswer>& answer) {
+bool GatewayServer::wait_for_start(edge::CallerRequest& request,
+                                   std::shared_ptr<edge::CallerAnswer>& answer) {
   const TimePoint now = loop_.now();
   const auto limit_ms = dispatch::read_fields(request.headers, names_).deadline_ms;
   WaitingRequest waiting{std::move(request), std::move(answer), now,
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -27,8 +27,8 @@
   Duration stop_grace = 7s;   ///< from SIGTERM to the end at the latest
   Duration stop_listen = 3s;  ///< from SIGTERM until new connections are refused
   Duration old_weights_limit = 6s;
-  /// How long a request may wait for a router that has just started. Members elect a leader within a second of
-  /// a restart, and back ends are heard within a second or so.
+  /// How long a request may wait for a router that has just started. Members elect a leader within a second
+  /// of a restart, and back ends are heard within a second or so.
   Duration start_wait = 2500ms;
   delivery::WindowBudgetOptions budget;
   events::StoryOptions stories;
@@ -60,6 +60,7 @@
  private:
   void on_update(const fleet::FleetUpdate& update);
   void on_news(const fleet::PlacementNews& news);
+  void on_cache_news(const fleet::CacheNews& news);
   /// Keeps a placement for the other routers, which hear of it a little later.
   void tell_placement(fleet::ChainPlacement placement);
   void take_configuration(const fleet::FleetConfiguration& configuration);
--- a/src/placement/part_placement.cc
+++ b/src/placement/part_placement.cc
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// Links remembered for one engine before old ones are dropped.
-constexpr size_t kMaxLinks = 4096;
-
 /// What is known of one chain among the engines with the same weights.
 struct WeightsGroup {
   std::optional<size_t> home;  ///< the candidate that the chain belongs to when nobody is known to hold it
@@ -21,6 +18,7 @@
   uint32_t best_cached = 0;     ///< held or being read anywhere
   std::vector<size_t> sources;  ///< engines that hold `source_tokens`
   uint32_t source_tokens = 0;   ///< the most shared tokens that any sound engine holds
+  uint32_t stored_tokens = 0;   ///< shared tokens that the store holds
 };
 
 using Groups = std::map<uint64_t, WeightsGroup>;  ///< by version of the weights
@@ -30,13 +28,18 @@
   return chain.links.empty() ? 0 : chain.links[shared].hash;
 }
 
-Groups group_by_weights(const PromptChain& chain, const std::vector<EngineView>& engines, TimePoint now) {
+Groups group_by_weights(const PromptChain& chain, const std::vector<EngineView>& engines,
+                        const ChainMemory* store, TimePoint now) {
   Groups groups;
   const uint64_t key = home_key(chain);
   const uint32_t shared = shared_tokens(chain);
   for (size_t position = 0; position < engines.size(); ++position) {
     const EngineView& engine = engines[position];
-    WeightsGroup& group = groups[engine.weights];
+    const auto [entry, added] = groups.try_emplace(engine.weights);
+    WeightsGroup& group = entry->second;
+    if (added && store != nullptr) {
+      group.stored_tokens = std::min(shared, store->held_tokens(chain, engine.weights, now));
+    }
     const uint64_t rank = hash_pair(key, engine.name_hash);
     if (engine.candidate && engine.in_lane && (!group.home || rank > group.home_rank)) {
       group.home = position;
@@ -91,8 +94,12 @@
   Option option;
   option.placement.target = position;
   uint32_t present = std::min(own, chain.prompt_tokens);
-  if (group.source_tokens > own) {
+  if (group.source_tokens > own && group.source_tokens >= group.stored_tokens) {
     option.placement.source = source_for(position, group, engines);
+  } else if (group.stored_tokens > own) {
+    option.placement.from_store = true;
+    option.cost_ms += costs.move_setup_ms + (group.stored_tokens - own) * costs.store_move_ms_per_token;
+    present = group.stored_tokens;
   }
   if (option.placement.source) {
     const uint32_t moved = group.source_tokens - own;
@@ -108,6 +115,9 @@
   const bool at_home = group.home == position;
   const uint32_t expected = group.best_cached > 0 || at_home ? group.best_cached : shared / 2;
   option.cost_ms += (expected - std::min(expected, present)) * costs.reread_ms_per_token;
+  if (!at_home && own < shared) {
+    option.cost_ms += (shared - own) * costs.copy_ms_per_token;
+  }
   option.cost_ms += engine.outstanding * costs.per_outstanding_ms;
   option.cost_ms += engine.outstanding >= engine.slots ? costs.full_ms : 0;
   option.cost_ms += engine.old_weights ? costs.old_weights_ms : 0;
@@ -118,93 +128,6 @@
 
 }  // namespace
 
-uint32_t shared_tokens(const PromptChain& chain) {
-  uint32_t tokens = 0;
-  for (size_t position = 0; position + 1 < chain.links.size(); ++position) {
-    tokens += chain.links[position].tokens;
-  }
-  return tokens;
-}
-
-ChainMemory::Entry& ChainMemory::entry_for(uint64_t link, uint64_t weights) {
-  Entry& entry = entries_[link];
-  if (entry.weights < weights) {
-    entry = Entry();  // an engine drops all it had with its old weights
-    entry.weights = weights;
-  }
-  return entry;
-}
-
-void ChainMemory::note_pending(const PromptChain& chain, uint64_t weights, TimePoint now) {
-  for (const ChainLink& link : chain.links) {
-    Entry& entry = entry_for(link.hash, weights);
-    entry.pending_until = std::max(entry.pending_until, now + kPendingTime);
-  }
-  drop_old(now);
-}
-
-void ChainMemory::note_held(const std::vector<uint64_t>& links, uint64_t weights, TimePoint now) {
-  for (const uint64_t link : links) {
-    Entry& entry = entry_for(link, weights);
-    if (entry.weights == weights) {
-      entry.held_at = now;
-    }
-  }
-  drop_old(now);
-}
-
-void ChainMemory::drop_pending(const PromptChain& chain) {
-  for (const ChainLink& link : chain.links) {
-    const auto found = entries_.find(link.hash);
-    if (found != entries_.end()) {
-      found->second.pending_until = TimePoint(0);
-    }
-  }
-}
-
-void ChainMemory::drop_old(TimePoint now) {
-  if (entries_.size() > kMaxLinks) {
-    std::erase_if(entries_, [this, now](const auto& entry) {
-      return !entry.second.held(now, hold_time_ / 2) && entry.second.pending_until <= now;
-    });
-  }
-}
-
-uint32_t ChainMemory::cached_tokens(const PromptChain& chain, uint64_t weights, TimePoint now) const {
-  uint32_t tokens = 0;
-  for (const ChainLink& link : chain.links) {
-    const auto found = entries_.find(link.hash);
-    if (found == entries_.end() || found->second.weights != weights ||
-        (!found->second.held(now, hold_time_) && found->second.pending_until <= now)) {
-      break;
-    }
-    tokens += link.tokens;
-  }
-  return tokens;
-}
-
-uint32_t ChainMemory::held_tokens(const PromptChain& chain, uint64_t weights, TimePoint now) const {
-  uint32_t tokens = 0;
-  for (const ChainLink& link : chain.links) {
-    const auto found = entries_.find(link.hash);
-    if (found == entries_.end() || found->second.weights != weights || !found->second.held(now, hold_time_)) {
-      break;
-    }
-    tokens += link.tokens;
-  }
-  return tokens;
-}
-
-bool ChainMemory::held_since(const PromptChain& chain, uint64_t weights, TimePoint now, Duration age) const {
-  for (size_t position = 0; position + 1 < chain.links.size(); ++position) {
-    const auto found = entries_.find(chain.links[position].hash);
-    if (found == entries_.end() || found->second.weights != weights || !found->second.held(now, age)) {
-      return false;
-    }
-  }
-  return true;
-}
-
 void mark_lanes(const PromptChain& chain, std::vector<EngineView>& engines, double short_share) {
   std::vector<size_t> order(engines.size());
   std::iota(order.begin(), order.end(), 0U);
@@ -214,13 +137,13 @@
       static_cast<size_t>(std::lround(short_share * static_cast<double>(engines.size())));
   const bool long_prompt = chain.prompt_tokens >= kLongPromptTokens;
   for (size_t rank = 0; rank < order.size(); ++rank) {
-    engines[order[rank]].in_lane = (rank < short_count) != long_prompt;
+    engines[order[rank]].in_lane = short_count == 0 || (rank < short_count) != long_prompt;
   }
 }
 
-Placement place(const PromptChain& chain, const std::vector<EngineView>& engines, const PlacementCosts& costs,
-                TimePoint now) {
-  const Groups groups = group_by_weights(chain, engines, now);
+Placement place(const PromptChain& chain, const std::vector<EngineView>& engines, const ChainMemory* store,
+                const PlacementCosts& costs, TimePoint now) {
+  const Groups groups = group_by_weights(chain, engines, store, now);
   std::optional<Option> best;
   for (size_t position = 0; position < engines.size(); ++position) {
     if (!engines[position].candidate) {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -269,7 +269,7 @@
            ControlCall, ControlAnswer, NodePoll, NodePollAnswer, BlockChanges, LoadDigest, QuotaRequest,
            QuotaGrant, PeerMessage, JoinRequest, Ping, Pong, HotPrefixes, fleet::RouterStatus,
            fleet::FleetUpdate, fleet::HeartbeatBatch, fleet::ConfirmedRead, fleet::ConfirmedReadAnswer,
-           fleet::MemberAddresses, fleet::PlacementNews>;
+           fleet::MemberAddresses, fleet::PlacementNews, fleet::CacheNews>;
 
 }  // namespace stoat::wire
 
--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -29,9 +29,9 @@
   void ask(const std::string&, std::function<void(const control::EngineReport*)> on_report) override {
     on_report(nullptr);
   }
-  void watch_store(const std::string&, uint64_t,
-                   std::function<void(std::optional<uint64_t>)> on_news) override {
-    on_news(std::nullopt);
+  void follow_cache(const std::string&, uint64_t,
+                    std::function<void(const control::CacheEvents*)> on_events) override {
+    on_events(nullptr);
   }
   std::vector<control::VersionOrder> orders;
 };
--- /dev/null
+++ b/tests/unit/cache_watch_test.cc
@@ -0,0 +1,214 @@
+/// What the leader learns of caches from their events, and what routers make of it.
+#include "src/control/cache_watch.h"
+
+#include <gtest/gtest.h>
+
+#include "src/common/hash.h"
+#include "src/placement/cache_namespace.h"
+#include "src/placement/chain_memory.h"
+
+namespace stoat {
+namespace {
+
+using control::CacheEvents;
+using control::CacheWatch;
+using fleet::PartHolding;
+
+/// Keeps the questions, to be answered by the test.
+class AskedCaches : public control::EngineOrders {
+ public:
+  struct Question {
+    std::string address;
+    uint64_t since = 0;
+    std::function<void(const CacheEvents*)> answer;
+  };
+  void send(const control::VersionOrder&, std::function<void(control::OrderAnswer)>) override {}
+  void ask(const std::string&, std::function<void(const control::EngineReport*)>) override {}
+  void follow_cache(const std::string& address, uint64_t since,
+                    std::function<void(const CacheEvents*)> on_events) override {
+    questions.push_back({address, since, std::move(on_events)});
+  }
+  /// Answers the oldest question.
+  void answer(const CacheEvents* events) {
+    const Question question = questions.front();
+    questions.erase(questions.begin());
+    question.answer(events);
+  }
+  std::vector<Question> questions;
+};
+
+class CacheWatchTest : public ::testing::Test {
+ protected:
+  static constexpr uint64_t kPart = 11;
+  static constexpr uint64_t kOther = 12;
+  CacheWatchTest() {
+    watch_.follow({{"e1", "a:1", false}});
+    watch_.note_shared({kPart});
+  }
+  /// Lets the cache answer that it is in `epoch` and tells these changes.
+  void tell(uint64_t epoch, uint64_t next, std::vector<PartHolding> holdings, bool gap = false) {
+    now_ += 2s;
+    watch_.poll(now_);
+    ASSERT_EQ(caches_.questions.size(), 1U);
+    const CacheEvents events{epoch, next, gap, std::move(holdings)};
+    caches_.answer(&events);
+  }
+
+  AskedCaches caches_;
+  CacheWatch watch_{caches_};
+  TimePoint now_{0};
+};
+
+TEST_F(CacheWatchTest, TellsChangesOfSharedPartsOnce) {
+  tell(7, 3, {{kPart, 2, 100}, {kOther, 2, 50}});
+  const auto news = watch_.take_changes();
+  ASSERT_EQ(news.caches.size(), 1U);
+  EXPECT_EQ(news.caches[0].holder, "e1");
+  EXPECT_TRUE(news.caches[0].followed);
+  EXPECT_TRUE(news.caches[0].anew);
+  ASSERT_EQ(news.caches[0].holdings.size(), 1U);
+  EXPECT_EQ(news.caches[0].holdings[0].part, kPart);
+  EXPECT_EQ(news.caches[0].holdings[0].tokens, 100U);
+  EXPECT_TRUE(watch_.take_changes().caches.empty());
+}
+
+TEST_F(CacheWatchTest, APartThatProvesToBeSharedIsToldLater) {
+  tell(7, 3, {{kOther, 2, 50}});
+  watch_.take_changes();
+  watch_.note_shared({kOther});
+  const auto news = watch_.take_changes();
+  ASSERT_EQ(news.caches.size(), 1U);
+  EXPECT_EQ(news.caches[0].holdings.at(0).part, kOther);
+}
+
+TEST_F(CacheWatchTest, AsksOnFromTheNextEvent) {
+  tell(7, 3, {});
+  tell(7, 9, {});
+  now_ += 2s;
+  watch_.poll(now_);
+  EXPECT_EQ(caches_.questions.at(0).since, 9U);
+}
+
+TEST_F(CacheWatchTest, ARestartedCacheIsEmptyAndAskedFromItsBeginning) {
+  tell(7, 300, {{kPart, 2, 100}});
+  watch_.take_changes();
+  tell(8, 4, {{kPart, 2, 100}});  // later events of the new start: those before are not in them
+  const auto news = watch_.take_changes();
+  ASSERT_EQ(news.caches.size(), 1U);
+  EXPECT_TRUE(news.caches[0].anew);
+  EXPECT_TRUE(news.caches[0].holdings.empty());
+  now_ += 2s;
+  watch_.poll(now_);
+  EXPECT_EQ(caches_.questions.at(0).since, 0U);
+}
+
+TEST_F(CacheWatchTest, AGapMakesAllCountNoMore) {
+  tell(7, 300, {{kPart, 2, 100}});
+  watch_.take_changes();
+  tell(7, 9000, {}, true);
+  const auto news = watch_.take_changes();
+  ASSERT_EQ(news.caches.size(), 1U);
+  EXPECT_TRUE(news.caches[0].anew);
+  EXPECT_TRUE(watch_.everything().caches.at(0).holdings.empty());
+}
+
+TEST_F(CacheWatchTest, ACacheThatCannotBeReachedIsToldSo) {
+  tell(7, 300, {{kPart, 2, 100}});
+  watch_.take_changes();
+  now_ += 2s;
+  watch_.poll(now_);
+  caches_.answer(nullptr);
+  const auto news = watch_.take_changes();
+  ASSERT_EQ(news.caches.size(), 1U);
+  EXPECT_FALSE(news.caches[0].followed);
+}
+
+TEST_F(CacheWatchTest, AnAnswerToAnEarlierLeadershipIsPassedOver) {
+  watch_.poll(now_);
+  watch_.reset();
+  const CacheEvents events{7, 3, false, {{kPart, 2, 100}}};
+  caches_.answer(&events);
+  EXPECT_TRUE(watch_.take_changes().caches.empty());
+}
+
+TEST_F(CacheWatchTest, PartsOfOldWeightsDontHideThoseOfNewOnes) {
+  tell(7, 3, {{kPart, 2, 100}});
+  tell(7, 4, {{kPart, 1, 0}});  // a store drops the old ones long after
+  EXPECT_EQ(watch_.everything().caches.at(0).holdings.at(0).tokens, 100U);
+}
+
+TEST_F(CacheWatchTest, StoresAreLiveOnceTheyHaveAnswered) {
+  watch_.follow({{"s:1", "s:1", true}});
+  EXPECT_TRUE(watch_.live_stores().empty());
+  tell(7, 3, {});
+  EXPECT_EQ(watch_.live_stores(), std::vector<std::string>{"s:1"});
+}
+
+/// A memory of one cache, and a prompt of two shared parts and one of its own.
+class ChainMemoryTest : public ::testing::Test {
+ protected:
+  static constexpr uint64_t kWeights = 3;
+  placement::PromptChain chain_{{{1, 1000}, {2, 500}, {3, 70}}, 1570};
+  placement::ChainMemory memory_;
+};
+
+TEST_F(ChainMemoryTest, WithEventsOnlyWhatTheyTellCounts) {
+  memory_.note_held({1, 2}, kWeights, 1s);
+  memory_.follow_until(3600s);
+  EXPECT_EQ(memory_.held_tokens(chain_, kWeights, 1s + placement::kEventDelay + 1ms), 0U);
+  memory_.set_holding(1, kWeights, 1000);
+  memory_.set_holding(2, kWeights, 500);
+  EXPECT_EQ(memory_.held_tokens(chain_, kWeights, 60s), 1500U);
+  EXPECT_TRUE(memory_.surely_holds(chain_, kWeights, 60s));
+}
+
+TEST_F(ChainMemoryTest, APartDroppedInPartEndsWhatCanBeUsed) {
+  memory_.follow_until(3600s);
+  memory_.set_holding(1, kWeights, 1000);
+  memory_.set_holding(2, kWeights, 500);
+  memory_.set_holding(1, kWeights, 640);
+  EXPECT_EQ(memory_.held_tokens(chain_, kWeights, 1s), 640U);
+  EXPECT_FALSE(memory_.surely_holds(chain_, kWeights, 1s));
+}
+
+TEST_F(ChainMemoryTest, ADropGoesBeforeWhatWasSeenAMomentAgo) {
+  memory_.follow_until(3600s);
+  memory_.set_holding(1, kWeights, 1000);
+  memory_.note_held({1}, kWeights, 1s);
+  memory_.set_holding(1, kWeights, 0);
+  EXPECT_EQ(memory_.held_tokens(chain_, kWeights, 1s), 0U);
+}
+
+TEST_F(ChainMemoryTest, WithoutEventsWhatWasSeenCountsForItsTime) {
+  memory_.follow_until(2s);
+  memory_.set_holding(1, kWeights, 1000);
+  memory_.note_held({2}, kWeights, 1s);
+  EXPECT_EQ(memory_.held_tokens(chain_, kWeights, 3s), 0U);  // nobody tells whether the first is still there
+  memory_.note_held({1}, kWeights, 2s);
+  EXPECT_EQ(memory_.held_tokens(chain_, kWeights, 3s), 1500U);
+  EXPECT_EQ(memory_.held_tokens(chain_, kWeights, 2s + placement::kHoldTime + 1ms), 0U);
+}
+
+TEST_F(ChainMemoryTest, NewWeightsMakeAllCountNoMore) {
+  memory_.follow_until(3600s);
+  memory_.set_holding(1, kWeights, 1000);
+  EXPECT_EQ(memory_.held_tokens(chain_, kWeights + 1, 1s), 0U);
+  memory_.set_holding(1, kWeights + 1, 10);
+  EXPECT_EQ(memory_.held_tokens(chain_, kWeights, 1s), 0U);
+}
+
+TEST(CacheNamespace, IsReadBackAsItWasWritten) {
+  for (const std::string& owner : {placement::shared_owner(), placement::owner_of_tenant("a-v2-b")}) {
+    const auto name = placement::read_salt(placement::to_salt({owner, 17}));
+    ASSERT_TRUE(name);
+    EXPECT_EQ(name->owner, owner);
+    EXPECT_EQ(name->weights, 17U);
+  }
+  EXPECT_NE(placement::shared_owner(), placement::owner_of_tenant(""));
+  for (const char* other : {"", "s", "-v3", "s-v", "s-vx", "s-v3x", "s-v99999999999999999999999"}) {
+    EXPECT_FALSE(placement::read_salt(other)) << other;
+  }
+}
+
+}  // namespace
+}  // namespace stoat
--- a/tests/unit/fleet_parts_test.cc
+++ b/tests/unit/fleet_parts_test.cc
@@ -194,7 +194,7 @@
     }
   }
   placement::Placement place(TimePoint now = 1s) const {
-    return placement::place(prompt_, engines_, {}, now);
+    return placement::place(prompt_, engines_, nullptr, {}, now);
   }
 
   placement::PromptChain prompt_ = chain({{1, 4000}, {2, 500}});
@@ -290,7 +290,7 @@
         lane.insert(i);
       }
     }
-    EXPECT_EQ(lane.count(placement::place(prompt, engines_, {}, 1s).target), 1U);
+    EXPECT_EQ(lane.count(placement::place(prompt, engines_, nullptr, {}, 1s).target), 1U);
     return lane;
   };
   const auto short_lane = lane_of(600);
--- a/tests/unit/platform_bodies_test.cc
+++ b/tests/unit/platform_bodies_test.cc
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 
 #include "platform/bodies.h"
+#include "src/common/hash.h"
+#include "src/placement/cache_namespace.h"
 
 namespace stoat::platform {
 namespace {
@@ -75,8 +77,20 @@
   EXPECT_EQ(read_named_weights(R"({"model":"m","version":2})")->version, 2U);
   EXPECT_FALSE(read_named_weights(R"({"model":"m"})"));
   EXPECT_TRUE(read_report(R"({"busy":true,"sequence":2,"models":[]})")->busy);
-  EXPECT_EQ(read_next_event(R"({"epoch":1,"next_page_token":120})"), std::optional<uint64_t>(120));
-  EXPECT_FALSE(read_next_event("nonsense"));
+  const auto events = read_cache_events(
+      R"({"epoch":7,"next_page_token":120,"lost":true,"events":[[119,"+","s-v2","5c1e",800,"m"],)"
+      R"([120,"-","t-a-b-v3","91bd",128,"m"],[121,"+","another's","91bd",128,"m"],[122,"+"]]})");
+  ASSERT_TRUE(events);
+  EXPECT_EQ(events->epoch, 7U);
+  EXPECT_EQ(events->next_event, 120U);
+  EXPECT_TRUE(events->gap);
+  ASSERT_EQ(events->holdings.size(), 2U);
+  EXPECT_EQ(events->holdings[0].part, placement::part_hash("s", "m", hash_bytes("5c1e")));
+  EXPECT_EQ(events->holdings[0].weights, 2U);
+  EXPECT_EQ(events->holdings[0].tokens, 800U);
+  EXPECT_EQ(events->holdings[1].part, placement::part_hash("t-a-b", "m", hash_bytes("91bd")));
+  EXPECT_EQ(events->holdings[1].weights, 3U);
+  EXPECT_FALSE(read_cache_events("nonsense"));
 }
 
 }  // namespace
