Use all stores of KV cache, each chain of shared parts at one of them

Change: a chain belongs to one store by rendezvous order of its last shared part, so that all routers look in the same place and stores add up; each store's events are kept apart. Sites with one store are not touched by it.

--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -15,6 +15,7 @@
 #include "src/delivery/window_budget.h"
 #include "src/dispatch/backend_pool.h"
 #include "src/dispatch/request_fields.h"
+#include "src/dispatch/store_set.h"
 #include "src/edge/caller_request.h"
 #include "src/events/request_events.h"
 #include "src/events/request_story.h"
@@ -58,9 +59,7 @@
   delivery::WindowBudgetOptions budget_options = {};
   std::map<std::string, delivery::WindowBudget> budgets = {};  ///< by service
   std::map<std::string, WantedWeights> wanted = {};            ///< by model
-  std::string store = {};  ///< address of a live store of KV cache; empty: none
-  placement::ChainMemory store_memory{placement::kStoreHoldTime};
-  bool store_followed = false;  ///< control tells the store's events
+  StoreSet stores = {};
   /// Tells the other routers who holds a chain.
   std::function<void(fleet::ChainPlacement)> tell_placement = [](const fleet::ChainPlacement&) {};
   placement::PlacementCosts costs = {};
@@ -185,7 +184,7 @@
   bool from_copy_ = false;    ///< the run at backend_ goes on from a copy
   uint64_t run_weights_ = 0;  ///< version of the weights that the run began on
   std::shared_ptr<EngineConnection> connection_;
-  bool stores_chain_ = false;     ///< the engine at backend_ sends what it reads to the store
+  std::string stored_at_;         ///< address of the store that the engine at backend_ sends what it reads
   bool begun_at_engine_ = false;  ///< the run at backend_ has made its first event
   uint64_t counted_prefill_ = 0;  ///< tokens counted at backend_ until the first event
   AnswerKind kind_ = AnswerKind::kNone;
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -109,9 +109,9 @@
     }
   }
   placement::mark_lanes(chain_, views, context_.short_lane_share);
-  const placement::ChainMemory* store = context_.store.empty() ? nullptr : &context_.store_memory;
-  const placement::Placement placed =
-      placement::place(chain_, views, store, context_.costs, context_.loop.now());
+  const CacheStore* store = context_.stores.store_for(chain_);
+  const placement::Placement placed = placement::place(
+      chain_, views, store == nullptr ? nullptr : &store->memory, context_.costs, context_.loop.now());
   const BackendPtr holder = placed.source ? engines[*placed.source] : nullptr;
   CachePlan cache = plan_cache(*engines[placed.target], holder.get());
   cache.candidates = static_cast<uint32_t>(candidates.size());
@@ -134,12 +134,14 @@
   const TimePoint now = context_.loop.now();
   const uint64_t weights = target.record.version_of(plan_.fields.model);
   const uint32_t shared = placement::shared_tokens(chain_);
-  const bool stored = context_.store_memory.held_tokens(chain_, weights, now) >= shared;
+  const CacheStore* store = context_.stores.store_for(chain_);
+  const std::string store_address = store == nullptr ? "" : store->address;
+  const bool stored = store != nullptr && store->memory.held_tokens(chain_, weights, now) >= shared;
   // An engine takes only what it lacks, and a miss costs a millisecond: a source is named in any case.
   const bool surely_held = holder != nullptr && holder->memory.surely_holds(chain_, weights, now);
-  plan.source = holder == nullptr || (stored && !surely_held) ? context_.store : holder->record.address;
+  plan.source = holder == nullptr || (stored && !surely_held) ? store_address : holder->record.address;
   if (!stored && shared >= kMinStoredTokens) {
-    plan.target = context_.store;
+    plan.target = store_address;
   }
   return plan;
 }
@@ -289,7 +291,7 @@
   splitter_.reset();
   ++backend->outstanding;
   begun_at_engine_ = false;
-  stores_chain_ = !cache.target.empty();
+  stored_at_ = cache.target;
   from_copy_ = !cache.from.empty();
   run_weights_ = from_copy_ ? run_weights_ : backend->record.version_of(plan_.fields.model);
   if (!from_copy_) {
@@ -318,10 +320,10 @@
 void RequestRun::count_prefill(const CachePlan& cache) {
   const TimePoint now = context_.loop.now();
   uint32_t present = backend_->memory.cached_tokens(chain_, run_weights_, now);
-  if (!cache.source.empty() && cache.source != context_.store) {
-    present = std::max(present, placement::shared_tokens(chain_));
+  if (const CacheStore* store = context_.stores.find(cache.source)) {
+    present = std::max(present, store->memory.held_tokens(chain_, run_weights_, now));
   } else if (!cache.source.empty()) {
-    present = std::max(present, context_.store_memory.held_tokens(chain_, run_weights_, now));
+    present = std::max(present, placement::shared_tokens(chain_));
   }
   counted_prefill_ = chain_.prompt_tokens - std::min(chain_.prompt_tokens, present);
   backend_->prefill_tokens += counted_prefill_;
@@ -344,9 +346,9 @@
   if (!known) {
     context_.tell_placement(placement);
   }
-  if (stores_chain_) {
-    context_.store_memory.note_held(placement.links, run_weights_, now);
-    placement.holder.clear();
+  if (CacheStore* store = context_.stores.find(stored_at_)) {
+    store->memory.note_held(placement.links, run_weights_, now);
+    placement.holder = store->address;
     context_.tell_placement(placement);
   }
 }
--- /dev/null
+++ b/src/dispatch/store_set.cc
@@ -0,0 +1,64 @@
+#include "src/dispatch/store_set.h"
+
+#include <algorithm>
+
+#include "src/common/hash.h"
+
+namespace stoat::dispatch {
+
+bool StoreSet::set_live(const std::vector<std::string>& addresses) {
+  const size_t gone = std::erase_if(stores_, [&](const auto& entry) {
+    return std::find(addresses.begin(), addresses.end(), entry.first) == addresses.end();
+  });
+  const size_t kept = stores_.size();
+  for (const std::string& address : addresses) {
+    add(address);
+  }
+  return gone > 0 || stores_.size() > kept;
+}
+
+CacheStore& StoreSet::add(const std::string& address) {
+  CacheStore& store = stores_[address];
+  if (store.address.empty()) {
+    store.address = address;
+    store.address_hash = hash_bytes(address);
+  }
+  return store;
+}
+
+CacheStore* StoreSet::find(const std::string& address) {
+  const auto found = stores_.find(address);
+  return found == stores_.end() ? nullptr : &found->second;
+}
+
+CacheStore* StoreSet::store_for(const placement::PromptChain& chain) {
+  const uint64_t key = placement::shared_key(chain);
+  CacheStore* best = nullptr;
+  uint64_t best_rank = 0;
+  for (auto& [address, store] : stores_) {
+    const uint64_t rank = hash_pair(key, store.address_hash);
+    if (best == nullptr || rank > best_rank) {
+      best = &store;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+void StoreSet::keep_followed(TimePoint until) {
+  for (auto& [address, store] : stores_) {
+    if (store.followed) {
+      store.memory.follow_until(until);
+    }
+  }
+}
+
+std::string StoreSet::to_text() const {
+  std::string text;
+  for (const auto& [address, store] : stores_) {
+    text += (text.empty() ? "" : ",") + address;
+  }
+  return text;
+}
+
+}  // namespace stoat::dispatch
--- /dev/null
+++ b/src/dispatch/store_set.h
@@ -0,0 +1,41 @@
+/// The stores of KV cache that answer. Each chain of shared parts belongs to one of them, by rendezvous
+/// order, so that several stores hold several times as much, and all routers look in the same place.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/placement/chain_memory.h"
+
+namespace stoat::dispatch {
+
+/// One store.
+struct CacheStore {
+  std::string address;
+  uint64_t address_hash = 0;
+  placement::ChainMemory memory{placement::kStoreHoldTime};
+  bool followed = false;  ///< control tells its events
+};
+
+/// See the head of this file.
+class StoreSet {
+ public:
+  /// The stores that answer now. One that comes again is empty. True when the set has changed.
+  bool set_live(const std::vector<std::string>& addresses);
+  /// Adds a store, or gives the one that is known.
+  CacheStore& add(const std::string& address);
+  /// nullptr when it is not known.
+  CacheStore* find(const std::string& address);
+  /// The store that a chain belongs to; nullptr when there is none.
+  CacheStore* store_for(const placement::PromptChain& chain);
+  /// Control still tells the events of the stores that it follows: they count until then.
+  void keep_followed(TimePoint until);
+  /// Addresses, joined by commas, for the log.
+  std::string to_text() const;
+
+ private:
+  std::map<std::string, CacheStore> stores_;  ///< by address
+};
+
+}  // namespace stoat::dispatch
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -31,7 +31,7 @@
 
 /// A back end, or a store of KV cache, holds a chain of prompt parts.
 struct ChainPlacement {
-  std::string holder;           ///< id of the back end; empty: the store
+  std::string holder;           ///< id of the back end, or address of the store
   uint64_t weights = 0;         ///< version that made it
   std::vector<uint64_t> links;  ///< hashes of the chain up to each shared part
   MSGPACK_DEFINE_ARRAY(holder, weights, links)
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -124,17 +124,12 @@
     context_.router_count = update.router_count;
   }
   if (update.leads) {
-    const std::string store = update.stores.empty() ? "" : update.stores.front();
-    if (store != context_.store) {
-      log_.event(events::StoreChanged{context_.store, store});
-      context_.store_memory = placement::ChainMemory(placement::kStoreHoldTime);  // it comes back empty
-      context_.store_followed = false;
+    const std::string before = context_.stores.to_text();
+    if (context_.stores.set_live(update.stores)) {
+      log_.event(events::StoreChanged{before, context_.stores.to_text()});
     }
-    context_.store = store;
     pool_.keep_followed(loop_.now() + kEventsTrust);
-    if (context_.store_followed) {
-      context_.store_memory.follow_until(loop_.now() + kEventsTrust);
-    }
+    context_.stores.keep_followed(loop_.now() + kEventsTrust);
   }
   if (update.leads && update.answers > 0) {
     pool_.set_other_loads(update.loads);
@@ -154,8 +149,8 @@
 void GatewayServer::on_news(const fleet::PlacementNews& news) {
   const TimePoint now = loop_.now();
   for (const fleet::ChainPlacement& placement : news.placements) {
-    if (placement.holder.empty()) {
-      context_.store_memory.note_held(placement.links, placement.weights, now);
+    if (dispatch::CacheStore* store = context_.stores.find(placement.holder)) {
+      store->memory.note_held(placement.links, placement.weights, now);
     } else if (const dispatch::BackendPtr holder = pool_.find(placement.holder)) {
       holder->memory.note_held(placement.links, placement.weights, now);
     }
@@ -163,28 +158,32 @@
 }
 
 void GatewayServer::on_cache_news(const fleet::CacheNews& news) {
-  const TimePoint until = loop_.now() + kEventsTrust;
   for (const fleet::CacheChanges& changes : news.caches) {
-    const dispatch::BackendPtr backend = changes.store ? nullptr : pool_.find(changes.holder);
-    if (changes.store && context_.store.empty() && changes.followed) {
-      context_.store = changes.holder;  // told before the next update
-    }
-    const bool known = changes.store ? changes.holder == context_.store : backend != nullptr;
-    if (!known) {
-      continue;
-    }
-    placement::ChainMemory& memory = changes.store ? context_.store_memory : backend->memory;
-    (changes.store ? context_.store_followed : backend->cache_followed) = changes.followed;
-    memory.follow_until(changes.followed ? until : TimePoint(0));
-    if (changes.anew) {
-      memory.forget_holdings();
-    }
-    for (const fleet::PartHolding& holding : changes.holdings) {
-      memory.set_holding(holding.part, holding.weights, holding.tokens);
+    if (changes.store) {
+      // A store that answers may be told here before it is in an update.
+      dispatch::CacheStore* store =
+          changes.followed ? &context_.stores.add(changes.holder) : context_.stores.find(changes.holder);
+      if (store != nullptr) {
+        store->followed = changes.followed;
+        apply_changes(changes, store->memory);
+      }
+    } else if (const dispatch::BackendPtr backend = pool_.find(changes.holder)) {
+      backend->cache_followed = changes.followed;
+      apply_changes(changes, backend->memory);
     }
   }
 }
 
+void GatewayServer::apply_changes(const fleet::CacheChanges& changes, placement::ChainMemory& memory) const {
+  memory.follow_until(changes.followed ? loop_.now() + kEventsTrust : TimePoint(0));
+  if (changes.anew) {
+    memory.forget_holdings();
+  }
+  for (const fleet::PartHolding& holding : changes.holdings) {
+    memory.set_holding(holding.part, holding.weights, holding.tokens);
+  }
+}
+
 void GatewayServer::take_configuration(const fleet::FleetConfiguration& configuration) {
   if (table_ != nullptr && configuration.version <= table_->configuration().version) {
     return;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -61,6 +61,7 @@
   void on_update(const fleet::FleetUpdate& update);
   void on_news(const fleet::PlacementNews& news);
   void on_cache_news(const fleet::CacheNews& news);
+  void apply_changes(const fleet::CacheChanges& changes, placement::ChainMemory& memory) const;
   /// Keeps a placement for the other routers, which hear of it a little later.
   void tell_placement(fleet::ChainPlacement placement);
   void take_configuration(const fleet::FleetConfiguration& configuration);
--- a/src/gateway/start_queue.cc
+++ b/src/gateway/start_queue.cc
@@ -20,9 +20,10 @@
 std::vector<WaitingRequest> StartQueue::take_all() { return std::exchange(requests_, {}); }
 
 std::vector<WaitingRequest> StartQueue::take_expired(TimePoint now) {
-  const auto expired = std::stable_partition(requests_.begin(), requests_.end(),
-                                             [now](const WaitingRequest& entry) { return now < entry.expires; });
-  std::vector<WaitingRequest> taken(std::make_move_iterator(expired), std::make_move_iterator(requests_.end()));
+  const auto expired = std::stable_partition(
+      requests_.begin(), requests_.end(), [now](const WaitingRequest& entry) { return now < entry.expires; });
+  std::vector<WaitingRequest> taken(std::make_move_iterator(expired),
+                                    std::make_move_iterator(requests_.end()));
   requests_.erase(expired, requests_.end());
   return taken;
 }
--- a/src/placement/chain_memory.cc
+++ b/src/placement/chain_memory.cc
@@ -19,6 +19,11 @@
   return tokens;
 }
 
+uint64_t shared_key(const PromptChain& chain) {
+  const size_t last_shared = chain.links.size() > 1 ? chain.links.size() - 2 : 0;
+  return chain.links.empty() ? 0 : chain.links[last_shared].hash;
+}
+
 ChainMemory::Entry& ChainMemory::entry_for(uint64_t link, uint64_t weights) {
   Entry& entry = entries_[link];
   if (entry.weights < weights) {
--- a/src/placement/chain_memory.h
+++ b/src/placement/chain_memory.h
@@ -28,6 +28,9 @@
 /// Tokens of the parts that other prompts can share: all but the last.
 uint32_t shared_tokens(const PromptChain& chain);
 
+/// Identifies what a chain shares with others: the hash of its last shared part, or of its only part.
+uint64_t shared_key(const PromptChain& chain);
+
 /// How long an engine without events is taken to hold a part that nobody uses.
 inline constexpr Duration kHoldTime = 8s;
 /// The same of a store, which gets new shared parts only.
--- a/src/placement/part_placement.cc
+++ b/src/placement/part_placement.cc
@@ -23,15 +23,10 @@
 
 using Groups = std::map<uint64_t, WeightsGroup>;  ///< by version of the weights
 
-uint64_t home_key(const PromptChain& chain) {
-  const size_t shared = chain.links.size() > 1 ? chain.links.size() - 2 : 0;
-  return chain.links.empty() ? 0 : chain.links[shared].hash;
-}
-
 Groups group_by_weights(const PromptChain& chain, const std::vector<EngineView>& engines,
                         const ChainMemory* store, TimePoint now) {
   Groups groups;
-  const uint64_t key = home_key(chain);
+  const uint64_t key = shared_key(chain);
   const uint32_t shared = shared_tokens(chain);
   for (size_t position = 0; position < engines.size(); ++position) {
     const EngineView& engine = engines[position];
--- a/tests/unit/cache_watch_test.cc
+++ b/tests/unit/cache_watch_test.cc
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include "src/common/hash.h"
+#include "src/dispatch/store_set.h"
 #include "src/placement/cache_namespace.h"
 #include "src/placement/chain_memory.h"
 
@@ -197,6 +197,36 @@
   EXPECT_EQ(memory_.held_tokens(chain_, kWeights, 1s), 0U);
 }
 
+TEST(StoreSet, EachChainHasOneStoreAndAllStoresAreUsed) {
+  dispatch::StoreSet stores;
+  const auto chain_of = [](uint64_t part) { return placement::PromptChain{{{part, 1000}, {0, 70}}, 1070}; };
+  EXPECT_EQ(stores.store_for(chain_of(1)), nullptr);
+  EXPECT_TRUE(stores.set_live({"s:1", "s:2", "s:3"}));
+  EXPECT_FALSE(stores.set_live({"s:3", "s:2", "s:1"}));
+  std::map<std::string, int> chains;
+  std::map<uint64_t, std::string> store_of;
+  for (uint64_t part = 1; part <= 300; ++part) {
+    store_of[part] = stores.store_for(chain_of(part))->address;
+    ++chains[store_of[part]];
+  }
+  ASSERT_EQ(chains.size(), 3U);
+  EXPECT_GT(std::min({chains["s:1"], chains["s:2"], chains["s:3"]}), 60);
+  EXPECT_TRUE(stores.set_live({"s:1", "s:3"}));  // only the chains of the lost store move
+  for (const auto& [part, address] : store_of) {
+    EXPECT_TRUE(address == "s:2" || stores.store_for(chain_of(part))->address == address);
+  }
+}
+
+TEST(StoreSet, AStoreThatComesAgainIsEmpty) {
+  dispatch::StoreSet stores;
+  stores.add("s:1").memory.note_held({1}, 1, 1s);
+  const placement::PromptChain chain{{{1, 1000}, {2, 70}}, 1070};
+  EXPECT_EQ(stores.store_for(chain)->memory.held_tokens(chain, 1, 1s), 1000U);
+  stores.set_live({});
+  stores.set_live({"s:1"});
+  EXPECT_EQ(stores.store_for(chain)->memory.held_tokens(chain, 1, 1s), 0U);
+}
+
 TEST(CacheNamespace, IsReadBackAsItWasWritten) {
   for (const std::string& owner : {placement::shared_owner(), placement::owner_of_tenant("a-v2-b")}) {
     const auto name = placement::read_salt(placement::to_salt({owner, 17}));
