--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -93,6 +93,11 @@
   if (news.caches.empty()) {
     return;
   }
+  for (const fleet::CacheChanges& changes : news.caches) {
+    if (changes.anew || !changes.followed) {
+      log_.event(events::CacheFollowed{changes.holder, changes.followed});
+    }
+  }
   for (auto& [name, router] : routers_) {
     if (router.channel->open()) {
       router.channel->send(news);
--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -93,6 +93,7 @@
                                                      events::ControlMemberChanged::kSentence,
                                                      events::LeaderChanged::kSentence,
                                                      events::StoreChanged::kSentence,
+                                                     events::CacheFollowed::kSentence,
                                                      events::RouterChanged::kSentence,
                                                      events::MembersChanged::kSentence,
                                                      "started",
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -223,6 +223,12 @@
   answer_->send(event.bytes);
 }
 
+void RequestRun::learn_from_pauses() const {
+  if (plan_.route->gap_target_ms > 0 && longest_pause_ > Duration(0)) {
+    context_.pauses[plan_.service].observe(longest_pause_, Duration(1000 * plan_.route->gap_target_ms));
+  }
+}
+
 void RequestRun::on_answer_complete() {
   const auto keep = shared_from_this();
   if (kind_ == AnswerKind::kNotRun) {
@@ -242,6 +248,7 @@
     if (!streaming_) {
       answer_->start(head_);
     }
+    learn_from_pauses();
     answer_->finish();
     done("complete", head_.status);
     return;
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -21,6 +21,7 @@
 #include "src/events/request_story.h"
 #include "src/fleet/fleet_messages.h"
 #include "src/placement/cache_namespace.h"
+#include "src/placement/pause_watch.h"
 #include "src/routing/route_table.h"
 
 struct event;
@@ -63,6 +64,7 @@
   /// Tells the other routers who holds a chain.
   std::function<void(fleet::ChainPlacement)> tell_placement = [](const fleet::ChainPlacement&) {};
   placement::PlacementCosts costs = {};
+  std::map<std::string, placement::PauseWatch> pauses = {};  ///< by service
   double short_lane_share = 0.25;  ///< of the engines: those meant for short prompts
 
   delivery::WindowBudget& budget_of(const std::string& service) {
@@ -154,6 +156,8 @@
   void on_not_run(bool reached);
   void end_exchange(bool keep_connection);
   void note_first_event();
+  /// Learns from the pauses of a stream that has ended.
+  void learn_from_pauses() const;
   void note_weights(const http1::Headers& headers);
   void forward_event(const delivery::StreamEvent& event);
   void finish_whole();
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -85,6 +85,14 @@
   std::vector<LogField> fields() const { return {{"from", from}, {"to", to}}; }
 };
 
+/// Control follows the events of a cache from its present state on, or can't reach it any more.
+struct CacheFollowed {
+  static constexpr const char* kSentence = "cache followed";
+  std::string holder;     ///< id of the back end, or address of a store
+  bool followed = false;  ///< false: what it holds is not known any more
+  std::vector<LogField> fields() const { return {{"holder", holder}, {"followed", followed}}; }
+};
+
 /// A router tells its state for the first time, is ready or not any more, or is no longer heard.
 struct RouterChanged {
   static constexpr const char* kSentence = "router changed";
--- a/src/placement/part_placement.cc
+++ b/src/placement/part_placement.cc
@@ -24,7 +24,7 @@
 using Groups = std::map<uint64_t, WeightsGroup>;  ///< by version of the weights
 
 Groups group_by_weights(const PromptChain& chain, const std::vector<EngineView>& engines,
-                        const ChainMemory* store, TimePoint now) {
+                        const ChainMemory* store, bool lanes_count, TimePoint now) {
   Groups groups;
   const uint64_t key = shared_key(chain);
   const uint32_t shared = shared_tokens(chain);
@@ -36,7 +36,7 @@
       group.stored_tokens = std::min(shared, store->held_tokens(chain, engine.weights, now));
     }
     const uint64_t rank = hash_pair(key, engine.name_hash);
-    if (engine.candidate && engine.in_lane && (!group.home || rank > group.home_rank)) {
+    if (engine.candidate && (engine.in_lane || !lanes_count) && (!group.home || rank > group.home_rank)) {
       group.home = position;
       group.home_rank = rank;
     }
@@ -138,7 +138,7 @@
 
 Placement place(const PromptChain& chain, const std::vector<EngineView>& engines, const ChainMemory* store,
                 const PlacementCosts& costs, TimePoint now) {
-  const Groups groups = group_by_weights(chain, engines, store, now);
+  const Groups groups = group_by_weights(chain, engines, store, costs.other_lane_ms > 0, now);
   std::optional<Option> best;
   for (size_t position = 0; position < engines.size(); ++position) {
     if (!engines[position].candidate) {
--- a/tests/unit/fleet_parts_test.cc
+++ b/tests/unit/fleet_parts_test.cc
@@ -12,6 +12,7 @@
 #include "src/fleet/backend_registry.h"
 #include "src/fleet/fleet_state.h"
 #include "src/placement/part_placement.h"
+#include "src/placement/pause_watch.h"
 #include "src/routing/route_table.h"
 
 namespace stoat {
@@ -280,6 +281,65 @@
   }
 }
 
+TEST(PauseWatch, KeepsShortPromptsApartOnceStreamsPauseTooLong) {
+  placement::PauseWatch pauses;
+  EXPECT_EQ(pauses.lane_strength(), 0);
+  for (int stream = 0; stream < 400; ++stream) {
+    pauses.observe(499ms, 500ms);
+  }
+  EXPECT_EQ(pauses.lane_strength(), 0);
+  for (int stream = 0; stream < 400; ++stream) {
+    pauses.observe(stream % 10 == 0 ? 510ms : 100ms, 500ms);
+  }
+  EXPECT_EQ(pauses.lane_strength(), 1);
+  for (int stream = 0; stream < 2000; ++stream) {
+    pauses.observe(100ms, 500ms);
+  }
+  EXPECT_EQ(pauses.lane_strength(), 0);
+}
+
+TEST_F(PartPlacementTest, WithoutACostOfItAPromptGoesToAnyEngine) {
+  prompt_ = chain({{1, 300}, {2, 300}});
+  placement::mark_lanes(prompt_, engines_, 0.33);
+  for (placement::EngineView& engine : engines_) {
+    engine.outstanding = engine.in_lane ? 6 : 0;
+  }
+  placement::PlacementCosts costs;
+  EXPECT_TRUE(engines_[placement::place(prompt_, engines_, nullptr, costs, 1s).target].in_lane);
+  costs.other_lane_ms = 0;
+  costs.per_outstanding_ms = 10;
+  EXPECT_FALSE(engines_[placement::place(prompt_, engines_, nullptr, costs, 1s).target].in_lane);
+}
+
+TEST_F(PartPlacementTest, ACopyAwayFromItsHomeCosts) {
+  for (placement::EngineView& engine : engines_) {
+    engine.slots = 1000;
+  }
+  const size_t home = place().target;
+  const size_t other = (home + 1) % 3;
+  memories_[other].note_held({1}, kWeights, 1s);
+  EXPECT_EQ(place().target, other);  // it is there already
+  memories_[home].note_held({1}, kWeights, 1s);
+  engines_[home].outstanding = 100;
+  engines_[other].outstanding = 100;
+  EXPECT_TRUE(place().target == home || place().target == other);  // a third copy would push out another part
+  engines_[home].outstanding = 250;
+  engines_[other].outstanding = 250;
+  EXPECT_FALSE(place().target == home || place().target == other);
+}
+
+TEST_F(PartPlacementTest, TheStoreIsTheSourceWhenItHoldsMore) {
+  prompt_ = chain({{1, 2000}, {2, 3000}, {3, 500}});
+  allow_only(0);
+  placement::ChainMemory store;
+  memories_[1].note_held({1}, kWeights, 1s);
+  store.note_held({1, 2}, kWeights, 1s);
+  const auto placed = placement::place(prompt_, engines_, &store, {}, 1s);
+  EXPECT_TRUE(placed.from_store);
+  EXPECT_EQ(placed.source, std::nullopt);
+  EXPECT_EQ(placed.missing_tokens, 500U);
+}
+
 TEST_F(PartPlacementTest, ShortAndLongPromptsHaveEnginesOfTheirOwn) {
   const auto lane_of = [&](uint32_t tokens) {
     std::set<size_t> lane;
