--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -272,7 +272,7 @@
   std::vector<WaitingRequest> due =
       starting() ? start_queue_.take_expired(loop_.now()) : start_queue_.take_all();
   for (WaitingRequest& waiting : due) {
-    serve(std::move(waiting.request), std::move(waiting.answer), waiting.arrived);
+    serve(std::move(waiting.request), waiting.answer, waiting.arrived);
   }
   if (start_queue_.size() > 0) {
     loop_.after(kStartCheck, [this] { check_start_queue(); });
@@ -284,10 +284,10 @@
     return;
   }
   const TimePoint now = loop_.now();
-  serve(std::move(request), std::move(answer), now);
+  serve(std::move(request), answer, now);
 }
 
-void GatewayServer::serve(edge::CallerRequest request, std::shared_ptr<edge::CallerAnswer> answer,
+void GatewayServer::serve(edge::CallerRequest request, const std::shared_ptr<edge::CallerAnswer>& answer,
                           TimePoint arrived) {
   dispatch::RunPlan plan;
   plan.arrived = arrived;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -74,7 +74,8 @@
   bool wait_for_start(edge::CallerRequest& request, std::shared_ptr<edge::CallerAnswer>& answer);
   /// Serves what waits when the start is over, and refuses what has waited for too long.
   void check_start_queue();
-  void serve(edge::CallerRequest request, std::shared_ptr<edge::CallerAnswer> answer, TimePoint arrived);
+  void serve(edge::CallerRequest request, const std::shared_ptr<edge::CallerAnswer>& answer,
+             TimePoint arrived);
   bool admit(dispatch::RunPlan& plan, edge::CallerAnswer& answer);
   void check_stopped();
 
