Take the routers that share the bound on repeats high after a start and after a loss

Ruled out: sends that never reached an engine, which the rule doesn't count. Change: a lower count holds only after none higher was told for a window; until a first window has passed, a started router uses the share of its own requests only.

--- a/src/delivery/window_budget.h
+++ b/src/delivery/window_budget.h
@@ -17,6 +17,35 @@
   double caution = 0.75;  ///< the part of the bound that is used
 };
 
+/// The routers that share the fixed part of the bound, taken high rather than low: after a restart of the
+/// fleet control hears of one router after the other, and repeats of routers that have gone still count for a
+/// window.
+class SharingRouters {
+ public:
+  /// `settle` 0: counts hold at once, and a router that was told none is alone.
+  explicit SharingRouters(Duration settle)
+      : settle_(settle), count_(settle > Duration(0) ? kManyRouters : 1) {}
+  /// Control tells so many routers. A lower count holds once no higher one was told for the settle time.
+  void note(uint32_t count, TimePoint now) {
+    if (since_ == TimePoint(0)) {
+      since_ = now;
+    }
+    if (count >= count_ || now - since_ >= settle_) {
+      count_ = count;
+      since_ = now;
+    }
+  }
+  uint32_t count() const { return count_; }
+
+ private:
+  /// Before anything was told: leaves nothing of the fixed part.
+  static constexpr uint32_t kManyRouters = 1000;
+
+  Duration settle_;
+  uint32_t count_;
+  TimePoint since_{0};
+};
+
 /// See the head of this file. One for each service.
 class WindowBudget {
  public:
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -308,7 +308,7 @@
   }
   // What never reached a back end is no load on the service, and counts against no bound.
   const bool costs_nothing = certainly_not_run && !reached_;
-  if (costs_nothing || context_.budget_of(plan_.service).take(now, context_.router_count)) {
+  if (costs_nothing || context_.budget_of(plan_.service).take(now, context_.sharing_routers.count())) {
     return nullptr;
   }
   return "no budget for repeats";
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -55,6 +55,7 @@
   Random random{0};
   std::string zone = {};
   uint32_t router_count = 1;
+  delivery::SharingRouters sharing_routers{10s};  ///< of the bound on repeats
   Duration old_weights_limit =
       6s;  ///< after a version was named, engines with older weights are used no more
   delivery::WindowBudgetOptions budget_options = {};
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -258,7 +258,7 @@
   }
   const char* reason = why_no_copy(origin);
   if (reason == nullptr &&
-      !context_.budget_of(plan_.service).take(context_.loop.now(), context_.router_count)) {
+      !context_.budget_of(plan_.service).take(context_.loop.now(), context_.sharing_routers.count())) {
     reason = "no budget for repeats";
   }
   if (reason != nullptr) {
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -47,6 +47,7 @@
   settings.budget.ratio = reader.number("repeat_ratio", 0.2, 0, 10);
   settings.budget.slack = reader.number("repeat_slack", 50, 0, 1e6);
   settings.budget.window = std::chrono::seconds(reader.integer("repeat_window_s", 10, 1, 3600));
+  settings.routers_settle = settings.budget.window;
   return settings;
 }
 
@@ -67,6 +68,7 @@
   context_.random = Random(seed_from_device());
   context_.zone = settings.zone;
   context_.budget_options = settings.budget;
+  context_.sharing_routers = delivery::SharingRouters(settings.routers_settle);
   context_.old_weights_limit = settings.old_weights_limit;
   context_.tell_placement = [this](fleet::ChainPlacement placement) { tell_placement(std::move(placement)); };
   log_.info("started", {{"name", settings.name}, {"listen", to_string(settings.listen)}});
@@ -122,6 +124,7 @@
   }
   if (update.router_count > 0) {
     context_.router_count = update.router_count;
+    context_.sharing_routers.note(update.router_count, loop_.now());
   }
   if (update.leads) {
     const std::string before = context_.stores.to_text();
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -31,6 +31,8 @@
   /// of a restart, and back ends are heard within a second or so.
   Duration start_wait = 2500ms;
   delivery::WindowBudgetOptions budget;
+  /// How long a lower count of routers must hold before it counts for the bound on repeats: its window.
+  Duration routers_settle = 10s;
   events::StoryOptions stories;
 };
 
--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -86,6 +86,7 @@
     router.link.seeds = {control.internal};
     router.link.status_interval = status_interval;
     router.budget.slack = repeat_slack;
+    router.routers_settle = 0s;
     router_port_ = router.listen.port;
     control_endpoint_ = control.internal;
     control_ = std::make_unique<control::FleetServer>(control_loop_, control, orders_);
--- a/tests/unit/fleet_parts_test.cc
+++ b/tests/unit/fleet_parts_test.cc
@@ -281,6 +281,24 @@
   }
 }
 
+TEST(SharingRouters, AreTakenHighAfterAStartAndAfterALoss) {
+  // Found on the bench: after a restart of 69 routers each took the whole fixed part of the bound on repeats.
+  delivery::SharingRouters routers(10s);
+  EXPECT_GE(routers.count(), 1000U);
+  routers.note(3, 1s);
+  EXPECT_GE(routers.count(), 1000U);
+  routers.note(69, 11s);
+  EXPECT_EQ(routers.count(), 69U);
+  routers.note(30, 15s);
+  EXPECT_EQ(routers.count(), 69U);
+  routers.note(70, 16s);
+  EXPECT_EQ(routers.count(), 70U);
+  routers.note(30, 25s);
+  EXPECT_EQ(routers.count(), 70U);
+  routers.note(30, 26s);
+  EXPECT_EQ(routers.count(), 30U);
+}
+
 TEST(PauseWatch, KeepsShortPromptsApartOnceStreamsPauseTooLong) {
   placement::PauseWatch pauses;
   EXPECT_EQ(pauses.lane_strength(), 0);
