Keep in one place whether a cache is followed, and count a chain's tokens in one loop

Cause: a reading of the whole change. Whether control follows a cache stood beside ChainMemory in Backend and in CacheStore, though the memory knows it; cached_tokens and held_tokens were one loop with one condition apart; CacheWatch set a field that take_changes sets anyway; the store of a chain was looked up twice for each send. Change: keep_following() replaces the two flags, tokens_at_beginning() serves both counts, plan_cache is given the store. No change of behaviour is meant. Ruled out: taking Placement::from_store away, which tests assert.

--- a/src/control/cache_watch.cc
+++ b/src/control/cache_watch.cc
@@ -77,7 +77,6 @@
   if (cache.live != was_live) {
     cache.changed = true;
   }
-  cache.untold.followed = cache.live;
   if (events == nullptr) {
     return;
   }
--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -109,9 +109,7 @@
 
 void BackendPool::keep_followed(TimePoint until) {
   for (const auto& [id, backend] : backends_) {
-    if (backend->cache_followed) {
-      backend->memory.follow_until(until);
-    }
+    backend->memory.keep_following(until);
   }
 }
 
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -28,7 +28,6 @@
   uint32_t others_outstanding = 0;
   uint64_t others_prefill_tokens = 0;
   placement::ChainMemory memory;
-  bool cache_followed = false;  ///< control tells the events of its cache
 };
 
 using BackendPtr = std::shared_ptr<Backend>;
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -145,7 +145,8 @@
   const char* why_no_copy(const Backend& origin) const;
   /// Goes on from the copy of the run at an engine that failed.
   bool go_on_from_copy(const Backend& origin);
-  CachePlan plan_cache(const Backend& target, const Backend* holder) const;
+  /// `holder`: an engine that is a source, or nullptr; `store`: the one of the chain, or nullptr.
+  CachePlan plan_cache(const Backend& target, const Backend* holder, const CacheStore* store) const;
   std::string request_head(const Backend& backend, const CachePlan& cache, TimePoint now) const;
   bool set_by_system(const std::string& name) const;
   /// Why the request may not be sent again; nullptr when it may, which then counts as a repeat.
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -115,7 +115,7 @@
   const placement::Placement placed = placement::place(
       chain_, views, store == nullptr ? nullptr : &store->memory, costs, context_.loop.now());
   const BackendPtr holder = placed.source ? engines[*placed.source] : nullptr;
-  CachePlan cache = plan_cache(*engines[placed.target], holder.get());
+  CachePlan cache = plan_cache(*engines[placed.target], holder.get(), store);
   cache.candidates = static_cast<uint32_t>(candidates.size());
   send_to(engines[placed.target], std::move(cache));
 }
@@ -131,12 +131,12 @@
          http1::same_name(names.expected_weights, name) || http1::same_name(names.last_event_id, name);
 }
 
-CachePlan RequestRun::plan_cache(const Backend& target, const Backend* holder) const {
+CachePlan RequestRun::plan_cache(const Backend& target, const Backend* holder,
+                                 const CacheStore* store) const {
   CachePlan plan;
   const TimePoint now = context_.loop.now();
   const uint64_t weights = target.record.version_of(plan_.fields.model);
   const uint32_t shared = placement::shared_tokens(chain_);
-  const CacheStore* store = context_.stores.store_for(chain_);
   const std::string store_address = store == nullptr ? "" : store->address;
   const bool stored = store != nullptr && store->memory.held_tokens(chain_, weights, now) >= shared;
   // An engine takes only what it lacks, and a miss costs a millisecond: a source is named in any case.
--- a/src/dispatch/store_set.cc
+++ b/src/dispatch/store_set.cc
@@ -47,9 +47,7 @@
 
 void StoreSet::keep_followed(TimePoint until) {
   for (auto& [address, store] : stores_) {
-    if (store.followed) {
-      store.memory.follow_until(until);
-    }
+    store.memory.keep_following(until);
   }
 }
 
--- a/src/dispatch/store_set.h
+++ b/src/dispatch/store_set.h
@@ -15,7 +15,6 @@
   std::string address;
   uint64_t address_hash = 0;
   placement::ChainMemory memory{placement::kStoreHoldTime};
-  bool followed = false;  ///< control tells its events
 };
 
 /// See the head of this file.
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -167,11 +167,9 @@
       dispatch::CacheStore* store =
           changes.followed ? &context_.stores.add(changes.holder) : context_.stores.find(changes.holder);
       if (store != nullptr) {
-        store->followed = changes.followed;
         apply_changes(changes, store->memory);
       }
     } else if (const dispatch::BackendPtr backend = pool_.find(changes.holder)) {
-      backend->cache_followed = changes.followed;
       apply_changes(changes, backend->memory);
     }
   }
--- a/src/placement/chain_memory.cc
+++ b/src/placement/chain_memory.cc
@@ -101,11 +101,12 @@
   return followed(now) ? std::min(link.tokens, entry->tokens) : 0;
 }
 
-uint32_t ChainMemory::cached_tokens(const PromptChain& chain, uint64_t weights, TimePoint now) const {
+uint32_t ChainMemory::tokens_at_beginning(const PromptChain& chain, uint64_t weights, TimePoint now,
+                                          bool with_pending) const {
   uint32_t tokens = 0;
   for (const ChainLink& link : chain.links) {
     const Entry* entry = find(link.hash, weights);
-    const bool pending = entry != nullptr && entry->pending_until > now;
+    const bool pending = with_pending && entry != nullptr && entry->pending_until > now;
     const uint32_t held = pending ? link.tokens : tokens_held(link, entry, now);
     tokens += held;
     if (held < link.tokens) {
@@ -115,16 +116,12 @@
   return tokens;
 }
 
+uint32_t ChainMemory::cached_tokens(const PromptChain& chain, uint64_t weights, TimePoint now) const {
+  return tokens_at_beginning(chain, weights, now, true);
+}
+
 uint32_t ChainMemory::held_tokens(const PromptChain& chain, uint64_t weights, TimePoint now) const {
-  uint32_t tokens = 0;
-  for (const ChainLink& link : chain.links) {
-    const uint32_t held = tokens_held(link, find(link.hash, weights), now);
-    tokens += held;
-    if (held < link.tokens) {
-      break;
-    }
-  }
-  return tokens;
+  return tokens_at_beginning(chain, weights, now, false);
 }
 
 bool ChainMemory::seen_since(const PromptChain& chain, uint64_t weights, TimePoint now, Duration age) const {
--- a/src/placement/chain_memory.h
+++ b/src/placement/chain_memory.h
@@ -56,8 +56,14 @@
 
   /// An event: the cache holds so many tokens of a part now.
   void set_holding(uint64_t link, uint64_t weights, uint32_t tokens);
-  /// Events come in until then, unless this is called again.
+  /// Events come in until then, unless this or keep_following() is called again; 0: none come in.
   void follow_until(TimePoint until) { followed_until_ = until; }
+  /// The teller of the events is still there: a cache that is followed stays so until then.
+  void keep_following(TimePoint until) {
+    if (followed_until_ > TimePoint(0)) {
+      followed_until_ = until;
+    }
+  }
   bool followed(TimePoint now) const { return now < followed_until_; }
   /// Forgets what events told.
   void forget_holdings();
@@ -81,11 +87,13 @@
   };
   Entry& entry_for(uint64_t link, uint64_t weights);
   const Entry* find(uint64_t link, uint64_t weights) const;
+  uint32_t tokens_at_beginning(const PromptChain& chain, uint64_t weights, TimePoint now,
+                               bool with_pending) const;
   uint32_t tokens_held(const ChainLink& link, const Entry* entry, TimePoint now) const;
   void drop_old(TimePoint now);
 
   Duration hold_time_;
-  TimePoint followed_until_{0};
+  TimePoint followed_until_{0};                  ///< 0: control does not follow it
   std::unordered_map<uint64_t, Entry> entries_;  ///< by part
 };
 
