--- /dev/null
+++ b/src/control/cache_mirror.cc
@@ -0,0 +1,144 @@
+#include "src/control/cache_mirror.h"
+
+#include <algorithm>
+
+namespace stoat::control {
+
+namespace {
+
+/// Shared parts remembered; beyond that all are forgotten, and told anew as routers see them.
+constexpr size_t kMaxShared = 200000;
+
+}  // namespace
+
+bool CacheMirror::apply(const std::string& follower, const fleet::CacheChanges& changes) {
+  Cache& cache = caches_[changes.holder];
+  const bool other = follower != cache.follower;
+  if (changes.claim < cache.claim ||
+      (other && changes.claim == cache.claim && !cache.follower.empty() && follower < cache.follower)) {
+    return false;
+  }
+  cache.follower = follower;
+  cache.claim = changes.claim;
+  cache.store = changes.store;
+  cache.followed = changes.followed;
+  cache.epoch = changes.epoch;
+  cache.next_event = changes.next_event;
+  if (changes.anew) {
+    clear(changes.holder, cache);
+  }
+  for (const fleet::PartHolding& holding : changes.holdings) {
+    hold(changes.holder, cache, holding);
+  }
+  heads_.set(changes.holder, {changes.store, changes.followed});
+  return true;
+}
+
+void CacheMirror::hold(const std::string& holder, Cache& cache, const fleet::PartHolding& holding) {
+  const auto known = cache.parts.find(holding.part);
+  if (known != cache.parts.end() && holding.weights < known->second.weights) {
+    return;  // a store drops parts of old weights long after it got those of new ones
+  }
+  if (holding.tokens == 0) {
+    cache.parts.erase(holding.part);
+    holdings_.erase({holder, holding.part});
+    return;
+  }
+  cache.parts[holding.part] = holding;
+  if (shared_.count(holding.part) > 0) {
+    holdings_.set({holder, holding.part}, holding);
+  }
+}
+
+void CacheMirror::clear(const std::string& holder, Cache& cache) {
+  for (const auto& [part, holding] : cache.parts) {
+    holdings_.erase({holder, part});
+  }
+  cache.parts.clear();
+}
+
+std::vector<uint64_t> CacheMirror::note_shared(const std::vector<uint64_t>& parts) {
+  if (shared_.size() > kMaxShared) {
+    shared_.clear();
+  }
+  std::vector<uint64_t> added;
+  for (const uint64_t part : parts) {
+    if (!shared_.insert(part).second) {
+      continue;
+    }
+    added.push_back(part);
+    for (const auto& [holder, cache] : caches_) {
+      const auto held = cache.parts.find(part);
+      if (held != cache.parts.end()) {
+        holdings_.set({holder, part}, held->second);
+      }
+    }
+  }
+  return added;
+}
+
+bool CacheMirror::told(const fleet::ChainPlacement& placement) const {
+  const Cache* cache = find(placement.holder);
+  if (cache == nullptr || !cache->followed) {
+    return false;
+  }
+  return std::all_of(placement.links.begin(), placement.links.end(), [&](uint64_t part) {
+    const fleet::PartHolding* held = holdings_.find({placement.holder, part});
+    return held != nullptr && held->weights >= placement.weights;
+  });
+}
+
+void CacheMirror::lose_follower(const std::string& follower) {
+  for (auto& [holder, cache] : caches_) {
+    if (cache.follower == follower && cache.followed) {
+      cache.followed = false;
+      heads_.set(holder, {cache.store, false});
+    }
+  }
+}
+
+void CacheMirror::keep(const std::set<std::string>& holders) {
+  for (auto entry = caches_.begin(); entry != caches_.end();) {
+    if (holders.count(entry->first) > 0) {
+      ++entry;
+      continue;
+    }
+    clear(entry->first, entry->second);
+    heads_.erase(entry->first);
+    entry = caches_.erase(entry);
+  }
+}
+
+const CacheMirror::Cache* CacheMirror::find(const std::string& holder) const {
+  const auto found = caches_.find(holder);
+  return found == caches_.end() ? nullptr : &found->second;
+}
+
+fleet::CacheChanges CacheMirror::whole(const std::string& holder) const {
+  fleet::CacheChanges changes;
+  changes.holder = holder;
+  changes.anew = true;
+  if (const Cache* cache = find(holder)) {
+    changes.store = cache->store;
+    changes.followed = cache->followed;
+    changes.claim = cache->claim;
+    changes.epoch = cache->epoch;
+    changes.next_event = cache->next_event;
+    for (const auto& [part, holding] : cache->parts) {
+      changes.holdings.push_back(holding);
+    }
+  }
+  return changes;
+}
+
+std::vector<std::string> CacheMirror::followed_by(const std::string& follower) const {
+  std::vector<std::string> holders;
+  for (const auto& [holder, cache] : caches_) {
+    if (cache.follower == follower) {
+      holders.push_back(holder);
+    }
+  }
+  return holders;
+}
+
+}  // namespace stoat::control
--- /dev/null
+++ b/src/control/cache_mirror.h
@@ -0,0 +1,78 @@
+/// What every cache of the fleet holds, as the member that follows its events tells. All members keep the
+/// same mirror, so that another one can go on following where the last one stopped, and each member tells its
+/// own routers the changes of those parts that prompts share. Free of I/O.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "src/fleet/fleet_messages.h"
+#include "src/fleet/revision_table.h"
+
+namespace stoat::control {
+
+/// Whether a cache is followed, for routers.
+struct CacheHead {
+  bool store = false;
+  bool followed = false;
+  bool operator==(const CacheHead&) const = default;
+};
+
+/// One part in one cache.
+struct HeldPart {
+  std::string holder;
+  uint64_t part = 0;
+  auto operator<=>(const HeldPart&) const = default;
+};
+
+/// See the head of this file.
+class CacheMirror {
+ public:
+  /// What is known of one cache. Of two followers the one with the higher claim counts.
+  struct Cache {
+    std::string follower;  ///< internal address of the member
+    uint64_t claim = 0;
+    bool store = false;
+    bool followed = false;
+    uint64_t epoch = 0;
+    uint64_t next_event = 0;
+    std::unordered_map<uint64_t, fleet::PartHolding> parts;
+  };
+
+  /// Takes what a follower tells. Returns false when another one has a higher claim.
+  bool apply(const std::string& follower, const fleet::CacheChanges& changes);
+  /// These parts are shared by prompts; routers are told of them only. Returns those that are new.
+  std::vector<uint64_t> note_shared(const std::vector<uint64_t>& parts);
+  /// True when a cache holds all these parts under weights that are no older, and routers were told so.
+  bool told(const fleet::ChainPlacement& placement) const;
+  /// A member is not heard any more: what it followed is followed by nobody.
+  void lose_follower(const std::string& follower);
+  /// Forgets all caches but these.
+  void keep(const std::set<std::string>& holders);
+
+  /// A known cache, or nullptr.
+  const Cache* find(const std::string& holder) const;
+  /// All that is known of one cache.
+  fleet::CacheChanges whole(const std::string& holder) const;
+  /// The caches that a member follows.
+  std::vector<std::string> followed_by(const std::string& follower) const;
+  std::vector<uint64_t> shared_parts() const { return {shared_.begin(), shared_.end()}; }
+
+  const fleet::RevisionTable<std::string, CacheHead>& heads() const { return heads_; }
+  const fleet::RevisionTable<HeldPart, fleet::PartHolding>& shared_holdings() const { return holdings_; }
+
+ private:
+  void hold(const std::string& holder, Cache& cache, const fleet::PartHolding& holding);
+  void clear(const std::string& holder, Cache& cache);
+
+  std::map<std::string, Cache> caches_;  ///< by holder
+  std::unordered_set<uint64_t> shared_;
+  fleet::RevisionTable<std::string, CacheHead> heads_;
+  fleet::RevisionTable<HeldPart, fleet::PartHolding> holdings_;  ///< of shared parts
+};
+
+}  // namespace stoat::control
--- /dev/null
+++ b/src/control/fleet_knowledge.cc
@@ -0,0 +1,362 @@
+#include "src/control/fleet_knowledge.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stoat::control {
+
+namespace {
+
+/// Members exchange news at least every 200 ms; one that is silent for so long is taken to be cut off.
+constexpr Duration kPeerLease = 800ms;
+/// Placements kept for routers that are behind. Some hundred a second come in at the sizes meant.
+constexpr size_t kMaxPlacements = 4096;
+/// Bounds on one message to a router: some 16 KB at the usual lengths of names.
+constexpr size_t kBackendsPerMessage = 100;
+constexpr size_t kLoadsPerMessage = 600;
+constexpr size_t kHoldingsPerMessage = 600;
+constexpr size_t kPlacementsPerMessage = 200;
+
+}  // namespace
+
+FleetKnowledge::FleetKnowledge(KnowledgeOptions options)
+    : options_(std::move(options)), registry_(options_.registry) {}
+
+bool FleetKnowledge::on_heartbeat(const fleet::BackendRecord& record, TimePoint now) {
+  if (!registry_.on_heartbeat(record, now)) {
+    return false;
+  }
+  untold_.heartbeats.push_back(record);
+  return true;
+}
+
+bool FleetKnowledge::on_router(const fleet::RouterRecord& router, bool follows, TimePoint now) {
+  const bool changed = routers_.on_status(router, now);
+  const auto known = followers_.find(router.name);
+  if (follows && (known == followers_.end() || known->second != router)) {
+    followers_[router.name] = router;
+    untold_.routers.push_back({router, true});
+  } else if (!follows && known != followers_.end()) {
+    followers_.erase(known);
+    loads_.forget_router(router.name);
+    untold_.routers.push_back({router, false});
+  }
+  return changed;
+}
+
+void FleetKnowledge::on_router_loads(const fleet::RouterLoads& loads) {
+  if (followers_.count(loads.router) > 0) {
+    loads_.set_router(loads.router, loads.loads);
+  }
+}
+
+void FleetKnowledge::forget_router(const std::string& name) {
+  routers_.forget(name);
+  loads_.forget_router(name);
+  const auto known = followers_.find(name);
+  if (known != followers_.end()) {
+    untold_.routers.push_back({known->second, false});
+    followers_.erase(known);
+  }
+}
+
+void FleetKnowledge::add_placement(const fleet::ChainPlacement& placement) {
+  placements_.push_back(placement);
+  if (placements_.size() > kMaxPlacements) {
+    placements_.pop_front();
+    ++placements_dropped_;
+  }
+}
+
+void FleetKnowledge::on_placements(const std::vector<fleet::ChainPlacement>& placements) {
+  for (const fleet::ChainPlacement& placement : placements) {
+    const std::vector<uint64_t> added = caches_.note_shared(placement.links);
+    untold_.shared_parts.insert(untold_.shared_parts.end(), added.begin(), added.end());
+    if (!caches_.told(placement)) {
+      add_placement(placement);
+      untold_.placements.push_back(placement);
+    }
+  }
+}
+
+void FleetKnowledge::on_cache_changes(const std::vector<fleet::CacheChanges>& changes) {
+  for (const fleet::CacheChanges& change : changes) {
+    if (caches_.apply(options_.address, change)) {
+      untold_.caches.push_back(change);
+    }
+  }
+}
+
+void FleetKnowledge::set_loading(const std::string& id, bool loading) {
+  registry_.set_loading(id, loading);
+  untold_engines_.insert(id);
+}
+
+void FleetKnowledge::set_version(const std::string& id, const std::string& model, uint64_t version) {
+  registry_.set_version(id, model, version);
+  untold_engines_.insert(id);
+}
+
+void FleetKnowledge::clear_loading() {
+  for (const fleet::BackendRecord& record : registry_.records()) {
+    if (record.loading) {
+      set_loading(record.id, false);
+    }
+  }
+}
+
+void FleetKnowledge::apply_engine_notes(const fleet::PeerNews& news) {
+  if (!news.leads || news.term < notes_term_) {
+    return;
+  }
+  notes_term_ = news.term;
+  for (const fleet::EngineNote& note : news.engines) {
+    registry_.set_loading(note.id, note.loading);
+    for (const fleet::ModelVersion& entry : note.models) {
+      registry_.set_version(note.id, entry.model, entry.version);
+    }
+  }
+}
+
+void FleetKnowledge::on_peer_news(const fleet::PeerNews& news, TimePoint now) {
+  Peer& peer = peers_[news.sender];
+  peer.zone = news.zone;
+  peer.heard = now;
+  routers_.on_member_heard(news.sender, now);
+  if (news.anew) {
+    loads_.forget_peer(news.sender);
+    peer.complete = true;
+  } else if (news.number != peer.number + 1) {
+    peer.complete = false;  // something of it was lost, or it has never told the whole
+  }
+  peer.number = news.number;
+  if (std::find(news.incomplete.begin(), news.incomplete.end(), options_.address) != news.incomplete.end()) {
+    whole_requests_.insert(news.sender);
+  }
+  for (const fleet::BackendRecord& record : news.heartbeats) {
+    registry_.on_heartbeat(record, now);
+  }
+  for (const fleet::RouterNotice& notice : news.routers) {
+    routers_.on_notice(news.sender, notice, now);
+  }
+  loads_.on_peer(news.sender, news.loads);
+  for (const fleet::CacheChanges& changes : news.caches) {
+    caches_.apply(news.sender, changes);
+  }
+  caches_.note_shared(news.shared_parts);
+  for (const fleet::ChainPlacement& placement : news.placements) {
+    caches_.note_shared(placement.links);
+    add_placement(placement);
+  }
+  apply_engine_notes(news);
+}
+
+void FleetKnowledge::expire(TimePoint now) {
+  registry_.expire(now);
+  routers_.expire(now);
+  for (auto entry = peers_.begin(); entry != peers_.end();) {
+    if (now - entry->second.heard <= kPeerLease) {
+      ++entry;
+      continue;
+    }
+    loads_.forget_peer(entry->first);
+    caches_.lose_follower(entry->first);
+    entry = peers_.erase(entry);
+  }
+}
+
+fleet::PeerNews FleetKnowledge::take_peer_news(uint64_t term, bool leads) {
+  fleet::PeerNews news = std::exchange(untold_, {});
+  news.sender = options_.address;
+  news.zone = options_.zone;
+  news.term = term;
+  news.leads = leads;
+  news.number = ++last_number_;
+  news.loads = loads_.take_own_changes();
+  for (const auto& [address, peer] : peers_) {
+    if (!peer.complete) {
+      news.incomplete.push_back(address);
+    }
+  }
+  for (const std::string& id : std::exchange(untold_engines_, {})) {
+    if (const fleet::BackendRecord* record = registry_.find(id); record != nullptr && leads) {
+      news.engines.push_back({id, record->loading, record->models});
+    }
+  }
+  return news;
+}
+
+fleet::PeerNews FleetKnowledge::whole_for_peer(uint64_t term, bool leads, const fleet::NamedWeights& named,
+                                               TimePoint now) const {
+  fleet::PeerNews news;
+  news.sender = options_.address;
+  news.zone = options_.zone;
+  news.term = term;
+  news.leads = leads;
+  news.number = last_number_;
+  news.anew = true;
+  news.loads = loads_.own_sums();
+  news.shared_parts = caches_.shared_parts();
+  for (const auto& [name, router] : followers_) {
+    news.routers.push_back({router, true});
+  }
+  for (const auto& [model, history] : named) {
+    for (const auto& [version, since] : history.versions()) {
+      news.weights.push_back({model, version, to_milliseconds(now - since)});
+    }
+  }
+  for (const std::string& holder : caches_.followed_by(options_.address)) {
+    news.caches.push_back(caches_.whole(holder));
+  }
+  for (const fleet::BackendRecord& record : registry_.records()) {
+    if (registry_.heard_since(record.id, now - kPeerLease)) {
+      news.heartbeats.push_back(record);
+    }
+    if (leads && record.loading) {
+      news.engines.push_back({record.id, record.loading, record.models});
+    }
+  }
+  return news;
+}
+
+std::set<std::string> FleetKnowledge::take_whole_requests() { return std::exchange(whole_requests_, {}); }
+
+std::vector<LiveMember> FleetKnowledge::live_members(TimePoint now) const {
+  std::vector<LiveMember> members{{options_.address, options_.zone}};
+  for (const auto& [address, peer] : peers_) {
+    if (now - peer.heard <= kPeerLease) {
+      members.push_back({address, peer.zone});
+    }
+  }
+  return members;
+}
+
+FollowedCache FleetKnowledge::claim_cache(const std::string& holder, const std::string& address, bool store) {
+  const CacheMirror::Cache* known = caches_.find(holder);
+  const auto held = claimed_.find(holder);
+  const bool superseded = known != nullptr && held != claimed_.end() && known->follower != options_.address;
+  if (held != claimed_.end() && !superseded && held->second.address == address) {
+    return held->second;
+  }
+  FollowedCache followed{holder, address, store, known == nullptr ? 1 : known->claim + 1, 0, 0};
+  if (known != nullptr) {
+    followed.epoch = known->epoch;
+    followed.next_event = known->next_event;
+  }
+  fleet::CacheChanges claim = caches_.whole(holder);
+  claim.store = store;
+  claim.followed = false;
+  claim.claim = followed.claim;
+  on_cache_changes({claim});
+  return followed;
+}
+
+std::vector<FollowedCache> FleetKnowledge::choose_caches(
+    const std::map<std::string, std::string>& store_zones, TimePoint now) {
+  const std::vector<LiveMember> members = live_members(now);
+  std::set<std::string> holders;
+  std::map<std::string, FollowedCache> chosen;
+  const auto consider = [&](const std::string& holder, const std::string& address, const std::string& zone,
+                            bool store) {
+    holders.insert(holder);
+    if (follower_of(holder, zone, members) == options_.address) {
+      chosen[holder] = claim_cache(holder, address, store);
+    }
+  };
+  for (const auto& [address, zone] : store_zones) {
+    consider(address, address, zone, true);
+  }
+  registry_.table().visit_all([&](const std::string& id, const fleet::BackendRecord& record) {
+    if (!record.models.empty()) {
+      consider(id, record.address, record.zone, false);
+    }
+  });
+  caches_.keep(holders);
+  claimed_ = std::move(chosen);
+  std::vector<FollowedCache> list;
+  list.reserve(claimed_.size());
+  for (const auto& [holder, followed] : claimed_) {
+    list.push_back(followed);
+  }
+  return list;
+}
+
+bool FleetKnowledge::reaches(const FeedCursor& cursor) const {
+  return cursor.begun && registry_.table().reaches(cursor.registry) &&
+         loads_.totals().reaches(cursor.loads) && caches_.heads().reaches(cursor.heads) &&
+         caches_.shared_holdings().reaches(cursor.holdings);
+}
+
+bool FleetKnowledge::add_backends(FeedCursor& cursor, fleet::FleetNews& news) const {
+  cursor.registry = registry_.table().visit_since(
+      cursor.registry, kBackendsPerMessage, [&](const std::string& id, const fleet::BackendRecord* record) {
+        if (record == nullptr) {
+          news.gone.push_back(id);
+        } else {
+          news.backends.push_back(*record);
+        }
+      });
+  return cursor.registry == registry_.table().revision();
+}
+
+void FleetKnowledge::add_loads(FeedCursor& cursor, fleet::FleetNews& news) const {
+  cursor.loads = loads_.totals().visit_since(
+      cursor.loads, kLoadsPerMessage, [&](const std::string& backend, const fleet::BackendLoad* load) {
+        news.loads.push_back(load == nullptr ? fleet::BackendLoad{backend, 0, 0} : *load);
+      });
+}
+
+void FleetKnowledge::add_caches(FeedCursor& cursor, fleet::FleetNews& news) const {
+  std::map<std::string, fleet::CacheChanges> changed;  // by holder
+  const auto entry_of = [&](const std::string& holder) -> fleet::CacheChanges& {
+    fleet::CacheChanges& changes = changed[holder];
+    if (const CacheHead* head = caches_.heads().find(holder)) {
+      changes.store = head->store;
+      changes.followed = head->followed;
+    }
+    return changes;
+  };
+  cursor.heads = caches_.heads().visit_since(
+      cursor.heads, kHoldingsPerMessage,
+      [&](const std::string& holder, const CacheHead* head) { entry_of(holder).anew = head == nullptr; });
+  cursor.holdings = caches_.shared_holdings().visit_since(
+      cursor.holdings, kHoldingsPerMessage, [&](const HeldPart& held, const fleet::PartHolding* holding) {
+        fleet::PartHolding told{held.part, 0, 0};
+        entry_of(held.holder).holdings.push_back(holding == nullptr ? told : *holding);
+      });
+  for (auto& [holder, changes] : changed) {
+    changes.holder = holder;
+    news.caches.push_back(std::move(changes));
+  }
+}
+
+void FleetKnowledge::add_placements(FeedCursor& cursor, fleet::FleetNews& news) const {
+  const uint64_t end = placements_dropped_ + placements_.size();
+  uint64_t position = std::max(cursor.placements, placements_dropped_);
+  while (position < end && news.placements.size() < kPlacementsPerMessage) {
+    news.placements.push_back(placements_[position - placements_dropped_]);
+    ++position;
+  }
+  cursor.placements = position;
+}
+
+fleet::FleetNews FleetKnowledge::next_news(FeedCursor& cursor) const {
+  fleet::FleetNews news;
+  if (!reaches(cursor)) {
+    cursor = FeedCursor{};
+    cursor.begun = true;
+    cursor.placements = placements_dropped_ + placements_.size();  // what caches hold is told anyway
+    news.anew = true;
+  }
+  // Loads and caches of a back end come after the back end itself.
+  if (add_backends(cursor, news)) {
+    add_loads(cursor, news);
+    add_caches(cursor, news);
+    add_placements(cursor, news);
+  }
+  news.complete = cursor.registry == registry_.table().revision() &&
+                  cursor.holdings == caches_.shared_holdings().revision();
+  return news;
+}
+
+}  // namespace stoat::control
--- /dev/null
+++ b/src/control/fleet_knowledge.h
@@ -0,0 +1,132 @@
+/// What a control member knows of the running fleet besides the log: back ends, routers, loads, and what
+/// caches hold. It is soft state that heartbeats and events rebuild. Members tell one another the
+/// differences, once, so that all know the same and a change of leader loses nothing; each tells its own
+/// routers the differences since what they have. Free of I/O: messages and the time come in, messages go out.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "src/common/time.h"
+#include "src/control/cache_assignment.h"
+#include "src/control/cache_mirror.h"
+#include "src/control/cache_watch.h"
+#include "src/control/load_book.h"
+#include "src/control/router_directory.h"
+#include "src/fleet/backend_registry.h"
+#include "src/fleet/fleet_messages.h"
+#include "src/fleet/version_history.h"
+
+namespace stoat::control {
+
+/// Who this member is.
+struct KnowledgeOptions {
+  std::string address;  ///< internal; identifies the member
+  std::string zone;
+  fleet::RegistryOptions registry;
+};
+
+/// How far a router has been told. Routers with equal cursors get equal messages.
+struct FeedCursor {
+  bool begun = false;
+  uint64_t registry = 0;
+  uint64_t loads = 0;
+  uint64_t heads = 0;
+  uint64_t holdings = 0;
+  uint64_t placements = 0;
+  auto operator<=>(const FeedCursor&) const = default;
+};
+
+/// See the head of this file.
+class FleetKnowledge {
+ public:
+  explicit FleetKnowledge(KnowledgeOptions options);
+
+  // What comes in to this member
+  /// Takes a heartbeat. Returns true when it is newer than what was known.
+  bool on_heartbeat(const fleet::BackendRecord& record, TimePoint now);
+  /// Applies a replicated retirement.
+  void retire(const std::string& id, fleet::BackendState state) { registry_.retire(id, state); }
+  /// A router tells its state; `follows`: it takes this member's feed. Returns true when that is new.
+  bool on_router(const fleet::RouterRecord& router, bool follows, TimePoint now);
+  void on_router_loads(const fleet::RouterLoads& loads);
+  /// A router has not been heard for some time, or has closed its connection.
+  void forget_router(const std::string& name);
+  void on_placements(const std::vector<fleet::ChainPlacement>& placements);
+  void on_cache_changes(const std::vector<fleet::CacheChanges>& changes);
+  /// The leader announces that an engine loads new weights, or no longer does.
+  void set_loading(const std::string& id, bool loading);
+  /// The leader has seen the version of an engine's weights.
+  void set_version(const std::string& id, const std::string& model, uint64_t version);
+  /// On a change of leader: no engine is known to load.
+  void clear_loading();
+  /// Takes another member's news.
+  void on_peer_news(const fleet::PeerNews& news, TimePoint now);
+  /// Lets what has been silent for long go. To be called a few times a second.
+  void expire(TimePoint now);
+
+  // What goes out to the other members
+  /// The differences since the last call, one message for all members. One that is empty need not be sent.
+  fleet::PeerNews take_peer_news(uint64_t term, bool leads);
+  /// The last one of take_peer_news() was not sent.
+  void give_back_number() { --last_number_; }
+  /// All that this member is the source of, for one that lacks it. To be sent right after take_peer_news().
+  fleet::PeerNews whole_for_peer(uint64_t term, bool leads, const fleet::NamedWeights& named,
+                                 TimePoint now) const;
+  /// Members that have asked for the whole since the last call.
+  std::set<std::string> take_whole_requests();
+
+  /// The caches that this member is to follow, given the stores of the configuration in force.
+  std::vector<FollowedCache> choose_caches(const std::map<std::string, std::string>& store_zones,
+                                           TimePoint now);
+
+  /// The next piece for a router at `cursor`, which moves on. Empty (FleetNews::empty) when nothing is new.
+  fleet::FleetNews next_news(FeedCursor& cursor) const;
+
+  const fleet::BackendRegistry& registry() const { return registry_; }
+  const RouterDirectory& routers() const { return routers_; }
+  const LoadBook& loads() const { return loads_; }
+  const CacheMirror& caches() const { return caches_; }
+  /// This member and those that are heard.
+  std::vector<LiveMember> live_members(TimePoint now) const;
+
+ private:
+  /// What is known of another member.
+  struct Peer {
+    std::string zone;
+    TimePoint heard{0};
+    uint64_t number = 0;    ///< of its last news
+    bool complete = false;  ///< no news since its last whole are missing
+  };
+  void add_placement(const fleet::ChainPlacement& placement);
+  void apply_engine_notes(const fleet::PeerNews& news);
+  FollowedCache claim_cache(const std::string& holder, const std::string& address, bool store);
+  bool add_backends(FeedCursor& cursor, fleet::FleetNews& news) const;
+  void add_loads(FeedCursor& cursor, fleet::FleetNews& news) const;
+  void add_caches(FeedCursor& cursor, fleet::FleetNews& news) const;
+  void add_placements(FeedCursor& cursor, fleet::FleetNews& news) const;
+  bool reaches(const FeedCursor& cursor) const;
+
+  KnowledgeOptions options_;
+  fleet::BackendRegistry registry_;
+  RouterDirectory routers_;
+  LoadBook loads_;
+  CacheMirror caches_;
+  std::map<std::string, fleet::RouterRecord> followers_;  ///< routers that take this member's feed
+  std::map<std::string, FollowedCache> claimed_;          ///< caches that this member follows, by holder
+  std::map<std::string, Peer> peers_;                     ///< by internal address
+  std::set<std::string> whole_requests_;
+
+  std::deque<fleet::ChainPlacement> placements_;  ///< the newest ones
+  uint64_t placements_dropped_ = 0;               ///< older ones than those
+  uint64_t last_number_ = 0;
+  fleet::PeerNews untold_;
+  std::set<std::string> untold_engines_;  ///< whose notes are to be told
+  uint64_t notes_term_ = 0;               ///< of the leader whose notes were taken last
+};
+
+}  // namespace stoat::control
--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -1,4 +1,6 @@
-/// FleetServer: the routers that follow this member, and the registry of back ends.
+/// FleetServer: the routers. What binds (configurations, retirements, confirmations) goes to every router
+/// from every member; what is known of the running fleet goes to those that follow this member, as
+/// differences.
 #include <algorithm>
 
 #include "src/control/fleet_server.h"
@@ -8,102 +10,44 @@
 
 namespace {
 
-/// A router that has said nothing for so long is not listed.
-constexpr Duration kRouterLease = 1500ms;
-/// A follower leaves a new configuration to the leader for so long before it sends it as well.
-constexpr Duration kFollowerDelay = 400ms;
-/// News of routers are passed on together, this long after the first of them.
-constexpr Duration kNewsDelay = 30ms;
-/// Placements kept for one router until they are passed on.
-constexpr size_t kMaxNews = 1024;
-/// Named versions of a model that go with each update.
+/// A router that follows this member tells its state each 400 ms; one that follows another, each 1.2 s.
+constexpr Duration kFollowerSilence = 1500ms;
+constexpr Duration kRouterSilence = 3500ms;
+/// Members that a router does not follow leave a new configuration to the one that it follows for so long.
+constexpr Duration kOthersDelay = 400ms;
+/// A configuration that is on its way to a router is not sent again for so long.
+constexpr Duration kConfigurationResend = 1s;
+/// Retirements that a router which has just connected is told of; older ones are in no registry any more.
+constexpr uint64_t kRecentRetired = 256;
+/// While so many bytes wait for a router, no news are added: what is newer replaces what is older.
+constexpr size_t kMaxUnsentNews = 64U << 10U;
+/// Named versions of a model that routers are told.
 constexpr size_t kNamedVersions = 6;
-/// Retirements that go with each update. A router hears a few updates a second.
-constexpr size_t kRecentRetired = 64;
 
 }  // namespace
 
 void FleetServer::heartbeat(const fleet::BackendRecord& record) {
-  if (!registry_.on_heartbeat(record, loop_.now())) {
-    return;
-  }
-  unsent_heartbeats_.push_back(record);
-  notice_changes();
+  knowledge_.on_heartbeat(record, loop_.now());
 }
 
 bool FleetServer::retired(const std::string& id, fleet::BackendState state) const {
   return core_->state().fleet().retired_state(id) >= state;
 }
 
-void FleetServer::send_heartbeats() {
-  if (unsent_heartbeats_.empty()) {
-    return;
-  }
-  fleet::HeartbeatBatch batch;
-  batch.records.swap(unsent_heartbeats_);
-  for (const consensus::Member& member : core_->replica().members().members) {
-    if (member.id == identity_.id) {
-      continue;
-    }
-    if (const ChannelPtr channel = channel_to(member.address)) {
-      channel->send(batch);
-    }
-  }
+std::vector<fleet::RouterRecord> FleetServer::routers_for(const std::string& zone, size_t limit) const {
+  return knowledge_.routers().for_callers(zone, limit, loop_.now());
 }
 
-void FleetServer::keep_registry() {
-  registry_.expire(loop_.now());
+void FleetServer::keep_knowledge() {
+  knowledge_.expire(loop_.now());
+  ready_count_ = knowledge_.routers().ready_count(loop_.now());
   choose_caches();
-  notice_changes();
+  note_backends();
   note_members();
-  const TimePoint now = loop_.now();
-  std::erase_if(routers_, [&](const auto& entry) {
-    const bool silent = now - entry.second.at > kRouterLease && !entry.second.channel->open();
-    if (silent) {
-      log_.event(events::RouterChanged{entry.first, "silent", entry.second.status.configuration_version});
-    }
-    return silent;
-  });
-}
-
-void FleetServer::choose_caches() {
-  if (!core_->replica().leads()) {
-    return;
-  }
-  std::vector<FollowedCache> caches;
-  for (const fleet::Service& service : core_->state().fleet().configuration().services) {
-    if (!service.store_address.empty()) {
-      caches.push_back({service.store_address, service.store_address, true});
-    }
-  }
-  for (const fleet::BackendRecord& record : registry_.records()) {
-    if (!record.models.empty()) {
-      caches.push_back({record.id, record.address, false});
-    }
-  }
-  caches_.follow(caches);
+  drop_silent_routers();
 }
 
-void FleetServer::follow_caches() {
-  if (!core_->replica().leads()) {
-    return;
-  }
-  caches_.poll(loop_.now());
-  const fleet::CacheNews news = caches_.take_changes();
-  if (news.caches.empty()) {
-    return;
-  }
-  for (const fleet::CacheChanges& changes : news.caches) {
-    if (changes.anew || !changes.followed) {
-      log_.event(events::CacheFollowed{changes.holder, changes.followed});
-    }
-  }
-  for (auto& [name, router] : routers_) {
-    if (router.channel->open()) {
-      router.channel->send(news);
-    }
-  }
-}
+uint64_t FleetServer::configuration_version() const { return core_->state().fleet().configuration().version; }
 
 int64_t FleetServer::confirmed_age_ms() const {
   const consensus::Replica& replica = core_->replica();
@@ -116,170 +60,204 @@
   return to_milliseconds(loop_.now() - confirmed) + 1;
 }
 
-std::vector<fleet::RouterRecord> FleetServer::ready_routers() const {
-  std::vector<fleet::RouterRecord> list;
+fleet::FleetUpdate FleetServer::make_update(const RouterLink& link) const {
   const TimePoint now = loop_.now();
-  for (const auto& [name, router] : routers_) {
-    if (router.status.router.ready && now - router.at < kRouterLease) {
-      list.push_back(router.status.router);
+  fleet::FleetUpdate update;
+  update.leads = core_->replica().leads();
+  update.zone = settings_.zone;
+  if (const auto confirmed = confirmation()) {
+    update.quorum_age_ms = to_milliseconds(now - confirmed->at) + 1;
+    update.confirmed_version = confirmed->version;
+  }
+  const uint64_t newest = retired_.revision();
+  const uint64_t since = std::max(link.told.retired, newest - std::min(newest, kRecentRetired));
+  retired_.visit_since(since, SIZE_MAX, [&](const std::string& id, const fleet::BackendState* state) {
+    if (state != nullptr) {
+      update.retired.push_back({id, *state});
+    }
+  });
+  if (link.told.weights != named_revision_) {
+    for (const auto& [model, history] : named_) {
+      const auto& versions = history.versions();
+      const size_t skip = versions.size() > kNamedVersions ? versions.size() - kNamedVersions : 0;
+      for (auto entry = std::next(versions.begin(), static_cast<std::ptrdiff_t>(skip));
+           entry != versions.end(); ++entry) {
+        update.weights.push_back({model, entry->first, to_milliseconds(now - entry->second)});
+      }
     }
   }
-  return list;
+  if (link.told.members != members_revision_) {
+    for (const consensus::Member& member : core_->replica().members().members) {
+      update.members.push_back(member.address);
+    }
+  }
+  update.router_count = static_cast<uint32_t>(ready_count_);
+  return update;
 }
 
-std::vector<fleet::BackendLoad> FleetServer::loads_beside(const std::string& router) const {
-  std::map<std::string, fleet::BackendLoad> sums;
+bool FleetServer::needs_configuration(const RouterLink& link, bool prompted) const {
+  const uint64_t version = configuration_version();
   const TimePoint now = loop_.now();
-  for (const auto& [name, seen] : routers_) {
-    if (name == router || now - seen.at > kRouterLease) {
-      continue;
-    }
-    for (const fleet::BackendLoad& load : seen.status.loads) {
-      fleet::BackendLoad& sum = sums[load.backend];
-      sum.backend = load.backend;
-      sum.outstanding += load.outstanding;
-      sum.prefill_tokens += load.prefill_tokens;
-    }
+  if (link.status.configuration_version >= version) {
+    return false;
   }
-  std::vector<fleet::BackendLoad> list;
-  list.reserve(sums.size());
-  for (auto& [name, sum] : sums) {
-    list.push_back(std::move(sum));
+  if (link.configuration_sent >= version && now - link.configuration_sent_at < kConfigurationResend) {
+    return false;
   }
-  return list;
+  return link.status.follows || (prompted && now - configuration_applied_ >= kOthersDelay);
 }
 
-fleet::FleetUpdate FleetServer::make_update() const {
-  const fleet::FleetState& state = core_->state().fleet();
-  fleet::FleetUpdate update;
-  update.leads = core_->replica().leads();
-  update.quorum_age_ms = update.leads ? confirmed_age_ms() : -1;
-  update.configuration_version = state.configuration().version;
-  for (const NamedSince& named : named_) {
-    update.weights.push_back({named.model, named.version, to_milliseconds(loop_.now() - named.at)});
-  }
-  const auto& retired = state.retired();
-  const size_t skip = retired.size() > kRecentRetired ? retired.size() - kRecentRetired : 0;
-  update.retired.assign(retired.begin() + static_cast<std::ptrdiff_t>(skip), retired.end());
-  for (const consensus::Member& member : core_->replica().members().members) {
-    update.members.push_back(member.address);
-  }
-  update.stores = caches_.live_stores();
-  update.router_count = static_cast<uint32_t>(ready_routers().size());
-  return update;
+void FleetServer::answer_router(RouterLink& link) {
+  fleet::FleetUpdate update = make_update(link);
+  update.answers = link.status.sequence;
+  if (needs_configuration(link, true)) {
+    update.configuration.push_back(core_->state().fleet().configuration());
+    link.configuration_sent = configuration_version();
+    link.configuration_sent_at = loop_.now();
+  }
+  link.told = {retired_.revision(), named_revision_, members_revision_};
+  link.channel->send(update);
 }
 
-void FleetServer::update_router(RouterSeen& router, fleet::FleetUpdate update, bool prompted) {
-  const fleet::FleetConfiguration& configuration = core_->state().fleet().configuration();
-  const TimePoint now = loop_.now();
-  if (router.status.configuration_version >= configuration.version) {
-    router.stale_since = TimePoint(0);
-  } else if (router.stale_since == TimePoint(0)) {
-    router.stale_since = now;
-  }
-  const bool stale = router.stale_since != TimePoint(0);
-  if (stale && (update.leads || now - router.stale_since >= kFollowerDelay)) {
-    update.configuration.push_back(configuration);
-    router.status.configuration_version = configuration.version;  // until it says otherwise
-  }
-  if (update.leads || !prompted) {
-    update.registry_given = router.status.registry_digest != registry_.digest();
-  } else {
-    update.registry_given = router.status.registry_digest == 0;
-  }
-  if (update.registry_given) {
-    update.registry = registry_.records();
-    router.status.registry_digest = registry_.digest();
-  }
-  if (prompted && update.leads) {
-    update.loads = loads_beside(router.status.router.name);
+void FleetServer::push_to_routers() {
+  // Routers that were told the same get the same frame.
+  std::map<std::pair<ToldRevisions, bool>, std::string> frames;
+  const ToldRevisions newest{retired_.revision(), named_revision_, members_revision_};
+  for (auto& [name, link] : routers_) {
+    if (!link.channel->open()) {
+      continue;
+    }
+    const bool configuration = needs_configuration(link, false);
+    std::string& frame = frames[{link.told, configuration}];
+    if (frame.empty()) {
+      fleet::FleetUpdate update = make_update(link);
+      if (configuration) {
+        update.configuration.push_back(core_->state().fleet().configuration());
+      }
+      frame = wire::make_frame(update);
+    }
+    link.told = newest;
+    if (configuration) {
+      link.configuration_sent = configuration_version();
+      link.configuration_sent_at = loop_.now();
+    }
+    link.channel->send_frame(frame);
   }
-  router.channel->send(update);
 }
 
 void FleetServer::on_router_status(const ChannelPtr& channel, const fleet::RouterStatus& status) {
-  const bool known = routers_.count(status.router.name) > 0;
-  RouterSeen& router = routers_[status.router.name];
-  if (!known || router.status.router.ready != status.router.ready) {
-    const char* change = status.router.ready ? "ready" : known ? "not ready" : "appeared";
-    log_.event(events::RouterChanged{status.router.name, change, status.configuration_version});
-  }
-  const bool reconnected = router.channel != channel;
-  router.status = status;
-  router.channel = channel;
-  router.at = loop_.now();
-  fleet::FleetUpdate update = make_update();
-  update.answers = status.sequence;
-  update_router(router, std::move(update), true);
-  if (reconnected && core_->replica().leads()) {
-    channel->send(caches_.everything());
+  const std::string& name = status.router.name;
+  const bool known = routers_.count(name) > 0;
+  RouterLink& link = routers_[name];
+  const bool heard_before = known && !link.silent;
+  if (status.follows && (!heard_before || link.status.router.ready != status.router.ready)) {
+    const char* change = status.router.ready ? "ready" : heard_before ? "not ready" : "appeared";
+    log_.event(events::RouterChanged{name, change, status.configuration_version});
+  }
+  if (link.channel != channel) {
+    link.reconnect(channel);
+  }
+  const bool begins = status.follows && !(known && link.status.follows);
+  if (begins) {
+    link.cursor = {};
+  }
+  link.status = status;
+  link.heard = loop_.now();
+  link.silent = false;
+  knowledge_.on_router(status.router, status.follows, loop_.now());
+  answer_router(link);
+  if (begins) {
+    std::map<FeedCursor, FeedFrame> frames;
+    feed_router(link, frames);
   }
 }
 
-void FleetServer::on_placement_news(const ChannelPtr& channel, const fleet::PlacementNews& news) {
-  for (const fleet::ChainPlacement& placement : news.placements) {
-    caches_.note_shared(placement.links);
-  }
-  for (auto& [name, router] : routers_) {
-    if (router.channel == channel || router.news.placements.size() > kMaxNews) {
-      continue;
+void FleetServer::on_router_closed(const ChannelPtr& channel) {
+  for (auto& [name, link] : routers_) {
+    if (link.channel == channel && !link.silent) {
+      link.silent = true;
+      knowledge_.forget_router(name);
+      log_.event(events::RouterChanged{name, "closed", link.status.configuration_version});
     }
-    router.news.placements.insert(router.news.placements.end(), news.placements.begin(),
-                                  news.placements.end());
   }
-  if (!news_waiting_) {
-    news_waiting_ = true;
-    loop_.after(kNewsDelay, [this] { pass_on_news(); });
+}
+
+void FleetServer::drop_silent_routers() {
+  const TimePoint now = loop_.now();
+  for (auto entry = routers_.begin(); entry != routers_.end();) {
+    RouterLink& link = entry->second;
+    const Duration limit = link.status.follows ? kFollowerSilence : kRouterSilence;
+    if (!link.silent && now - link.heard > limit) {
+      link.silent = true;
+      knowledge_.forget_router(entry->first);
+      log_.event(events::RouterChanged{entry->first, "silent", link.status.configuration_version});
+    }
+    if (link.silent && !link.channel->open()) {
+      entry = routers_.erase(entry);
+    } else {
+      ++entry;
+    }
   }
 }
 
-void FleetServer::pass_on_news() {
-  news_waiting_ = false;
-  for (auto& [name, router] : routers_) {
-    if (!router.news.placements.empty() && router.channel->open()) {
-      router.channel->send(router.news);
+void FleetServer::feed_routers() {
+  std::map<FeedCursor, FeedFrame> frames;
+  for (auto& [name, link] : routers_) {
+    if (link.status.follows && !link.silent) {
+      feed_router(link, frames);
     }
-    router.news.placements.clear();
   }
 }
 
-void FleetServer::push_to_routers() {
-  const fleet::FleetUpdate update = make_update();
-  for (auto& [name, router] : routers_) {
-    if (router.channel->open()) {
-      update_router(router, update, false);
+void FleetServer::feed_router(RouterLink& link, std::map<FeedCursor, FeedFrame>& frames) {
+  while (link.channel->open() && link.channel->unsent_bytes() < kMaxUnsentNews) {
+    auto found = frames.find(link.cursor);
+    if (found == frames.end()) {
+      FeedFrame made;
+      made.after = link.cursor;
+      const fleet::FleetNews news = knowledge_.next_news(made.after);
+      made.complete = news.complete;
+      if (!news.empty()) {
+        made.frame = wire::make_frame(news);
+      }
+      found = frames.emplace(link.cursor, std::move(made)).first;
+    }
+    const FeedFrame& next = found->second;
+    link.cursor = next.after;
+    if (!next.frame.empty()) {
+      link.channel->send_frame(next.frame);
+    }
+    if (next.complete || next.frame.empty()) {
+      return;
     }
   }
 }
 
 void FleetServer::notice_named_weights() {
   for (const auto& [model, version] : core_->state().fleet().weights()) {
-    const bool known = std::any_of(named_.begin(), named_.end(),
-                                   [&, &name = model, &number = version](const NamedSince& named) {
-                                     return named.model == name && named.version >= number;
-                                   });
-    if (!known) {
-      named_.push_back({model, version, loop_.now()});
+    if (named_[model].newest() < version) {
+      named_[model].note(version, loop_.now());
+      ++named_revision_;
       log_.event(events::WeightsNamed{model, version, 0});
     }
   }
-  while (named_.size() > kNamedVersions * core_->state().fleet().weights().size()) {
-    named_.erase(named_.begin());
-  }
 }
 
-void FleetServer::note_events() {
-  const std::vector<fleet::BackendRecord> records = registry_.records();
-  for (const events::BackendChanged& change : events::backend_changes(noted_registry_, records)) {
-    log_.event(change);
-  }
-  noted_registry_ = records;
-  const fleet::FleetConfiguration& configuration = core_->state().fleet().configuration();
-  if (configuration.version != noted_configuration_) {
-    noted_configuration_ = configuration.version;
-    log_.event(events::ConfigurationInForce{configuration.version, configuration.routes.size(),
-                                            configuration.tenants.size()});
-  }
+void FleetServer::note_backends() {
+  const auto& table = knowledge_.registry().table();
+  std::vector<events::BackendChanged> changes;
+  noted_backends_ = table.visit_since(
+      noted_backends_, SIZE_MAX, [&](const std::string& id, const fleet::BackendRecord* record) {
+        const auto known = noted_registry_.find(id);
+        const fleet::BackendRecord* before = known == noted_registry_.end() ? nullptr : &known->second;
+        events::add_backend_changes(before, record, changes);
+        if (record == nullptr) {
+          noted_registry_.erase(id);
+        } else {
+          noted_registry_[id] = *record;
+        }
+      });
+  events::log_backend_changes(log_, changes);
 }
 
 void FleetServer::note_members() {
@@ -291,33 +269,31 @@
   }
   if (change.members != noted_members_) {
     noted_members_ = change.members;
+    ++members_revision_;
     log_.event(change);
   }
 }
 
 void FleetServer::notice_changes() {
   const fleet::FleetState& state = core_->state().fleet();
-  if (state.revision() != noticed_revision_) {
-    notice_named_weights();
-    for (const fleet::RetiredBackend& retired : state.retired()) {
-      registry_.retire(retired.id, retired.state);
-    }
-  }
-  const bool retired_more = state.retired().size() != noticed_retired_;
-  const std::vector<std::string> stores = caches_.live_stores();
-  const bool changed = state.revision() != noticed_revision_ || registry_.digest() != noticed_digest_ ||
-                       stores != noticed_stores_;
-  if (changed) {
-    note_events();
+  if (state.revision() == noticed_revision_) {
+    return;
   }
-  noticed_stores_ = stores;
   noticed_revision_ = state.revision();
-  noticed_digest_ = registry_.digest();
-  noticed_retired_ = state.retired().size();
-  // The leader tells all that is new; the others only what must reach every router soon.
-  if (changed && (core_->replica().leads() || retired_more)) {
-    push_to_routers();
+  notice_named_weights();
+  for (const fleet::RetiredBackend& retired : state.retired()) {
+    if (retired_.set(retired.id, retired.state)) {
+      knowledge_.retire(retired.id, retired.state);
+    }
+  }
+  if (state.configuration().version != noted_configuration_) {
+    noted_configuration_ = state.configuration().version;
+    configuration_applied_ = loop_.now();
+    log_.event(events::ConfigurationInForce{state.configuration().version,
+                                            state.configuration().routes.size(),
+                                            state.configuration().tenants.size()});
   }
+  push_to_routers();
 }
 
 }  // namespace stoat::control
--- /dev/null
+++ b/src/control/fleet_peers.cc
@@ -0,0 +1,132 @@
+/// FleetServer: what control members tell one another besides the log, and the caches that they share out.
+#include "src/control/fleet_server.h"
+#include "src/events/fleet_events.h"
+
+namespace stoat::control {
+
+namespace {
+
+/// Members hear from one another at least so often.
+constexpr Duration kExchangeInterval = 200ms;
+/// A follower asks the leader for its last confirmation so often; without a fresh one, at the shorter
+/// interval.
+constexpr Duration kQuestionInterval = 100ms;
+constexpr Duration kFirstQuestionInterval = 20ms;
+/// A confirmation of this age is fresh.
+constexpr Duration kFreshConfirmation = 500ms;
+/// A member takes no more news while so many bytes wait for it: it will ask for the whole when it reads
+/// again.
+constexpr size_t kMaxUnsentNews = 1U << 20U;
+
+}  // namespace
+
+void FleetServer::exchange_with_peers() {
+  const TimePoint now = loop_.now();
+  const bool leads = core_->replica().leads();
+  const uint64_t term = core_->replica().term();
+  const fleet::PeerNews news = knowledge_.take_peer_news(term, leads);
+  if (news.empty() && now < next_exchange_) {
+    knowledge_.give_back_number();
+    return;
+  }
+  next_exchange_ = now + kExchangeInterval;
+  send_to_members(wire::make_frame(news));
+  for (const std::string& address : knowledge_.take_whole_requests()) {
+    if (const ChannelPtr channel = bulk_channel_to(address)) {
+      channel->send(knowledge_.whole_for_peer(term, leads, named_, now));
+    }
+  }
+}
+
+void FleetServer::send_to_members(const std::string& frame) {
+  for (const consensus::Member& member : core_->replica().members().members) {
+    if (member.id == identity_.id) {
+      continue;
+    }
+    const ChannelPtr channel = bulk_channel_to(member.address);
+    if (channel != nullptr && channel->unsent_bytes() < kMaxUnsentNews) {
+      channel->send_frame(frame);
+    }
+  }
+}
+
+void FleetServer::on_peer_news(const fleet::PeerNews& news) {
+  const TimePoint now = loop_.now();
+  knowledge_.on_peer_news(news, now);
+  for (const fleet::NamedVersion& named : news.weights) {
+    const auto known = named_.find(named.model);
+    if (known != named_.end() && known->second.versions().count(named.version) > 0) {
+      known->second.note(named.version, now - Duration(1000 * named.age_ms));
+    }
+  }
+}
+
+void FleetServer::ask_for_confirmation() {
+  const TimePoint now = loop_.now();
+  if (now < next_question_ || core_->replica().leads()) {
+    return;
+  }
+  const auto& newest = questions_.newest();
+  const bool fresh = newest && now - newest->at < kFreshConfirmation;
+  next_question_ = now + (fresh ? kQuestionInterval : kFirstQuestionInterval);
+  if (const ChannelPtr leader = leader_channel()) {
+    leader->send(questions_.ask(now));
+  }
+}
+
+void FleetServer::on_confirmation_question(const ChannelPtr& channel,
+                                           const fleet::ConfirmationQuestion& question) {
+  fleet::ConfirmationAnswer answer;
+  answer.number = question.number;
+  answer.quorum_age_ms = core_->replica().leads() ? confirmed_age_ms() : -1;
+  answer.configuration_version = configuration_version();
+  channel->send(answer);
+}
+
+void FleetServer::on_confirmation_answer(const fleet::ConfirmationAnswer& answer) {
+  questions_.on_answer(answer);
+  note_confirmation();
+}
+
+std::optional<LeaderConfirmation> FleetServer::confirmation() const {
+  if (!core_->replica().leads()) {
+    return questions_.newest();
+  }
+  const int64_t age_ms = confirmed_age_ms();
+  if (age_ms < 0) {
+    return std::nullopt;
+  }
+  return LeaderConfirmation{loop_.now() - Duration(1000 * age_ms), configuration_version()};
+}
+
+void FleetServer::note_confirmation() {
+  const auto newest = confirmation();
+  const bool confirmed = newest && loop_.now() - newest->at < kFreshConfirmation;
+  if (confirmed && !was_confirmed_) {
+    push_to_routers();  // they wait for the key lease, after a restart for the configuration as well
+  }
+  was_confirmed_ = confirmed;
+}
+
+void FleetServer::choose_caches() {
+  std::map<std::string, std::string> store_zones;
+  for (const fleet::Service& service : core_->state().fleet().configuration().services) {
+    if (!service.store_address.empty()) {
+      store_zones[service.store_address] = service.store_zone;
+    }
+  }
+  watch_.follow(knowledge_.choose_caches(store_zones, loop_.now()));
+}
+
+void FleetServer::follow_caches() {
+  watch_.poll(loop_.now());
+  const std::vector<fleet::CacheChanges> changes = watch_.take_changes();
+  for (const fleet::CacheChanges& change : changes) {
+    if (change.anew || !change.followed) {
+      log_.event(events::CacheFollowed{change.holder, change.followed});
+    }
+  }
+  knowledge_.on_cache_changes(changes);
+}
+
+}  // namespace stoat::control
--- a/src/control/fleet_rollout.cc
+++ b/src/control/fleet_rollout.cc
@@ -25,20 +25,18 @@
   if (!core_->replica().leads() || rollout_.fenced_off() || !may_order()) {
     return;
   }
-  const auto& weights = core_->state().fleet().weights();
-  if (weights.empty()) {
+  if (named_.empty()) {
     return;
   }
-  for (const RolloutStep& step : rollout_.plan(registry_.records(), weights, loop_.now())) {
+  for (const RolloutStep& step : rollout_.plan(knowledge_.registry().records(), named_, loop_.now())) {
     take_step(step);
   }
-  notice_changes();
 }
 
 void FleetServer::take_step(const RolloutStep& step) {
   switch (step.kind) {
     case RolloutStep::Kind::kAnnounce:
-      registry_.set_loading(step.engine.id, true);
+      knowledge_.set_loading(step.engine.id, true);
       break;
     case RolloutStep::Kind::kOrder:
       send_order(step);
@@ -47,7 +45,7 @@
       check_engine(step);
       break;
     case RolloutStep::Kind::kRelease:
-      registry_.set_loading(step.engine.id, false);
+      knowledge_.set_loading(step.engine.id, false);
       break;
   }
 }
@@ -89,7 +87,7 @@
       return;
     }
     for (const fleet::ModelVersion& entry : report->models) {
-      registry_.set_version(engine, entry.model, entry.version);
+      knowledge_.set_version(engine, entry.model, entry.version);
     }
     rollout_.on_report(engine, *report, loop_.now());
   });
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -12,8 +12,9 @@
 
 constexpr Duration kTick = 10ms;
 constexpr Duration kJoinInterval = 150ms;
-constexpr Duration kHeartbeatBatch = 100ms;
-constexpr Duration kRegistryInterval = 100ms;
+/// Changes of the fleet are gathered for so long before they go to members and routers.
+constexpr Duration kFeedInterval = 50ms;
+constexpr Duration kKnowledgeInterval = 100ms;
 constexpr Duration kCacheInterval = 30ms;
 constexpr Duration kRolloutInterval = 20ms;
 constexpr Duration kStopGrace = 300ms;
@@ -52,8 +53,8 @@
       orders_(orders),
       files_(settings_.data_folder),
       store_(files_),
-      registry_(settings_.registry),
-      caches_(orders),
+      knowledge_({to_string(settings_.internal), settings_.zone, settings_.registry}),
+      watch_(orders),
       rollout_(settings_.rollout) {
   start_core(restore());
   if (core_->replica().last_index() == 0 && settings_.first_start && !settings_.seeds.empty() &&
@@ -63,11 +64,14 @@
   channels_ = std::make_unique<wire::ChannelServer>(
       loop, settings_.internal,
       [this](const ChannelPtr& channel, wire::Message message) { on_message(channel, std::move(message)); },
-      [](const ChannelPtr&) {});
+      [this](const ChannelPtr& channel) { on_router_closed(channel); });
   loop.every(kTick, [this] { tick(); });
   loop.every(kJoinInterval, [this] { ask_to_join(); });
-  loop.every(kHeartbeatBatch, [this] { send_heartbeats(); });
-  loop.every(kRegistryInterval, [this] { keep_registry(); });
+  loop.every(kFeedInterval, [this] {
+    exchange_with_peers();
+    feed_routers();
+  });
+  loop.every(kKnowledgeInterval, [this] { keep_knowledge(); });
   loop.every(kCacheInterval, [this] { follow_caches(); });
   loop.every(kRolloutInterval, [this] { roll_out_weights(); });
   log_.info("started", {{"name", settings_.name},
@@ -77,7 +81,10 @@
                         {"last_index", core_->replica().last_index()}});
 }
 
-FleetServer::~FleetServer() { wire::close_all(peers_); }
+FleetServer::~FleetServer() {
+  wire::close_all(peers_);
+  wire::close_all(bulk_peers_);
+}
 
 consensus::RestoredState FleetServer::restore() {
   auto restored = storage::restore_member(store_, settings_.name);
@@ -97,7 +104,7 @@
         loop_.stop();
       });
   for (const fleet::RetiredBackend& retired : core_->state().fleet().retired()) {
-    registry_.retire(retired.id, retired.state);
+    knowledge_.retire(retired.id, retired.state);
   }
 }
 
@@ -120,7 +127,16 @@
 }
 
 FleetServer::ChannelPtr FleetServer::channel_to(const std::string& address) {
-  ChannelPtr& channel = peers_[address];
+  return open_channel(peers_, address);
+}
+
+FleetServer::ChannelPtr FleetServer::bulk_channel_to(const std::string& address) {
+  return open_channel(bulk_peers_, address);
+}
+
+FleetServer::ChannelPtr FleetServer::open_channel(std::map<std::string, ChannelPtr>& channels,
+                                                  const std::string& address) {
+  ChannelPtr& channel = channels[address];
   if (channel != nullptr && channel->open()) {
     return channel;
   }
@@ -169,13 +185,16 @@
     driver_->drive();
   } else if (auto* status = std::get_if<fleet::RouterStatus>(&message.value)) {
     on_router_status(channel, *status);
-  } else if (auto* news = std::get_if<fleet::PlacementNews>(&message.value)) {
-    on_placement_news(channel, *news);
-  } else if (auto* batch = std::get_if<fleet::HeartbeatBatch>(&message.value)) {
-    for (const fleet::BackendRecord& record : batch->records) {
-      registry_.on_heartbeat(record, now);
-    }
-    notice_changes();
+  } else if (auto* loads = std::get_if<fleet::RouterLoads>(&message.value)) {
+    knowledge_.on_router_loads(*loads);
+  } else if (auto* placements = std::get_if<fleet::PlacementNews>(&message.value)) {
+    knowledge_.on_placements(placements->placements);
+  } else if (auto* news = std::get_if<fleet::PeerNews>(&message.value)) {
+    on_peer_news(*news);
+  } else if (auto* question = std::get_if<fleet::ConfirmationQuestion>(&message.value)) {
+    on_confirmation_question(channel, *question);
+  } else if (auto* confirmed = std::get_if<fleet::ConfirmationAnswer>(&message.value)) {
+    on_confirmation_answer(*confirmed);
   } else if (auto* call = std::get_if<wire::ControlCall>(&message.value)) {
     on_control_call(channel, std::move(*call));
   } else if (auto* answer = std::get_if<wire::ControlAnswer>(&message.value)) {
@@ -351,18 +370,14 @@
     led_ = leads;
     leader_since_ = now;
     rollout_.reset();
-    caches_.reset();
-    for (const fleet::BackendRecord& record : registry_.records()) {
-      registry_.set_loading(record.id, false);
+    if (leads) {
+      knowledge_.clear_loading();
     }
-    routers_know_leader_ = false;
     log_.info(leads ? "leads" : "leads no more", {{"term", core_->replica().term()}});
     metrics_.set("stoat_control_leads", leads ? 1 : 0);
   }
-  if (leads && !routers_know_leader_ && confirmed_age_ms() >= 0) {
-    routers_know_leader_ = true;
-    push_to_routers();  // they wait for the key lease, after a restart for the configuration as well
-  }
+  ask_for_confirmation();
+  note_confirmation();
   std::vector<uint64_t> expired;
   for (const auto& [token, waiting] : waiting_) {
     if (now >= waiting.expires) {
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -19,8 +19,10 @@
 #include "src/control/control_core.h"
 #include "src/control/durable_driver.h"
 #include "src/control/engine_orders.h"
+#include "src/control/fleet_knowledge.h"
+#include "src/control/leader_confirmation.h"
+#include "src/control/router_link.h"
 #include "src/control/weight_rollout.h"
-#include "src/fleet/backend_registry.h"
 #include "src/http/event_loop.h"
 #include "src/storage/replica_store.h"
 #include "src/wire/channel.h"
@@ -60,12 +62,12 @@
   void commit(Command command, Committed on_done);
   /// Gives the operator's document of the newest configuration; nullopt when this can't be confirmed.
   void read_configuration(std::function<void(std::optional<std::string>)> on_read);
-  /// Takes a heartbeat; passes it on to the other members and, when it tells something new, to the routers.
+  /// Takes a heartbeat; what it tells goes to the other members and to the routers soon after.
   void heartbeat(const fleet::BackendRecord& record);
   /// True when a back end is known to be retired at least as far as `state`.
   bool retired(const std::string& id, fleet::BackendState state) const;
-  /// The routers that are ready, as this member hears of them.
-  std::vector<fleet::RouterRecord> ready_routers() const;
+  /// Up to `limit` routers that are ready, for callers in a zone.
+  std::vector<fleet::RouterRecord> routers_for(const std::string& zone, size_t limit) const;
   /// Re-reads what may change while the process runs: the seeds.
   void set_seeds(std::vector<Endpoint> seeds) { settings_.seeds = std::move(seeds); }
   /// Stops in an orderly way: hands leadership over, then ends the loop.
@@ -80,19 +82,6 @@
     std::function<void(std::optional<std::string>)> on_read;
     TimePoint expires{0};
   };
-  /// A named version of weights, and when this member learned of it.
-  struct NamedSince {
-    std::string model;
-    uint64_t version = 0;
-    TimePoint at{0};
-  };
-  struct RouterSeen {
-    fleet::RouterStatus status;
-    std::shared_ptr<wire::Channel> channel;
-    TimePoint at{0};
-    fleet::PlacementNews news;  ///< of the other routers, not sent yet
-    TimePoint stale_since{0};   ///< since when its configuration has been behind; 0: it is not
-  };
   using ChannelPtr = std::shared_ptr<wire::Channel>;
 
   // fleet_server.cc: the replicated log and its peers
@@ -104,7 +93,11 @@
   void on_confirmed_read(const ChannelPtr& channel, const fleet::ConfirmedRead& read);
   void on_join(const ChannelPtr& channel, const wire::JoinRequest& request);
   void send_to_peer(const consensus::Message& message);
+  /// A connection for what must not wait: the log, and questions to the leader.
   ChannelPtr channel_to(const std::string& address);
+  /// Another one for all else, so that it does not stand in the way of the first.
+  ChannelPtr bulk_channel_to(const std::string& address);
+  ChannelPtr open_channel(std::map<std::string, ChannelPtr>& channels, const std::string& address);
   ChannelPtr leader_channel();
   void deliver_answers();
   void finish(uint64_t token, bool done, const std::optional<std::string>& source);
@@ -113,23 +106,35 @@
   uint64_t add_waiting(Waiting waiting);
   bool accepts(const Command& command) const;
 
-  // fleet_nodes.cc: routers and the registry
+  // fleet_nodes.cc: routers
   void on_router_status(const ChannelPtr& channel, const fleet::RouterStatus& status);
-  fleet::FleetUpdate make_update() const;
-  void update_router(RouterSeen& router, fleet::FleetUpdate update, bool prompted);
+  void on_router_closed(const ChannelPtr& channel);
+  void drop_silent_routers();
+  fleet::FleetUpdate make_update(const RouterLink& link) const;
+  bool needs_configuration(const RouterLink& link, bool prompted) const;
+  void answer_router(RouterLink& link);
   void push_to_routers();
-  void on_placement_news(const ChannelPtr& channel, const fleet::PlacementNews& news);
-  void pass_on_news();
+  void feed_routers();
+  void feed_router(RouterLink& link, std::map<FeedCursor, FeedFrame>& frames);
   void notice_changes();
   void notice_named_weights();
-  void note_events();
+  void note_backends();
   void note_members();
-  void send_heartbeats();
-  void keep_registry();
+  void keep_knowledge();
+  int64_t confirmed_age_ms() const;
+  std::optional<LeaderConfirmation> confirmation() const;
+  uint64_t configuration_version() const;
+
+  // fleet_peers.cc: what members tell one another besides the log
+  void exchange_with_peers();
+  void send_to_members(const std::string& frame);
+  void on_peer_news(const fleet::PeerNews& news);
+  void on_confirmation_question(const ChannelPtr& channel, const fleet::ConfirmationQuestion& question);
+  void on_confirmation_answer(const fleet::ConfirmationAnswer& answer);
+  void ask_for_confirmation();
+  void note_confirmation();
   void choose_caches();
   void follow_caches();
-  int64_t confirmed_age_ms() const;
-  std::vector<fleet::BackendLoad> loads_beside(const std::string& router) const;
 
   // fleet_rollout.cc: new weights
   void roll_out_weights();
@@ -149,30 +154,35 @@
   std::unique_ptr<ControlCore> core_;
   std::unique_ptr<DurableDriver> driver_;
   std::unique_ptr<wire::ChannelServer> channels_;
-  std::map<std::string, ChannelPtr> peers_;  ///< by internal address
-  std::set<std::string> join_addresses_;     ///< whom else to ask to be taken in
+  std::map<std::string, ChannelPtr> peers_;       ///< by internal address
+  std::map<std::string, ChannelPtr> bulk_peers_;  ///< likewise
+  std::set<std::string> join_addresses_;          ///< whom else to ask to be taken in
   std::map<uint64_t, Waiting> waiting_;
   uint64_t last_token_ = 0;
   bool delivering_ = false;
   bool stopping_ = false;
 
-  fleet::BackendRegistry registry_;
-  std::vector<fleet::BackendRecord> unsent_heartbeats_;
-  std::map<std::string, RouterSeen> routers_;  ///< by name
-  bool news_waiting_ = false;
-  std::vector<fleet::BackendRecord> noted_registry_;  ///< as last logged, like the next two
+  FleetKnowledge knowledge_;
+  std::map<std::string, RouterLink> routers_;                   ///< by name
+  size_t ready_count_ = 0;                                      ///< routers that are ready, as last counted
+  uint64_t noted_backends_ = 0;                                 ///< revision of the registry as last logged
+  std::map<std::string, fleet::BackendRecord> noted_registry_;  ///< as last logged, like the next two
   uint64_t noted_configuration_ = 0;
   std::string noted_members_;
   uint64_t noticed_revision_ = 0;
-  std::vector<NamedSince> named_;  ///< oldest first; the newest few of each model
-  uint64_t noticed_digest_ = 0;
-  size_t noticed_retired_ = 0;
+  fleet::RevisionTable<std::string, fleet::BackendState> retired_;  ///< as the log has it
+  fleet::NamedWeights named_;
+  uint64_t named_revision_ = 0;         ///< counts changes of `named_`
+  uint64_t members_revision_ = 0;       ///< counts changes of the member list
+  TimePoint configuration_applied_{0};  ///< when this member applied the newest configuration
 
-  CacheWatch caches_;
-  std::vector<std::string> noticed_stores_;
+  LeaderQuestions questions_;
+  TimePoint next_question_{0};
+  TimePoint next_exchange_{0};  ///< when the other members are to hear of this one, changes or not
+  CacheWatch watch_;
   WeightRollout rollout_;
   bool led_ = false;
-  bool routers_know_leader_ = false;  ///< they were told that this member leads and is confirmed
+  bool was_confirmed_ = false;  ///< routers were told that a leader is confirmed
   TimePoint leader_since_{0};
 };
 
--- /dev/null
+++ b/src/control/router_directory.cc
@@ -0,0 +1,92 @@
+#include "src/control/router_directory.h"
+
+#include <algorithm>
+
+#include "src/common/hash.h"
+
+namespace stoat::control {
+
+namespace {
+
+/// A router tells each member of itself at least every 1.2 s (gateway::ControlLinkOptions); two may be lost.
+constexpr Duration kStatusLease = 2500ms;
+/// Members exchange news at least every 200 ms.
+constexpr Duration kMemberLease = 1s;
+/// After so long a silent router is dropped.
+constexpr Duration kForgetAfter = 10s;
+
+}  // namespace
+
+bool RouterDirectory::on_status(const fleet::RouterRecord& router, TimePoint now) {
+  Known& known = routers_[router.name];
+  known.heard = now;
+  const bool changed = known.router != router;
+  known.router = router;
+  return changed;
+}
+
+void RouterDirectory::on_notice(const std::string& member, const fleet::RouterNotice& notice, TimePoint now) {
+  const auto found = routers_.find(notice.router.name);
+  if (notice.present) {
+    Known& known = routers_[notice.router.name];
+    known.router = notice.router;
+    known.member = member;
+    members_heard_[member] = now;
+  } else if (found != routers_.end() && found->second.member == member) {
+    routers_.erase(found);
+  }
+}
+
+void RouterDirectory::forget(const std::string& router) { routers_.erase(router); }
+
+bool RouterDirectory::live(const Known& known, TimePoint now) const {
+  if (known.heard > TimePoint(0) && now - known.heard < kStatusLease) {
+    return true;
+  }
+  const auto member = members_heard_.find(known.member);
+  return member != members_heard_.end() && now - member->second < kMemberLease;
+}
+
+void RouterDirectory::expire(TimePoint now) {
+  std::erase_if(routers_, [&](const auto& entry) {
+    const auto member = members_heard_.find(entry.second.member);
+    const TimePoint told = member == members_heard_.end() ? TimePoint(0) : member->second;
+    return now - std::max(entry.second.heard, told) > kForgetAfter;
+  });
+}
+
+std::vector<fleet::RouterRecord> RouterDirectory::ready(TimePoint now) const {
+  std::vector<fleet::RouterRecord> list;
+  for (const auto& [name, known] : routers_) {
+    if (known.router.ready && live(known, now)) {
+      list.push_back(known.router);
+    }
+  }
+  return list;
+}
+
+size_t RouterDirectory::ready_count(TimePoint now) const {
+  return static_cast<size_t>(std::count_if(routers_.begin(), routers_.end(), [&](const auto& entry) {
+    return entry.second.router.ready && live(entry.second, now);
+  }));
+}
+
+std::vector<fleet::RouterRecord> RouterDirectory::for_callers(const std::string& zone, size_t limit,
+                                                              TimePoint now) const {
+  std::vector<fleet::RouterRecord> list = ready(now);
+  if (list.size() <= limit) {
+    return list;
+  }
+  const uint64_t zone_hash = hash_bytes(zone);
+  const auto rank = [&](const fleet::RouterRecord& router) {
+    return std::make_pair(router.zone != zone, hash_pair(zone_hash, hash_bytes(router.name)));
+  };
+  std::partial_sort(list.begin(), list.begin() + static_cast<std::ptrdiff_t>(limit), list.end(),
+                    [&](const fleet::RouterRecord& left, const fleet::RouterRecord& right) {
+                      return rank(left) < rank(right);
+                    });
+  list.resize(limit);
+  return list;
+}
+
+}  // namespace stoat::control
--- a/src/control/weight_rollout.cc
+++ b/src/control/weight_rollout.cc
@@ -10,20 +10,28 @@
 using fleet::BackendRecord;
 using fleet::BackendState;
 using fleet::ModelVersion;
+using fleet::NamedWeights;
 
 /// The model of an engine that lags the most, with the version it should have; empty when none lags.
-ModelVersion wanted(const BackendRecord& engine, const std::map<std::string, uint64_t>& weights) {
+ModelVersion wanted(const BackendRecord& engine, const NamedWeights& weights) {
   for (const ModelVersion& entry : engine.models) {
     const auto named = weights.find(entry.model);
-    if (named != weights.end() && entry.version < named->second) {
-      return ModelVersion{entry.model, named->second};
+    if (named != weights.end() && entry.version < named->second.newest()) {
+      return ModelVersion{entry.model, named->second.newest()};
     }
   }
   return {};
 }
 
+/// Since when an engine should have other weights than it has; nullopt when it has the newest.
+std::optional<TimePoint> outdated_since(const BackendRecord& engine, const NamedWeights& weights) {
+  const std::string model = wanted(engine, weights).model;
+  const auto history = weights.find(model);
+  return history == weights.end() ? std::nullopt : history->second.outdated_since(engine.version_of(model));
+}
+
 /// The version of the model that wanted() names.
-uint64_t oldest_version(const BackendRecord& engine, const std::map<std::string, uint64_t>& weights) {
+uint64_t oldest_version(const BackendRecord& engine, const NamedWeights& weights) {
   return engine.version_of(wanted(engine, weights).model);
 }
 
@@ -41,9 +49,8 @@
 }
 
 std::vector<RolloutStep> WeightRollout::plan(const std::vector<BackendRecord>& engines,
-                                             const std::map<std::string, uint64_t>& weights, TimePoint now) {
+                                             const NamedWeights& weights, TimePoint now) {
   std::vector<RolloutStep> steps;
-  note_named(weights, now);
   std::map<std::string, const BackendRecord*> by_id;
   engines_of_.clear();
   for (const BackendRecord& engine : engines) {
@@ -69,7 +76,8 @@
   }
   for (const BackendRecord* engine : announced(by_id, weights)) {
     Load& load = loads_.at(engine->id);
-    load.version = std::max(load.version, weights.at(load.model));  // a newer one may have been named since
+    load.version =
+        std::max(load.version, weights.at(load.model).newest());  // a newer one may have been named since
     advance(*engine, load, now, steps);
   }
   start_loads(engines, weights, now, steps);
@@ -77,15 +85,14 @@
 }
 
 std::vector<const BackendRecord*> WeightRollout::lagging(const std::vector<BackendRecord>& engines,
-                                                         const std::map<std::string, uint64_t>& weights,
-                                                         TimePoint now) const {
+                                                         const NamedWeights& weights, TimePoint now) const {
   std::vector<const BackendRecord*> list;
   for (const BackendRecord& engine : engines) {
     const auto refused = refused_until_.find(engine.id);
     const bool resting = refused != refused_until_.end() && now < refused->second;
-    const bool due = now - lagging_since(engine, weights) >= options_.start_delay;
-    if (takes_orders(engine) && !resting && due && loads_.count(engine.id) == 0 &&
-        wanted(engine, weights).version != 0) {
+    const auto since = outdated_since(engine, weights);
+    const bool due = since && now - *since >= options_.start_delay;
+    if (takes_orders(engine) && !resting && due && loads_.count(engine.id) == 0) {
       list.push_back(&engine);
     }
   }
@@ -97,8 +104,7 @@
 }
 
 std::vector<const BackendRecord*> WeightRollout::announced(
-    const std::map<std::string, const BackendRecord*>& engines,
-    const std::map<std::string, uint64_t>& weights) const {
+    const std::map<std::string, const BackendRecord*>& engines, const NamedWeights& weights) const {
   std::vector<const BackendRecord*> list;
   for (const auto& [id, load] : loads_) {
     if (load.phase == Phase::kAnnounced && !load.asking) {
@@ -111,28 +117,6 @@
   return list;
 }
 
-void WeightRollout::note_named(const std::map<std::string, uint64_t>& weights, TimePoint now) {
-  constexpr size_t kMostVersions = 16;
-  for (const auto& [model, version] : weights) {
-    auto& versions = named_at_[model];
-    versions.emplace(version, now);
-    if (versions.size() > kMostVersions) {
-      versions.erase(versions.begin());
-    }
-  }
-}
-
-TimePoint WeightRollout::lagging_since(const BackendRecord& engine,
-                                       const std::map<std::string, uint64_t>& weights) const {
-  const ModelVersion target = wanted(engine, weights);
-  const auto versions = named_at_.find(target.model);
-  if (versions == named_at_.end()) {
-    return TimePoint(0);
-  }
-  const auto first = versions->second.upper_bound(engine.version_of(target.model));
-  return first == versions->second.end() ? TimePoint(0) : first->second;
-}
-
 size_t WeightRollout::bound_of(const std::string& service) const {
   const auto known = engines_of_.find(service);
   const double engines = known == engines_of_.end() ? 0 : static_cast<double>(known->second);
@@ -146,9 +130,8 @@
   }));
 }
 
-void WeightRollout::start_loads(const std::vector<BackendRecord>& engines,
-                                const std::map<std::string, uint64_t>& weights, TimePoint now,
-                                std::vector<RolloutStep>& steps) {
+void WeightRollout::start_loads(const std::vector<BackendRecord>& engines, const NamedWeights& weights,
+                                TimePoint now, std::vector<RolloutStep>& steps) {
   std::map<std::string, size_t> under_way_of;  // by service
   for (const BackendRecord& engine : engines) {
     under_way_of[engine.service] += loads_.count(engine.id);
--- a/src/control/weight_rollout.h
+++ b/src/control/weight_rollout.h
@@ -13,6 +13,7 @@
 
 #include "src/common/time.h"
 #include "src/fleet/backend_record.h"
+#include "src/fleet/version_history.h"
 
 namespace stoat::control {
 
@@ -62,9 +63,10 @@
 
   /// Forgets what is under way, on a change of leadership.
   void reset();
-  /// The steps due now. `engines` are the registered back ends, `weights` the named versions.
+  /// The steps due now. `engines` are the registered back ends. Since when versions are named is the caller's
+  /// to know: it must outlive a change of leadership.
   std::vector<RolloutStep> plan(const std::vector<fleet::BackendRecord>& engines,
-                                const std::map<std::string, uint64_t>& weights, TimePoint now);
+                                const fleet::NamedWeights& weights, TimePoint now);
   void on_order_answer(const std::string& engine, OrderAnswer answer, TimePoint now);
   void on_report(const std::string& engine, const EngineReport& report, TimePoint now);
   /// True when a fence higher than this leader's was seen; it must then stop ordering.
@@ -86,32 +88,23 @@
   /// Engines that wait for their order, those with the oldest weights first.
   std::vector<const fleet::BackendRecord*> announced(
       const std::map<std::string, const fleet::BackendRecord*>& engines,
-      const std::map<std::string, uint64_t>& weights) const;
+      const fleet::NamedWeights& weights) const;
   /// How many engines of a service have an order under way.
   size_t ordered_of(const std::string& service) const;
   /// How many engines of a service may load at once.
   size_t bound_of(const std::string& service) const;
   std::vector<const fleet::BackendRecord*> lagging(const std::vector<fleet::BackendRecord>& engines,
-                                                   const std::map<std::string, uint64_t>& weights,
-                                                   TimePoint now) const;
-  void start_loads(const std::vector<fleet::BackendRecord>& engines,
-                   const std::map<std::string, uint64_t>& weights, TimePoint now,
-                   std::vector<RolloutStep>& steps);
+                                                   const fleet::NamedWeights& weights, TimePoint now) const;
+  void start_loads(const std::vector<fleet::BackendRecord>& engines, const fleet::NamedWeights& weights,
+                   TimePoint now, std::vector<RolloutStep>& steps);
   void advance(const fleet::BackendRecord& engine, Load& load, TimePoint now,
                std::vector<RolloutStep>& steps);
 
-  /// Notes versions that are named for the first time, and forgets those that all later ones have overtaken.
-  void note_named(const std::map<std::string, uint64_t>& weights, TimePoint now);
-  /// When the first version above the engine's was named.
-  TimePoint lagging_since(const fleet::BackendRecord& engine,
-                          const std::map<std::string, uint64_t>& weights) const;
-
   RolloutOptions options_;
-  std::map<std::string, std::map<uint64_t, TimePoint>> named_at_;  ///< by model and version
-  std::map<std::string, size_t> engines_of_;                       ///< by service: engines that take orders
-  std::map<std::string, Load> loads_;                              ///< by engine
-  std::map<std::string, uint64_t> order_sequences_;                ///< by engine: orders that it has taken
-  std::map<std::string, TimePoint> refused_until_;                 ///< by engine
+  std::map<std::string, size_t> engines_of_;         ///< by service: engines that take orders
+  std::map<std::string, Load> loads_;                ///< by engine
+  std::map<std::string, uint64_t> order_sequences_;  ///< by engine: orders that it has taken
+  std::map<std::string, TimePoint> refused_until_;   ///< by engine
   bool fenced_off_ = false;
 };
 
--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -1,7 +1,6 @@
 #include "src/dispatch/backend_pool.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "src/common/hash.h"
@@ -16,39 +15,44 @@
   }
 }
 
-void BackendPool::update(const std::vector<fleet::BackendRecord>& records) {
-  std::set<std::string> present;
-  for (const fleet::BackendRecord& record : records) {
-    present.insert(record.id);
-    BackendPtr& backend = backends_[record.id];
-    if (backend == nullptr) {
-      backend = std::make_shared<Backend>();
-      backend->name_hash = hash_bytes(record.id);
-      backend->zone_hash = hash_bytes(record.zone);
-      parse_endpoint(record.address, backend->endpoint);
-      outliers_.know(record.id);
-    }
-    const fleet::BackendRecord known = std::exchange(backend->record, record);
-    for (fleet::ModelVersion& entry : backend->record.models) {
-      entry.version = std::max(entry.version, known.version_of(entry.model));
-    }
-    const auto retired = retired_.find(record.id);
-    if (retired != retired_.end()) {
-      backend->record.state = std::max(backend->record.state, retired->second);
-    }
+void BackendPool::put(const fleet::BackendRecord& record) {
+  BackendPtr& backend = backends_[record.id];
+  if (backend == nullptr) {
+    backend = std::make_shared<Backend>();
+    backend->name_hash = hash_bytes(record.id);
+    backend->zone_hash = hash_bytes(record.zone);
+    parse_endpoint(record.address, backend->endpoint);
+    outliers_.know(record.id);
   }
-  for (auto entry = backends_.begin(); entry != backends_.end();) {
-    if (present.count(entry->first) > 0) {
-      ++entry;
-      continue;
-    }
-    for (const auto& connection : entry->second->idle) {
-      connection->close();
-    }
-    entry->second->idle.clear();
-    outliers_.forget(entry->first);
-    entry = backends_.erase(entry);
+  const fleet::BackendRecord known = std::exchange(backend->record, record);
+  for (fleet::ModelVersion& entry : backend->record.models) {
+    entry.version = std::max(entry.version, known.version_of(entry.model));
+  }
+  const auto retired = retired_.find(record.id);
+  if (retired != retired_.end()) {
+    backend->record.state = std::max(backend->record.state, retired->second);
+  }
+}
+
+void BackendPool::remove(const std::string& id) {
+  const auto known = backends_.find(id);
+  if (known == backends_.end()) {
+    return;
+  }
+  for (const auto& connection : known->second->idle) {
+    connection->close();
+  }
+  known->second->idle.clear();
+  outliers_.forget(id);
+  backends_.erase(known);
+}
+
+std::set<std::string> BackendPool::ids() const {
+  std::set<std::string> list;
+  for (const auto& [id, backend] : backends_) {
+    list.insert(id);
   }
+  return list;
 }
 
 void BackendPool::note_version(Backend& backend, const std::string& model, uint64_t version) {
@@ -70,17 +74,40 @@
   }
 }
 
-void BackendPool::set_other_loads(const std::vector<fleet::BackendLoad>& loads) {
-  for (const auto& [id, backend] : backends_) {
-    backend->others_outstanding = 0;
-    backend->others_prefill_tokens = 0;
+void BackendPool::update_others(Backend& backend) {
+  const auto rest = [](uint32_t total, uint32_t own) { return total - std::min(total, own); };
+  backend.others_outstanding = rest(backend.total.outstanding, backend.told.outstanding);
+  backend.others_prefill_tokens = rest(backend.total.prefill_tokens, backend.told.prefill_tokens);
+}
+
+void BackendPool::set_total_load(const fleet::BackendLoad& load) {
+  if (const BackendPtr known = find(load.backend)) {
+    known->total = load;
+    update_others(*known);
   }
+}
+
+void BackendPool::set_told_loads(const std::vector<fleet::BackendLoad>& loads) {
+  std::map<std::string, const fleet::BackendLoad*> told;
   for (const fleet::BackendLoad& load : loads) {
-    const auto known = backends_.find(load.backend);
-    if (known != backends_.end()) {
-      known->second->others_outstanding = load.outstanding;
-      known->second->others_prefill_tokens = load.prefill_tokens;
-    }
+    told[load.backend] = &load;
+  }
+  for (const auto& [id, backend] : backends_) {
+    const auto entry = told.find(id);
+    backend->told = entry == told.end() ? fleet::BackendLoad{} : *entry->second;
+  }
+}
+
+void BackendPool::forget_totals() {
+  for (const auto& [id, backend] : backends_) {
+    backend->total = {};
+    update_others(*backend);
+  }
+}
+
+void BackendPool::forget_holdings() {
+  for (const auto& [id, backend] : backends_) {
+    backend->memory.forget_holdings();
   }
 }
 
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
   size_t connections = 0;                               ///< idle ones and those in use
   uint32_t outstanding = 0;
   uint64_t prefill_tokens = 0;  ///< of own requests without a first event
+  fleet::BackendLoad total;     ///< of all routers, as last heard
+  fleet::BackendLoad told;      ///< own part of it, as last told
   uint32_t others_outstanding = 0;
   uint64_t others_prefill_tokens = 0;
   placement::ChainMemory memory;
@@ -40,12 +43,22 @@
   BackendPool(const BackendPool&) = delete;
   BackendPool& operator=(const BackendPool&) = delete;
 
-  /// Takes the registry's present records. Back ends that are in it no more get no new requests.
-  void update(const std::vector<fleet::BackendRecord>& records);
+  /// Takes a back end's present record.
+  void put(const fleet::BackendRecord& record);
+  /// A back end that is in the registry no more gets no new requests.
+  void remove(const std::string& id);
+  /// Ids of all back ends.
+  std::set<std::string> ids() const;
   /// Applies retirements, which hold for ever.
   void retire(const std::vector<fleet::RetiredBackend>& retired);
-  /// Takes the loads that the other routers have told.
-  void set_other_loads(const std::vector<fleet::BackendLoad>& loads);
+  /// Takes the load that all routers have told, this one included.
+  void set_total_load(const fleet::BackendLoad& load);
+  /// This router's own loads have been told, and are in the totals soon.
+  void set_told_loads(const std::vector<fleet::BackendLoad>& loads);
+  /// Forgets the totals: another member is about to tell them.
+  void forget_totals();
+  /// Forgets what events told of caches: another member is about to tell it.
+  void forget_holdings();
   /// Notes the version of a model's weights that an answer told. Versions only go up within one start.
   static void note_version(Backend& backend, const std::string& model, uint64_t version);
   /// Back ends of a service that may get new requests, by id.
@@ -70,6 +83,7 @@
 
  private:
   std::vector<BackendPtr> up_to(fleet::BackendState state, const std::string& service) const;
+  static void update_others(Backend& backend);
   void drop_idle(const std::weak_ptr<Backend>& weak, EngineConnection* connection);
 
   EventLoop& loop_;
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -20,6 +20,7 @@
 #include "src/events/request_events.h"
 #include "src/events/request_story.h"
 #include "src/fleet/fleet_messages.h"
+#include "src/fleet/version_history.h"
 #include "src/placement/cache_namespace.h"
 #include "src/placement/pause_watch.h"
 #include "src/routing/route_table.h"
@@ -32,19 +33,6 @@
 inline constexpr int kFirstError = 300;
 inline constexpr int kBadGateway = 502;
 
-/// The versions of a model's weights that were named, each with the time since when engines should have it.
-class WantedWeights {
- public:
-  /// Notes a named version. Of several times for one version the earliest counts.
-  void note(uint64_t version, TimePoint since);
-  /// How long a version has been out of date; nullopt when no higher one is named.
-  std::optional<Duration> outdated_for(uint64_t version, TimePoint now) const;
-  uint64_t newest() const { return since_.empty() ? 0 : since_.rbegin()->first; }
-
- private:
-  std::map<uint64_t, TimePoint> since_;  ///< by version
-};
-
 /// What all requests of a router share.
 struct DispatchContext {
   EventLoop& loop;
@@ -60,7 +48,7 @@
       6s;  ///< after a version was named, engines with older weights are used no more
   delivery::WindowBudgetOptions budget_options = {};
   std::map<std::string, delivery::WindowBudget> budgets = {};  ///< by service
-  std::map<std::string, WantedWeights> wanted = {};            ///< by model
+  fleet::NamedWeights wanted = {};                             ///< weights that engines should have
   StoreSet stores = {};
   /// Tells the other routers who holds a chain.
   std::function<void(fleet::ChainPlacement)> tell_placement = [](const fleet::ChainPlacement&) {};
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -26,22 +26,8 @@
 
 }  // namespace
 
-void WantedWeights::note(uint64_t version, TimePoint since) {
-  constexpr size_t kMostVersions = 16;
-  const auto [entry, added] = since_.emplace(version, since);
-  entry->second = std::min(entry->second, since);
-  if (added && since_.size() > kMostVersions) {
-    since_.erase(since_.begin());
-  }
-}
-
-std::optional<Duration> WantedWeights::outdated_for(uint64_t version, TimePoint now) const {
-  // Each version has its own limit: the lowest one above counts, however soon others followed.
-  const auto next = since_.upper_bound(version);
-  return next == since_.end() ? std::nullopt : std::optional<Duration>(now - next->second);
-}
-
 std::optional<Duration> RequestRun::outdated_for(const Backend& backend) const {
+  // Each version has its own limit: the lowest one above counts, however soon others followed.
   const auto wanted = context_.wanted.find(plan_.fields.model);
   if (wanted == context_.wanted.end()) {
     return std::nullopt;
--- a/src/dispatch/store_set.cc
+++ b/src/dispatch/store_set.cc
@@ -1,20 +1,13 @@
 #include "src/dispatch/store_set.h"
 
-#include <algorithm>
-
 #include "src/common/hash.h"
 
 namespace stoat::dispatch {
 
-bool StoreSet::set_live(const std::vector<std::string>& addresses) {
-  const size_t gone = std::erase_if(stores_, [&](const auto& entry) {
-    return std::find(addresses.begin(), addresses.end(), entry.first) == addresses.end();
-  });
-  const size_t kept = stores_.size();
-  for (const std::string& address : addresses) {
-    add(address);
+void StoreSet::forget_holdings() {
+  for (auto& [address, store] : stores_) {
+    store.memory.forget_holdings();
   }
-  return gone > 0 || stores_.size() > kept;
 }
 
 CacheStore& StoreSet::add(const std::string& address) {
--- a/src/dispatch/store_set.h
+++ b/src/dispatch/store_set.h
@@ -20,9 +20,11 @@
 /// See the head of this file.
 class StoreSet {
  public:
-  /// The stores that answer now. One that comes again is empty. True when the set has changed.
-  bool set_live(const std::vector<std::string>& addresses);
-  /// Adds a store, or gives the one that is known.
+  /// A store that does not answer; it is empty when it comes again.
+  void remove(const std::string& address) { stores_.erase(address); }
+  /// Forgets what events told of all stores.
+  void forget_holdings();
+  /// Adds a store that answers, or gives the one that is known.
   CacheStore& add(const std::string& address);
   /// nullptr when it is not known.
   CacheStore* find(const std::string& address);
--- a/src/events/fleet_events.cc
+++ b/src/events/fleet_events.cc
@@ -10,6 +10,9 @@
 using fleet::BackendRecord;
 using fleet::BackendState;
 
+/// Changes of one kind at once that get a line each.
+constexpr size_t kMostLines = 6;
+
 uint64_t newest_weights(const BackendRecord& record) {
   uint64_t version = 0;
   for (const fleet::ModelVersion& entry : record.models) {
@@ -39,26 +42,35 @@
 
 }  // namespace
 
-std::vector<BackendChanged> backend_changes(const std::vector<BackendRecord>& before,
-                                            const std::vector<BackendRecord>& after) {
-  std::vector<BackendChanged> changes;
-  std::map<std::string, const BackendRecord*> known;
-  for (const BackendRecord& record : before) {
-    known[record.id] = &record;
+void add_backend_changes(const BackendRecord* before, const BackendRecord* after,
+                         std::vector<BackendChanged>& changes) {
+  if (before != nullptr && after != nullptr) {
+    compare(*before, *after, changes);
+  } else if (after != nullptr) {
+    changes.push_back(make_change(*after, "appeared"));
+  } else if (before != nullptr) {
+    changes.push_back(make_change(*before, "forgotten"));
+  }
+}
+
+void log_backend_changes(const Logger& log, const std::vector<BackendChanged>& changes) {
+  std::map<std::string, std::vector<const BackendChanged*>> by_kind;
+  for (const BackendChanged& change : changes) {
+    by_kind[change.change].push_back(&change);
   }
-  for (const BackendRecord& record : after) {
-    const auto found = known.find(record.id);
-    if (found == known.end()) {
-      changes.push_back(make_change(record, "appeared"));
+  for (const auto& [kind, list] : by_kind) {
+    if (list.size() <= kMostLines) {
+      for (const BackendChanged* change : list) {
+        log.event(*change);
+      }
       continue;
     }
-    compare(*found->second, record, changes);
-    known.erase(found);
-  }
-  for (const auto& [id, record] : known) {
-    changes.push_back(make_change(*record, "forgotten"));
+    BackendsChanged summary{list.front()->change, list.size(), ""};
+    for (size_t position = 0; position < kMostLines; ++position) {
+      summary.backends += (position == 0 ? "" : ",") + list[position]->backend;
+    }
+    log.event(summary);
   }
-  return changes;
 }
 
 }  // namespace stoat::events
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "src/common/log.h"
 #include "src/common/log_line.h"
 #include "src/fleet/backend_record.h"
 
@@ -77,6 +78,14 @@
   std::vector<LogField> fields() const { return {{"from", from}, {"to", to}}; }
 };
 
+/// A router takes its feed of the fleet's state from another control member.
+struct FeedChanged {
+  static constexpr const char* kSentence = "feed changed";
+  std::string from;  ///< internal address; empty: none
+  std::string to;
+  std::vector<LogField> fields() const { return {{"from", from}, {"to", to}}; }
+};
+
 /// The store of KV cache answers, or has stopped to.
 struct StoreChanged {
   static constexpr const char* kSentence = "store changed";
@@ -115,8 +124,22 @@
   }
 };
 
-/// What has changed between two states of the registry.
-std::vector<BackendChanged> backend_changes(const std::vector<fleet::BackendRecord>& before,
-                                            const std::vector<fleet::BackendRecord>& after);
+/// Many back ends changed in the same way at once: told in one line instead of one each.
+struct BackendsChanged {
+  static constexpr const char* kSentence = "backends changed";
+  const char* change = "";
+  size_t count = 0;
+  std::string backends;  ///< the first few
+  std::vector<LogField> fields() const {
+    return {{"change", change}, {"count", count}, {"backends", backends}};
+  }
+};
+
+/// Adds what has changed in one back end; nullptr: it was not, or is not, known.
+void add_backend_changes(const fleet::BackendRecord* before, const fleet::BackendRecord* after,
+                         std::vector<BackendChanged>& changes);
+
+/// Writes changes to the log: a few of one kind in a line each, many in one line with their number.
+void log_backend_changes(const Logger& log, const std::vector<BackendChanged>& changes);
 
 }  // namespace stoat::events
--- a/src/fleet/backend_registry.cc
+++ b/src/fleet/backend_registry.cc
@@ -2,20 +2,8 @@
 
 #include <algorithm>
 
-#include "src/common/hash.h"
-#include "src/wire/codec.h"
-
 namespace stoat::fleet {
 
-uint64_t digest_of(const std::vector<BackendRecord>& records) {
-  uint64_t digest = 0;
-  for (BackendRecord record : records) {
-    record.sequence = 0;
-    digest += hash_bytes(wire::encode(record));  // a sum: the order of the records does not matter
-  }
-  return digest;
-}
-
 bool BackendRegistry::on_heartbeat(const BackendRecord& record, TimePoint now) {
   const auto known = seen_.find(record.id);
   if (known != seen_.end() && record.sequence <= known->second.record.sequence) {
@@ -41,7 +29,7 @@
     forget_predecessor(record);
   }
   seen_[record.id] = Seen{updated, now};
-  update_digest();
+  publish(updated);
   return true;
 }
 
@@ -54,6 +42,7 @@
       continue;
     }
     retired_[position->first] = BackendState::kGone;
+    table_.erase(position->first);
     position = seen_.erase(position);
   }
 }
@@ -64,7 +53,7 @@
   const auto known = seen_.find(id);
   if (known != seen_.end()) {
     known->second.record.state = std::max(known->second.record.state, state);
-    update_digest();
+    publish(known->second.record);
   }
 }
 
@@ -72,7 +61,7 @@
   const auto known = seen_.find(id);
   if (known != seen_.end() && known->second.record.loading != loading) {
     known->second.record.loading = loading;
-    update_digest();
+    publish(known->second.record);
   }
 }
 
@@ -83,28 +72,35 @@
   }
   for (ModelVersion& entry : known->second.record.models) {
     if (entry.model == model) {
-      entry.version = version;
+      entry.version = std::max(entry.version, version);
     }
   }
-  update_digest();
+  publish(known->second.record);
 }
 
 void BackendRegistry::expire(TimePoint now) {
-  bool changed = false;
-  for (auto& [id, seen] : seen_) {
+  for (auto position = seen_.begin(); position != seen_.end();) {
+    Seen& seen = position->second;
+    if (now - seen.at > options_.forget_after) {
+      table_.erase(position->first);
+      position = seen_.erase(position);
+      continue;
+    }
     const bool lost = now - seen.at > options_.lost_after;
-    changed = changed || lost != seen.record.lost;
-    seen.record.lost = lost;
-  }
-  changed =
-      std::erase_if(seen_, [&](const auto& entry) { return now - entry.second.at > options_.forget_after; }) >
-          0 ||
-      changed;
-  if (changed) {
-    update_digest();
+    if (lost != seen.record.lost) {
+      seen.record.lost = lost;
+      publish(seen.record);
+    }
+    ++position;
   }
 }
 
+void BackendRegistry::publish(const BackendRecord& record) {
+  BackendRecord published = record;
+  published.sequence = 0;
+  table_.set(record.id, published);
+}
+
 std::vector<BackendRecord> BackendRegistry::records() const {
   std::vector<BackendRecord> list;
   list.reserve(seen_.size());
@@ -114,11 +110,14 @@
   return list;
 }
 
+bool BackendRegistry::heard_since(const std::string& id, TimePoint since) const {
+  const auto known = seen_.find(id);
+  return known != seen_.end() && known->second.at >= since;
+}
+
 const BackendRecord* BackendRegistry::find(const std::string& id) const {
   const auto known = seen_.find(id);
   return known == seen_.end() ? nullptr : &known->second.record;
 }
 
-void BackendRegistry::update_digest() { digest_ = digest_of(records()); }
-
 }  // namespace stoat::fleet
--- a/src/fleet/backend_registry.h
+++ b/src/fleet/backend_registry.h
@@ -1,5 +1,6 @@
 /// The back ends that have registered, as soft state of a control member: heartbeats rebuild it, members pass
 /// heartbeats on to one another, and the replicated retirements go before everything that a heartbeat says.
+/// Those who follow it are told the differences since the revision that they have.
 #pragma once
 
 #include <map>
@@ -8,6 +9,7 @@
 
 #include "src/common/time.h"
 #include "src/fleet/backend_record.h"
+#include "src/fleet/revision_table.h"
 
 namespace stoat::fleet {
 
@@ -36,8 +38,10 @@
   /// All that is known, by id.
   std::vector<BackendRecord> records() const;
   const BackendRecord* find(const std::string& id) const;
-  /// A hash of all that matters to routers: changes with every change but that of a sequence.
-  uint64_t digest() const { return digest_; }
+  /// True when a heartbeat of it came no longer ago than `since`.
+  bool heard_since(const std::string& id, TimePoint since) const;
+  /// The same with the order of the changes. Sequences are left out: they change with every heartbeat.
+  const RevisionTable<std::string, BackendRecord>& table() const { return table_; }
 
  private:
   struct Seen {
@@ -45,15 +49,12 @@
     TimePoint at{0};
   };
   void forget_predecessor(const BackendRecord& record);
-  void update_digest();
+  void publish(const BackendRecord& record);
 
   RegistryOptions options_;
   std::map<std::string, Seen> seen_;
   std::map<std::string, BackendState> retired_;
-  uint64_t digest_ = 0;
+  RevisionTable<std::string, BackendRecord> table_;
 };
 
-/// The digest that a registry with these records has.
-uint64_t digest_of(const std::vector<BackendRecord>& records);
-
 }  // namespace stoat::fleet
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -17,16 +17,23 @@
   uint32_t outstanding = 0;
   uint32_t prefill_tokens = 0;  ///< of requests without a first event yet
   MSGPACK_DEFINE_ARRAY(backend, outstanding, prefill_tokens)
+  bool operator==(const BackendLoad&) const = default;
 };
 
-/// Router to each control member, a few times a second.
+/// Router to each control member, at intervals and at once when something has changed.
 struct RouterStatus {
   RouterRecord router;
   uint64_t sequence = 0;               ///< echoed by the answer
   uint64_t configuration_version = 0;  ///< that it has in force
-  uint64_t registry_digest = 0;        ///< of the back ends that it knows
+  bool follows = false;                ///< it takes the member's feed (FleetNews)
+  MSGPACK_DEFINE_ARRAY(router, sequence, configuration_version, follows)
+};
+
+/// Router to the member whose feed it follows: its requests under way. Back ends that aren't named have none.
+struct RouterLoads {
+  std::string router;
   std::vector<BackendLoad> loads;
-  MSGPACK_DEFINE_ARRAY(router, sequence, configuration_version, registry_digest, loads)
+  MSGPACK_DEFINE_ARRAY(router, loads)
 };
 
 /// A back end, or a store of KV cache, holds a chain of prompt parts.
@@ -37,7 +44,7 @@
   MSGPACK_DEFINE_ARRAY(holder, weights, links)
 };
 
-/// Router to the leader, and on to the other routers: what was read lately.
+/// Router to the member whose feed it follows: what was read lately.
 struct PlacementNews {
   std::vector<ChainPlacement> placements;
   MSGPACK_DEFINE_ARRAY(placements)
@@ -49,22 +56,20 @@
   uint64_t weights = 0;  ///< version that made it
   uint32_t tokens = 0;   ///< from its beginning; 0: nothing any more
   MSGPACK_DEFINE_ARRAY(part, weights, tokens)
+  bool operator==(const PartHolding&) const = default;
 };
 
 /// What has changed in one cache.
 struct CacheChanges {
-  std::string holder;     ///< id of the back end; address of a store
-  bool store = false;     ///< it is a store
-  bool followed = false;  ///< its changes come to the sender; without, nothing new will be told
-  bool anew = false;      ///< what was told before counts no more
+  std::string holder;       ///< id of the back end; address of a store
+  bool store = false;       ///< it is a store
+  bool followed = false;    ///< its changes come to the sender; without, nothing new will be told
+  bool anew = false;        ///< what was told before counts no more
+  uint64_t claim = 0;       ///< between members: the follower with the highest one tells what is in the cache
+  uint64_t epoch = 0;       ///< between members: changes when the cache restarts
+  uint64_t next_event = 0;  ///< between members: where another follower goes on
   std::vector<PartHolding> holdings;
-  MSGPACK_DEFINE_ARRAY(holder, store, followed, anew, holdings)
-};
-
-/// Leader to router: changes in caches, of the parts that prompts share.
-struct CacheNews {
-  std::vector<CacheChanges> caches;
-  MSGPACK_DEFINE_ARRAY(caches)
+  MSGPACK_DEFINE_ARRAY(holder, store, followed, anew, claim, epoch, next_event, holdings)
 };
 
 /// A version of a model's weights that was named, and how long ago as far as the sender knows.
@@ -75,30 +80,93 @@
   MSGPACK_DEFINE_ARRAY(model, version, age_ms)
 };
 
-/// Control member to router: the answer to a status, or unprompted when something has changed.
+/// Control member to router: the answer to a status, or unprompted when something has changed. What binds
+/// goes here: configurations, retirements, confirmations. Lists hold what is new on the connection.
 struct FleetUpdate {
   uint64_t answers = 0;  ///< sequence of the status that is answered; 0: unprompted
   bool leads = false;
-  /// Since a quorum last confirmed the sender as leader with all that is committed applied; negative: not.
+  std::string zone;  ///< of the sender
+  /// Since a quorum last confirmed the leader, as far as the sender knows; negative: it can't tell.
   int64_t quorum_age_ms = -1;
-  uint64_t configuration_version = 0;             ///< that the sender holds
+  uint64_t confirmed_version = 0;                 ///< the newest configuration at that confirmation
   std::vector<FleetConfiguration> configuration;  ///< empty or one
-  bool registry_given = false;
-  std::vector<BackendRecord> registry;  ///< counts when registry_given
-  std::vector<RetiredBackend> retired;  ///< recent ones
-  std::vector<NamedVersion> weights;    ///< the newest few of each model, oldest first
-  std::vector<std::string> members;     ///< "address:port" of the internal protocol of each control member
-  uint32_t router_count = 0;            ///< live routers
-  std::vector<BackendLoad> loads;       ///< of all other routers together
-  std::vector<std::string> stores;      ///< addresses of KV stores that answer; counts from the leader only
-  MSGPACK_DEFINE_ARRAY(answers, leads, quorum_age_ms, configuration_version, configuration, registry_given,
-                       registry, retired, weights, members, router_count, loads, stores)
-};
-
-/// Control member to control member: heartbeats that came in there.
-struct HeartbeatBatch {
-  std::vector<BackendRecord> records;
-  MSGPACK_DEFINE_ARRAY(records)
+  std::vector<RetiredBackend> retired;
+  std::vector<NamedVersion> weights;  ///< the newest few of each model, oldest first; empty: as before
+  std::vector<std::string> members;   ///< "address:port" of the internal protocol of each; empty: as before
+  uint32_t router_count = 0;          ///< live routers
+  MSGPACK_DEFINE_ARRAY(answers, leads, zone, quorum_age_ms, confirmed_version, configuration, retired,
+                       weights, members, router_count)
+};
+
+/// Control member to the routers that follow it: what has changed in the fleet since the last of these. A
+/// feed begins with all that is known, in pieces.
+struct FleetNews {
+  bool anew = false;      ///< the feed begins: what was told before counts no more
+  bool complete = false;  ///< all that the sender knows has been told
+  std::vector<BackendRecord> backends;
+  std::vector<std::string> gone;   ///< back ends that are forgotten
+  std::vector<BackendLoad> loads;  ///< of all routers together, of the back ends where it changed
+  std::vector<CacheChanges> caches;
+  std::vector<ChainPlacement> placements;
+  MSGPACK_DEFINE_ARRAY(anew, complete, backends, gone, loads, caches, placements)
+  bool empty() const {
+    return !anew && backends.empty() && gone.empty() && loads.empty() && caches.empty() && placements.empty();
+  }
+};
+
+/// A router that a control member hears, or hears no longer.
+struct RouterNotice {
+  RouterRecord router;
+  bool present = true;
+  MSGPACK_DEFINE_ARRAY(router, present)
+};
+
+/// What the leader knows of an engine from its own orders.
+struct EngineNote {
+  std::string id;
+  bool loading = false;  ///< new weights are being loaded
+  std::vector<ModelVersion> models;
+  MSGPACK_DEFINE_ARRAY(id, loading, models)
+};
+
+/// Control member to control member: what has come to the sender since the last of these, so that all members
+/// know the same.
+struct PeerNews {
+  std::string sender;  ///< its internal address
+  std::string zone;
+  uint64_t term = 0;
+  bool leads = false;
+  uint64_t number = 0;                  ///< rises by one; a receiver that misses one asks for the whole
+  bool anew = false;                    ///< the whole follows: what the sender told before counts no more
+  std::vector<std::string> incomplete;  ///< addresses of members that are asked for the whole
+  std::vector<BackendRecord> heartbeats;
+  std::vector<RouterNotice> routers;
+  std::vector<BackendLoad> loads;  ///< of the sender's routers together, of the back ends where it changed
+  std::vector<CacheChanges> caches;
+  std::vector<ChainPlacement> placements;
+  std::vector<uint64_t> shared_parts;  ///< that more than one prompt may begin with
+  std::vector<EngineNote> engines;     ///< from the leader
+  std::vector<NamedVersion> weights;   ///< with the whole: since when they have been named
+  MSGPACK_DEFINE_ARRAY(sender, zone, term, leads, number, anew, incomplete, heartbeats, routers, loads,
+                       caches, placements, shared_parts, engines, weights)
+  bool empty() const {
+    return !anew && incomplete.empty() && heartbeats.empty() && routers.empty() && loads.empty() &&
+           caches.empty() && placements.empty() && shared_parts.empty() && engines.empty();
+  }
+};
+
+/// Follower to leader: when were you last confirmed by a quorum, and with which configuration?
+struct ConfirmationQuestion {
+  uint64_t number = 0;
+  MSGPACK_DEFINE_ARRAY(number)
+};
+
+/// The answer to a ConfirmationQuestion.
+struct ConfirmationAnswer {
+  uint64_t number = 0;
+  int64_t quorum_age_ms = -1;  ///< negative: it does not lead, or was not confirmed yet
+  uint64_t configuration_version = 0;
+  MSGPACK_DEFINE_ARRAY(number, quorum_age_ms, configuration_version)
 };
 
 /// Control member to the leader: the configuration, confirmed to be the newest.
--- /dev/null
+++ b/src/fleet/revision_table.h
@@ -0,0 +1,122 @@
+/// A table that knows in which order its entries changed, so that a receiver can be told the differences
+/// since a revision instead of the whole.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace stoat::fleet {
+
+/// See the head of this file. Revision 0 is that of a receiver that knows nothing. Erased keys are remembered
+/// for a while; a receiver that is further behind needs the whole.
+template <typename Key, typename Value>
+class RevisionTable {
+ public:
+  /// `erased_limit`: how many erased keys are remembered.
+  explicit RevisionTable(size_t erased_limit = kErasedLimit) : erased_limit_(erased_limit) {}
+
+  /// Sets a value. Returns true when it differs from the one held.
+  bool set(const Key& key, const Value& value) {
+    Entry& entry = entries_[key];
+    if (entry.value && *entry.value == value) {
+      return false;
+    }
+    if (!entry.value) {
+      ++size_;
+    }
+    entry.value = value;
+    touch(key, entry);
+    return true;
+  }
+
+  /// Erases a value. Returns true when there was one.
+  bool erase(const Key& key) {
+    const auto found = entries_.find(key);
+    if (found == entries_.end() || !found->second.value) {
+      return false;
+    }
+    found->second.value.reset();
+    --size_;
+    touch(key, found->second);
+    erased_.insert(revision_);
+    forget_erased();
+    return true;
+  }
+
+  /// The value of a key, or nullptr.
+  const Value* find(const Key& key) const {
+    const auto found = entries_.find(key);
+    return found == entries_.end() || !found->second.value ? nullptr : &*found->second.value;
+  }
+
+  size_t size() const { return size_; }
+  uint64_t revision() const { return revision_; }
+  /// True when a receiver at this revision can be brought up to date by differences.
+  bool reaches(uint64_t revision) const { return revision == 0 || revision >= floor_; }
+
+  /// Calls `visit(key, value)` for at most `limit` entries that changed after `revision`, in the order of
+  /// their last change; `value` is nullptr for an erased one. Returns the revision that the receiver has
+  /// then.
+  template <typename Visitor>
+  uint64_t visit_since(uint64_t revision, size_t limit, const Visitor& visit) const {
+    size_t visited = 0;
+    for (auto position = order_.upper_bound(revision); position != order_.end(); ++position) {
+      if (visited == limit) {
+        return std::prev(position)->first;
+      }
+      const Entry& entry = entries_.at(position->second);
+      visit(position->second, entry.value ? &*entry.value : nullptr);
+      ++visited;
+    }
+    return revision_;
+  }
+
+  /// Calls `visit(key, value)` for each entry, by key.
+  template <typename Visitor>
+  void visit_all(const Visitor& visit) const {
+    for (const auto& [key, entry] : entries_) {
+      if (entry.value) {
+        visit(key, *entry.value);
+      }
+    }
+  }
+
+ private:
+  static constexpr size_t kErasedLimit = 8192;
+  struct Entry {
+    std::optional<Value> value;
+    uint64_t revision = 0;
+  };
+
+  void touch(const Key& key, Entry& entry) {
+    if (entry.revision != 0) {
+      order_.erase(entry.revision);
+      erased_.erase(entry.revision);
+    }
+    entry.revision = ++revision_;
+    order_.emplace(revision_, key);
+  }
+
+  void forget_erased() {
+    while (erased_.size() > erased_limit_) {
+      const uint64_t oldest = *erased_.begin();
+      erased_.erase(erased_.begin());
+      floor_ = oldest;
+      const auto position = order_.find(oldest);
+      entries_.erase(position->second);
+      order_.erase(position);
+    }
+  }
+
+  size_t erased_limit_;
+  std::map<Key, Entry> entries_;
+  std::map<uint64_t, Key> order_;  ///< by revision of the last change
+  std::set<uint64_t> erased_;      ///< revisions of erased keys
+  uint64_t revision_ = 0;
+  uint64_t floor_ = 0;  ///< the newest forgotten erasure
+  size_t size_ = 0;
+};
+
+}  // namespace stoat::fleet
--- /dev/null
+++ b/src/fleet/version_history.cc
@@ -0,0 +1,32 @@
+#include "src/fleet/version_history.h"
+
+#include <algorithm>
+
+namespace stoat::fleet {
+
+namespace {
+
+/// Versions that follow one another within the time of a load or two; more are never of interest at once.
+constexpr size_t kMostVersions = 16;
+
+}  // namespace
+
+void VersionHistory::note(uint64_t version, TimePoint since) {
+  const auto [entry, added] = since_.emplace(version, since);
+  entry->second = std::min(entry->second, since);
+  if (since_.size() > kMostVersions) {
+    since_.erase(since_.begin());
+  }
+}
+
+std::optional<TimePoint> VersionHistory::outdated_since(uint64_t version) const {
+  const auto next = since_.upper_bound(version);
+  return next == since_.end() ? std::nullopt : std::optional<TimePoint>(next->second);
+}
+
+std::optional<Duration> VersionHistory::outdated_for(uint64_t version, TimePoint now) const {
+  const auto since = outdated_since(version);
+  return since ? std::optional<Duration>(now - *since) : std::nullopt;
+}
+
+}  // namespace stoat::fleet
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "src/events/fleet_events.h"
 
@@ -11,17 +12,18 @@
 
 /// Statuses kept for one member while their answers are due.
 constexpr size_t kMaxSent = 16;
+/// After the first answer of a member others may answer for so long before a feed is chosen.
+constexpr Duration kChoiceDelay = 60ms;
 
 }  // namespace
 
 ControlLink::ControlLink(EventLoop& loop, ControlLinkOptions options, StatusMaker make_status,
-                         UpdateHandler on_update, NewsHandler on_news, CacheHandler on_cache_news)
+                         UpdateHandler on_update, NewsHandler on_news)
     : loop_(loop),
       options_(std::move(options)),
       make_status_(std::move(make_status)),
       on_update_(std::move(on_update)),
-      on_news_(std::move(on_news)),
-      on_cache_news_(std::move(on_cache_news)) {
+      on_news_(std::move(on_news)) {
   loop.every(options_.status_interval, [this] { tick(); });
   loop.after(Duration(0), [this] { tick(); });
 }
@@ -36,12 +38,53 @@
 
 void ControlLink::tick() {
   connect_members();
-  tell_now();
+  choose();
+  const bool all = ticks_++ % options_.intervals_to_others == 0;
+  for (auto& [address, member] : members_) {
+    if (all || address == feed_ || feed_.empty()) {
+      tell(address, member);
+    }
+  }
 }
 
 void ControlLink::tell_now() {
   for (auto& [address, member] : members_) {
-    tell(member);
+    tell(address, member);
+  }
+}
+
+Duration ControlLink::silence_of(const Member& member) const {
+  return loop_.now() - std::max(member.heard, member.opened);
+}
+
+void ControlLink::choose() {
+  const TimePoint now = loop_.now();
+  if (first_answer_ == TimePoint(0) || now - first_answer_ < kChoiceDelay) {
+    return;
+  }
+  std::vector<MemberView> views;
+  for (const auto& [address, member] : members_) {
+    MemberView view;
+    view.address = address;
+    view.same_zone = !member.zone.empty() && member.zone == options_.zone;
+    view.connected = member.channel != nullptr && member.channel->open() && member.heard > TimePoint(0);
+    view.silence = now - member.heard;
+    if (member.vouched != Duration::min()) {
+      view.vouched = now - member.vouched;
+    }
+    views.push_back(view);
+  }
+  const std::string chosen = choose_feed(views, feed_, options_.router);
+  if (chosen == feed_ || chosen.empty()) {
+    return;
+  }
+  log_.event(events::FeedChanged{feed_, chosen});
+  const std::string before = std::exchange(feed_, chosen);
+  for (const std::string& address : {before, chosen}) {
+    const auto member = members_.find(address);
+    if (member != members_.end()) {
+      tell(address, member->second);
+    }
   }
 }
 
@@ -63,8 +106,8 @@
   }
   for (const std::string& address : wanted) {
     Member& member = members_[address];
-    const bool silent =
-        member.channel != nullptr && now - std::max(member.heard, member.opened) > options_.answer_limit;
+    const Duration limit = address == feed_ ? options_.answer_limit : options_.others_limit;
+    const bool silent = member.channel != nullptr && silence_of(member) > limit;
     if (member.channel != nullptr && member.channel->open() && !silent) {
       continue;
     }
@@ -81,6 +124,7 @@
     }
     member.opened = now;
     member.sent.clear();
+    member.vouched = Duration::min();
     member.channel = wire::Channel::connect(
         loop_, endpoint,
         [this, address](const std::shared_ptr<wire::Channel>&, wire::Message message) {
@@ -98,16 +142,18 @@
 size_t ControlLink::connected() const {
   const TimePoint now = loop_.now();
   return static_cast<size_t>(std::count_if(members_.begin(), members_.end(), [&](const auto& entry) {
-    return now - entry.second.heard <= options_.answer_limit;
+    const Duration limit = entry.first == feed_ ? options_.answer_limit : options_.others_limit;
+    return now - entry.second.heard <= limit;
   }));
 }
 
-void ControlLink::tell(Member& member) {
+void ControlLink::tell(const std::string& address, Member& member) {
   if (member.channel == nullptr || !member.channel->open()) {
     return;
   }
   fleet::RouterStatus status = make_status_();
   status.sequence = ++last_sequence_;
+  status.follows = address == feed_;
   member.sent[status.sequence] = loop_.now();
   if (member.sent.size() > kMaxSent) {
     member.sent.erase(member.sent.begin());
@@ -115,39 +161,54 @@
   member.channel->send(status);
 }
 
-void ControlLink::send_to_leader(const fleet::PlacementNews& news) {
-  const auto leader = members_.find(leader_);
-  if (leader != members_.end() && leader->second.channel != nullptr) {
-    leader->second.channel->send(news);
+bool ControlLink::send_to_feed(const wire::Message& message) {
+  const auto member = members_.find(feed_);
+  if (member == members_.end() || member->second.channel == nullptr || !member->second.channel->open()) {
+    return false;
   }
+  member->second.channel->send(message);
+  return true;
 }
 
-void ControlLink::on_message(const std::string& address, wire::Message message) {
-  if (const auto* news = std::get_if<fleet::PlacementNews>(&message.value)) {
-    on_news_(*news);
+void ControlLink::take_members(const std::vector<std::string>& members) {
+  if (members.empty() || members == told_members_) {
     return;
   }
-  if (const auto* cache_news = std::get_if<fleet::CacheNews>(&message.value)) {
-    on_cache_news_(*cache_news);
+  told_members_ = members;
+  loop_.after(Duration(0), [this] {  // not in the midst of a message of one that may be closed
+    connect_members();
+    for (auto& [address, member] : members_) {
+      if (member.heard == TimePoint(0)) {
+        tell(address, member);
+      }
+    }
+  });
+}
+
+void ControlLink::on_message(const std::string& address, wire::Message message) {
+  const auto found = members_.find(address);
+  if (found == members_.end()) {
     return;
   }
-  const auto found = members_.find(address);
-  auto* update = std::get_if<fleet::FleetUpdate>(&message.value);
-  if (found == members_.end() || update == nullptr) {
+  if (const auto* news = std::get_if<fleet::FleetNews>(&message.value)) {
+    found->second.heard = loop_.now();
+    if (address == feed_) {
+      on_news_(*news);
+    }
     return;
   }
-  note_heard(address, found->second, update->leads);
-  if (!update->members.empty()) {
-    told_members_ = update->members;
+  const auto* update = std::get_if<fleet::FleetUpdate>(&message.value);
+  if (update == nullptr) {
+    return;
   }
+  Member& member = found->second;
+  note_heard(address, member, update->leads);
+  member.zone = update->zone;
+  take_members(update->members);
   on_update_(*update);
-  const auto again = members_.find(address);
-  if (again != members_.end()) {
-    extend_lease(again->second, *update);
-    const bool could_confirm = update->leads && update->quorum_age_ms >= 0 && update->answers == 0;
-    if (could_confirm && !keys_confirmed()) {
-      tell(again->second);  // the lease counts from a question of this router
-    }
+  extend_lease(member, *update);
+  if (update->answers == 0 && confirms(*update) && !keys_confirmed()) {
+    tell(address, member);  // the lease counts from a question of this router
   }
 }
 
@@ -157,13 +218,20 @@
     log_.event(events::ControlMemberChanged{address, true, 0});
   }
   member.heard = loop_.now();
+  if (first_answer_ == TimePoint(0)) {
+    first_answer_ = loop_.now();
+    loop_.after(kChoiceDelay, [this] { choose(); });
+  }
   if (leads && leader_ != address) {
     log_.event(events::LeaderChanged{leader_, address});
     leader_ = address;
-    tell(member);  // its answer carries the key lease
   }
 }
 
+bool ControlLink::confirms(const fleet::FleetUpdate& update) const {
+  return update.quorum_age_ms >= 0 && update.confirmed_version <= configuration_version_;
+}
+
 void ControlLink::extend_lease(Member& member, const fleet::FleetUpdate& update) {
   const auto sent = member.sent.find(update.answers);
   if (sent == member.sent.end()) {
@@ -171,13 +239,14 @@
   }
   const TimePoint asked_at = sent->second;
   member.sent.erase(member.sent.begin(), std::next(sent));
-  const bool confirms = update.leads && update.quorum_age_ms >= 0;
-  if (!confirms || update.configuration_version > configuration_version_) {
-    return;
-  }
   // The leader was confirmed no earlier than so long before the question was sent.
-  const TimePoint until = asked_at - Duration(1000 * update.quorum_age_ms) + options_.key_lease;
-  confirmed_until_ = std::max(confirmed_until_, until);
+  const TimePoint confirmed = asked_at - Duration(1000 * update.quorum_age_ms);
+  if (update.quorum_age_ms >= 0) {
+    member.vouched = std::max(member.vouched, confirmed);
+  }
+  if (confirms(update)) {
+    confirmed_until_ = std::max(confirmed_until_, confirmed + options_.key_lease);
+  }
 }
 
 }  // namespace stoat::gateway
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -1,5 +1,6 @@
-/// A router's link to the control members: follows all of them, tells them its state a few times a second,
-/// and keeps the lease under which access keys may be honoured.
+/// A router's link to the control members. It is connected to all of them, for what binds: configurations,
+/// retirements, and the lease under which access keys may be honoured. It takes the feed of one of them,
+/// which tells what is known of the running fleet, and tells that one its loads.
 #pragma once
 
 #include <functional>
@@ -11,6 +12,7 @@
 #include "src/common/log.h"
 #include "src/common/settings.h"
 #include "src/fleet/fleet_messages.h"
+#include "src/gateway/feed_choice.h"
 #include "src/http/event_loop.h"
 #include "src/wire/channel.h"
 
@@ -19,8 +21,13 @@
 /// Settings of a link.
 struct ControlLinkOptions {
   std::vector<Endpoint> seeds;  ///< internal endpoints of some control members
+  std::string router;           ///< its name
+  std::string zone;             ///< its own
   Duration status_interval = 400ms;
-  Duration answer_limit = 1200ms;  ///< a member silent for so long is connected to anew
+  /// Members whose feed is not taken are told every so many intervals.
+  uint32_t intervals_to_others = 3;
+  Duration answer_limit = 1200ms;  ///< the member of the feed, silent for so long, is connected to anew
+  Duration others_limit = 4s;      ///< the same of other members
   Duration key_lease = 4500ms;     ///< how long a confirmation lets keys be honoured
 };
 
@@ -28,12 +35,11 @@
 class ControlLink {
  public:
   using UpdateHandler = std::function<void(const fleet::FleetUpdate&)>;
-  using NewsHandler = std::function<void(const fleet::PlacementNews&)>;
-  using CacheHandler = std::function<void(const fleet::CacheNews&)>;
+  using NewsHandler = std::function<void(const fleet::FleetNews&)>;
   using StatusMaker = std::function<fleet::RouterStatus()>;
 
   ControlLink(EventLoop& loop, ControlLinkOptions options, StatusMaker make_status, UpdateHandler on_update,
-              NewsHandler on_news, CacheHandler on_cache_news);
+              NewsHandler on_news);
   ~ControlLink();
   ControlLink(const ControlLink&) = delete;
   ControlLink& operator=(const ControlLink&) = delete;
@@ -49,8 +55,9 @@
   void set_seeds(std::vector<Endpoint> seeds) { options_.seeds = std::move(seeds); }
   /// Tells all members at once, for example that this router is about to stop.
   void tell_now();
-  /// Sends news to the leader, which tells the other routers; lost when no leader is known.
-  void send_to_leader(const fleet::PlacementNews& news);
+  /// Sends a message to the member whose feed is taken. False when there is none.
+  bool send_to_feed(const wire::Message& message);
+  /// Members that have answered lately.
   size_t connected() const;
 
  private:
@@ -59,24 +66,33 @@
     TimePoint heard{0};
     TimePoint opened{0};
     bool reached = false;                ///< as last logged
+    std::string zone;                    ///< as it told; empty: it has not yet
+    TimePoint vouched{Duration::min()};  ///< of the newest confirmation of a leader that it told
     std::map<uint64_t, TimePoint> sent;  ///< statuses without an answer, by sequence
   };
   void tick();
+  /// Takes another feed when the present one will not do.
+  void choose();
+  Duration silence_of(const Member& member) const;
   void connect_members();
-  void tell(Member& member);
+  void tell(const std::string& address, Member& member);
+  void take_members(const std::vector<std::string>& members);
   void on_message(const std::string& address, wire::Message message);
   void note_heard(const std::string& address, Member& member, bool leads);
   void extend_lease(Member& member, const fleet::FleetUpdate& update);
+  bool confirms(const fleet::FleetUpdate& update) const;
 
   EventLoop& loop_;
   ControlLinkOptions options_;
   StatusMaker make_status_;
   UpdateHandler on_update_;
   NewsHandler on_news_;
-  CacheHandler on_cache_news_;
   Logger log_{"link"};
   std::map<std::string, Member> members_;  ///< by internal address
   std::string leader_;                     ///< internal address of the member that last said that it leads
+  std::string feed_;                       ///< internal address of the member whose feed is taken
+  TimePoint first_answer_{0};              ///< 0: no member has answered yet
+  uint32_t ticks_ = 0;
   std::vector<std::string> told_members_;  ///< as the members last listed themselves
   uint64_t last_sequence_ = 0;
   uint64_t configuration_version_ = 0;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -1,7 +1,8 @@
 #include "src/gateway/gateway_server.h"
 
+#include <utility>
+
 #include "src/events/fleet_events.h"
-#include "src/fleet/backend_registry.h"
 
 namespace stoat::gateway {
 
@@ -16,7 +17,9 @@
 constexpr Duration kQueueMargin = 1500ms;
 /// Placements are told together, this long after the first of them.
 constexpr Duration kNewsDelay = 50ms;
-/// Events of caches count for so long after the leader was heard, which answers every 400 ms.
+/// Own requests under way are told so often, when they have changed.
+constexpr Duration kLoadsInterval = 100ms;
+/// Events of caches count for so long after the member of the feed was heard, which answers every 400 ms.
 constexpr Duration kEventsTrust = 1500ms;
 /// How often a starting router looks after the requests that wait.
 constexpr Duration kStartCheck = 20ms;
@@ -34,6 +37,8 @@
   const int64_t revocation_ms = reader.integer("revocation_ms", 5000, 100, 3600000);
   // The rest is for the way from the edge to the engine.
   settings.link.key_lease = Duration(900 * revocation_ms);
+  settings.link.router = settings.name;
+  settings.link.zone = settings.zone;
   const int64_t grace_ms = 1000 * reader.integer("grace_s", 8, 1, 3600);
   settings.stop_grace = Duration(1000 * grace_ms) - 700ms;
   // What comes in until then is still served; the longest streams take most of the rest.
@@ -62,8 +67,7 @@
       link_(
           loop, settings.link, [this] { return make_status(); },
           [this](const fleet::FleetUpdate& update) { on_update(update); },
-          [this](const fleet::PlacementNews& news) { on_news(news); },
-          [this](const fleet::CacheNews& news) { on_cache_news(news); }),
+          [this](const fleet::FleetNews& news) { on_news(news); }),
       edge_(loop, settings.listen, *this) {
   context_.random = Random(seed_from_device());
   context_.zone = settings.zone;
@@ -71,6 +75,7 @@
   context_.sharing_routers = delivery::SharingRouters(settings.routers_settle);
   context_.old_weights_limit = settings.old_weights_limit;
   context_.tell_placement = [this](fleet::ChainPlacement placement) { tell_placement(std::move(placement)); };
+  loop_.every(kLoadsInterval, [this] { tell_loads(); });
   log_.info("started", {{"name", settings.name}, {"listen", to_string(settings.listen)}});
 }
 
@@ -97,8 +102,6 @@
   status.router.region = settings_.region;
   status.router.ready = ready();
   status.configuration_version = table_ == nullptr ? 0 : table_->configuration().version;
-  status.registry_digest = registry_digest_;
-  status.loads = pool_.own_loads();
   return status;
 }
 
@@ -107,16 +110,8 @@
     take_configuration(configuration);
   }
   pool_.retire(update.retired);
-  if (update.registry_given) {
-    for (const events::BackendChanged& change : events::backend_changes(registry_, update.registry)) {
-      log_.event(change);
-    }
-    registry_ = update.registry;
-    pool_.update(update.registry);
-    registry_digest_ = fleet::digest_of(update.registry);
-  }
   for (const fleet::NamedVersion& named : update.weights) {
-    dispatch::WantedWeights& wanted = context_.wanted[named.model];
+    fleet::VersionHistory& wanted = context_.wanted[named.model];
     if (named.version > wanted.newest()) {
       log_.event(events::WeightsNamed{named.model, named.version, named.age_ms});
     }
@@ -126,52 +121,102 @@
     context_.router_count = update.router_count;
     context_.sharing_routers.note(update.router_count, loop_.now());
   }
-  if (update.leads) {
-    const std::string before = context_.stores.to_text();
-    if (context_.stores.set_live(update.stores)) {
-      log_.event(events::StoreChanged{before, context_.stores.to_text()});
+}
+
+void GatewayServer::on_news(const fleet::FleetNews& news) {
+  const TimePoint trusted_until = loop_.now() + kEventsTrust;
+  if (news.anew) {
+    feed_begun_ = true;
+    loads_told_ = false;
+    untold_backends_ = pool_.ids();
+    pool_.forget_totals();
+    pool_.forget_holdings();
+    context_.stores.forget_holdings();
+  }
+  take_backends(news);
+  if (feed_begun_ && news.complete) {
+    feed_begun_ = false;
+    for (const std::string& id : std::exchange(untold_backends_, {})) {
+      pool_.remove(id);
     }
-    pool_.keep_followed(loop_.now() + kEventsTrust);
-    context_.stores.keep_followed(loop_.now() + kEventsTrust);
   }
-  if (update.leads && update.answers > 0) {
-    pool_.set_other_loads(update.loads);
+  for (const fleet::BackendLoad& load : news.loads) {
+    pool_.set_total_load(load);
+  }
+  pool_.keep_followed(trusted_until);
+  context_.stores.keep_followed(trusted_until);
+  for (const fleet::CacheChanges& changes : news.caches) {
+    take_cache(changes);
+  }
+  for (const fleet::ChainPlacement& placement : news.placements) {
+    take_placement(placement);
+  }
+}
+
+void GatewayServer::take_backends(const fleet::FleetNews& news) {
+  std::vector<events::BackendChanged> changes;
+  for (const fleet::BackendRecord& record : news.backends) {
+    const dispatch::BackendPtr known = pool_.find(record.id);
+    const fleet::BackendRecord before = known == nullptr ? fleet::BackendRecord{} : known->record;
+    pool_.put(record);
+    events::add_backend_changes(known == nullptr ? nullptr : &before, &record, changes);
+    untold_backends_.erase(record.id);
+  }
+  for (const std::string& id : news.gone) {
+    if (const dispatch::BackendPtr known = pool_.find(id)) {
+      events::add_backend_changes(&known->record, nullptr, changes);
+      pool_.remove(id);
+    }
+  }
+  events::log_backend_changes(log_, changes);
+}
+
+void GatewayServer::tell_loads() {
+  std::vector<fleet::BackendLoad> loads = pool_.own_loads();
+  if (loads_told_ && loads == told_loads_) {
+    return;
+  }
+  if (link_.send_to_feed(fleet::RouterLoads{settings_.name, loads})) {
+    loads_told_ = true;
+    pool_.set_told_loads(loads);
+    told_loads_ = std::move(loads);
   }
 }
 
 void GatewayServer::tell_placement(fleet::ChainPlacement placement) {
   if (untold_placements_.placements.empty()) {
     loop_.after(kNewsDelay, [this] {
-      link_.send_to_leader(untold_placements_);
+      link_.send_to_feed(untold_placements_);
       untold_placements_.placements.clear();
     });
   }
   untold_placements_.placements.push_back(std::move(placement));
 }
 
-void GatewayServer::on_news(const fleet::PlacementNews& news) {
+void GatewayServer::take_placement(const fleet::ChainPlacement& placement) {
   const TimePoint now = loop_.now();
-  for (const fleet::ChainPlacement& placement : news.placements) {
-    if (dispatch::CacheStore* store = context_.stores.find(placement.holder)) {
-      store->memory.note_held(placement.links, placement.weights, now);
-    } else if (const dispatch::BackendPtr holder = pool_.find(placement.holder)) {
-      holder->memory.note_held(placement.links, placement.weights, now);
-    }
+  if (dispatch::CacheStore* store = context_.stores.find(placement.holder)) {
+    store->memory.note_held(placement.links, placement.weights, now);
+  } else if (const dispatch::BackendPtr holder = pool_.find(placement.holder)) {
+    holder->memory.note_held(placement.links, placement.weights, now);
   }
 }
 
-void GatewayServer::on_cache_news(const fleet::CacheNews& news) {
-  for (const fleet::CacheChanges& changes : news.caches) {
-    if (changes.store) {
-      // A store that answers may be told here before it is in an update.
-      dispatch::CacheStore* store =
-          changes.followed ? &context_.stores.add(changes.holder) : context_.stores.find(changes.holder);
-      if (store != nullptr) {
-        apply_changes(changes, store->memory);
-      }
-    } else if (const dispatch::BackendPtr backend = pool_.find(changes.holder)) {
+void GatewayServer::take_cache(const fleet::CacheChanges& changes) {
+  if (!changes.store) {
+    if (const dispatch::BackendPtr backend = pool_.find(changes.holder)) {
       apply_changes(changes, backend->memory);
     }
+    return;
+  }
+  const std::string before = context_.stores.to_text();
+  if (changes.followed) {
+    apply_changes(changes, context_.stores.add(changes.holder).memory);
+  } else {
+    context_.stores.remove(changes.holder);
+  }
+  if (context_.stores.to_text() != before) {
+    log_.event(events::StoreChanged{before, context_.stores.to_text()});
   }
 }
 
@@ -181,7 +226,11 @@
     memory.forget_holdings();
   }
   for (const fleet::PartHolding& holding : changes.holdings) {
-    memory.set_holding(holding.part, holding.weights, holding.tokens);
+    if (holding.tokens == 0) {
+      memory.drop_holding(holding.part);
+    } else {
+      memory.set_holding(holding.part, holding.weights, holding.tokens);
+    }
   }
 }
 
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -61,8 +62,13 @@
 
  private:
   void on_update(const fleet::FleetUpdate& update);
-  void on_news(const fleet::PlacementNews& news);
-  void on_cache_news(const fleet::CacheNews& news);
+  void on_news(const fleet::FleetNews& news);
+  /// Takes back ends that are new, have changed, or are gone.
+  void take_backends(const fleet::FleetNews& news);
+  void take_placement(const fleet::ChainPlacement& placement);
+  void take_cache(const fleet::CacheChanges& changes);
+  /// Tells the member of the feed the own requests under way, when they have changed.
+  void tell_loads();
   void apply_changes(const fleet::CacheChanges& changes, placement::ChainMemory& memory) const;
   /// Keeps a placement for the other routers, which hear of it a little later.
   void tell_placement(fleet::ChainPlacement placement);
@@ -91,8 +97,10 @@
   dispatch::DispatchContext context_;
   std::shared_ptr<const routing::RouteTable> table_;
   routing::SplitChooser splits_;
-  uint64_t registry_digest_ = 0;
-  std::vector<fleet::BackendRecord> registry_;  ///< as last told
+  std::set<std::string> untold_backends_;       ///< known ones that a new feed has not told of yet
+  bool feed_begun_ = false;                     ///< a feed's first whole is not complete yet
+  std::vector<fleet::BackendLoad> told_loads_;  ///< own ones, as last told
+  bool loads_told_ = false;                     ///< to the member of the present feed
   bool keys_held_ = false;                      ///< as last logged
   fleet::PlacementNews untold_placements_;
   std::map<const edge::CallerAnswer*, std::shared_ptr<dispatch::RequestRun>> runs_;
--- a/src/placement/chain_memory.cc
+++ b/src/placement/chain_memory.cc
@@ -76,6 +76,15 @@
   entry.tokens = tokens;
 }
 
+void ChainMemory::drop_holding(uint64_t link) {
+  const auto found = entries_.find(link);
+  if (found == entries_.end() || found->second.tokens == 0) {
+    return;  // an event that is older than what was seen since
+  }
+  found->second.tokens = 0;
+  found->second.seen_at = TimePoint(0);
+}
+
 void ChainMemory::forget_holdings() {
   for (auto& [link, entry] : entries_) {
     entry.tokens = 0;
--- a/src/placement/chain_memory.h
+++ b/src/placement/chain_memory.h
@@ -56,6 +56,8 @@
 
   /// An event: the cache holds so many tokens of a part now.
   void set_holding(uint64_t link, uint64_t weights, uint32_t tokens);
+  /// An event: the cache holds nothing of a part any more.
+  void drop_holding(uint64_t link);
   /// Events come in until then, unless this or keep_following() is called again; 0: none come in.
   void follow_until(TimePoint until) { followed_until_ = until; }
   /// The teller of the events is still there: a cache that is followed stays so until then.
--- a/src/wire/channel.cc
+++ b/src/wire/channel.cc
@@ -66,7 +66,9 @@
   }
 }
 
-void Channel::send(const Message& message) {
+void Channel::send(const Message& message) { send_frame(make_frame(message)); }
+
+void Channel::send_frame(const std::string& frame) {
   if (connection_ == nullptr || overflowed_) {
     return;
   }
@@ -76,7 +78,6 @@
     bufferevent_trigger_event(connection_, BEV_EVENT_ERROR, BEV_TRIG_DEFER_CALLBACKS);
     return;
   }
-  const std::string frame = make_frame(message);
   sent_bytes_ += frame.size();
   bufferevent_write(connection_, frame.data(), frame.size());
 }
--- a/src/wire/channel.h
+++ b/src/wire/channel.h
@@ -47,6 +47,8 @@
   /// Queues a message. Does nothing on a closed channel. One that finds more than kMaxUnsentBytes waiting is
   /// dropped, and the channel is closed soon after, with its closed handler.
   void send(const Message& message);
+  /// The same with a frame that make_frame() has made, which may go to many channels.
+  void send_frame(const std::string& frame);
   /// Closes without calling the closed handler.
   void close();
   bool open() const { return connection_ != nullptr; }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -268,8 +268,9 @@
     Packed<SubmitRequest, RequestDispatched, StreamPiece, RequestFinished, CancelRequest, RouterDraining,
            ControlCall, ControlAnswer, NodePoll, NodePollAnswer, BlockChanges, LoadDigest, QuotaRequest,
            QuotaGrant, PeerMessage, JoinRequest, Ping, Pong, HotPrefixes, fleet::RouterStatus,
-           fleet::FleetUpdate, fleet::HeartbeatBatch, fleet::ConfirmedRead, fleet::ConfirmedReadAnswer,
-           fleet::MemberAddresses, fleet::PlacementNews, fleet::CacheNews>;
+           fleet::FleetUpdate, fleet::PeerNews, fleet::ConfirmedRead, fleet::ConfirmedReadAnswer,
+           fleet::MemberAddresses, fleet::PlacementNews, fleet::FleetNews, fleet::RouterLoads,
+           fleet::ConfirmationQuestion, fleet::ConfirmationAnswer>;
 
 }  // namespace stoat::wire
 
