Tell all routers of engines that are overdue and that two routers can't reach; give up connecting after 300 ms

Cause: 295 routers each see three or four requests a second. When a quarter of 240 engines goes dark, each router found out about each of them by a request of its own that hung for 1.5 s; the registry counted an engine as lost only after 4 s without a heartbeat.

Ruled out: taking an engine out on one router's word (the router itself may be cut off), or on overdue heartbeats alone (they may arrive seconds late).

Change: routers tell the member of their feed which back ends they could not reach; members tell one another. An engine whose heartbeat is overdue and that two routers could not reach within 2 s counts as lost until its next heartbeat. A connection that is not made within 300 ms is given up: nothing was sent, so the request goes elsewhere at once and counts against no bound. A connection whose machine stops answering is told apart from one that was reset.

--- a/src/control/cache_mirror.h
+++ b/src/control/cache_mirror.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -26,7 +27,9 @@
 struct HeldPart {
   std::string holder;
   uint64_t part = 0;
-  auto operator<=>(const HeldPart&) const = default;
+  bool operator<(const HeldPart& other) const {
+    return std::tie(holder, part) < std::tie(other.holder, other.part);
+  }
 };
 
 /// See the head of this file.
--- a/src/control/fleet_knowledge.cc
+++ b/src/control/fleet_knowledge.cc
@@ -44,7 +44,11 @@
   return changed;
 }
 
-void FleetKnowledge::on_router_loads(const fleet::RouterLoads& loads) {
+void FleetKnowledge::on_router_loads(const fleet::RouterLoads& loads, TimePoint now) {
+  for (const std::string& backend : loads.unreachable) {
+    registry_.note_unreachable(backend, loads.router, now);
+    untold_.unreachable.push_back({loads.router, backend});
+  }
   if (followers_.count(loads.router) > 0) {
     loads_.set_router(loads.router, loads.loads);
   }
@@ -139,6 +143,9 @@
   for (const fleet::RouterNotice& notice : news.routers) {
     routers_.on_notice(news.sender, notice, now);
   }
+  for (const fleet::UnreachableNotice& notice : news.unreachable) {
+    registry_.note_unreachable(notice.backend, notice.router, now);
+  }
   loads_.on_peer(news.sender, news.loads);
   for (const fleet::CacheChanges& changes : news.caches) {
     caches_.apply(news.sender, changes);
--- a/src/control/fleet_knowledge.h
+++ b/src/control/fleet_knowledge.h
@@ -38,7 +38,13 @@
   uint64_t heads = 0;
   uint64_t holdings = 0;
   uint64_t placements = 0;
-  auto operator<=>(const FeedCursor&) const = default;
+  bool operator==(const FeedCursor&) const = default;
+  bool operator<(const FeedCursor& other) const { return values() < other.values(); }
+
+ private:
+  std::tuple<bool, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t> values() const {
+    return {begun, registry, loads, heads, holdings, placements};
+  }
 };
 
 /// See the head of this file.
@@ -53,7 +59,7 @@
   void retire(const std::string& id, fleet::BackendState state) { registry_.retire(id, state); }
   /// A router tells its state; `follows`: it takes this member's feed. Returns true when that is new.
   bool on_router(const fleet::RouterRecord& router, bool follows, TimePoint now);
-  void on_router_loads(const fleet::RouterLoads& loads);
+  void on_router_loads(const fleet::RouterLoads& loads, TimePoint now);
   /// A router has not been heard for some time, or has closed its connection.
   void forget_router(const std::string& name);
   void on_placements(const std::vector<fleet::ChainPlacement>& placements);
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -18,6 +18,8 @@
 constexpr Duration kCacheInterval = 30ms;
 constexpr Duration kRolloutInterval = 20ms;
 constexpr Duration kStopGrace = 300ms;
+/// From a back end's heartbeat until the members that it did not come to have it.
+constexpr Duration kHeartbeatDelay = 200ms;
 /// Callers turn to another member after a second without an answer.
 constexpr Duration kCallLimit = 2500ms;
 
@@ -40,6 +42,8 @@
       Duration(1000 * reader.integer("election_timeout_ms", 250, 50, 60000));
   settings.core.replica.heartbeat_interval = Duration(1000 * reader.integer("heartbeat_ms", 50, 5, 10000));
   settings.registry.lost_after = Duration(1000 * reader.integer("backend_lost_ms", 4000, 100, 600000));
+  settings.registry.overdue_after =
+      Duration(1000 * reader.integer("backend_heartbeat_ms", 1200, 10, 600000)) + kHeartbeatDelay;
   settings.holder_lease = Duration(1000 * reader.integer("holder_lease_ms", 3000, 0, 600000));
   // Versions that follow soon are then loaded in one: a load costs an engine its cache.
   settings.rollout.start_delay = Duration(1000 * reader.integer("weights_limit_ms", 8000, 0, 3600000)) / 4;
@@ -186,7 +190,7 @@
   } else if (auto* status = std::get_if<fleet::RouterStatus>(&message.value)) {
     on_router_status(channel, *status);
   } else if (auto* loads = std::get_if<fleet::RouterLoads>(&message.value)) {
-    knowledge_.on_router_loads(*loads);
+    knowledge_.on_router_loads(*loads, now);
   } else if (auto* placements = std::get_if<fleet::PlacementNews>(&message.value)) {
     knowledge_.on_placements(placements->placements);
   } else if (auto* news = std::get_if<fleet::PeerNews>(&message.value)) {
--- a/src/control/router_link.h
+++ b/src/control/router_link.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <tuple>
 
 #include "src/control/fleet_knowledge.h"
 #include "src/wire/channel.h"
@@ -15,7 +16,9 @@
   uint64_t retired = 0;
   uint64_t weights = 0;
   uint64_t members = 0;
-  auto operator<=>(const ToldRevisions&) const = default;
+  bool operator<(const ToldRevisions& other) const {
+    return std::tie(retired, weights, members) < std::tie(other.retired, other.weights, other.members);
+  }
 };
 
 /// See the head of this file.
--- a/src/dispatch/engine_connection.cc
+++ b/src/dispatch/engine_connection.cc
@@ -15,6 +15,9 @@
 
 /// Silence of the network towards a back end after which the connection is given up.
 constexpr Duration kNetworkSilence = 1500ms;
+/// A connection that is not made within so long is given up: the way there and back takes some milliseconds.
+/// The request has certainly not run, and may go elsewhere at once.
+constexpr timeval kConnectLimit{0, 300000};
 /// An idle connection is not used in the last part of the time that the back end keeps it.
 constexpr Duration kIdleMargin = 400ms;
 /// For back ends that don't say how long they keep idle connections.
@@ -39,6 +42,8 @@
   switch (failure) {
     case ExchangeFailure::kNotConnected:
       return "not connected";
+    case ExchangeFailure::kSilent:
+      return "silent";
     case ExchangeFailure::kBroken:
       return "broken off";
     case ExchangeFailure::kMalformed:
@@ -69,6 +74,7 @@
     static_cast<EngineConnection*>(context)->on_event(events);
   };
   bufferevent_setcb(socket, on_readable, nullptr, on_event, connection.get());
+  bufferevent_set_timeouts(socket, nullptr, &kConnectLimit);
   bufferevent_enable(socket, EV_READ | EV_WRITE);
   return connection;
 }
@@ -95,18 +101,20 @@
 void EngineConnection::on_event(short events) {
   if ((events & BEV_EVENT_CONNECTED) != 0) {
     connected_ = true;
+    bufferevent_set_timeouts(connection_, nullptr, nullptr);
     return;
   }
+  const bool silent = EVUTIL_SOCKET_ERROR() == ETIMEDOUT;
   if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
     const auto keep = shared_from_this();
     read();
     if (connection_ != nullptr) {
-      on_end((events & BEV_EVENT_EOF) != 0);
+      on_end((events & BEV_EVENT_EOF) != 0, silent && (events & BEV_EVENT_ERROR) != 0);
     }
   }
 }
 
-void EngineConnection::on_end(bool orderly) {
+void EngineConnection::on_end(bool orderly, bool silent) {
   reusable_ = false;
   if (listener_ == nullptr) {
     close();
@@ -123,7 +131,7 @@
     become_idle();
     return;
   }
-  fail(ExchangeFailure::kBroken);
+  fail(silent ? ExchangeFailure::kSilent : ExchangeFailure::kBroken);
 }
 
 void EngineConnection::fail(ExchangeFailure failure) {
--- a/src/dispatch/engine_connection.h
+++ b/src/dispatch/engine_connection.h
@@ -18,6 +18,7 @@
 /// Why an exchange ended without a whole answer.
 enum class ExchangeFailure : uint8_t {
   kNotConnected,  ///< the connection was never made: certainly nothing was sent
+  kSilent,        ///< the other side's machine answers nothing any more
   kBroken,        ///< reset or closed before the answer was whole
   kMalformed,     ///< bytes that are no answer
 };
@@ -65,7 +66,8 @@
   explicit EngineConnection(EventLoop& loop);
   void read();
   void on_event(short events);
-  void on_end(bool orderly);
+  /// `orderly`: the other side closed it; `silent`: its machine has not answered for too long.
+  void on_end(bool orderly, bool silent);
   void fail(ExchangeFailure failure);
   void become_idle();
 
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -340,6 +340,9 @@
 void RequestRun::on_exchange_failure(ExchangeFailure failure) {
   const auto keep = shared_from_this();
   const TimePoint now = context_.loop.now();
+  if (failure == ExchangeFailure::kNotConnected || failure == ExchangeFailure::kSilent) {
+    context_.tell_unreachable(backend_->record.id);
+  }
   if (failure == ExchangeFailure::kNotConnected) {
     context_.pool.outliers().on_unreachable(backend_->record.id, now);
   } else {
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -52,6 +52,8 @@
   StoreSet stores = {};
   /// Tells the other routers who holds a chain.
   std::function<void(fleet::ChainPlacement)> tell_placement = [](const fleet::ChainPlacement&) {};
+  /// Tells control that a back end could not be reached.
+  std::function<void(const std::string&)> tell_unreachable = [](const std::string&) {};
   placement::PlacementCosts costs = {};
   std::map<std::string, placement::PauseWatch> pauses = {};  ///< by service
   double short_lane_share = 0.25;  ///< of the engines: those meant for short prompts
--- a/src/fleet/backend_registry.cc
+++ b/src/fleet/backend_registry.cc
@@ -4,6 +4,15 @@
 
 namespace stoat::fleet {
 
+namespace {
+
+/// Reports of routers that can't reach a back end count for so long.
+constexpr Duration kReportWindow = 2s;
+/// So many routers must agree.
+constexpr int kReportsToLose = 2;
+
+}  // namespace
+
 bool BackendRegistry::on_heartbeat(const BackendRecord& record, TimePoint now) {
   const auto known = seen_.find(record.id);
   if (known != seen_.end() && record.sequence <= known->second.record.sequence) {
@@ -28,7 +37,7 @@
   } else {
     forget_predecessor(record);
   }
-  seen_[record.id] = Seen{updated, now};
+  seen_[record.id] = Seen{updated, now, {}};
   publish(updated);
   return true;
 }
@@ -86,15 +95,31 @@
       position = seen_.erase(position);
       continue;
     }
-    const bool lost = now - seen.at > options_.lost_after;
-    if (lost != seen.record.lost) {
-      seen.record.lost = lost;
+    if (!seen.record.lost && lost(seen, now)) {
+      seen.record.lost = true;
       publish(seen.record);
     }
     ++position;
   }
 }
 
+void BackendRegistry::note_unreachable(const std::string& id, const std::string& router, TimePoint now) {
+  const auto known = seen_.find(id);
+  if (known != seen_.end()) {
+    known->second.unreachable[router] = now;
+  }
+}
+
+bool BackendRegistry::lost(const Seen& seen, TimePoint now) const {
+  const Duration silence = now - seen.at;
+  if (silence <= options_.overdue_after) {
+    return false;
+  }
+  const auto routers = std::count_if(seen.unreachable.begin(), seen.unreachable.end(),
+                                     [&](const auto& entry) { return now - entry.second <= kReportWindow; });
+  return silence > options_.lost_after || routers >= kReportsToLose;
+}
+
 void BackendRegistry::publish(const BackendRecord& record) {
   BackendRecord published = record;
   published.sequence = 0;
--- a/src/fleet/backend_registry.h
+++ b/src/fleet/backend_registry.h
@@ -15,7 +15,9 @@
 
 /// Settings of a registry.
 struct RegistryOptions {
-  Duration lost_after = 4s;     ///< silence after which a back end counts as lost
+  Duration lost_after = 4s;  ///< silence after which a back end counts as lost
+  /// Silence after which it counts as lost when routers can't reach it either: one heartbeat is overdue.
+  Duration overdue_after = 1400ms;
   Duration forget_after = 30s;  ///< silence after which it is forgotten
 };
 
@@ -32,6 +34,8 @@
   void set_loading(const std::string& id, bool loading);
   /// Notes the version of a model that a back end was seen to have.
   void set_version(const std::string& id, const std::string& model, uint64_t version);
+  /// A router could not reach a back end. One alone proves nothing: the router itself may be cut off.
+  void note_unreachable(const std::string& id, const std::string& router, TimePoint now);
   /// Marks lost back ends and forgets old ones. To be called a few times a second.
   void expire(TimePoint now);
 
@@ -47,7 +51,9 @@
   struct Seen {
     BackendRecord record;
     TimePoint at{0};
+    std::map<std::string, TimePoint> unreachable;  ///< by router: when it last could not reach the back end
   };
+  bool lost(const Seen& seen, TimePoint now) const;
   void forget_predecessor(const BackendRecord& record);
   void publish(const BackendRecord& record);
 
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -33,7 +33,9 @@
 struct RouterLoads {
   std::string router;
   std::vector<BackendLoad> loads;
-  MSGPACK_DEFINE_ARRAY(router, loads)
+  std::vector<std::string>
+      unreachable;  ///< ids of back ends that could not be reached since the last message
+  MSGPACK_DEFINE_ARRAY(router, loads, unreachable)
 };
 
 /// A back end, or a store of KV cache, holds a chain of prompt parts.
@@ -121,6 +123,13 @@
   MSGPACK_DEFINE_ARRAY(router, present)
 };
 
+/// A router could not reach a back end.
+struct UnreachableNotice {
+  std::string router;
+  std::string backend;
+  MSGPACK_DEFINE_ARRAY(router, backend)
+};
+
 /// What the leader knows of an engine from its own orders.
 struct EngineNote {
   std::string id;
@@ -145,13 +154,15 @@
   std::vector<CacheChanges> caches;
   std::vector<ChainPlacement> placements;
   std::vector<uint64_t> shared_parts;  ///< that more than one prompt may begin with
-  std::vector<EngineNote> engines;     ///< from the leader
-  std::vector<NamedVersion> weights;   ///< with the whole: since when they have been named
+  std::vector<UnreachableNotice> unreachable;
+  std::vector<EngineNote> engines;    ///< from the leader
+  std::vector<NamedVersion> weights;  ///< with the whole: since when they have been named
   MSGPACK_DEFINE_ARRAY(sender, zone, term, leads, number, anew, incomplete, heartbeats, routers, loads,
-                       caches, placements, shared_parts, engines, weights)
+                       caches, placements, shared_parts, unreachable, engines, weights)
   bool empty() const {
     return !anew && incomplete.empty() && heartbeats.empty() && routers.empty() && loads.empty() &&
-           caches.empty() && placements.empty() && shared_parts.empty() && engines.empty();
+           caches.empty() && placements.empty() && shared_parts.empty() && unreachable.empty() &&
+           engines.empty();
   }
 };
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -74,6 +74,7 @@
   context_.budget_options = settings.budget;
   context_.sharing_routers = delivery::SharingRouters(settings.routers_settle);
   context_.old_weights_limit = settings.old_weights_limit;
+  context_.tell_unreachable = [this](const std::string& backend) { untold_unreachable_.insert(backend); };
   context_.tell_placement = [this](fleet::ChainPlacement placement) { tell_placement(std::move(placement)); };
   loop_.every(kLoadsInterval, [this] { tell_loads(); });
   log_.info("started", {{"name", settings.name}, {"listen", to_string(settings.listen)}});
@@ -173,11 +174,13 @@
 
 void GatewayServer::tell_loads() {
   std::vector<fleet::BackendLoad> loads = pool_.own_loads();
-  if (loads_told_ && loads == told_loads_) {
+  if (loads_told_ && loads == told_loads_ && untold_unreachable_.empty()) {
     return;
   }
-  if (link_.send_to_feed(fleet::RouterLoads{settings_.name, loads})) {
+  const std::vector<std::string> unreachable(untold_unreachable_.begin(), untold_unreachable_.end());
+  if (link_.send_to_feed(fleet::RouterLoads{settings_.name, loads, unreachable})) {
     loads_told_ = true;
+    untold_unreachable_.clear();
     pool_.set_told_loads(loads);
     told_loads_ = std::move(loads);
   }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -101,6 +101,7 @@
   bool feed_begun_ = false;                     ///< a feed's first whole is not complete yet
   std::vector<fleet::BackendLoad> told_loads_;  ///< own ones, as last told
   bool loads_told_ = false;                     ///< to the member of the present feed
+  std::set<std::string> untold_unreachable_;    ///< back ends that could not be reached lately
   bool keys_held_ = false;                      ///< as last logged
   fleet::PlacementNews untold_placements_;
   std::map<const edge::CallerAnswer*, std::shared_ptr<dispatch::RequestRun>> runs_;
--- /dev/null
+++ b/tests/simulation/rollout_scenarios_test.cc
@@ -0,0 +1,183 @@
+/// The rollout of weights over a large fleet of modelled engines, in simulated time: several versions in
+/// quick succession, a change of leader in the midst of them, and crashes of many engines.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "src/common/random.h"
+#include "src/control/weight_rollout.h"
+
+namespace stoat {
+namespace {
+
+using control::OrderAnswer;
+using control::RolloutStep;
+using Kind = RolloutStep::Kind;
+
+constexpr Duration kStep = 20ms;
+constexpr Duration kLoadTime = 630ms;
+constexpr Duration kStartDelay = 2500ms;
+/// From the last word of a leader until the next one may order: the holder's lease and what is added to it.
+constexpr Duration kLeaderGap = 3400ms;
+
+/// One engine: takes an order, loads for a while, and has the version then.
+struct ModelEngine {
+  fleet::BackendRecord record;
+  uint64_t order_sequence = 0;
+  uint64_t loading_version = 0;
+  TimePoint loaded_at{0};
+  TimePoint down_until{0};
+};
+
+class RolloutScenario : public ::testing::Test {
+ protected:
+  void add_engines(size_t count) {
+    for (size_t i = 0; i < count; ++i) {
+      start(engines_.emplace_back());
+    }
+  }
+  /// An engine starts with an identity of its own and the weights that it had.
+  void start(ModelEngine& engine) {
+    const std::vector<fleet::ModelVersion> models = engine.record.models;
+    engine = {};
+    engine.record.id = "e" + std::to_string(++started_);
+    engine.record.service = "models";
+    engine.record.models = models.empty() ? std::vector<fleet::ModelVersion>{{"m", 1}} : models;
+  }
+  void name(uint64_t version) { named_["m"].note(version, now_); }
+  /// The leader is lost; the next one begins without what the last one had under way.
+  void change_leader() {
+    rollout_ = std::make_unique<control::WeightRollout>(options());
+    orders_from_ = now_ + kLeaderGap;
+  }
+  void crash(double share, Duration down) {
+    for (ModelEngine& engine : engines_) {
+      if (random_.chance(share)) {
+        start(engine);
+        engine.down_until = now_ + down;
+      }
+    }
+  }
+  void run_until(TimePoint end) {
+    for (; now_ < end; now_ += kStep) {
+      for (ModelEngine& engine : engines_) {
+        finish_load(engine);
+      }
+      if (now_ >= orders_from_) {
+        plan();
+      }
+      const auto loading = std::count_if(engines_.begin(), engines_.end(), [](const ModelEngine& engine) {
+        return engine.loading_version > 0;
+      });
+      most_loading_ = std::max(most_loading_, static_cast<size_t>(loading));
+    }
+  }
+  size_t behind(uint64_t version) const {
+    return static_cast<size_t>(
+        std::count_if(engines_.begin(), engines_.end(),
+                      [&](const ModelEngine& engine) { return engine.record.version_of("m") < version; }));
+  }
+
+  std::vector<ModelEngine> engines_;
+  TimePoint now_ = 100s;
+  size_t most_loading_ = 0;
+
+ private:
+  static control::RolloutOptions options() {
+    control::RolloutOptions options;
+    options.start_delay = kStartDelay;
+    return options;
+  }
+  void finish_load(ModelEngine& engine) const {
+    if (engine.loading_version > 0 && now_ >= engine.loaded_at) {
+      engine.record.models[0].version = engine.loading_version;
+      engine.loading_version = 0;
+    }
+  }
+  void plan() {
+    std::vector<fleet::BackendRecord> records;
+    for (const ModelEngine& engine : engines_) {
+      if (now_ >= engine.down_until) {
+        records.push_back(engine.record);
+      }
+    }
+    for (const RolloutStep& step : rollout_->plan(records, named_, now_)) {
+      take(step);
+    }
+  }
+  void take(const RolloutStep& step) {
+    const auto found = std::find_if(engines_.begin(), engines_.end(), [&](const ModelEngine& engine) {
+      return engine.record.id == step.engine.id;
+    });
+    if (found == engines_.end()) {
+      return;
+    }
+    if (step.kind == Kind::kOrder) {
+      rollout_->on_order_answer(step.engine.id, order(*found, step), now_);
+    } else if (step.kind == Kind::kCheck) {
+      rollout_->on_report(step.engine.id,
+                          {found->loading_version > 0, found->order_sequence, found->record.models}, now_);
+    }
+  }
+  OrderAnswer order(ModelEngine& engine, const RolloutStep& step) const {
+    if (engine.loading_version > 0 || step.expected_sequence != engine.order_sequence) {
+      return OrderAnswer::kConflict;
+    }
+    ++engine.order_sequence;
+    engine.loading_version = step.version;
+    engine.loaded_at = now_ + kLoadTime;
+    return OrderAnswer::kTaken;
+  }
+
+  Random random_{7};
+  fleet::NamedWeights named_;
+  std::unique_ptr<control::WeightRollout> rollout_ = std::make_unique<control::WeightRollout>(options());
+  TimePoint orders_from_{0};
+  size_t started_ = 0;
+};
+
+TEST_F(RolloutScenario, EachOfSeveralVersionsIsEverywhereWithinItsLimit) {
+  add_engines(240);
+  const TimePoint begin = now_;
+  constexpr Duration kLimit = 10s;
+  for (uint64_t version = 2; version <= 5; ++version) {
+    run_until(begin + static_cast<int64_t>(version - 2) * 4s);
+    name(version);
+  }
+  for (uint64_t version = 2; version <= 5; ++version) {
+    run_until(begin + static_cast<int64_t>(version - 2) * 4s + kLimit);
+    EXPECT_EQ(behind(version), 0U) << "version " << version;
+  }
+  EXPECT_LE(most_loading_, 40U);
+}
+
+TEST_F(RolloutScenario, ANewLeaderGoesOnAsSoonAsItMayOrder) {
+  add_engines(240);
+  name(2);
+  run_until(now_ + kStartDelay + 2s);
+  change_leader();
+  const TimePoint orders_from = now_ + kLeaderGap;
+  run_until(now_ + 1s);  // what the last leader had ordered is loaded
+  const size_t before = behind(2);
+  ASSERT_GT(before, 0U);
+  run_until(orders_from + 1s);  // an announcement and a load after the gap
+  EXPECT_LT(behind(2), before);
+  run_until(now_ + 6s);
+  EXPECT_EQ(behind(2), 0U);
+}
+
+TEST_F(RolloutScenario, EnginesThatCrashAndComeBackWithOldWeightsGetTheNewestOnes) {
+  add_engines(240);
+  name(2);
+  run_until(now_ + 4s);
+  crash(0.3, 1s);
+  run_until(now_ + 3s);
+  name(3);
+  crash(0.3, 1s);
+  change_leader();
+  run_until(now_ + kLeaderGap + 8s);
+  EXPECT_EQ(behind(3), 0U);
+}
+
+}  // namespace
+}  // namespace stoat
--- a/tests/unit/fleet_knowledge_test.cc
+++ b/tests/unit/fleet_knowledge_test.cc
@@ -146,8 +146,8 @@
 TEST_F(FleetKnowledgeTest, LoadsOfAllRoutersAreAddedUpOnBothMembers) {
   first_.on_router(router("r1"), true, now_);
   second_.on_router(router("r2"), true, now_);
-  first_.on_router_loads({"r1", {{"e1", 2, 500}}});
-  second_.on_router_loads({"r2", {{"e1", 3, 0}, {"e2", 1, 0}}});
+  first_.on_router_loads({"r1", {{"e1", 2, 500}}, {}}, now_);
+  second_.on_router_loads({"r2", {{"e1", 3, 0}, {"e2", 1, 0}}, {}}, now_);
   exchange();
   exchange();
   for (const FleetKnowledge* member : {&first_, &second_}) {
@@ -166,7 +166,7 @@
   first_.on_router(router("r1"), true, now_);
   exchange();
   exchange();
-  first_.on_router_loads({"r1", {{"e1", 2, 500}}});
+  first_.on_router_loads({"r1", {{"e1", 2, 500}}, {}}, now_);
   first_.take_peer_news(4, true);  // lost on its way
   exchange();
   exchange();
@@ -176,7 +176,7 @@
 
 TEST_F(FleetKnowledgeTest, ASilentMembersLoadsCountNoMore) {
   first_.on_router(router("r1"), true, now_);
-  first_.on_router_loads({"r1", {{"e1", 2, 500}}});
+  first_.on_router_loads({"r1", {{"e1", 2, 500}}, {}}, now_);
   exchange();
   exchange();
   ASSERT_NE(second_.loads().totals().find("e1"), nullptr);
@@ -187,6 +187,28 @@
   EXPECT_NE(second_.loads().totals().find("e1"), nullptr);
 }
 
+TEST_F(FleetKnowledgeTest, ABackEndThatIsOverdueAndThatRoutersCannotReachIsLostSoon) {
+  // Found on the large fleets: a quarter of the engines went dark, and each of 295 routers had to find out
+  // about each of them by a request of its own.
+  first_.on_heartbeat(engine("dark"), now_);
+  first_.on_heartbeat(engine("cut off from two routers"), now_);
+  first_.on_router(router("r1"), true, now_);
+  first_.on_router(router("r2"), true, now_);
+  const TimePoint later = now_ + 1500ms;
+  first_.on_heartbeat(engine("cut off from two routers", 2), later);
+  first_.on_router_loads({"r1", {}, {"dark", "cut off from two routers"}}, later);
+  first_.expire(later);
+  EXPECT_FALSE(first_.registry().find("dark")->lost);  // one router may be cut off itself
+  first_.on_router_loads({"r2", {}, {"dark", "cut off from two routers"}}, later);
+  first_.expire(later);
+  EXPECT_TRUE(first_.registry().find("dark")->lost);
+  EXPECT_FALSE(first_.registry().find("cut off from two routers")->lost);  // its heartbeats come
+  first_.expire(later + 3s);
+  EXPECT_TRUE(first_.registry().find("dark")->lost);  // nobody asks it any more
+  first_.on_heartbeat(engine("dark", 2), later + 3s);
+  EXPECT_FALSE(first_.registry().find("dark")->lost);
+}
+
 TEST_F(FleetKnowledgeTest, FollowersKnowWhatTheLeaderLoads) {
   first_.on_heartbeat(engine("e1"), now_);
   exchange();
