--- a/src/control/fleet_knowledge.cc
+++ b/src/control/fleet_knowledge.cc
@@ -347,7 +347,7 @@
   cursor.placements = position;
 }
 
-fleet::FleetNews FleetKnowledge::next_news(FeedCursor& cursor) const {
+fleet::FleetNews FleetKnowledge::next_news(FeedCursor& cursor, bool loads_due) const {
   fleet::FleetNews news;
   if (!reaches(cursor)) {
     cursor = FeedCursor{};
@@ -357,7 +357,9 @@
   }
   // Loads and caches of a back end come after the back end itself.
   if (add_backends(cursor, news)) {
-    add_loads(cursor, news);
+    if (loads_due || cursor.loads == 0) {
+      add_loads(cursor, news);
+    }
     add_caches(cursor, news);
     add_placements(cursor, news);
   }
--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -21,6 +21,9 @@
 constexpr uint64_t kRecentRetired = 256;
 /// While so many bytes wait for a router, no news are added: what is newer replaces what is older.
 constexpr size_t kMaxUnsentNews = 64U << 10U;
+/// Loads go with every third round of news: at 240 engines nearly all of them change in each, which would
+/// make up most of what a router receives.
+constexpr uint64_t kRoundsPerLoads = 3;
 /// Named versions of a model that routers are told.
 constexpr size_t kNamedVersions = 6;
 
@@ -42,6 +45,11 @@
   knowledge_.expire(loop_.now());
   ready_count_ = knowledge_.routers().ready_count(loop_.now());
   choose_caches();
+  const auto feeds = std::count_if(routers_.begin(), routers_.end(), [](const auto& entry) {
+    return entry.second.status.follows && !entry.second.silent;
+  });
+  metrics_.set("stoat_control_feeds", static_cast<double>(feeds));
+  metrics_.set("stoat_control_followed_caches", static_cast<double>(watch_.size()));
   note_backends();
   note_members();
   drop_silent_routers();
@@ -116,7 +124,13 @@
     link.configuration_sent_at = loop_.now();
   }
   link.told = {retired_.revision(), named_revision_, members_revision_};
-  link.channel->send(update);
+  const std::string frame = wire::make_frame(update);
+  count_sent("update", frame);
+  link.channel->send_frame(frame);
+}
+
+void FleetServer::count_sent(const char* kind, const std::string& frame) {
+  metrics_.count("stoat_control_sent_bytes_total", {{"kind", kind}}, static_cast<double>(frame.size()));
 }
 
 void FleetServer::push_to_routers() {
@@ -141,6 +155,7 @@
       link.configuration_sent = configuration_version();
       link.configuration_sent_at = loop_.now();
     }
+    count_sent("update", frame);
     link.channel->send_frame(frame);
   }
 }
@@ -168,7 +183,7 @@
   answer_router(link);
   if (begins) {
     std::map<FeedCursor, FeedFrame> frames;
-    feed_router(link, frames);
+    feed_router(link, true, frames);
   }
 }
 
@@ -201,21 +216,22 @@
 }
 
 void FleetServer::feed_routers() {
+  const bool loads_due = ++feed_rounds_ % kRoundsPerLoads == 0;
   std::map<FeedCursor, FeedFrame> frames;
   for (auto& [name, link] : routers_) {
     if (link.status.follows && !link.silent) {
-      feed_router(link, frames);
+      feed_router(link, loads_due, frames);
     }
   }
 }
 
-void FleetServer::feed_router(RouterLink& link, std::map<FeedCursor, FeedFrame>& frames) {
+void FleetServer::feed_router(RouterLink& link, bool loads_due, std::map<FeedCursor, FeedFrame>& frames) {
   while (link.channel->open() && link.channel->unsent_bytes() < kMaxUnsentNews) {
     auto found = frames.find(link.cursor);
     if (found == frames.end()) {
       FeedFrame made;
       made.after = link.cursor;
-      const fleet::FleetNews news = knowledge_.next_news(made.after);
+      const fleet::FleetNews news = knowledge_.next_news(made.after, loads_due);
       made.complete = news.complete;
       if (!news.empty()) {
         made.frame = wire::make_frame(news);
@@ -225,6 +241,7 @@
     const FeedFrame& next = found->second;
     link.cursor = next.after;
     if (!next.frame.empty()) {
+      count_sent("feed", next.frame);
       link.channel->send_frame(next.frame);
     }
     if (next.complete || next.frame.empty()) {
--- a/src/control/fleet_peers.cc
+++ b/src/control/fleet_peers.cc
@@ -45,6 +45,7 @@
     }
     const ChannelPtr channel = bulk_channel_to(member.address);
     if (channel != nullptr && channel->unsent_bytes() < kMaxUnsentNews) {
+      count_sent("members", frame);
       channel->send_frame(frame);
     }
   }
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -348,8 +348,7 @@
   } else {
     context_.pool.outliers().on_failure(backend_->record.id, now);
   }
-  context_.metrics.count("stoat_router_exchange_failures_total",
-                         {{"kind", std::to_string(static_cast<int>(failure))}});
+  context_.metrics.count("stoat_router_exchange_failures_total", {{"kind", to_text(failure)}});
   const BackendPtr failed = backend_;
   end_exchange(false);
   if (failure == ExchangeFailure::kNotConnected) {
--- a/tests/unit/fleet_knowledge_test.cc
+++ b/tests/unit/fleet_knowledge_test.cc
@@ -40,7 +40,7 @@
   size_t messages = 0;
   void update(const FleetKnowledge& knowledge) {
     for (;;) {
-      const FleetNews news = knowledge.next_news(cursor);
+      const FleetNews news = knowledge.next_news(cursor, true);
       if (news.empty()) {
         return;
       }
@@ -125,11 +125,11 @@
   EXPECT_EQ(follower.backends.size(), 250U);
   EXPECT_GE(follower.messages, 3U);  // the whole comes in pieces
   first_.set_loading("e7", true);
-  const FleetNews news = first_.next_news(follower.cursor);
+  const FleetNews news = first_.next_news(follower.cursor, true);
   EXPECT_FALSE(news.anew);
   ASSERT_EQ(news.backends.size(), 1U);
   EXPECT_TRUE(news.backends[0].loading);
-  EXPECT_TRUE(first_.next_news(follower.cursor).empty());
+  EXPECT_TRUE(first_.next_news(follower.cursor, true).empty());
 }
 
 TEST_F(FleetKnowledgeTest, RoutersThatKnowTheSameAreAtTheSameCursor) {
--- a/tests/unit/fleet_members_test.cc
+++ b/tests/unit/fleet_members_test.cc
@@ -20,6 +20,9 @@
     settings.core.entries_per_snapshot = 10;
     settings.core.replica.election_timeout = 200ms;
     settings.core.replica.heartbeat_interval = 40ms;
+    settings.holder_lease = 200ms;
+    settings.rollout.start_delay = 0ms;
+    settings.registry.lost_after = 60s;  // heartbeats come from the test
     server_ = std::make_unique<control::FleetServer>(loop_, settings, orders_);
     thread_ = std::thread([this] { loop_.run(); });
   }
@@ -50,6 +53,16 @@
   size_t voters() {
     return test::run_on(loop_, [this] { return server_->voter_count(); });
   }
+  void heartbeat(const fleet::BackendRecord& record) {
+    test::run_on(loop_, [&] {
+      server_->heartbeat(record);
+      return true;
+    });
+  }
+  /// How many orders of weights this member has given.
+  size_t orders() {
+    return test::run_on(loop_, [this] { return orders_.orders.size(); });
+  }
 
  private:
   EventLoop loop_;
@@ -159,6 +172,31 @@
   EXPECT_EQ(members_[0]->read(), std::nullopt);
 }
 
+TEST_F(FleetMembersTest, TheNextLeaderOrdersWeightsFromWhatAllMembersKnow) {
+  // Found on the large fleets: what the leader knew of engines and of the naming of weights went with it.
+  start_all();
+  ASSERT_TRUE(commit_somewhere(1, 0));
+  fleet::BackendRecord engine;
+  engine.id = "e1";
+  engine.service = "models";
+  engine.address = "127.0.0.1:1";
+  engine.sequence = 1;
+  engine.models = {{"m", 1}};
+  members_[0]->heartbeat(engine);  // the only one, and to one member only
+  ASSERT_TRUE(eventually([&] { return members_[0]->commit(fleet::NameWeights{"m", 2}); }));
+  const auto leader = [&]() -> std::optional<size_t> {
+    for (auto& [position, member] : members_) {
+      if (member->orders() > 0) {
+        return position;
+      }
+    }
+    return std::nullopt;
+  };
+  ASSERT_TRUE(eventually([&] { return leader().has_value(); }));
+  members_.erase(*leader());
+  EXPECT_TRUE(eventually([&] { return leader().has_value(); }));
+}
+
 TEST_F(FleetMembersTest, AllThatWasAcknowledgedOutlivesALossOfPowerOfAll) {
   start_all();
   for (uint64_t version = 1; version <= 25; ++version) {
