Empty only as many engines as loads need next, and for 300 ms

Cause: besides the sixth of the engines that load new weights, as many more were announced as loading and waited for their turn: of 240 engines 80 served nobody for as long as a version rolled out, half of them for nothing.

Ruled out: a longer emptying alone (it takes more engines away); the pace of loads, which stays as it was.

Change: so many engines are announced beyond the bound as become ready while one load ends (the lead over the time of a load). The lead is 300 ms in place of 150: the wait for a turn, which used to let most streams end, is gone.

--- a/src/control/weight_rollout.cc
+++ b/src/control/weight_rollout.cc
@@ -123,6 +123,13 @@
   return static_cast<size_t>(std::ceil(options_.load_share * engines));
 }
 
+size_t WeightRollout::under_way_bound(const std::string& service) const {
+  const size_t loading = bound_of(service);
+  const double emptying = static_cast<double>(loading) * static_cast<double>(options_.announce_lead.count()) /
+                          static_cast<double>(options_.first_check.count());
+  return loading + static_cast<size_t>(std::ceil(emptying));
+}
+
 size_t WeightRollout::ordered_of(const std::string& service) const {
   return static_cast<size_t>(std::count_if(loads_.begin(), loads_.end(), [&](const auto& entry) {
     const Load& load = entry.second;
@@ -139,7 +146,7 @@
   for (const BackendRecord* candidate : lagging(engines, weights, now)) {
     const BackendRecord& engine = *candidate;
     const ModelVersion target = wanted(engine, weights);
-    if (under_way_of[engine.service] >= 2 * bound_of(engine.service)) {
+    if (under_way_of[engine.service] >= under_way_bound(engine.service)) {
       continue;
     }
     Load load;
--- a/src/control/weight_rollout.h
+++ b/src/control/weight_rollout.h
@@ -4,7 +4,8 @@
 /// An engine is first announced as loading, so that routers send it nothing more and let runs go on
 /// elsewhere; some hundred milliseconds later it gets its order; then it is asked for its state until it has
 /// the version. Versions that a newer one has overtaken are skipped. A bounded share of the engines loads at
-/// once, and as many more may be emptying meanwhile.
+/// once; besides these, so many are emptying that one is ready whenever a load ends, and no more: an engine
+/// that waits for its order serves nobody.
 #pragma once
 
 #include <map>
@@ -21,7 +22,7 @@
 struct RolloutOptions {
   double load_share = 0.166;        ///< of the engines that load at once, rounded up
   Duration start_delay{0};          ///< from the naming of a version to the first order for it
-  Duration announce_lead = 150ms;   ///< between the announcement and the order
+  Duration announce_lead = 300ms;   ///< between the announcement and the order: most streams end meanwhile
   Duration first_check = 650ms;     ///< from the order to the first question for its result
   Duration check_interval = 150ms;  ///< between such questions
   Duration retry_delay = 20ms;      ///< before an engine is asked how an order without an answer went
@@ -93,6 +94,8 @@
   size_t ordered_of(const std::string& service) const;
   /// How many engines of a service may load at once.
   size_t bound_of(const std::string& service) const;
+  /// How many may be announced or load at once.
+  size_t under_way_bound(const std::string& service) const;
   std::vector<const fleet::BackendRecord*> lagging(const std::vector<fleet::BackendRecord>& engines,
                                                    const fleet::NamedWeights& weights, TimePoint now) const;
   void start_loads(const std::vector<fleet::BackendRecord>& engines, const fleet::NamedWeights& weights,
