Learn from the pauses of all routers' streams whether short prompts need engines of their own

Lanes for short prompts are there for this, but each router judged by its own last 200 streams, and one of 295 sees that many in two minutes.

Ruled out: a shorter memory at each router (a handful of streams proves nothing).

Change: routers tell the member that they follow how many streams ended and how many paused too long; members add up (control::PauseBook, a memory of 5 s, some streams in time assumed) and tell the share to all routers, which take the strength of the lanes from it as before.

--- a/src/control/fleet_knowledge.cc
+++ b/src/control/fleet_knowledge.cc
@@ -49,6 +49,10 @@
     registry_.note_unreachable(backend, loads.router, now);
     untold_.unreachable.push_back({loads.router, backend});
   }
+  for (const fleet::StreamPauses& pauses : loads.pauses) {
+    pauses_.add(pauses, now);
+    untold_.pauses.push_back(pauses);
+  }
   if (followers_.count(loads.router) > 0) {
     loads_.set_router(loads.router, loads.loads);
   }
@@ -146,6 +150,9 @@
   for (const fleet::UnreachableNotice& notice : news.unreachable) {
     registry_.note_unreachable(notice.backend, notice.router, now);
   }
+  for (const fleet::StreamPauses& pauses : news.pauses) {
+    pauses_.add(pauses, now);
+  }
   loads_.on_peer(news.sender, news.loads);
   for (const fleet::CacheChanges& changes : news.caches) {
     caches_.apply(news.sender, changes);
@@ -161,6 +168,7 @@
 void FleetKnowledge::expire(TimePoint now) {
   registry_.expire(now);
   routers_.expire(now);
+  pauses_.update(now);
   for (auto entry = peers_.begin(); entry != peers_.end();) {
     if (now - entry->second.heard <= kPeerLease) {
       ++entry;
@@ -347,6 +355,13 @@
   cursor.placements = position;
 }
 
+void FleetKnowledge::add_late_shares(FeedCursor& cursor, fleet::FleetNews& news) const {
+  cursor.late_shares = pauses_.shares().visit_since(
+      cursor.late_shares, SIZE_MAX, [&](const std::string& service, const uint32_t* permille) {
+        news.late_shares.push_back({service, permille == nullptr ? 0 : *permille});
+      });
+}
+
 fleet::FleetNews FleetKnowledge::next_news(FeedCursor& cursor, bool loads_due) const {
   fleet::FleetNews news;
   if (!reaches(cursor)) {
@@ -362,6 +377,7 @@
     }
     add_caches(cursor, news);
     add_placements(cursor, news);
+    add_late_shares(cursor, news);
   }
   news.complete = cursor.registry == registry_.table().revision() &&
                   cursor.holdings == caches_.shared_holdings().revision();
--- a/src/control/fleet_knowledge.h
+++ b/src/control/fleet_knowledge.h
@@ -16,6 +16,7 @@
 #include "src/control/cache_mirror.h"
 #include "src/control/cache_watch.h"
 #include "src/control/load_book.h"
+#include "src/control/pause_book.h"
 #include "src/control/router_directory.h"
 #include "src/fleet/backend_registry.h"
 #include "src/fleet/fleet_messages.h"
@@ -38,12 +39,13 @@
   uint64_t heads = 0;
   uint64_t holdings = 0;
   uint64_t placements = 0;
+  uint64_t late_shares = 0;
   bool operator==(const FeedCursor&) const = default;
   bool operator<(const FeedCursor& other) const { return values() < other.values(); }
 
  private:
-  std::tuple<bool, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t> values() const {
-    return {begun, registry, loads, heads, holdings, placements};
+  std::tuple<bool, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t> values() const {
+    return {begun, registry, loads, heads, holdings, placements, late_shares};
   }
 };
 
@@ -116,12 +118,14 @@
   void add_loads(FeedCursor& cursor, fleet::FleetNews& news) const;
   void add_caches(FeedCursor& cursor, fleet::FleetNews& news) const;
   void add_placements(FeedCursor& cursor, fleet::FleetNews& news) const;
+  void add_late_shares(FeedCursor& cursor, fleet::FleetNews& news) const;
   bool reaches(const FeedCursor& cursor) const;
 
   KnowledgeOptions options_;
   fleet::BackendRegistry registry_;
   RouterDirectory routers_;
   LoadBook loads_;
+  PauseBook pauses_;
   CacheMirror caches_;
   std::map<std::string, fleet::RouterRecord> followers_;  ///< routers that take this member's feed
   std::map<std::string, FollowedCache> claimed_;          ///< caches that this member follows, by holder
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -225,7 +225,10 @@
 
 void RequestRun::learn_from_pauses() const {
   if (plan_.route->gap_target_ms > 0 && longest_pause_ > Duration(0)) {
-    context_.pauses[plan_.service].observe(longest_pause_, Duration(1000 * plan_.route->gap_target_ms));
+    fleet::StreamPauses& pauses = context_.pauses[plan_.service];
+    pauses.service = plan_.service;
+    ++pauses.streams;
+    pauses.late += longest_pause_ > Duration(1000 * plan_.route->gap_target_ms) ? 1 : 0;
   }
 }
 
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -55,8 +55,9 @@
   /// Tells control that a back end could not be reached.
   std::function<void(const std::string&)> tell_unreachable = [](const std::string&) {};
   placement::PlacementCosts costs = {};
-  std::map<std::string, placement::PauseWatch> pauses = {};  ///< by service
-  double short_lane_share = 0.25;  ///< of the engines: those meant for short prompts
+  std::map<std::string, uint32_t> late_permille = {};      ///< by service: streams that pause too long
+  std::map<std::string, fleet::StreamPauses> pauses = {};  ///< by service: of own streams, not told yet
+  double short_lane_share = 0.25;                          ///< of the engines: those meant for short prompts
 
   delivery::WindowBudget& budget_of(const std::string& service) {
     return budgets.try_emplace(service, budget_options).first->second;
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -97,7 +97,7 @@
   placement::mark_lanes(chain_, views, context_.short_lane_share);
   const CacheStore* store = context_.stores.store_for(chain_);
   placement::PlacementCosts costs = context_.costs;
-  costs.other_lane_ms *= context_.pauses[plan_.service].lane_strength();
+  costs.other_lane_ms *= placement::lane_strength(context_.late_permille[plan_.service]);
   const placement::Placement placed = placement::place(
       chain_, views, store == nullptr ? nullptr : &store->memory, costs, context_.loop.now());
   const BackendPtr holder = placed.source ? engines[*placed.source] : nullptr;
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -29,13 +29,28 @@
   MSGPACK_DEFINE_ARRAY(router, sequence, configuration_version, follows)
 };
 
+/// Streams of a service that have ended, and how many of them paused for longer than their route allows.
+struct StreamPauses {
+  std::string service;
+  uint32_t streams = 0;
+  uint32_t late = 0;
+  MSGPACK_DEFINE_ARRAY(service, streams, late)
+};
+
+/// The share of a service's streams, over all routers, that have lately paused too long.
+struct LateShare {
+  std::string service;
+  uint32_t permille = 0;
+  MSGPACK_DEFINE_ARRAY(service, permille)
+};
+
 /// Router to the member whose feed it follows: its requests under way. Back ends that aren't named have none.
 struct RouterLoads {
   std::string router;
   std::vector<BackendLoad> loads;
-  std::vector<std::string>
-      unreachable;  ///< ids of back ends that could not be reached since the last message
-  MSGPACK_DEFINE_ARRAY(router, loads, unreachable)
+  std::vector<std::string> unreachable;  ///< ids of back ends that could not be reached lately
+  std::vector<StreamPauses> pauses;      ///< of streams that ended since the last message
+  MSGPACK_DEFINE_ARRAY(router, loads, unreachable, pauses)
 };
 
 /// A back end, or a store of KV cache, holds a chain of prompt parts.
@@ -110,9 +125,11 @@
   std::vector<BackendLoad> loads;  ///< of all routers together, of the back ends where it changed
   std::vector<CacheChanges> caches;
   std::vector<ChainPlacement> placements;
-  MSGPACK_DEFINE_ARRAY(anew, complete, backends, gone, loads, caches, placements)
+  std::vector<LateShare> late_shares;
+  MSGPACK_DEFINE_ARRAY(anew, complete, backends, gone, loads, caches, placements, late_shares)
   bool empty() const {
-    return !anew && backends.empty() && gone.empty() && loads.empty() && caches.empty() && placements.empty();
+    return !anew && backends.empty() && gone.empty() && loads.empty() && caches.empty() &&
+           placements.empty() && late_shares.empty();
   }
 };
 
@@ -155,14 +172,15 @@
   std::vector<ChainPlacement> placements;
   std::vector<uint64_t> shared_parts;  ///< that more than one prompt may begin with
   std::vector<UnreachableNotice> unreachable;
+  std::vector<StreamPauses> pauses;
   std::vector<EngineNote> engines;    ///< from the leader
   std::vector<NamedVersion> weights;  ///< with the whole: since when they have been named
   MSGPACK_DEFINE_ARRAY(sender, zone, term, leads, number, anew, incomplete, heartbeats, routers, loads,
-                       caches, placements, shared_parts, unreachable, engines, weights)
+                       caches, placements, shared_parts, unreachable, pauses, engines, weights)
   bool empty() const {
     return !anew && incomplete.empty() && heartbeats.empty() && routers.empty() && loads.empty() &&
            caches.empty() && placements.empty() && shared_parts.empty() && unreachable.empty() &&
-           engines.empty();
+           pauses.empty() && engines.empty();
   }
 };
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -149,6 +149,9 @@
   for (const fleet::CacheChanges& changes : news.caches) {
     take_cache(changes);
   }
+  for (const fleet::LateShare& share : news.late_shares) {
+    context_.late_permille[share.service] = share.permille;
+  }
   for (const fleet::ChainPlacement& placement : news.placements) {
     take_placement(placement);
   }
@@ -174,13 +177,18 @@
 
 void GatewayServer::tell_loads() {
   std::vector<fleet::BackendLoad> loads = pool_.own_loads();
-  if (loads_told_ && loads == told_loads_ && untold_unreachable_.empty()) {
+  if (loads_told_ && loads == told_loads_ && untold_unreachable_.empty() && context_.pauses.empty()) {
     return;
   }
-  const std::vector<std::string> unreachable(untold_unreachable_.begin(), untold_unreachable_.end());
-  if (link_.send_to_feed(fleet::RouterLoads{settings_.name, loads, unreachable})) {
+  fleet::RouterLoads message{settings_.name, loads, {}, {}};
+  message.unreachable.assign(untold_unreachable_.begin(), untold_unreachable_.end());
+  for (const auto& [service, pauses] : context_.pauses) {
+    message.pauses.push_back(pauses);
+  }
+  if (link_.send_to_feed(message)) {
     loads_told_ = true;
     untold_unreachable_.clear();
+    context_.pauses.clear();
     pool_.set_told_loads(loads);
     told_loads_ = std::move(loads);
   }
