Move the calls, the feed and the router's side of it to files of their own

Change: fleet_calls.cc (commands and confirmed reads), fleet_feed.cc (what routers are told), gateway_feed.cc (what a router takes from its feed and tells there).

--- /dev/null
+++ b/src/control/fleet_feed.cc
@@ -0,0 +1,107 @@
+/// FleetKnowledge: what routers are told of it, as differences since their cursor.
+#include <algorithm>
+#include <utility>
+
+#include "src/control/fleet_knowledge.h"
+
+namespace stoat::control {
+
+namespace {
+
+/// Bounds on one message to a router: some 16 KB at the usual lengths of names.
+constexpr size_t kBackendsPerMessage = 100;
+constexpr size_t kLoadsPerMessage = 600;
+constexpr size_t kHoldingsPerMessage = 600;
+constexpr size_t kPlacementsPerMessage = 200;
+
+}  // namespace
+
+bool FleetKnowledge::reaches(const FeedCursor& cursor) const {
+  return cursor.begun && registry_.table().reaches(cursor.registry) &&
+         loads_.totals().reaches(cursor.loads) && caches_.heads().reaches(cursor.heads) &&
+         caches_.shared_holdings().reaches(cursor.holdings);
+}
+
+bool FleetKnowledge::add_backends(FeedCursor& cursor, fleet::FleetNews& news) const {
+  cursor.registry = registry_.table().visit_since(
+      cursor.registry, kBackendsPerMessage, [&](const std::string& id, const fleet::BackendRecord* record) {
+        if (record == nullptr) {
+          news.gone.push_back(id);
+        } else {
+          news.backends.push_back(*record);
+        }
+      });
+  return cursor.registry == registry_.table().revision();
+}
+
+void FleetKnowledge::add_loads(FeedCursor& cursor, fleet::FleetNews& news) const {
+  cursor.loads = loads_.totals().visit_since(
+      cursor.loads, kLoadsPerMessage, [&](const std::string& backend, const fleet::BackendLoad* load) {
+        news.loads.push_back(load == nullptr ? fleet::BackendLoad{backend, 0, 0} : *load);
+      });
+}
+
+void FleetKnowledge::add_caches(FeedCursor& cursor, fleet::FleetNews& news) const {
+  std::map<std::string, fleet::CacheChanges> changed;  // by holder
+  const auto entry_of = [&](const std::string& holder) -> fleet::CacheChanges& {
+    fleet::CacheChanges& changes = changed[holder];
+    if (const CacheHead* head = caches_.heads().find(holder)) {
+      changes.store = head->store;
+      changes.followed = head->followed;
+    }
+    return changes;
+  };
+  cursor.heads = caches_.heads().visit_since(
+      cursor.heads, kHoldingsPerMessage,
+      [&](const std::string& holder, const CacheHead* head) { entry_of(holder).anew = head == nullptr; });
+  cursor.holdings = caches_.shared_holdings().visit_since(
+      cursor.holdings, kHoldingsPerMessage, [&](const HeldPart& held, const fleet::PartHolding* holding) {
+        fleet::PartHolding told{held.part, 0, 0};
+        entry_of(held.holder).holdings.push_back(holding == nullptr ? told : *holding);
+      });
+  for (auto& [holder, changes] : changed) {
+    changes.holder = holder;
+    news.caches.push_back(std::move(changes));
+  }
+}
+
+void FleetKnowledge::add_placements(FeedCursor& cursor, fleet::FleetNews& news) const {
+  const uint64_t end = placements_dropped_ + placements_.size();
+  uint64_t position = std::max(cursor.placements, placements_dropped_);
+  while (position < end && news.placements.size() < kPlacementsPerMessage) {
+    news.placements.push_back(placements_[position - placements_dropped_]);
+    ++position;
+  }
+  cursor.placements = position;
+}
+
+void FleetKnowledge::add_late_shares(FeedCursor& cursor, fleet::FleetNews& news) const {
+  cursor.late_shares = pauses_.shares().visit_since(
+      cursor.late_shares, SIZE_MAX, [&](const std::string& service, const uint32_t* permille) {
+        news.late_shares.push_back({service, permille == nullptr ? 0 : *permille});
+      });
+}
+
+fleet::FleetNews FleetKnowledge::next_news(FeedCursor& cursor, bool loads_due) const {
+  fleet::FleetNews news;
+  if (!reaches(cursor)) {
+    cursor = FeedCursor{};
+    cursor.begun = true;
+    cursor.placements = placements_dropped_ + placements_.size();  // what caches hold is told anyway
+    news.anew = true;
+  }
+  // Loads and caches of a back end come after the back end itself.
+  if (add_backends(cursor, news)) {
+    if (loads_due || cursor.loads == 0) {
+      add_loads(cursor, news);
+    }
+    add_caches(cursor, news);
+    add_placements(cursor, news);
+    add_late_shares(cursor, news);
+  }
+  news.complete = cursor.registry == registry_.table().revision() &&
+                  cursor.holdings == caches_.shared_holdings().revision();
+  return news;
+}
+
+}  // namespace stoat::control
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -20,8 +20,6 @@
 constexpr Duration kStopGrace = 300ms;
 /// From a back end's heartbeat until the members that it did not come to have it.
 constexpr Duration kHeartbeatDelay = 200ms;
-/// Callers turn to another member after a second without an answer.
-constexpr Duration kCallLimit = 2500ms;
 
 }  // namespace
 
@@ -220,39 +218,6 @@
                                            [](const consensus::Member& member) { return member.voter; }));
 }
 
-bool FleetServer::accepts(const Command& command) const {
-  // While the fleet is founded, a configuration waits until it would be on enough disks.
-  return voter_count() >= settings_.core.target_voters ||
-         std::holds_alternative<fleet::RetireBackend>(command.value);
-}
-
-void FleetServer::on_control_call(const ChannelPtr& channel, wire::ControlCall call) {
-  const uint64_t call_id = call.call_id;
-  const auto answer = [channel, call_id](bool done) {
-    wire::ControlAnswer reply;
-    reply.call_id = call_id;
-    reply.status = done ? wire::CallStatus::kDone : wire::CallStatus::kUnavailable;
-    channel->send(reply);
-  };
-  if (!core_->replica().leads()) {
-    answer(false);  // never passed on twice: the caller's member asks again
-    return;
-  }
-  commit(std::move(call.command), answer);
-}
-
-void FleetServer::on_confirmed_read(const ChannelPtr& channel, const fleet::ConfirmedRead& read) {
-  const uint64_t call_id = read.call_id;
-  const auto answer = [channel, call_id](const std::optional<std::string>& source) {
-    channel->send(fleet::ConfirmedReadAnswer{call_id, source.has_value(), source.value_or("")});
-  };
-  if (!core_->replica().leads()) {
-    answer(std::nullopt);
-    return;
-  }
-  read_configuration(answer);
-}
-
 void FleetServer::on_join(const ChannelPtr& channel, const wire::JoinRequest& request) {
   core_->on_join(request, loop_.now());
   fleet::MemberAddresses addresses;
@@ -292,79 +257,6 @@
   }
 }
 
-uint64_t FleetServer::add_waiting(Waiting waiting) {
-  const uint64_t token = ++last_token_;
-  waiting.expires = loop_.now() + kCallLimit;
-  waiting_[token] = std::move(waiting);
-  return token;
-}
-
-void FleetServer::finish(uint64_t token, bool done, const std::optional<std::string>& source) {
-  const auto found = waiting_.find(token);
-  if (found == waiting_.end()) {
-    return;
-  }
-  const Waiting waiting = std::move(found->second);
-  waiting_.erase(found);
-  if (waiting.on_done) {
-    waiting.on_done(done);
-  }
-  if (waiting.on_read) {
-    const bool known = source.has_value() && !source->empty();
-    waiting.on_read(done && known ? source : std::nullopt);
-  }
-}
-
-void FleetServer::commit(Command command, Committed on_done) {
-  Waiting waiting;
-  waiting.on_done = std::move(on_done);
-  const uint64_t token = add_waiting(std::move(waiting));
-  if (core_->replica().leads()) {
-    if (!accepts(command)) {
-      finish(token, false, std::nullopt);
-      return;
-    }
-    core_->call(token, std::move(command), 0, loop_.now());
-    driver_->drive();
-    return;
-  }
-  const ChannelPtr leader = leader_channel();
-  if (leader == nullptr) {
-    finish(token, false, std::nullopt);
-    return;
-  }
-  leader->send(wire::ControlCall{token, std::move(command)});
-}
-
-void FleetServer::read_configuration(std::function<void(std::optional<std::string>)> on_read) {
-  Waiting waiting;
-  waiting.on_read = std::move(on_read);
-  const uint64_t token = add_waiting(std::move(waiting));
-  if (core_->replica().leads()) {
-    core_->read(token, loop_.now());
-    driver_->drive();
-    return;
-  }
-  const ChannelPtr leader = leader_channel();
-  if (leader == nullptr) {
-    finish(token, false, std::nullopt);
-    return;
-  }
-  leader->send(fleet::ConfirmedRead{token});
-}
-
-void FleetServer::deliver_answers() {
-  if (delivering_) {
-    return;
-  }
-  delivering_ = true;
-  for (const CallAnswer& answer : core_->take_answers()) {
-    finish(answer.token, answer.status == wire::CallStatus::kDone, core_->state().fleet().source());
-  }
-  delivering_ = false;
-  notice_changes();
-}
-
 void FleetServer::tick() {
   const TimePoint now = loop_.now();
   core_->tick(now);
@@ -382,15 +274,7 @@
   }
   ask_for_confirmation();
   note_confirmation();
-  std::vector<uint64_t> expired;
-  for (const auto& [token, waiting] : waiting_) {
-    if (now >= waiting.expires) {
-      expired.push_back(token);
-    }
-  }
-  for (const uint64_t token : expired) {
-    finish(token, false, std::nullopt);
-  }
+  expire_calls();
 }
 
 void FleetServer::stop() {
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -89,8 +89,6 @@
   void start_core(const consensus::RestoredState& restored);
   void found();
   void on_message(const ChannelPtr& channel, wire::Message message);
-  void on_control_call(const ChannelPtr& channel, wire::ControlCall call);
-  void on_confirmed_read(const ChannelPtr& channel, const fleet::ConfirmedRead& read);
   void on_join(const ChannelPtr& channel, const wire::JoinRequest& request);
   void send_to_peer(const consensus::Message& message);
   /// A connection for what must not wait: the log, and questions to the leader.
@@ -99,12 +97,17 @@
   ChannelPtr bulk_channel_to(const std::string& address);
   ChannelPtr open_channel(std::map<std::string, ChannelPtr>& channels, const std::string& address);
   ChannelPtr leader_channel();
-  void deliver_answers();
-  void finish(uint64_t token, bool done, const std::optional<std::string>& source);
   void tick();
   void ask_to_join();
-  uint64_t add_waiting(Waiting waiting);
+
+  // fleet_calls.cc: commands and confirmed reads
+  void on_control_call(const ChannelPtr& channel, wire::ControlCall call);
+  void on_confirmed_read(const ChannelPtr& channel, const fleet::ConfirmedRead& read);
   bool accepts(const Command& command) const;
+  uint64_t add_waiting(Waiting waiting);
+  void deliver_answers();
+  void finish(uint64_t token, bool done, const std::optional<std::string>& source);
+  void expire_calls();
 
   // fleet_nodes.cc: routers
   void on_router_status(const ChannelPtr& channel, const fleet::RouterStatus& status);
--- /dev/null
+++ b/src/gateway/gateway_feed.cc
@@ -0,0 +1,139 @@
+/// GatewayServer: the feed of the fleet's state from control, and what this router tells there.
+#include <utility>
+
+#include "src/events/fleet_events.h"
+#include "src/gateway/gateway_server.h"
+
+namespace stoat::gateway {
+
+namespace {
+
+/// Placements are told together, this long after the first of them.
+constexpr Duration kNewsDelay = 50ms;
+/// Events of caches count for so long after the member of the feed was heard, which answers every 400 ms.
+constexpr Duration kEventsTrust = 1500ms;
+
+}  // namespace
+
+void GatewayServer::on_news(const fleet::FleetNews& news) {
+  const TimePoint trusted_until = loop_.now() + kEventsTrust;
+  if (news.anew) {
+    feed_begun_ = true;
+    loads_told_ = false;
+    untold_backends_ = pool_.ids();
+    pool_.forget_totals();
+    pool_.forget_holdings();
+    context_.stores.forget_holdings();
+  }
+  take_backends(news);
+  if (feed_begun_ && news.complete) {
+    feed_begun_ = false;
+    for (const std::string& id : std::exchange(untold_backends_, {})) {
+      pool_.remove(id);
+    }
+  }
+  for (const fleet::BackendLoad& load : news.loads) {
+    pool_.set_total_load(load);
+  }
+  pool_.keep_followed(trusted_until);
+  context_.stores.keep_followed(trusted_until);
+  for (const fleet::CacheChanges& changes : news.caches) {
+    take_cache(changes);
+  }
+  for (const fleet::LateShare& share : news.late_shares) {
+    context_.late_permille[share.service] = share.permille;
+  }
+  for (const fleet::ChainPlacement& placement : news.placements) {
+    take_placement(placement);
+  }
+}
+
+void GatewayServer::take_backends(const fleet::FleetNews& news) {
+  std::vector<events::BackendChanged> changes;
+  for (const fleet::BackendRecord& record : news.backends) {
+    const dispatch::BackendPtr known = pool_.find(record.id);
+    const fleet::BackendRecord before = known == nullptr ? fleet::BackendRecord{} : known->record;
+    pool_.put(record);
+    events::add_backend_changes(known == nullptr ? nullptr : &before, &record, changes);
+    untold_backends_.erase(record.id);
+  }
+  for (const std::string& id : news.gone) {
+    if (const dispatch::BackendPtr known = pool_.find(id)) {
+      events::add_backend_changes(&known->record, nullptr, changes);
+      pool_.remove(id);
+    }
+  }
+  events::log_backend_changes(log_, changes);
+}
+
+void GatewayServer::tell_loads() {
+  std::vector<fleet::BackendLoad> loads = pool_.own_loads();
+  if (loads_told_ && loads == told_loads_ && untold_unreachable_.empty() && context_.pauses.empty()) {
+    return;
+  }
+  fleet::RouterLoads message{settings_.name, loads, {}, {}};
+  message.unreachable.assign(untold_unreachable_.begin(), untold_unreachable_.end());
+  for (const auto& [service, pauses] : context_.pauses) {
+    message.pauses.push_back(pauses);
+  }
+  if (link_.send_to_feed(message)) {
+    loads_told_ = true;
+    untold_unreachable_.clear();
+    context_.pauses.clear();
+    pool_.set_told_loads(loads);
+    told_loads_ = std::move(loads);
+  }
+}
+
+void GatewayServer::tell_placement(fleet::ChainPlacement placement) {
+  if (untold_placements_.placements.empty()) {
+    loop_.after(kNewsDelay, [this] {
+      link_.send_to_feed(untold_placements_);
+      untold_placements_.placements.clear();
+    });
+  }
+  untold_placements_.placements.push_back(std::move(placement));
+}
+
+void GatewayServer::take_placement(const fleet::ChainPlacement& placement) {
+  const TimePoint now = loop_.now();
+  if (dispatch::CacheStore* store = context_.stores.find(placement.holder)) {
+    store->memory.note_held(placement.links, placement.weights, now);
+  } else if (const dispatch::BackendPtr holder = pool_.find(placement.holder)) {
+    holder->memory.note_held(placement.links, placement.weights, now);
+  }
+}
+
+void GatewayServer::take_cache(const fleet::CacheChanges& changes) {
+  if (!changes.store) {
+    if (const dispatch::BackendPtr backend = pool_.find(changes.holder)) {
+      apply_changes(changes, backend->memory);
+    }
+    return;
+  }
+  const std::string before = context_.stores.to_text();
+  if (changes.followed) {
+    apply_changes(changes, context_.stores.add(changes.holder).memory);
+  } else {
+    context_.stores.remove(changes.holder);
+  }
+  if (context_.stores.to_text() != before) {
+    log_.event(events::StoreChanged{before, context_.stores.to_text()});
+  }
+}
+
+void GatewayServer::apply_changes(const fleet::CacheChanges& changes, placement::ChainMemory& memory) const {
+  memory.follow_until(changes.followed ? loop_.now() + kEventsTrust : TimePoint(0));
+  if (changes.anew) {
+    memory.forget_holdings();
+  }
+  for (const fleet::PartHolding& holding : changes.holdings) {
+    if (holding.tokens == 0) {
+      memory.drop_holding(holding.part);
+    } else {
+      memory.set_holding(holding.part, holding.weights, holding.tokens);
+    }
+  }
+}
+
+}  // namespace stoat::gateway
