--- a/src/control/fleet_feed.cc
+++ b/src/control/fleet_feed.cc
@@ -82,7 +82,7 @@
       });
 }
 
-fleet::FleetNews FleetKnowledge::next_news(FeedCursor& cursor, bool loads_due) const {
+fleet::FleetNews FleetKnowledge::next_news(FeedCursor& cursor) const {
   fleet::FleetNews news;
   if (!reaches(cursor)) {
     cursor = FeedCursor{};
@@ -92,9 +92,7 @@
   }
   // Loads and caches of a back end come after the back end itself.
   if (add_backends(cursor, news)) {
-    if (loads_due || cursor.loads == 0) {
-      add_loads(cursor, news);
-    }
+    add_loads(cursor, news);
     add_caches(cursor, news);
     add_placements(cursor, news);
     add_late_shares(cursor, news);
--- a/src/control/fleet_knowledge.h
+++ b/src/control/fleet_knowledge.h
@@ -93,8 +93,7 @@
                                            TimePoint now);
 
   /// The next piece for a router at `cursor`, which moves on. Empty (FleetNews::empty) when nothing is new.
-  /// Loads change all the time, and are told only when they are due, or a feed begins.
-  fleet::FleetNews next_news(FeedCursor& cursor, bool loads_due) const;
+  fleet::FleetNews next_news(FeedCursor& cursor) const;
 
   const fleet::BackendRegistry& registry() const { return registry_; }
   const RouterDirectory& routers() const { return routers_; }
--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -21,9 +21,6 @@
 constexpr uint64_t kRecentRetired = 256;
 /// While so many bytes wait for a router, no news are added: what is newer replaces what is older.
 constexpr size_t kMaxUnsentNews = 64U << 10U;
-/// Loads go with every third round of news: at 240 engines nearly all of them change in each, which would
-/// make up most of what a router receives.
-constexpr uint64_t kRoundsPerLoads = 3;
 /// Named versions of a model that routers are told.
 constexpr size_t kNamedVersions = 6;
 
@@ -183,7 +180,7 @@
   answer_router(link);
   if (begins) {
     std::map<FeedCursor, FeedFrame> frames;
-    feed_router(link, true, frames);
+    feed_router(link, frames);
   }
 }
 
@@ -216,22 +213,21 @@
 }
 
 void FleetServer::feed_routers() {
-  const bool loads_due = ++feed_rounds_ % kRoundsPerLoads == 0;
   std::map<FeedCursor, FeedFrame> frames;
   for (auto& [name, link] : routers_) {
     if (link.status.follows && !link.silent) {
-      feed_router(link, loads_due, frames);
+      feed_router(link, frames);
     }
   }
 }
 
-void FleetServer::feed_router(RouterLink& link, bool loads_due, std::map<FeedCursor, FeedFrame>& frames) {
+void FleetServer::feed_router(RouterLink& link, std::map<FeedCursor, FeedFrame>& frames) {
   while (link.channel->open() && link.channel->unsent_bytes() < kMaxUnsentNews) {
     auto found = frames.find(link.cursor);
     if (found == frames.end()) {
       FeedFrame made;
       made.after = link.cursor;
-      const fleet::FleetNews news = knowledge_.next_news(made.after, loads_due);
+      const fleet::FleetNews news = knowledge_.next_news(made.after);
       made.complete = news.complete;
       if (!news.empty()) {
         made.frame = wire::make_frame(news);
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -119,7 +119,7 @@
   void push_to_routers();
   void count_sent(const char* kind, const std::string& frame);
   void feed_routers();
-  void feed_router(RouterLink& link, bool loads_due, std::map<FeedCursor, FeedFrame>& frames);
+  void feed_router(RouterLink& link, std::map<FeedCursor, FeedFrame>& frames);
   void notice_changes();
   void notice_named_weights();
   void note_backends();
@@ -169,7 +169,6 @@
   FleetKnowledge knowledge_;
   std::map<std::string, RouterLink> routers_;                   ///< by name
   size_t ready_count_ = 0;                                      ///< routers that are ready, as last counted
-  uint64_t feed_rounds_ = 0;                                    ///< how often routers were told what is new
   uint64_t noted_backends_ = 0;                                 ///< revision of the registry as last logged
   std::map<std::string, fleet::BackendRecord> noted_registry_;  ///< as last logged, like the next two
   uint64_t noted_configuration_ = 0;
--- a/tests/unit/fleet_knowledge_test.cc
+++ b/tests/unit/fleet_knowledge_test.cc
@@ -40,7 +40,7 @@
   size_t messages = 0;
   void update(const FleetKnowledge& knowledge) {
     for (;;) {
-      const FleetNews news = knowledge.next_news(cursor, true);
+      const FleetNews news = knowledge.next_news(cursor);
       if (news.empty()) {
         return;
       }
@@ -125,11 +125,11 @@
   EXPECT_EQ(follower.backends.size(), 250U);
   EXPECT_GE(follower.messages, 3U);  // the whole comes in pieces
   first_.set_loading("e7", true);
-  const FleetNews news = first_.next_news(follower.cursor, true);
+  const FleetNews news = first_.next_news(follower.cursor);
   EXPECT_FALSE(news.anew);
   ASSERT_EQ(news.backends.size(), 1U);
   EXPECT_TRUE(news.backends[0].loading);
-  EXPECT_TRUE(first_.next_news(follower.cursor, true).empty());
+  EXPECT_TRUE(first_.next_news(follower.cursor).empty());
 }
 
 TEST_F(FleetKnowledgeTest, RoutersThatKnowTheSameAreAtTheSameCursor) {
@@ -218,13 +218,13 @@
   exchange();
   FeedCursor cursor;
   second_.expire(now_);
-  const FleetNews news = second_.next_news(cursor, true);
+  const FleetNews news = second_.next_news(cursor);
   ASSERT_EQ(news.late_shares.size(), 1U);
   EXPECT_EQ(news.late_shares[0].service, "models");
   EXPECT_NEAR(news.late_shares[0].permille, 1000.0 * 40 / 450, 3);
   exchange();
   second_.expire(now_ + 60s);
-  EXPECT_EQ(second_.next_news(cursor, true).late_shares.at(0).permille, 0U);  // it was long ago
+  EXPECT_EQ(second_.next_news(cursor).late_shares.at(0).permille, 0U);  // it was long ago
 }
 
 TEST(PauseBook, AFewStreamsProveNothing) {
