Test that an engine whose machine answers nothing is left in time; put the tests of dead engines together

The dark address of the test is a listener whose queue of new connections is full. status_of() stands once, beside SmallFleet.

--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -61,6 +61,9 @@
   return ntohs(address.sin_port);
 }
 
+/// The status line's beginning of an answer: "HTTP/1.1 200".
+inline std::string status_of(const std::string& answer) { return answer.substr(0, 12); }
+
 /// See the head of this file. Services: "models" (streams) and "calls". Routes of host "h": /safe/ and /once/
 /// to "calls", /stream/ (not resumable) and /resume/ to "models", /open/ without a key. Key "k1" is tenant
 /// "t1"'s, "k2" that of "t2", which is isolated.
@@ -191,21 +194,25 @@
     });
     ASSERT_TRUE(wait_for([&] { return router_->knows_backend(id); }));
   }
-  /// Registers an engine for "calls" at whose address nothing listens, and waits until the router knows it.
-  void add_dead_engine(const std::string& id) {
-    fleet::BackendRecord dead;
-    dead.id = id;
-    dead.service = "calls";
-    dead.address = "127.0.0.1:" + std::to_string(free_port());
-    dead.zone = "z1";
-    dead.slots = 8;
-    dead.sequence = 1;
+  /// Registers an engine for "calls" at an address, and waits until the router knows it.
+  void add_engine_at(const std::string& id, const std::string& address) {
+    fleet::BackendRecord record;
+    record.id = id;
+    record.service = "calls";
+    record.address = address;
+    record.zone = "z1";
+    record.slots = 8;
+    record.sequence = 1;
     run_on(control_loop_, [&] {
-      control_->heartbeat(dead);
+      control_->heartbeat(record);
       return true;
     });
     ASSERT_TRUE(wait_for([&] { return router_->knows_backend(id); }));
   }
+  /// The same where nothing listens.
+  void add_dead_engine(const std::string& id) {
+    add_engine_at(id, "127.0.0.1:" + std::to_string(free_port()));
+  }
   std::string request(const std::string& method, const std::string& path, const std::string& id,
                       const std::string& headers = "", const std::string& key = "k1") {
     return method + " " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -15,11 +15,10 @@
 using standins::whole_answer;
 using test::count_of;
 using test::RawClient;
+using test::status_of;
 
 constexpr char kChain[] = "X-Model: m\r\nX-Prompt-Parts: a:100,b:50\r\nX-Token-Counts: 150,10\r\n";
 
-std::string status_of(const std::string& answer) { return answer.substr(0, 12); }
-
 std::string chunk(const std::string& bytes) {
   char size[16];
   std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
@@ -171,55 +170,6 @@
   EXPECT_EQ(status_of(ask("POST", "/once/", "q1", "Content-Length: 0\r\n")), "HTTP/1.1 200");
 }
 
-/// A router that may send nothing a second time.
-class NoRepeatsTest : public test::SmallFleet {
- protected:
-  NoRepeatsTest() : SmallFleet(0) {}
-  void SetUp() override { ASSERT_TRUE(configure(make_configuration(1))); }
-};
-
-TEST_F(NoRepeatsTest, ARefusedConnectionUsesNoBudgetOfRepeats) {
-  // Found on the bench: after a crash of many engines, requests were refused for want of budget although no
-  // engine had seen them.
-  ScriptedEngine engine([](const SeenRequest& request) -> Script {
-    return {send_step(whole_answer(200, own(request.header("X-Request-Id")), "body"))};
-  });
-  add_dead_engine("dead");
-  add_engine("alive", "calls", engine);
-  for (int i = 0; i < 12; ++i) {  // each goes to either at random
-    EXPECT_EQ(status_of(ask("GET", "/once/", "q" + std::to_string(i))), "HTTP/1.1 200");
-  }
-}
-
-TEST_F(NoRepeatsTest, ARequestGoesOnToASoundEngineHoweverManyAreDown) {
-  // Found on the bench: a third of the engines crashed, three of them were tried in a row within 4 ms, and
-  // the request was refused.
-  ScriptedEngine engine([](const SeenRequest& request) -> Script {
-    return {send_step(whole_answer(200, own(request.header("X-Request-Id")), "body"))};
-  });
-  for (int number = 0; number < 8; ++number) {
-    add_dead_engine("dead" + std::to_string(number));
-  }
-  add_engine("alive", "calls", engine);
-  for (int i = 0; i < 8; ++i) {
-    EXPECT_EQ(status_of(ask("GET", "/once/", "q" + std::to_string(i))), "HTTP/1.1 200");
-  }
-}
-
-TEST(OutlierDetector, ABackEndThatDoesNotListenIsTakenOutAtOnce) {
-  delivery::OutlierDetector detector;
-  for (const char* name : {"a", "b", "c", "d"}) {
-    detector.know(name);
-  }
-  detector.on_unreachable("a", 1s);
-  EXPECT_FALSE(delivery::OutlierDetector::usable(detector.handle_of("a"), 1s + 1ms));
-  detector.on_unreachable("b", 1s);
-  detector.on_unreachable("c", 1s);  // no more than half are ever taken out
-  EXPECT_TRUE(delivery::OutlierDetector::usable(detector.handle_of("c"), 1s + 1ms));
-  detector.on_success("a");
-  EXPECT_TRUE(delivery::OutlierDetector::usable(detector.handle_of("a"), 3s));
-}
-
 /// A router that asks control only each 20 s by itself.
 class SlowQuestionsTest : public test::SmallFleet {
  protected:
