--- a/tests/unit/logging_test.cc
+++ b/tests/unit/logging_test.cc
@@ -185,6 +185,7 @@
   events::add_backend_changes(nullptr, &fresh, changes);
   events::add_backend_changes(&gone, nullptr, changes);
   std::vector<std::string> told;
+  told.reserve(changes.size());
   for (const events::BackendChanged& change : changes) {
     told.push_back(change.backend + " " + change.change);
   }
