Take the ports of tests from a range that no outgoing connection uses

Ruled out: a second server in the same test (it has not started one yet), a leftover of an earlier run (the port was free a moment before).

Change: ports below the kernel's range for outgoing connections, forty for each process, by its id.

--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -45,20 +45,39 @@
   return result.get();
 }
 
-/// A port of the loopback address that was free a moment ago.
-inline uint16_t free_port() {
+/// The first port of those that tests listen at, and their number: below the range from which the kernel
+/// takes ports for outgoing connections (from 32768 on), any of which may be in use by the time a server
+/// listens.
+inline constexpr int kFirstTestPort = 15000;
+inline constexpr int kTestPorts = 16000;
+/// Ports that belong to one process: tests that run side by side have process ids close to one another.
+inline constexpr int kPortsOfProcess = 40;
+
+/// True when nothing listens at a port of the loopback address.
+inline bool is_free(uint16_t port) {
   const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  const int on = 1;
+  ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof(address);
-  const bool bound = ::bind(socket, reinterpret_cast<sockaddr*>(&address), length) == 0 &&
-                     ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length) == 0;
+  address.sin_port = htons(port);
+  const bool free = ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
   ::close(socket);
-  if (!bound) {
-    throw std::runtime_error("no free port");
+  return free;
+}
+
+/// A port of the loopback address at which nothing listens, and no other test that runs now will.
+inline uint16_t free_port() {
+  static int next = 0;
+  const int first = kFirstTestPort + ::getpid() * kPortsOfProcess % kTestPorts;
+  for (int tries = 0; tries < kPortsOfProcess; ++tries) {
+    const auto port = static_cast<uint16_t>(first + next++ % kPortsOfProcess);
+    if (is_free(port)) {
+      return port;
+    }
   }
-  return ntohs(address.sin_port);
+  throw std::runtime_error("no free port");
 }
 
 /// The status line's beginning of an answer: "HTTP/1.1 200".
