Compare the set of stores only when a store came or went

Cause: each change in a store's cache, up to twenty a second, wrote out the names of all stores twice to see whether the set had changed; whether the store was known says the same.

Change: GatewayServer::take_cache looks the store up once. No change of behaviour.

--- a/src/gateway/gateway_feed.cc
+++ b/src/gateway/gateway_feed.cc
@@ -111,13 +111,14 @@
     }
     return;
   }
-  const std::string before = context_.stores.to_text();
+  const bool known = context_.stores.find(changes.holder) != nullptr;
+  const std::string before = known == changes.followed ? "" : context_.stores.to_text();
   if (changes.followed) {
     apply_changes(changes, context_.stores.add(changes.holder).memory);
   } else {
     context_.stores.remove(changes.holder);
   }
-  if (context_.stores.to_text() != before) {
+  if (known != changes.followed) {
     log_.event(events::StoreChanged{before, context_.stores.to_text()});
   }
 }
