Keep tenants' quotas over the whole fleet

Ruled out: equal parts for each router (a router sees a request each 4 s, and one request may be six times its part); a plain token bucket, on and off at 0 (refuses far more than the users' windows do, and overshoots by the age of the news). Change: quotas in the configuration, checked; admission::QuotaGate at routers, admission::QuotaBook at members. Spending goes up with the loads, members exchange sums since their start, levels of tenants near their limit go down with the feed. 429 with the time of the refill; a send that did not run gives its part back; a request sent again after it may have run is charged again. Routers without control, members that don't hear one another and restarts are bounded by rules of their own.

--- /dev/null
+++ b/src/admission/quota_gate.cc
@@ -0,0 +1,133 @@
+#include "src/admission/quota_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stoat::admission {
+
+namespace {
+
+/// Levels of metered tenants come each 100 ms. Without one for so long control counts as silent.
+constexpr Duration kLevelTrust = 350ms;
+/// Below this part of the burst requests pass with a chance in proportion to what is left. All routers decide
+/// on news that are a few tenths of a second old: without it they would all admit, and then all refuse.
+constexpr double kRationedPart = 0.25;
+/// A silent control leaves a router at most so many seconds of its part of the rate: about as long as keys
+/// are honoured without control.
+constexpr double kMostAloneS = 5;
+/// The least time after which a refused caller may come again.
+constexpr Duration kLeastRetry = 50ms;
+
+}  // namespace
+
+void QuotaGate::configure(const std::vector<fleet::Tenant>& tenants, TimePoint now) {
+  std::map<std::string, Account> accounts;
+  for (const fleet::Tenant& tenant : tenants) {
+    if (!tenant.quota.limited()) {
+      continue;
+    }
+    const auto known = accounts_.find(tenant.name);
+    Account account = known == accounts_.end() ? Account() : known->second;
+    if (known == accounts_.end()) {
+      account.own_part_at = now;
+    }
+    account.allowance = QuotaAllowance(tenant.quota, tolerance_);
+    accounts.emplace(tenant.name, account);
+  }
+  accounts_ = std::move(accounts);
+}
+
+void QuotaGate::on_level(const fleet::QuotaLevel& level, TimePoint now) {
+  const auto found = accounts_.find(level.tenant);
+  if (found == accounts_.end()) {
+    return;  // the configuration with its quota, or without it, is still on its way
+  }
+  Account& account = found->second;
+  account.metered = level.metered;
+  account.told = static_cast<double>(level.level);
+  account.told_at = now;
+  account.own_part = 0;
+  account.own_part_at = now;
+}
+
+void QuotaGate::begin_feed() {
+  for (auto& [tenant, account] : accounts_) {
+    account.metered = false;
+  }
+  for (const NumberedSpending& batch : std::exchange(unconfirmed_, {})) {
+    for (const fleet::TenantSpending& entry : batch.spending) {
+      untold_[entry.tenant] += entry.amount;
+    }
+  }
+}
+
+QuotaDecision QuotaGate::decide(const Account& account, int64_t cost, TimePoint now) {
+  const double left = account.told - account.recent.sum(now);
+  if (random_.chance(std::clamp(left / (kRationedPart * account.allowance.burst), 0.0, 1.0))) {
+    return {};
+  }
+  const double missing = static_cast<double>(cost) - std::min(0.0, left);
+  return {false, std::max(kLeastRetry, from_seconds(missing / account.allowance.per_second))};
+}
+
+QuotaDecision QuotaGate::decide_alone(Account& account, int64_t cost, TimePoint now) {
+  const double rate = kAlonePart * account.allowance.per_second / router_count_;
+  const double most = kMostAloneS * rate;
+  account.own_part = std::min(most, account.own_part + rate * to_seconds(now - account.own_part_at));
+  account.own_part_at = now;
+  const auto wanted = static_cast<double>(std::max<int64_t>(1, cost));
+  const double taken = std::min(wanted, account.own_part);
+  account.own_part -= taken;  // also when the request is refused: on average as much is used as taken
+  if (random_.chance(taken / wanted)) {
+    return {};
+  }
+  return {false, std::max(kLeastRetry, from_seconds((wanted - taken) / account.allowance.per_second))};
+}
+
+QuotaDecision QuotaGate::admit(const std::string& tenant, int64_t cost, TimePoint now) {
+  const auto found = accounts_.find(tenant);
+  if (found == accounts_.end()) {
+    return {};
+  }
+  Account& account = found->second;
+  QuotaDecision decision;
+  if (account.metered) {
+    const bool silent = now - account.told_at > kLevelTrust;
+    decision = silent ? decide_alone(account, cost, now) : decide(account, cost, now);
+  }
+  if (decision.admitted) {
+    charge(tenant, cost, now);
+  }
+  return decision;
+}
+
+void QuotaGate::charge(const std::string& tenant, int64_t cost, TimePoint now) {
+  const auto found = accounts_.find(tenant);
+  if (found == accounts_.end()) {
+    return;
+  }
+  found->second.recent.add(static_cast<double>(cost), now);
+  untold_[tenant] += cost;
+}
+
+NumberedSpending QuotaGate::take_untold() {
+  NumberedSpending batch;
+  for (const auto& [tenant, amount] : std::exchange(untold_, {})) {
+    if (amount != 0) {
+      batch.spending.push_back({tenant, amount});
+    }
+  }
+  if (!batch.spending.empty()) {
+    batch.number = ++last_number_;
+    unconfirmed_.push_back(batch);
+  }
+  return batch;
+}
+
+void QuotaGate::confirm(uint64_t number) {
+  while (!unconfirmed_.empty() && unconfirmed_.front().number <= number) {
+    unconfirmed_.pop_front();
+  }
+}
+
+}  // namespace stoat::admission
--- a/src/control/fleet_feed.cc
+++ b/src/control/fleet_feed.cc
@@ -82,6 +82,13 @@
       });
 }
 
+void FleetKnowledge::add_quotas(FeedCursor& cursor, fleet::FleetNews& news) const {
+  cursor.quotas = quotas_.told().visit_since(
+      cursor.quotas, SIZE_MAX, [&](const std::string& tenant, const fleet::QuotaLevel* level) {
+        news.quotas.push_back(level == nullptr ? fleet::QuotaLevel{tenant, 0, false} : *level);
+      });
+}
+
 fleet::FleetNews FleetKnowledge::next_news(FeedCursor& cursor) const {
   fleet::FleetNews news;
   if (!reaches(cursor)) {
@@ -90,6 +97,7 @@
     cursor.placements = placements_dropped_ + placements_.size();  // what caches hold is told anyway
     news.anew = true;
   }
+  add_quotas(cursor, news);  // first of all: without them a router that begins a feed meters nobody
   // Loads and caches of a back end come after the back end itself.
   if (add_backends(cursor, news)) {
     add_loads(cursor, news);
--- a/src/control/fleet_knowledge.cc
+++ b/src/control/fleet_knowledge.cc
@@ -11,11 +11,15 @@
 constexpr Duration kPeerLease = 800ms;
 /// Placements kept for routers that are behind. Some hundred a second come in at the sizes meant.
 constexpr size_t kMaxPlacements = 4096;
+/// A router that reaches no member honours keys for about so long (gateway::ControlLinkOptions::key_lease).
+constexpr Duration kAloneTime = 4500ms;
 
 }  // namespace
 
 FleetKnowledge::FleetKnowledge(KnowledgeOptions options)
-    : options_(std::move(options)), registry_(options_.registry) {}
+    : options_(std::move(options)),
+      registry_(options_.registry),
+      quotas_(options_.quotas, options_.start_id, options_.started) {}
 
 bool FleetKnowledge::on_heartbeat(const fleet::BackendRecord& record, TimePoint now) {
   if (!registry_.on_heartbeat(record, now)) {
@@ -26,6 +30,7 @@
 }
 
 bool FleetKnowledge::on_router(const fleet::RouterRecord& router, bool follows, TimePoint now) {
+  silent_routers_.erase(router.name);
   const bool changed = routers_.on_status(router, now);
   const auto known = followers_.find(router.name);
   if (follows && (known == followers_.end() || known->second != router)) {
@@ -48,6 +53,7 @@
     pauses_.add(pauses, now);
     untold_.pauses.push_back(pauses);
   }
+  quotas_.on_router(loads.spending, now);
   if (followers_.count(loads.router) > 0) {
     loads_.set_router(loads.router, loads.loads);
   }
@@ -63,6 +69,23 @@
   }
 }
 
+void FleetKnowledge::silence_router(const std::string& name, TimePoint now) {
+  if (followers_.count(name) > 0) {
+    silent_routers_[name] = now;
+  }
+  forget_router(name);
+}
+
+double FleetKnowledge::unheard_share(TimePoint now) const {
+  const size_t total = routers_.size() + silent_routers_.size();
+  if (total == 0) {
+    return 0;
+  }
+  const double unheard = static_cast<double>(routers_.count_unheard(followers_, now)) +
+                         admission::kAlonePart * static_cast<double>(silent_routers_.size());
+  return unheard / static_cast<double>(total);
+}
+
 void FleetKnowledge::add_placement(const fleet::ChainPlacement& placement) {
   placements_.push_back(placement);
   if (placements_.size() > kMaxPlacements) {
@@ -140,6 +163,7 @@
     registry_.on_heartbeat(record, now);
   }
   for (const fleet::RouterNotice& notice : news.routers) {
+    silent_routers_.erase(notice.router.name);
     routers_.on_notice(news.sender, notice, now);
   }
   for (const fleet::UnreachableNotice& notice : news.unreachable) {
@@ -158,12 +182,18 @@
     add_placement(placement);
   }
   apply_engine_notes(news);
+  quotas_.on_peer(news.sender, news.start_id, news.anew, news.spending, now);
+  if (news.anew) {
+    quotas_.adopt(news.windows, Duration(1000 * news.quotas_age_ms), now);
+  }
 }
 
 void FleetKnowledge::expire(TimePoint now) {
   registry_.expire(now);
   routers_.expire(now);
   pauses_.update(now);
+  std::erase_if(silent_routers_, [now](const auto& entry) { return now - entry.second > kAloneTime; });
+  quotas_.update(unheard_share(now), now);
   for (auto entry = peers_.begin(); entry != peers_.end();) {
     if (now - entry->second.heard <= kPeerLease) {
       ++entry;
@@ -183,6 +213,8 @@
   news.leads = leads;
   news.number = ++last_number_;
   news.loads = loads_.take_own_changes();
+  news.start_id = quotas_.start_id();
+  news.spending = quotas_.take_changed_sums();
   for (const auto& [address, peer] : peers_) {
     if (!peer.complete) {
       news.incomplete.push_back(address);
@@ -206,6 +238,10 @@
   news.number = last_number_;
   news.anew = true;
   news.loads = loads_.own_sums();
+  news.start_id = quotas_.start_id();
+  news.spending = quotas_.sums();
+  news.windows = quotas_.windows(now);
+  news.quotas_age_ms = to_milliseconds(quotas_.age(now));
   news.shared_parts = caches_.shared_parts();
   for (const auto& [name, router] : followers_) {
     news.routers.push_back({router, true});
--- a/src/control/fleet_knowledge.h
+++ b/src/control/fleet_knowledge.h
@@ -11,6 +11,7 @@
 #include <tuple>
 #include <vector>
 
+#include "src/admission/quota_book.h"
 #include "src/common/time.h"
 #include "src/control/cache_assignment.h"
 #include "src/control/cache_mirror.h"
@@ -28,7 +29,10 @@
 struct KnowledgeOptions {
   std::string address;  ///< internal; identifies the member
   std::string zone;
-  fleet::RegistryOptions registry;
+  fleet::RegistryOptions registry = {};
+  admission::QuotaTolerance quotas = {};
+  uint64_t start_id = 1;  ///< differs at each start of the member
+  TimePoint started{0};
 };
 
 /// How far a router has been told. Routers with equal cursors get equal messages.
@@ -40,12 +44,13 @@
   uint64_t holdings = 0;
   uint64_t placements = 0;
   uint64_t late_shares = 0;
+  uint64_t quotas = 0;
   bool operator==(const FeedCursor&) const = default;
   bool operator<(const FeedCursor& other) const { return values() < other.values(); }
 
  private:
-  std::tuple<bool, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t> values() const {
-    return {begun, registry, loads, heads, holdings, placements, late_shares};
+  std::tuple<bool, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t> values() const {
+    return {begun, registry, loads, heads, holdings, placements, late_shares, quotas};
   }
 };
 
@@ -57,13 +62,19 @@
   // What comes in to this member
   /// Takes a heartbeat. Returns true when it is newer than what was known.
   bool on_heartbeat(const fleet::BackendRecord& record, TimePoint now);
+  /// Puts the quotas of a configuration in force.
+  void configure_quotas(const std::vector<fleet::Tenant>& tenants, TimePoint now) {
+    quotas_.configure(tenants, now);
+  }
   /// Applies a replicated retirement.
   void retire(const std::string& id, fleet::BackendState state) { registry_.retire(id, state); }
   /// A router tells its state; `follows`: it takes this member's feed. Returns true when that is new.
   bool on_router(const fleet::RouterRecord& router, bool follows, TimePoint now);
   void on_router_loads(const fleet::RouterLoads& loads, TimePoint now);
-  /// A router has not been heard for some time, or has closed its connection.
+  /// A router has closed its connection.
   void forget_router(const std::string& name);
+  /// A router has not been heard for some time: it is down or cut off, and then serves for a while yet.
+  void silence_router(const std::string& name, TimePoint now);
   void on_placements(const std::vector<fleet::ChainPlacement>& placements);
   void on_cache_changes(const std::vector<fleet::CacheChanges>& changes);
   /// The leader announces that an engine loads new weights, or no longer does.
@@ -99,6 +110,7 @@
   const RouterDirectory& routers() const { return routers_; }
   const LoadBook& loads() const { return loads_; }
   const CacheMirror& caches() const { return caches_; }
+  const admission::QuotaBook& quotas() const { return quotas_; }
   /// This member and those that are heard.
   std::vector<LiveMember> live_members(TimePoint now) const;
 
@@ -110,6 +122,8 @@
     uint64_t number = 0;    ///< of its last news
     bool complete = false;  ///< no news since its last whole are missing
   };
+  /// The part of the routers whose spending of quotas can't come to this member now.
+  double unheard_share(TimePoint now) const;
   void add_placement(const fleet::ChainPlacement& placement);
   void apply_engine_notes(const fleet::PeerNews& news);
   FollowedCache claim_cache(const std::string& holder, const std::string& address, bool store);
@@ -118,6 +132,7 @@
   void add_caches(FeedCursor& cursor, fleet::FleetNews& news) const;
   void add_placements(FeedCursor& cursor, fleet::FleetNews& news) const;
   void add_late_shares(FeedCursor& cursor, fleet::FleetNews& news) const;
+  void add_quotas(FeedCursor& cursor, fleet::FleetNews& news) const;
   bool reaches(const FeedCursor& cursor) const;
 
   KnowledgeOptions options_;
@@ -125,6 +140,8 @@
   RouterDirectory routers_;
   LoadBook loads_;
   PauseBook pauses_;
+  admission::QuotaBook quotas_;
+  std::map<std::string, TimePoint> silent_routers_;  ///< own followers that went silent, and when
   CacheMirror caches_;
   std::map<std::string, fleet::RouterRecord> followers_;  ///< routers that take this member's feed
   std::map<std::string, FollowedCache> claimed_;          ///< caches that this member follows, by holder
--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -47,6 +47,7 @@
   });
   metrics_.set("stoat_control_feeds", static_cast<double>(feeds));
   metrics_.set("stoat_control_followed_caches", static_cast<double>(watch_.size()));
+  metrics_.set("stoat_control_metered_tenants", static_cast<double>(knowledge_.quotas().metered()));
   note_backends();
   note_members();
   drop_silent_routers();
@@ -115,6 +116,7 @@
 void FleetServer::answer_router(RouterLink& link) {
   fleet::FleetUpdate update = make_update(link);
   update.answers = link.status.sequence;
+  update.spending_taken = link.spending_taken;
   if (needs_configuration(link, true)) {
     update.configuration.push_back(core_->state().fleet().configuration());
     link.configuration_sent = configuration_version();
@@ -184,6 +186,14 @@
   }
 }
 
+void FleetServer::on_router_loads(const ChannelPtr& channel, const fleet::RouterLoads& loads) {
+  knowledge_.on_router_loads(loads, loop_.now());
+  const auto found = routers_.find(loads.router);
+  if (found != routers_.end() && found->second.channel == channel) {
+    found->second.spending_taken = std::max(found->second.spending_taken, loads.spending_number);
+  }
+}
+
 void FleetServer::on_router_closed(const ChannelPtr& channel) {
   for (auto& [name, link] : routers_) {
     if (link.channel == channel && !link.silent) {
@@ -201,7 +211,7 @@
     const Duration limit = link.status.follows ? kFollowerSilence : kRouterSilence;
     if (!link.silent && now - link.heard > limit) {
       link.silent = true;
-      knowledge_.forget_router(entry->first);
+      knowledge_.silence_router(entry->first, now);
       log_.event(events::RouterChanged{entry->first, "silent", link.status.configuration_version});
     }
     if (link.silent && !link.channel->open()) {
@@ -302,6 +312,7 @@
   if (state.configuration().version != noted_configuration_) {
     noted_configuration_ = state.configuration().version;
     configuration_applied_ = loop_.now();
+    knowledge_.configure_quotas(state.configuration().tenants, loop_.now());
     log_.event(events::ConfigurationInForce{state.configuration().version,
                                             state.configuration().routes.size(),
                                             state.configuration().tenants.size()});
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -42,6 +42,7 @@
   settings.registry.lost_after = Duration(1000 * reader.integer("backend_lost_ms", 4000, 100, 600000));
   settings.registry.overdue_after =
       Duration(1000 * reader.integer("backend_heartbeat_ms", 1200, 10, 600000)) + kHeartbeatDelay;
+  settings.quotas = admission::read_quota_tolerance(reader);
   settings.holder_lease = Duration(1000 * reader.integer("holder_lease_ms", 3000, 0, 600000));
   // Versions that follow soon are then loaded in one: a load costs an engine its cache.
   settings.rollout.start_delay = Duration(1000 * reader.integer("weights_limit_ms", 8000, 0, 3600000)) / 4;
@@ -55,7 +56,8 @@
       orders_(orders),
       files_(settings_.data_folder),
       store_(files_),
-      knowledge_({to_string(settings_.internal), settings_.zone, settings_.registry}),
+      knowledge_({to_string(settings_.internal), settings_.zone, settings_.registry, settings_.quotas,
+                  seed_from_device(), loop.now()}),
       watch_(orders),
       rollout_(settings_.rollout) {
   start_core(restore());
@@ -188,7 +190,7 @@
   } else if (auto* status = std::get_if<fleet::RouterStatus>(&message.value)) {
     on_router_status(channel, *status);
   } else if (auto* loads = std::get_if<fleet::RouterLoads>(&message.value)) {
-    knowledge_.on_router_loads(*loads, now);
+    on_router_loads(channel, *loads);
   } else if (auto* placements = std::get_if<fleet::PlacementNews>(&message.value)) {
     knowledge_.on_placements(placements->placements);
   } else if (auto* news = std::get_if<fleet::PeerNews>(&message.value)) {
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -41,6 +41,7 @@
   ControlOptions core;
   RolloutOptions rollout;
   fleet::RegistryOptions registry;
+  admission::QuotaTolerance quotas;
   Duration holder_lease = 3s;  ///< how long a former holder's orders keep a new one waiting
 };
 
@@ -111,6 +112,7 @@
 
   // fleet_nodes.cc: routers
   void on_router_status(const ChannelPtr& channel, const fleet::RouterStatus& status);
+  void on_router_loads(const ChannelPtr& channel, const fleet::RouterLoads& loads);
   void on_router_closed(const ChannelPtr& channel);
   void drop_silent_routers();
   fleet::FleetUpdate make_update(const RouterLink& link) const;
--- a/src/control/router_directory.cc
+++ b/src/control/router_directory.cc
@@ -12,6 +12,8 @@
 constexpr Duration kStatusLease = 2500ms;
 /// Members exchange news at least every 200 ms.
 constexpr Duration kMemberLease = 1s;
+/// A member that is silent for so long may be cut off: what its routers tell it does not come.
+constexpr Duration kMemberOverdue = 600ms;
 /// After so long a silent router is dropped.
 constexpr Duration kForgetAfter = 10s;
 
@@ -55,6 +57,16 @@
   });
 }
 
+size_t RouterDirectory::count_unheard(const std::map<std::string, fleet::RouterRecord>& own,
+                                      TimePoint now) const {
+  const auto unheard = [&](const auto& entry) {
+    const auto member = members_heard_.find(entry.second.member);
+    return member != members_heard_.end() && now - member->second >= kMemberOverdue &&
+           own.count(entry.first) == 0;
+  };
+  return static_cast<size_t>(std::count_if(routers_.begin(), routers_.end(), unheard));
+}
+
 std::vector<fleet::RouterRecord> RouterDirectory::ready(TimePoint now) const {
   std::vector<fleet::RouterRecord> list;
   for (const auto& [name, known] : routers_) {
--- a/src/control/router_directory.h
+++ b/src/control/router_directory.h
@@ -25,6 +25,10 @@
   /// Drops routers that have been silent for long. To be called a few times a second.
   void expire(TimePoint now);
 
+  /// Routers whose member is not heard now, so that what they tell it does not come to this member.
+  /// `own`: those that follow this member.
+  size_t count_unheard(const std::map<std::string, fleet::RouterRecord>& own, TimePoint now) const;
+  size_t size() const { return routers_.size(); }
   /// Those that are ready and not silent, by name.
   std::vector<fleet::RouterRecord> ready(TimePoint now) const;
   /// How many of them there are.
--- a/src/control/router_link.h
+++ b/src/control/router_link.h
@@ -31,6 +31,7 @@
   FeedCursor cursor;
   uint64_t configuration_sent = 0;  ///< version
   TimePoint configuration_sent_at{0};
+  uint64_t spending_taken = 0;  ///< newest number of spending that came on the connection
 
   /// Begins anew on a connection.
   void reconnect(const std::shared_ptr<wire::Channel>& connection) {
@@ -38,6 +39,7 @@
     told = {};
     cursor = {};
     configuration_sent = 0;
+    spending_taken = 0;
   }
 };
 
--- a/src/dispatch/request_end.cc
+++ b/src/dispatch/request_end.cc
@@ -18,6 +18,12 @@
 
 }  // namespace
 
+std::string retry_after_text(double seconds) {
+  char text[16];
+  std::snprintf(text, sizeof(text), "%.2f", seconds);
+  return text;
+}
+
 void RequestRun::give_up(const char* reason) {
   if (finished_) {
     return;
@@ -46,9 +52,7 @@
   head.headers.add(context_.names.request_id, plan_.fields.id);
   head.headers.add("Content-Type", "text/plain");
   if (retry_after_s > 0) {
-    char text[16];
-    std::snprintf(text, sizeof(text), "%.2f", retry_after_s);
-    head.headers.add("Retry-After", text);
+    head.headers.add("Retry-After", retry_after_text(retry_after_s));
   }
   answer_->reply(head, std::string(reason) + "\n");
   done(reason, status);
@@ -91,11 +95,24 @@
   }
 }
 
+void RequestRun::charge_again() {
+  if (ran_ == Ran::kMaybe && plan_.quota_cost > 0) {
+    context_.quotas.charge(plan_.tenant->name, plan_.quota_cost, context_.loop.now());
+  }
+}
+
+void RequestRun::settle_quota() {
+  if (ran_ == Ran::kNo && !in_doubt_ && plan_.quota_cost > 0) {
+    context_.quotas.give_back(plan_.tenant->name, plan_.quota_cost, context_.loop.now());
+  }
+}
+
 void RequestRun::done(const char* outcome, int status) {
   if (finished_) {
     return;
   }
   finished_ = true;
+  settle_quota();
   event_del(timer_);
   const TimePoint now = context_.loop.now();
   context_.metrics.count("stoat_router_requests_total", {{"status", std::to_string(status)}});
--- a/src/dispatch/request_fields.cc
+++ b/src/dispatch/request_fields.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Counts of tokens above this are taken for malformed.
+constexpr int64_t kMostTokens = 1000000000;
+
 std::string value_of(const http1::Headers& headers, const std::string& name) {
   const std::string* value = headers.find(name);
   return value == nullptr ? "" : *value;
@@ -20,6 +23,27 @@
   return count;
 }
 
+/// Reads "PROMPT,OUTPUT".
+void read_token_counts(const std::string& text, RequestFields& fields) {
+  const size_t comma = text.find(',');
+  if (comma == std::string::npos) {
+    fields.malformed_tokens = !text.empty();
+    return;
+  }
+  const auto prompt = parse_integer(text.substr(0, comma));
+  const auto output = parse_integer(text.substr(comma + 1));
+  const auto valid = [](const std::optional<int64_t>& count) {
+    return count && *count >= 0 && *count <= kMostTokens;
+  };
+  if (!valid(prompt) || !valid(output)) {
+    fields.malformed_tokens = true;
+    return;
+  }
+  fields.names_tokens = true;
+  fields.prompt_tokens = static_cast<uint32_t>(*prompt);
+  fields.output_tokens = static_cast<uint32_t>(*output);
+}
+
 std::vector<PromptPart> parse_parts(std::string_view text) {
   std::vector<PromptPart> parts;
   while (!text.empty()) {
@@ -60,12 +84,7 @@
   fields.model = value_of(headers, names.model);
   fields.parts = parse_parts(value_of(headers, names.prompt_parts));
   fields.last_event_id = parse_integer(value_of(headers, names.last_event_id));
-  const std::string counts = value_of(headers, names.token_counts);
-  const size_t comma = counts.find(',');
-  if (comma != std::string::npos) {
-    fields.prompt_tokens = parse_count(std::string_view(counts).substr(0, comma));
-    fields.output_tokens = parse_count(std::string_view(counts).substr(comma + 1));
-  }
+  read_token_counts(value_of(headers, names.token_counts), fields);
   return fields;
 }
 
--- a/src/dispatch/request_fields.h
+++ b/src/dispatch/request_fields.h
@@ -26,10 +26,12 @@
   std::vector<PromptPart> parts;
   uint32_t prompt_tokens = 0;
   uint32_t output_tokens = 0;
+  bool names_tokens = false;             ///< the two counts above were given
+  bool malformed_tokens = false;         ///< they were given, but are not two whole numbers
   std::optional<int64_t> last_event_id;  ///< the caller has the stream up to this event
 };
 
-/// Reads the fields; what is missing or malformed stays empty.
+/// Reads the fields; what is missing or malformed stays empty, which only the counts of tokens tell apart.
 RequestFields read_fields(const http1::Headers& headers, const HeaderNames& names);
 
 /// A whole number from text; nullopt when it is anything else.
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -326,6 +326,7 @@
 }
 
 void RequestRun::on_not_run(bool reached) {
+  in_doubt_ = false;
   refusals_ += reached ? 1 : 0;  // one that is not there is tried once, and costs nothing
   reached_ = reached;
   if (from_copy_) {
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "src/admission/quota_gate.h"
 #include "src/common/log.h"
 #include "src/common/metrics.h"
 #include "src/common/random.h"
@@ -33,6 +34,9 @@
 inline constexpr int kFirstError = 300;
 inline constexpr int kBadGateway = 502;
 
+/// The value of a Retry-After header.
+std::string retry_after_text(double seconds);
+
 /// What all requests of a router share.
 struct DispatchContext {
   EventLoop& loop;
@@ -58,6 +62,7 @@
   std::map<std::string, uint32_t> late_permille = {};      ///< by service: streams that pause too long
   std::map<std::string, fleet::StreamPauses> pauses = {};  ///< by service: of own streams, not told yet
   double short_lane_share = 0.25;                          ///< of the engines: those meant for short prompts
+  admission::QuotaGate quotas{{}, 0};
 
   delivery::WindowBudget& budget_of(const std::string& service) {
     return budgets.try_emplace(service, budget_options).first->second;
@@ -73,6 +78,7 @@
   const fleet::Tenant* tenant = nullptr;  ///< nullptr on open routes
   std::string service;
   TimePoint arrived{0};
+  int64_t quota_cost = 0;  ///< what it was charged of its tenant's quota
 
   /// Whose cache it uses.
   std::string cache_owner() const {
@@ -158,6 +164,10 @@
   void give_up(const char* reason);
   void break_off(const char* reason);
   void observe(bool success, TimePoint now) const;
+  /// Charges a send after one that may have run; the first one was charged when it was admitted.
+  void charge_again();
+  /// Gives the charge back when no engine can have run the request.
+  void settle_quota();
   void done(const char* outcome, int status);
 
   DispatchContext& context_;
@@ -170,6 +180,7 @@
   bool waiting_ = false;
   bool finished_ = false;
   Ran ran_ = Ran::kNo;
+  bool in_doubt_ = false;  ///< the last send may have run, or may run yet
   bool reached_ = true;    ///< the last back end that did not run it had got it
   uint32_t runs_ = 0;      ///< engines that may have run it
   uint32_t refusals_ = 0;  ///< engines that said that they did not
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -272,6 +272,8 @@
   sent.candidates = cache.candidates;
   sent.outstanding = backend->outstanding + backend->others_outstanding;
   sent.queued_tokens = backend->prefill_tokens + backend->others_prefill_tokens;
+  charge_again();
+  in_doubt_ = true;
   backend_ = backend;
   connection_ = connection;
   kind_ = AnswerKind::kNone;
--- a/src/fleet/fleet_configuration.cc
+++ b/src/fleet/fleet_configuration.cc
@@ -1,5 +1,6 @@
 #include "src/fleet/fleet_configuration.h"
 
+#include <cmath>
 #include <map>
 #include <set>
 
@@ -53,6 +54,19 @@
   }
 }
 
+void check_quotas(const std::vector<Tenant>& tenants, Findings& findings) {
+  const auto valid = [](double amount) { return std::isfinite(amount) && amount >= 0; };
+  for (const Tenant& tenant : tenants) {
+    const std::string place = "tenants." + tenant.name + ".quota";
+    if (!valid(tenant.quota.per_second)) {
+      add(findings, place, "the rate must be a number of 0 or more");
+    }
+    if (!valid(tenant.quota.burst)) {
+      add(findings, place, "the burst must be a number of 0 or more");
+    }
+  }
+}
+
 }  // namespace
 
 void check_configuration(const FleetConfiguration& configuration, Findings& findings) {
@@ -70,6 +84,7 @@
   }
   check_places(configuration.routes, findings);
   check_keys(configuration.tenants, findings);
+  check_quotas(configuration.tenants, findings);
 }
 
 }  // namespace stoat::fleet
--- a/src/fleet/fleet_configuration.h
+++ b/src/fleet/fleet_configuration.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <msgpack.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -83,13 +84,35 @@
   bool operator==(const Limits&) const = default;
 };
 
+/// What a tenant's quota counts.
+enum class QuotaUnit : uint8_t {
+  kRequests,
+  kTokens,  ///< of the prompt, and the most to be made
+};
+
+/// What a tenant may use over all routers together: a rate, and a burst beyond it. A rate of 0: no limit.
+struct TenantQuota {
+  double per_second = 0;
+  double burst = 0;
+  QuotaUnit unit = QuotaUnit::kRequests;
+  uint32_t tokens_without_count = 0;  ///< cost of a request that names no tokens
+  MSGPACK_DEFINE_ARRAY(per_second, burst, unit, tokens_without_count)
+  bool operator==(const TenantQuota&) const = default;
+  bool limited() const { return per_second > 0; }
+  /// What a request takes of the quota. `tokens`: those that it names, if it does.
+  int64_t cost_of(std::optional<uint64_t> tokens) const {
+    return unit == QuotaUnit::kRequests ? 1 : static_cast<int64_t>(tokens.value_or(tokens_without_count));
+  }
+};
+
 /// A holder of access keys.
 struct Tenant {
   std::string name;
   std::vector<std::string> keys;
   uint32_t priority = 0;  ///< 0 is the highest; goes before the route's
   bool isolated = false;  ///< shares no KV cache with other tenants
-  MSGPACK_DEFINE_ARRAY(name, keys, priority, isolated)
+  TenantQuota quota = {};
+  MSGPACK_DEFINE_ARRAY(name, keys, priority, isolated, quota)
   bool operator==(const Tenant&) const = default;
 };
 
@@ -105,9 +128,10 @@
 };
 
 /// Adds a finding for each contradiction: a route to an unknown service or without weight or time-out, two
-/// routes at one place, a key of two tenants.
+/// routes at one place, a key of two tenants, a quota that is not a finite number of 0 or more.
 void check_configuration(const FleetConfiguration& configuration, Findings& findings);
 
 }  // namespace stoat::fleet
 
 MSGPACK_ADD_ENUM(stoat::fleet::RouteKind);
+MSGPACK_ADD_ENUM(stoat::fleet::QuotaUnit);
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -44,13 +44,40 @@
   MSGPACK_DEFINE_ARRAY(service, permille)
 };
 
+/// What a tenant with a quota has spent of it.
+struct TenantSpending {
+  std::string tenant;
+  int64_t amount = 0;  ///< in the quota's unit; below 0: more was given back than spent
+  MSGPACK_DEFINE_ARRAY(tenant, amount)
+  bool operator==(const TenantSpending&) const = default;
+};
+
+/// What is left of a tenant's quota, over all routers, as far as the sender knows. Below 0: more was spent.
+struct QuotaLevel {
+  std::string tenant;
+  int64_t level = 0;
+  bool metered = false;  ///< routers are to keep to the level; else they need not care
+  MSGPACK_DEFINE_ARRAY(tenant, level, metered)
+  bool operator==(const QuotaLevel&) const = default;
+};
+
+/// What a tenant has spent of its quota in the present window, over all routers, as far as the sender knows.
+struct WindowSpending {
+  std::string tenant;
+  std::vector<int64_t> spent;  ///< in equal parts of the window, the newest first
+  int64_t bucket = 0;          ///< what may be spent at once
+  MSGPACK_DEFINE_ARRAY(tenant, spent, bucket)
+};
+
 /// Router to the member whose feed it follows: its requests under way. Back ends that aren't named have none.
 struct RouterLoads {
   std::string router;
   std::vector<BackendLoad> loads;
-  std::vector<std::string> unreachable;  ///< ids of back ends that could not be reached lately
-  std::vector<StreamPauses> pauses;      ///< of streams that ended since the last message
-  MSGPACK_DEFINE_ARRAY(router, loads, unreachable, pauses)
+  std::vector<std::string> unreachable;       ///< ids of back ends that could not be reached lately
+  std::vector<StreamPauses> pauses;           ///< of streams that ended since the last message
+  std::vector<TenantSpending> spending = {};  ///< since the last message
+  uint64_t spending_number = 0;               ///< rises with each message that has spending; 0: it has none
+  MSGPACK_DEFINE_ARRAY(router, loads, unreachable, pauses, spending, spending_number)
 };
 
 /// A back end, or a store of KV cache, holds a chain of prompt parts.
@@ -111,8 +138,9 @@
   std::vector<NamedVersion> weights;  ///< the newest few of each model, oldest first; empty: as before
   std::vector<std::string> members;   ///< "address:port" of the internal protocol of each; empty: as before
   uint32_t router_count = 0;          ///< live routers
+  uint64_t spending_taken = 0;        ///< with an answer: the newest RouterLoads::spending_number that came
   MSGPACK_DEFINE_ARRAY(answers, leads, zone, quorum_age_ms, confirmed_version, configuration, retired,
-                       weights, members, router_count)
+                       weights, members, router_count, spending_taken)
 };
 
 /// Control member to the routers that follow it: what has changed in the fleet since the last of these. A
@@ -126,10 +154,11 @@
   std::vector<CacheChanges> caches;
   std::vector<ChainPlacement> placements;
   std::vector<LateShare> late_shares;
-  MSGPACK_DEFINE_ARRAY(anew, complete, backends, gone, loads, caches, placements, late_shares)
+  std::vector<QuotaLevel> quotas = {};  ///< where it changed; tenants that were never named are not metered
+  MSGPACK_DEFINE_ARRAY(anew, complete, backends, gone, loads, caches, placements, late_shares, quotas)
   bool empty() const {
     return !anew && backends.empty() && gone.empty() && loads.empty() && caches.empty() &&
-           placements.empty() && late_shares.empty();
+           placements.empty() && late_shares.empty() && quotas.empty();
   }
 };
 
@@ -173,14 +202,19 @@
   std::vector<uint64_t> shared_parts;  ///< that more than one prompt may begin with
   std::vector<UnreachableNotice> unreachable;
   std::vector<StreamPauses> pauses;
-  std::vector<EngineNote> engines;    ///< from the leader
-  std::vector<NamedVersion> weights;  ///< with the whole: since when they have been named
+  std::vector<EngineNote> engines;            ///< from the leader
+  std::vector<NamedVersion> weights;          ///< with the whole: since when they have been named
+  uint64_t start_id = 0;                      ///< of the sender, anew at each of its starts
+  std::vector<TenantSpending> spending = {};  ///< of the sender's routers since its start, where it changed
+  std::vector<WindowSpending> windows = {};   ///< with the whole: of all routers, as far as the sender knows
+  int64_t quotas_age_ms = 0;                  ///< with the whole: for how long the sender has counted
   MSGPACK_DEFINE_ARRAY(sender, zone, term, leads, number, anew, incomplete, heartbeats, routers, loads,
-                       caches, placements, shared_parts, unreachable, pauses, engines, weights)
+                       caches, placements, shared_parts, unreachable, pauses, engines, weights, start_id,
+                       spending, windows, quotas_age_ms)
   bool empty() const {
     return !anew && incomplete.empty() && heartbeats.empty() && routers.empty() && loads.empty() &&
            caches.empty() && placements.empty() && shared_parts.empty() && unreachable.empty() &&
-           pauses.empty() && engines.empty();
+           pauses.empty() && engines.empty() && spending.empty();
   }
 };
 
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -161,12 +161,16 @@
   member.channel->send(status);
 }
 
-bool ControlLink::send_to_feed(const wire::Message& message) {
+bool ControlLink::has_feed() const {
   const auto member = members_.find(feed_);
-  if (member == members_.end() || member->second.channel == nullptr || !member->second.channel->open()) {
+  return member != members_.end() && member->second.channel != nullptr && member->second.channel->open();
+}
+
+bool ControlLink::send_to_feed(const wire::Message& message) {
+  if (!has_feed()) {
     return false;
   }
-  member->second.channel->send(message);
+  members_.at(feed_).channel->send(message);
   return true;
 }
 
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -57,6 +57,8 @@
   void tell_now();
   /// Sends a message to the member whose feed is taken. False when there is none.
   bool send_to_feed(const wire::Message& message);
+  /// True while there is one that can be sent to.
+  bool has_feed() const;
   /// Members that have answered lately.
   size_t connected() const;
 
--- a/src/gateway/gateway_feed.cc
+++ b/src/gateway/gateway_feed.cc
@@ -24,7 +24,12 @@
     pool_.forget_totals();
     pool_.forget_holdings();
     context_.stores.forget_holdings();
+    context_.quotas.begin_feed();
   }
+  for (const fleet::QuotaLevel& level : news.quotas) {
+    context_.quotas.on_level(level, loop_.now());
+  }
+  quotas_known_ = true;
   take_backends(news);
   if (feed_begun_ && news.complete) {
     feed_begun_ = false;
@@ -68,7 +73,8 @@
 
 void GatewayServer::tell_loads() {
   std::vector<fleet::BackendLoad> loads = pool_.own_loads();
-  if (loads_told_ && loads == told_loads_ && untold_unreachable_.empty() && context_.pauses.empty()) {
+  if (loads_told_ && loads == told_loads_ && untold_unreachable_.empty() && context_.pauses.empty() &&
+      !context_.quotas.has_untold()) {
     return;
   }
   fleet::RouterLoads message{settings_.name, loads, {}, {}};
@@ -76,6 +82,12 @@
   for (const auto& [service, pauses] : context_.pauses) {
     message.pauses.push_back(pauses);
   }
+  if (!link_.has_feed()) {
+    return;
+  }
+  admission::NumberedSpending spending = context_.quotas.take_untold();
+  message.spending = std::move(spending.spending);
+  message.spending_number = spending.number;
   if (link_.send_to_feed(message)) {
     loads_told_ = true;
     untold_unreachable_.clear();
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -8,12 +8,14 @@
 
 namespace {
 
+constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr Duration kStopCheck = 50ms;
 /// A router that has just started, or has lost control, needs about so many seconds to serve again.
-constexpr char kStartRetryAfter[] = "2";
+constexpr double kStartRetryAfterS = 2;
 constexpr Duration kQueueMargin = 1500ms;
 /// Own requests under way are told so often, when they have changed.
 constexpr Duration kLoadsInterval = 100ms;
@@ -48,6 +50,7 @@
   settings.budget.ratio = reader.number("repeat_ratio", 0.2, 0, 10);
   settings.budget.slack = reader.number("repeat_slack", 50, 0, 1e6);
   settings.budget.window = std::chrono::seconds(reader.integer("repeat_window_s", 10, 1, 3600));
+  settings.quotas = admission::read_quota_tolerance(reader);
   settings.routers_settle = settings.budget.window;
   return settings;
 }
@@ -57,6 +60,7 @@
     : loop_(loop),
       settings_(settings),
       names_(names),
+      malformed_tokens_(names.token_counts + " must be two whole numbers joined by a comma"),
       stories_(log_, settings.stories),
       pool_(loop),
       context_{loop, names_, pool_, metrics_, stories_},
@@ -66,6 +70,7 @@
           [this](const fleet::FleetNews& news) { on_news(news); }),
       edge_(loop, settings.listen, *this) {
   context_.random = Random(seed_from_device());
+  context_.quotas = admission::QuotaGate(settings.quotas, seed_from_device());
   context_.zone = settings.zone;
   context_.budget_options = settings.budget;
   context_.sharing_routers = delivery::SharingRouters(settings.routers_settle);
@@ -117,7 +122,9 @@
   if (update.router_count > 0) {
     context_.router_count = update.router_count;
     context_.sharing_routers.note(update.router_count, loop_.now());
+    context_.quotas.set_router_count(update.router_count);
   }
+  context_.quotas.confirm(update.spending_taken);
 }
 
 void GatewayServer::take_configuration(const fleet::FleetConfiguration& configuration) {
@@ -127,6 +134,7 @@
   table_ =
       std::make_shared<routing::RouteTable>(std::make_shared<const fleet::FleetConfiguration>(configuration));
   link_.set_configuration_version(configuration.version);
+  context_.quotas.configure(configuration.tenants, loop_.now());
   edge::EdgeLimits limits;
   limits.header_bytes = configuration.limits.header_bytes;
   limits.body_bytes = configuration.limits.body_bytes;
@@ -138,15 +146,15 @@
 }
 
 void GatewayServer::refuse(const dispatch::RunPlan& plan, edge::CallerAnswer& answer, int status,
-                           const char* reason) {
+                           const char* reason, double retry_after_s) {
   edge::AnswerHead head;
   head.status = status;
   if (!plan.fields.id.empty()) {
     head.headers.add(names_.request_id, plan.fields.id);
   }
   head.headers.add("Content-Type", "text/plain");
-  if (status == kUnavailable) {
-    head.headers.add("Retry-After", kStartRetryAfter);
+  if (retry_after_s > 0) {
+    head.headers.add("Retry-After", dispatch::retry_after_text(retry_after_s));
   }
   events::RequestStory story(plan.fields.id);
   story.add(events::RequestTurnedAway{status, reason, table_ == nullptr ? 0 : table_->configuration().version,
@@ -158,7 +166,7 @@
 
 bool GatewayServer::admit(dispatch::RunPlan& plan, edge::CallerAnswer& answer) {
   if (table_ == nullptr) {
-    refuse(plan, answer, kUnavailable, "no configuration yet");
+    refuse(plan, answer, kUnavailable, "no configuration yet", kStartRetryAfterS);
     return false;
   }
   plan.table = table_;
@@ -168,12 +176,20 @@
     refuse(plan, answer, kNotFound, "no route");
     return false;
   }
+  if (plan.fields.malformed_tokens) {
+    refuse(plan, answer, kBadRequest, malformed_tokens_.c_str());
+    return false;
+  }
   if (!table_->has_tenants() || plan.route->open) {
     return true;
   }
+  return admit_key(plan, answer) && admit_quota(plan, answer);
+}
+
+bool GatewayServer::admit_key(dispatch::RunPlan& plan, edge::CallerAnswer& answer) {
   plan.tenant = table_->tenant_of_key(plan.fields.key);
   if (settings_.fail_closed && !link_.keys_confirmed()) {
-    refuse(plan, answer, kUnavailable, "keys can't be confirmed");
+    refuse(plan, answer, kUnavailable, "keys can't be confirmed", kStartRetryAfterS);
     return false;
   }
   if (plan.tenant == nullptr) {
@@ -183,8 +199,27 @@
   return true;
 }
 
+bool GatewayServer::admit_quota(dispatch::RunPlan& plan, edge::CallerAnswer& answer) {
+  const fleet::TenantQuota& quota = plan.tenant->quota;
+  if (!quota.limited()) {
+    return true;
+  }
+  const dispatch::RequestFields& fields = plan.fields;
+  const auto tokens = fields.names_tokens
+                          ? std::optional<uint64_t>(uint64_t{fields.prompt_tokens} + fields.output_tokens)
+                          : std::nullopt;
+  plan.quota_cost = quota.cost_of(tokens);
+  const auto decision = context_.quotas.admit(plan.tenant->name, plan.quota_cost, loop_.now());
+  if (!decision.admitted) {
+    metrics_.count("stoat_router_quota_refusals_total", {{"tenant", plan.tenant->name}});
+    refuse(plan, answer, kTooManyRequests, "the tenant's quota is used up", to_seconds(decision.retry_after));
+  }
+  return decision.admitted;
+}
+
 bool GatewayServer::starting() const {
-  return table_ == nullptr || (settings_.fail_closed && !link_.ever_confirmed());
+  return table_ == nullptr || (settings_.fail_closed && !link_.ever_confirmed()) ||
+         (table_->has_quotas() && !quotas_known_);
 }
 
 bool GatewayServer::wait_for_start(edge::CallerRequest& request,
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -32,6 +32,7 @@
   /// of a restart, and back ends are heard within a second or so.
   Duration start_wait = 2500ms;
   delivery::WindowBudgetOptions budget;
+  admission::QuotaTolerance quotas;
   /// How long a lower count of routers must hold before it counts for the bound on repeats: its window.
   Duration routers_settle = 10s;
   events::StoryOptions stories;
@@ -75,7 +76,9 @@
   void take_configuration(const fleet::FleetConfiguration& configuration);
   fleet::RouterStatus make_status();
   void note_key_lease();
-  void refuse(const dispatch::RunPlan& plan, edge::CallerAnswer& answer, int status, const char* reason);
+  /// `retry_after_s`: 0: the caller is not told when to come back.
+  void refuse(const dispatch::RunPlan& plan, edge::CallerAnswer& answer, int status, const char* reason,
+              double retry_after_s = 0);
   /// True until the router can decide about requests for the first time since it started.
   bool starting() const;
   /// Keeps a request until the router can decide about it. False when there is no room.
@@ -85,11 +88,16 @@
   void serve(edge::CallerRequest request, const std::shared_ptr<edge::CallerAnswer>& answer,
              TimePoint arrived);
   bool admit(dispatch::RunPlan& plan, edge::CallerAnswer& answer);
+  /// Finds the tenant of the key.
+  bool admit_key(dispatch::RunPlan& plan, edge::CallerAnswer& answer);
+  /// Charges the tenant's quota.
+  bool admit_quota(dispatch::RunPlan& plan, edge::CallerAnswer& answer);
   void check_stopped();
 
   EventLoop& loop_;
   GatewaySettings settings_;
   dispatch::HeaderNames names_;
+  std::string malformed_tokens_;  ///< what a caller is told whose token counts can't be read
   Logger log_{"router"};
   Metrics metrics_;
   events::StoryBook stories_;
@@ -99,6 +107,7 @@
   routing::SplitChooser splits_;
   std::set<std::string> untold_backends_;       ///< known ones that a new feed has not told of yet
   bool feed_begun_ = false;                     ///< a feed's first whole is not complete yet
+  bool quotas_known_ = false;                   ///< a feed has told which quotas are metered
   std::vector<fleet::BackendLoad> told_loads_;  ///< own ones, as last told
   bool loads_told_ = false;                     ///< to the member of the present feed
   std::set<std::string> untold_unreachable_;    ///< back ends that could not be reached lately
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -34,6 +34,7 @@
     });
   }
   for (const fleet::Tenant& tenant : configuration_->tenants) {
+    has_quotas_ = has_quotas_ || tenant.quota.limited();
     for (const std::string& key : tenant.keys) {
       by_key_[key] = &tenant;
     }
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -23,9 +23,12 @@
   const fleet::Service* service(const std::string& name) const;
   const fleet::FleetConfiguration& configuration() const { return *configuration_; }
   bool has_tenants() const { return !configuration_->tenants.empty(); }
+  /// True when any tenant has a quota.
+  bool has_quotas() const { return has_quotas_; }
 
  private:
   std::shared_ptr<const fleet::FleetConfiguration> configuration_;
+  bool has_quotas_ = false;
   /// By host in lower case; the longest prefix first.
   std::unordered_map<std::string, std::vector<const fleet::Route*>> by_host_;
   std::unordered_map<std::string, const fleet::Tenant*> by_key_;
--- a/tests/unit/platform_bodies_test.cc
+++ b/tests/unit/platform_bodies_test.cc
@@ -46,6 +46,31 @@
   EXPECT_TRUE(configuration->tenants[0].isolated);
 }
 
+constexpr char kQuota[] =
+    R"("isolated":true,"unit":"tokens","requests_per_s":573606,"burst":1000.5,"uncached_tokens":200})";
+
+TEST(PlatformBodies, ReadsATenantsQuota) {
+  const auto configuration = read(with("\"isolated\":true}", kQuota));
+  ASSERT_TRUE(configuration);
+  const fleet::TenantQuota& quota = configuration->tenants[0].quota;
+  EXPECT_EQ(quota.unit, fleet::QuotaUnit::kTokens);
+  EXPECT_EQ(quota.per_second, 573606);
+  EXPECT_EQ(quota.burst, 1000.5);
+  EXPECT_EQ(quota.cost_of(1460), 1460);
+  EXPECT_EQ(quota.cost_of(std::nullopt), 200);
+  EXPECT_FALSE(read(kConfiguration)->tenants[0].quota.limited());
+}
+
+TEST(PlatformBodies, RefusesABrokenQuotaWithAllItsFindings) {
+  std::string findings;
+  EXPECT_FALSE(read(
+      with("\"isolated\":true}", R"("isolated":true,"unit":"bytes","requests_per_s":-1,"burst":"much"})"),
+      &findings));
+  EXPECT_NE(findings.find("tenants[0].unit"), std::string::npos) << findings;
+  EXPECT_NE(findings.find("tenants[0].requests_per_s"), std::string::npos) << findings;
+  EXPECT_NE(findings.find("tenants[0].burst"), std::string::npos) << findings;
+}
+
 TEST(PlatformBodies, RefusesWhatIsInvalidAndNamesThePlace) {
   std::string findings;
   EXPECT_FALSE(read(std::string(kConfiguration).substr(0, 400), &findings));
--- /dev/null
+++ b/tests/unit/quota_test.cc
@@ -0,0 +1,110 @@
+/// Quotas at one router and at its control member, over the real messages.
+#include <gtest/gtest.h>
+
+#include "src/control/fleet_knowledge.h"
+#include "tests/support/small_fleet.h"
+
+namespace stoat {
+namespace {
+
+using standins::Script;
+using standins::ScriptedEngine;
+using standins::SeenRequest;
+using standins::send_step;
+using standins::whole_answer;
+using test::status_of;
+
+/// A fleet whose tenant "t1" may spend 100 tokens a second, and 200 at once.
+class QuotaGatewayTest : public test::SmallFleet {
+ protected:
+  void SetUp() override {
+    fleet::FleetConfiguration configuration = make_configuration(1);
+    for (fleet::Tenant& tenant : configuration.tenants) {
+      if (tenant.name == "t1") {
+        tenant.quota = {100, 200, fleet::QuotaUnit::kTokens, 10};
+      }
+    }
+    ASSERT_TRUE(configure(configuration));
+  }
+  std::string ask_for(const std::string& id, int tokens, const std::string& key = "k1") {
+    return ask("GET", "/safe/", id, "X-Token-Counts: " + std::to_string(tokens) + ",0\r\n", key);
+  }
+  /// Asks until an answer has this status, for some seconds at most.
+  bool comes_to(const std::string& status, int tokens) {
+    for (int number = 0; number < 100; ++number) {
+      if (status_of(ask_for("q" + std::to_string(number), tokens)) == status) {
+        return true;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    }
+    return false;
+  }
+};
+
+TEST_F(QuotaGatewayTest, RefusesWhatIsBeyondTheQuotaAndSaysWhenToComeBack) {
+  ScriptedEngine engine([](const SeenRequest& request) -> Script {
+    return {send_step(whole_answer(200, own(request.header("X-Request-Id")), "body"))};
+  });
+  add_engine("e1", "calls", engine);
+  ASSERT_TRUE(comes_to("HTTP/1.1 200", 1)) << "a member that has just started begins low";
+  ASSERT_TRUE(comes_to("HTTP/1.1 429", 1000));
+  const std::string refused = ask_for("again", 1000);
+  EXPECT_EQ(status_of(refused), "HTTP/1.1 429");
+  EXPECT_NE(refused.find("Retry-After: "), std::string::npos);
+  EXPECT_EQ(status_of(ask_for("other", 1000, "k2")), "HTTP/1.1 200") << "another tenant has no quota";
+}
+
+TEST_F(QuotaGatewayTest, NamesTheHeaderWhoseTokenCountsCannotBeRead) {
+  for (const char* counts : {"100", "a,b", "1,-5", ",", "100,99999999999"}) {
+    const std::string answer = ask("GET", "/safe/", "q1", "X-Token-Counts: " + std::string(counts) + "\r\n");
+    EXPECT_EQ(status_of(answer), "HTTP/1.1 400") << counts;
+    EXPECT_NE(answer.find("X-Token-Counts"), std::string::npos) << counts;
+  }
+}
+
+fleet::Tenant limited_tenant() {
+  fleet::Tenant tenant;
+  tenant.name = "t";
+  tenant.quota = {1000, 1000, fleet::QuotaUnit::kTokens, 0};
+  return tenant;
+}
+
+TEST(QuotaGate, ASendThatDidNotRunGivesItsPartBack) {
+  admission::QuotaGate gate({}, 1);
+  gate.configure({limited_tenant()}, TimePoint(1s));
+  EXPECT_TRUE(gate.admit("t", 300, TimePoint(1s)).admitted);
+  gate.give_back("t", 300, TimePoint(1s));
+  EXPECT_TRUE(gate.take_untold().spending.empty());
+}
+
+TEST(QuotaGate, TellsAgainWhatWasNotConfirmedBeforeAnotherMemberTookOver) {
+  admission::QuotaGate gate({}, 1);
+  gate.configure({limited_tenant()}, TimePoint(1s));
+  gate.admit("t", 100, TimePoint(1s));
+  const auto first = gate.take_untold();
+  gate.admit("t", 30, TimePoint(1s));
+  gate.take_untold();
+  gate.confirm(first.number);
+  gate.begin_feed();
+  const auto again = gate.take_untold();
+  ASSERT_EQ(again.spending.size(), 1U);
+  EXPECT_EQ(again.spending.front().amount, 30);
+}
+
+TEST(QuotaBook, AMemberThatMissedNewsIsRightAgainWithTheNext) {
+  admission::QuotaBook first({}, 1, TimePoint(0));
+  admission::QuotaBook second({}, 2, TimePoint(0));
+  const TimePoint now = 20s;
+  for (auto* book : {&first, &second}) {
+    book->configure({limited_tenant()}, now);
+  }
+  second.on_peer("first", 1, true, first.sums(), now);
+  first.on_router({{"t", 400}}, now);
+  first.take_changed_sums();  // lost
+  first.on_router({{"t", 200}}, now);
+  second.on_peer("first", 1, false, first.take_changed_sums(), now);
+  EXPECT_EQ(second.windows(now).front().bucket, 400);
+}
+
+}  // namespace
+}  // namespace stoat
