Probe back ends that are silent while requests run there

Cause: a request at an engine whose machine goes dark waited for the network's own time-out, 2 to 3 s, or its deadline; nothing of its aim was left by then. Change: a back end that this router has heard nothing from for 900 ms, while a request of it runs there, gets a connection attempt; when that isn't made within 300 ms, what was silent since goes on elsewhere, where it may. A connection that is made serves later requests. Test: an engine that takes a request and then answers nothing at all; without the change the answer comes after the network's silence limit.

--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -7,6 +7,16 @@
 
 namespace stoat::dispatch {
 
+namespace {
+
+/// A silent back end is probed at most so often.
+constexpr Duration kProbeInterval = 500ms;
+/// A connection is made within some milliseconds, or its opening packet is lost: then the next one would be
+/// sent after a second.
+constexpr Duration kProbeTime = 300ms;
+
+}  // namespace
+
 BackendPool::~BackendPool() {
   for (const auto& [id, backend] : backends_) {
     for (const auto& connection : backend->idle) {
@@ -170,6 +180,37 @@
   return connection;
 }
 
+void BackendPool::probe(const BackendPtr& backend) {
+  const TimePoint now = loop_.now();
+  if (backend->probe != nullptr || now - backend->probed < kProbeInterval) {
+    return;
+  }
+  backend->probed = now;
+  const std::weak_ptr<Backend> weak = backend;
+  backend->probe = EngineConnection::connect(loop_, backend->endpoint,
+                                             [this, weak](EngineConnection* lost) { drop_idle(weak, lost); });
+  if (backend->probe != nullptr) {
+    ++backend->connections;
+    ++connects_;
+    loop_.after(kProbeTime, [this, weak] { end_probe(weak); });
+  }
+}
+
+void BackendPool::end_probe(const std::weak_ptr<Backend>& weak) {
+  const BackendPtr backend = weak.lock();
+  if (backend == nullptr || backend->probe == nullptr) {
+    return;
+  }
+  const auto connection = std::exchange(backend->probe, nullptr);
+  if (connection->connected() && connection->usable()) {
+    backend->heard = loop_.now();
+    release(backend, connection);
+    return;
+  }
+  backend->unreachable = backend->probed;
+  discard(backend, connection);
+}
+
 void BackendPool::drop_idle(const std::weak_ptr<Backend>& weak, EngineConnection* connection) {
   const BackendPtr backend = weak.lock();
   if (backend == nullptr) {
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -31,6 +31,10 @@
   uint32_t others_outstanding = 0;
   uint64_t others_prefill_tokens = 0;
   placement::ChainMemory memory;
+  TimePoint heard{0};                       ///< when anything last came from it to this router
+  std::shared_ptr<EngineConnection> probe;  ///< a connection under way that is to show whether it answers
+  TimePoint probed{0};                      ///< when the last probe began
+  TimePoint unreachable{0};                 ///< when the last probe that failed began
 };
 
 using BackendPtr = std::shared_ptr<Backend>;
@@ -78,6 +82,8 @@
   void release(const BackendPtr& backend, const std::shared_ptr<EngineConnection>& connection);
   /// Closes a connection, which cancels what runs on it.
   void discard(const BackendPtr& backend, const std::shared_ptr<EngineConnection>& connection);
+  /// Tries to make a connection to a back end that is silent. One that is made serves later requests.
+  void probe(const BackendPtr& backend);
   delivery::OutlierDetector& outliers() { return outliers_; }
   uint64_t connects() const { return connects_; }
 
@@ -85,6 +91,7 @@
   std::vector<BackendPtr> up_to(fleet::BackendState state, const std::string& service) const;
   static void update_others(Backend& backend);
   void drop_idle(const std::weak_ptr<Backend>& weak, EngineConnection* connection);
+  void end_probe(const std::weak_ptr<Backend>& weak);
 
   EventLoop& loop_;
   std::map<std::string, BackendPtr> backends_;  ///< by id
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -15,6 +15,9 @@
 constexpr int kFirstServerError = 500;
 /// Engines that may say that they did not run a request before it is refused.
 constexpr uint32_t kMaxRefusals = 3;
+/// A back end that this router has heard nothing from for so long, while a request runs there, is probed.
+/// At 400 ms engines under load were probed as well, which cost more new connections than it gained.
+constexpr Duration kSilence = 900ms;
 /// How often a waiting request looks for a back end again.
 constexpr Duration kWaitStep = 25ms;
 /// Answers up to this size are held until they are whole.
@@ -152,7 +155,28 @@
   backend_ = nullptr;
 }
 
+void RequestRun::note_sign() {
+  last_sign_ = context_.loop.now();
+  backend_->heard = last_sign_;
+}
+
+void RequestRun::check_silence() {
+  if (backend_ == nullptr) {
+    return;
+  }
+  const TimePoint heard = std::max(last_sign_, backend_->heard);
+  if (context_.loop.now() - heard < kSilence) {
+    return;
+  }
+  if (backend_->unreachable > heard) {
+    on_exchange_failure(ExchangeFailure::kSilent);
+    return;
+  }
+  context_.pool.probe(backend_);
+}
+
 void RequestRun::on_answer_head(int status, const http1::Headers& headers) {
+  note_sign();
   head_.status = status;
   head_.headers = http1::Headers();
   for (const http1::HeaderLine& line : headers.lines()) {
@@ -185,6 +209,7 @@
 }
 
 void RequestRun::on_answer_body(std::string_view piece) {
+  note_sign();
   if (kind_ == AnswerKind::kEvents) {
     const auto keep = shared_from_this();
     splitter_.feed(piece, [this](const delivery::StreamEvent& event) { forward_event(event); });
@@ -347,7 +372,7 @@
   if (failure == ExchangeFailure::kNotConnected || failure == ExchangeFailure::kSilent) {
     context_.tell_unreachable(backend_->record.id);
   }
-  if (failure == ExchangeFailure::kNotConnected) {
+  if (failure == ExchangeFailure::kNotConnected || failure == ExchangeFailure::kSilent) {
     context_.pool.outliers().on_unreachable(backend_->record.id, now);
   } else {
     context_.pool.outliers().on_failure(backend_->record.id, now);
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -110,6 +110,8 @@
   /// The caller has left: stops the engine's work.
   void cancel();
   const edge::CallerAnswer* answer() const { return answer_.get(); }
+  /// Gives the back end up when it has been silent and can't be reached. To be called some times a second.
+  void check_silence();
 
   void on_answer_head(int status, const http1::Headers& headers) override;
   void on_answer_body(std::string_view piece) override;
@@ -154,6 +156,8 @@
   /// `reached`: the back end got the request and refused it; else no connection was made.
   void on_not_run(bool reached);
   void end_exchange(bool keep_connection);
+  /// The back end has sent something.
+  void note_sign();
   void note_first_event();
   /// Learns from the pauses of a stream that has ended.
   void learn_from_pauses() const;
@@ -193,6 +197,7 @@
   uint64_t run_weights_ = 0;  ///< version of the weights that the run began on
   std::shared_ptr<EngineConnection> connection_;
   std::string stored_at_;         ///< address of the store that the engine at backend_ sends what it reads
+  TimePoint last_sign_{0};        ///< of the exchange at backend_: when it was sent, or last heard
   bool begun_at_engine_ = false;  ///< the run at backend_ has made its first event
   uint64_t counted_prefill_ = 0;  ///< tokens counted at backend_ until the first event
   AnswerKind kind_ = AnswerKind::kNone;
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -281,6 +281,7 @@
   splitter_.reset();
   ++backend->outstanding;
   begun_at_engine_ = false;
+  last_sign_ = now;
   stored_at_ = cache.target;
   from_copy_ = !cache.from.empty();
   run_weights_ = from_copy_ ? run_weights_ : backend->record.version_of(plan_.fields.model);
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -77,7 +77,10 @@
   context_.old_weights_limit = settings.old_weights_limit;
   context_.tell_unreachable = [this](const std::string& backend) { untold_unreachable_.insert(backend); };
   context_.tell_placement = [this](fleet::ChainPlacement placement) { tell_placement(std::move(placement)); };
-  loop_.every(kLoadsInterval, [this] { tell_loads(); });
+  loop_.every(kLoadsInterval, [this] {
+    check_silence();
+    tell_loads();
+  });
   log_.info("started", {{"name", settings.name}, {"listen", to_string(settings.listen)}});
 }
 
@@ -275,6 +278,17 @@
   run->start();
 }
 
+void GatewayServer::check_silence() {
+  std::vector<std::shared_ptr<dispatch::RequestRun>> running;  // runs that end leave the map
+  running.reserve(runs_.size());
+  for (const auto& [answer, run] : runs_) {
+    running.push_back(run);
+  }
+  for (const auto& run : running) {
+    run->check_silence();
+  }
+}
+
 void GatewayServer::on_gone(const edge::CallerAnswer* answer) {
   start_queue_.remove(answer);
   const auto found = runs_.find(answer);
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -70,6 +70,8 @@
   void take_cache(const fleet::CacheChanges& changes);
   /// Tells the member of the feed the own requests under way, when they have changed.
   void tell_loads();
+  /// Lets requests at back ends that have gone dark go on elsewhere.
+  void check_silence();
   void apply_changes(const fleet::CacheChanges& changes, placement::ChainMemory& memory) const;
   /// Keeps a placement for the other routers, which hear of it a little later.
   void tell_placement(fleet::ChainPlacement placement);
--- a/tests/unit/dead_engines_test.cc
+++ b/tests/unit/dead_engines_test.cc
@@ -15,7 +15,8 @@
 /// connections that is full and never emptied drops the packets that open further ones.
 class DarkAddress {
  public:
-  DarkAddress() {
+  /// `takes_one`: the first connection is made, and then stays silent: the machine went dark after it.
+  explicit DarkAddress(bool takes_one = false) {
     listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -29,6 +30,9 @@
     }
     port_ = ntohs(address.sin_port);
     for (int& filler : fillers_) {
+      if (takes_one) {
+        break;
+      }
       filler = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
       // It may be under way for ever; that is what is wanted.
       (void)::connect(filler, reinterpret_cast<sockaddr*>(&address), length);
@@ -36,7 +40,9 @@
   }
   ~DarkAddress() {
     for (const int filler : fillers_) {
-      ::close(filler);
+      if (filler >= 0) {
+        ::close(filler);
+      }
     }
     ::close(listener_);
   }
@@ -47,9 +53,40 @@
  private:
   int listener_ = -1;
   uint16_t port_ = 0;
-  std::array<int, 4> fillers_{};
+  std::array<int, 4> fillers_{-1, -1, -1, -1};
 };
 
+/// A router with room for repeats.
+class DarkEngineTest : public test::SmallFleet {
+ protected:
+  void SetUp() override { ASSERT_TRUE(configure(make_configuration(1))); }
+};
+
+TEST_F(DarkEngineTest, ARequestAtAnEngineThatGoesDarkIsTakenUpElsewhereInTime) {
+  ScriptedEngine engine([](const SeenRequest& request) -> Script {
+    return {send_step(whole_answer(200, own(request.header("X-Request-Id")), "body"))};
+  });
+  const DarkAddress dark(true);
+  add_engine_at("dark", dark.text());
+  add_engine("alive", "calls", engine);
+  constexpr Duration kFarTooLong = 1400ms;  // the caller gives the request 2 s
+  for (int i = 0; i < 12; ++i) {            // each goes to either at random, until the dark one is found
+    const auto begin = std::chrono::steady_clock::now();
+    EXPECT_EQ(status_of(ask("GET", "/safe/", "q" + std::to_string(i))), "HTTP/1.1 200");
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, kFarTooLong);
+  }
+}
+
+TEST_F(DarkEngineTest, ASlowEngineThatCanBeReachedIsLeftAlone) {
+  ScriptedEngine engine([](const SeenRequest& request) -> Script {
+    return {standins::wait_step(std::chrono::milliseconds(1200)),
+            send_step(whole_answer(200, own(request.header("X-Request-Id")), "body"))};
+  });
+  add_engine("slow", "calls", engine);
+  EXPECT_EQ(status_of(ask("GET", "/safe/", "q1")), "HTTP/1.1 200");
+  EXPECT_EQ(engine.requests().size(), 1U);
+}
+
 /// A router that may send nothing a second time.
 class NoRepeatsTest : public test::SmallFleet {
  protected:
