Let short and long prompts share all engines

Cause: a quarter of the engines was meant for short prompts. Late streams made the lanes harder, which made more streams late. Change: lanes go, and with them what routers learned from pauses for them alone.

--- a/src/control/fleet_feed.cc
+++ b/src/control/fleet_feed.cc
@@ -75,13 +75,6 @@
   cursor.placements = position;
 }
 
-void FleetKnowledge::add_late_shares(FeedCursor& cursor, fleet::FleetNews& news) const {
-  cursor.late_shares = pauses_.shares().visit_since(
-      cursor.late_shares, SIZE_MAX, [&](const std::string& service, const uint32_t* permille) {
-        news.late_shares.push_back({service, permille == nullptr ? 0 : *permille});
-      });
-}
-
 void FleetKnowledge::add_quotas(FeedCursor& cursor, fleet::FleetNews& news) const {
   cursor.quotas = quotas_.told().visit_since(
       cursor.quotas, SIZE_MAX, [&](const std::string& tenant, const fleet::QuotaLevel* level) {
@@ -103,7 +96,6 @@
     add_loads(cursor, news);
     add_caches(cursor, news);
     add_placements(cursor, news);
-    add_late_shares(cursor, news);
   }
   news.complete = cursor.registry == registry_.table().revision() &&
                   cursor.holdings == caches_.shared_holdings().revision();
--- a/src/control/fleet_knowledge.cc
+++ b/src/control/fleet_knowledge.cc
@@ -49,10 +49,6 @@
     registry_.note_unreachable(backend, loads.router, now);
     untold_.unreachable.push_back({loads.router, backend});
   }
-  for (const fleet::StreamPauses& pauses : loads.pauses) {
-    pauses_.add(pauses, now);
-    untold_.pauses.push_back(pauses);
-  }
   quotas_.on_router(loads.spending, now);
   if (followers_.count(loads.router) > 0) {
     loads_.set_router(loads.router, loads.loads);
@@ -169,9 +165,6 @@
   for (const fleet::UnreachableNotice& notice : news.unreachable) {
     registry_.note_unreachable(notice.backend, notice.router, now);
   }
-  for (const fleet::StreamPauses& pauses : news.pauses) {
-    pauses_.add(pauses, now);
-  }
   loads_.on_peer(news.sender, news.loads);
   for (const fleet::CacheChanges& changes : news.caches) {
     caches_.apply(news.sender, changes);
@@ -191,7 +184,6 @@
 void FleetKnowledge::expire(TimePoint now) {
   registry_.expire(now);
   routers_.expire(now);
-  pauses_.update(now);
   std::erase_if(silent_routers_, [now](const auto& entry) { return now - entry.second > kAloneTime; });
   quotas_.update(unheard_share(now), now);
   for (auto entry = peers_.begin(); entry != peers_.end();) {
--- a/src/control/fleet_knowledge.h
+++ b/src/control/fleet_knowledge.h
@@ -17,7 +17,6 @@
 #include "src/control/cache_mirror.h"
 #include "src/control/cache_watch.h"
 #include "src/control/load_book.h"
-#include "src/control/pause_book.h"
 #include "src/control/router_directory.h"
 #include "src/fleet/backend_registry.h"
 #include "src/fleet/fleet_messages.h"
@@ -43,14 +42,13 @@
   uint64_t heads = 0;
   uint64_t holdings = 0;
   uint64_t placements = 0;
-  uint64_t late_shares = 0;
   uint64_t quotas = 0;
   bool operator==(const FeedCursor&) const = default;
   bool operator<(const FeedCursor& other) const { return values() < other.values(); }
 
  private:
-  std::tuple<bool, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t> values() const {
-    return {begun, registry, loads, heads, holdings, placements, late_shares, quotas};
+  std::tuple<bool, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t> values() const {
+    return {begun, registry, loads, heads, holdings, placements, quotas};
   }
 };
 
@@ -131,7 +129,6 @@
   void add_loads(FeedCursor& cursor, fleet::FleetNews& news) const;
   void add_caches(FeedCursor& cursor, fleet::FleetNews& news) const;
   void add_placements(FeedCursor& cursor, fleet::FleetNews& news) const;
-  void add_late_shares(FeedCursor& cursor, fleet::FleetNews& news) const;
   void add_quotas(FeedCursor& cursor, fleet::FleetNews& news) const;
   bool reaches(const FeedCursor& cursor) const;
 
@@ -139,7 +136,6 @@
   fleet::BackendRegistry registry_;
   RouterDirectory routers_;
   LoadBook loads_;
-  PauseBook pauses_;
   admission::QuotaBook quotas_;
   std::map<std::string, TimePoint> silent_routers_;  ///< own followers that went silent, and when
   CacheMirror caches_;
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -15,8 +15,8 @@
 constexpr int kFirstServerError = 500;
 /// Engines that may say that they did not run a request before it is refused.
 constexpr uint32_t kMaxRefusals = 3;
-/// A back end that this router has heard nothing from for so long, while a request runs there, is probed.
-/// At 400 ms engines under load were probed as well, which cost more new connections than it gained.
+/// A back end that this router has heard nothing from for so long, while a request runs there, is probed. At
+/// 400 ms engines under load were probed as well, which cost more new connections than it gained.
 constexpr Duration kSilence = 900ms;
 /// How often a waiting request looks for a back end again.
 constexpr Duration kWaitStep = 25ms;
@@ -248,15 +248,6 @@
   answer_->send(event.bytes);
 }
 
-void RequestRun::learn_from_pauses() const {
-  if (plan_.route->gap_target_ms > 0 && longest_pause_ > Duration(0)) {
-    fleet::StreamPauses& pauses = context_.pauses[plan_.service];
-    pauses.service = plan_.service;
-    ++pauses.streams;
-    pauses.late += longest_pause_ > Duration(1000 * plan_.route->gap_target_ms) ? 1 : 0;
-  }
-}
-
 void RequestRun::on_answer_complete() {
   const auto keep = shared_from_this();
   if (kind_ == AnswerKind::kNotRun) {
@@ -276,7 +267,6 @@
     if (!streaming_) {
       answer_->start(head_);
     }
-    learn_from_pauses();
     answer_->finish();
     done("complete", head_.status);
     return;
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -23,7 +23,6 @@
 #include "src/fleet/fleet_messages.h"
 #include "src/fleet/version_history.h"
 #include "src/placement/cache_namespace.h"
-#include "src/placement/pause_watch.h"
 #include "src/routing/route_table.h"
 
 struct event;
@@ -59,9 +58,6 @@
   /// Tells control that a back end could not be reached.
   std::function<void(const std::string&)> tell_unreachable = [](const std::string&) {};
   placement::PlacementCosts costs = {};
-  std::map<std::string, uint32_t> late_permille = {};      ///< by service: streams that pause too long
-  std::map<std::string, fleet::StreamPauses> pauses = {};  ///< by service: of own streams, not told yet
-  double short_lane_share = 0.25;                          ///< of the engines: those meant for short prompts
   admission::QuotaGate quotas{{}, 0};
 
   delivery::WindowBudget& budget_of(const std::string& service) {
@@ -159,8 +155,6 @@
   /// The back end has sent something.
   void note_sign();
   void note_first_event();
-  /// Learns from the pauses of a stream that has ended.
-  void learn_from_pauses() const;
   void note_weights(const http1::Headers& headers);
   void forward_event(const delivery::StreamEvent& event);
   void finish_whole();
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -94,12 +94,9 @@
       views.back().candidate = false;
     }
   }
-  placement::mark_lanes(chain_, views, context_.short_lane_share);
   const CacheStore* store = context_.stores.store_for(chain_);
-  placement::PlacementCosts costs = context_.costs;
-  costs.other_lane_ms *= placement::lane_strength(context_.late_permille[plan_.service]);
   const placement::Placement placed = placement::place(
-      chain_, views, store == nullptr ? nullptr : &store->memory, costs, context_.loop.now());
+      chain_, views, store == nullptr ? nullptr : &store->memory, context_.costs, context_.loop.now());
   const BackendPtr holder = placed.source ? engines[*placed.source] : nullptr;
   CachePlan cache = plan_cache(*engines[placed.target], holder.get(), store);
   cache.candidates = static_cast<uint32_t>(candidates.size());
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -29,21 +29,6 @@
   MSGPACK_DEFINE_ARRAY(router, sequence, configuration_version, follows)
 };
 
-/// Streams of a service that have ended, and how many of them paused for longer than their route allows.
-struct StreamPauses {
-  std::string service;
-  uint32_t streams = 0;
-  uint32_t late = 0;
-  MSGPACK_DEFINE_ARRAY(service, streams, late)
-};
-
-/// The share of a service's streams, over all routers, that have lately paused too long.
-struct LateShare {
-  std::string service;
-  uint32_t permille = 0;
-  MSGPACK_DEFINE_ARRAY(service, permille)
-};
-
 /// What a tenant with a quota has spent of it.
 struct TenantSpending {
   std::string tenant;
@@ -74,10 +59,9 @@
   std::string router;
   std::vector<BackendLoad> loads;
   std::vector<std::string> unreachable;       ///< ids of back ends that could not be reached lately
-  std::vector<StreamPauses> pauses;           ///< of streams that ended since the last message
   std::vector<TenantSpending> spending = {};  ///< since the last message
   uint64_t spending_number = 0;               ///< rises with each message that has spending; 0: it has none
-  MSGPACK_DEFINE_ARRAY(router, loads, unreachable, pauses, spending, spending_number)
+  MSGPACK_DEFINE_ARRAY(router, loads, unreachable, spending, spending_number)
 };
 
 /// A back end, or a store of KV cache, holds a chain of prompt parts.
@@ -153,12 +137,11 @@
   std::vector<BackendLoad> loads;  ///< of all routers together, of the back ends where it changed
   std::vector<CacheChanges> caches;
   std::vector<ChainPlacement> placements;
-  std::vector<LateShare> late_shares;
   std::vector<QuotaLevel> quotas = {};  ///< where it changed; tenants that were never named are not metered
-  MSGPACK_DEFINE_ARRAY(anew, complete, backends, gone, loads, caches, placements, late_shares, quotas)
+  MSGPACK_DEFINE_ARRAY(anew, complete, backends, gone, loads, caches, placements, quotas)
   bool empty() const {
     return !anew && backends.empty() && gone.empty() && loads.empty() && caches.empty() &&
-           placements.empty() && late_shares.empty() && quotas.empty();
+           placements.empty() && quotas.empty();
   }
 };
 
@@ -201,7 +184,6 @@
   std::vector<ChainPlacement> placements;
   std::vector<uint64_t> shared_parts;  ///< that more than one prompt may begin with
   std::vector<UnreachableNotice> unreachable;
-  std::vector<StreamPauses> pauses;
   std::vector<EngineNote> engines;            ///< from the leader
   std::vector<NamedVersion> weights;          ///< with the whole: since when they have been named
   uint64_t start_id = 0;                      ///< of the sender, anew at each of its starts
@@ -209,12 +191,12 @@
   std::vector<WindowSpending> windows = {};   ///< with the whole: of all routers, as far as the sender knows
   int64_t quotas_age_ms = 0;                  ///< with the whole: for how long the sender has counted
   MSGPACK_DEFINE_ARRAY(sender, zone, term, leads, number, anew, incomplete, heartbeats, routers, loads,
-                       caches, placements, shared_parts, unreachable, pauses, engines, weights, start_id,
-                       spending, windows, quotas_age_ms)
+                       caches, placements, shared_parts, unreachable, engines, weights, start_id, spending,
+                       windows, quotas_age_ms)
   bool empty() const {
     return !anew && incomplete.empty() && heartbeats.empty() && routers.empty() && loads.empty() &&
            caches.empty() && placements.empty() && shared_parts.empty() && unreachable.empty() &&
-           pauses.empty() && engines.empty() && spending.empty();
+           engines.empty() && spending.empty();
   }
 };
 
--- a/src/gateway/gateway_feed.cc
+++ b/src/gateway/gateway_feed.cc
@@ -45,9 +45,6 @@
   for (const fleet::CacheChanges& changes : news.caches) {
     take_cache(changes);
   }
-  for (const fleet::LateShare& share : news.late_shares) {
-    context_.late_permille[share.service] = share.permille;
-  }
   for (const fleet::ChainPlacement& placement : news.placements) {
     take_placement(placement);
   }
@@ -73,15 +70,11 @@
 
 void GatewayServer::tell_loads() {
   std::vector<fleet::BackendLoad> loads = pool_.own_loads();
-  if (loads_told_ && loads == told_loads_ && untold_unreachable_.empty() && context_.pauses.empty() &&
-      !context_.quotas.has_untold()) {
+  if (loads_told_ && loads == told_loads_ && untold_unreachable_.empty() && !context_.quotas.has_untold()) {
     return;
   }
-  fleet::RouterLoads message{settings_.name, loads, {}, {}};
+  fleet::RouterLoads message{settings_.name, loads, {}};
   message.unreachable.assign(untold_unreachable_.begin(), untold_unreachable_.end());
-  for (const auto& [service, pauses] : context_.pauses) {
-    message.pauses.push_back(pauses);
-  }
   if (!link_.has_feed()) {
     return;
   }
@@ -91,7 +84,6 @@
   if (link_.send_to_feed(message)) {
     loads_told_ = true;
     untold_unreachable_.clear();
-    context_.pauses.clear();
     pool_.set_told_loads(loads);
     told_loads_ = std::move(loads);
   }
--- a/src/placement/part_placement.cc
+++ b/src/placement/part_placement.cc
@@ -1,9 +1,7 @@
 #include "src/placement/part_placement.h"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
-#include <numeric>
 
 #include "src/common/hash.h"
 
@@ -24,7 +22,7 @@
 using Groups = std::map<uint64_t, WeightsGroup>;  ///< by version of the weights
 
 Groups group_by_weights(const PromptChain& chain, const std::vector<EngineView>& engines,
-                        const ChainMemory* store, bool lanes_count, TimePoint now) {
+                        const ChainMemory* store, TimePoint now) {
   Groups groups;
   const uint64_t key = shared_key(chain);
   const uint32_t shared = shared_tokens(chain);
@@ -36,7 +34,7 @@
       group.stored_tokens = std::min(shared, store->held_tokens(chain, engine.weights, now));
     }
     const uint64_t rank = hash_pair(key, engine.name_hash);
-    if (engine.candidate && (engine.in_lane || !lanes_count) && (!group.home || rank > group.home_rank)) {
+    if (engine.candidate && (!group.home || rank > group.home_rank)) {
       group.home = position;
       group.home_rank = rank;
     }
@@ -117,28 +115,14 @@
   option.cost_ms += engine.outstanding >= engine.slots ? costs.full_ms : 0;
   option.cost_ms += engine.old_weights ? costs.old_weights_ms : 0;
   option.cost_ms += engine.same_zone ? 0 : costs.other_zone_ms;
-  option.cost_ms += engine.in_lane ? 0 : costs.other_lane_ms;
   return option;
 }
 
 }  // namespace
 
-void mark_lanes(const PromptChain& chain, std::vector<EngineView>& engines, double short_share) {
-  std::vector<size_t> order(engines.size());
-  std::iota(order.begin(), order.end(), 0U);
-  std::sort(order.begin(), order.end(),
-            [&](size_t left, size_t right) { return engines[left].name_hash < engines[right].name_hash; });
-  const auto short_count =
-      static_cast<size_t>(std::lround(short_share * static_cast<double>(engines.size())));
-  const bool long_prompt = chain.prompt_tokens >= kLongPromptTokens;
-  for (size_t rank = 0; rank < order.size(); ++rank) {
-    engines[order[rank]].in_lane = short_count == 0 || (rank < short_count) != long_prompt;
-  }
-}
-
 Placement place(const PromptChain& chain, const std::vector<EngineView>& engines, const ChainMemory* store,
                 const PlacementCosts& costs, TimePoint now) {
-  const Groups groups = group_by_weights(chain, engines, store, costs.other_lane_ms > 0, now);
+  const Groups groups = group_by_weights(chain, engines, store, now);
   std::optional<Option> best;
   for (size_t position = 0; position < engines.size(); ++position) {
     if (!engines[position].candidate) {
--- a/src/placement/part_placement.h
+++ b/src/placement/part_placement.h
@@ -27,7 +27,6 @@
   uint64_t prefill_tokens = 0;  ///< of requests there that have no first token yet
   uint32_t slots = 1;
   uint64_t zone_hash = 0;
-  bool in_lane = true;       ///< it is among the engines that are meant for prompts of this length
   bool old_weights = false;  ///< a newer version is named
   bool same_zone = false;    ///< as this router
   bool candidate = true;     ///< may get the request
@@ -41,7 +40,6 @@
   double full_ms = 400.0;
   double old_weights_ms = 120.0;
   double other_zone_ms = 2.0;
-  double other_lane_ms = 300.0;
   double move_setup_ms = 4.0;
   double move_ms_per_token = 0.015;  ///< within a zone; twice that between zones
   /// From a store, whose one link all engines share: as dear as four times within a zone.
@@ -51,14 +49,6 @@
   double reread_ms_per_token = 0.1;  ///< what it is worth not to read again what another engine holds
 };
 
-/// Prompts of so many tokens and more are long: reading them holds up the streams that run beside.
-inline constexpr uint32_t kLongPromptTokens = 2000;
-
-/// Marks the engines that are meant for short prompts or for long ones: by rendezvous order a fixed share is
-/// for the short. An engine that reads long prompts makes its streams pause for a tenth of a second at each
-/// token.
-void mark_lanes(const PromptChain& chain, std::vector<EngineView>& engines, double short_share);
-
 /// Where a request goes, and where its engine takes KV cache from.
 struct Placement {
   size_t target = 0;
