Let a living back end return after a late heartbeat of its predecessor

Cause: a heartbeat that a cut delayed may come after another incarnation has registered at the same address. A member that did not know the dead one took it for the newcomer and marked the living one gone for good: no heartbeat brought it back. Ruled out: the sequences alone tell which of the two lives only when the newcomer sends the first heartbeat of its life. Change: unless it is that first one, the former holder of the address is superseded, not gone: its next heartbeat brings it back, and one that has lived on for longer than a heartbeat is the only one at its address for good. A late first heartbeat of a dead one is listed as open.

--- a/src/fleet/backend_registry.cc
+++ b/src/fleet/backend_registry.cc
@@ -8,6 +8,8 @@
 
 /// Reports of routers that can't reach a back end count for so long.
 constexpr Duration kReportWindow = 2s;
+/// A back end's first heartbeat after its start has this sequence.
+constexpr uint64_t kFirstSequence = 1;
 /// So many routers must agree.
 constexpr int kReportsToLose = 2;
 
@@ -18,6 +20,10 @@
   if (known != seen_.end() && record.sequence <= known->second.record.sequence) {
     return false;
   }
+  const auto superseded = superseded_.find(record.id);
+  if (superseded != superseded_.end() && record.sequence <= superseded->second.sequence) {
+    return false;
+  }
   BackendRecord updated = record;
   updated.lost = false;
   const auto retired = retired_.find(record.id);
@@ -34,28 +40,43 @@
       entry.version = std::max(entry.version, known->second.record.version_of(entry.model));
     }
     updated.state = std::max(updated.state, known->second.record.state);
+    settle_address(record.id, now);
   } else {
-    forget_predecessor(record);
+    take_address(record, now);
   }
   seen_[record.id] = Seen{updated, now, {}};
   publish(updated);
   return true;
 }
 
-void BackendRegistry::forget_predecessor(const BackendRecord& record) {
-  // An address belongs to one back end at a time: who registers there last is the one that lives. The former
-  // holder is remembered as gone, so that a late heartbeat of it changes nothing.
+void BackendRegistry::take_address(const BackendRecord& record, TimePoint now) {
+  superseded_.erase(record.id);
   for (auto position = seen_.begin(); position != seen_.end();) {
-    if (position->second.record.address != record.address) {
+    const BackendRecord& holder = position->second.record;
+    if (holder.address != record.address) {
       ++position;
       continue;
     }
-    retired_[position->first] = BackendState::kGone;
-    table_.erase(position->first);
+    if (record.sequence <= kFirstSequence) {
+      retired_[holder.id] = BackendState::kGone;  // this one has just started
+    } else {
+      superseded_[holder.id] = Superseded{holder.sequence, record.id, now};
+    }
+    table_.erase(holder.id);
     position = seen_.erase(position);
   }
 }
 
+void BackendRegistry::settle_address(const std::string& id, TimePoint now) {
+  std::erase_if(superseded_, [&](const auto& entry) {
+    const bool settled = entry.second.by == id && now - entry.second.at > options_.overdue_after;
+    if (settled) {
+      retired_[entry.first] = BackendState::kGone;
+    }
+    return settled;
+  });
+}
+
 void BackendRegistry::retire(const std::string& id, BackendState state) {
   BackendState& retired = retired_.emplace(id, state).first->second;
   retired = std::max(retired, state);
@@ -88,6 +109,8 @@
 }
 
 void BackendRegistry::expire(TimePoint now) {
+  std::erase_if(superseded_,
+                [&](const auto& entry) { return now - entry.second.at > options_.forget_after; });
   for (auto position = seen_.begin(); position != seen_.end();) {
     Seen& seen = position->second;
     if (now - seen.at > options_.forget_after) {
--- a/src/fleet/backend_registry.h
+++ b/src/fleet/backend_registry.h
@@ -54,11 +54,22 @@
     std::map<std::string, TimePoint> unreachable;  ///< by router: when it last could not reach the back end
   };
   bool lost(const Seen& seen, TimePoint now) const;
-  void forget_predecessor(const BackendRecord& record);
+  /// A back end whose address another one has taken, not with the first heartbeat of its life. Which of the
+  /// two lives is known from their next heartbeats: this one may have been on its way for seconds.
+  struct Superseded {
+    uint64_t sequence = 0;  ///< of its last heartbeat
+    std::string by;
+    TimePoint at{0};
+  };
+  /// Lets a back end take its address from whoever has it.
+  void take_address(const BackendRecord& record, TimePoint now);
+  /// A back end that has lived on for longer than a heartbeat is the only one at its address for good.
+  void settle_address(const std::string& id, TimePoint now);
   void publish(const BackendRecord& record);
 
   RegistryOptions options_;
   std::map<std::string, Seen> seen_;
+  std::map<std::string, Superseded> superseded_;
   std::map<std::string, BackendState> retired_;
   RevisionTable<std::string, BackendRecord> table_;
 };
