Take levels of quotas to hold while control tells anything

Cause: a metered tenant whose told level did not change for 350 ms counted as one without news of control, and was cut to the router's part of the rate. Change: silence is counted from the last news of the feed, whatever they told. Test: QuotaGate.ALevelHoldsForAsLongAsControlTellsAnythingAtAll.

--- a/src/admission/quota_gate.cc
+++ b/src/admission/quota_gate.cc
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Levels of metered tenants come each 100 ms. Without one for so long control counts as silent.
-constexpr Duration kLevelTrust = 350ms;
+/// While anything runs loads change and are told each 100 ms. After so long without news control is silent.
+constexpr Duration kNewsTrust = 350ms;
 /// Below this part of the burst requests pass with a chance in proportion to what is left. All routers decide
 /// on news that are a few tenths of a second old: without it they would all admit, and then all refuse.
 constexpr double kRationedPart = 0.25;
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-void QuotaGate::configure(const std::vector<fleet::Tenant>& tenants, TimePoint now) {
+void QuotaGate::configure(const std::vector<fleet::Tenant>& tenants) {
   std::map<std::string, Account> accounts;
   for (const fleet::Tenant& tenant : tenants) {
     if (!tenant.quota.limited()) {
@@ -28,16 +28,13 @@
     }
     const auto known = accounts_.find(tenant.name);
     Account account = known == accounts_.end() ? Account() : known->second;
-    if (known == accounts_.end()) {
-      account.own_part_at = now;
-    }
     account.allowance = QuotaAllowance(tenant.quota, tolerance_);
     accounts.emplace(tenant.name, account);
   }
   accounts_ = std::move(accounts);
 }
 
-void QuotaGate::on_level(const fleet::QuotaLevel& level, TimePoint now) {
+void QuotaGate::on_level(const fleet::QuotaLevel& level) {
   const auto found = accounts_.find(level.tenant);
   if (found == accounts_.end()) {
     return;  // the configuration with its quota, or without it, is still on its way
@@ -45,9 +42,6 @@
   Account& account = found->second;
   account.metered = level.metered;
   account.told = static_cast<double>(level.level);
-  account.told_at = now;
-  account.own_part = 0;
-  account.own_part_at = now;
 }
 
 void QuotaGate::begin_feed() {
@@ -73,6 +67,10 @@
 QuotaDecision QuotaGate::decide_alone(Account& account, int64_t cost, TimePoint now) {
   const double rate = kAlonePart * account.allowance.per_second / router_count_;
   const double most = kMostAloneS * rate;
+  if (account.own_part_at < heard_at_) {
+    account.own_part = 0;
+    account.own_part_at = heard_at_;
+  }
   account.own_part = std::min(most, account.own_part + rate * to_seconds(now - account.own_part_at));
   account.own_part_at = now;
   const auto wanted = static_cast<double>(std::max<int64_t>(1, cost));
@@ -92,7 +90,7 @@
   Account& account = found->second;
   QuotaDecision decision;
   if (account.metered) {
-    const bool silent = now - account.told_at > kLevelTrust;
+    const bool silent = now - heard_at_ > kNewsTrust;
     decision = silent ? decide_alone(account, cost, now) : decide(account, cost, now);
   }
   if (decision.admitted) {
--- a/src/admission/quota_gate.h
+++ b/src/admission/quota_gate.h
@@ -38,9 +38,11 @@
   QuotaGate(const QuotaTolerance& tolerance, uint64_t seed) : tolerance_(tolerance), random_(seed) {}
 
   /// Puts quotas in force.
-  void configure(const std::vector<fleet::Tenant>& tenants, TimePoint now);
+  void configure(const std::vector<fleet::Tenant>& tenants);
   /// Control tells a level.
-  void on_level(const fleet::QuotaLevel& level, TimePoint now);
+  void on_level(const fleet::QuotaLevel& level);
+  /// Control has told something, so that levels which it did not tell anew still hold.
+  void on_news(TimePoint now) { heard_at_ = now; }
   /// Another member is about to tell whom it meters. What was spent and not confirmed will be told to it.
   void begin_feed();
   void set_router_count(uint32_t count) { router_count_ = std::max(1U, count); }
@@ -66,11 +68,10 @@
   struct Account {
     QuotaAllowance allowance;
     bool metered = false;
-    double told = 0;  ///< the level
-    TimePoint told_at{0};
+    double told = 0;                  ///< the level
     SpendingWindow<4> recent{kEcho};  ///< own spending that the level may not contain yet
     double own_part = 0;              ///< gathered while control is silent
-    TimePoint own_part_at{0};
+    TimePoint own_part_at{0};         ///< until when it has gathered
   };
   QuotaDecision decide(const Account& account, int64_t cost, TimePoint now);
   QuotaDecision decide_alone(Account& account, int64_t cost, TimePoint now);
@@ -78,6 +79,7 @@
   QuotaTolerance tolerance_;
   Random random_;
   uint32_t router_count_ = 1;
+  TimePoint heard_at_{0};                     ///< when control last told something
   std::map<std::string, Account> accounts_;   ///< by tenant
   std::map<std::string, int64_t> untold_;     ///< by tenant
   std::deque<NumberedSpending> unconfirmed_;  ///< oldest first
--- a/src/gateway/gateway_feed.cc
+++ b/src/gateway/gateway_feed.cc
@@ -27,8 +27,9 @@
     context_.quotas.begin_feed();
   }
   for (const fleet::QuotaLevel& level : news.quotas) {
-    context_.quotas.on_level(level, loop_.now());
+    context_.quotas.on_level(level);
   }
+  context_.quotas.on_news(loop_.now());
   quotas_known_ = true;
   take_backends(news);
   if (feed_begun_ && news.complete) {
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -137,7 +137,7 @@
   table_ =
       std::make_shared<routing::RouteTable>(std::make_shared<const fleet::FleetConfiguration>(configuration));
   link_.set_configuration_version(configuration.version);
-  context_.quotas.configure(configuration.tenants, loop_.now());
+  context_.quotas.configure(configuration.tenants);
   edge::EdgeLimits limits;
   limits.header_bytes = configuration.limits.header_bytes;
   limits.body_bytes = configuration.limits.body_bytes;
--- a/tests/support/quota_fleet.h
+++ b/tests/support/quota_fleet.h
@@ -81,7 +81,7 @@
       member->book.configure(tenants(), now_);
     }
     for (auto& router : routers_) {
-      router->gate.configure(tenants(), now_);
+      router->gate.configure(tenants());
     }
   }
   void restart_router(size_t index) {
@@ -153,7 +153,7 @@
     return {tenant};
   }
   void start_gate(Router& router) {
-    router.gate.configure(tenants(), now_);
+    router.gate.configure(tenants());
     router.gate.set_router_count(static_cast<uint32_t>(options_.routers));
     router.heard = now_;
   }
@@ -299,10 +299,11 @@
     }
   }
   void feed_one(Router& router, Member& member, size_t index) {
+    router.gate.on_news(now_);
     router.told[index] = member.book.told().visit_since(
         router.told[index], SIZE_MAX, [&](const std::string&, const fleet::QuotaLevel* level) {
           if (level != nullptr) {
-            router.gate.on_level(*level, now_);
+            router.gate.on_level(*level);
           }
         });
   }
--- a/tests/unit/quota_test.cc
+++ b/tests/unit/quota_test.cc
@@ -71,15 +71,25 @@
 
 TEST(QuotaGate, ASendThatDidNotRunGivesItsPartBack) {
   admission::QuotaGate gate({}, 1);
-  gate.configure({limited_tenant()}, TimePoint(1s));
+  gate.configure({limited_tenant()});
   EXPECT_TRUE(gate.admit("t", 300, TimePoint(1s)).admitted);
   gate.give_back("t", 300, TimePoint(1s));
   EXPECT_TRUE(gate.take_untold().spending.empty());
 }
 
+TEST(QuotaGate, ALevelHoldsForAsLongAsControlTellsAnythingAtAll) {
+  admission::QuotaGate gate({}, 1);
+  gate.configure({limited_tenant()});
+  gate.on_level({"t", -5, true});
+  gate.on_news(1s);
+  gate.on_news(3s);
+  EXPECT_FALSE(gate.admit("t", 10, 3s + 100ms).admitted);
+  EXPECT_TRUE(gate.admit("t", 10, 5s).admitted) << "alone it has its part of the rate";
+}
+
 TEST(QuotaGate, TellsAgainWhatWasNotConfirmedBeforeAnotherMemberTookOver) {
   admission::QuotaGate gate({}, 1);
-  gate.configure({limited_tenant()}, TimePoint(1s));
+  gate.configure({limited_tenant()});
   gate.admit("t", 100, TimePoint(1s));
   const auto first = gate.take_untold();
   gate.admit("t", 30, TimePoint(1s));
