--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -16,7 +16,7 @@
 /// Engines that may say that they did not run a request before it is refused.
 constexpr uint32_t kMaxRefusals = 3;
 /// A back end that this router has heard nothing from for so long, while a request runs there, is probed. At
-/// 400 ms engines under load were probed as well, which cost more new connections than it gained.
+/// 400 ms engines under load were probed as well, which cost about as much in new connections as it gained.
 constexpr Duration kSilence = 900ms;
 /// How often a waiting request looks for a back end again.
 constexpr Duration kWaitStep = 25ms;
