Share compiled files between work trees of one machine

Cause: several people build the project side by side on one machine; a whole build is 18 minutes of processor time. Ruled out: copying a build folder, since CMake keeps absolute paths in it.

--- a/tests/process/fleet_fixture.h
+++ b/tests/process/fleet_fixture.h
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <memory>
 
+#include "tests/support/paths.h"
 #include "tools/load_runner.h"
 #include "tools/local_fleet.h"
 
@@ -25,7 +26,7 @@
     work_folder_ =
         (std::filesystem::temp_directory_path() / ("stoat-" + name + "-" + std::to_string(getpid())))
             .string();
-    processes_ = std::make_unique<ProcessFleet>(STOAT_BIN_DIR, work_folder_);
+    processes_ = std::make_unique<ProcessFleet>(test::program_folder(), work_folder_);
     workload_ = settings.workload;
     fleet_ = std::make_unique<LocalFleet>(*processes_, settings);
     fleet_->start();
@@ -77,7 +78,7 @@
     for (const std::string& name : fleet_->names_with_prefix("control-")) {
       members += (members.empty() ? "" : ",") + to_string(fleet_->http_endpoint(name));
     }
-    return run_command(std::string(STOAT_BIN_DIR) + "/stoatctl --control " + members + " " + arguments);
+    return run_command(test::program_folder() + "/stoatctl --control " + members + " " + arguments);
   }
 
   static CommandOutput run_command(const std::string& command) {
--- a/tests/process/interfaces_test.cc
+++ b/tests/process/interfaces_test.cc
@@ -115,7 +115,7 @@
 TEST_F(Interfaces, AWrongSettingsFileGetsAllFindingsWithTheirPlaces) {
   const std::string file = (std::filesystem::temp_directory_path() / "stoat-wrong.toml").string();
   std::ofstream(file) << "name = \"r\"\nzone = 7\nlisten = \"nowhere\"\nmax_queue = -1\nsurprise = true\n";
-  const CommandOutput output = run_command(std::string(STOAT_BIN_DIR) + "/stoat-router --settings " + file);
+  const CommandOutput output = run_command(test::program_folder() + "/stoat-router --settings " + file);
   std::filesystem::remove(file);
   EXPECT_EQ(output.status, 2);
   for (const char* place : {"stoat-wrong.toml:2:8: zone", "stoat-wrong.toml:3:10: listen",
@@ -128,7 +128,7 @@
   for (const char* program :
        {"stoat-sidecar", "stoat-router", "stoat-control", "stoatctl", "stoat-load", "stoat-fleet",
         "standin-engine", "standin-service", "standin-platform", "standin-kv-store", "stoat-chaos"}) {
-    const std::string path = std::string(STOAT_BIN_DIR) + "/" + program;
+    const std::string path = test::program_folder() + "/" + program;
     EXPECT_EQ(run_command(path + " --version").status, 0) << program;
     EXPECT_NE(run_command(path + " --help").text.find("Usage"), std::string::npos) << program;
     EXPECT_EQ(run_command(path + " --no-such-flag").status, 2) << program;
--- a/tests/replay/replay_test.cc
+++ b/tests/replay/replay_test.cc
@@ -5,12 +5,13 @@
 #include <sstream>
 
 #include "simulation/trace_replay.h"
+#include "tests/support/paths.h"
 
 namespace stoat::simulation {
 namespace {
 
 ReplayResult replay_file(const std::string& name) {
-  std::ifstream file(std::string(STOAT_SOURCE_DIR) + "/tests/replay/traces/" + name);
+  std::ifstream file(test::source_folder() + "/tests/replay/traces/" + name);
   std::ostringstream text;
   text << file.rdbuf();
   return replay_trace(name, text.str());
