--- a/src/fleet/backend_record.h
+++ b/src/fleet/backend_record.h
@@ -35,7 +35,8 @@
   std::vector<ModelVersion> models;
   bool lost = false;     ///< its heartbeats have stopped
   bool loading = false;  ///< new weights are being loaded: send it nothing
-  MSGPACK_DEFINE_ARRAY(id, service, address, zone, slots, state, sequence, models, lost, loading)
+  std::string software;  ///< version of the program that it runs, not of its weights; empty: not told
+  MSGPACK_DEFINE_ARRAY(id, service, address, zone, slots, state, sequence, models, lost, loading, software)
   bool operator==(const BackendRecord&) const = default;
   /// The version of a model's weights, or 0 when it has no such model.
   uint64_t version_of(const std::string& model) const {
--- a/src/fleet/fleet_configuration.h
+++ b/src/fleet/fleet_configuration.h
@@ -56,7 +56,8 @@
   double kv_bytes_per_token = 0;    ///< size of the KV cache of one token
   std::vector<std::string> models;  ///< names of the models that it serves
   bool backups = false;             ///< a run's memory can be copied to another engine while it grows
-  MSGPACK_DEFINE_ARRAY(slots, kv_tokens, kv_bytes_per_token, models, backups)
+  double link_mbps = 0;             ///< of one engine's link for moves of KV cache, in Mbit/s; 0: unknown
+  MSGPACK_DEFINE_ARRAY(slots, kv_tokens, kv_bytes_per_token, models, backups, link_mbps)
   bool operator==(const EngineProfile&) const = default;
 };
 
@@ -70,7 +71,9 @@
   EngineProfile engine;       ///< counts when runs_models
   std::string store_address;  ///< "address:port" of a KV store; empty for ordinary services
   std::string store_zone;
-  MSGPACK_DEFINE_ARRAY(name, health_path, connection_limit, runs_models, engine, store_address, store_zone)
+  double store_link_mbps = 0;  ///< of the store's one link, in Mbit/s; 0: unknown
+  MSGPACK_DEFINE_ARRAY(name, health_path, connection_limit, runs_models, engine, store_address, store_zone,
+                       store_link_mbps)
   bool operator==(const Service&) const = default;
 };
 
--- a/tests/unit/platform_bodies_test.cc
+++ b/tests/unit/platform_bodies_test.cc
@@ -88,12 +88,13 @@
 TEST(PlatformBodies, ReadsHeartbeats) {
   const auto record = read_heartbeat(
       "i-1",
-      R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":48,"state":"draining","sequence":4,
+      R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":48,"state":"draining","sequence":4,"version":"v2",
                "models":[{"name":"m","version":2,"adapters":[]}]})");
   ASSERT_TRUE(record);
   EXPECT_EQ(record->id, "i-1");
   EXPECT_EQ(record->state, fleet::BackendState::kDraining);
   EXPECT_EQ(record->version_of("m"), 2U);
+  EXPECT_EQ(record->software, "v2");
   EXPECT_FALSE(read_heartbeat("i-1", R"({"service":"s"})"));
   EXPECT_FALSE(read_heartbeat("i-1", "{"));
 }
