Serve under the product's own names: stoat-router and stoat-control run the served path

Cause: the programs that serve users existed only in the target platform's protocol; stoat-router and stoat-control were the first router's, which no user runs.

Change: the readers of JSON bodies, the administration calls and the client of engines move from platform/ into src/control (fleet_bodies, fleet_admin_api, fleet_engine_client). What differs between platforms is data: BodyNames, FleetPaths and the header names, with the product's own names as defaults (/v1/configuration, /v1/weights, /v1/backends/ID, /v1/routers, /v1/status). The first router's programs are called stoat-first-router and stoat-first-control until they go.

Ruled out: a second reader of bodies for the product's names (the same 350 lines twice).

--- a/src/control/control_main.cc
+++ b/src/control/control_main.cc
@@ -1,11 +1,11 @@
-/// stoat-control: a member of the replicated control log.
+/// stoat-control: a control member, with the administration interface and the directory of routers.
 #include "src/common/server_program.h"
-#include "src/control/control_server.h"
+#include "src/control/control_program.h"
 
 int main(int argc, const char** argv) {
   using namespace stoat;
-  return run_server_program<control::ControlServer>(
+  return run_server_program<control::ControlProgram>(
       argc, argv, "stoat-control",
-      "A member of the replicated control log: configuration, orders, membership and claims.",
-      control::read_control_settings);
+      "A control member, with the administration interface and the directory of routers.",
+      control::read_control_program_settings);
 }
--- /dev/null
+++ b/src/control/control_program.h
@@ -0,0 +1,38 @@
+/// A control member as a process: the member, the listeners for its callers, and its metrics.
+#pragma once
+
+#include "src/control/fleet_admin_api.h"
+#include "src/control/fleet_engine_client.h"
+
+namespace stoat::control {
+
+/// Settings of the process.
+struct ControlProgramSettings {
+  FleetControlSettings fleet;
+  Endpoint control;    ///< for operators and back ends
+  Endpoint directory;  ///< for callers that look for routers
+  Endpoint metrics;
+  double directory_lifetime_s = 2;  ///< how long callers may keep an answer of the directory
+};
+
+/// Reads the settings of the process.
+ControlProgramSettings read_control_program_settings(SettingsReader& reader);
+
+/// See the head of this file.
+class ControlProgram {
+ public:
+  ControlProgram(EventLoop& loop, const ControlProgramSettings& settings,
+                 const FleetInterface& interface = {});
+  /// Takes the settings that may change while the process runs.
+  void reload(const ControlProgramSettings& settings) { fleet_.set_seeds(settings.fleet.seeds); }
+
+ private:
+  EngineClient engines_;
+  FleetServer fleet_;
+  FleetAdminApi api_;
+  http::Server control_;
+  http::Server directory_;
+  http::Server metrics_;
+};
+
+}  // namespace stoat::control
--- /dev/null
+++ b/src/control/fleet_admin_api.cc
@@ -0,0 +1,125 @@
+#include "src/control/fleet_admin_api.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "src/control/fleet_bodies.h"
+
+namespace stoat::control {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
+constexpr size_t kMaxAddresses = 64;
+constexpr char kJson[] = "application/json";
+
+void reply_status(const http::ExchangePtr& exchange, bool done) {
+  exchange->reply(done ? kOk : kUnavailable, kJson, "{}\n");
+}
+
+FleetServer::Committed answer_with(const http::ExchangePtr& exchange) {
+  return [exchange](bool done) { reply_status(exchange, done); };
+}
+
+}  // namespace
+
+FleetAdminApi::FleetAdminApi(FleetServer& fleet, FleetInterface interface, double directory_lifetime_s)
+    : fleet_(fleet), interface_(std::move(interface)), directory_lifetime_s_(directory_lifetime_s) {}
+
+void FleetAdminApi::put_configuration(const http::ExchangePtr& exchange) {
+  Findings findings;
+  auto configuration = read_configuration(exchange->body(), interface_.bodies, findings);
+  if (!configuration) {
+    exchange->reply(kBadRequest, "text/plain", findings.to_text());
+    return;
+  }
+  fleet_.commit(fleet::PutConfiguration{std::move(*configuration), exchange->body()}, answer_with(exchange));
+}
+
+void FleetAdminApi::get_configuration(const http::ExchangePtr& exchange) {
+  fleet_.read_configuration([exchange](const std::optional<std::string>& source) {
+    exchange->reply(source ? kOk : kUnavailable, kJson, source.value_or("{}\n"));
+  });
+}
+
+void FleetAdminApi::name_weights(const http::ExchangePtr& exchange) {
+  const auto named = read_named_weights(exchange->body());
+  if (!named) {
+    exchange->reply(kBadRequest, "text/plain", "model and version are needed\n");
+    return;
+  }
+  fleet_.commit(*named, answer_with(exchange));
+}
+
+void FleetAdminApi::retire(const http::ExchangePtr& exchange, const std::string& id,
+                           fleet::BackendState state) {
+  if (fleet_.retired(id, state)) {
+    reply_status(exchange, true);
+    return;
+  }
+  fleet_.commit(fleet::RetireBackend{id, state}, answer_with(exchange));
+}
+
+std::string FleetAdminApi::backend_of(const http::Exchange& exchange) const {
+  return exchange.path().substr(interface_.paths.backends.size());
+}
+
+void FleetAdminApi::take_heartbeat(const http::ExchangePtr& exchange) {
+  const auto record = read_heartbeat(backend_of(*exchange), exchange->body(), interface_.bodies);
+  if (!record) {
+    exchange->reply(kBadRequest, "text/plain", "malformed heartbeat\n");
+    return;
+  }
+  fleet_.heartbeat(*record);
+  if (record->state == fleet::BackendState::kReady) {
+    reply_status(exchange, true);
+  } else {
+    retire(exchange, record->id, record->state);
+  }
+}
+
+void FleetAdminApi::tell_status(const http::ExchangePtr& exchange) {
+  nlohmann::json status = {{"voters", fleet_.voter_count()}, {"routers", nlohmann::json::array()}};
+  for (const fleet::RouterRecord& router : fleet_.routers_for("", kMaxAddresses)) {
+    status["routers"].push_back(
+        {{"name", router.name}, {"address", router.address}, {"zone", router.zone}, {"ready", router.ready}});
+  }
+  exchange->reply(kOk, kJson, status.dump() + "\n");
+}
+
+void FleetAdminApi::tell_routers(const http::ExchangePtr& exchange) {
+  std::vector<std::string> addresses;
+  const std::string zone = exchange->query(interface_.paths.zone_parameter);
+  for (const fleet::RouterRecord& router : fleet_.routers_for(zone, kMaxAddresses)) {
+    addresses.push_back(router.address);
+  }
+  if (addresses.empty()) {
+    exchange->reply(kUnavailable, kJson, "{}\n");
+    return;
+  }
+  exchange->reply(kOk, kJson, routers_body(addresses, directory_lifetime_s_));
+}
+
+void FleetAdminApi::add_control_routes(http::Server& server) {
+  const FleetPaths& paths = interface_.paths;
+  server.route("PUT", paths.configuration,
+               [this](const http::ExchangePtr& exchange) { put_configuration(exchange); });
+  server.route("GET", paths.configuration,
+               [this](const http::ExchangePtr& exchange) { get_configuration(exchange); });
+  server.route("POST", paths.weights, [this](const http::ExchangePtr& exchange) { name_weights(exchange); });
+  server.route("GET", paths.status, [this](const http::ExchangePtr& exchange) { tell_status(exchange); });
+  const std::string backends = paths.backends + "*";
+  server.route("PUT", backends, [this](const http::ExchangePtr& exchange) { take_heartbeat(exchange); });
+  server.route("DELETE", backends, [this](const http::ExchangePtr& exchange) {
+    retire(exchange, backend_of(*exchange), fleet::BackendState::kGone);
+  });
+}
+
+void FleetAdminApi::add_directory_routes(http::Server& server) {
+  server.route("GET", interface_.paths.routers,
+               [this](const http::ExchangePtr& exchange) { tell_routers(exchange); });
+}
+
+}  // namespace stoat::control
--- a/platform/bodies.cc
+++ b/src/control/fleet_bodies.cc
@@ -1,4 +1,4 @@
-#include "platform/bodies.h"
+#include "src/control/fleet_bodies.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -6,7 +6,7 @@
 #include "src/common/hash.h"
 #include "src/placement/cache_namespace.h"
 
-namespace stoat::platform {
+namespace stoat::control {
 
 namespace {
 
@@ -21,7 +21,7 @@
       add("", "must be an object");
     }
   }
-  std::string text(const char* key) const {
+  std::string text(const std::string& key) const {
     const json* value = find(key);
     if (value == nullptr || !value->is_string() || value->get<std::string>().empty()) {
       add(key, "must be a text");
@@ -29,12 +29,12 @@
     }
     return value->get<std::string>();
   }
-  std::string optional_text(const char* key) const {
+  std::string optional_text(const std::string& key) const {
     const json* value = find(key);
     return value != nullptr && value->is_string() ? value->get<std::string>() : "";
   }
   /// A number, which may be written as a fraction; `fallback` when it is missing.
-  int64_t whole(const char* key, int64_t fallback) const {
+  int64_t whole(const std::string& key, int64_t fallback) const {
     const json* value = find(key);
     if (value == nullptr) {
       return fallback;
@@ -46,7 +46,7 @@
     return static_cast<int64_t>(value->get<double>());
   }
   /// A number of 0 or more; 0 when it is missing.
-  double amount(const char* key) const {
+  double amount(const std::string& key) const {
     const json* value = find(key);
     if (value == nullptr) {
       return 0;
@@ -57,7 +57,7 @@
     }
     return value->get<double>();
   }
-  bool flag(const char* key) const {
+  bool flag(const std::string& key) const {
     const json* value = find(key);
     if (value != nullptr && !value->is_boolean()) {
       add(key, "must be true or false");
@@ -65,7 +65,7 @@
     return value != nullptr && value->is_boolean() && value->get<bool>();
   }
   /// The entries of a list; empty when it is missing.
-  json::array_t list(const char* key, bool required) const {
+  json::array_t list(const std::string& key, bool required) const {
     const json* value = find(key);
     if (value == nullptr && !required) {
       return {};
@@ -76,7 +76,7 @@
     }
     return value->get<json::array_t>();
   }
-  const json* find(const char* key) const {
+  const json* find(const std::string& key) const {
     if (!object_.is_object()) {
       return nullptr;
     }
@@ -111,7 +111,8 @@
   return fleet::RouteKind::kUnsafe;
 }
 
-fleet::Route read_route(const json& object, const std::string& place, Findings& findings) {
+fleet::Route read_route(const json& object, const std::string& place, const BodyNames& names,
+                        Findings& findings) {
   const FieldReader reader(object, place, findings);
   fleet::Route route;
   route.name = reader.text("name");
@@ -123,27 +124,28 @@
   route.gap_target_ms = reader.whole("gap_target_ms", 0);
   route.priority = static_cast<uint32_t>(reader.whole("priority", 0));
   route.attempts = static_cast<uint32_t>(reader.whole("attempts", 1));
-  route.open = reader.flag("public");
+  route.open = reader.flag(names.open_route);
   route.sticky = reader.flag("sticky");
   route.resumable = reader.flag("resumable");
-  if (reader.find("traffic_split") == nullptr) {
+  if (reader.find(names.shares) == nullptr) {
     route.shares.push_back({reader.text("service"), 1});
     return route;
   }
-  for (const json& entry : reader.list("traffic_split", true)) {
-    const FieldReader share(entry, place + ".traffic_split", findings);
+  for (const json& entry : reader.list(names.shares, true)) {
+    const FieldReader share(entry, place + "." + names.shares, findings);
     route.shares.push_back({share.text("service"), static_cast<uint64_t>(share.whole("weight", 0))});
   }
   return route;
 }
 
-fleet::Service read_service(const json& object, const std::string& place, Findings& findings) {
+fleet::Service read_service(const json& object, const std::string& place, const BodyNames& names,
+                            Findings& findings) {
   const FieldReader reader(object, place, findings);
   fleet::Service service;
   service.name = reader.text("name");
   service.health_path = reader.optional_text("health_path");
   service.connection_limit = static_cast<uint32_t>(reader.whole("connection_limit", 0));
-  service.store_address = reader.optional_text("key_value_store");
+  service.store_address = reader.optional_text(names.store_address);
   service.store_zone = reader.optional_text("zone");
   service.store_link_mbps = reader.amount("link_mbps");
   const json* engine = reader.find("engine");
@@ -151,8 +153,8 @@
   if (engine != nullptr) {
     const FieldReader profile(*engine, place + ".engine", findings);
     service.engine.slots = static_cast<uint32_t>(profile.whole("slots", 0));
-    service.engine.kv_tokens = static_cast<uint64_t>(profile.whole("key_value_tokens", 0));
-    service.engine.kv_bytes_per_token = static_cast<double>(profile.whole("key_value_bytes", 0));
+    service.engine.kv_tokens = static_cast<uint64_t>(profile.whole(names.kv_tokens, 0));
+    service.engine.kv_bytes_per_token = static_cast<double>(profile.whole(names.kv_bytes, 0));
     service.engine.link_mbps = profile.amount("link_mbps");
     service.engine.backups = profile.flag("backups");
     for (const json& model : profile.list("models", false)) {
@@ -174,33 +176,33 @@
   return limits;
 }
 
-/// A tenant's quota. The platform's name of the rate speaks of requests, also where tokens are counted.
-fleet::TenantQuota read_quota(const FieldReader& reader) {
+fleet::TenantQuota read_quota(const FieldReader& reader, const BodyNames& names) {
   fleet::TenantQuota quota;
-  quota.per_second = reader.amount("requests_per_s");
-  quota.burst = reader.amount("burst");
-  quota.tokens_without_count = static_cast<uint32_t>(reader.whole("uncached_tokens", 0));
-  const std::string unit = reader.optional_text("unit");
+  quota.per_second = reader.amount(names.quota_rate);
+  quota.burst = reader.amount(names.quota_burst);
+  quota.tokens_without_count = static_cast<uint32_t>(reader.whole(names.tokens_without_count, 0));
+  const std::string unit = reader.optional_text(names.quota_unit);
   if (unit == "tokens") {
     quota.unit = fleet::QuotaUnit::kTokens;
   } else if (!unit.empty() && unit != "requests") {
-    reader.add("unit", "must be requests or tokens");
+    reader.add(names.quota_unit, "must be requests or tokens");
   }
   return quota;
 }
 
-fleet::Tenant read_tenant(const json& object, const std::string& place, Findings& findings) {
+fleet::Tenant read_tenant(const json& object, const std::string& place, const BodyNames& names,
+                          Findings& findings) {
   const FieldReader reader(object, place, findings);
   fleet::Tenant tenant;
   tenant.name = reader.text("name");
   tenant.priority = static_cast<uint32_t>(reader.whole("priority", 0));
   tenant.isolated = reader.flag("isolated");
-  tenant.quota = read_quota(reader);
-  for (const json& key : reader.list("access_keys", false)) {
+  tenant.quota = read_quota(reader, names);
+  for (const json& key : reader.list(names.keys, false)) {
     if (key.is_string()) {
       tenant.keys.push_back(key.get<std::string>());
     } else {
-      reader.add("access_keys", "must be texts");
+      reader.add(names.keys, "must be texts");
     }
   }
   return tenant;
@@ -242,7 +244,8 @@
 
 }  // namespace
 
-std::optional<fleet::FleetConfiguration> read_configuration(const std::string& text, Findings& findings) {
+std::optional<fleet::FleetConfiguration> read_configuration(const std::string& text, const BodyNames& names,
+                                                            Findings& findings) {
   const json document = json::parse(text, nullptr, false);
   if (document.is_discarded() || !document.is_object()) {
     Finding finding;
@@ -256,15 +259,15 @@
   configuration.version = static_cast<uint64_t>(reader.whole("version", 0));
   for (const json& route : reader.list("routes", true)) {
     configuration.routes.push_back(
-        read_route(route, numbered("routes", configuration.routes.size()), findings));
+        read_route(route, numbered("routes", configuration.routes.size()), names, findings));
   }
   for (const json& service : reader.list("services", true)) {
     configuration.services.push_back(
-        read_service(service, numbered("services", configuration.services.size()), findings));
+        read_service(service, numbered("services", configuration.services.size()), names, findings));
   }
   for (const json& tenant : reader.list("tenants", false)) {
     configuration.tenants.push_back(
-        read_tenant(tenant, numbered("tenants", configuration.tenants.size()), findings));
+        read_tenant(tenant, numbered("tenants", configuration.tenants.size()), names, findings));
   }
   if (const json* limits = reader.find("limits")) {
     configuration.limits = read_limits(*limits, findings);
@@ -275,7 +278,8 @@
   return findings.empty() ? std::optional(configuration) : std::nullopt;
 }
 
-std::optional<fleet::BackendRecord> read_heartbeat(const std::string& id, const std::string& text) {
+std::optional<fleet::BackendRecord> read_heartbeat(const std::string& id, const std::string& text,
+                                                   const BodyNames& names) {
   const json document = json::parse(text, nullptr, false);
   Findings findings;
   const FieldReader reader(document, "heartbeat", findings);
@@ -285,7 +289,7 @@
   record.address = reader.text("address");
   record.zone = reader.optional_text("zone");
   record.slots = static_cast<uint32_t>(reader.whole("slots", 1));
-  record.software = reader.optional_text("version");
+  record.software = reader.optional_text(names.software);
   record.sequence = static_cast<uint64_t>(reader.whole("sequence", 0));
   record.state = reader.optional_text("state") == "draining" ? fleet::BackendState::kDraining
                                                              : fleet::BackendState::kReady;
@@ -303,25 +307,25 @@
   return findings.empty() && named.version > 0 ? std::optional(named) : std::nullopt;
 }
 
-std::optional<control::EngineReport> read_report(const std::string& text) {
+std::optional<EngineReport> read_report(const std::string& text) {
   const json document = json::parse(text, nullptr, false);
   Findings findings;
   const FieldReader reader(document, "report", findings);
-  control::EngineReport report;
+  EngineReport report;
   report.busy = reader.flag("busy");
   report.order_sequence = static_cast<uint64_t>(reader.whole("sequence", 0));
   report.models = read_models(reader, findings);
   return findings.empty() ? std::optional(report) : std::nullopt;
 }
 
-std::optional<control::CacheEvents> read_cache_events(const std::string& text) {
+std::optional<CacheEvents> read_cache_events(const std::string& text, const BodyNames& names) {
   const json document = json::parse(text, nullptr, false);
   Findings findings;
   const FieldReader reader(document, "events", findings);
-  control::CacheEvents events;
+  CacheEvents events;
   events.epoch = static_cast<uint64_t>(reader.whole("epoch", 0));
-  events.next_event = static_cast<uint64_t>(reader.whole("next_page_token", 0));
-  events.gap = reader.flag("lost");
+  events.next_event = static_cast<uint64_t>(reader.whole(names.next_event, 0));
+  events.gap = reader.flag(names.gap);
   for (const json& entry : reader.list("events", false)) {
     if (const auto holding = read_cache_event(entry)) {
       events.holdings.push_back(*holding);
@@ -330,19 +334,19 @@
   return findings.empty() ? std::optional(events) : std::nullopt;
 }
 
-std::string order_body(const control::VersionOrder& order) {
-  const json body = {{"operation", "version"},
+std::string order_body(const VersionOrder& order, const BodyNames& names) {
+  const json body = {{names.operation, names.load_weights},
                      {"model", order.model},
                      {"version", order.version},
-                     {"mode", "retain"},
-                     {"holder", order.holder},
-                     {"fencing_token", order.fence},
-                     {"expected_revision", order.expected_sequence}};
+                     {names.mode, names.mode_continue},
+                     {names.holder, order.holder},
+                     {names.fence, order.fence},
+                     {names.expected_sequence, order.expected_sequence}};
   return body.dump();
 }
 
-std::string resolution_body(const std::vector<std::string>& addresses, double lifetime_s) {
+std::string routers_body(const std::vector<std::string>& addresses, double lifetime_s) {
   return json{{"addresses", addresses}, {"lifetime_s", lifetime_s}}.dump();
 }
 
-}  // namespace stoat::platform
+}  // namespace stoat::control
--- a/platform/bodies.h
+++ b/src/control/fleet_bodies.h
@@ -1,4 +1,4 @@
-/// Reads and writes the JSON bodies of the target platform.
+/// Reads and writes the JSON bodies of requests to control members, engines and stores.
 #pragma once
 
 #include <optional>
@@ -7,29 +7,32 @@
 
 #include "src/common/findings.h"
 #include "src/control/engine_orders.h"
+#include "src/control/fleet_interface.h"
 #include "src/fleet/backend_record.h"
 #include "src/fleet/fleet_configuration.h"
 #include "src/fleet/fleet_state.h"
 
-namespace stoat::platform {
+namespace stoat::control {
 
 /// A whole configuration. Everything wrong with it, its contradictions included, becomes a finding.
-std::optional<fleet::FleetConfiguration> read_configuration(const std::string& text, Findings& findings);
+std::optional<fleet::FleetConfiguration> read_configuration(const std::string& text, const BodyNames& names,
+                                                            Findings& findings);
 
 /// A heartbeat of the engine `id`; nullopt when it can't be read.
-std::optional<fleet::BackendRecord> read_heartbeat(const std::string& id, const std::string& text);
+std::optional<fleet::BackendRecord> read_heartbeat(const std::string& id, const std::string& text,
+                                                   const BodyNames& names);
 
 /// A named version of weights; nullopt when it can't be read.
 std::optional<fleet::NameWeights> read_named_weights(const std::string& text);
 
-std::optional<control::EngineReport> read_report(const std::string& text);
+std::optional<EngineReport> read_report(const std::string& text);
 
 /// What a cache of an engine or a store tells of its changes; nullopt when it is malformed.
-std::optional<control::CacheEvents> read_cache_events(const std::string& text);
+std::optional<CacheEvents> read_cache_events(const std::string& text, const BodyNames& names);
 
-std::string order_body(const control::VersionOrder& order);
+std::string order_body(const VersionOrder& order, const BodyNames& names);
 
-/// The directory's answer.
-std::string resolution_body(const std::vector<std::string>& addresses, double lifetime_s);
+/// The answer of the directory of routers.
+std::string routers_body(const std::vector<std::string>& addresses, double lifetime_s);
 
-}  // namespace stoat::platform
+}  // namespace stoat::control
--- /dev/null
+++ b/src/control/fleet_engine_client.cc
@@ -0,0 +1,84 @@
+#include "src/control/fleet_engine_client.h"
+
+#include "src/control/fleet_bodies.h"
+
+namespace stoat::control {
+
+namespace {
+
+/// Engines answer within some milliseconds or not at all.
+constexpr Duration kOrderTimeout = 250ms;
+constexpr Duration kReportTimeout = 500ms;
+constexpr Duration kEventsWait = 1s;
+
+OrderAnswer answer_of(const http::ClientResult& result) {
+  switch (result.status) {
+    case 200:
+      return OrderAnswer::kHoldsAlready;
+    case 202:
+      return OrderAnswer::kTaken;
+    case 409:
+      return OrderAnswer::kConflict;
+    case 412:
+      return OrderAnswer::kFenced;
+    case 0:
+      return result.not_sent ? OrderAnswer::kRefused : OrderAnswer::kNone;
+    default:
+      return OrderAnswer::kRefused;
+  }
+}
+
+}  // namespace
+
+void EngineClient::send(const VersionOrder& order, std::function<void(OrderAnswer)> on_answer) {
+  http::ClientRequest request;
+  if (!parse_endpoint(order.address, request.endpoint)) {
+    on_answer(OrderAnswer::kRefused);
+    return;
+  }
+  request.method = "POST";
+  request.path = interface_.paths.order;
+  request.headers = {{"Content-Type", "application/json"},
+                     {interface_.expected_backend_header, order.engine}};
+  request.body = order_body(order, interface_.bodies);
+  request.timeout = kOrderTimeout;
+  request.fresh_connection = true;
+  client_.start(request, nullptr, [on_answer = std::move(on_answer)](const http::ClientResult& result) {
+    on_answer(answer_of(result));
+  });
+}
+
+void EngineClient::ask(const std::string& address, std::function<void(const EngineReport*)> on_report) {
+  http::ClientRequest request;
+  if (!parse_endpoint(address, request.endpoint)) {
+    on_report(nullptr);
+    return;
+  }
+  request.path = interface_.paths.report;
+  request.timeout = kReportTimeout;
+  client_.start(request, nullptr, [on_report = std::move(on_report)](const http::ClientResult& result) {
+    constexpr int kOk = 200;
+    const auto report = result.status == kOk ? read_report(result.body) : std::nullopt;
+    on_report(report ? &*report : nullptr);
+  });
+}
+
+void EngineClient::follow_cache(const std::string& address, uint64_t since,
+                                std::function<void(const CacheEvents*)> on_events) {
+  http::ClientRequest request;
+  if (!parse_endpoint(address, request.endpoint)) {
+    on_events(nullptr);
+    return;
+  }
+  request.path = interface_.paths.cache_events + "?since=" + std::to_string(since);
+  request.headers = {{interface_.wait_header, std::to_string(to_milliseconds(kEventsWait))}};
+  request.timeout = kEventsWait + kReportTimeout;
+  client_.start(request, nullptr, [this, on_events = std::move(on_events)](const http::ClientResult& result) {
+    constexpr int kOk = 200;
+    const auto events =
+        result.status == kOk ? read_cache_events(result.body, interface_.bodies) : std::nullopt;
+    on_events(events ? &*events : nullptr);
+  });
+}
+
+}  // namespace stoat::control
--- a/tests/process/interfaces_test.cc
+++ b/tests/process/interfaces_test.cc
@@ -115,7 +115,7 @@
 TEST_F(Interfaces, AWrongSettingsFileGetsAllFindingsWithTheirPlaces) {
   const std::string file = (std::filesystem::temp_directory_path() / "stoat-wrong.toml").string();
   std::ofstream(file) << "name = \"r\"\nzone = 7\nlisten = \"nowhere\"\nmax_queue = -1\nsurprise = true\n";
-  const CommandOutput output = run_command(test::program_folder() + "/stoat-router --settings " + file);
+  const CommandOutput output = run_command(test::program_folder() + "/stoat-first-router --settings " + file);
   std::filesystem::remove(file);
   EXPECT_EQ(output.status, 2);
   for (const char* place : {"stoat-wrong.toml:2:8: zone", "stoat-wrong.toml:3:10: listen",
--- /dev/null
+++ b/tests/unit/fleet_admin_api_test.cc
@@ -0,0 +1,142 @@
+/// The administration interface of a control member over HTTP, with the product's own names.
+#include <nlohmann/json.hpp>
+
+#include "src/control/control_program.h"
+#include "src/control/fleet_bodies.h"
+#include "src/http/blocking.h"
+#include "tests/support/small_fleet.h"
+
+namespace stoat::control {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kConfiguration[] = R"({"version":3,
+ "routes":[{"name":"chat","host":"h","path_prefix":"/chat/","kind":"streaming","timeout_ms":15000,
+   "shares":[{"service":"models","weight":1}],"open":true},
+  {"name":"calls","host":"h","path_prefix":"/calls/","kind":"safe","timeout_ms":500,"service":"calls"}],
+ "services":[{"name":"models","engine":{"slots":8,"kv_tokens":4000,"kv_bytes_per_token":100,"models":[{"name":"m"}]}},
+  {"name":"calls"},{"name":"store","store_address":"127.0.0.1:9"}],
+ "tenants":[{"name":"t","keys":["k"],"quota_per_second":10,"quota_burst":20,"quota_unit":"tokens",
+   "tokens_without_count":7}]})";
+
+TEST(FleetBodies, ReadTheProductsOwnNames) {
+  Findings findings;
+  const auto configuration = read_configuration(kConfiguration, {}, findings);
+  ASSERT_TRUE(configuration) << findings.to_text();
+  EXPECT_TRUE(configuration->routes[0].open);
+  EXPECT_EQ(configuration->routes[0].shares[0].service, "models");
+  EXPECT_EQ(configuration->services[0].engine.kv_tokens, 4000U);
+  EXPECT_EQ(configuration->services[2].store_address, "127.0.0.1:9");
+  EXPECT_EQ(configuration->tenants[0].keys[0], "k");
+  EXPECT_EQ(configuration->tenants[0].quota.cost_of(std::nullopt), 7);
+  const auto record =
+      read_heartbeat("e", R"({"service":"models","address":"a:1","software":"v3","sequence":1})", {});
+  ASSERT_TRUE(record);
+  EXPECT_EQ(record->software, "v3");
+  const auto events = read_cache_events(R"({"epoch":1,"next_event":4,"gap":true,"events":[]})", {});
+  ASSERT_TRUE(events);
+  EXPECT_EQ(events->next_event, 4U);
+  EXPECT_TRUE(events->gap);
+}
+
+TEST(FleetBodies, WriteOrdersWithTheProductsOwnNames) {
+  VersionOrder order;
+  order.model = "m";
+  order.version = 2;
+  order.fence = 9;
+  const json body = json::parse(order_body(order, {}));
+  EXPECT_EQ(body["operation"], "load_weights");
+  EXPECT_EQ(body["fence"], 9);
+  EXPECT_EQ(body["version"], 2);
+}
+
+/// A control member as a process runs it, on a thread.
+class FleetAdminApiTest : public ::testing::Test {
+ protected:
+  FleetAdminApiTest() {
+    folder_ = std::filesystem::temp_directory_path() / ("stoat-admin-api-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder_);
+    ControlProgramSettings settings;
+    settings.fleet.name = "c1";
+    settings.fleet.internal = {"127.0.0.1", test::free_port()};
+    settings.fleet.seeds = {settings.fleet.internal};
+    settings.fleet.data_folder = folder_.string();
+    settings.fleet.first_start = true;
+    settings.fleet.core.target_voters = 1;
+    settings.control = {"127.0.0.1", test::free_port()};
+    settings.directory = {"127.0.0.1", test::free_port()};
+    settings.metrics = {"127.0.0.1", test::free_port()};
+    control_ = settings.control;
+    directory_ = settings.directory;
+    program_ = std::make_unique<ControlProgram>(loop_, settings);
+    thread_ = std::thread([this] { loop_.run(); });
+  }
+  ~FleetAdminApiTest() override {
+    loop_.post([this] { loop_.stop(); });
+    thread_.join();
+    program_.reset();
+    std::filesystem::remove_all(folder_);
+  }
+  static http::ClientResult call(const Endpoint& endpoint, const std::string& method, const std::string& path,
+                                 const std::string& body = "") {
+    http::ClientRequest request;
+    request.endpoint = endpoint;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    request.timeout = 2s;
+    return http::fetch(request);
+  }
+  /// Repeats a call until the member leads and answers it with 200.
+  bool done(const std::string& method, const std::string& path, const std::string& body = "") {
+    for (int tries = 0; tries < 200; ++tries) {
+      if (call(control_, method, path, body).status == 200) {
+        return true;
+      }
+      std::this_thread::sleep_for(20ms);
+    }
+    return false;
+  }
+
+  EventLoop loop_;
+  std::filesystem::path folder_;
+  Endpoint control_;
+  Endpoint directory_;
+  std::unique_ptr<ControlProgram> program_;
+  std::thread thread_;
+};
+
+TEST_F(FleetAdminApiTest, GivesBackTheConfigurationThatWasPut) {
+  ASSERT_TRUE(done("PUT", "/v1/configuration", kConfiguration));
+  const auto read = call(control_, "GET", "/v1/configuration");
+  EXPECT_EQ(read.status, 200);
+  EXPECT_EQ(read.body, kConfiguration);
+}
+
+TEST_F(FleetAdminApiTest, RefusesAWrongConfigurationWithItsFindings) {
+  const auto answer = call(control_, "PUT", "/v1/configuration", R"({"version":1,"routes":[{"name":"r"}]})");
+  EXPECT_EQ(answer.status, 400);
+  EXPECT_NE(answer.body.find("routes[0].kind"), std::string::npos) << answer.body;
+  EXPECT_NE(answer.body.find("services"), std::string::npos) << answer.body;
+}
+
+TEST_F(FleetAdminApiTest, TakesWeightsHeartbeatsAndRemovals) {
+  EXPECT_TRUE(done("POST", "/v1/weights", R"({"model":"m","version":2})"));
+  EXPECT_EQ(call(control_, "POST", "/v1/weights", R"({"model":"m"})").status, 400);
+  EXPECT_EQ(call(control_, "PUT", "/v1/backends/e1", R"({"service":"s","address":"127.0.0.1:9"})").status,
+            200);
+  EXPECT_EQ(call(control_, "PUT", "/v1/backends/e1", "{}").status, 400);
+  EXPECT_TRUE(done("DELETE", "/v1/backends/e1"));
+}
+
+TEST_F(FleetAdminApiTest, TellsItsStatusAndThatNoRouterIsReady) {
+  ASSERT_TRUE(done("POST", "/v1/weights", R"({"model":"m","version":2})"));
+  const json status = json::parse(call(control_, "GET", "/v1/status").body);
+  EXPECT_EQ(status["voters"], 1);
+  EXPECT_TRUE(status["routers"].empty());
+  EXPECT_EQ(call(directory_, "GET", "/v1/routers?zone=z").status, 503);
+}
+
+}  // namespace
+}  // namespace stoat::control
--- a/tests/unit/platform_bodies_test.cc
+++ b/tests/unit/platform_bodies_test.cc
@@ -1,8 +1,9 @@
 /// The adapter's reading of the target platform's bodies.
 #include <gtest/gtest.h>
 
-#include "platform/bodies.h"
+#include "platform/names.h"
 #include "src/common/hash.h"
+#include "src/control/fleet_bodies.h"
 #include "src/placement/cache_namespace.h"
 
 namespace stoat::platform {
@@ -21,7 +22,7 @@
 
 std::optional<fleet::FleetConfiguration> read(const std::string& text, std::string* findings_text = nullptr) {
   Findings findings;
-  auto configuration = read_configuration(text, findings);
+  auto configuration = control::read_configuration(text, body_names(), findings);
   if (findings_text != nullptr) {
     *findings_text = findings.to_text();
   }
@@ -86,26 +87,28 @@
 }
 
 TEST(PlatformBodies, ReadsHeartbeats) {
-  const auto record = read_heartbeat(
+  const auto record = control::read_heartbeat(
       "i-1",
       R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":48,"state":"draining","sequence":4,"version":"v2",
-               "models":[{"name":"m","version":2,"adapters":[]}]})");
+               "models":[{"name":"m","version":2,"adapters":[]}]})",
+      body_names());
   ASSERT_TRUE(record);
   EXPECT_EQ(record->id, "i-1");
   EXPECT_EQ(record->state, fleet::BackendState::kDraining);
   EXPECT_EQ(record->version_of("m"), 2U);
   EXPECT_EQ(record->software, "v2");
-  EXPECT_FALSE(read_heartbeat("i-1", R"({"service":"s"})"));
-  EXPECT_FALSE(read_heartbeat("i-1", "{"));
+  EXPECT_FALSE(control::read_heartbeat("i-1", R"({"service":"s"})", body_names()));
+  EXPECT_FALSE(control::read_heartbeat("i-1", "{", body_names()));
 }
 
 TEST(PlatformBodies, ReadsWeightsReportsAndEvents) {
-  EXPECT_EQ(read_named_weights(R"({"model":"m","version":2})")->version, 2U);
-  EXPECT_FALSE(read_named_weights(R"({"model":"m"})"));
-  EXPECT_TRUE(read_report(R"({"busy":true,"sequence":2,"models":[]})")->busy);
-  const auto events = read_cache_events(
+  EXPECT_EQ(control::read_named_weights(R"({"model":"m","version":2})")->version, 2U);
+  EXPECT_FALSE(control::read_named_weights(R"({"model":"m"})"));
+  EXPECT_TRUE(control::read_report(R"({"busy":true,"sequence":2,"models":[]})")->busy);
+  const auto events = control::read_cache_events(
       R"({"epoch":7,"next_page_token":120,"lost":true,"events":[[119,"+","s-v2","5c1e",800,"m"],)"
-      R"([120,"-","t-a-b-v3","91bd",128,"m"],[121,"+","another's","91bd",128,"m"],[122,"+"]]})");
+      R"([120,"-","t-a-b-v3","91bd",128,"m"],[121,"+","another's","91bd",128,"m"],[122,"+"]]})",
+      body_names());
   ASSERT_TRUE(events);
   EXPECT_EQ(events->epoch, 7U);
   EXPECT_EQ(events->next_event, 120U);
@@ -116,7 +119,7 @@
   EXPECT_EQ(events->holdings[0].tokens, 800U);
   EXPECT_EQ(events->holdings[1].part, placement::part_hash("t-a-b", "m", hash_bytes("91bd")));
   EXPECT_EQ(events->holdings[1].weights, 3U);
-  EXPECT_FALSE(read_cache_events("nonsense"));
+  EXPECT_FALSE(control::read_cache_events("nonsense", body_names()));
 }
 
 }  // namespace
--- a/tools/local_fleet.cc
+++ b/tools/local_fleet.cc
@@ -76,7 +76,7 @@
                                     "peers=[" + peers + "]",
                                     "found_cluster=true"};
     values.insert(values.end(), settings_.control_settings.begin(), settings_.control_settings.end());
-    processes_.add(name, "stoat-control", values);
+    processes_.add(name, "stoat-first-control", values);
   }
 }
 
@@ -130,7 +130,7 @@
                                     "control_poll_ms=200",
                                     control_list()};
     values.insert(values.end(), settings_.router_settings.begin(), settings_.router_settings.end());
-    processes_.add(name, "stoat-router", values);
+    processes_.add(name, "stoat-first-router", values);
   }
 }
 
