Let a former quota hold until the lower one binds

Ruled out: serving the former quota for a whole window more: windows that begin once a configuration has to be in force would then exceed the lower quota. Change: QuotaBook keeps the former quota for quota_lower_after_ms less 500 ms, then begins an empty window under the lower one; windows that reach back keep to the former one. A higher quota counts at once. Tests: LowerQuotaTest.TheFormerQuotaHoldsUntilTheLowerOneBinds fails without the change; the other three hold either way; 12 unit tests and 10 properties of quotas pass.

--- a/src/admission/quota_allowance.h
+++ b/src/admission/quota_allowance.h
@@ -14,9 +14,12 @@
   Duration window = 8s;  ///< a quota holds over any span of this length
   double overage = 0;    ///< the part of the quota that may be spent beyond it in a window
   double slack = 0;      ///< and so much besides, in the quota's unit
+  /// From the acknowledgement of a configuration until a lower quota in it binds. Until then the former one
+  /// holds.
+  Duration lower_after = 0s;
 };
 
-/// Reads quota_window_s, quota_overage and quota_slack.
+/// Reads quota_window_s, quota_overage, quota_slack and quota_lower_after_ms.
 QuotaTolerance read_quota_tolerance(SettingsReader& reader);
 
 /// The part of the tolerance that is spent. The rest is for what is spent before all processes know of it.
--- a/src/admission/quota_book.cc
+++ b/src/admission/quota_book.cc
@@ -16,6 +16,9 @@
 constexpr double kFarBelow = 0.5;
 /// From the last news of routers until they are noticed to be unheard.
 constexpr Duration kNoticeTime = 600ms;
+/// From a change of level at a member until all routers decide by it: members apply a configuration within 50
+/// ms of one another, and routers hear of levels each 100 ms and trust them for 350 ms.
+constexpr Duration kLevelTime = 500ms;
 /// Levels are told in steps of this part of a second's rate.
 constexpr double kTellStepS = 1.0 / 64;
 
@@ -26,6 +29,9 @@
   tolerance.window = std::chrono::seconds(reader.integer("quota_window_s", 8, 1, 3600));
   tolerance.overage = reader.number("quota_overage", tolerance.overage, 0, 1);
   tolerance.slack = reader.number("quota_slack", tolerance.slack, 0, 1e12);
+  const Duration lower_after =
+      std::chrono::milliseconds(reader.integer("quota_lower_after_ms", 0, 0, 3600000));
+  tolerance.lower_after = std::max(Duration(0), lower_after - kLevelTime);
   return tolerance;
 }
 
@@ -39,6 +45,39 @@
   refill(now);
   bucket = std::min(allowance.burst, bucket - amount);
   spent.add(amount, now);
+  for (FormerQuota& former : formers) {
+    former.spent.add(amount, now);
+  }
+}
+
+double QuotaBook::Account::level(TimePoint now) const {
+  double left = std::min(bucket, allowance.in_window - spent.sum(now));
+  for (const FormerQuota& former : formers) {
+    left = std::min(left, former.allowance.in_window - former.spent.sum(now));
+  }
+  return left;
+}
+
+void QuotaBook::Account::replace(const QuotaAllowance& next) {
+  allowance = next;
+  bucket = std::min(bucket, allowance.burst);
+  coming.reset();
+  std::erase_if(formers,
+                [&](const FormerQuota& former) { return former.allowance.in_window <= next.in_window; });
+}
+
+void QuotaBook::Account::take_coming(Duration window, TimePoint now) {
+  std::erase_if(formers, [&](const FormerQuota& former) { return now >= former.until; });
+  if (!coming || now < coming->binds_at) {
+    return;
+  }
+  // No window that the lower quota bounds reaches back behind this moment: its own window begins empty.
+  // Without this a tenant was refused for seconds right after the change, for what it had spent under the
+  // former quota.
+  const QuotaAllowance next = coming->allowance;
+  formers.push_back({allowance, spent, now + window});
+  spent = SpendingWindow<kWindowSteps>(window);
+  replace(next);
 }
 
 QuotaBook::Account& QuotaBook::open_account(const fleet::Tenant& tenant, TimePoint now) {
@@ -70,12 +109,13 @@
     }
     Account& account = known->second;
     account.refill(now);
-    account.allowance = QuotaAllowance(tenant.quota, tolerance_);
-    account.bucket = std::min(account.bucket, account.allowance.burst);
-    const double spent = account.spent.sum(now);
-    if (spent > account.allowance.in_window) {
-      account.spent.scale(account.allowance.in_window / spent);
+    const QuotaAllowance next(tenant.quota, tolerance_);
+    if (next.in_window >= account.allowance.in_window) {
+      account.replace(next);
+      continue;
     }
+    const TimePoint binds_at = account.coming ? account.coming->binds_at : now + tolerance_.lower_after;
+    account.coming = ComingQuota{next, binds_at};
   }
   std::erase_if(accounts_, [&](const auto& entry) {
     const bool gone = limited.count(entry.first) == 0;
@@ -156,6 +196,7 @@
   metered_ = 0;
   for (auto& [tenant, account] : accounts_) {
     account.refill(now);
+    account.take_coming(tolerance_.window, now);
     if (account.spent.sum(now) > kFarBelow * account.allowance.in_window) {
       account.spend(unheard_s * account.allowance.per_second, now);
       account.bucket = std::min(account.bucket, (1 - unheard_share) * account.allowance.burst);
--- a/src/admission/quota_book.h
+++ b/src/admission/quota_book.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,7 +30,8 @@
   QuotaBook(const QuotaTolerance& tolerance, uint64_t start_id, TimePoint now)
       : tolerance_(tolerance), start_id_(start_id), began_(now) {}
 
-  /// Puts quotas in force. What was spent under a higher quota before counts no more than a full window.
+  /// Puts quotas in force. A lower one binds after QuotaTolerance::lower_after; what was spent before then
+  /// counts only against the former one, for as long as a window reaches back to it.
   void configure(const std::vector<fleet::Tenant>& tenants, TimePoint now);
   /// A router of this member has spent.
   void on_router(const std::vector<fleet::TenantSpending>& spending, TimePoint now);
@@ -58,10 +60,24 @@
 
  private:
   static constexpr size_t kWindowSteps = 80;
+  /// A quota that a lower one has replaced: windows that reach back behind the change still have to keep to
+  /// it.
+  struct FormerQuota {
+    QuotaAllowance allowance;
+    SpendingWindow<kWindowSteps> spent;
+    TimePoint until{0};
+  };
+  /// A lower quota that does not bind yet.
+  struct ComingQuota {
+    QuotaAllowance allowance;
+    TimePoint binds_at{0};
+  };
   struct Account {
     explicit Account(Duration window) : spent(window) {}
     QuotaAllowance allowance;
     SpendingWindow<kWindowSteps> spent;
+    std::vector<FormerQuota> formers;
+    std::optional<ComingQuota> coming;
     double bucket = 0;
     TimePoint refilled_at{0};
     int64_t own_sum = 0;
@@ -70,7 +86,11 @@
 
     void refill(TimePoint now);
     void spend(double amount, TimePoint now);
-    double level(TimePoint now) const { return std::min(bucket, allowance.in_window - spent.sum(now)); }
+    double level(TimePoint now) const;
+    /// Puts a quota in force at once.
+    void replace(const QuotaAllowance& next);
+    /// Puts a lower quota in force when its time has come, and forgets a former one that no window reaches.
+    void take_coming(Duration window, TimePoint now);
   };
   struct Peer {
     uint64_t start_id = 0;                ///< 0: it has not told the whole yet
--- a/tests/unit/quota_test.cc
+++ b/tests/unit/quota_test.cc
@@ -116,5 +116,76 @@
   EXPECT_EQ(second.windows(now).front().bucket, 400);
 }
 
+/// A book of one tenant that has spent evenly at its rate of 1,000 a second for ten seconds.
+class LowerQuotaTest : public testing::Test {
+ protected:
+  LowerQuotaTest() : book_(tolerance(), 1, TimePoint(0)) {
+    book_.configure({limited_tenant()}, TimePoint(0));
+    spend_until(kChange, 1000);
+  }
+  static admission::QuotaTolerance tolerance() {
+    admission::QuotaTolerance tolerance;
+    tolerance.lower_after = 1s;
+    return tolerance;
+  }
+  static fleet::Tenant tenant_with(double per_second) {
+    fleet::Tenant tenant = limited_tenant();
+    tenant.quota.per_second = per_second;
+    tenant.quota.burst = per_second;
+    return tenant;
+  }
+  /// Spends at a rate, in steps of 100 ms, as far as the told level allows. Returns what was spent.
+  double spend_until(TimePoint until, double per_second) {
+    double spent = 0;
+    for (; now_ < until; now_ += 100ms) {
+      book_.update(0, now_);
+      const fleet::QuotaLevel* told = book_.told().find("t");
+      if (told != nullptr && told->metered && told->level <= 0) {
+        continue;
+      }
+      book_.on_router({{"t", static_cast<int64_t>(per_second / 10)}}, now_);
+      spent += per_second / 10;
+    }
+    return spent;
+  }
+
+  static constexpr TimePoint kChange = 20s;
+  admission::QuotaBook book_;
+  TimePoint now_{0};
+};
+
+TEST_F(LowerQuotaTest, TheFormerQuotaHoldsUntilTheLowerOneBinds) {
+  book_.configure({tenant_with(250)}, kChange);
+  EXPECT_GE(spend_until(kChange + 1s, 1000), 900);
+}
+
+TEST_F(LowerQuotaTest, WhatWasSpentBeforeItBindsIsNotHeldAgainstTheLowerOne) {
+  book_.configure({tenant_with(250)}, kChange);
+  spend_until(kChange + 1s, 1000);
+  const double first_second = spend_until(kChange + 2s, 1000);
+  EXPECT_GE(first_second, 250) << "its burst and its rate are there at once";
+  const double window = first_second + spend_until(kChange + 9s, 1000);
+  EXPECT_LE(window, 250 * 8 + 250 + 100) << "one window of the lower quota, and one step";
+  EXPECT_GE(window, 250 * 8 * 0.9);
+}
+
+TEST_F(LowerQuotaTest, WindowsThatReachBackKeepToTheFormerQuota) {
+  // All of the former window's amount is spent right before the change.
+  book_.on_router({{"t", 1000}}, kChange);
+  book_.configure({tenant_with(900)}, kChange);
+  double spent = 1000;
+  spent += spend_until(kChange + 1s, 5000);
+  spent += spend_until(kChange + 4s, 5000);
+  EXPECT_LE(spent, 1000 * 4 + 1000 + 500)
+      << "the last four of eight seconds at the former rate, burst, one step";
+}
+
+TEST_F(LowerQuotaTest, AHigherQuotaInBetweenTakesItsPlaceAtOnce) {
+  book_.configure({tenant_with(250)}, kChange);
+  book_.configure({tenant_with(2000)}, kChange + 500ms);
+  now_ = kChange + 500ms;
+  EXPECT_GE(spend_until(kChange + 2500ms, 2000), 3900);
+}
+
 }  // namespace
 }  // namespace stoat
