Let routers and control members know which zone lies in which region

Nothing on the served path knew of regions. Distances have names for logs and metrics.

Tested: the new zone_settings_test, unit_tests and property_tests pass. Not yet run in a full deployment.

--- a/src/control/fleet_knowledge.h
+++ b/src/control/fleet_knowledge.h
@@ -21,6 +21,7 @@
 #include "src/fleet/backend_registry.h"
 #include "src/fleet/fleet_messages.h"
 #include "src/fleet/version_history.h"
+#include "src/topology/topology.h"
 
 namespace stoat::control {
 
@@ -32,6 +33,7 @@
   admission::QuotaTolerance quotas = {};
   uint64_t start_id = 1;  ///< differs at each start of the member
   TimePoint started{0};
+  topology::Topology topology = {};
 };
 
 /// How far a router has been told. Routers with equal cursors get equal messages.
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -28,6 +28,7 @@
   settings.name = reader.required_text("name");
   settings.zone = reader.text("zone", "");
   settings.region = reader.text("region", "");
+  settings.topology = topology::read_topology(reader);
   settings.internal = read_endpoint(reader, "internal", "127.0.0.1:7000");
   settings.seeds = read_seeds(reader);
   settings.data_folder = reader.required_text("data_folder");
@@ -57,7 +58,7 @@
       files_(settings_.data_folder),
       store_(files_),
       knowledge_({to_string(settings_.internal), settings_.zone, settings_.registry, settings_.quotas,
-                  seed_from_device(), loop.now()}),
+                  seed_from_device(), loop.now(), settings_.topology}),
       watch_(orders),
       rollout_(settings_.rollout) {
   start_core(restore());
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -25,6 +25,7 @@
 #include "src/control/weight_rollout.h"
 #include "src/http/event_loop.h"
 #include "src/storage/replica_store.h"
+#include "src/topology/topology.h"
 #include "src/wire/channel.h"
 
 namespace stoat::control {
@@ -34,6 +35,7 @@
   std::string name;
   std::string zone;
   std::string region;
+  topology::Topology topology;  ///< of the zones that the settings list
   Endpoint internal;            ///< of the protocol between the system's own processes
   std::vector<Endpoint> seeds;  ///< internal endpoints of members to ask at the start
   std::string data_folder;
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -24,6 +24,7 @@
 #include "src/fleet/version_history.h"
 #include "src/placement/cache_namespace.h"
 #include "src/routing/route_table.h"
+#include "src/topology/topology.h"
 
 struct event;
 
@@ -45,6 +46,7 @@
   events::StoryBook& stories;
   Random random{0};
   std::string zone = {};
+  topology::Topology topology = {};
   uint32_t router_count = 1;
   delivery::SharingRouters sharing_routers{10s};  ///< of the bound on repeats
   Duration old_weights_limit =
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -14,6 +14,7 @@
 #include "src/fleet/fleet_messages.h"
 #include "src/gateway/feed_choice.h"
 #include "src/http/event_loop.h"
+#include "src/topology/topology.h"
 #include "src/wire/channel.h"
 
 namespace stoat::gateway {
@@ -23,6 +24,7 @@
   std::vector<Endpoint> seeds;  ///< internal endpoints of some control members
   std::string router;           ///< its name
   std::string zone;             ///< its own
+  topology::Topology topology;  ///< tells how far members are
   Duration status_interval = 400ms;
   /// Members whose feed is not taken are told every so many intervals.
   uint32_t intervals_to_others = 3;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -29,6 +29,7 @@
   settings.name = reader.required_text("name");
   settings.zone = reader.text("zone", "");
   settings.region = reader.text("region", "");
+  settings.topology = topology::read_topology(reader);
   settings.listen = read_endpoint(reader, "listen", "127.0.0.1:8080");
   settings.link.seeds = read_seeds(reader);
   settings.fail_closed = reader.flag("fail_closed", true);
@@ -37,6 +38,7 @@
   settings.link.key_lease = Duration(900 * revocation_ms);
   settings.link.router = settings.name;
   settings.link.zone = settings.zone;
+  settings.link.topology = settings.topology;
   const int64_t grace_ms = 1000 * reader.integer("grace_s", 8, 1, 3600);
   settings.stop_grace = Duration(1000 * grace_ms) - 700ms;
   // What comes in until then is still served; the longest streams take most of the rest.
@@ -72,6 +74,7 @@
   context_.random = Random(seed_from_device());
   context_.quotas = admission::QuotaGate(settings.quotas, seed_from_device());
   context_.zone = settings.zone;
+  context_.topology = settings.topology;
   context_.budget_options = settings.budget;
   context_.sharing_routers = delivery::SharingRouters(settings.routers_settle);
   context_.old_weights_limit = settings.old_weights_limit;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -14,6 +14,7 @@
 #include "src/gateway/start_queue.h"
 #include "src/http/server.h"
 #include "src/routing/route_table.h"
+#include "src/topology/topology.h"
 
 namespace stoat::gateway {
 
@@ -22,7 +23,8 @@
   std::string name;
   std::string zone;
   std::string region;
-  Endpoint listen;  ///< for callers
+  topology::Topology topology;  ///< of the zones that the settings list
+  Endpoint listen;              ///< for callers
   ControlLinkOptions link;
   bool fail_closed = true;    ///< without a confirmed configuration, keys are not honoured
   Duration stop_grace = 7s;   ///< from SIGTERM to the end at the latest
--- a/src/topology/topology.cc
+++ b/src/topology/topology.cc
@@ -4,6 +4,18 @@
 
 namespace stoat::topology {
 
+const char* to_text(Distance distance) {
+  switch (distance) {
+    case Distance::kSameZone:
+      return "same zone";
+    case Distance::kSameRegion:
+      return "same region";
+    case Distance::kOtherRegion:
+      return "other region";
+  }
+  return "unknown";
+}
+
 std::string Topology::region_of(const std::string& zone) const {
   const auto found = regions_.find(zone);
   return found == regions_.end() ? "" : found->second;
--- a/src/topology/topology.h
+++ b/src/topology/topology.h
@@ -18,6 +18,9 @@
   kOtherRegion,  ///< the way between two regions
 };
 
+/// The name of a distance, for logs and metrics.
+const char* to_text(Distance distance);
+
 /// See the head of this file. Zones that it does not know belong to one unnamed region.
 class Topology {
  public:
