Tell callers routers of their zone, each router to one zone

Cause: the directory named all routers whenever there were no more than 64, so in two regions of three zones half of the callers went to the other region and five of six to another zone.

Ruled out: only the routers of the own zone (callers whose zone is lost know no other for the lifetime of an answer; zones with few routers get more callers each); a reserve on top of the own ones (each reserve router would get the callers of two zones).

Change: each router of a region is assigned to the callers of one zone, the zones get equally many, mostly their own, at least two or one in eight of another. A router that restarts keeps its place for 20 s. All of the region when fewer than 8 are assigned or fewer than half of them are ready; other regions only when the own has none. A counter of routers named, by distance.

Gain not measured yet.

--- a/src/control/fleet_knowledge.cc
+++ b/src/control/fleet_knowledge.cc
@@ -19,6 +19,7 @@
 FleetKnowledge::FleetKnowledge(KnowledgeOptions options)
     : options_(std::move(options)),
       registry_(options_.registry),
+      routers_(options_.topology),
       quotas_(options_.quotas, options_.start_id, options_.started) {}
 
 bool FleetKnowledge::on_heartbeat(const fleet::BackendRecord& record, TimePoint now) {
--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -34,8 +34,17 @@
   return core_->state().fleet().retired_state(id) >= state;
 }
 
-std::vector<fleet::RouterRecord> FleetServer::routers_for(const std::string& zone, size_t limit) const {
-  return knowledge_.routers().for_callers(zone, limit, loop_.now());
+std::vector<fleet::RouterRecord> FleetServer::routers_for(const std::string& zone, size_t limit) {
+  std::vector<fleet::RouterRecord> routers = knowledge_.routers().for_callers(zone, limit, loop_.now());
+  std::map<topology::Distance, size_t> named;
+  for (const fleet::RouterRecord& router : routers) {
+    ++named[settings_.topology.distance(zone, router.zone)];
+  }
+  for (const auto& [distance, count] : named) {
+    metrics_.count("stoat_control_directory_routers_total", {{"distance", topology::to_text(distance)}},
+                   static_cast<double>(count));
+  }
+  return routers;
 }
 
 void FleetServer::keep_knowledge() {
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -70,7 +70,7 @@
   /// True when a back end is known to be retired at least as far as `state`.
   bool retired(const std::string& id, fleet::BackendState state) const;
   /// Up to `limit` routers that are ready, for callers in a zone.
-  std::vector<fleet::RouterRecord> routers_for(const std::string& zone, size_t limit) const;
+  std::vector<fleet::RouterRecord> routers_for(const std::string& zone, size_t limit);
   /// Re-reads what may change while the process runs: the seeds.
   void set_seeds(std::vector<Endpoint> seeds) { settings_.seeds = std::move(seeds); }
   /// Stops in an orderly way: hands leadership over, then ends the loop.
--- a/src/control/router_directory.cc
+++ b/src/control/router_directory.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "src/common/hash.h"
+#include "src/control/caller_assignment.h"
 
 namespace stoat::control {
 
@@ -16,6 +17,12 @@
 constexpr Duration kMemberOverdue = 600ms;
 /// After so long a silent router is dropped.
 constexpr Duration kForgetAfter = 10s;
+/// A router that restarts within so long finds its callers again: the assignment of the others stays too.
+constexpr Duration kSeatTime = 20s;
+/// With fewer routers a zone, callers are told all of the region: the loss of one would be felt.
+constexpr size_t kFewestAssigned = 8;
+/// With a smaller part of the assigned routers ready, callers are told all of the region.
+constexpr double kReadyShare = 0.5;
 
 }  // namespace
 
@@ -24,6 +31,7 @@
   known.heard = now;
   const bool changed = known.router != router;
   known.router = router;
+  note_seat(router, now);
   return changed;
 }
 
@@ -34,6 +42,7 @@
     known.router = notice.router;
     known.member = member;
     members_heard_[member] = now;
+    note_seat(notice.router, now);
   } else if (found != routers_.end() && found->second.member == member) {
     routers_.erase(found);
   }
@@ -49,7 +58,19 @@
   return member != members_heard_.end() && now - member->second < kMemberLease;
 }
 
+void RouterDirectory::note_seat(const fleet::RouterRecord& router, TimePoint now) {
+  if (router.ready) {
+    seats_[router.name] = {router.zone, now};
+  }
+}
+
 void RouterDirectory::expire(TimePoint now) {
+  for (const auto& [name, known] : routers_) {
+    if (known.router.ready && live(known, now)) {
+      note_seat(known.router, now);
+    }
+  }
+  std::erase_if(seats_, [&](const auto& entry) { return now - entry.second.ready_at > kSeatTime; });
   std::erase_if(routers_, [&](const auto& entry) {
     const auto member = members_heard_.find(entry.second.member);
     const TimePoint told = member == members_heard_.end() ? TimePoint(0) : member->second;
@@ -86,8 +107,41 @@
 std::vector<fleet::RouterRecord> RouterDirectory::for_callers(const std::string& zone, size_t limit,
                                                               TimePoint now) const {
   std::vector<fleet::RouterRecord> list = ready(now);
+  const auto far = [&](const fleet::RouterRecord& router) {
+    return topology_.distance(zone, router.zone) == topology::Distance::kOtherRegion;
+  };
+  if (!std::all_of(list.begin(), list.end(), far)) {
+    std::erase_if(list, far);
+    list = assigned_of(zone, list);
+  }
+  cut(list, zone, limit);
+  return list;
+}
+
+std::vector<fleet::RouterRecord> RouterDirectory::assigned_of(
+    const std::string& zone, const std::vector<fleet::RouterRecord>& list) const {
+  std::map<std::string, std::string> zones;
+  for (const auto& [name, seat] : seats_) {
+    if (topology_.distance(zone, seat.zone) != topology::Distance::kOtherRegion) {
+      zones[name] = seat.zone;
+    }
+  }
+  const std::map<std::string, std::string> assigned = assign_to_callers(zones);
+  const auto seats = static_cast<size_t>(std::count_if(
+      assigned.begin(), assigned.end(), [&](const auto& entry) { return entry.second == zone; }));
+  std::vector<fleet::RouterRecord> chosen;
+  std::copy_if(list.begin(), list.end(), std::back_inserter(chosen), [&](const fleet::RouterRecord& router) {
+    const auto found = assigned.find(router.name);
+    return found != assigned.end() && found->second == zone;
+  });
+  const bool enough = seats >= kFewestAssigned &&
+                      static_cast<double>(chosen.size()) >= kReadyShare * static_cast<double>(seats);
+  return enough ? chosen : list;
+}
+
+void RouterDirectory::cut(std::vector<fleet::RouterRecord>& list, const std::string& zone, size_t limit) {
   if (list.size() <= limit) {
-    return list;
+    return;
   }
   const uint64_t zone_hash = hash_bytes(zone);
   const auto rank = [&](const fleet::RouterRecord& router) {
@@ -98,7 +152,6 @@
                       return rank(left) < rank(right);
                     });
   list.resize(limit);
-  return list;
 }
 
 }  // namespace stoat::control
--- a/src/control/router_directory.h
+++ b/src/control/router_directory.h
@@ -8,12 +8,16 @@
 
 #include "src/common/time.h"
 #include "src/fleet/fleet_messages.h"
+#include "src/topology/topology.h"
 
 namespace stoat::control {
 
 /// See the head of this file.
 class RouterDirectory {
  public:
+  RouterDirectory() = default;
+  explicit RouterDirectory(topology::Topology topology) : topology_(std::move(topology)) {}
+
   /// A router tells its state. Returns true when that is new.
   bool on_status(const fleet::RouterRecord& router, TimePoint now);
   /// Another member tells of a router that follows it, or no longer hears it.
@@ -33,9 +37,10 @@
   std::vector<fleet::RouterRecord> ready(TimePoint now) const;
   /// How many of them there are.
   size_t ready_count(TimePoint now) const;
-  /// Up to `limit` ready ones for callers in a zone: those of the zone first, then others, which differ from
-  /// zone to zone so that all routers get their part. The same ones each time, since callers leave a router
-  /// that is not named to them any more.
+  /// Up to `limit` ready ones for callers in a zone: those that are assigned to it (assign_to_callers),
+  /// mostly its own. All of its region when the region is small or too few of the assigned ones are ready,
+  /// and those of other regions only when its own has none. The same ones each time, since callers leave a
+  /// router that is not named to them any more.
   std::vector<fleet::RouterRecord> for_callers(const std::string& zone, size_t limit, TimePoint now) const;
 
  private:
@@ -44,10 +49,24 @@
     TimePoint heard{0};  ///< from itself
     std::string member;  ///< that told of it; empty: none
   };
+  /// Counts in the assignment to callers, for a while after it was last ready.
+  struct Seat {
+    std::string zone;
+    TimePoint ready_at{0};
+  };
   bool live(const Known& known, TimePoint now) const;
+  void note_seat(const fleet::RouterRecord& router, TimePoint now);
+  /// The routers out of `list` that are assigned to the callers of a zone; all when the assignment does not
+  /// serve them.
+  std::vector<fleet::RouterRecord> assigned_of(const std::string& zone,
+                                               const std::vector<fleet::RouterRecord>& list) const;
+  /// Cuts a list to `limit`, those of the zone first, then others that differ from zone to zone.
+  static void cut(std::vector<fleet::RouterRecord>& list, const std::string& zone, size_t limit);
 
   std::map<std::string, Known> routers_;  ///< by name
   std::map<std::string, TimePoint> members_heard_;
+  std::map<std::string, Seat> seats_;  ///< by router
+  topology::Topology topology_;
 };
 
 }  // namespace stoat::control
