Count what members and routers send by purpose and by distance

Cause: the only figure on the fleet's own traffic was bytes to members, to routers by feed, and to routers by update. Nobody could say whether loads, heartbeats or caches fill a link between regions.

Change: a frame knows what its bytes are for (wire::PurposeBytes, counted by packing the lists of a message once into a buffer that only counts, for each frame and not for each receiver). A channel with a meter adds them up by the distance of its other end. Members and routers publish the sums as counters and write the last 10 s to the log.

Ruled out: to count at each place that sends. There are a dozen, and one that is added later would be forgotten.

No behaviour changes.

--- a/src/control/fleet_knowledge.h
+++ b/src/control/fleet_knowledge.h
@@ -111,6 +111,11 @@
   const LoadBook& loads() const { return loads_; }
   const CacheMirror& caches() const { return caches_; }
   const admission::QuotaBook& quotas() const { return quotas_; }
+  /// The zone of another member; empty: it has not been heard.
+  std::string zone_of_peer(const std::string& address) const {
+    const auto found = peers_.find(address);
+    return found == peers_.end() ? "" : found->second.zone;
+  }
   /// This member and those that are heard.
   std::vector<LiveMember> live_members(TimePoint now) const;
 
--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -57,6 +57,7 @@
   metrics_.set("stoat_control_feeds", static_cast<double>(feeds));
   metrics_.set("stoat_control_followed_caches", static_cast<double>(watch_.size()));
   metrics_.set("stoat_control_metered_tenants", static_cast<double>(knowledge_.quotas().metered()));
+  traffic_->publish(metrics_, "stoat_control_sent_bytes_total");
   note_backends();
   note_members();
   drop_silent_routers();
@@ -132,25 +133,19 @@
     link.configuration_sent_at = loop_.now();
   }
   link.told = {retired_.revision(), named_revision_, members_revision_};
-  const std::string frame = wire::make_frame(update);
-  count_sent("update", frame);
-  link.channel->send_frame(frame);
-}
-
-void FleetServer::count_sent(const char* kind, const std::string& frame) {
-  metrics_.count("stoat_control_sent_bytes_total", {{"kind", kind}}, static_cast<double>(frame.size()));
+  link.channel->send(update);
 }
 
 void FleetServer::push_to_routers() {
   // Routers that were told the same get the same frame.
-  std::map<std::pair<ToldRevisions, bool>, std::string> frames;
+  std::map<std::pair<ToldRevisions, bool>, wire::Frame> frames;
   const ToldRevisions newest{retired_.revision(), named_revision_, members_revision_};
   for (auto& [name, link] : routers_) {
     if (!link.channel->open()) {
       continue;
     }
     const bool configuration = needs_configuration(link, false);
-    std::string& frame = frames[{link.told, configuration}];
+    wire::Frame& frame = frames[{link.told, configuration}];
     if (frame.empty()) {
       fleet::FleetUpdate update = make_update(link);
       if (configuration) {
@@ -163,7 +158,6 @@
       link.configuration_sent = configuration_version();
       link.configuration_sent_at = loop_.now();
     }
-    count_sent("update", frame);
     link.channel->send_frame(frame);
   }
 }
@@ -184,6 +178,7 @@
   if (begins) {
     link.cursor = {};
   }
+  channel->set_meter(traffic_, settings_.topology.distance(settings_.zone, status.router.zone));
   link.status = status;
   link.heard = loop_.now();
   link.silent = false;
@@ -256,7 +251,6 @@
     const FeedFrame& next = found->second;
     link.cursor = next.after;
     if (!next.frame.empty()) {
-      count_sent("feed", next.frame);
       link.channel->send_frame(next.frame);
     }
     if (next.complete || next.frame.empty()) {
--- a/src/control/fleet_peers.cc
+++ b/src/control/fleet_peers.cc
@@ -38,14 +38,13 @@
   }
 }
 
-void FleetServer::send_to_members(const std::string& frame) {
+void FleetServer::send_to_members(const wire::Frame& frame) {
   for (const consensus::Member& member : core_->replica().members().members) {
     if (member.id == identity_.id) {
       continue;
     }
     const ChannelPtr channel = bulk_channel_to(member.address);
     if (channel != nullptr && channel->unsent_bytes() < kMaxUnsentNews) {
-      count_sent("members", frame);
       channel->send_frame(frame);
     }
   }
@@ -53,6 +52,7 @@
 
 void FleetServer::on_peer_news(const fleet::PeerNews& news) {
   const TimePoint now = loop_.now();
+  measure_peer(news.sender, news.zone);
   knowledge_.on_peer_news(news, now);
   for (const fleet::NamedVersion& named : news.weights) {
     const auto known = named_.find(named.model);
@@ -62,6 +62,22 @@
   }
 }
 
+void FleetServer::measure_peer(const std::string& address, const std::string& zone) {
+  const topology::Distance distance = settings_.topology.distance(settings_.zone, zone);
+  for (const auto* channels : {&peers_, &bulk_peers_}) {
+    const auto found = channels->find(address);
+    if (found != channels->end() && found->second != nullptr) {
+      found->second->set_meter(traffic_, distance);
+    }
+  }
+}
+
+void FleetServer::log_traffic() {
+  for (const wire::TrafficMeter::Line& line : traffic_->take_lines()) {
+    log_.event(events::BytesSent{line.distance, line.bytes});
+  }
+}
+
 void FleetServer::ask_for_confirmation() {
   const TimePoint now = loop_.now();
   if (now < next_question_ || core_->replica().leads()) {
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -18,6 +18,7 @@
 constexpr Duration kCacheInterval = 30ms;
 constexpr Duration kRolloutInterval = 20ms;
 constexpr Duration kStopGrace = 300ms;
+constexpr Duration kTrafficInterval = 10s;  ///< of lines in the log
 /// From a back end's heartbeat until the members that it did not come to have it.
 constexpr Duration kHeartbeatDelay = 200ms;
 
@@ -79,6 +80,7 @@
   loop.every(kKnowledgeInterval, [this] { keep_knowledge(); });
   loop.every(kCacheInterval, [this] { follow_caches(); });
   loop.every(kRolloutInterval, [this] { roll_out_weights(); });
+  loop.every(kTrafficInterval, [this] { log_traffic(); });
   log_.info("started", {{"name", settings_.name},
                         {"internal", to_string(settings_.internal)},
                         {"identity", to_hex(identity_.id)},
@@ -153,6 +155,8 @@
       loop_, endpoint,
       [this](const ChannelPtr& from, wire::Message message) { on_message(from, std::move(message)); },
       [](const ChannelPtr&) {});
+  // Its zone is known from its first news.
+  channel->set_meter(traffic_, settings_.topology.distance(settings_.zone, knowledge_.zone_of_peer(address)));
   return channel;
 }
 
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -121,7 +121,6 @@
   bool needs_configuration(const RouterLink& link, bool prompted) const;
   void answer_router(RouterLink& link);
   void push_to_routers();
-  void count_sent(const char* kind, const std::string& frame);
   void feed_routers();
   void feed_router(RouterLink& link, std::map<FeedCursor, FeedFrame>& frames);
   void notice_changes();
@@ -135,7 +134,10 @@
 
   // fleet_peers.cc: what members tell one another besides the log
   void exchange_with_peers();
-  void send_to_members(const std::string& frame);
+  void send_to_members(const wire::Frame& frame);
+  /// Counts what goes to another member as sent to its zone.
+  void measure_peer(const std::string& address, const std::string& zone);
+  void log_traffic();
   void on_peer_news(const fleet::PeerNews& news);
   void on_confirmation_question(const ChannelPtr& channel, const fleet::ConfirmationQuestion& question);
   void on_confirmation_answer(const fleet::ConfirmationAnswer& answer);
@@ -156,6 +158,7 @@
   EngineOrders& orders_;
   Logger log_{"control"};
   Metrics metrics_;
+  std::shared_ptr<wire::TrafficMeter> traffic_ = std::make_shared<wire::TrafficMeter>();
   storage::DiskFileSystem files_;
   storage::ReplicaStore store_;
   storage::DiskIdentity identity_;
--- a/src/control/router_link.h
+++ b/src/control/router_link.h
@@ -45,7 +45,7 @@
 
 /// A message to routers at one cursor, encoded once.
 struct FeedFrame {
-  std::string frame;  ///< empty: nothing is new
+  wire::Frame frame;  ///< empty: nothing is new
   FeedCursor after;
   bool complete = true;
 };
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -102,6 +102,14 @@
   std::vector<LogField> fields() const { return {{"holder", holder}, {"followed", followed}}; }
 };
 
+/// What this process has sent to others of the system over one distance since the last of these.
+struct BytesSent {
+  static constexpr const char* kSentence = "bytes sent";
+  std::string distance;  ///< "zone", "region" (another zone of it) or "regions" (another region)
+  std::string bytes;     ///< by purpose
+  std::vector<LogField> fields() const { return {{"distance", distance}, {"bytes", bytes}}; }
+};
+
 /// A router tells its state for the first time, is ready or not any more, or is no longer heard.
 struct RouterChanged {
   static constexpr const char* kSentence = "router changed";
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -131,9 +131,14 @@
           on_message(address, std::move(message));
         },
         [](const std::shared_ptr<wire::Channel>&) {});
+    measure(member);
   }
 }
 
+void ControlLink::measure(const Member& member) {
+  member.channel->set_meter(traffic_, options_.topology.distance(options_.zone, member.zone));
+}
+
 int64_t ControlLink::keys_left_ms() const {
   constexpr int64_t kNever = -1000000;
   return ever_confirmed() ? to_milliseconds(confirmed_until_ - loop_.now()) : kNever;
@@ -207,7 +212,10 @@
   }
   Member& member = found->second;
   note_heard(address, member, update->leads);
-  member.zone = update->zone;
+  if (member.zone != update->zone) {
+    member.zone = update->zone;
+    measure(member);
+  }
   take_members(update->members);
   on_update_(*update);
   extend_lease(member, *update);
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -61,6 +61,8 @@
   bool send_to_feed(const wire::Message& message);
   /// True while there is one that can be sent to.
   bool has_feed() const;
+  /// What was sent to members. One that has not told its zone yet counts as one of another region.
+  wire::TrafficMeter& traffic() { return *traffic_; }
   /// Members that have answered lately.
   size_t connected() const;
 
@@ -78,6 +80,7 @@
   /// Takes another feed when the present one will not do.
   void choose();
   Duration silence_of(const Member& member) const;
+  void measure(const Member& member);
   void connect_members();
   void tell(const std::string& address, Member& member);
   void take_members(const std::vector<std::string>& members);
@@ -92,6 +95,7 @@
   UpdateHandler on_update_;
   NewsHandler on_news_;
   Logger log_{"link"};
+  std::shared_ptr<wire::TrafficMeter> traffic_ = std::make_shared<wire::TrafficMeter>();
   std::map<std::string, Member> members_;  ///< by internal address
   std::string leader_;                     ///< internal address of the member that last said that it leads
   std::string feed_;                       ///< internal address of the member whose feed is taken
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -21,6 +21,8 @@
 constexpr Duration kLoadsInterval = 100ms;
 /// How often a starting router looks after the requests that wait.
 constexpr Duration kStartCheck = 20ms;
+constexpr Duration kTrafficInterval = 10s;  ///< of lines in the log
+constexpr Duration kMetricsInterval = 1s;
 
 }  // namespace
 
@@ -84,6 +86,13 @@
     check_silence();
     tell_loads();
   });
+  loop_.every(kMetricsInterval,
+              [this] { link_.traffic().publish(metrics_, "stoat_router_control_bytes_total"); });
+  loop_.every(kTrafficInterval, [this] {
+    for (const wire::TrafficMeter::Line& line : link_.traffic().take_lines()) {
+      log_.event(events::BytesSent{line.distance, line.bytes});
+    }
+  });
   log_.info("started", {{"name", settings.name}, {"listen", to_string(settings.listen)}});
 }
 
--- a/src/wire/channel.cc
+++ b/src/wire/channel.cc
@@ -26,11 +26,13 @@
 
 }  // namespace
 
-std::string make_frame(const Message& message) {
+Frame make_frame(const Message& message) {
   const std::string body = encode(message);
   const uint32_t length = htonl(static_cast<uint32_t>(body.size()));
-  std::string frame(reinterpret_cast<const char*>(&length), kLengthBytes);
-  return frame + body;
+  Frame frame;
+  frame.bytes = std::string(reinterpret_cast<const char*>(&length), kLengthBytes) + body;
+  frame.purposes = bytes_by_purpose(message, frame.bytes.size());
+  return frame;
 }
 
 std::shared_ptr<Channel> Channel::adopt(bufferevent* connection, MessageHandler on_message,
@@ -68,7 +70,7 @@
 
 void Channel::send(const Message& message) { send_frame(make_frame(message)); }
 
-void Channel::send_frame(const std::string& frame) {
+void Channel::send_frame(const Frame& frame) {
   if (connection_ == nullptr || overflowed_) {
     return;
   }
@@ -78,8 +80,11 @@
     bufferevent_trigger_event(connection_, BEV_EVENT_ERROR, BEV_TRIG_DEFER_CALLBACKS);
     return;
   }
-  sent_bytes_ += frame.size();
-  bufferevent_write(connection_, frame.data(), frame.size());
+  sent_bytes_ += frame.bytes.size();
+  if (meter_ != nullptr) {
+    meter_->count(frame.purposes, distance_);
+  }
+  bufferevent_write(connection_, frame.bytes.data(), frame.bytes.size());
 }
 
 size_t Channel::unsent_bytes() const {
--- a/src/wire/channel.h
+++ b/src/wire/channel.h
@@ -11,6 +11,7 @@
 #include "src/common/settings.h"
 #include "src/http/event_loop.h"
 #include "src/wire/messages.h"
+#include "src/wire/traffic.h"
 
 struct bufferevent;
 struct evconnlistener;
@@ -27,8 +28,15 @@
 /// How long what was sent may go unacknowledged before a connection counts as cut off and is closed.
 inline constexpr Duration kSilenceLimit = 1500ms;
 
+/// A message as it is sent, and what its bytes are for.
+struct Frame {
+  std::string bytes;
+  PurposeBytes purposes;
+  bool empty() const { return bytes.empty(); }
+};
+
 /// One frame for a message.
-std::string make_frame(const Message& message);
+Frame make_frame(const Message& message);
 
 /// One connection. Owned through shared_ptr; closing is final.
 class Channel : public std::enable_shared_from_this<Channel> {
@@ -48,7 +56,13 @@
   /// dropped, and the channel is closed soon after, with its closed handler.
   void send(const Message& message);
   /// The same with a frame that make_frame() has made, which may go to many channels.
-  void send_frame(const std::string& frame);
+  void send_frame(const Frame& frame);
+  /// Counts what is sent from now on, as sent over this distance.
+  void set_meter(std::shared_ptr<TrafficMeter> meter, topology::Distance distance) {
+    meter_ = std::move(meter);
+    distance_ = distance;
+  }
+  bool metered() const { return meter_ != nullptr; }
   /// Closes without calling the closed handler.
   void close();
   bool open() const { return connection_ != nullptr; }
@@ -69,6 +83,8 @@
   uint64_t id_ = 0;
   uint64_t sent_bytes_ = 0;
   bool overflowed_ = false;  ///< more was to be sent than kMaxUnsentBytes; about to be closed
+  std::shared_ptr<TrafficMeter> meter_;
+  topology::Distance distance_ = topology::Distance::kSameZone;
   std::shared_ptr<Channel> self_;
   MessageHandler on_message_;
   ClosedHandler on_closed_;
