Take the feed from a member of the router's own region

Cause: routers of a zone without a member spread over all members, so over both regions.

Change: the member that is nearest by topology::Distance is followed; several that are as near share the routers, as before. One of another region serves only while none of the own one is heard and vouches for a leader.

--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -66,7 +66,7 @@
   for (const auto& [address, member] : members_) {
     MemberView view;
     view.address = address;
-    view.same_zone = !member.zone.empty() && member.zone == options_.zone;
+    view.distance = options_.topology.distance(options_.zone, member.zone);
     view.connected = member.channel != nullptr && member.channel->open() && member.heard > TimePoint(0);
     view.silence = now - member.heard;
     if (member.vouched != Duration::min()) {
--- a/src/gateway/feed_choice.cc
+++ b/src/gateway/feed_choice.cc
@@ -20,15 +20,16 @@
                         const std::string& router) {
   const uint64_t router_hash = hash_bytes(router);
   const MemberView* best = nullptr;
-  std::tuple<bool, bool, bool, uint64_t> best_rank;
+  using Rank = std::tuple<bool, int, bool, uint64_t>;  // the greater, the better
+  Rank best_rank;
   for (const MemberView& member : members) {
     const bool followed = member.address == present;
     if (!heard(member, followed)) {
       continue;
     }
     // While no member vouches for a leader, as during an election, the present one will do.
-    const std::tuple<bool, bool, bool, uint64_t> rank(vouches(member), member.same_zone, followed,
-                                                      hash_pair(router_hash, hash_bytes(member.address)));
+    const Rank rank(vouches(member), -static_cast<int>(member.distance), followed,
+                    hash_pair(router_hash, hash_bytes(member.address)));
     if (best == nullptr || rank > best_rank) {
       best = &member;
       best_rank = rank;
--- a/src/gateway/feed_choice.h
+++ b/src/gateway/feed_choice.h
@@ -1,6 +1,6 @@
 /// Which control member a router takes its feed from: one that is heard and vouches for a leader, in the
-/// router's own zone where there is one. Routers without a member in their zone spread over all of them. Free
-/// of I/O.
+/// router's own zone where there is one, else in its region. Routers with several that are as near spread
+/// over them. Free of I/O.
 #pragma once
 
 #include <optional>
@@ -8,13 +8,14 @@
 #include <vector>
 
 #include "src/common/time.h"
+#include "src/topology/topology.h"
 
 namespace stoat::gateway {
 
 /// What a router knows of one control member.
 struct MemberView {
   std::string address;
-  bool same_zone = false;
+  topology::Distance distance = topology::Distance::kSameRegion;  ///< from the router
   bool connected = false;
   Duration silence{0};  ///< since it was last heard
   std::optional<Duration>
@@ -29,7 +30,7 @@
 inline constexpr Duration kVouchLimit = 2s;
 
 /// The member to follow, given the present one (empty: none). `router` is the router's name. Stays at the
-/// present one while that will do, unless one in the router's zone will do as well. Empty when none is heard.
+/// present one while that will do, unless a nearer one will do as well. Empty when none is heard.
 std::string choose_feed(const std::vector<MemberView>& members, const std::string& present,
                         const std::string& router);
 
--- a/tests/unit/feed_choice_test.cc
+++ b/tests/unit/feed_choice_test.cc
@@ -11,10 +11,12 @@
 using gateway::choose_feed;
 using gateway::MemberView;
 
+using topology::Distance;
+
 MemberView member(const std::string& address, bool same_zone = false) {
   MemberView view;
   view.address = address;
-  view.same_zone = same_zone;
+  view.distance = same_zone ? Distance::kSameZone : Distance::kSameRegion;
   view.connected = true;
   view.silence = 100ms;
   view.vouched = 100ms;
@@ -59,6 +61,26 @@
   }
 }
 
+TEST(FeedChoice, AZoneWithoutAMemberTakesOneOfItsRegion) {
+  std::map<std::string, int> chosen;
+  std::vector<MemberView> members = {member("a"), member("b"), member("c"), member("d")};
+  members[0].distance = Distance::kOtherRegion;
+  members[1].distance = Distance::kOtherRegion;
+  for (int i = 0; i < 300; ++i) {
+    ++chosen[choose_feed(members, "", "r" + std::to_string(i))];
+  }
+  ASSERT_EQ(chosen.size(), 2U);
+  EXPECT_GT(chosen["c"], 90);
+  EXPECT_GT(chosen["d"], 90);
+  // One of the other region serves only while none of the own one does, and is left then.
+  members[2].connected = false;
+  members[3].connected = false;
+  const std::string far = choose_feed(members, "c", "r1");
+  EXPECT_TRUE(far == "a" || far == "b") << far;
+  members[2].connected = true;
+  EXPECT_EQ(choose_feed(members, far, "r1"), "c");
+}
+
 TEST(FeedChoice, NobodyHeardNobodyChosen) {
   MemberView deaf = member("a");
   deaf.silence = gateway::kOtherSilence + 1ms;
