Tell other members marks of heartbeats, one whole at a time, and shared parts only

Three causes of what grows with the fleet between members:

Each heartbeat went to all other members as a whole record. Now one that changes nothing routers see is a mark: a key of 64 bits and the sequence. A member that lacks the record asks the sender for it. What a mark does at its receiver is what the record did (BackendRegistry::on_mark goes through on_heartbeat), so late ones count as late and lost ones are heard again. 2. A member that missed one message asked for the whole with each of its news, and got it each time, while earlier ones were still on their way; above 1 MB waiting, news were dropped, which made a gap again. control::PeerFeeds now decides: one whole at a time to a member, none while much waits, time for it to arrive before the next; room for news behind it; the same encoding for all that are owed one. A member's first message after its start counts as its whole. 3. All that caches hold went to all members, though routers are told of shared parts only. The member that follows a cache tells the others the shared parts, and what it holds of a part when it becomes shared. Its messages about a cache hold the last change of each part only; caches that are read from the beginning (all of them after a restart of all members, with thousands of events each) are begun two at a time, 66 a second. A part that becomes shared is looked up by its holders, not in each cache.

Besides, a member that has just started does not tell its routers that its feed is complete before each live back end had time to be heard: routers dropped the back ends they knew.

Ruled out: to spare the marks by letting one member vouch for a back end. It needs a handover of who vouches, for 13 bytes a heartbeat.

--- a/src/control/cache_mirror.cc
+++ b/src/control/cache_mirror.cc
@@ -42,24 +42,35 @@
   if (holding.tokens == 0) {
     cache.parts.erase(holding.part);
     holdings_.erase({holder, holding.part});
+    forget_unshared(holder, holding.part);
     return;
   }
   cache.parts[holding.part] = holding;
-  if (shared_.count(holding.part) > 0) {
+  if (shared(holding.part)) {
     holdings_.set({holder, holding.part}, holding);
+  } else {
+    unshared_holders_[holding.part].insert(holder);
+  }
+}
+
+void CacheMirror::forget_unshared(const std::string& holder, uint64_t part) {
+  const auto holders = unshared_holders_.find(part);
+  if (holders != unshared_holders_.end() && holders->second.erase(holder) > 0 && holders->second.empty()) {
+    unshared_holders_.erase(holders);
   }
 }
 
 void CacheMirror::clear(const std::string& holder, Cache& cache) {
   for (const auto& [part, holding] : cache.parts) {
     holdings_.erase({holder, part});
+    forget_unshared(holder, part);
   }
   cache.parts.clear();
 }
 
 std::vector<uint64_t> CacheMirror::note_shared(const std::vector<uint64_t>& parts) {
   if (shared_.size() > kMaxShared) {
-    shared_.clear();
+    forget_shared();
   }
   std::vector<uint64_t> added;
   for (const uint64_t part : parts) {
@@ -67,16 +78,32 @@
       continue;
     }
     added.push_back(part);
-    for (const auto& [holder, cache] : caches_) {
-      const auto held = cache.parts.find(part);
-      if (held != cache.parts.end()) {
-        holdings_.set({holder, part}, held->second);
-      }
+    const auto holders = unshared_holders_.find(part);
+    if (holders == unshared_holders_.end()) {
+      continue;
+    }
+    for (const std::string& holder : holders->second) {
+      holdings_.set({holder, part}, caches_.at(holder).parts.at(part));
     }
+    unshared_holders_.erase(holders);
   }
   return added;
 }
 
+void CacheMirror::forget_shared() {
+  shared_.clear();
+  for (auto& [holder, cache] : caches_) {
+    if (cache.follower != self_) {
+      clear(holder, cache);  // its follower tells anew what is shared, and does not tell what it drops before
+      continue;
+    }
+    for (const auto& [part, holding] : cache.parts) {
+      holdings_.erase({holder, part});
+      unshared_holders_[part].insert(holder);
+    }
+  }
+}
+
 bool CacheMirror::told(const fleet::ChainPlacement& placement) const {
   const Cache* cache = find(placement.holder);
   if (cache == nullptr || !cache->followed) {
--- a/src/control/cache_mirror.h
+++ b/src/control/cache_mirror.h
@@ -1,6 +1,5 @@
-/// What every cache of the fleet holds, as the member that follows its events tells. All members keep the
-/// same mirror, so that another one can go on following where the last one stopped, and each member tells its
-/// own routers the changes of those parts that prompts share. Free of I/O.
+/// What the caches of the fleet hold. The member that follows a cache's events knows all of it, and tells the
+/// others those parts that prompts share, which each of them tells its own routers. Free of I/O.
 #pragma once
 
 #include <map>
@@ -9,6 +8,7 @@
 #include <tuple>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "src/fleet/fleet_messages.h"
@@ -46,10 +46,14 @@
     std::unordered_map<uint64_t, fleet::PartHolding> parts;
   };
 
+  /// `self`: internal address of the member that keeps the mirror.
+  explicit CacheMirror(std::string self = "") : self_(std::move(self)) {}
+
   /// Takes what a follower tells. Returns false when another one has a higher claim.
   bool apply(const std::string& follower, const fleet::CacheChanges& changes);
   /// These parts are shared by prompts; routers are told of them only. Returns those that are new.
   std::vector<uint64_t> note_shared(const std::vector<uint64_t>& parts);
+  bool shared(uint64_t part) const { return shared_.count(part) > 0; }
   /// True when a cache holds all these parts under weights that are no older, and routers were told so.
   bool told(const fleet::ChainPlacement& placement) const;
   /// A member is not heard any more: what it followed is followed by nobody.
@@ -71,9 +75,15 @@
  private:
   void hold(const std::string& holder, Cache& cache, const fleet::PartHolding& holding);
   void clear(const std::string& holder, Cache& cache);
+  void forget_shared();
+  void forget_unshared(const std::string& holder, uint64_t part);
 
+  std::string self_;
   std::map<std::string, Cache> caches_;  ///< by holder
   std::unordered_set<uint64_t> shared_;
+  /// Holders of parts that are not known to be shared, so that a part that becomes so is not looked for in
+  /// thousands of caches.
+  std::unordered_map<uint64_t, std::set<std::string>> unshared_holders_;
   fleet::RevisionTable<std::string, CacheHead> heads_;
   fleet::RevisionTable<HeldPart, fleet::PartHolding> holdings_;  ///< of shared parts
 };
--- a/src/control/cache_watch.cc
+++ b/src/control/cache_watch.cc
@@ -1,6 +1,7 @@
 #include "src/control/cache_watch.h"
 
 #include <algorithm>
+#include <unordered_map>
 #include <utility>
 
 namespace stoat::control {
@@ -13,6 +14,30 @@
 /// bounds the questions of a member to some 500 a second.
 constexpr Duration kLeastPause = 30ms;
 constexpr Duration kPausePerCache = 2ms;
+/// Caches that are begun to be read from the beginning with each poll, some 66 a second. Each may tell
+/// thousands of events, and after a restart of all members hundreds are to be read: what engines and routers
+/// wait for goes first.
+constexpr size_t kFirstReadsPerPoll = 2;
+
+/// The same changes with as few entries as will do: of one part the last, unless an older version of weights
+/// says something of it later (CacheMirror passes that over where it does not count).
+void compact(fleet::CacheChanges& changes) {
+  std::unordered_map<uint64_t, size_t> newest;  // position by part
+  std::vector<fleet::PartHolding> holdings;
+  for (const fleet::PartHolding& holding : changes.holdings) {
+    const auto [known, added] = newest.emplace(holding.part, holdings.size());
+    if (!added && holdings[known->second].weights <= holding.weights) {
+      holdings[known->second] = holding;
+      continue;
+    }
+    known->second = holdings.size();
+    holdings.push_back(holding);
+  }
+  if (changes.anew) {
+    std::erase_if(holdings, [](const fleet::PartHolding& holding) { return holding.tokens == 0; });
+  }
+  changes.holdings = std::move(holdings);
+}
 
 }  // namespace
 
@@ -38,11 +63,23 @@
 
 void CacheWatch::poll(TimePoint now) {
   const Duration pause = std::max(kLeastPause, kPausePerCache * static_cast<int64_t>(caches_.size()));
+  std::vector<std::pair<TimePoint, const std::string*>> unread;  // since when they are due, and addresses
   for (auto& [address, cache] : caches_) {
-    if (!cache.asking && now >= cache.next_question) {
+    if (cache.asking || now < cache.next_question) {
+      continue;
+    }
+    if (cache.followed.epoch == 0) {
+      unread.emplace_back(cache.next_question, &address);
+    } else {
       ask(address, cache, pause, now);
     }
   }
+  const size_t begun = std::min(unread.size(), kFirstReadsPerPoll);
+  std::partial_sort(unread.begin(), unread.begin() + static_cast<std::ptrdiff_t>(begun), unread.end());
+  unread.resize(begun);
+  for (const auto& [due, address] : unread) {
+    ask(*address, caches_.at(*address), pause, now);
+  }
 }
 
 void CacheWatch::ask(const std::string& address, Cache& cache, Duration pause, TimePoint now) {
@@ -109,6 +146,7 @@
     changes.claim = cache.followed.claim;
     changes.epoch = cache.followed.epoch;
     changes.next_event = cache.followed.next_event;
+    compact(changes);
     list.push_back(std::move(changes));
   }
   return list;
--- a/src/control/cache_watch.h
+++ b/src/control/cache_watch.h
@@ -29,7 +29,8 @@
 
   /// The caches to follow from now on. One that is followed already, under the same claim, goes on as it was.
   void follow(const std::vector<FollowedCache>& caches);
-  /// Asks the caches that are due. To be called some 30 times a second.
+  /// Asks the caches that are due; of those that are to be read from the beginning only a few with each call.
+  /// To be called some 30 times a second.
   void poll(TimePoint now);
   /// Changes since the last call.
   std::vector<fleet::CacheChanges> take_changes();
--- a/src/control/fleet_feed.cc
+++ b/src/control/fleet_feed.cc
@@ -97,7 +97,7 @@
     add_caches(cursor, news);
     add_placements(cursor, news);
   }
-  news.complete = cursor.registry == registry_.table().revision() &&
+  news.complete = settled_ && cursor.registry == registry_.table().revision() &&
                   cursor.holdings == caches_.shared_holdings().revision();
   return news;
 }
--- a/src/control/fleet_knowledge.cc
+++ b/src/control/fleet_knowledge.cc
@@ -20,16 +20,40 @@
     : options_(std::move(options)),
       registry_(options_.registry),
       routers_(options_.topology),
-      quotas_(options_.quotas, options_.start_id, options_.started) {}
+      quotas_(options_.quotas, options_.start_id, options_.started),
+      caches_(options_.address) {}
 
 bool FleetKnowledge::on_heartbeat(const fleet::BackendRecord& record, TimePoint now) {
+  const uint64_t before = registry_.table().revision();
   if (!registry_.on_heartbeat(record, now)) {
     return false;
   }
-  untold_.heartbeats.push_back(record);
+  if (registry_.table().revision() == before) {
+    untold_.marks.push_back({fleet::mark_key(record.id), record.sequence});
+  } else {
+    untold_.heartbeats.push_back(record);
+  }
   return true;
 }
 
+void FleetKnowledge::take_marks(const fleet::PeerNews& news, TimePoint now) {
+  for (const fleet::HeartbeatMark& mark : news.marks) {
+    if (registry_.on_mark(mark.backend, mark.sequence, now) == fleet::MarkResult::kUnknown) {
+      missing_records_[news.sender].insert(mark.backend);
+    }
+  }
+  for (const fleet::RecordQuestion& question : news.questions) {
+    if (question.member != options_.address) {
+      continue;
+    }
+    for (const uint64_t key : question.backends) {
+      if (const fleet::BackendRecord* record = registry_.find_by_key(key)) {
+        untold_.heartbeats.push_back(*record);
+      }
+    }
+  }
+}
+
 bool FleetKnowledge::on_router(const fleet::RouterRecord& router, bool follows, TimePoint now) {
   silent_routers_.erase(router.name);
   const bool changed = routers_.on_status(router, now);
@@ -95,6 +119,7 @@
   for (const fleet::ChainPlacement& placement : placements) {
     const std::vector<uint64_t> added = caches_.note_shared(placement.links);
     untold_.shared_parts.insert(untold_.shared_parts.end(), added.begin(), added.end());
+    tell_shared(added);
     if (!caches_.told(placement)) {
       add_placement(placement);
       untold_.placements.push_back(placement);
@@ -104,8 +129,41 @@
 
 void FleetKnowledge::on_cache_changes(const std::vector<fleet::CacheChanges>& changes) {
   for (const fleet::CacheChanges& change : changes) {
-    if (caches_.apply(options_.address, change)) {
-      untold_.caches.push_back(change);
+    const CacheMirror::Cache* known = caches_.find(change.holder);
+    const bool same_head =
+        known != nullptr && known->followed == change.followed && known->claim == change.claim;
+    if (!caches_.apply(options_.address, change)) {
+      continue;
+    }
+    fleet::CacheChanges told = only_shared(change);
+    if (!same_head || told.anew || !told.holdings.empty()) {
+      untold_.caches.push_back(std::move(told));
+    }
+  }
+}
+
+fleet::CacheChanges FleetKnowledge::only_shared(fleet::CacheChanges changes) const {
+  std::erase_if(changes.holdings,
+                [this](const fleet::PartHolding& holding) { return !caches_.shared(holding.part); });
+  return changes;
+}
+
+void FleetKnowledge::tell_shared(const std::vector<uint64_t>& parts) {
+  if (parts.empty()) {
+    return;
+  }
+  for (const std::string& holder : caches_.followed_by(options_.address)) {
+    const CacheMirror::Cache& cache = *caches_.find(holder);
+    fleet::CacheChanges told{holder,      cache.store, cache.followed,   false,
+                             cache.claim, cache.epoch, cache.next_event, {}};
+    for (const uint64_t part : parts) {
+      const auto held = cache.parts.find(part);
+      if (held != cache.parts.end()) {
+        told.holdings.push_back(held->second);
+      }
+    }
+    if (!told.holdings.empty()) {
+      untold_.caches.push_back(std::move(told));
     }
   }
 }
@@ -149,6 +207,8 @@
   if (news.anew) {
     loads_.forget_peer(news.sender);
     peer.complete = true;
+  } else if (news.number == 1 && peer.number == 0) {
+    peer.complete = true;  // it has just started, and this is all that it knows
   } else if (news.number != peer.number + 1) {
     peer.complete = false;  // something of it was lost, or it has never told the whole
   }
@@ -159,6 +219,7 @@
   for (const fleet::BackendRecord& record : news.heartbeats) {
     registry_.on_heartbeat(record, now);
   }
+  take_marks(news, now);
   for (const fleet::RouterNotice& notice : news.routers) {
     silent_routers_.erase(notice.router.name);
     routers_.on_notice(news.sender, notice, now);
@@ -170,9 +231,9 @@
   for (const fleet::CacheChanges& changes : news.caches) {
     caches_.apply(news.sender, changes);
   }
-  caches_.note_shared(news.shared_parts);
+  tell_shared(caches_.note_shared(news.shared_parts));
   for (const fleet::ChainPlacement& placement : news.placements) {
-    caches_.note_shared(placement.links);
+    tell_shared(caches_.note_shared(placement.links));
     add_placement(placement);
   }
   apply_engine_notes(news);
@@ -183,6 +244,7 @@
 }
 
 void FleetKnowledge::expire(TimePoint now) {
+  settled_ = settled_ || now - options_.started > options_.registry.lost_after;
   registry_.expire(now);
   routers_.expire(now);
   std::erase_if(silent_routers_, [now](const auto& entry) { return now - entry.second > kAloneTime; });
@@ -211,8 +273,12 @@
   for (const auto& [address, peer] : peers_) {
     if (!peer.complete) {
       news.incomplete.push_back(address);
+      missing_records_.erase(address);  // the whole has them
     }
   }
+  for (const auto& [address, keys] : std::exchange(missing_records_, {})) {
+    news.questions.push_back({address, {keys.begin(), keys.end()}});
+  }
   for (const std::string& id : std::exchange(untold_engines_, {})) {
     if (const fleet::BackendRecord* record = registry_.find(id); record != nullptr && leads) {
       news.engines.push_back({id, record->loading, record->models});
@@ -245,10 +311,10 @@
     }
   }
   for (const std::string& holder : caches_.followed_by(options_.address)) {
-    news.caches.push_back(caches_.whole(holder));
+    news.caches.push_back(only_shared(caches_.whole(holder)));
   }
   for (const fleet::BackendRecord& record : registry_.records()) {
-    if (registry_.heard_since(record.id, now - kPeerLease)) {
+    if (registry_.heard_since(record.id, now - options_.registry.overdue_after)) {
       news.heartbeats.push_back(record);
     }
     if (leads && record.loading) {
--- a/src/control/fleet_knowledge.h
+++ b/src/control/fleet_knowledge.h
@@ -129,6 +129,12 @@
   };
   /// The part of the routers whose spending of quotas can't come to this member now.
   double unheard_share(TimePoint now) const;
+  /// Takes a peer's marks, and answers its questions for records.
+  void take_marks(const fleet::PeerNews& news, TimePoint now);
+  /// Without the parts that are of no use to the routers of other members.
+  fleet::CacheChanges only_shared(fleet::CacheChanges changes) const;
+  /// Tells which of these parts the caches hold that this member follows: the others did not hear of them.
+  void tell_shared(const std::vector<uint64_t>& parts);
   void add_placement(const fleet::ChainPlacement& placement);
   void apply_engine_notes(const fleet::PeerNews& news);
   FollowedCache claim_cache(const std::string& holder, const std::string& address, bool store);
@@ -150,9 +156,12 @@
   std::map<std::string, FollowedCache> claimed_;          ///< caches that this member follows, by holder
   std::map<std::string, Peer> peers_;                     ///< by internal address
   std::set<std::string> whole_requests_;
+  /// Back ends of which a peer told marks only, by the peer's address: they are to be asked for.
+  std::map<std::string, std::set<uint64_t>> missing_records_;
 
   std::deque<fleet::ChainPlacement> placements_;  ///< the newest ones
   uint64_t placements_dropped_ = 0;               ///< older ones than those
+  bool settled_ = false;  ///< every back end that lives has had time to be heard since the start
   uint64_t last_number_ = 0;
   fleet::PeerNews untold_;
   std::set<std::string> untold_engines_;  ///< whose notes are to be told
--- a/src/control/fleet_peers.cc
+++ b/src/control/fleet_peers.cc
@@ -14,9 +14,6 @@
 constexpr Duration kFirstQuestionInterval = 20ms;
 /// A confirmation of this age is fresh.
 constexpr Duration kFreshConfirmation = 500ms;
-/// A member takes no more news while so many bytes wait for it: it will ask for the whole when it reads
-/// again.
-constexpr size_t kMaxUnsentNews = 1U << 20U;
 
 }  // namespace
 
@@ -32,19 +29,42 @@
   next_exchange_ = now + kExchangeInterval;
   send_to_members(wire::make_frame(news));
   for (const std::string& address : knowledge_.take_whole_requests()) {
-    if (const ChannelPtr channel = bulk_channel_to(address)) {
-      channel->send(knowledge_.whole_for_peer(term, leads, named_, now));
-    }
+    peer_feeds_.on_request(address, now);
   }
+  send_wholes(term, leads);
 }
 
-void FleetServer::send_to_members(const wire::Frame& frame) {
+std::vector<std::string> FleetServer::other_members() const {
+  std::vector<std::string> addresses;
   for (const consensus::Member& member : core_->replica().members().members) {
-    if (member.id == identity_.id) {
+    if (member.id != identity_.id) {
+      addresses.push_back(member.address);
+    }
+  }
+  return addresses;
+}
+
+void FleetServer::send_wholes(uint64_t term, bool leads) {
+  const TimePoint now = loop_.now();
+  wire::Frame whole;  // the same for all who are owed it
+  for (const std::string& address : other_members()) {
+    const ChannelPtr channel = bulk_channel_to(address);
+    if (channel == nullptr || !peer_feeds_.whole_due(address, channel->unsent_bytes(), now)) {
       continue;
     }
-    const ChannelPtr channel = bulk_channel_to(member.address);
-    if (channel != nullptr && channel->unsent_bytes() < kMaxUnsentNews) {
+    if (whole.empty()) {
+      whole = wire::make_frame(knowledge_.whole_for_peer(term, leads, named_, now));
+    }
+    channel->send_frame(whole);
+    peer_feeds_.on_whole_sent(address, whole.bytes.size(), now);
+    log_.event(events::WholeSent{address, whole.bytes.size()});
+  }
+}
+
+void FleetServer::send_to_members(const wire::Frame& frame) {
+  for (const std::string& address : other_members()) {
+    const ChannelPtr channel = bulk_channel_to(address);
+    if (channel != nullptr && peer_feeds_.takes_news(address, channel->unsent_bytes())) {
       channel->send_frame(frame);
     }
   }
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -21,6 +21,7 @@
 #include "src/control/engine_orders.h"
 #include "src/control/fleet_knowledge.h"
 #include "src/control/leader_confirmation.h"
+#include "src/control/peer_feeds.h"
 #include "src/control/router_link.h"
 #include "src/control/weight_rollout.h"
 #include "src/http/event_loop.h"
@@ -134,7 +135,9 @@
 
   // fleet_peers.cc: what members tell one another besides the log
   void exchange_with_peers();
+  std::vector<std::string> other_members() const;
   void send_to_members(const wire::Frame& frame);
+  void send_wholes(uint64_t term, bool leads);
   /// Counts what goes to another member as sent to its zone.
   void measure_peer(const std::string& address, const std::string& zone);
   void log_traffic();
@@ -174,6 +177,7 @@
   bool stopping_ = false;
 
   FleetKnowledge knowledge_;
+  PeerFeeds peer_feeds_;
   std::map<std::string, RouterLink> routers_;                   ///< by name
   size_t ready_count_ = 0;                                      ///< routers that are ready, as last counted
   uint64_t noted_backends_ = 0;                                 ///< revision of the registry as last logged
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -110,6 +110,14 @@
   std::vector<LogField> fields() const { return {{"distance", distance}, {"bytes", bytes}}; }
 };
 
+/// Another member lacked news, and was sent all that this member is the source of.
+struct WholeSent {
+  static constexpr const char* kSentence = "whole sent";
+  std::string member;
+  size_t bytes = 0;
+  std::vector<LogField> fields() const { return {{"member", member}, {"bytes", bytes}}; }
+};
+
 /// A router tells its state for the first time, is ready or not any more, or is no longer heard.
 struct RouterChanged {
   static constexpr const char* kSentence = "router changed";
--- a/src/fleet/backend_registry.cc
+++ b/src/fleet/backend_registry.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "src/common/hash.h"
+
 namespace stoat::fleet {
 
 namespace {
@@ -15,6 +17,8 @@
 
 }  // namespace
 
+uint64_t mark_key(const std::string& id) { return hash_bytes(id); }
+
 bool BackendRegistry::on_heartbeat(const BackendRecord& record, TimePoint now) {
   const auto known = seen_.find(record.id);
   if (known != seen_.end() && record.sequence <= known->second.record.sequence) {
@@ -45,10 +49,21 @@
     take_address(record, now);
   }
   seen_[record.id] = Seen{updated, now, {}};
+  ids_[mark_key(record.id)] = record.id;
   publish(updated);
   return true;
 }
 
+MarkResult BackendRegistry::on_mark(uint64_t key, uint64_t sequence, TimePoint now) {
+  const BackendRecord* known = find_by_key(key);
+  if (known == nullptr) {
+    return MarkResult::kUnknown;
+  }
+  BackendRecord record = *known;
+  record.sequence = sequence;
+  return on_heartbeat(record, now) ? MarkResult::kTaken : MarkResult::kLate;
+}
+
 void BackendRegistry::take_address(const BackendRecord& record, TimePoint now) {
   superseded_.erase(record.id);
   for (auto position = seen_.begin(); position != seen_.end();) {
@@ -63,6 +78,7 @@
       superseded_[holder.id] = Superseded{holder.sequence, record.id, now};
     }
     table_.erase(holder.id);
+    ids_.erase(mark_key(holder.id));
     position = seen_.erase(position);
   }
 }
@@ -115,6 +131,7 @@
     Seen& seen = position->second;
     if (now - seen.at > options_.forget_after) {
       table_.erase(position->first);
+      ids_.erase(mark_key(position->first));
       position = seen_.erase(position);
       continue;
     }
@@ -163,6 +180,11 @@
   return known != seen_.end() && known->second.at >= since;
 }
 
+const BackendRecord* BackendRegistry::find_by_key(uint64_t key) const {
+  const auto id = ids_.find(key);
+  return id == ids_.end() ? nullptr : find(id->second);
+}
+
 const BackendRecord* BackendRegistry::find(const std::string& id) const {
   const auto known = seen_.find(id);
   return known == seen_.end() ? nullptr : &known->second.record;
--- a/src/fleet/backend_registry.h
+++ b/src/fleet/backend_registry.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "src/common/time.h"
@@ -21,6 +22,16 @@
   Duration forget_after = 30s;  ///< silence after which it is forgotten
 };
 
+/// What became of a mark that a back end lives.
+enum class MarkResult : uint8_t {
+  kTaken,
+  kLate,     ///< a later heartbeat is known
+  kUnknown,  ///< no such back end is known: the mark alone does not tell what it is
+};
+
+/// The key under which marks name a back end.
+uint64_t mark_key(const std::string& id);
+
 /// See the head of this file.
 class BackendRegistry {
  public:
@@ -28,6 +39,8 @@
 
   /// Takes a heartbeat. Returns true when it is newer than what was known.
   bool on_heartbeat(const BackendRecord& record, TimePoint now);
+  /// Takes a heartbeat that tells nothing new but its sequence.
+  MarkResult on_mark(uint64_t key, uint64_t sequence, TimePoint now);
   /// Applies a replicated retirement.
   void retire(const std::string& id, BackendState state);
   /// Marks back ends whose new weights are being loaded, or no longer are.
@@ -42,6 +55,7 @@
   /// All that is known, by id.
   std::vector<BackendRecord> records() const;
   const BackendRecord* find(const std::string& id) const;
+  const BackendRecord* find_by_key(uint64_t key) const;
   /// True when a heartbeat of it came no longer ago than `since`.
   bool heard_since(const std::string& id, TimePoint since) const;
   /// The same with the order of the changes. Sequences are left out: they change with every heartbeat.
@@ -69,6 +83,7 @@
 
   RegistryOptions options_;
   std::map<std::string, Seen> seen_;
+  std::unordered_map<uint64_t, std::string> ids_;  ///< of those in `seen_`, by mark_key()
   std::map<std::string, Superseded> superseded_;
   std::map<std::string, BackendState> retired_;
   RevisionTable<std::string, BackendRecord> table_;
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -131,7 +131,7 @@
 /// feed begins with all that is known, in pieces.
 struct FleetNews {
   bool anew = false;      ///< the feed begins: what was told before counts no more
-  bool complete = false;  ///< all that the sender knows has been told
+  bool complete = false;  ///< all has been told; a sender that has just started does not know all yet
   std::vector<BackendRecord> backends;
   std::vector<std::string> gone;   ///< back ends that are forgotten
   std::vector<BackendLoad> loads;  ///< of all routers together, of the back ends where it changed
@@ -159,6 +159,20 @@
   MSGPACK_DEFINE_ARRAY(router, backend)
 };
 
+/// A heartbeat that tells nothing new of its back end but that it lives.
+struct HeartbeatMark {
+  uint64_t backend = 0;  ///< mark_key() of its id
+  uint64_t sequence = 0;
+  MSGPACK_DEFINE_ARRAY(backend, sequence)
+};
+
+/// Asks a member for the records of back ends of which it told marks only.
+struct RecordQuestion {
+  std::string member;              ///< internal address of the one that is asked
+  std::vector<uint64_t> backends;  ///< mark_key() of their ids
+  MSGPACK_DEFINE_ARRAY(member, backends)
+};
+
 /// What the leader knows of an engine from its own orders.
 struct EngineNote {
   std::string id;
@@ -190,13 +204,15 @@
   std::vector<TenantSpending> spending = {};  ///< of the sender's routers since its start, where it changed
   std::vector<WindowSpending> windows = {};   ///< with the whole: of all routers, as far as the sender knows
   int64_t quotas_age_ms = 0;                  ///< with the whole: for how long the sender has counted
+  std::vector<HeartbeatMark> marks = {};
+  std::vector<RecordQuestion> questions = {};
   MSGPACK_DEFINE_ARRAY(sender, zone, term, leads, number, anew, incomplete, heartbeats, routers, loads,
                        caches, placements, shared_parts, unreachable, engines, weights, start_id, spending,
-                       windows, quotas_age_ms)
+                       windows, quotas_age_ms, marks, questions)
   bool empty() const {
     return !anew && incomplete.empty() && heartbeats.empty() && routers.empty() && loads.empty() &&
            caches.empty() && placements.empty() && shared_parts.empty() && unreachable.empty() &&
-           engines.empty() && spending.empty();
+           engines.empty() && spending.empty() && marks.empty() && questions.empty();
   }
 };
 
--- a/src/wire/traffic.cc
+++ b/src/wire/traffic.cc
@@ -34,6 +34,7 @@
     return;
   }
   bytes[Purpose::kBackends] = size_of(news.heartbeats) + size_of(news.engines) + size_of(news.unreachable);
+  bytes[Purpose::kHeartbeats] = size_of(news.marks) + size_of(news.questions);
   bytes[Purpose::kRouters] = size_of(news.routers);
   bytes[Purpose::kLoads] = size_of(news.loads);
   bytes[Purpose::kCaches] = size_of(news.caches) + size_of(news.shared_parts);
--- a/tests/unit/cache_watch_test.cc
+++ b/tests/unit/cache_watch_test.cc
@@ -73,6 +73,53 @@
   EXPECT_TRUE(watch_.take_changes().empty());
 }
 
+TEST_F(CacheWatchTest, TellsOfOnePartTheLastChangeOnly) {
+  tell(7, 3, {});
+  watch_.take_changes();
+  tell(7, 9, {{kPart, 2, 100}, {kOther, 2, 50}, {kPart, 2, 0}, {kPart, 3, 70}, {kOther, 2, 0}});
+  const auto news = watch_.take_changes();
+  ASSERT_EQ(news.size(), 1U);
+  EXPECT_EQ(news[0].holdings, (std::vector<PartHolding>{{kPart, 3, 70}, {kOther, 2, 0}}));
+}
+
+TEST_F(CacheWatchTest, ADropOfOlderWeightsDoesNotReplaceWhatNewerOnesMade) {
+  tell(7, 3, {});
+  watch_.take_changes();
+  tell(7, 9, {{kPart, 3, 100}, {kPart, 2, 0}});
+  const auto news = watch_.take_changes();
+  EXPECT_EQ(news.at(0).holdings, (std::vector<PartHolding>{{kPart, 3, 100}, {kPart, 2, 0}}));
+}
+
+TEST_F(CacheWatchTest, ACacheReadFromItsBeginningTellsNothingOfWhatItDropped) {
+  tell(7, 9, {{kPart, 2, 100}, {kOther, 2, 50}, {kOther, 2, 0}});
+  const auto news = watch_.take_changes();
+  ASSERT_TRUE(news.at(0).anew);
+  EXPECT_EQ(news[0].holdings, (std::vector<PartHolding>{{kPart, 2, 100}}));
+}
+
+TEST_F(CacheWatchTest, HundredsOfCachesAreBegunAFewAtATime) {
+  std::vector<control::FollowedCache> caches;
+  for (int i = 0; i < 200; ++i) {
+    const std::string number = std::to_string(i);
+    caches.push_back({"e" + number, "a" + number + ":1", false, 1, 0, 0});
+  }
+  watch_.follow(caches);
+  size_t polls = 0;
+  for (; caches_.questions.size() < 200; ++polls) {
+    const size_t before = caches_.questions.size();
+    watch_.poll(now_ += 30ms);
+    EXPECT_LE(caches_.questions.size() - before, 2U);
+    ASSERT_LT(polls, 150U);
+  }
+  // Those that could be read go on all together.
+  const CacheEvents events{7, 3, false, {}};
+  while (!caches_.questions.empty()) {
+    caches_.answer(&events);
+  }
+  watch_.poll(now_ += 2s);
+  EXPECT_EQ(caches_.questions.size(), 200U);
+}
+
 TEST_F(CacheWatchTest, AsksOnFromTheNextEvent) {
   tell(7, 3, {});
   tell(7, 9, {});
--- a/tests/unit/fleet_knowledge_test.cc
+++ b/tests/unit/fleet_knowledge_test.cc
@@ -280,6 +280,84 @@
   EXPECT_EQ(follower.parts["e1"][11], 0U);
 }
 
+TEST_F(FleetKnowledgeTest, MembersTellOneAnotherOfSharedPartsOnly) {
+  first_.on_heartbeat(engine("e1"), now_);
+  exchange();
+  const auto followed = first_.choose_caches({}, now_);
+  fleet::CacheChanges changes = held("e1", followed[0].claim, 11);
+  changes.holdings.push_back({12, 1, 70});
+  first_.on_cache_changes({changes});
+  exchange();
+  ASSERT_NE(second_.caches().find("e1"), nullptr);
+  EXPECT_TRUE(second_.caches().find("e1")->followed);
+  EXPECT_TRUE(second_.caches().find("e1")->parts.empty());
+  // A router of the other member sees part 11 as a part of prompts: then all are told who holds it.
+  second_.on_placements({{"e2", 1, {11}}});
+  exchange();
+  exchange();
+  Follower follower;
+  follower.update(second_);
+  EXPECT_EQ(follower.parts["e1"][11], 100U);
+  EXPECT_EQ(follower.parts["e1"].count(12), 0U);
+  fleet::CacheChanges drop = held("e1", followed[0].claim, 11);
+  drop.holdings = {{11, 1, 0}};
+  first_.on_cache_changes({drop});
+  exchange();
+  follower.update(second_);
+  EXPECT_EQ(follower.parts["e1"][11], 0U);
+}
+
+TEST_F(FleetKnowledgeTest, AHeartbeatThatTellsNothingNewIsAMark) {
+  first_.on_heartbeat(engine("e1"), now_);
+  exchange();
+  first_.on_heartbeat(engine("e1", 2), now_);
+  const PeerNews news = first_.take_peer_news(4, true);
+  EXPECT_TRUE(news.heartbeats.empty());
+  ASSERT_EQ(news.marks.size(), 1U);
+  const TimePoint later = now_ + 5s;
+  second_.on_peer_news(news, later);
+  second_.expire(later);
+  EXPECT_FALSE(second_.registry().find("e1")->lost);
+  EXPECT_EQ(second_.registry().find("e1")->sequence, 2U);
+  second_.on_peer_news(news, later + 5s);  // a late one is no sign of life
+  second_.expire(later + 5s);
+  EXPECT_TRUE(second_.registry().find("e1")->lost);
+  first_.on_heartbeat(engine("e1", 3), later + 5s);
+  second_.on_peer_news(first_.take_peer_news(4, true), later + 5s);
+  EXPECT_FALSE(second_.registry().find("e1")->lost);  // heard again
+}
+
+TEST_F(FleetKnowledgeTest, ABackEndOfWhichOnlyMarksCameIsAskedFor) {
+  first_.on_heartbeat(engine("e1"), now_);
+  first_.on_heartbeat(engine("e2"), now_);
+  exchange();
+  // The second one forgets both, after half a minute without a word of them.
+  now_ += 31s;
+  second_.expire(now_);
+  ASSERT_EQ(second_.registry().find("e1"), nullptr);
+  exchange();
+  exchange();
+  first_.on_heartbeat(engine("e1", 2), now_);
+  exchange();
+  exchange();
+  EXPECT_NE(second_.registry().find("e1"), nullptr);
+  EXPECT_EQ(second_.registry().find("e2"), nullptr);
+}
+
+TEST_F(FleetKnowledgeTest, AMemberThatHasJustStartedDoesNotTellRoutersToForgetWhatItHasNotHeardYet) {
+  FleetKnowledge started{{"10.0.0.3:7", "z1", {}, {}, 1, now_}};
+  started.on_heartbeat(engine("e1"), now_ + 500ms);
+  started.expire(now_ + 500ms);
+  Follower follower;
+  FleetNews news = started.next_news(follower.cursor);
+  EXPECT_TRUE(news.anew);
+  EXPECT_EQ(news.backends.size(), 1U);
+  EXPECT_FALSE(news.complete);
+  started.on_heartbeat(engine("e2"), now_ + 5s);
+  started.expire(now_ + 5s);  // all that live have been heard by now
+  EXPECT_TRUE(started.next_news(follower.cursor).complete);
+}
+
 TEST_F(FleetKnowledgeTest, WhatEventsHaveToldIsNotPassedOnAsAPlacement) {
   first_.on_heartbeat(engine("e1"), now_);
   const auto followed = first_.choose_caches({}, now_);
