Send a call that a dead leader took to the next leader

Cause: a member that got an operator's write sent it to the leader that it knew, also one that had just died, and then waited 2.5 s for an answer that could not come; callers give up after one second and try another member, with a pause that grows. During an election a write was refused at once.

Change: control::ForwardedCalls keeps a call until it ends, and sends it to each new leader (or proposes it, when this member is elected) once. During an election a call waits for up to 900 ms, which is longer than an election takes and shorter than a caller waits; when there has been no leader for longer, it is refused at once. Commands may be repeated: callers repeat them to any member anyway.

--- a/src/control/fleet_calls.cc
+++ b/src/control/fleet_calls.cc
@@ -25,7 +25,11 @@
     channel->send(reply);
   };
   if (!core_->replica().leads()) {
-    answer(false);  // never passed on twice: the caller's member asks again
+    // Never passed on twice: the member that asks sends it to the next leader.
+    wire::ControlAnswer reply;
+    reply.call_id = call_id;
+    reply.status = wire::CallStatus::kNotLeader;
+    channel->send(reply);
     return;
   }
   commit(std::move(call.command), answer);
@@ -57,6 +61,7 @@
   }
   const Waiting waiting = std::move(found->second);
   waiting_.erase(found);
+  forwarded_.erase(token);
   if (waiting.on_done) {
     waiting.on_done(done);
   }
@@ -79,12 +84,40 @@
     driver_->drive();
     return;
   }
-  const ChannelPtr leader = leader_channel();
-  if (leader == nullptr) {
+  forward(token, wire::ControlCall{token, std::move(command)});
+}
+
+void FleetServer::forward(uint64_t token, wire::Message message) {
+  const TimePoint now = loop_.now();
+  forwarded_.on_leader(core_->leader_address(), now);
+  if (!forwarded_.add(token, std::move(message), now)) {
     finish(token, false, std::nullopt);
     return;
   }
-  leader->send(wire::ControlCall{token, std::move(command)});
+  send_forwarded();
+}
+
+void FleetServer::send_forwarded() {
+  const TimePoint now = loop_.now();
+  forwarded_.on_leader(core_->leader_address(), now);
+  for (ForwardedCalls::Call& call : forwarded_.take_due()) {
+    if (const ChannelPtr leader = leader_channel()) {
+      leader->send(call.message);
+    } else if (auto* own = std::get_if<wire::ControlCall>(&call.message.value)) {
+      if (!accepts(own->command)) {
+        finish(call.token, false, std::nullopt);
+        continue;
+      }
+      core_->call(call.token, std::move(own->command), 0, now);  // this member has come to lead
+      driver_->drive();
+    } else {
+      core_->read(call.token, now);
+      driver_->drive();
+    }
+  }
+  for (const uint64_t token : forwarded_.leaderless(now)) {
+    finish(token, false, std::nullopt);
+  }
 }
 
 void FleetServer::read_configuration(std::function<void(std::optional<std::string>)> on_read) {
@@ -96,12 +129,7 @@
     driver_->drive();
     return;
   }
-  const ChannelPtr leader = leader_channel();
-  if (leader == nullptr) {
-    finish(token, false, std::nullopt);
-    return;
-  }
-  leader->send(fleet::ConfirmedRead{token});
+  forward(token, fleet::ConfirmedRead{token});
 }
 
 void FleetServer::deliver_answers() {
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -207,7 +207,10 @@
   } else if (auto* call = std::get_if<wire::ControlCall>(&message.value)) {
     on_control_call(channel, std::move(*call));
   } else if (auto* answer = std::get_if<wire::ControlAnswer>(&message.value)) {
-    finish(answer->call_id, answer->status == wire::CallStatus::kDone, std::nullopt);
+    const bool kept = answer->status == wire::CallStatus::kNotLeader && forwarded_.holds(answer->call_id);
+    if (!kept) {
+      finish(answer->call_id, answer->status == wire::CallStatus::kDone, std::nullopt);
+    }
   } else if (auto* read = std::get_if<fleet::ConfirmedRead>(&message.value)) {
     on_confirmed_read(channel, *read);
   } else if (auto* read_answer = std::get_if<fleet::ConfirmedReadAnswer>(&message.value)) {
@@ -281,6 +284,7 @@
   }
   ask_for_confirmation();
   note_confirmation();
+  send_forwarded();
   expire_calls();
 }
 
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -20,6 +20,7 @@
 #include "src/control/durable_driver.h"
 #include "src/control/engine_orders.h"
 #include "src/control/fleet_knowledge.h"
+#include "src/control/forwarded_calls.h"
 #include "src/control/leader_confirmation.h"
 #include "src/control/peer_feeds.h"
 #include "src/control/router_link.h"
@@ -109,6 +110,9 @@
   void on_confirmed_read(const ChannelPtr& channel, const fleet::ConfirmedRead& read);
   bool accepts(const Command& command) const;
   uint64_t add_waiting(Waiting waiting);
+  /// Has the leader carry out a call, now or as soon as there is one.
+  void forward(uint64_t token, wire::Message message);
+  void send_forwarded();
   void deliver_answers();
   void finish(uint64_t token, bool done, const std::optional<std::string>& source);
   void expire_calls();
@@ -172,6 +176,7 @@
   std::map<std::string, ChannelPtr> bulk_peers_;  ///< likewise
   std::set<std::string> join_addresses_;          ///< whom else to ask to be taken in
   std::map<uint64_t, Waiting> waiting_;
+  ForwardedCalls forwarded_;
   uint64_t last_token_ = 0;
   bool delivering_ = false;
   bool stopping_ = false;
--- a/tests/unit/fleet_members_test.cc
+++ b/tests/unit/fleet_members_test.cc
@@ -59,6 +59,11 @@
       return true;
     });
   }
+  bool leads() {
+    return test::run_on(loop_, [this] {
+      return server_->metrics().to_text().find("stoat_control_leads 1") != std::string::npos;
+    });
+  }
   /// How many orders of weights this member has given.
   size_t orders() {
     return test::run_on(loop_, [this] { return orders_.orders.size(); });
@@ -136,6 +141,23 @@
   EXPECT_TRUE(eventually([&] { return members_[1]->read() == std::optional<std::string>("v1"); }));
 }
 
+TEST_F(FleetMembersTest, AWriteThatComesWhenTheLeaderHasDiedIsAcknowledgedAtTheFirstAttempt) {
+  start_all();
+  ASSERT_TRUE(commit_somewhere(1, 0));
+  ASSERT_TRUE(eventually([&] { return members_[1]->voters() == 3 && members_[2]->voters() == 3; }));
+  for (const size_t position : {0, 1, 2}) {
+    if (members_.count(position) == 0 || !members_[position]->leads()) {
+      continue;
+    }
+    members_.erase(position);
+    break;
+  }
+  ASSERT_EQ(members_.size(), 2U);
+  // The others have not noticed yet; the call waits for the one that is elected.
+  EXPECT_TRUE(members_.begin()->second->commit(put(2)));
+  EXPECT_TRUE(members_.rbegin()->second->commit(put(3)));
+}
+
 TEST_F(FleetMembersTest, AMemberThatLostItsDiskTakesItsOwnPlaceAgain) {
   start_all();
   ASSERT_TRUE(commit_somewhere(1, 0));
--- /dev/null
+++ b/tests/unit/forwarded_calls_test.cc
@@ -0,0 +1,46 @@
+/// Calls that wait for a leader, and those that a dead one took.
+#include "src/control/forwarded_calls.h"
+
+#include <gtest/gtest.h>
+
+namespace stoat {
+namespace {
+
+using control::ForwardedCalls;
+
+wire::Message read_call(uint64_t token) { return fleet::ConfirmedRead{token}; }
+
+TEST(ForwardedCalls, ACallGoesToEachLeaderOnce) {
+  ForwardedCalls calls;
+  calls.on_leader("a", 1s);
+  ASSERT_TRUE(calls.add(7, read_call(7), 1s));
+  ASSERT_EQ(calls.take_due().size(), 1U);
+  EXPECT_TRUE(calls.take_due().empty());
+  calls.on_leader("", 1200ms);  // it has died
+  EXPECT_TRUE(calls.take_due().empty());
+  calls.on_leader("b", 1600ms);
+  ASSERT_EQ(calls.take_due().size(), 1U);
+  calls.erase(7);
+  calls.on_leader("c", 2s);
+  EXPECT_TRUE(calls.take_due().empty());
+}
+
+TEST(ForwardedCalls, ACallThatComesDuringAnElectionWaits) {
+  ForwardedCalls calls;
+  calls.on_leader("a", 1s);
+  calls.on_leader("", 2s);
+  EXPECT_TRUE(calls.add(7, read_call(7), 2300ms));
+  EXPECT_TRUE(calls.leaderless(3s).empty());
+  EXPECT_EQ(calls.leaderless(3300ms), std::vector<uint64_t>{7});
+}
+
+TEST(ForwardedCalls, WithoutALeaderForLongerThanAnElectionCallsAreRefusedAtOnce) {
+  ForwardedCalls calls;
+  calls.on_leader("a", 1s);
+  calls.on_leader("", 2s);
+  EXPECT_FALSE(calls.add(7, read_call(7), 4s));
+  EXPECT_FALSE(calls.holds(7));
+}
+
+}  // namespace
+}  // namespace stoat
