--- a/src/control/fleet_peers.cc
+++ b/src/control/fleet_peers.cc
@@ -14,9 +14,6 @@
 constexpr Duration kFirstQuestionInterval = 20ms;
 /// A confirmation of this age is fresh.
 constexpr Duration kFreshConfirmation = 500ms;
-/// A member takes no more news while so many bytes wait for it: it will ask for the whole when it reads
-/// again.
-constexpr size_t kMaxUnsentNews = 1U << 20U;
 
 }  // namespace
 
@@ -32,20 +29,42 @@
   next_exchange_ = now + kExchangeInterval;
   send_to_members(wire::make_frame(news));
   for (const std::string& address : knowledge_.take_whole_requests()) {
-    if (const ChannelPtr channel = bulk_channel_to(address)) {
-      channel->send(knowledge_.whole_for_peer(term, leads, named_, now));
-    }
+    peer_feeds_.on_request(address, now);
   }
+  send_wholes(term, leads);
 }
 
-void FleetServer::send_to_members(const std::string& frame) {
+std::vector<std::string> FleetServer::other_members() const {
+  std::vector<std::string> addresses;
   for (const consensus::Member& member : core_->replica().members().members) {
-    if (member.id == identity_.id) {
+    if (member.id != identity_.id) {
+      addresses.push_back(member.address);
+    }
+  }
+  return addresses;
+}
+
+void FleetServer::send_wholes(uint64_t term, bool leads) {
+  const TimePoint now = loop_.now();
+  wire::Frame whole;  // the same for all who are owed it
+  for (const std::string& address : other_members()) {
+    const ChannelPtr channel = bulk_channel_to(address);
+    if (channel == nullptr || !peer_feeds_.whole_due(address, channel->unsent_bytes(), now)) {
       continue;
     }
-    const ChannelPtr channel = bulk_channel_to(member.address);
-    if (channel != nullptr && channel->unsent_bytes() < kMaxUnsentNews) {
-      count_sent("members", frame);
+    if (whole.empty()) {
+      whole = wire::make_frame(knowledge_.whole_for_peer(term, leads, named_, now));
+    }
+    channel->send_frame(whole);
+    peer_feeds_.on_whole_sent(address, whole.bytes.size(), now);
+    log_.event(events::WholeSent{address, whole.bytes.size()});
+  }
+}
+
+void FleetServer::send_to_members(const wire::Frame& frame) {
+  for (const std::string& address : other_members()) {
+    const ChannelPtr channel = bulk_channel_to(address);
+    if (channel != nullptr && peer_feeds_.takes_news(address, channel->unsent_bytes())) {
       channel->send_frame(frame);
     }
   }
@@ -53,6 +72,7 @@
 
 void FleetServer::on_peer_news(const fleet::PeerNews& news) {
   const TimePoint now = loop_.now();
+  measure_peer(news.sender, news.zone);
   knowledge_.on_peer_news(news, now);
   for (const fleet::NamedVersion& named : news.weights) {
     const auto known = named_.find(named.model);
@@ -62,6 +82,22 @@
   }
 }
 
+void FleetServer::measure_peer(const std::string& address, const std::string& zone) {
+  const topology::Distance distance = settings_.topology.distance(settings_.zone, zone);
+  for (const auto* channels : {&peers_, &bulk_peers_}) {
+    const auto found = channels->find(address);
+    if (found != channels->end() && found->second != nullptr) {
+      found->second->set_meter(traffic_, distance);
+    }
+  }
+}
+
+void FleetServer::log_traffic() {
+  for (const wire::TrafficMeter::Line& line : traffic_->take_lines()) {
+    log_.event(events::BytesSent{line.distance, line.bytes});
+  }
+}
+
 void FleetServer::ask_for_confirmation() {
   const TimePoint now = loop_.now();
   if (now < next_question_ || core_->replica().leads()) {
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -18,6 +18,7 @@
 constexpr Duration kCacheInterval = 30ms;
 constexpr Duration kRolloutInterval = 20ms;
 constexpr Duration kStopGrace = 300ms;
+constexpr Duration kTrafficInterval = 10s;  ///< of lines in the log
 /// From a back end's heartbeat until the members that it did not come to have it.
 constexpr Duration kHeartbeatDelay = 200ms;
 
@@ -79,6 +80,7 @@
   loop.every(kKnowledgeInterval, [this] { keep_knowledge(); });
   loop.every(kCacheInterval, [this] { follow_caches(); });
   loop.every(kRolloutInterval, [this] { roll_out_weights(); });
+  loop.every(kTrafficInterval, [this] { log_traffic(); });
   log_.info("started", {{"name", settings_.name},
                         {"internal", to_string(settings_.internal)},
                         {"identity", to_hex(identity_.id)},
@@ -153,6 +155,8 @@
       loop_, endpoint,
       [this](const ChannelPtr& from, wire::Message message) { on_message(from, std::move(message)); },
       [](const ChannelPtr&) {});
+  // Its zone is known from its first news.
+  channel->set_meter(traffic_, settings_.topology.distance(settings_.zone, knowledge_.zone_of_peer(address)));
   return channel;
 }
 
@@ -203,7 +207,10 @@
   } else if (auto* call = std::get_if<wire::ControlCall>(&message.value)) {
     on_control_call(channel, std::move(*call));
   } else if (auto* answer = std::get_if<wire::ControlAnswer>(&message.value)) {
-    finish(answer->call_id, answer->status == wire::CallStatus::kDone, std::nullopt);
+    const bool kept = answer->status == wire::CallStatus::kNotLeader && forwarded_.holds(answer->call_id);
+    if (!kept) {
+      finish(answer->call_id, answer->status == wire::CallStatus::kDone, std::nullopt);
+    }
   } else if (auto* read = std::get_if<fleet::ConfirmedRead>(&message.value)) {
     on_confirmed_read(channel, *read);
   } else if (auto* read_answer = std::get_if<fleet::ConfirmedReadAnswer>(&message.value)) {
@@ -277,6 +284,7 @@
   }
   ask_for_confirmation();
   note_confirmation();
+  send_forwarded();
   expire_calls();
 }
 
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -20,7 +20,9 @@
 #include "src/control/durable_driver.h"
 #include "src/control/engine_orders.h"
 #include "src/control/fleet_knowledge.h"
+#include "src/control/forwarded_calls.h"
 #include "src/control/leader_confirmation.h"
+#include "src/control/peer_feeds.h"
 #include "src/control/router_link.h"
 #include "src/control/weight_rollout.h"
 #include "src/http/event_loop.h"
@@ -108,6 +110,9 @@
   void on_confirmed_read(const ChannelPtr& channel, const fleet::ConfirmedRead& read);
   bool accepts(const Command& command) const;
   uint64_t add_waiting(Waiting waiting);
+  /// Has the leader carry out a call, now or as soon as there is one.
+  void forward(uint64_t token, wire::Message message);
+  void send_forwarded();
   void deliver_answers();
   void finish(uint64_t token, bool done, const std::optional<std::string>& source);
   void expire_calls();
@@ -121,7 +126,6 @@
   bool needs_configuration(const RouterLink& link, bool prompted) const;
   void answer_router(RouterLink& link);
   void push_to_routers();
-  void count_sent(const char* kind, const std::string& frame);
   void feed_routers();
   void feed_router(RouterLink& link, std::map<FeedCursor, FeedFrame>& frames);
   void notice_changes();
@@ -135,7 +139,12 @@
 
   // fleet_peers.cc: what members tell one another besides the log
   void exchange_with_peers();
-  void send_to_members(const std::string& frame);
+  std::vector<std::string> other_members() const;
+  void send_to_members(const wire::Frame& frame);
+  void send_wholes(uint64_t term, bool leads);
+  /// Counts what goes to another member as sent to its zone.
+  void measure_peer(const std::string& address, const std::string& zone);
+  void log_traffic();
   void on_peer_news(const fleet::PeerNews& news);
   void on_confirmation_question(const ChannelPtr& channel, const fleet::ConfirmationQuestion& question);
   void on_confirmation_answer(const fleet::ConfirmationAnswer& answer);
@@ -156,6 +165,7 @@
   EngineOrders& orders_;
   Logger log_{"control"};
   Metrics metrics_;
+  std::shared_ptr<wire::TrafficMeter> traffic_ = std::make_shared<wire::TrafficMeter>();
   storage::DiskFileSystem files_;
   storage::ReplicaStore store_;
   storage::DiskIdentity identity_;
@@ -166,11 +176,13 @@
   std::map<std::string, ChannelPtr> bulk_peers_;  ///< likewise
   std::set<std::string> join_addresses_;          ///< whom else to ask to be taken in
   std::map<uint64_t, Waiting> waiting_;
+  ForwardedCalls forwarded_;
   uint64_t last_token_ = 0;
   bool delivering_ = false;
   bool stopping_ = false;
 
   FleetKnowledge knowledge_;
+  PeerFeeds peer_feeds_;
   std::map<std::string, RouterLink> routers_;                   ///< by name
   size_t ready_count_ = 0;                                      ///< routers that are ready, as last counted
   uint64_t noted_backends_ = 0;                                 ///< revision of the registry as last logged
