--- a/src/consensus/replica_leader.cc
+++ b/src/consensus/replica_leader.cc
@@ -109,7 +109,10 @@
     return;
   }
   if (progress.sending_snapshot) {
-    return;
+    // A late answer to an earlier append has shown that the follower needs no snapshot.
+    progress.sending_snapshot = false;
+    progress.snapshot_offset = 0;
+    progress.inflight = 0;
   }
   if (!heartbeat && progress.inflight >= options_.max_inflight_appends) {
     return;
