Let the tests of refused heads wait until the edge closes

Cause: EdgeTest.RefusesMalformedLengths failed once in scripts/test beside builds and a linter (load of 24 on 12 cores): no answer had come within the 250 ms that the test reads for. Its five exchanges took 432 ms in all, 250 of them in the one that failed, so the edge's thread had not run yet; nothing in the edge bounds that time.

Change: expect_refused() reads until the edge has closed the connection, for up to 5 s, and now also expects that it is closed. That is stricter than before in what must happen, and leaves the time to the machine.

--- a/tests/unit/edge_test.cc
+++ b/tests/unit/edge_test.cc
@@ -68,7 +68,10 @@
   /// Expects that a head is refused with 400 and that nothing behind it is served.
   void expect_refused(const std::string& bytes) {
     const int before = handler_.requests;
-    const std::string answer = exchange(bytes + "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+    RawClient client(port_);
+    client.send(bytes + "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string answer = client.read_all();
+    EXPECT_TRUE(client.closed()) << bytes;
     EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 400") << bytes;
     EXPECT_EQ(count_of(answer, "\r\nContent-Length: "), 1U) << answer;
     EXPECT_EQ(answer.find("smuggled"), std::string::npos) << bytes;
