--- a/simulation/control_checks.cc
+++ b/simulation/control_checks.cc
@@ -5,11 +5,6 @@
 
 namespace stoat::simulation {
 
-using control::ChangeConfiguration;
-using control::ClaimKey;
-using control::CommandResult;
-using control::ResultCode;
-
 void ControlSimulation::check_leaders() {
   for (auto& member : members_) {
     if (!member->running() || !member->core().replica().leads()) {
@@ -30,16 +25,17 @@
     return;
   }
   const consensus::Replica& replica = member.core().replica();
-  if (checked_start_[position] != member.starts()) {
-    checked_start_[position] = member.starts();
-    checked_commit_[position] = 0;
+  Checked& checked = checked_[position];
+  if (checked.start != member.starts()) {
+    checked = Checked{};
+    checked.start = member.starts();
   }
   const uint64_t commit = replica.commit_index();
-  if (commit <= checked_commit_[position]) {
+  if (commit <= checked.commit) {
     return;
   }
   for (const consensus::Entry& entry :
-       replica.entries_after(std::max(checked_commit_[position], replica.snapshot_index()))) {
+       replica.entries_after(std::max(checked.commit, replica.snapshot_index()))) {
     if (entry.index > commit) {
       break;
     }
@@ -50,35 +46,58 @@
       violate("committed entry " + std::to_string(entry.index) + " differs on " + member.name());
     }
   }
-  checked_commit_[position] = commit;
+  checked.commit = commit;
 }
 
-void ControlSimulation::note_change_result(const ChangeConfiguration& change, const CommandResult& result) {
-  const auto [first, fresh] = first_answers_.emplace(change.operator_request_id, result);
-  if (!fresh && (first->second.code != result.code || first->second.version != result.version)) {
-    violate("a resend of " + change.operator_request_id + " got another answer than the first");
-  }
-  if (result.code != ResultCode::kOk) {
+void ControlSimulation::check_applied(size_t position) {
+  SimulatedMember& member = *members_[position];
+  if (!member.running()) {
     return;
   }
-  const auto [winner, only] = accepted_by_base_.emplace(change.base_version, change.operator_request_id);
-  if (winner->second != change.operator_request_id) {
-    violate("two changes won on base version " + std::to_string(change.base_version));
+  const fleet::FleetState& state = member.core().state().fleet();
+  Checked& checked = checked_[position];
+  const uint64_t version = state.configuration().version;
+  const auto weights = state.weights().find(kModel);
+  const uint64_t weights_version = weights == state.weights().end() ? 0 : weights->second;
+  if (version < checked.configuration || weights_version < checked.weights) {
+    violate(member.name() + " went back from configuration " + std::to_string(checked.configuration) +
+            " or weights " + std::to_string(checked.weights));
   }
-  if (only) {
-    ++result_.changes_accepted;
+  checked.configuration = version;
+  checked.weights = weights_version;
+  const auto [known, fresh] = source_of_version_.emplace(version, state.source());
+  if (!fresh && known->second != state.source()) {
+    violate("two contents under version " + std::to_string(version));
   }
-  acknowledged_version_ = std::max(acknowledged_version_, result.version);
 }
 
-void ControlSimulation::note_claim_result(const ClaimKey& claim, const CommandResult& result) {
-  if (result.code != ResultCode::kOk) {
-    return;
+void ControlSimulation::check_read(const Acknowledged& least, const fleet::FleetState& state) {
+  const uint64_t version = state.configuration().version;
+  if (version < least.configuration) {
+    violate("a confirmed read gave configuration " + std::to_string(version) + " after " +
+            std::to_string(least.configuration) + " was acknowledged");
   }
-  const auto [holder, fresh] = grant_of_key_.emplace(claim.key, claim.claim_id);
-  result_.claims_granted += fresh ? 1 : 0;
-  if (holder->second != claim.claim_id) {
-    violate("key " + claim.key + " was granted twice");
+  const auto weights = state.weights().find(kModel);
+  if (least.weights > 0 && (weights == state.weights().end() || weights->second < least.weights)) {
+    violate("a confirmed read lacks weights " + std::to_string(least.weights) + ", which were acknowledged");
+  }
+  for (const auto& [id, retired] : least.retired) {
+    if (state.retired_state(id) < retired) {
+      violate("a confirmed read lacks the acknowledged retirement of " + id);
+    }
+  }
+}
+
+void ControlSimulation::note_acknowledged(const control::Command& command) {
+  if (const auto* put = std::get_if<fleet::PutConfiguration>(&command.value)) {
+    result_.configurations_accepted += put->configuration.version > acknowledged_.configuration ? 1 : 0;
+    acknowledged_.configuration = std::max(acknowledged_.configuration, put->configuration.version);
+  } else if (const auto* named = std::get_if<fleet::NameWeights>(&command.value)) {
+    acknowledged_.weights = std::max(acknowledged_.weights, named->version);
+  } else if (const auto* retired = std::get_if<fleet::RetireBackend>(&command.value)) {
+    fleet::BackendState& state = acknowledged_.retired[retired->id];
+    result_.retirements_accepted += state < retired->state ? 1 : 0;
+    state = std::max(state, retired->state);
   }
 }
 
--- a/simulation/control_faults.cc
+++ b/simulation/control_faults.cc
@@ -1,29 +1,33 @@
 // ControlSimulation: load and faults drawn from the seed, and the whole run.
 #include "simulation/control_simulation.h"
-#include "src/common/hash.h"
 
 namespace stoat::simulation {
 
 namespace {
 
 constexpr Duration kHealLimit = 15s;
-constexpr char kTenant[] = "tenant";
+constexpr uint64_t kBackends = 300;
 
 }  // namespace
 
-using control::ChangeConfiguration;
-using control::ClaimKey;
-using control::CommandResult;
-using control::ResultCode;
-
-void ControlSimulation::operator_change(uint64_t base_version) {
-  ChangeConfiguration change;
-  change.operator_request_id = "request-" + std::to_string(++last_operator_request_);
-  change.operator_name = "operator-" + std::to_string(random_.below(3));
-  change.base_version = base_version;
-  change.items.emplace_back(control::Tenant{"tenant-" + std::to_string(last_operator_request_), "", {}});
-  sent_changes_.push_back(change);
-  start_call(change, [this, change](const CommandResult& result) { note_change_result(change, result); });
+void ControlSimulation::put_configuration(uint64_t version) {
+  const std::string source = "document-" + std::to_string(++last_document_);
+  fleet::PutConfiguration put = make_configuration(version, source);
+  sent_configurations_.push_back(put);
+  start_call(put, nullptr);
+}
+
+void ControlSimulation::resend_configuration() {
+  if (!sent_configurations_.empty()) {
+    start_call(sent_configurations_[random_.below(sent_configurations_.size())], nullptr);
+  }
+}
+
+void ControlSimulation::retire_backend() {
+  fleet::RetireBackend retire;
+  retire.id = "backend-" + std::to_string(random_.below(kBackends));
+  retire.state = random_.chance(0.5) ? fleet::BackendState::kDraining : fleet::BackendState::kGone;
+  start_call(retire, nullptr);
 }
 
 void ControlSimulation::start_read() {
@@ -31,28 +35,25 @@
   const size_t target = leader_now >= 0 && random_.chance(0.7) ? static_cast<size_t>(leader_now)
                                                                : random_.below(members_.size());
   const uint64_t token = ++last_token_;
-  reads_[token] = Read{std::max(acknowledged_version_, read_version_), target};
+  reads_[token] = acknowledged_;
   members_[target]->run([token](control::ControlCore& core, TimePoint now) { core.read(token, now); });
 }
 
 void ControlSimulation::add_client_load() {
   if (random_.chance(0.05)) {
-    operator_change(acknowledged_version_);
+    put_configuration(acknowledged_.configuration + 1);
     if (random_.chance(0.5)) {
-      operator_change(acknowledged_version_);  // another operator races under the same version
+      put_configuration(acknowledged_.configuration + 1);  // another operator races for the same version
     }
   }
-  if (!sent_changes_.empty() && random_.chance(0.02)) {
-    const ChangeConfiguration change = sent_changes_[random_.below(sent_changes_.size())];
-    start_call(change, [this, change](const CommandResult& result) { note_change_result(change, result); });
+  if (random_.chance(0.02)) {
+    resend_configuration();
+  }
+  if (random_.chance(0.02)) {
+    start_call(fleet::NameWeights{kModel, acknowledged_.weights + 1}, nullptr);
   }
   if (random_.chance(0.1)) {
-    ClaimKey claim;
-    claim.tenant = kTenant;
-    claim.key = "key-" + std::to_string(random_.below(300));
-    claim.digest = hash_bytes(claim.key);
-    claim.claim_id = random_.bits() | 1U;
-    start_call(claim, [this, claim](const CommandResult& result) { note_claim_result(claim, result); });
+    retire_backend();
   }
   if (random_.chance(0.05)) {
     start_read();
@@ -122,6 +123,13 @@
   }
 }
 
+void ControlSimulation::note_replaced() {
+  if (wiped_member_ >= 0 && replaced(static_cast<size_t>(wiped_member_))) {
+    wiped_member_ = -1;
+    ++result_.members_replaced;
+  }
+}
+
 void ControlSimulation::heal_everything() {
   heal_network();
   network_.faults = NetworkFaults();
@@ -136,6 +144,27 @@
   }
 }
 
+void ControlSimulation::check_works_again() {
+  if (wiped_member_ >= 0 && !wait_replaced(static_cast<size_t>(wiped_member_), kHealLimit)) {
+    violate("the wiped member could not be replaced after all faults were healed");
+  }
+  const uint64_t version = acknowledged_.configuration + 1000;  // above all that is still on its way
+  if (violations_.empty() && !put(version, "final", kHealLimit)) {
+    violate("no configuration was accepted after all faults were healed");
+  }
+  const auto everywhere = [&] {
+    for (size_t position = 0; position < members_.size(); ++position) {
+      if (!members_[position]->running() || state_of(position).configuration().version < version) {
+        return false;
+      }
+    }
+    return true;
+  };
+  if (violations_.empty() && !run_until(everywhere, kHealLimit)) {
+    violate("the last configuration did not reach every member after all faults were healed");
+  }
+}
+
 SimulationResult ControlSimulation::run() {
   const TimePoint end = events_.now() + options_.duration;
   TimePoint next_fault = events_.now() + Duration(1000000);
@@ -148,41 +177,11 @@
       add_random_fault();
     }
     step();
-    if (wiped_member_ >= 0 && random_.chance(0.01)) {
-      const auto wiped = static_cast<size_t>(wiped_member_);
-      if (members_[wiped]->running() && replace(wiped, Duration(2000000))) {
-        wiped_member_ = -1;
-      }
-    }
+    note_replaced();
   }
   heal_everything();
-  if (wiped_member_ >= 0 && violations_.empty() && !replace(static_cast<size_t>(wiped_member_), kHealLimit)) {
-    violate("the wiped member could not be replaced after all faults were healed");
-  }
-  CommandResult result;
-  bool accepted = false;
-  const TimePoint heal_end = events_.now() + kHealLimit;
-  for (int number = 0; !accepted && violations_.empty() && events_.now() < heal_end; ++number) {
-    if (change("final-" + std::to_string(number), acknowledged_version_, result) &&
-        result.code != ResultCode::kOk) {
-      acknowledged_version_ = std::max(acknowledged_version_, result.version);
-    }
-    accepted = result.code == ResultCode::kOk && result.version > 0;
-  }
-  if (!accepted && violations_.empty()) {
-    violate("no change was accepted after all faults were healed");
-  }
-  const uint64_t final_version = result.version;
-  const auto everywhere = [&] {
-    for (Node& node : nodes_) {
-      if (node.follower.configuration().version < final_version) {
-        return false;
-      }
-    }
-    return true;
-  };
-  if (violations_.empty() && !run_until(everywhere, kHealLimit)) {
-    violate("the last change did not reach every node after all faults were healed");
+  if (violations_.empty()) {
+    check_works_again();
   }
   result_.violations = violations_;
   return result_;
--- a/simulation/control_simulation.h
+++ b/simulation/control_simulation.h
@@ -1,5 +1,5 @@
-/// The control members in a deterministic simulation: operators who race and resend, routers that claim keys,
-/// nodes that follow the configuration, faults drawn from a seed, and checks after every step.
+/// The control members in a deterministic simulation: operators who race and resend, back ends that sign off,
+/// confirmed reads, faults drawn from a seed, and checks after every step.
 #pragma once
 
 #include <map>
@@ -9,7 +9,6 @@
 
 #include "simulation/simulated_member.h"
 #include "simulation/simulated_network.h"
-#include "src/control/configuration_follower.h"
 
 namespace stoat::simulation {
 
@@ -27,12 +26,27 @@
 /// What a run found.
 struct SimulationResult {
   std::vector<std::string> violations;  ///< empty: all checks held
-  uint64_t changes_accepted = 0;
-  uint64_t claims_granted = 0;
+  uint64_t configurations_accepted = 0;
+  uint64_t retirements_accepted = 0;
+  uint64_t reads_confirmed = 0;
+  uint64_t members_replaced = 0;
   uint64_t leaders_seen = 0;
   uint64_t faults = 0;
 };
 
+/// The one model whose weights are named.
+inline constexpr char kModel[] = "model";
+
+/// A configuration that holds nothing but its version, with the operator's document.
+fleet::PutConfiguration make_configuration(uint64_t version, const std::string& source);
+
+/// What was acknowledged to operators and back ends, and must never be forgotten.
+struct Acknowledged {
+  uint64_t configuration = 0;  ///< version
+  uint64_t weights = 0;        ///< version of the one model
+  std::map<std::string, fleet::BackendState> retired;
+};
+
 /// See the head of this file. run() does all; the other calls serve scenarios that place faults by hand.
 class ControlSimulation {
  public:
@@ -46,6 +60,8 @@
 
   SimulatedMember& member(size_t position) { return *members_.at(position); }
   size_t member_count() const { return members_.size(); }
+  /// The replicated state that a member has applied.
+  const fleet::FleetState& state_of(size_t position) { return member(position).core().state().fleet(); }
   /// The position of the leader with the highest term; -1 when none.
   int leader() const;
   void cut_off(size_t position);
@@ -53,63 +69,56 @@
   void heal_network() { network_.heal_all(); }
   SimulatedNetwork& network() { return network_; }
 
-  /// Proposes an operator's change through the leader; false when no answer came within the limit.
-  bool change(const std::string& request_id, uint64_t base_version, control::CommandResult& result,
-              Duration limit = Duration(10s));
-  /// Asks for a claim through the leader.
-  bool claim(const std::string& key, uint64_t claim_id, control::CommandResult& result,
-             Duration limit = Duration(10s));
-  /// Proposes any command through the leader.
-  bool call(const control::Command& command, control::CommandResult& result, Duration limit);
-  /// Version of the last change that was acknowledged.
-  uint64_t acknowledged_version() const { return acknowledged_version_; }
-  /// Replaces the voter of a wiped member, as an operator does; true once the newcomer votes.
-  bool replace(size_t position, Duration limit = Duration(20s));
-  /// A node's copy of the configuration.
-  control::ConfigurationFollower& node(size_t position) { return nodes_.at(position).follower; }
+  /// Puts a configuration in force through the leader, with `source` as the operator's document; false when
+  /// it was not acknowledged within the limit.
+  bool put(uint64_t version, const std::string& source, Duration limit = Duration(10s));
+  /// Proposes any command through the leader; false when it was not acknowledged within the limit.
+  bool call(const control::Command& command, Duration limit);
+  const Acknowledged& acknowledged() const { return acknowledged_; }
+  /// Waits until a member whose disk was wiped votes under its new identity, and the former one is gone.
+  bool wait_replaced(size_t position, Duration limit = Duration(20s));
   const std::vector<std::string>& violations() const { return violations_; }
   EventQueue& events() { return events_; }
 
  private:
   struct Call {
     control::Command command;
-    std::function<void(const control::CommandResult&)> on_result;
+    std::function<void()> on_done;
     TimePoint next_try{0};
     TimePoint give_up_at{0};
     size_t target = 0;
   };
-  struct Node {
-    std::string name;
-    control::ConfigurationFollower follower;
-    size_t member = 0;
-    TimePoint next_poll{0};
-    uint64_t highest_version = 0;
-  };
-  struct Read {
-    uint64_t least_version = 0;
-    size_t member = 0;
+  /// What was checked of one start of a member.
+  struct Checked {
+    uint64_t start = 0;
+    uint64_t commit = 0;
+    uint64_t configuration = 0;  ///< version applied
+    uint64_t weights = 0;
   };
 
   void step();
   void send(size_t from, const consensus::Message& message);
   void on_answer(size_t from, const control::CallAnswer& answer);
-  void start_call(const control::Command& command,
-                  std::function<void(const control::CommandResult&)> on_result);
+  void start_call(const control::Command& command, std::function<void()> on_done);
   void drive_calls();
   void send_call(uint64_t token, Call& call);
-  void drive_nodes();
   void announce_joins();
+  bool replaced(size_t position);
   void add_client_load();
-  void operator_change(uint64_t base_version);
+  void put_configuration(uint64_t version);
+  void resend_configuration();
+  void retire_backend();
   void start_read();
   void add_random_fault();
   void random_wipe();
+  void note_replaced();
   void heal_everything();
+  void check_works_again();
   void check_leaders();
   void check_committed(size_t position);
-  void check_node(Node& node);
-  void note_change_result(const control::ChangeConfiguration& change, const control::CommandResult& result);
-  void note_claim_result(const control::ClaimKey& claim, const control::CommandResult& result);
+  void check_applied(size_t position);
+  void check_read(const Acknowledged& least, const fleet::FleetState& state);
+  void note_acknowledged(const control::Command& command);
   void violate(const std::string& what);
 
   ControlSimulationOptions options_;
@@ -117,24 +126,18 @@
   EventQueue events_;
   SimulatedNetwork network_;
   std::vector<std::unique_ptr<SimulatedMember>> members_;
-  std::vector<Node> nodes_;
   std::map<uint64_t, Call> calls_;
-  std::map<uint64_t, Read> reads_;
+  std::map<uint64_t, Acknowledged> reads_;  ///< what each must show, by token
   uint64_t last_token_ = 0;
-  uint64_t last_operator_request_ = 0;
-  std::vector<control::ChangeConfiguration> sent_changes_;  ///< for resends
+  uint64_t last_document_ = 0;
+  std::vector<fleet::PutConfiguration> sent_configurations_;  ///< for resends
 
   // What the checks remember.
   std::map<uint64_t, consensus::MemberId> leader_of_term_;
   std::map<uint64_t, uint64_t> committed_hash_;  ///< log index to a hash of its entry
-  std::vector<uint64_t> checked_commit_;
-  std::vector<uint64_t> checked_start_;
-  std::map<uint64_t, std::string> accepted_by_base_;
-  std::map<std::string, control::CommandResult> first_answers_;
-  std::map<std::string, uint64_t> grant_of_key_;
-  std::map<uint64_t, uint64_t> configuration_hash_;
-  uint64_t acknowledged_version_ = 0;
-  uint64_t read_version_ = 0;
+  std::vector<Checked> checked_;
+  std::map<uint64_t, std::string> source_of_version_;
+  Acknowledged acknowledged_;
   std::vector<std::string> violations_;
   SimulationResult result_;
   int wiped_member_ = -1;  ///< being replaced
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -1,10 +1,9 @@
 /// One control member without its I/O: the replicated log with the state machine on it, the calls that wait
-/// for their commands, and the fleet's nodes as soft state.
+/// for their commands, and the members that ask to be taken in.
 #pragma once
 
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 #include "src/consensus/replica.h"
@@ -18,11 +17,8 @@
 struct ControlOptions {
   consensus::ReplicaOptions replica;
   uint64_t entries_per_snapshot = 20000;
-  Duration node_lease = 5s;            ///< a node that has not polled for so long is gone
-  Duration claim_retention = 7200s;    ///< by the wall clock of the members
-  uint64_t learner_lag_entries = 200;  ///< a learner that lags no more than this is made a voter
-  /// 0: operators replace voters. Else the leader keeps so many voters by itself; see member_planner.h.
-  size_t target_voters = 0;
+  uint64_t learner_lag_entries = 200;  ///< a learner that lags no more than this may be made a voter
+  size_t target_voters = 3;            ///< the leader keeps so many voters; see member_planner.h
   PlannerOptions planner;
 };
 
@@ -49,16 +45,15 @@
   void on_peer(const consensus::Message& message, TimePoint now);
   void tick(TimePoint now);
   /// Proposes a command; its answer comes through take_answers() under `token`.
-  void call(uint64_t token, Command command, int64_t wall_ms, TimePoint now);
+  void call(uint64_t token, const Command& command, TimePoint now);
   /// Asks for a confirmed read; answered like a call, with an empty result, once this member's state is
   /// current.
   void read(uint64_t token, TimePoint now);
-  wire::NodePollAnswer on_poll(const wire::NodePoll& poll, TimePoint now);
+  /// True when this member is to ask the others to be taken in: it is in no list, or hears no leader. The
+  /// list that it has may be one that was never committed, and the others then know nothing of it.
+  bool wants_to_join() const;
   /// A member that is not in the list asks to be taken in.
   void on_join(const wire::JoinRequest& request, TimePoint now);
-  /// An operator replaces the voter of a name by the blank member that asked to join under that name.
-  consensus::ProposeError replace_member(const std::string& name, TimePoint now);
-  void set_leaving(std::vector<std::string> backends) { leaving_ = std::move(backends); }
 
   consensus::Output take_output() { return replica_.take_output(); }
   void on_persisted(const consensus::Output& output, TimePoint now);
@@ -74,26 +69,15 @@
   consensus::Replica& replica() { return replica_; }
   uint64_t applied_index() const { return applied_; }
   std::string leader_address() const;
-  /// Nodes whose lease runs, with the version each has in force.
-  std::vector<wire::Node> live_nodes(TimePoint now) const;
-  /// Members that asked to join and are not in yet.
-  std::vector<consensus::Member> joining() const;
-  int64_t quorum_age_ms(TimePoint now) const;
 
  private:
   struct WaitingCall {
     uint64_t token = 0;
     uint64_t term = 0;
   };
-  struct SeenNode {
-    wire::Node node;
-    TimePoint seen_at{0};
-  };
   void apply(const consensus::Entry& entry);
   void fail_waiting(wire::CallStatus status);
-  void promote_learners(TimePoint now);
   void keep_members(TimePoint now);
-  void expire_claims(int64_t wall_ms, TimePoint now);
 
   ControlOptions options_;
   consensus::Replica replica_;
@@ -104,12 +88,8 @@
   std::map<uint64_t, uint64_t> waiting_reads_;  ///< read id to token
   uint64_t last_read_id_ = 0;
   std::vector<CallAnswer> answers_;
-  std::map<std::string, SeenNode> nodes_;
   std::map<std::string, consensus::Member> joining_;
   std::map<std::string, TimePoint> joining_heard_;  ///< by name
-  std::vector<std::string> leaving_;
-  TimePoint led_since_{0};
-  TimePoint next_expiry_{0};
 };
 
 }  // namespace stoat::control
--- a/src/control/fleet_admin_api.cc
+++ b/src/control/fleet_admin_api.cc
@@ -23,6 +23,25 @@
   return [exchange](bool done) { reply_status(exchange, done); };
 }
 
+const char* state_of(const fleet::BackendRecord& backend) {
+  if (backend.state != fleet::BackendState::kReady) {
+    return "retired";
+  }
+  if (backend.lost) {
+    return "lost";
+  }
+  return backend.loading ? "loading" : "ready";
+}
+
+nlohmann::json backend_status(const fleet::BackendRecord& backend) {
+  std::string models;
+  for (const fleet::ModelVersion& entry : backend.models) {
+    models += (models.empty() ? "" : " ") + entry.model + "@" + std::to_string(entry.version);
+  }
+  return {{"id", backend.id},     {"service", backend.service}, {"address", backend.address},
+          {"zone", backend.zone}, {"state", state_of(backend)}, {"models", models}};
+}
+
 }  // namespace
 
 FleetAdminApi::FleetAdminApi(FleetServer& fleet, FleetInterface interface, double directory_lifetime_s)
@@ -81,10 +100,16 @@
 }
 
 void FleetAdminApi::tell_status(const http::ExchangePtr& exchange) {
-  nlohmann::json status = {{"voters", fleet_.voter_count()}, {"routers", nlohmann::json::array()}};
+  nlohmann::json status = {{"leads", fleet_.leads()},
+                           {"voters", fleet_.voter_count()},
+                           {"configuration", fleet_.configuration_version()},
+                           {"routers", nlohmann::json::array()},
+                           {"backends", nlohmann::json::array()}};
   for (const fleet::RouterRecord& router : fleet_.routers_for("", kMaxAddresses)) {
-    status["routers"].push_back(
-        {{"name", router.name}, {"address", router.address}, {"zone", router.zone}, {"ready", router.ready}});
+    status["routers"].push_back({{"name", router.name}, {"address", router.address}, {"zone", router.zone}});
+  }
+  for (const fleet::BackendRecord& backend : fleet_.knowledge().registry().records()) {
+    status["backends"].push_back(backend_status(backend));
   }
   exchange->reply(kOk, kJson, status.dump() + "\n");
 }
--- a/src/control/fleet_calls.cc
+++ b/src/control/fleet_calls.cc
@@ -75,7 +75,7 @@
       finish(token, false, std::nullopt);
       return;
     }
-    core_->call(token, std::move(command), 0, loop_.now());
+    core_->call(token, command, loop_.now());
     driver_->drive();
     return;
   }
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -63,7 +63,7 @@
       rollout_(settings_.rollout) {
   start_core(restore());
   if (core_->replica().last_index() == 0 && settings_.first_start && !settings_.seeds.empty() &&
-      settings_.seeds.front().address == settings_.internal.address) {
+      settings_.seeds.front() == settings_.internal) {
     found();
   }
   channels_ = std::make_unique<wire::ChannelServer>(
@@ -231,31 +231,22 @@
 }
 
 void FleetServer::ask_to_join() {
-  const auto& members = core_->replica().members().members;
-  const bool member = std::any_of(members.begin(), members.end(), [this](const consensus::Member& entry) {
-    return entry.id == identity_.id;
-  });
-  const bool led = core_->replica().leader() != 0;
-  if (member && led) {
+  if (!core_->wants_to_join()) {
     join_addresses_.clear();
     return;
   }
-  if (member && core_->replica().is_voter()) {
-    return;  // an election is under way; its own messages find the others
-  }
   std::set<std::string> addresses = join_addresses_;
   for (const Endpoint& seed : settings_.seeds) {
     addresses.insert(to_string(seed));
   }
-  for (const consensus::Member& entry : members) {
+  for (const consensus::Member& entry : core_->replica().members().members) {
     addresses.insert(entry.address);
   }
   addresses.erase(to_string(settings_.internal));
   for (const std::string& address : addresses) {
     if (const ChannelPtr channel = channel_to(address)) {
       channel->send(
-          wire::JoinRequest{{identity_.id, to_hex(identity_.id), to_string(settings_.internal), false},
-                            core_->replica().last_index() == 0});
+          wire::JoinRequest{{identity_.id, to_hex(identity_.id), to_string(settings_.internal), false}});
     }
   }
 }
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -78,6 +78,11 @@
   const Metrics& metrics() const { return metrics_; }
   /// Voters of the member list that this member has.
   size_t voter_count() const;
+  bool leads() const { return core_->replica().leads(); }
+  /// Version of the configuration that this member has applied.
+  uint64_t configuration_version() const;
+  /// What this member knows of the running fleet.
+  const FleetKnowledge& knowledge() const { return knowledge_; }
 
  private:
   struct Waiting {
@@ -131,7 +136,6 @@
   void keep_knowledge();
   int64_t confirmed_age_ms() const;
   std::optional<LeaderConfirmation> confirmation() const;
-  uint64_t configuration_version() const;
 
   // fleet_peers.cc: what members tell one another besides the log
   void exchange_with_peers();
--- a/src/ctl/admin_connection.h
+++ b/src/ctl/admin_connection.h
@@ -1,9 +1,8 @@
-/// The operators' side of the administration API: finds the leading member and resends after lost answers.
+/// The operators' side of the administration interface: asks one control member after another until one does
+/// what is asked.
 #pragma once
 
-#include <nlohmann/json.hpp>
 #include <string>
-#include <tl/expected.hpp>
 #include <vector>
 
 #include "src/common/settings.h"
@@ -11,34 +10,23 @@
 
 namespace stoat::ctl {
 
-/// Why a call gave no result.
-struct AdminError {
-  int http_status = 0;  ///< 0: no member answered
-  std::string code;
-  std::string message;
-};
-
 /// See the head of this file.
 class AdminConnection {
  public:
-  AdminConnection(std::vector<Endpoint> members, std::string operator_key, Duration limit);
-
-  tl::expected<nlohmann::json, AdminError> get(const std::string& path) { return call("GET", path, ""); }
-  tl::expected<nlohmann::json, AdminError> post(const std::string& path, const nlohmann::json& body) {
-    return call("POST", path, body.dump());
-  }
-  /// One member's own page, whoever leads.
-  nlohmann::json get_from(const Endpoint& member, const std::string& path);
+  /// Calls are repeated for up to `limit`.
+  AdminConnection(std::vector<Endpoint> members, Duration limit)
+      : members_(std::move(members)), limit_(limit) {}
+
+  /// The first answer that is not 503, which says that nothing is known to be done. Each call that this
+  /// interface has may be repeated. Status 0: no member answered.
+  http::ClientResult call(const std::string& method, const std::string& path, const std::string& body = "");
+  /// One member's own answer.
+  static http::ClientResult ask(const Endpoint& member, const std::string& method, const std::string& path,
+                                const std::string& body = "");
   const std::vector<Endpoint>& members() const { return members_; }
 
  private:
-  tl::expected<nlohmann::json, AdminError> call(const std::string& method, const std::string& path,
-                                                const std::string& body);
-  http::ClientResult send(const Endpoint& member, const std::string& method, const std::string& path,
-                          const std::string& body) const;
-
   std::vector<Endpoint> members_;
-  std::string operator_key_;
   Duration limit_;
   size_t next_member_ = 0;
 };
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -124,10 +124,12 @@
     evhttp_request_set_chunked_cb(outgoing, on_chunk);
   }
   evkeyvalq* headers = evhttp_request_get_output_headers(outgoing);
-  evhttp_add_header(headers, "Host", to_string(request.endpoint).c_str());
   for (const Header& header : request.headers) {
     evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
   }
+  if (evhttp_find_header(headers, "Host") == nullptr) {
+    evhttp_add_header(headers, "Host", to_string(request.endpoint).c_str());
+  }
   evbuffer_add(evhttp_request_get_output_buffer(outgoing), request.body.data(), request.body.size());
   call->request = outgoing;
   Call* active = call.get();
--- /dev/null
+++ b/standins/backend_server.cc
@@ -0,0 +1,289 @@
+#include "standins/backend_server.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "src/common/hash.h"
+#include "src/common/random.h"
+
+namespace stoat::standins {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+constexpr int kConflict = 409;
+constexpr int kFenced = 412;
+constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
+constexpr Duration kHeartbeat = 300ms;
+constexpr Duration kCallLimit = 1s;
+/// From SIGTERM to the end: runs end meanwhile.
+constexpr Duration kStopGrace = 1500ms;
+constexpr char kJson[] = "application/json";
+
+uint64_t parse_number(const std::string& text) {
+  uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+/// Reads "NAME:TOKENS,NAME:TOKENS".
+std::vector<NamedPart> parse_parts(const std::string& text) {
+  std::vector<NamedPart> parts;
+  std::istringstream stream(text);
+  for (std::string item; std::getline(stream, item, ',');) {
+    const size_t colon = item.find(':');
+    if (colon != std::string::npos) {
+      parts.push_back({item.substr(0, colon), static_cast<uint32_t>(parse_number(item.substr(colon + 1)))});
+    }
+  }
+  return parts;
+}
+
+uint32_t count_tokens(const std::vector<NamedPart>& parts) {
+  uint32_t tokens = 0;
+  for (const NamedPart& part : parts) {
+    tokens += part.tokens;
+  }
+  return tokens;
+}
+
+}  // namespace
+
+BackendSettings read_backend_settings(SettingsReader& reader) {
+  constexpr int64_t kUsPerMs = 1000;
+  BackendSettings settings;
+  settings.name = reader.required_text("name");
+  settings.service = reader.required_text("service");
+  settings.zone = reader.text("zone", "");
+  settings.listen = read_endpoint(reader, "listen", "127.0.0.1:9100");
+  settings.control = read_endpoints(reader, "control");
+  settings.model = reader.text("model", "");
+  settings.slots = static_cast<uint32_t>(reader.integer("slots", settings.slots, 1, 10000));
+  settings.cache_tokens = static_cast<uint64_t>(reader.integer("cache_tokens", 60000, 0, 1000000000));
+  settings.prefill_us_per_token =
+      reader.number("prefill_us_per_token", settings.prefill_us_per_token, 0, 1e6);
+  settings.token_time = Duration(kUsPerMs * reader.integer("token_ms", 20, 0, 60000));
+  settings.work_time = Duration(kUsPerMs * reader.integer("work_ms", 10, 0, 60000));
+  settings.load_time = Duration(kUsPerMs * reader.integer("load_ms", 1000, 0, 600000));
+  settings.runs_file = reader.text("runs_file", "");
+  return settings;
+}
+
+std::string token_text(const std::string& prompt_parts, uint32_t index) {
+  return to_hex(hash_pair(hash_bytes(prompt_parts), index));
+}
+
+BackendServer::BackendServer(EventLoop& loop, const BackendSettings& settings)
+    : loop_(loop),
+      settings_(settings),
+      id_(settings.name + "-" + to_hex(seed_from_device())),
+      epoch_(seed_from_device() >> 1U),
+      client_(loop),
+      server_(loop, settings.listen),
+      cache_(settings.cache_tokens) {
+  server_.route("POST", interface_.paths.order, [this](const auto& exchange) { take_order(exchange); });
+  server_.route("GET", interface_.paths.report, [this](const auto& exchange) { tell_report(exchange); });
+  server_.route("GET", interface_.paths.cache_events,
+                [this](const auto& exchange) { tell_cache_events(exchange); });
+  for (const char* method : {"GET", "POST"}) {
+    server_.route(method, "/*", [this](const auto& exchange) { run(exchange); });
+  }
+  loop_.every(kHeartbeat, [this] { send_heartbeat(); });
+  loop_.on_terminate([this] { stop(); });
+  log_.info("serving",
+            {{"backend", id_}, {"service", settings.service}, {"listen", to_string(settings.listen)}});
+}
+
+std::vector<http::Header> BackendServer::answer_headers(const http::Exchange& exchange) const {
+  return {{names_.request_id, exchange.header(names_.request_id)},
+          {names_.signature, id_},
+          {names_.weights_version, std::to_string(weights_)}};
+}
+
+bool BackendServer::turn_away(const http::ExchangePtr& exchange) {
+  const std::string weights = exchange->header(names_.expected_weights);
+  const bool misdirected = exchange->header(names_.expected_backend) != id_ ||
+                           (!weights.empty() && weights != std::to_string(weights_));
+  if (!misdirected && !loading_ && !stopping_ && running_ < settings_.slots) {
+    return false;
+  }
+  std::vector<http::Header> headers = answer_headers(*exchange);
+  headers.push_back({names_.not_run, "1"});
+  exchange->reply(misdirected ? kMisdirected : kUnavailable, "text/plain", "not run\n", headers);
+  return true;
+}
+
+void BackendServer::note_run(const std::string& request) const {
+  if (!settings_.runs_file.empty()) {
+    std::ofstream(settings_.runs_file, std::ios::app) << request << std::endl;
+  }
+}
+
+void BackendServer::run(const http::ExchangePtr& exchange) {
+  if (turn_away(exchange)) {
+    return;
+  }
+  ++running_;
+  note_run(exchange->header(names_.request_id));
+  if (settings_.model.empty()) {
+    run_call(exchange);
+  } else {
+    run_stream(exchange);
+  }
+}
+
+void BackendServer::run_call(const http::ExchangePtr& exchange) {
+  loop_.after(settings_.work_time, [this, exchange] {
+    --running_;
+    if (!exchange->gone()) {
+      exchange->reply(kOk, "text/plain", kCallAnswer, answer_headers(*exchange));
+    }
+  });
+}
+
+void BackendServer::run_stream(const http::ExchangePtr& exchange) {
+  const auto stream = std::make_shared<Stream>();
+  stream->exchange = exchange;
+  stream->prompt_parts = exchange->header(names_.prompt_parts);
+  const std::string counts = exchange->header(names_.token_counts);
+  const size_t comma = counts.find(',');
+  const uint64_t output = comma == std::string::npos ? 1 : parse_number(counts.substr(comma + 1));
+  const std::string last_event = exchange->header(names_.last_event_id);
+  stream->next = last_event.empty() ? 0 : static_cast<uint32_t>(parse_number(last_event)) + 1;
+  stream->end = static_cast<uint32_t>(output);
+  const std::vector<NamedPart> parts = parse_parts(stream->prompt_parts);
+  const std::string salt = exchange->header(names_.cache_salt);
+  const uint32_t cached = cache_.match(salt, parts);
+  const uint32_t missing = count_tokens(parts) - cached;
+  const Duration prefill(static_cast<int64_t>(settings_.prefill_us_per_token * missing));
+  // One prompt is read after the other.
+  prefill_free_at_ = std::max(prefill_free_at_, loop_.now()) + prefill;
+  loop_.after(prefill_free_at_ - loop_.now(), [this, stream, parts, salt, cached] {
+    cache_.store(salt, parts);
+    if (stream->exchange->gone()) {
+      --running_;
+      return;
+    }
+    std::vector<http::Header> headers = answer_headers(*stream->exchange);
+    headers.push_back({kCachedTokensHeader, std::to_string(cached)});
+    stream->exchange->start_stream(kOk, "text/event-stream", headers);
+    send_next(stream);
+  });
+}
+
+void BackendServer::send_next(const std::shared_ptr<Stream>& stream) {
+  if (stream->exchange->gone()) {
+    --running_;
+    return;
+  }
+  if (stream->next >= stream->end) {
+    --running_;
+    stream->exchange->end_stream();
+    return;
+  }
+  stream->exchange->send("id: " + std::to_string(stream->next) +
+                         "\ndata: " + token_text(stream->prompt_parts, stream->next) + "\n\n");
+  ++stream->next;
+  loop_.after(settings_.token_time, [this, stream] { send_next(stream); });
+}
+
+void BackendServer::take_order(const http::ExchangePtr& exchange) {
+  const json body = json::parse(exchange->body(), nullptr, false);
+  const control::BodyNames& names = interface_.bodies;
+  const bool known = body.is_object() && body.value(names.operation, "") == names.load_weights &&
+                     body.value("model", "") == settings_.model;
+  if (!known || exchange->header(interface_.expected_backend_header) != id_) {
+    exchange->reply(kMisdirected, kJson, "{}\n");
+    return;
+  }
+  const uint64_t fence = body.value(names.fence, uint64_t{0});
+  const uint64_t version = body.value("version", uint64_t{0});
+  if (fence < highest_fence_) {
+    exchange->reply(kFenced, kJson, "{}\n");
+    return;
+  }
+  highest_fence_ = fence;
+  if (version == weights_) {
+    exchange->reply(kOk, kJson, "{}\n");
+    return;
+  }
+  if (loading_ || body.value(names.expected_sequence, uint64_t{0}) != orders_taken_) {
+    exchange->reply(kConflict, kJson, "{}\n");
+    return;
+  }
+  ++orders_taken_;
+  loading_ = true;
+  log_.info("loads weights", {{"version", version}});
+  loop_.after(settings_.load_time, [this, version] {
+    weights_ = version;
+    loading_ = false;
+    cache_.clear();
+  });
+  exchange->reply(kAccepted, kJson, "{}\n");
+}
+
+json BackendServer::models() const {
+  if (settings_.model.empty()) {
+    return json::array();
+  }
+  return json::array({{{"name", settings_.model}, {"version", weights_}}});
+}
+
+void BackendServer::tell_report(const http::ExchangePtr& exchange) const {
+  const json report = {{"busy", loading_}, {"sequence", orders_taken_}, {"models", models()}};
+  exchange->reply(kOk, kJson, report.dump());
+}
+
+void BackendServer::tell_cache_events(const http::ExchangePtr& exchange) const {
+  const uint64_t since = parse_number(exchange->query("since"));
+  json events = json::array();
+  for (const PartEvent& event : cache_.events_after(since)) {
+    events.push_back(
+        {event.number, event.tokens > 0 ? "+" : "-", event.salt, event.part, event.tokens, settings_.model});
+  }
+  const json answer = {{"epoch", epoch_},
+                       {interface_.bodies.next_event, cache_.last_event()},
+                       {interface_.bodies.gap, !cache_.has_all_after(since)},
+                       {"events", events}};
+  exchange->reply(kOk, kJson, answer.dump());
+}
+
+void BackendServer::send_heartbeat() {
+  if (settings_.control.empty()) {
+    return;
+  }
+  http::ClientRequest request;
+  request.endpoint = settings_.control[heartbeats_++ % settings_.control.size()];
+  request.method = "PUT";
+  request.path = interface_.paths.backends + id_;
+  request.timeout = kCallLimit;
+  request.body = json{
+      {"service", settings_.service},
+      {"address", to_string(settings_.listen)},
+      {"zone", settings_.zone},
+      {"slots", settings_.slots},
+      {"state", stopping_ ? "draining" : "ready"},
+      {"sequence", heartbeats_},
+      {"models",
+       models()}}.dump();
+  client_.start(request, nullptr, [](const http::ClientResult&) {});
+}
+
+void BackendServer::stop() {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  log_.info("stopping", {{"running", running_}});
+  send_heartbeat();
+  loop_.after(kStopGrace, [this] { loop_.stop(); });
+}
+
+}  // namespace stoat::standins
--- a/tests/fuzz/parsers_fuzz.cc
+++ b/tests/fuzz/parsers_fuzz.cc
@@ -5,9 +5,8 @@
 #include <string>
 
 #include "src/common/settings.h"
-#include "src/control/configuration_json.h"
-#include "src/ctl/policy_csv.h"
-#include "src/router/engine_protocol.h"
+#include "src/control/fleet_bodies.h"
+#include "src/delivery/event_splitter.h"
 #include "src/storage/record_log.h"
 #include "src/wire/messages.h"
 
@@ -23,7 +22,7 @@
       (void)wire::decode<wire::Message>(text);
       break;
     case 1:
-      ctl::parse_policy_csv("table.csv", text, findings);
+      (void)control::read_configuration(text, {}, findings);
       break;
     case 2:
       (void)SettingsReader::load("", {text}, findings);
@@ -32,16 +31,17 @@
       (void)storage::scan_records(text);
       break;
     case 4:
-      (void)router::parse_feed("engine", text);
-      (void)router::parse_snapshot(text);
+      (void)control::read_heartbeat("backend", text, {});
+      (void)control::read_cache_events(text, {});
       break;
     case 5: {
-      router::StreamParser parser;
-      (void)parser.feed(text, [](const router::StreamEvent&) {});
+      delivery::EventSplitter splitter;
+      splitter.feed(text, [](const delivery::StreamEvent&) {});
       break;
     }
     default:
-      (void)control::items_from_json(nlohmann::json::parse(text, nullptr, false), findings);
+      (void)control::read_named_weights(text);
+      (void)control::read_report(text);
       break;
   }
   return 0;
--- /dev/null
+++ b/tests/process/served_programs_test.cc
@@ -0,0 +1,211 @@
+/// The served programs as real processes on loopback, with stand-ins of back ends: traffic, kills, operators.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+
+#include "tests/support/paths.h"
+#include "tools/served_fleet.h"
+
+namespace stoat::tools {
+namespace {
+
+/// What a command printed, and its exit status.
+struct CommandOutput {
+  int status = 0;
+  std::string text;
+};
+
+CommandOutput run_command(const std::string& command) {
+  CommandOutput output;
+  std::FILE* pipe = popen((command + " 2>&1").c_str(), "r");
+  char buffer[4096];
+  while (const size_t count = fread(buffer, 1, sizeof(buffer), pipe)) {
+    output.text.append(buffer, count);
+  }
+  output.status = WEXITSTATUS(pclose(pipe));
+  return output;
+}
+
+std::string demo_configuration() { return test::source_folder() + "/scripts/demo.json"; }
+
+std::string configuration_of_version(uint64_t version) {
+  std::ifstream file(demo_configuration());
+  nlohmann::json document = nlohmann::json::parse(file);
+  document["version"] = version;
+  return document.dump();
+}
+
+class ServedPrograms : public testing::Test {
+ protected:
+  void SetUp() override {
+    const std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
+    work_folder_ =
+        (std::filesystem::temp_directory_path() / ("stoat-" + name + "-" + std::to_string(getpid())))
+            .string();
+    processes_ = std::make_unique<ProcessFleet>(test::program_folder(), work_folder_);
+    ServedFleetOptions options;
+    options.configuration_file = demo_configuration();
+    fleet_ = std::make_unique<ServedFleet>(*processes_, options);
+    fleet_->start();
+  }
+  void TearDown() override {
+    fleet_.reset();
+    processes_.reset();
+    if (!HasFailure()) {
+      std::filesystem::remove_all(work_folder_);
+    }
+  }
+
+  std::vector<RequestRecord> send(Duration duration, const std::vector<TimedAction>& actions = {}) {
+    return run_load(fleet_->target(), classes_, plan_requests(classes_, 40, duration, ++seed_), actions);
+  }
+
+  void expect_promises(const std::vector<RequestRecord>& records) {
+    for (const std::string& violation : check_promises(classes_, records, fleet_->runs())) {
+      ADD_FAILURE() << violation << "; logs in " << work_folder_;
+    }
+  }
+
+  static size_t complete(const std::vector<RequestRecord>& records) {
+    return static_cast<size_t>(std::count_if(records.begin(), records.end(), [](const RequestRecord& record) {
+      return record.outcome == CallerOutcome::kComplete;
+    }));
+  }
+
+  CommandOutput stoatctl(const std::string& arguments) {
+    std::string members;
+    for (const Endpoint& member : fleet_->admin_endpoints()) {
+      members += (members.empty() ? "" : ",") + to_string(member);
+    }
+    return run_command(test::program_folder() + "/stoatctl --control " + members + " " + arguments);
+  }
+
+  std::vector<RequestClass> classes_ = demo_classes();
+  std::string work_folder_;
+  uint64_t seed_ = 0;
+  std::unique_ptr<ProcessFleet> processes_;
+  std::unique_ptr<ServedFleet> fleet_;
+};
+
+TEST_F(ServedPrograms, AreFoundedByOneMemberAlsoWhereAllShareAnAddress) {
+  const auto founders = [this] {
+    size_t count = 0;
+    for (const std::string& name : fleet_->names_of("control")) {
+      count += processes_->log_of(name).find("founded the fleet") == std::string::npos ? 0 : 1;
+    }
+    return count;
+  };
+  EXPECT_TRUE(ServedFleet::wait_until([&] { return founders() > 0; }, 5s));
+  sleep_for(1500ms);  // logs are flushed every second
+  EXPECT_EQ(founders(), 1U);
+}
+
+TEST_F(ServedPrograms, AnswerAllRequestsAndFindSharedPartsInCaches) {
+  const std::vector<RequestRecord> records = send(4s);
+  expect_promises(records);
+  EXPECT_EQ(complete(records), records.size());
+  uint64_t cached = 0;
+  uint64_t tokens = 0;
+  for (const RequestRecord& record : records) {
+    cached += record.cached_tokens;
+    tokens += record.planned.prompt_tokens;
+  }
+  EXPECT_GT(cached * 2, tokens) << "fewer than half of the prompt tokens were found";
+}
+
+TEST_F(ServedPrograms, KeepTheirPromisesWhenAnEngineAndAServiceAreKilled) {
+  const std::vector<RequestRecord> records = send(
+      6s, {{2s, [this] { processes_->kill("engine-1"); }}, {3s, [this] { processes_->kill("service-1"); }}});
+  expect_promises(records);
+  EXPECT_GT(complete(records) * 10, records.size() * 9) << "more than one in ten was lost to two kills";
+}
+
+TEST_F(ServedPrograms, KeepTheirPromisesWhenARouterIsKilledAndStartedAgain) {
+  const std::vector<RequestRecord> records = send(
+      6s, {{2s, [this] { processes_->kill("router-1"); }}, {3s, [this] { processes_->start("router-1"); }}});
+  expect_promises(records);
+  EXPECT_TRUE(ServedFleet::wait_until([this] { return fleet_->knows(2, 5); }, 10s));
+  const std::vector<RequestRecord> later = send(2s);
+  expect_promises(later);
+  EXPECT_EQ(complete(later), later.size());
+}
+
+TEST_F(ServedPrograms, GoOnWhenTheLeaderIsKilledAndForgetNothing) {
+  ASSERT_TRUE(fleet_->put_configuration(configuration_of_version(2)));
+  const std::string killed = fleet_->leader();
+  const std::vector<RequestRecord> records = send(6s, {{1s, [&] { processes_->kill(killed); }}});
+  expect_promises(records);
+  EXPECT_EQ(complete(records), records.size()) << "requests must not depend on one member";
+  ASSERT_TRUE(fleet_->put_configuration(configuration_of_version(3)));
+  processes_->start(killed);
+  const CommandOutput read = stoatctl("configuration get");
+  EXPECT_EQ(read.status, 0) << read.text;
+  EXPECT_EQ(read.text, configuration_of_version(3));
+}
+
+TEST_F(ServedPrograms, LoadNewWeightsWhileTheyServe) {
+  ASSERT_EQ(stoatctl("weights demo-model 2").status, 0);
+  const std::vector<RequestRecord> records = send(3s);
+  expect_promises(records);
+  const auto all_have_it = [this] {
+    size_t count = 0;
+    for (const nlohmann::json& backend :
+         fleet_->status_of_leader().value("backends", nlohmann::json::array())) {
+      count += backend["models"] == "demo-model@2" && backend["state"] == "ready" ? 1 : 0;
+    }
+    return count == 3;
+  };
+  EXPECT_TRUE(ServedFleet::wait_until(all_have_it, 20s)) << fleet_->status_of_leader().dump(1);
+}
+
+TEST_F(ServedPrograms, TellOperatorsTheirStatusAndWhatIsWrong) {
+  const CommandOutput status = stoatctl("status");
+  EXPECT_EQ(status.status, 0) << status.text;
+  EXPECT_NE(status.text.find("router-2"), std::string::npos) << status.text;
+  EXPECT_NE(status.text.find("demo-model@1"), std::string::npos) << status.text;
+  const std::string file = work_folder_ + "/wrong.json";
+  std::ofstream(file) << R"({"version":9,"routes":[{"name":"r"}],"services":[]})";
+  const CommandOutput refused = stoatctl("configuration put " + file);
+  EXPECT_EQ(refused.status, 1) << refused.text;
+  EXPECT_NE(refused.text.find("routes[0].kind"), std::string::npos) << refused.text;
+  EXPECT_EQ(stoatctl("configuration put " + work_folder_ + "/none.json").status, 2);
+  EXPECT_EQ(stoatctl("weights demo-model x").status, 2);
+  EXPECT_EQ(stoatctl("weights demo-model").status, 2);
+  EXPECT_EQ(stoatctl("dance").status, 2);
+  const std::string backend = fleet_->status_of_leader()["backends"][0]["id"];
+  EXPECT_EQ(stoatctl("backend remove " + backend).status, 0);
+  EXPECT_TRUE(ServedFleet::wait_until([this] { return fleet_->knows(2, 4); }, 5s));
+}
+
+TEST(Programs, AWrongSettingsFileGetsAllFindingsWithTheirPlaces) {
+  const std::string file =
+      (std::filesystem::temp_directory_path() / ("stoat-wrong-" + std::to_string(getpid()) + ".toml"))
+          .string();
+  std::ofstream(file) << "name = \"r\"\nzone = 7\nlisten = \"nowhere\"\ngrace_s = -1\nsurprise = true\n";
+  const CommandOutput output = run_command(test::program_folder() + "/stoat-router --settings " + file);
+  EXPECT_EQ(output.status, 2);
+  for (const char* place : {":2:8: zone", ":3:10: listen", ":4:11: grace_s", ":5"}) {
+    EXPECT_NE(output.text.find(file + place), std::string::npos) << place << " in\n" << output.text;
+  }
+  const CommandOutput control = run_command(test::program_folder() + "/stoat-control --settings " + file);
+  std::filesystem::remove(file);
+  EXPECT_EQ(control.status, 2);
+  EXPECT_NE(control.text.find("data_folder"), std::string::npos) << control.text;
+}
+
+TEST(Programs, EachTellsItsVersionAndItsHelp) {
+  for (const char* program :
+       {"stoat-router", "stoat-control", "stoat-platform-router", "stoat-platform-control", "stoatctl",
+        "stoat-load", "stoat-simulate", "standin-backend"}) {
+    const std::string path = test::program_folder() + "/" + program;
+    EXPECT_EQ(run_command(path + " --version").status, 0) << program;
+    EXPECT_NE(run_command(path + " --help").text.find("Usage"), std::string::npos) << program;
+    EXPECT_EQ(run_command(path + " --no-such-flag").status, 2) << program;
+  }
+}
+
+}  // namespace
+}  // namespace stoat::tools
--- a/tests/simulation/control_seeds_test.cc
+++ b/tests/simulation/control_seeds_test.cc
@@ -23,7 +23,9 @@
       ADD_FAILURE() << violation << "\nreplay: stoat-simulate --set first_seed=" << seed
                     << " --set seeds=1 --set duration_s=20 --set voters=" << options.voters;
     }
-    EXPECT_GT(result.changes_accepted, 0U) << "seed " << seed << " tested nothing";
+    EXPECT_GT(result.configurations_accepted, 0U) << "seed " << seed << " tested nothing";
+    EXPECT_GT(result.retirements_accepted, 0U) << "seed " << seed << " tested nothing";
+    EXPECT_GT(result.reads_confirmed, 0U) << "seed " << seed << " tested nothing";
     EXPECT_GT(result.faults, 0U) << "seed " << seed << " had no faults";
   }
 }
--- a/tests/unit/channel_test.cc
+++ b/tests/unit/channel_test.cc
@@ -33,9 +33,11 @@
   Endpoint endpoint_;
 };
 
-StreamPiece large_piece() {
-  StreamPiece piece;
-  piece.text = std::string(64 << 10, 'x');
+constexpr size_t kPieceBytes = 64 << 10;
+
+fleet::ConfirmedReadAnswer large_piece() {
+  fleet::ConfirmedReadAnswer piece;
+  piece.source = std::string(kPieceBytes, 'x');
   return piece;
 }
 
@@ -64,7 +66,7 @@
   });
   loop.run();
   EXPECT_TRUE(closed);
-  EXPECT_LE(most_unsent, kMaxUnsentBytes + 2 * large_piece().text.size());
+  EXPECT_LE(most_unsent, kMaxUnsentBytes + 2 * kPieceBytes);
   channel->close();
 }
 
--- a/tests/unit/fleet_admin_api_test.cc
+++ b/tests/unit/fleet_admin_api_test.cc
@@ -134,6 +134,8 @@
   ASSERT_TRUE(done("POST", "/v1/weights", R"({"model":"m","version":2})"));
   const json status = json::parse(call(control_, "GET", "/v1/status").body);
   EXPECT_EQ(status["voters"], 1);
+  EXPECT_EQ(status["leads"], true);
+  EXPECT_EQ(status["configuration"], 0);
   EXPECT_TRUE(status["routers"].empty());
   EXPECT_EQ(call(directory_, "GET", "/v1/routers?zone=z").status, 503);
 }
--- /dev/null
+++ b/tools/served_fleet.cc
@@ -0,0 +1,230 @@
+#include "tools/served_fleet.h"
+
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+#include "src/control/fleet_interface.h"
+#include "src/http/blocking.h"
+
+namespace stoat::tools {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr Duration kStartLimit = 30s;
+constexpr Duration kPoll = 50ms;
+constexpr Duration kCallLimit = 3s;
+
+std::string quoted(const std::string& text) { return "\"" + text + "\""; }
+
+std::string setting(const std::string& key, const std::string& text) { return key + "=" + quoted(text); }
+
+std::string list_setting(const std::string& key, const std::vector<Endpoint>& endpoints) {
+  std::string list;
+  for (const Endpoint& endpoint : endpoints) {
+    list += (list.empty() ? "" : ",") + quoted(to_string(endpoint));
+  }
+  return key + "=[" + list + "]";
+}
+
+http::ClientResult call(const Endpoint& endpoint, const std::string& method, const std::string& path,
+                        const std::string& body = "") {
+  http::ClientRequest request;
+  request.endpoint = endpoint;
+  request.method = method;
+  request.path = path;
+  request.body = body;
+  request.timeout = kCallLimit;
+  return http::fetch(request);
+}
+
+}  // namespace
+
+ServedFleet::ServedFleet(ProcessFleet& processes, const ServedFleetOptions& options)
+    : processes_(processes), options_(options) {
+  add_controls();
+  add_routers();
+  for (uint32_t number = 1; number <= options.engines; ++number) {
+    add_backend("engine-" + std::to_string(number), "engines", true);
+  }
+  for (uint32_t number = 1; number <= options.services; ++number) {
+    add_backend("service-" + std::to_string(number), "search", false);
+  }
+}
+
+void ServedFleet::add_controls() {
+  std::vector<Endpoint> internal;
+  for (uint32_t number = 1; number <= options_.controls; ++number) {
+    internal.push_back(processes_.free_endpoint());
+  }
+  seeds_ = list_setting("seeds", internal);
+  for (uint32_t number = 1; number <= options_.controls; ++number) {
+    const std::string name = "control-" + std::to_string(number);
+    controls_.push_back(name);
+    admin_.push_back(processes_.free_endpoint());
+    processes_.add(
+        name, "stoat-control",
+        {setting("name", name), setting("zone", "zone-" + std::to_string(number)), seeds_,
+         setting("internal", to_string(internal[number - 1])), setting("control", to_string(admin_.back())),
+         setting("directory", to_string(processes_.free_endpoint())),
+         setting("metrics", to_string(processes_.free_endpoint())),
+         setting("data_folder", processes_.folder(name + "-data")), "first_start=true",
+         "tolerated_losses=" + std::to_string((options_.controls - 1) / 2)});
+  }
+}
+
+void ServedFleet::add_routers() {
+  for (uint32_t number = 1; number <= options_.routers; ++number) {
+    const std::string name = "router-" + std::to_string(number);
+    routers_.push_back(processes_.free_endpoint());
+    processes_.add(name, "stoat-router",
+                   {setting("name", name), setting("zone", "zone-" + std::to_string(number)), seeds_,
+                    setting("listen", to_string(routers_.back())),
+                    setting("ready", to_string(processes_.free_endpoint())),
+                    setting("metrics", to_string(processes_.free_endpoint()))});
+  }
+}
+
+void ServedFleet::add_backend(const std::string& name, const std::string& service, bool engine) {
+  backends_.push_back(name);
+  std::vector<std::string> settings = {setting("name", name), setting("service", service),
+                                       setting("listen", to_string(processes_.free_endpoint())),
+                                       setting("runs_file", runs_file(name)),
+                                       list_setting("control", admin_)};
+  if (engine) {
+    settings.push_back(setting("model", LoadTarget().model));
+    settings.push_back("slots=16");
+    settings.push_back("token_ms=10");
+    settings.push_back("prefill_us_per_token=30");
+  }
+  processes_.add(name, "standin-backend", settings);
+}
+
+std::string ServedFleet::runs_file(const std::string& name) const {
+  return processes_.work_folder() + "/" + name + ".runs";
+}
+
+void ServedFleet::start() {
+  for (const std::string& name : processes_.names()) {
+    processes_.start(name);
+  }
+  std::ifstream file(options_.configuration_file);
+  std::ostringstream document;
+  document << file.rdbuf();
+  if (!put_configuration(document.str(), kStartLimit)) {
+    throw std::runtime_error("the configuration was not taken; see " + processes_.work_folder());
+  }
+  if (!wait_until([this] { return knows(routers_.size(), backends_.size()); }, kStartLimit)) {
+    throw std::runtime_error("the fleet is not complete; see " + processes_.work_folder());
+  }
+}
+
+bool ServedFleet::put_configuration(const std::string& document, Duration limit) const {
+  size_t next = 0;
+  return wait_until(
+      [&] {
+        const Endpoint& member = admin_[next++ % admin_.size()];
+        return call(member, "PUT", control::FleetPaths().configuration, document).status == kOk;
+      },
+      limit);
+}
+
+json ServedFleet::status_of_leader() const {
+  for (const Endpoint& member : admin_) {
+    json page = json::parse(call(member, "GET", control::FleetPaths().status).body, nullptr, false);
+    if (page.is_object() && page["leads"] == true) {
+      return page;
+    }
+  }
+  return {};
+}
+
+std::string ServedFleet::leader() const {
+  for (size_t position = 0; position < admin_.size(); ++position) {
+    const json page =
+        json::parse(call(admin_[position], "GET", control::FleetPaths().status).body, nullptr, false);
+    if (page.is_object() && page["leads"] == true) {
+      return controls_[position];
+    }
+  }
+  return "";
+}
+
+bool ServedFleet::wait_until(const std::function<bool()>& condition, Duration limit) {
+  const TimePoint end = monotonic_now() + limit;
+  while (!condition()) {
+    if (monotonic_now() >= end) {
+      return false;
+    }
+    sleep_for(kPoll);
+  }
+  return true;
+}
+
+bool ServedFleet::knows(size_t routers, size_t backends) const {
+  const json status = status_of_leader();
+  if (status.is_null() || status["routers"].size() != routers) {
+    return false;
+  }
+  size_t ready = 0;
+  for (const json& backend : status["backends"]) {
+    ready += backend["state"] == "ready" ? 1 : 0;
+  }
+  return ready == backends;
+}
+
+LoadTarget ServedFleet::target() const {
+  LoadTarget target;
+  target.routers = routers_;
+  return target;
+}
+
+std::vector<std::string> ServedFleet::names_of(const std::string& kind) const {
+  std::vector<std::string> names;
+  for (const std::string& name : processes_.names()) {
+    if (name.starts_with(kind + "-")) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+std::multiset<std::string> ServedFleet::runs() const {
+  std::multiset<std::string> runs;
+  for (const std::string& name : backends_) {
+    std::ifstream file(runs_file(name));
+    for (std::string line; std::getline(file, line);) {
+      runs.insert(line);
+    }
+  }
+  return runs;
+}
+
+std::vector<std::string> check_promises(const std::vector<RequestClass>& classes,
+                                        const std::vector<RequestRecord>& records,
+                                        const std::multiset<std::string>& runs) {
+  std::vector<std::string> violations;
+  for (const RequestRecord& record : records) {
+    const RequestClass& request_class = classes[record.planned.request_class];
+    const size_t count = runs.count(record.planned.id);
+    const std::string who = request_class.route + " " + record.planned.id;
+    if (record.outcome == CallerOutcome::kWrong) {
+      violations.push_back(who + " got a wrong answer");
+    }
+    if (record.outcome == CallerOutcome::kRefused && count > 0) {
+      violations.push_back(who + " was refused with " + std::to_string(record.status) + ", but has run");
+    }
+    if (record.outcome == CallerOutcome::kComplete && count == 0) {
+      violations.push_back(who + " was answered, but never ran");
+    }
+    if (count > request_class.most_runs) {
+      violations.push_back(who + " ran " + std::to_string(count) + " times");
+    }
+  }
+  return violations;
+}
+
+}  // namespace stoat::tools
