Expect the first event of a send from what engines have shown

Cause: placement reckoned with 38 prompt tokens a millisecond and 400 ms for a full engine, constants of the first deployment; the newer engines read 93 and 50.7, and some take 1.3 times as long.

Change: placement::ServiceSpeed and EngineSpeed learn from a router's own sends; expect_first_event gives the forecast. prefill_tokens_per_ms and full_ms are gone. Expected against observed is a histogram and a field of each request's last log line.

--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -2,6 +2,7 @@
 /// own requests under way there.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -12,6 +13,7 @@
 #include "src/dispatch/engine_connection.h"
 #include "src/fleet/backend_record.h"
 #include "src/fleet/fleet_messages.h"
+#include "src/placement/first_event_model.h"
 #include "src/placement/part_placement.h"
 
 namespace stoat::dispatch {
@@ -31,6 +33,7 @@
   uint32_t others_outstanding = 0;
   uint64_t others_prefill_tokens = 0;
   placement::ChainMemory memory;
+  placement::EngineSpeed speed;
   TimePoint heard{0};                       ///< when anything last came from it to this router
   std::shared_ptr<EngineConnection> probe;  ///< a connection under way that is to show whether it answers
   TimePoint probed{0};                      ///< when the last probe began
@@ -59,6 +62,10 @@
   void set_total_load(const fleet::BackendLoad& load);
   /// This router's own loads have been told, and are in the totals soon.
   void set_told_loads(const std::vector<fleet::BackendLoad>& loads);
+  /// The totals are those of now: the teller is there and tells what changes.
+  void note_totals_told(TimePoint now) { totals_told_ = now; }
+  /// How old the totals are.
+  Duration totals_age(TimePoint now) const { return now - std::min(now, totals_told_); }
   /// Forgets the totals: another member is about to tell them.
   void forget_totals();
   /// Forgets what events told of caches: another member is about to tell it.
@@ -97,6 +104,7 @@
   std::map<std::string, BackendPtr> backends_;  ///< by id
   std::map<std::string, fleet::BackendState> retired_;
   delivery::OutlierDetector outliers_;
+  TimePoint totals_told_{0};
   uint64_t connects_ = 0;
 };
 
--- a/src/dispatch/request_end.cc
+++ b/src/dispatch/request_end.cc
@@ -1,6 +1,7 @@
 /// RequestRun: the end of a request, and what is told of it.
 #include <event2/event.h>
 
+#include <cmath>
 #include <cstdio>
 
 #include "src/dispatch/request_run.h"
@@ -121,8 +122,11 @@
   observe(success, now);
   const int64_t first_ms =
       first_event_at_ > TimePoint(0) ? to_milliseconds(first_event_at_ - plan_.arrived) : -1;
+  const int64_t expected_ms =
+      expected_ ? to_milliseconds(sent_at_ - plan_.arrived) + std::llround(expected_->forecast.total_ms())
+                : -1;
   story_.add(events::RequestEnded{outcome, status, static_cast<uint32_t>(tried_.size()), refusals_,
-                                  to_milliseconds(now - plan_.arrived), first_ms,
+                                  to_milliseconds(now - plan_.arrived), first_ms, expected_ms,
                                   to_milliseconds(longest_pause_), is_late});
   story_.finish(context_.stories, !success || is_late, outcome, now);
   on_done_(this);
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -227,6 +227,7 @@
   note_first_event();
   if (!begun_at_engine_ && !chain_.links.empty()) {
     begun_at_engine_ = true;
+    learn_first_event();
     note_chain_read();
   }
   if (event.id && last_event_id_ && *event.id <= *last_event_id_) {
@@ -263,6 +264,7 @@
       return;
     }
     context_.pool.outliers().on_success(backend_->record.id);
+    learn_run();
     end_exchange(true);
     if (!streaming_) {
       answer_->start(head_);
@@ -300,6 +302,7 @@
   }
   if (!failed) {
     context_.pool.outliers().on_success(backend_->record.id);
+    learn_run();
   }
   end_exchange(true);
   if (streaming_) {
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -60,6 +60,7 @@
   /// Tells control that a back end could not be reached.
   std::function<void(const std::string&)> tell_unreachable = [](const std::string&) {};
   placement::PlacementCosts costs = {};
+  std::map<std::string, placement::ServiceSpeed> speeds = {};  ///< by service
   admission::QuotaGate quotas{{}, 0};
 
   delivery::WindowBudget& budget_of(const std::string& service) {
@@ -94,6 +95,15 @@
   uint32_t candidates = 1;  ///< engines that it was placed among, for the log
 };
 
+/// What was expected of a send's first event when it was made.
+struct ExpectedFirstEvent {
+  placement::FirstEventForecast forecast;
+  uint64_t waiting_tokens = 0;  ///< of other requests at the engine
+  uint64_t own_tokens = 0;      ///< of this one that were missing there
+  bool slot_free = false;
+  bool moves_cache = false;  ///< the engine takes KV cache from elsewhere
+};
+
 /// See the head of this file. Lives until its final answer or the caller's leaving; on_done is then called.
 class RequestRun : public ExchangeListener, public std::enable_shared_from_this<RequestRun> {
  public:
@@ -126,7 +136,17 @@
   void try_dispatch();
   void note_waiting();
   std::vector<BackendPtr> candidates() const;
-  placement::EngineView view_of(const Backend& backend) const;
+  placement::EngineView view_of(const Backend& backend, double usual_others) const;
+  /// What is known of the work at a back end. `usual_others`: see EngineQueue.
+  placement::EngineQueue queue_of(const Backend& backend, double usual_others) const;
+  /// Mean of the other routers' requests at the service's back ends.
+  double usual_others() const;
+  /// Notes what is expected of the send that is about to be made.
+  void expect_first_event();
+  /// The engine at backend_ has made its first event: learns from it.
+  void learn_first_event();
+  /// The run at backend_ has ended well: learns how long it took a slot.
+  void learn_run() const;
   std::optional<Duration> outdated_for(const Backend& backend) const;
   /// Places the request on one of the candidates, of which there is at least one, and sends it there.
   void dispatch(const std::vector<BackendPtr>& candidates);
@@ -196,6 +216,9 @@
   TimePoint last_sign_{0};        ///< of the exchange at backend_: when it was sent, or last heard
   bool begun_at_engine_ = false;  ///< the run at backend_ has made its first event
   uint64_t counted_prefill_ = 0;  ///< tokens counted at backend_ until the first event
+  uint64_t moved_tokens_ = 0;     ///< KV cache that the engine at backend_ is expected to take from elsewhere
+  TimePoint sent_at_{0};          ///< when the exchange at backend_ began
+  std::optional<ExpectedFirstEvent> expected_;  ///< of the last send
   AnswerKind kind_ = AnswerKind::kNone;
   edge::AnswerHead head_;
   std::string body_;
--- /dev/null
+++ b/src/dispatch/request_run_forecast.cc
@@ -0,0 +1,76 @@
+/// RequestRun: what is expected of a send, and what its outcome teaches.
+#include <cmath>
+
+#include "src/dispatch/request_run.h"
+
+namespace stoat::dispatch {
+
+namespace {
+
+constexpr double kMillisecondsPerSecond = 1000;
+
+double to_fractional_ms(Duration span) { return to_seconds(span) * kMillisecondsPerSecond; }
+
+}  // namespace
+
+placement::EngineQueue RequestRun::queue_of(const Backend& backend, double usual_others) const {
+  placement::EngineQueue queue;
+  queue.slots = backend.record.slots;
+  queue.own_outstanding = backend.outstanding;
+  queue.others_outstanding = backend.others_outstanding;
+  queue.usual_others = usual_others;
+  queue.waiting_tokens = backend.prefill_tokens + backend.others_prefill_tokens;
+  queue.age = context_.pool.totals_age(context_.loop.now());
+  return queue;
+}
+
+double RequestRun::usual_others() const {
+  const std::vector<BackendPtr> serving = context_.pool.serving(plan_.service);
+  double sum = 0;
+  for (const BackendPtr& backend : serving) {
+    sum += backend->others_outstanding;
+  }
+  return serving.empty() ? 0 : sum / static_cast<double>(serving.size());
+}
+
+void RequestRun::expect_first_event() {
+  placement::EngineQueue queue = queue_of(*backend_, usual_others());
+  // Both count this request already.
+  queue.own_outstanding -= queue.own_outstanding > 0 ? 1 : 0;
+  queue.waiting_tokens -= std::min<uint64_t>(queue.waiting_tokens, counted_prefill_);
+  ExpectedFirstEvent expected;
+  expected.forecast =
+      placement::expect_first_event(context_.speeds[plan_.service], backend_->speed, queue, counted_prefill_);
+  expected.waiting_tokens = queue.waiting_tokens;
+  expected.own_tokens = counted_prefill_;
+  expected.slot_free = queue.own_outstanding + queue.others_outstanding < queue.slots;
+  expected.moves_cache = from_copy_ || moved_tokens_ > 0;
+  expected_ = expected;
+}
+
+void RequestRun::learn_first_event() {
+  if (!expected_) {
+    return;
+  }
+  const double observed_ms = to_fractional_ms(context_.loop.now() - sent_at_);
+  const double expected_ms = expected_->forecast.total_ms();
+  const char* side = observed_ms > expected_ms ? "later" : "sooner";
+  context_.metrics.observe("stoat_router_first_event_error_seconds",
+                           std::abs(observed_ms - expected_ms) / kMillisecondsPerSecond,
+                           {{"route", plan_.route->name}, {"side", side}});
+  const placement::FirstEventSample sample{expected_->waiting_tokens, expected_->own_tokens, observed_ms};
+  if (!expected_->slot_free || expected_->moves_cache || !sample.engine_was_idle()) {
+    return;
+  }
+  placement::ServiceSpeed& service = context_.speeds[plan_.service];
+  backend_->speed.observe(observed_ms, service.idle_ms(sample.own_tokens));
+  service.observe_first_event(sample);
+}
+
+void RequestRun::learn_run() const {
+  if (expected_ && expected_->slot_free) {
+    context_.speeds[plan_.service].observe_run(to_fractional_ms(context_.loop.now() - sent_at_));
+  }
+}
+
+}  // namespace stoat::dispatch
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -1,6 +1,7 @@
 /// RequestRun: which back end gets a request, and what it is sent.
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 #include "src/dispatch/request_run.h"
@@ -58,14 +59,17 @@
   return usable.empty() ? doubtful : usable;
 }
 
-placement::EngineView RequestRun::view_of(const Backend& backend) const {
+placement::EngineView RequestRun::view_of(const Backend& backend, double usual_others) const {
   placement::EngineView view;
   view.name_hash = backend.name_hash;
   view.memory = &backend.memory;
   view.weights = backend.record.version_of(plan_.fields.model);
   view.outstanding = backend.outstanding + backend.others_outstanding;
-  view.prefill_tokens = backend.prefill_tokens + backend.others_prefill_tokens;
   view.slots = backend.record.slots;
+  const placement::ServiceSpeed& service = context_.speeds[plan_.service];
+  view.ms_per_token = service.ms_per_token() * backend.speed.slowness();
+  view.wait_ms =
+      placement::expect_first_event(service, backend.speed, queue_of(backend, usual_others), 0).wait_ms();
   view.zone_hash = backend.zone_hash;
   view.old_weights = outdated_for(backend).value_or(Duration(0)) > kOldWeightsFree;
   view.same_zone = backend.record.zone == context_.zone;
@@ -78,8 +82,9 @@
   std::vector<placement::EngineView> views;
   std::vector<BackendPtr> engines = candidates;
   views.reserve(candidates.size());
+  const double others = usual_others();
   for (const BackendPtr& backend : candidates) {
-    views.push_back(view_of(*backend));
+    views.push_back(view_of(*backend, others));
   }
   if (chain_.links.empty()) {
     send_to(engines[placement::choose_least_loaded(views, context_.random.bits())],
@@ -90,7 +95,7 @@
   for (const BackendPtr& backend : context_.pool.present(plan_.service)) {
     if (std::find(candidates.begin(), candidates.end(), backend) == candidates.end()) {
       engines.push_back(backend);
-      views.push_back(view_of(*backend));
+      views.push_back(view_of(*backend, others));
       views.back().candidate = false;
     }
   }
@@ -286,10 +291,14 @@
     backup_ = choose_backup(*backend);
     cache.backup = backup_ == nullptr ? "" : backup_->record.address;
   }
+  moved_tokens_ = 0;
   if (!chain_.links.empty()) {
     count_prefill(cache);
   }
+  sent_at_ = now;
+  expect_first_event();
   sent.missing_tokens = counted_prefill_;
+  sent.expected_ms = std::llround(expected_->forecast.total_ms());
   sent.weights = run_weights_;
   sent.cache_source = cache.source;
   sent.copy_of = cache.from;
@@ -307,12 +316,14 @@
 
 void RequestRun::count_prefill(const CachePlan& cache) {
   const TimePoint now = context_.loop.now();
-  uint32_t present = backend_->memory.cached_tokens(chain_, run_weights_, now);
+  const uint32_t own = backend_->memory.cached_tokens(chain_, run_weights_, now);
+  uint32_t present = own;
   if (const CacheStore* store = context_.stores.find(cache.source)) {
     present = std::max(present, store->memory.held_tokens(chain_, run_weights_, now));
   } else if (!cache.source.empty()) {
     present = std::max(present, placement::shared_tokens(chain_));
   }
+  moved_tokens_ = present - own;
   counted_prefill_ = chain_.prompt_tokens - std::min(chain_.prompt_tokens, present);
   backend_->prefill_tokens += counted_prefill_;
   backend_->memory.note_pending(chain_, run_weights_, now);
--- a/src/events/request_events.h
+++ b/src/events/request_events.h
@@ -45,6 +45,7 @@
   uint32_t outstanding = 0;     ///< requests under way there before it
   uint64_t queued_tokens = 0;   ///< prompt tokens waiting to be read there before it
   uint64_t missing_tokens = 0;  ///< of its prompt that are not known to be held there
+  int64_t expected_ms = 0;      ///< from this send to the first event
   uint64_t weights = 0;
   std::string cache_source;  ///< address; empty: none
   std::string copy_of;       ///< the run that it goes on from; empty: a run from the start
@@ -54,6 +55,7 @@
             {"outstanding", outstanding},
             {"queued_tokens", queued_tokens},
             {"missing_tokens", missing_tokens},
+            {"expected_ms", expected_ms},
             {"weights", weights},
             {"cache_source", cache_source},
             {"copy_of", copy_of}};
@@ -106,7 +108,8 @@
   uint32_t backends = 0;
   uint32_t refusals = 0;
   int64_t total_ms = 0;
-  int64_t first_event_ms = -1;  ///< -1: there was none
+  int64_t first_event_ms = -1;     ///< -1: there was none
+  int64_t expected_first_ms = -1;  ///< expected when it was last sent, from its arrival; -1: never sent
   int64_t longest_pause_ms = 0;
   bool late = false;  ///< beyond the route's objective
   std::vector<LogField> fields() const {
@@ -116,6 +119,7 @@
             {"refusals", refusals},
             {"ms", total_ms},
             {"first_event_ms", first_event_ms},
+            {"expected_first_ms", expected_first_ms},
             {"longest_pause_ms", longest_pause_ms},
             {"late", late}};
   }
--- a/src/gateway/gateway_feed.cc
+++ b/src/gateway/gateway_feed.cc
@@ -41,6 +41,7 @@
   for (const fleet::BackendLoad& load : news.loads) {
     pool_.set_total_load(load);
   }
+  pool_.note_totals_told(loop_.now());
   pool_.keep_followed(trusted_until);
   context_.stores.keep_followed(trusted_until);
   for (const fleet::CacheChanges& changes : news.caches) {
--- a/src/placement/part_placement.cc
+++ b/src/placement/part_placement.cc
@@ -101,8 +101,7 @@
     present = group.source_tokens;
   }
   option.placement.missing_tokens = chain.prompt_tokens - std::min(chain.prompt_tokens, present);
-  option.cost_ms += (option.placement.missing_tokens + static_cast<double>(engine.prefill_tokens)) /
-                    costs.prefill_tokens_per_ms;
+  option.cost_ms += engine.wait_ms + option.placement.missing_tokens * engine.ms_per_token;
   // What another engine holds or is reading should not be read again. Where nobody is known to, the other
   // routers' requests go to the chain's home.
   const bool at_home = group.home == position;
@@ -112,7 +111,6 @@
     option.cost_ms += (shared - own) * costs.copy_ms_per_token;
   }
   option.cost_ms += engine.outstanding * costs.per_outstanding_ms;
-  option.cost_ms += engine.outstanding >= engine.slots ? costs.full_ms : 0;
   option.cost_ms += engine.old_weights ? costs.old_weights_ms : 0;
   option.cost_ms += engine.same_zone ? 0 : costs.other_zone_ms;
   return option;
--- a/src/placement/part_placement.h
+++ b/src/placement/part_placement.h
@@ -22,10 +22,11 @@
 struct EngineView {
   uint64_t name_hash = 0;
   const ChainMemory* memory = nullptr;
-  uint64_t weights = 0;         ///< version of its weights for the chain's model
-  uint32_t outstanding = 0;     ///< requests under way there, of all routers as far as known
-  uint64_t prefill_tokens = 0;  ///< of requests there that have no first token yet
+  uint64_t weights = 0;      ///< version of its weights for the chain's model
+  uint32_t outstanding = 0;  ///< requests under way there, of all routers as far as known
   uint32_t slots = 1;
+  double ms_per_token = 0;  ///< that it reads, as far as known
+  double wait_ms = 0;       ///< until it would begin to read a request that is sent now
   uint64_t zone_hash = 0;
   bool old_weights = false;  ///< a newer version is named
   bool same_zone = false;    ///< as this router
@@ -33,11 +34,9 @@
   bool sound = true;         ///< may be a source of KV cache
 };
 
-/// Assumed costs, in milliseconds.
+/// Assumed costs, in milliseconds. What engines show of themselves comes with the EngineView.
 struct PlacementCosts {
-  double prefill_tokens_per_ms = 38.0;
   double per_outstanding_ms = 1.0;
-  double full_ms = 400.0;
   double old_weights_ms = 120.0;
   double other_zone_ms = 2.0;
   double move_setup_ms = 4.0;
--- a/tests/unit/fleet_parts_test.cc
+++ b/tests/unit/fleet_parts_test.cc
@@ -193,9 +193,12 @@
       engines_[i].memory = &memories_[i];
       engines_[i].weights = kWeights;
       engines_[i].slots = 8;
+      engines_[i].ms_per_token = kMsPerToken;
       engines_[i].same_zone = true;
     }
   }
+  /// So many prompt tokens wait to be read at an engine.
+  void queue_tokens(size_t engine, double tokens) { engines_[engine].wait_ms = tokens * kMsPerToken; }
   void allow_only(size_t target) {
     for (size_t i = 0; i < engines_.size(); ++i) {
       engines_[i].candidate = i == target;
@@ -205,6 +208,7 @@
     return placement::place(prompt_, engines_, nullptr, {}, now);
   }
 
+  static constexpr double kMsPerToken = 1 / 38.0;
   placement::PromptChain prompt_ = chain({{1, 4000}, {2, 500}});
   std::vector<placement::ChainMemory> memories_;
   std::vector<placement::EngineView> engines_;
@@ -214,7 +218,7 @@
   const size_t home = place().target;
   engines_[home].outstanding = 2;
   EXPECT_EQ(place().target, home);
-  engines_[home].prefill_tokens = 20000;
+  queue_tokens(home, 20000);
   EXPECT_NE(place().target, home);
 }
 
@@ -256,7 +260,7 @@
 TEST_F(PartPlacementTest, WhatIsStillBeingReadIsNoSourceButDrawsTheRequestThere) {
   const size_t other = (place().target + 1) % 3;
   memories_[other].note_pending(prompt_, kWeights, 1s);
-  engines_[other].prefill_tokens = 4500;
+  queue_tokens(other, 4500);
   EXPECT_EQ(place().target, other);
   EXPECT_EQ(place().source, std::nullopt);
   memories_[other].drop_pending(prompt_);
@@ -348,7 +352,7 @@
 
 TEST_F(PartPlacementTest, AnEngineWithMuchToReadIsPassedOver) {
   const size_t home = place().target;
-  engines_[home].prefill_tokens = 30000;
+  queue_tokens(home, 30000);
   EXPECT_NE(place().target, home);
 }
 
