Wait for a slot, send or refuse by what engines have shown

Cause: a router sent each request at once to an engine whose queue might be long, and told all refused callers the same half second.

Change: admission::decide (pure): a request waits at the router for an eighth of its objective at most while every engine that may take it has a queue of more than 200 ms, goes by urgency, then tenants in turn by slot time, then deadline, and is refused at once with 503 when the answer would begin after its deadline; never while less than half of the slots are taken. Retry-After comes from admission::ReturnSchedule: when an engine has room, then the tenant's line at the rate at which the service ends runs.

--- /dev/null
+++ b/src/admission/fair_queue.cc
@@ -0,0 +1,88 @@
+#include "src/admission/fair_queue.h"
+
+#include <algorithm>
+
+namespace stoat::admission {
+
+namespace {
+
+constexpr double kLeastShare = 1e-6;
+
+double virtual_cost(const Waiting& waiting) { return waiting.cost / std::max(waiting.share, kLeastShare); }
+
+}  // namespace
+
+void FairQueue::push(const Waiting& waiting) {
+  PriorityClass& priority_class = classes_[waiting.priority];
+  Flow& flow = priority_class.flows[waiting.flow];
+  if (flow.requests.empty()) {
+    // A flow that was idle gets no credit for the time it did not use.
+    flow.virtual_time = std::max(flow.virtual_time, priority_class.virtual_time);
+  }
+  const auto later = [](TimePoint due, const Waiting& entry) { return due < entry.due; };
+  flow.requests.insert(std::upper_bound(flow.requests.begin(), flow.requests.end(), waiting.due, later),
+                       waiting);
+  ++size_;
+}
+
+std::optional<Waiting> FairQueue::pop(const std::function<bool(const Waiting&)>& eligible) {
+  for (auto& [priority, priority_class] : classes_) {
+    Flow* best = nullptr;
+    for (auto& [name, flow] : priority_class.flows) {
+      const bool earlier = best == nullptr || flow.virtual_time < best->virtual_time;
+      if (!flow.requests.empty() && earlier && eligible(flow.requests.front())) {
+        best = &flow;
+      }
+    }
+    if (best == nullptr) {
+      continue;
+    }
+    Waiting waiting = std::move(best->requests.front());
+    best->requests.pop_front();
+    --size_;
+    priority_class.virtual_time = std::max(priority_class.virtual_time, best->virtual_time);
+    best->virtual_time += virtual_cost(waiting);
+    return waiting;
+  }
+  return std::nullopt;
+}
+
+void FairQueue::put_back(const Waiting& waiting) {
+  Flow& flow = classes_[waiting.priority].flows[waiting.flow];
+  flow.virtual_time -= virtual_cost(waiting);
+  flow.requests.push_front(waiting);
+  ++size_;
+}
+
+bool FairQueue::remove(uint64_t request_id) {
+  for (auto& [priority, priority_class] : classes_) {
+    for (auto& [name, flow] : priority_class.flows) {
+      const auto found =
+          std::find_if(flow.requests.begin(), flow.requests.end(),
+                       [&](const Waiting& waiting) { return waiting.request_id == request_id; });
+      if (found != flow.requests.end()) {
+        flow.requests.erase(found);
+        --size_;
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+double FairQueue::cost_ahead(int32_t priority) const {
+  double cost = 0;
+  for (const auto& [class_priority, priority_class] : classes_) {
+    if (class_priority < priority) {
+      break;
+    }
+    for (const auto& [name, flow] : priority_class.flows) {
+      for (const Waiting& waiting : flow.requests) {
+        cost += waiting.cost;
+      }
+    }
+  }
+  return cost;
+}
+
+}  // namespace stoat::admission
--- /dev/null
+++ b/src/admission/request_queue.cc
@@ -0,0 +1,47 @@
+#include "src/admission/request_queue.h"
+
+#include <utility>
+
+namespace stoat::admission {
+
+namespace {
+
+int32_t to_priority(uint32_t urgency) { return -static_cast<int32_t>(urgency); }
+
+}  // namespace
+
+uint64_t RequestQueue::push(const QueuedRequest& request, QueueHandlers handlers) {
+  const uint64_t number = ++last_number_;
+  Waiting waiting;
+  waiting.request_id = number;
+  waiting.flow = request.tenant;
+  waiting.priority = to_priority(request.urgency);
+  waiting.cost = request.slot_ms;
+  waiting.due = request.deadline;
+  queue_.push(waiting);
+  handlers_[number] = std::move(handlers);
+  return number;
+}
+
+void RequestQueue::leave(uint64_t number) {
+  if (handlers_.erase(number) > 0) {
+    queue_.remove(number);
+  }
+}
+
+void RequestQueue::send_ready() {
+  const auto has_room = [this](const Waiting& waiting) {
+    return handlers_.at(waiting.request_id).has_room();
+  };
+  while (const auto next = queue_.pop(has_room)) {
+    const QueueHandlers handlers = std::move(handlers_.at(next->request_id));
+    handlers_.erase(next->request_id);
+    handlers.send();
+  }
+}
+
+bool RequestQueue::nothing_before(uint32_t urgency) const {
+  return queue_.cost_ahead(to_priority(urgency)) <= 0;
+}
+
+}  // namespace stoat::admission
--- a/src/dispatch/request_end.cc
+++ b/src/dispatch/request_end.cc
@@ -10,11 +10,9 @@
 
 namespace {
 
-constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
-/// A request that could not be placed is told to come back after so long.
-constexpr double kRetryAfterS = 0.5;
-/// The same where no back end of the service is known: heartbeats come every second or so.
+/// A request of a service of which no back end is known is told to come back after so long: heartbeats come
+/// every second or so.
 constexpr double kNoBackendRetryAfterS = 1.5;
 
 }  // namespace
@@ -42,8 +40,10 @@
   } else if (ran_ == Ran::kMaybe) {
     reply_own(kBadGateway, reason, 0);
   } else {
-    const bool none_known = context_.pool.serving(plan_.service).empty();
-    reply_own(kUnavailable, reason, none_known ? kNoBackendRetryAfterS : kRetryAfterS);
+    const std::vector<BackendPtr> serving = context_.pool.serving(plan_.service);
+    const double retry_after_s =
+        serving.empty() ? kNoBackendRetryAfterS : to_seconds(return_after(outlook(serving).wait));
+    reply_own(kUnavailable, reason, retry_after_s);
   }
 }
 
@@ -113,6 +113,7 @@
     return;
   }
   finished_ = true;
+  leave_queue();
   settle_quota();
   event_del(timer_);
   const TimePoint now = context_.loop.now();
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -53,6 +53,7 @@
 
 RequestRun::~RequestRun() {
   event_free(timer_);
+  leave_queue();
   if (connection_ != nullptr) {
     connection_->close();
   }
@@ -105,8 +106,7 @@
   const TimePoint now = context_.loop.now();
   const std::vector<BackendPtr> found = candidates();
   if (!found.empty()) {
-    waiting_ = false;
-    dispatch(found);
+    admit(found);
     return;
   }
   if (now >= wait_until_ || ran_ != Ran::kNo) {
@@ -120,16 +120,6 @@
   arm_timer(std::min(wait_until_, now + kWaitStep));
 }
 
-void RequestRun::note_waiting() {
-  events::RequestWaits waits;
-  for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
-    ++waits.known;
-    waits.tried += tried_.count(backend->record.id) > 0 ? 1 : 0;
-    waits.loading += backend->record.loading ? 1 : 0;
-  }
-  story_.add(waits);
-}
-
 void RequestRun::note_first_event() {
   if (backend_ != nullptr && counted_prefill_ > 0) {
     backend_->prefill_tokens -= std::min(backend_->prefill_tokens, counted_prefill_);
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -8,7 +8,10 @@
 #include <set>
 #include <string>
 
+#include "src/admission/load_admission.h"
 #include "src/admission/quota_gate.h"
+#include "src/admission/request_queue.h"
+#include "src/admission/return_schedule.h"
 #include "src/common/log.h"
 #include "src/common/metrics.h"
 #include "src/common/random.h"
@@ -33,6 +36,10 @@
 /// Statuses that decide or end a request's run.
 inline constexpr int kFirstError = 300;
 inline constexpr int kBadGateway = 502;
+inline constexpr int kUnavailable = 503;
+/// Urgencies that engines tell apart go from 0, the most urgent, to this; a tenant's go before its routes'.
+inline constexpr uint32_t kMaxUrgency = 9;
+inline constexpr uint32_t kRoutePriorities = 3;
 
 /// The value of a Retry-After header.
 std::string retry_after_text(double seconds);
@@ -60,7 +67,11 @@
   /// Tells control that a back end could not be reached.
   std::function<void(const std::string&)> tell_unreachable = [](const std::string&) {};
   placement::PlacementCosts costs = {};
-  std::map<std::string, placement::ServiceSpeed> speeds = {};  ///< by service
+  std::map<std::string, placement::ServiceSpeed> speeds = {};     ///< by service
+  std::map<std::string, admission::RequestQueue> queues = {};     ///< by service
+  std::map<std::string, admission::ReturnSchedule> returns = {};  ///< by service
+  admission::LoadLimits load_limits = {};
+  Duration longest_return = 10s;  ///< the longest Retry-After for load
   admission::QuotaGate quotas{{}, 0};
 
   delivery::WindowBudget& budget_of(const std::string& service) {
@@ -148,6 +159,19 @@
   /// The run at backend_ has ended well: learns how long it took a slot.
   void learn_run() const;
   std::optional<Duration> outdated_for(const Backend& backend) const;
+  uint32_t urgency() const;
+  admission::RequestTimes times() const;
+  /// What the candidates promise; with a slot free at any of them, nothing but that.
+  admission::ServiceOutlook outlook(const std::vector<BackendPtr>& candidates) const;
+  /// True when one of the candidates of now takes it without a long queue.
+  bool has_room() const;
+  /// Sends it, lets it wait for a slot, or refuses it. There is at least one candidate.
+  void admit(const std::vector<BackendPtr>& candidates);
+  void wait_for_slot(const admission::ServiceOutlook& known);
+  void leave_queue();
+  void refuse_for_load(const admission::ServiceOutlook& known);
+  /// When a caller that is refused is to come back. `wait`: until an engine has room.
+  Duration return_after(Duration wait);
   /// Places the request on one of the candidates, of which there is at least one, and sends it there.
   void dispatch(const std::vector<BackendPtr>& candidates);
   void send_to(const BackendPtr& backend, CachePlan cache);
@@ -198,6 +222,8 @@
   TimePoint give_up_at_{0};  ///< the caller's deadline or the route's time-out
   TimePoint wait_until_{0};  ///< until when it may wait for a back end
   bool waiting_ = false;
+  uint64_t queue_number_ = 0;  ///< in the queue for a slot; 0: not there
+  TimePoint queued_at_{0};
   bool finished_ = false;
   Ran ran_ = Ran::kNo;
   bool in_doubt_ = false;  ///< the last send may have run, or may run yet
--- /dev/null
+++ b/src/dispatch/request_run_admission.cc
@@ -0,0 +1,156 @@
+/// RequestRun: whether it is sent, waits, or is refused for load.
+#include <algorithm>
+#include <limits>
+
+#include "src/dispatch/request_run.h"
+
+namespace stoat::dispatch {
+
+namespace {
+
+/// How often a request that waits for a slot looks again: a tenth of the age that news of engines have.
+constexpr Duration kSlotWaitStep = 20ms;
+/// A request that could not be placed though engines seem to have room is told to come back after so long.
+constexpr Duration kNoRoomKnown = 500ms;
+constexpr double kMicrosecondsPerMillisecond = 1000;
+
+Duration from_ms(double milliseconds) {
+  return Duration(static_cast<int64_t>(milliseconds * kMicrosecondsPerMillisecond));
+}
+
+}  // namespace
+
+uint32_t RequestRun::urgency() const {
+  const uint32_t tenant_priority = plan_.tenant == nullptr ? 0 : plan_.tenant->priority;
+  return std::min(kMaxUrgency, tenant_priority * kRoutePriorities + plan_.route->priority);
+}
+
+admission::RequestTimes RequestRun::times() const {
+  return {plan_.arrived, Duration(1000 * plan_.route->target_latency_ms), give_up_at_};
+}
+
+admission::ServiceOutlook RequestRun::outlook(const std::vector<BackendPtr>& candidates) const {
+  const placement::ServiceSpeed& speed = context_.speeds[plan_.service];
+  // At best the shared parts come from elsewhere: what can be in time that way is not refused.
+  const uint32_t own_tokens =
+      chain_.prompt_tokens - std::min(chain_.prompt_tokens, placement::shared_tokens(chain_));
+  const double others = usual_others();
+  double wait_ms = std::numeric_limits<double>::max();
+  double answer_ms = 0;
+  double taken = 0;
+  double slots = 0;
+  for (const BackendPtr& backend : candidates) {
+    const placement::EngineQueue queue = queue_of(*backend, others);
+    if (queue.slots == 0 || queue.own_outstanding + queue.others_outstanding < queue.slots) {
+      return {};  // room, or nothing known of it
+    }
+    const auto forecast = placement::expect_first_event(speed, backend->speed, queue, own_tokens);
+    if (forecast.wait_ms() < wait_ms) {
+      wait_ms = forecast.wait_ms();
+      answer_ms = forecast.reading_ms + forecast.base_ms;
+    }
+    taken += placement::present_outstanding(queue, speed.run_ms());
+    slots += queue.slots;
+  }
+  return {from_ms(wait_ms), from_ms(answer_ms), taken / slots};
+}
+
+bool RequestRun::has_room() const {
+  const std::vector<BackendPtr> found = candidates();
+  return !found.empty() && admission::decide(times(), outlook(found), context_.load_limits,
+                                             context_.loop.now()) == admission::Verdict::kSend;
+}
+
+void RequestRun::note_waiting() {
+  events::RequestWaits waits;
+  for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
+    ++waits.known;
+    waits.tried += tried_.count(backend->record.id) > 0 ? 1 : 0;
+    waits.loading += backend->record.loading ? 1 : 0;
+  }
+  story_.add(waits);
+}
+
+void RequestRun::admit(const std::vector<BackendPtr>& candidates) {
+  // What an engine may have begun is owed at once: a stream that goes on, a call that failed.
+  if (ran_ != Ran::kNo) {
+    dispatch(candidates);
+    return;
+  }
+  const TimePoint now = context_.loop.now();
+  const bool held_long_enough = now >= admission::wait_limit(times(), context_.load_limits);
+  const admission::ServiceOutlook known = outlook(candidates);
+  const admission::Verdict verdict = admission::decide(times(), known, context_.load_limits, now);
+  if (verdict == admission::Verdict::kRefuse) {
+    refuse_for_load(known);
+    return;
+  }
+  admission::RequestQueue& queue = context_.queues[plan_.service];
+  const bool its_turn = held_long_enough || (queue_number_ == 0 && queue.nothing_before(urgency()));
+  if (verdict == admission::Verdict::kSend && its_turn) {
+    leave_queue();
+    dispatch(candidates);
+    return;
+  }
+  wait_for_slot(known);
+  queue.send_ready();
+}
+
+void RequestRun::wait_for_slot(const admission::ServiceOutlook& known) {
+  const TimePoint now = context_.loop.now();
+  waiting_ = true;
+  arm_timer(std::min(now + kSlotWaitStep, admission::wait_limit(times(), context_.load_limits)));
+  if (queue_number_ != 0) {
+    return;
+  }
+  admission::RequestQueue& queue = context_.queues[plan_.service];
+  story_.add(events::RequestQueued{to_milliseconds(known.wait), known.taken_share,
+                                   static_cast<uint32_t>(queue.size())});
+  queued_at_ = now;
+  const placement::ServiceSpeed& speed = context_.speeds[plan_.service];
+  admission::QueuedRequest request;
+  request.tenant = plan_.tenant == nullptr ? "" : plan_.tenant->name;
+  request.urgency = urgency();
+  request.deadline = give_up_at_;
+  request.slot_ms = speed.run_ms() + speed.ms_per_token() * chain_.prompt_tokens;
+  queue_number_ = queue.push(request, {[this] { return has_room(); },
+                                       [this] {
+                                         const auto keep = shared_from_this();
+                                         leave_queue();
+                                         dispatch(candidates());
+                                       }});
+}
+
+void RequestRun::leave_queue() {
+  waiting_ = false;
+  if (queue_number_ == 0) {
+    return;
+  }
+  context_.queues[plan_.service].leave(queue_number_);
+  queue_number_ = 0;
+  context_.metrics.observe("stoat_router_slot_wait_seconds", to_seconds(context_.loop.now() - queued_at_),
+                           {{"route", plan_.route->name}});
+}
+
+void RequestRun::refuse_for_load(const admission::ServiceOutlook& known) {
+  leave_queue();
+  context_.metrics.count("stoat_router_load_refusals_total", {{"route", plan_.route->name}});
+  reply_own(kUnavailable, "no engine can answer in time", to_seconds(return_after(known.wait)));
+}
+
+Duration RequestRun::return_after(Duration wait) {
+  const placement::ServiceSpeed& speed = context_.speeds[plan_.service];
+  double per_second = 0;
+  for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
+    per_second += backend->record.slots * 1000.0 / (speed.run_ms() * backend->speed.slowness());
+  }
+  admission::RefusedRequest request;
+  request.tenant = plan_.tenant == nullptr ? "" : plan_.tenant->name;
+  request.time_left = give_up_at_ - context_.loop.now();
+  request.first_room = wait > Duration(0) ? wait : kNoRoomKnown;
+  auto& schedule = context_.returns.try_emplace(plan_.service, context_.longest_return).first->second;
+  return schedule.book(request, per_second / std::max(1U, context_.router_count), context_.random,
+                       context_.loop.now());
+}
+
+}  // namespace stoat::dispatch
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -16,8 +16,6 @@
 constexpr Duration kTellAgain = 3s;
 /// The store gets a prompt's own part as well, so only prompts that share much are sent there.
 constexpr uint32_t kMinStoredTokens = 1000;
-constexpr uint32_t kMaxUrgency = 9;
-constexpr uint32_t kRoutePriorities = 3;
 
 /// True when a back end is heard, has its weights in place, and has not failed too often lately.
 bool is_sound(BackendPool& pool, const Backend& backend, TimePoint now) {
@@ -160,10 +158,7 @@
   if (!chain_.links.empty()) {
     const uint64_t version = backend.record.version_of(plan_.fields.model);
     add(names.cache_salt, placement::to_salt({plan_.cache_owner(), version}));
-    const uint32_t tenant_priority = plan_.tenant == nullptr ? 0 : plan_.tenant->priority;
-    const uint32_t urgency =
-        std::min(kMaxUrgency, tenant_priority * kRoutePriorities + plan_.route->priority);
-    add(names.urgency, std::to_string(urgency));
+    add(names.urgency, std::to_string(urgency()));
     if (version > 0) {
       // The engine may have newer weights than this router knows: what it kept under this salt would be stale
       // for those who know better.
--- a/src/events/request_events.h
+++ b/src/events/request_events.h
@@ -37,6 +37,17 @@
   std::vector<LogField> fields() const { return {{"known", known}, {"tried", tried}, {"loading", loading}}; }
 };
 
+/// All engines that may take it have queues; it waits at the router for a slot.
+struct RequestQueued {
+  static constexpr const char* kSentence = "request waits for a slot";
+  int64_t wait_ms = 0;     ///< expected at the engine that has room first
+  double taken_share = 0;  ///< slots taken over slots
+  uint32_t queued = 0;     ///< requests that waited before it
+  std::vector<LogField> fields() const {
+    return {{"wait_ms", wait_ms}, {"taken_share", taken_share}, {"queued", queued}};
+  }
+};
+
 /// It was sent to a back end.
 struct RequestSent {
   static constexpr const char* kSentence = "request sent";
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -56,6 +56,8 @@
   settings.budget.window = std::chrono::seconds(reader.integer("repeat_window_s", 10, 1, 3600));
   settings.quotas = admission::read_quota_tolerance(reader);
   settings.routers_settle = settings.budget.window;
+  settings.useful_engine_queue = Duration(1000 * reader.integer("useful_engine_queue_ms", 200, 0, 60000));
+  settings.longest_retry_after = Duration(1000 * reader.integer("longest_retry_after_ms", 10000, 1, 600000));
   return settings;
 }
 
@@ -80,6 +82,8 @@
   context_.budget_options = settings.budget;
   context_.sharing_routers = delivery::SharingRouters(settings.routers_settle);
   context_.old_weights_limit = settings.old_weights_limit;
+  context_.load_limits.useful_queue = settings.useful_engine_queue;
+  context_.longest_return = settings.longest_retry_after;
   context_.tell_unreachable = [this](const std::string& backend) { untold_unreachable_.insert(backend); };
   context_.tell_placement = [this](fleet::ChainPlacement placement) { tell_placement(std::move(placement)); };
   loop_.every(kLoadsInterval, [this] {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -38,6 +38,10 @@
   /// How long a lower count of routers must hold before it counts for the bound on repeats: its window.
   Duration routers_settle = 10s;
   events::StoryOptions stories;
+  /// A queue of so long at an engine is no loss: what routers hear of engines is about as old.
+  Duration useful_engine_queue = 200ms;
+  /// The longest Retry-After for load.
+  Duration longest_retry_after = 10s;
 };
 
 /// Reads the settings of a router.
--- /dev/null
+++ b/tests/unit/load_admission_test.cc
@@ -0,0 +1,295 @@
+/// Waiting, sending and refusing under more load than a service's engines can take.
+#include "src/admission/load_admission.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "src/admission/request_queue.h"
+#include "src/common/random.h"
+#include "src/placement/first_event_model.h"
+#include "tests/support/fake_engine.h"
+
+namespace stoat::admission {
+namespace {
+
+using test::FakeEngine;
+using test::FakeRun;
+
+constexpr Duration kObjective = 600ms;
+constexpr Duration kDeadline = 4s;
+
+Duration from_ms(double milliseconds) { return from_seconds(milliseconds / 1000); }
+
+/// A kind of request, as a sheet has it.
+struct Kind {
+  std::string tenant;
+  uint32_t urgency = 0;
+  double per_second = 0;
+  double tokens = 0;
+  double answer_ms = 0;
+  Duration deadline = kDeadline;
+};
+
+/// What callers of one kind got.
+struct Served {
+  int asked = 0;
+  int answered = 0;  ///< first event before the deadline
+  int refused = 0;
+  int refused_early = 0;  ///< while less than half of the slots were taken
+  int in_time = 0;        ///< first event within the objective
+  Duration longest_hold{0};
+};
+
+/// Arrivals of some kinds at one router, which sends to engines that nobody else uses.
+class Replay {
+ public:
+  Replay(size_t engines, std::vector<Kind> kinds, uint64_t seed) : kinds_(std::move(kinds)), random_(seed) {
+    for (size_t engine = 0; engine < engines; ++engine) {
+      engines_.emplace_back(kSlots, kTokensPerMs);
+    }
+    for (int sample = 0; sample < 400; ++sample) {
+      speed_.observe_run(kRunMs);
+      speed_.observe_first_event({0, 5000, 15 + 5000 / kTokensPerMs});
+    }
+  }
+
+  std::vector<Served> play(double until_ms) {
+    served_.resize(kinds_.size());
+    for (; now_ms_ < until_ms; ++now_ms_) {
+      for (size_t kind = 0; kind < kinds_.size(); ++kind) {
+        if (random_.chance(kinds_[kind].per_second / 1000)) {
+          arrive(kind);
+        }
+      }
+      look_again();
+    }
+    return served_;
+  }
+  size_t still_waiting() const { return waiting_.size(); }
+
+  static constexpr size_t kSlots = 16;
+  static constexpr double kTokensPerMs = 93;
+  static constexpr double kRunMs = 300;
+
+ private:
+  struct Waiting {
+    size_t kind = 0;
+    RequestTimes times;
+    double tokens = 0;
+    uint64_t number = 0;
+  };
+
+  TimePoint now() const { return from_ms(now_ms_); }
+  ServiceOutlook outlook(double tokens) {
+    ServiceOutlook best{Duration::max(), Duration::max(), 0};
+    double taken = 0;
+    for (FakeEngine& engine : engines_) {
+      placement::EngineQueue queue;
+      queue.slots = kSlots;
+      queue.own_outstanding = static_cast<uint32_t>(engine.outstanding(now_ms_));
+      queue.waiting_tokens = static_cast<uint64_t>(engine.waiting_tokens(now_ms_));
+      const auto forecast = placement::expect_first_event(speed_, {}, queue, static_cast<uint64_t>(tokens));
+      taken += queue.own_outstanding;
+      if (from_ms(forecast.wait_ms()) < best.wait) {
+        best.wait = from_ms(forecast.wait_ms());
+        best.answer = from_ms(forecast.reading_ms + forecast.base_ms);
+      }
+    }
+    best.taken_share = taken / static_cast<double>(kSlots * engines_.size());
+    return best;
+  }
+  Verdict ask(const Waiting& request) {
+    return decide(request.times, outlook(request.tokens), limits_, now());
+  }
+  void arrive(size_t kind) {
+    ++served_[kind].asked;
+    auto request = std::make_shared<Waiting>();
+    request->kind = kind;
+    request->times = {now(), kObjective, now() + kinds_[kind].deadline};
+    request->tokens = std::min(random_.exponential(kinds_[kind].tokens), 10 * kinds_[kind].tokens);
+    const Verdict verdict = ask(*request);
+    if (verdict == Verdict::kRefuse) {
+      refuse(*request);
+    } else if (verdict == Verdict::kSend && queue_.nothing_before(kinds_[kind].urgency)) {
+      send(*request);
+    } else {
+      hold(request);
+    }
+  }
+  void hold(const std::shared_ptr<Waiting>& request) {
+    const Kind& kind = kinds_[request->kind];
+    const QueuedRequest queued{kind.tenant, kind.urgency, request->times.deadline,
+                               kind.answer_ms + request->tokens / kTokensPerMs};
+    request->number = queue_.push(queued, {[this, request] { return ask(*request) == Verdict::kSend; },
+                                           [this, request] {
+                                             waiting_.erase(request->number);
+                                             send(*request);
+                                           }});
+    waiting_[request->number] = request;
+  }
+  void look_again() {
+    queue_.send_ready();
+    const auto held = waiting_;
+    for (const auto& [number, request] : held) {
+      if (now() >= wait_limit(request->times, limits_)) {
+        queue_.leave(number);
+        waiting_.erase(number);
+        ask(*request) == Verdict::kRefuse ? refuse(*request) : send(*request);
+      }
+    }
+  }
+  void refuse(const Waiting& request) {
+    Served& served = served_[request.kind];
+    ++served.refused;
+    served.refused_early += outlook(0).taken_share < 0.5 ? 1 : 0;
+  }
+  void send(const Waiting& request) {
+    Served& served = served_[request.kind];
+    served.longest_hold = std::max(served.longest_hold, now() - request.times.arrived);
+    FakeEngine* least = &engines_.front();
+    for (FakeEngine& engine : engines_) {
+      least = engine.outstanding(now_ms_) < least->outstanding(now_ms_) ? &engine : least;
+    }
+    const FakeRun run =
+        least->take(now_ms_, request.tokens, random_.exponential(kinds_[request.kind].answer_ms));
+    const Duration took = from_ms(run.first_event_ms) - request.times.arrived;
+    served.answered += took <= kinds_[request.kind].deadline ? 1 : 0;
+    served.in_time += took <= kObjective ? 1 : 0;
+  }
+
+  std::vector<Kind> kinds_;
+  Random random_;
+  LoadLimits limits_;
+  double now_ms_ = 0;
+  std::vector<FakeEngine> engines_;
+  placement::ServiceSpeed speed_;
+  RequestQueue queue_;
+  std::map<uint64_t, std::shared_ptr<Waiting>> waiting_;
+  std::vector<Served> served_;
+};
+
+double share(int part, int whole) { return static_cast<double>(part) / whole; }
+
+/// Engines of 16 slots end some 53 such requests a second each.
+std::vector<Kind> mixed_load(double per_second) {
+  return {{"t1", 1, per_second * 0.04, 3720, 250}, {"t2", 0, per_second * 0.96, 291, 250}};
+}
+
+TEST(LoadReplay, BelowTheSlotsNothingWaitsAndNothingIsRefused) {
+  Replay replay(4, mixed_load(100), 1);
+  for (const Served& served : replay.play(10000)) {
+    EXPECT_EQ(served.answered, served.asked);
+    EXPECT_EQ(served.longest_hold, Duration(0));
+  }
+}
+
+TEST(LoadReplay, AboveTheSlotsEachIsAnsweredInItsTimeOrRefusedAtOnce) {
+  Replay replay(4, mixed_load(400), 2);
+  const auto all = replay.play(30000);
+  for (const Served& served : all) {
+    EXPECT_GE(served.answered + served.refused + static_cast<int>(replay.still_waiting()),
+              served.asked * 0.97);
+    EXPECT_LE(served.longest_hold, kObjective / 8 + 1ms);
+    EXPECT_EQ(served.refused_early, 0);
+    EXPECT_GT(served.answered, served.asked * 0.4);
+  }
+  // The slots are used: what is refused is what is too much.
+  EXPECT_GT(share(all[0].answered + all[1].answered, all[0].asked + all[1].asked), 0.45);
+}
+
+TEST(LoadReplay, TheLargestPromptsAreServedAsOftenAsTheOthers) {
+  Replay replay(4, {{"t1", 0, 10, 20000, 250}, {"t1", 0, 200, 291, 250}}, 3);
+  const auto all = replay.play(30000);
+  EXPECT_GT(share(all[0].answered, all[0].asked), 0.5 * share(all[1].answered, all[1].asked));
+}
+
+TEST(LoadReplay, OneTenantsBurstDoesNotTakeWhatAnotherIsOwed) {
+  Replay replay(4, {{"heavy", 0, 600, 291, 250}, {"light", 0, 20, 291, 250}}, 4);
+  const auto all = replay.play(30000);
+  EXPECT_GE(share(all[1].answered, all[1].asked), 0.9 * share(all[0].answered, all[0].asked));
+}
+
+TEST(LoadAdmission, RefusesOnlyWhatCanNotBeServedBeforeItsDeadline) {
+  const RequestTimes request{TimePoint(0), kObjective, kDeadline};
+  const LoadLimits limits;
+  EXPECT_EQ(decide(request, {3s, 900ms, 2.0}, limits, 10ms), Verdict::kWait);
+  EXPECT_EQ(decide(request, {3s, 1100ms, 2.0}, limits, 10ms), Verdict::kRefuse);
+  EXPECT_EQ(decide(request, {3600ms, 20ms, 2.0}, limits, 10ms), Verdict::kRefuse);
+  EXPECT_EQ(decide(request, {3600ms, 20ms, 0.49}, limits, 10ms), Verdict::kSend);
+  EXPECT_EQ(decide(request, {150ms, 250ms, 2.0}, limits, 10ms), Verdict::kSend);
+}
+
+TEST(LoadAdmission, HoldsForAnEighthOfTheObjectiveAtTheMost) {
+  const RequestTimes request{TimePoint(0), kObjective, kDeadline};
+  const LoadLimits limits;
+  EXPECT_EQ(decide(request, {1s, 200ms, 1.5}, limits, 74ms), Verdict::kWait);
+  EXPECT_EQ(decide(request, {1s, 200ms, 1.5}, limits, 75ms), Verdict::kSend);
+  const RequestTimes no_objective{TimePoint(0), Duration(0), 800ms};
+  EXPECT_EQ(wait_limit(no_objective, limits), TimePoint(100ms));
+}
+
+/// Pushes requests and notes the order in which they are sent.
+class RequestQueueTest : public ::testing::Test {
+ protected:
+  void push(const std::string& name, const QueuedRequest& request) {
+    numbers_[name] = queue_.push(request, {[this] { return room_ > 0; },
+                                           [this, name] {
+                                             --room_;
+                                             sent_ += name + " ";
+                                           }});
+  }
+  std::string send(int room) {
+    room_ = room;
+    sent_.clear();
+    queue_.send_ready();
+    return sent_;
+  }
+  RequestQueue queue_;
+  std::map<std::string, uint64_t> numbers_;
+  int room_ = 0;
+  std::string sent_;
+};
+
+TEST_F(RequestQueueTest, ALessUrgentRequestNeverGoesBeforeAMoreUrgentOne) {
+  push("idle-tenant", {"b", 3, 1s, 10});
+  push("urgent-late", {"a", 0, 9s, 1000});
+  push("urgent-soon", {"a", 0, 2s, 1000});
+  EXPECT_FALSE(queue_.nothing_before(3));
+  EXPECT_EQ(send(1), "urgent-soon ");
+  push("urgent-new", {"a", 0, 1s, 1000});
+  EXPECT_EQ(send(3), "urgent-new urgent-late idle-tenant ");
+  EXPECT_TRUE(queue_.nothing_before(9));
+}
+
+TEST_F(RequestQueueTest, WhatWaitsIsLessUrgentThanANewRequest) {
+  push("low", {"a", 4, 1s, 10});
+  EXPECT_TRUE(queue_.nothing_before(3));
+  EXPECT_FALSE(queue_.nothing_before(4));
+}
+
+TEST_F(RequestQueueTest, TenantsTakeTurnsBySlotTimeAndNotByCount) {
+  for (int number = 0; number < 12; ++number) {
+    push("long", {"long", 0, 1s, 300});
+    push("short", {"short", 0, 1s, 100});
+  }
+  const std::string sent = send(8);
+  int shorts = 0;
+  for (size_t at = sent.find("short"); at != std::string::npos; at = sent.find("short", at + 1)) {
+    ++shorts;
+  }
+  EXPECT_EQ(shorts, 6);
+}
+
+TEST_F(RequestQueueTest, WhoLeavesIsNotSent) {
+  push("gone", {"a", 0, 1s, 10});
+  push("stays", {"a", 0, 2s, 10});
+  queue_.leave(numbers_["gone"]);
+  EXPECT_EQ(send(5), "stays ");
+  EXPECT_EQ(queue_.size(), 0U);
+}
+
+}  // namespace
+}  // namespace stoat::admission
