Count one late event of a fast engine for little, and only usable engines as room

A fast engine's factor was the ratio of ten sends alone: one event 100 ms late made it 11 times as slow; now 1.5 (FirstEventModel.OneLateEventOfAFastEngineSaysLittle). The rate at which callers may come back leaves out engines that are lost or load weights. A free slot is looked for before anything is reckoned.

--- a/src/dispatch/request_run_admission.cc
+++ b/src/dispatch/request_run_admission.cc
@@ -13,6 +13,7 @@
 /// A request that could not be placed though engines seem to have room is told to come back after so long.
 constexpr Duration kNoRoomKnown = 500ms;
 constexpr double kMicrosecondsPerMillisecond = 1000;
+constexpr double kMillisecondsPerSecond = 1000;
 
 Duration from_ms(double milliseconds) {
   return Duration(static_cast<int64_t>(milliseconds * kMicrosecondsPerMillisecond));
@@ -30,6 +31,13 @@
 }
 
 admission::ServiceOutlook RequestRun::outlook(const std::vector<BackendPtr>& candidates) const {
+  const auto has_free_slot = [](const BackendPtr& backend) {
+    return backend->record.slots == 0 ||  // not told
+           backend->outstanding + backend->others_outstanding < backend->record.slots;
+  };
+  if (std::any_of(candidates.begin(), candidates.end(), has_free_slot)) {
+    return {};
+  }
   const placement::ServiceSpeed& speed = context_.speeds[plan_.service];
   // At best the shared parts come from elsewhere: what can be in time that way is not refused.
   const uint32_t own_tokens =
@@ -41,9 +49,6 @@
   double slots = 0;
   for (const BackendPtr& backend : candidates) {
     const placement::EngineQueue queue = queue_of(*backend, others);
-    if (queue.slots == 0 || queue.own_outstanding + queue.others_outstanding < queue.slots) {
-      return {};  // room, or nothing known of it
-    }
     const auto forecast = placement::expect_first_event(speed, backend->speed, queue, own_tokens);
     if (forecast.wait_ms() < wait_ms) {
       wait_ms = forecast.wait_ms();
@@ -142,7 +147,9 @@
   const placement::ServiceSpeed& speed = context_.speeds[plan_.service];
   double per_second = 0;
   for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
-    per_second += backend->record.slots * 1000.0 / (speed.run_ms() * backend->speed.slowness());
+    const bool usable = !backend->record.loading && !backend->record.lost;
+    const double run_ms = std::max(1.0, speed.run_ms() * backend->speed.slowness());
+    per_second += usable ? backend->record.slots * kMillisecondsPerSecond / run_ms : 0;
   }
   admission::RefusedRequest request;
   request.tenant = plan_.tenant == nullptr ? "" : plan_.tenant->name;
--- a/src/placement/first_event_model.h
+++ b/src/placement/first_event_model.h
@@ -49,14 +49,14 @@
  public:
   /// `expected_ms`: by the service's figures.
   void observe(double observed_ms, double expected_ms);
-  double slowness() const { return observed_ms_ / expected_ms_; }
+  double slowness() const { return (kPriorMs + observed_ms_) / (kPriorMs + expected_ms_); }
 
  private:
-  /// Weight of "like the service" before the engine has shown anything, in expected milliseconds: about five
-  /// first events of short prompts.
+  /// Weight of "like the service", in expected milliseconds: a few first events. One event that came 100 ms
+  /// late at an engine that answers within 1 ms makes it 1.5 times as slow, and not 11 times.
   static constexpr double kPriorMs = 200;
-  double observed_ms_ = kPriorMs;
-  double expected_ms_ = kPriorMs;
+  double observed_ms_ = 0;
+  double expected_ms_ = 0;
 };
 
 /// A mean of samples that begins at a default and forgets older samples slowly.
--- a/tests/unit/first_event_model_test.cc
+++ b/tests/unit/first_event_model_test.cc
@@ -174,6 +174,20 @@
   EXPECT_LT(service.ms_per_token(), before * 1.15);
 }
 
+TEST(FirstEventModel, OneLateEventOfAFastEngineSaysLittle) {
+  EngineSpeed engine;
+  for (int send = 0; send < 100; ++send) {
+    engine.observe(1, 1);
+  }
+  engine.observe(100, 1);
+  EXPECT_LT(engine.slowness(), 1.6);
+  EngineSpeed slow;
+  for (int send = 0; send < 20; ++send) {
+    slow.observe(300, 100);
+  }
+  EXPECT_GT(slow.slowness(), 2.3);
+}
+
 TEST(FirstEventModel, AFullEngineWithoutTheSharedPartGetsNothingThatAnotherWithRoomReadsSooner) {
   PromptChain chain;
   chain.links = {{1, 2000}, {2, 500}};
