--- a/tests/unit/load_admission_test.cc
+++ b/tests/unit/load_admission_test.cc
@@ -3,8 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "src/admission/request_queue.h"
@@ -43,13 +45,19 @@
   Duration longest_hold{0};
 };
 
-/// Arrivals of some kinds at one router, which sends to engines that nobody else uses.
+/// Arrivals of some kinds at routers that share engines. Each router knows its own requests at once, and
+/// those of the others as they were some time ago.
 class Replay {
  public:
-  Replay(size_t engines, std::vector<Kind> kinds, uint64_t seed) : kinds_(std::move(kinds)), random_(seed) {
+  Replay(size_t engines, std::vector<Kind> kinds, uint64_t seed, size_t routers = 1, LoadLimits limits = {})
+      : kinds_(std::move(kinds)), random_(seed), limits_(limits), routers_(routers) {
     for (size_t engine = 0; engine < engines; ++engine) {
       engines_.emplace_back(kSlots, kTokensPerMs);
     }
+    for (Router& router : routers_) {
+      router.own.resize(engines);
+      router.others.resize(engines);
+    }
     for (int sample = 0; sample < 400; ++sample) {
       speed_.observe_run(kRunMs);
       speed_.observe_first_event({0, 5000, 15 + 5000 / kTokensPerMs});
@@ -59,40 +67,83 @@
   std::vector<Served> play(double until_ms) {
     served_.resize(kinds_.size());
     for (; now_ms_ < until_ms; ++now_ms_) {
+      if (static_cast<int64_t>(now_ms_) % kNewsMs == 0) {
+        tell_loads();
+      }
       for (size_t kind = 0; kind < kinds_.size(); ++kind) {
         if (random_.chance(kinds_[kind].per_second / 1000)) {
-          arrive(kind);
+          arrive(routers_[random_.below(routers_.size())], kind);
         }
       }
-      look_again();
+      for (Router& router : routers_) {
+        look_again(router);
+      }
     }
     return served_;
   }
-  size_t still_waiting() const { return waiting_.size(); }
+  size_t still_waiting() const {
+    size_t sum = 0;
+    for (const Router& router : routers_) {
+      sum += router.waiting.size();
+    }
+    return sum;
+  }
 
   static constexpr size_t kSlots = 16;
   static constexpr double kTokensPerMs = 93;
   static constexpr double kRunMs = 300;
 
  private:
+  /// Loads are told so often, and known when the next ones are told.
+  static constexpr int64_t kNewsMs = 100;
+
   struct Waiting {
     size_t kind = 0;
     RequestTimes times;
     double tokens = 0;
     uint64_t number = 0;
   };
+  struct Router {
+    RequestQueue queue;
+    std::map<uint64_t, std::shared_ptr<Waiting>> waiting;
+    std::vector<std::multiset<double>> own;  ///< ends of own requests, by engine
+    std::vector<double> others;              ///< requests of the other routers, as told last
+    std::vector<double> told;                ///< the same, as told next
+  };
 
   TimePoint now() const { return from_ms(now_ms_); }
-  ServiceOutlook outlook(double tokens) {
+  double own_outstanding(Router& router, size_t engine) const {
+    auto& ends = router.own[engine];
+    ends.erase(ends.begin(), ends.upper_bound(now_ms_));
+    return static_cast<double>(ends.size());
+  }
+  void tell_loads() {
+    for (Router& router : routers_) {
+      if (!router.told.empty()) {
+        router.others = router.told;
+      }
+      router.told.clear();
+      for (size_t engine = 0; engine < engines_.size(); ++engine) {
+        const auto total = static_cast<double>(engines_[engine].outstanding(now_ms_));
+        router.told.push_back(total - own_outstanding(router, engine));
+      }
+    }
+  }
+  placement::EngineQueue view(Router& router, size_t engine) {
+    placement::EngineQueue queue;
+    queue.slots = kSlots;
+    queue.own_outstanding = static_cast<uint32_t>(own_outstanding(router, engine));
+    queue.others_outstanding = static_cast<uint32_t>(router.others[engine]);
+    queue.waiting_tokens = static_cast<uint64_t>(engines_[engine].waiting_tokens(now_ms_));
+    return queue;
+  }
+  ServiceOutlook outlook(Router& router, double tokens) {
     ServiceOutlook best{Duration::max(), Duration::max(), 0};
     double taken = 0;
-    for (FakeEngine& engine : engines_) {
-      placement::EngineQueue queue;
-      queue.slots = kSlots;
-      queue.own_outstanding = static_cast<uint32_t>(engine.outstanding(now_ms_));
-      queue.waiting_tokens = static_cast<uint64_t>(engine.waiting_tokens(now_ms_));
+    for (size_t engine = 0; engine < engines_.size(); ++engine) {
+      const placement::EngineQueue queue = view(router, engine);
       const auto forecast = placement::expect_first_event(speed_, {}, queue, static_cast<uint64_t>(tokens));
-      taken += queue.own_outstanding;
+      taken += queue.own_outstanding + queue.others_outstanding;
       if (from_ms(forecast.wait_ms()) < best.wait) {
         best.wait = from_ms(forecast.wait_ms());
         best.answer = from_ms(forecast.reading_ms + forecast.base_ms);
@@ -101,60 +152,68 @@
     best.taken_share = taken / static_cast<double>(kSlots * engines_.size());
     return best;
   }
-  Verdict ask(const Waiting& request) {
-    return decide(request.times, outlook(request.tokens), limits_, now());
+  Verdict ask(Router& router, const Waiting& request) {
+    return decide(request.times, outlook(router, request.tokens), limits_, now());
   }
-  void arrive(size_t kind) {
+  void arrive(Router& router, size_t kind) {
     ++served_[kind].asked;
     auto request = std::make_shared<Waiting>();
     request->kind = kind;
     request->times = {now(), kObjective, now() + kinds_[kind].deadline};
     request->tokens = std::min(random_.exponential(kinds_[kind].tokens), 10 * kinds_[kind].tokens);
-    const Verdict verdict = ask(*request);
+    const Verdict verdict = ask(router, *request);
     if (verdict == Verdict::kRefuse) {
-      refuse(*request);
-    } else if (verdict == Verdict::kSend && queue_.nothing_before(kinds_[kind].urgency)) {
-      send(*request);
+      refuse(router, *request);
+    } else if (verdict == Verdict::kSend && router.queue.nothing_before(kinds_[kind].urgency)) {
+      send(router, *request);
     } else {
-      hold(request);
+      hold(router, request);
     }
   }
-  void hold(const std::shared_ptr<Waiting>& request) {
+  void hold(Router& router, const std::shared_ptr<Waiting>& request) {
     const Kind& kind = kinds_[request->kind];
     const QueuedRequest queued{kind.tenant, kind.urgency, request->times.deadline,
                                kind.answer_ms + request->tokens / kTokensPerMs};
-    request->number = queue_.push(queued, {[this, request] { return ask(*request) == Verdict::kSend; },
-                                           [this, request] {
-                                             waiting_.erase(request->number);
-                                             send(*request);
-                                           }});
-    waiting_[request->number] = request;
+    const auto has_room = [this, &router, request] { return ask(router, *request) == Verdict::kSend; };
+    const auto leave = [this, &router, request] {
+      router.waiting.erase(request->number);
+      send(router, *request);
+    };
+    request->number = router.queue.push(queued, {has_room, leave});
+    router.waiting[request->number] = request;
   }
-  void look_again() {
-    queue_.send_ready();
-    const auto held = waiting_;
+  void look_again(Router& router) {
+    router.queue.send_ready();
+    const auto held = router.waiting;
     for (const auto& [number, request] : held) {
       if (now() >= wait_limit(request->times, limits_)) {
-        queue_.leave(number);
-        waiting_.erase(number);
-        ask(*request) == Verdict::kRefuse ? refuse(*request) : send(*request);
+        router.queue.leave(number);
+        router.waiting.erase(number);
+        ask(router, *request) == Verdict::kRefuse ? refuse(router, *request) : send(router, *request);
       }
     }
   }
-  void refuse(const Waiting& request) {
+  void refuse(Router& router, const Waiting& request) {
     Served& served = served_[request.kind];
     ++served.refused;
-    served.refused_early += outlook(0).taken_share < 0.5 ? 1 : 0;
+    served.refused_early += outlook(router, 0).taken_share < 0.5 ? 1 : 0;
   }
-  void send(const Waiting& request) {
+  void send(Router& router, const Waiting& request) {
     Served& served = served_[request.kind];
     served.longest_hold = std::max(served.longest_hold, now() - request.times.arrived);
-    FakeEngine* least = &engines_.front();
-    for (FakeEngine& engine : engines_) {
-      least = engine.outstanding(now_ms_) < least->outstanding(now_ms_) ? &engine : least;
+    size_t best = 0;
+    double best_ms = std::numeric_limits<double>::max();
+    for (size_t step = 0, first = random_.below(engines_.size()); step < engines_.size(); ++step) {
+      const size_t engine = (first + step) % engines_.size();
+      const placement::EngineQueue queue = view(router, engine);
+      const double wait_ms = placement::expect_first_event(speed_, {}, queue, 0).wait_ms() +
+                             queue.own_outstanding + queue.others_outstanding;
+      best = wait_ms < best_ms ? engine : best;
+      best_ms = std::min(wait_ms, best_ms);
     }
-    const FakeRun run =
-        least->take(now_ms_, request.tokens, random_.exponential(kinds_[request.kind].answer_ms));
+    const double answer_ms = random_.exponential(kinds_[request.kind].answer_ms);
+    const FakeRun run = engines_[best].take(now_ms_, request.tokens, answer_ms);
+    router.own[best].insert(run.end_ms);
     const Duration took = from_ms(run.first_event_ms) - request.times.arrived;
     served.answered += took <= kinds_[request.kind].deadline ? 1 : 0;
     served.in_time += took <= kObjective ? 1 : 0;
@@ -166,8 +225,7 @@
   double now_ms_ = 0;
   std::vector<FakeEngine> engines_;
   placement::ServiceSpeed speed_;
-  RequestQueue queue_;
-  std::map<uint64_t, std::shared_ptr<Waiting>> waiting_;
+  std::vector<Router> routers_;
   std::vector<Served> served_;
 };
 
@@ -200,6 +258,20 @@
   EXPECT_GT(share(all[0].answered + all[1].answered, all[0].asked + all[1].asked), 0.45);
 }
 
+/// Forty routers, none of which knows what the others have just sent, at all that twelve engines can take.
+TEST(LoadReplay, RoutersThatKnowLittleLoseNothingByWaiting) {
+  const std::vector<Kind> kinds = {{"t1", 0, 28, 3720, 250}, {"t2", 1, 672, 291, 250}};
+  LoadLimits never_wait;
+  never_wait.useful_queue = Duration::max();
+  const auto sent = Replay(12, kinds, 2, 40, never_wait).play(10000);
+  const auto waited = Replay(12, kinds, 2, 40).play(10000);
+  for (size_t kind = 0; kind < kinds.size(); ++kind) {
+    EXPECT_EQ(waited[kind].refused, 0);
+    EXPECT_GT(share(waited[kind].in_time, waited[kind].asked),
+              share(sent[kind].in_time, sent[kind].asked) - 0.03);
+  }
+}
+
 TEST(LoadReplay, TheLargestPromptsAreServedAsOftenAsTheOthers) {
   Replay replay(4, {{"t1", 0, 10, 20000, 250}, {"t1", 0, 200, 291, 250}}, 3);
   const auto all = replay.play(30000);
