--- a/tests/property/fair_queue_property_test.cc
+++ b/tests/property/fair_queue_property_test.cc
@@ -1,12 +1,12 @@
 /// The queue of requests that wait: priorities are strict, shares are kept.
-#include "src/admission/fair_queue.h"
-
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <map>
 #include <string>
 
+#include "src/admission/fair_queue.h"
+
 namespace stoat {
 namespace {
 
