--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -53,6 +53,7 @@
 
 RequestRun::~RequestRun() {
   event_free(timer_);
+  leave_queue();
   if (connection_ != nullptr) {
     connection_->close();
   }
@@ -105,8 +106,7 @@
   const TimePoint now = context_.loop.now();
   const std::vector<BackendPtr> found = candidates();
   if (!found.empty()) {
-    waiting_ = false;
-    dispatch(found);
+    admit(found);
     return;
   }
   if (now >= wait_until_ || ran_ != Ran::kNo) {
@@ -120,16 +120,6 @@
   arm_timer(std::min(wait_until_, now + kWaitStep));
 }
 
-void RequestRun::note_waiting() {
-  events::RequestWaits waits;
-  for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
-    ++waits.known;
-    waits.tried += tried_.count(backend->record.id) > 0 ? 1 : 0;
-    waits.loading += backend->record.loading ? 1 : 0;
-  }
-  story_.add(waits);
-}
-
 void RequestRun::note_first_event() {
   if (backend_ != nullptr && counted_prefill_ > 0) {
     backend_->prefill_tokens -= std::min(backend_->prefill_tokens, counted_prefill_);
@@ -227,6 +217,7 @@
   note_first_event();
   if (!begun_at_engine_ && !chain_.links.empty()) {
     begun_at_engine_ = true;
+    learn_first_event();
     note_chain_read();
   }
   if (event.id && last_event_id_ && *event.id <= *last_event_id_) {
@@ -263,6 +254,7 @@
       return;
     }
     context_.pool.outliers().on_success(backend_->record.id);
+    learn_run();
     end_exchange(true);
     if (!streaming_) {
       answer_->start(head_);
@@ -300,6 +292,7 @@
   }
   if (!failed) {
     context_.pool.outliers().on_success(backend_->record.id);
+    learn_run();
   }
   end_exchange(true);
   if (streaming_) {
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -1,6 +1,7 @@
 /// RequestRun: which back end gets a request, and what it is sent.
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 #include "src/dispatch/request_run.h"
@@ -15,8 +16,6 @@
 constexpr Duration kTellAgain = 3s;
 /// The store gets a prompt's own part as well, so only prompts that share much are sent there.
 constexpr uint32_t kMinStoredTokens = 1000;
-constexpr uint32_t kMaxUrgency = 9;
-constexpr uint32_t kRoutePriorities = 3;
 
 /// True when a back end is heard, has its weights in place, and has not failed too often lately.
 bool is_sound(BackendPool& pool, const Backend& backend, TimePoint now) {
@@ -58,14 +57,17 @@
   return usable.empty() ? doubtful : usable;
 }
 
-placement::EngineView RequestRun::view_of(const Backend& backend) const {
+placement::EngineView RequestRun::view_of(const Backend& backend, double usual_others) const {
   placement::EngineView view;
   view.name_hash = backend.name_hash;
   view.memory = &backend.memory;
   view.weights = backend.record.version_of(plan_.fields.model);
   view.outstanding = backend.outstanding + backend.others_outstanding;
-  view.prefill_tokens = backend.prefill_tokens + backend.others_prefill_tokens;
   view.slots = backend.record.slots;
+  const placement::ServiceSpeed& service = context_.speeds[plan_.service];
+  view.ms_per_token = service.ms_per_token() * backend.speed.slowness();
+  view.wait_ms =
+      placement::expect_first_event(service, backend.speed, queue_of(backend, usual_others), 0).wait_ms();
   view.zone_hash = backend.zone_hash;
   view.old_weights = outdated_for(backend).value_or(Duration(0)) > kOldWeightsFree;
   view.same_zone = backend.record.zone == context_.zone;
@@ -78,8 +80,9 @@
   std::vector<placement::EngineView> views;
   std::vector<BackendPtr> engines = candidates;
   views.reserve(candidates.size());
+  const double others = usual_others();
   for (const BackendPtr& backend : candidates) {
-    views.push_back(view_of(*backend));
+    views.push_back(view_of(*backend, others));
   }
   if (chain_.links.empty()) {
     send_to(engines[placement::choose_least_loaded(views, context_.random.bits())],
@@ -90,7 +93,7 @@
   for (const BackendPtr& backend : context_.pool.present(plan_.service)) {
     if (std::find(candidates.begin(), candidates.end(), backend) == candidates.end()) {
       engines.push_back(backend);
-      views.push_back(view_of(*backend));
+      views.push_back(view_of(*backend, others));
       views.back().candidate = false;
     }
   }
@@ -155,10 +158,7 @@
   if (!chain_.links.empty()) {
     const uint64_t version = backend.record.version_of(plan_.fields.model);
     add(names.cache_salt, placement::to_salt({plan_.cache_owner(), version}));
-    const uint32_t tenant_priority = plan_.tenant == nullptr ? 0 : plan_.tenant->priority;
-    const uint32_t urgency =
-        std::min(kMaxUrgency, tenant_priority * kRoutePriorities + plan_.route->priority);
-    add(names.urgency, std::to_string(urgency));
+    add(names.urgency, std::to_string(urgency()));
     if (version > 0) {
       // The engine may have newer weights than this router knows: what it kept under this salt would be stale
       // for those who know better.
@@ -286,10 +286,14 @@
     backup_ = choose_backup(*backend);
     cache.backup = backup_ == nullptr ? "" : backup_->record.address;
   }
+  moved_tokens_ = 0;
   if (!chain_.links.empty()) {
     count_prefill(cache);
   }
+  sent_at_ = now;
+  expect_first_event();
   sent.missing_tokens = counted_prefill_;
+  sent.expected_ms = std::llround(expected_->forecast.total_ms());
   sent.weights = run_weights_;
   sent.cache_source = cache.source;
   sent.copy_of = cache.from;
@@ -307,12 +311,14 @@
 
 void RequestRun::count_prefill(const CachePlan& cache) {
   const TimePoint now = context_.loop.now();
-  uint32_t present = backend_->memory.cached_tokens(chain_, run_weights_, now);
+  const uint32_t own = backend_->memory.cached_tokens(chain_, run_weights_, now);
+  uint32_t present = own;
   if (const CacheStore* store = context_.stores.find(cache.source)) {
     present = std::max(present, store->memory.held_tokens(chain_, run_weights_, now));
   } else if (!cache.source.empty()) {
     present = std::max(present, placement::shared_tokens(chain_));
   }
+  moved_tokens_ = present - own;
   counted_prefill_ = chain_.prompt_tokens - std::min(chain_.prompt_tokens, present);
   backend_->prefill_tokens += counted_prefill_;
   backend_->memory.note_pending(chain_, run_weights_, now);
--- a/src/events/request_events.h
+++ b/src/events/request_events.h
@@ -37,6 +37,17 @@
   std::vector<LogField> fields() const { return {{"known", known}, {"tried", tried}, {"loading", loading}}; }
 };
 
+/// All engines that may take it have queues; it waits at the router for a slot.
+struct RequestQueued {
+  static constexpr const char* kSentence = "request waits for a slot";
+  int64_t wait_ms = 0;     ///< expected at the engine that has room first
+  double taken_share = 0;  ///< slots taken over slots
+  uint32_t queued = 0;     ///< requests that waited before it
+  std::vector<LogField> fields() const {
+    return {{"wait_ms", wait_ms}, {"taken_share", taken_share}, {"queued", queued}};
+  }
+};
+
 /// It was sent to a back end.
 struct RequestSent {
   static constexpr const char* kSentence = "request sent";
@@ -45,6 +56,7 @@
   uint32_t outstanding = 0;     ///< requests under way there before it
   uint64_t queued_tokens = 0;   ///< prompt tokens waiting to be read there before it
   uint64_t missing_tokens = 0;  ///< of its prompt that are not known to be held there
+  int64_t expected_ms = 0;      ///< from this send to the first event
   uint64_t weights = 0;
   std::string cache_source;  ///< address; empty: none
   std::string copy_of;       ///< the run that it goes on from; empty: a run from the start
@@ -54,6 +66,7 @@
             {"outstanding", outstanding},
             {"queued_tokens", queued_tokens},
             {"missing_tokens", missing_tokens},
+            {"expected_ms", expected_ms},
             {"weights", weights},
             {"cache_source", cache_source},
             {"copy_of", copy_of}};
@@ -106,7 +119,8 @@
   uint32_t backends = 0;
   uint32_t refusals = 0;
   int64_t total_ms = 0;
-  int64_t first_event_ms = -1;  ///< -1: there was none
+  int64_t first_event_ms = -1;     ///< -1: there was none
+  int64_t expected_first_ms = -1;  ///< expected when it was last sent, from its arrival; -1: never sent
   int64_t longest_pause_ms = 0;
   bool late = false;  ///< beyond the route's objective
   std::vector<LogField> fields() const {
@@ -116,6 +130,7 @@
             {"refusals", refusals},
             {"ms", total_ms},
             {"first_event_ms", first_event_ms},
+            {"expected_first_ms", expected_first_ms},
             {"longest_pause_ms", longest_pause_ms},
             {"late", late}};
   }
