Reckon moves of KV cache, homes of prompts and plain calls by distance

Cause: placement counted 2 ms for another zone, whichever it is, and 0.015 ms a token for a move, twice that between zones. Where KV cache takes 0.048 ms a token between regions and an engine reads it in 0.02 ms, sources in the other region were named, and cost more than reading. Plain calls crossed the regions as chance had it: another zone counted as 0.01 of a slot.

Ruled out: a home in each region for long prompts (the memory does not hold them twice; not measured).

--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -30,7 +30,7 @@
   if (backend == nullptr) {
     backend = std::make_shared<Backend>();
     backend->name_hash = hash_bytes(record.id);
-    backend->zone_hash = hash_bytes(record.zone);
+    backend->place = topology_.place_of(record.zone);
     parse_endpoint(record.address, backend->endpoint);
     outliers_.know(record.id);
   }
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -21,7 +21,7 @@
   fleet::BackendRecord record;
   Endpoint endpoint;
   uint64_t name_hash = 0;
-  uint64_t zone_hash = 0;
+  topology::Place place;
   std::vector<std::shared_ptr<EngineConnection>> idle;  ///< the last one was used last
   size_t connections = 0;                               ///< idle ones and those in use
   uint32_t outstanding = 0;
@@ -42,7 +42,8 @@
 /// See the head of this file.
 class BackendPool {
  public:
-  explicit BackendPool(EventLoop& loop) : loop_(loop) {}
+  explicit BackendPool(EventLoop& loop, topology::Topology topology = {})
+      : loop_(loop), topology_(std::move(topology)) {}
   ~BackendPool();
   BackendPool(const BackendPool&) = delete;
   BackendPool& operator=(const BackendPool&) = delete;
@@ -94,6 +95,7 @@
   void end_probe(const std::weak_ptr<Backend>& weak);
 
   EventLoop& loop_;
+  topology::Topology topology_;
   std::map<std::string, BackendPtr> backends_;  ///< by id
   std::map<std::string, fleet::BackendState> retired_;
   delivery::OutlierDetector outliers_;
--- /dev/null
+++ b/src/dispatch/request_distance.cc
@@ -0,0 +1,34 @@
+/// RequestRun: how far a request and its KV cache go, and how long calls take at an engine.
+#include "src/dispatch/request_run.h"
+
+namespace stoat::dispatch {
+
+topology::Place RequestRun::place_of_store(const std::string& address) const {
+  const fleet::Service* store = plan_.table->store_at(address);
+  return context_.topology.place_of(store == nullptr ? address : store->store_zone);
+}
+
+void RequestRun::note_distances(const Backend& target, const CachePlan& cache,
+                                events::RequestSent& sent) const {
+  sent.distance = topology::to_text(topology::distance(context_.place, target.place));
+  context_.metrics.count("stoat_router_sends_total", {{"distance", sent.distance}});
+  if (cache.source.empty()) {
+    return;
+  }
+  sent.source_distance = topology::to_text(topology::distance(cache.source_place, target.place));
+  context_.metrics.count("stoat_router_cache_sources_total", {{"distance", sent.source_distance}});
+}
+
+void RequestRun::note_work_time() {
+  if (!work_began_) {
+    return;
+  }
+  constexpr double kMicrosecondsPerMs = 1000;
+  const double way_ms = context_.costs.ways.ms(topology::distance(context_.place, backend_->place));
+  const Duration taken = context_.loop.now() - *work_began_;
+  work_began_.reset();
+  context_.work_times[plan_.service].observe(static_cast<double>(taken.count()) / kMicrosecondsPerMs -
+                                             way_ms);
+}
+
+}  // namespace stoat::dispatch
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -300,6 +300,7 @@
   }
   if (!failed) {
     context_.pool.outliers().on_success(backend_->record.id);
+    note_work_time();
   }
   end_exchange(true);
   if (streaming_) {
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -23,6 +23,7 @@
 #include "src/fleet/fleet_messages.h"
 #include "src/fleet/version_history.h"
 #include "src/placement/cache_namespace.h"
+#include "src/placement/plain_placement.h"
 #include "src/routing/route_table.h"
 #include "src/topology/topology.h"
 
@@ -45,8 +46,8 @@
   Metrics& metrics;
   events::StoryBook& stories;
   Random random{0};
-  std::string zone = {};
   topology::Topology topology = {};
+  topology::Place place = {};  ///< of this router
   uint32_t router_count = 1;
   delivery::SharingRouters sharing_routers{10s};  ///< of the bound on repeats
   Duration old_weights_limit =
@@ -60,6 +61,7 @@
   /// Tells control that a back end could not be reached.
   std::function<void(const std::string&)> tell_unreachable = [](const std::string&) {};
   placement::PlacementCosts costs = {};
+  std::map<std::string, placement::WorkTime> work_times = {};  ///< of calls without a prompt, by service
   admission::QuotaGate quotas{{}, 0};
 
   delivery::WindowBudget& budget_of(const std::string& service) {
@@ -89,9 +91,10 @@
 struct CachePlan {
   std::string source = {};
   std::string target = {};
-  std::string backup = {};  ///< the engine that gets a copy of the run's memory
-  std::string from = {};    ///< of a run that goes on from such a copy: where it ran, and its id
-  uint32_t candidates = 1;  ///< engines that it was placed among, for the log
+  std::string backup = {};            ///< the engine that gets a copy of the run's memory
+  std::string from = {};              ///< of a run that goes on from such a copy: where it ran, and its id
+  uint32_t candidates = 1;            ///< engines that it was placed among, for the log
+  topology::Place source_place = {};  ///< counts when there is a source
 };
 
 /// See the head of this file. Lives until its final answer or the caller's leaving; on_done is then called.
@@ -142,8 +145,18 @@
   const char* why_no_copy(const Backend& origin) const;
   /// Goes on from the copy of the run at an engine that failed.
   bool go_on_from_copy(const Backend& origin);
+  /// Chooses the engine for a call without a prompt.
+  const BackendPtr& choose_for_call(const std::vector<BackendPtr>& candidates,
+                                    const std::vector<placement::EngineView>& views);
   /// `holder`: an engine that is a source, or nullptr; `store`: the one of the chain, or nullptr.
-  CachePlan plan_cache(const Backend& target, const Backend* holder, const CacheStore* store) const;
+  /// `store_pays`: it is worth while for the target to take the shared parts from the store.
+  CachePlan plan_cache(const Backend& target, const Backend* holder, const CacheStore* store,
+                       bool store_pays) const;
+  /// Where the store stands; a place of its own when that is not known.
+  topology::Place place_of_store(const std::string& address) const;
+  /// Counts how far a request and its KV cache go, and tells it to the log.
+  void note_distances(const Backend& target, const CachePlan& cache, events::RequestSent& sent) const;
+  void note_work_time();
   std::string request_head(const Backend& backend, const CachePlan& cache, TimePoint now) const;
   bool set_by_system(const std::string& name) const;
   /// Why the request may not be sent again; nullptr when it may, which then counts as a repeat.
@@ -195,6 +208,8 @@
   std::string stored_at_;         ///< address of the store that the engine at backend_ sends what it reads
   TimePoint last_sign_{0};        ///< of the exchange at backend_: when it was sent, or last heard
   bool begun_at_engine_ = false;  ///< the run at backend_ has made its first event
+  /// When a call without a prompt was sent to an engine with a free slot; else nullopt.
+  std::optional<TimePoint> work_began_;
   uint64_t counted_prefill_ = 0;  ///< tokens counted at backend_ until the first event
   AnswerKind kind_ = AnswerKind::kNone;
   edge::AnswerHead head_;
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -66,9 +66,9 @@
   view.outstanding = backend.outstanding + backend.others_outstanding;
   view.prefill_tokens = backend.prefill_tokens + backend.others_prefill_tokens;
   view.slots = backend.record.slots;
-  view.zone_hash = backend.zone_hash;
+  view.place = backend.place;
+  view.distance = topology::distance(context_.place, backend.place);
   view.old_weights = outdated_for(backend).value_or(Duration(0)) > kOldWeightsFree;
-  view.same_zone = backend.record.zone == context_.zone;
   // A dead source holds the request up.
   view.sound = is_sound(context_.pool, backend, context_.loop.now());
   return view;
@@ -82,7 +82,7 @@
     views.push_back(view_of(*backend));
   }
   if (chain_.links.empty()) {
-    send_to(engines[placement::choose_least_loaded(views, context_.random.bits())],
+    send_to(choose_for_call(candidates, views),
             CachePlan{.candidates = static_cast<uint32_t>(candidates.size())});
     return;
   }
@@ -95,10 +95,19 @@
     }
   }
   const CacheStore* store = context_.stores.store_for(chain_);
-  const placement::Placement placed = placement::place(
-      chain_, views, store == nullptr ? nullptr : &store->memory, context_.costs, context_.loop.now());
+  placement::StoreView store_view;
+  placement::PlacementCosts costs = context_.costs;
+  if (store != nullptr) {
+    store_view = {&store->memory, place_of_store(store->address)};
+  }
+  if (const fleet::Service* service = plan_.table->service(plan_.service)) {
+    const fleet::Service* stored = store == nullptr ? nullptr : plan_.table->store_at(store->address);
+    costs.moves = placement::move_costs(service->engine, stored);
+  }
+  const placement::Placement placed =
+      placement::place(chain_, views, store == nullptr ? nullptr : &store_view, costs, context_.loop.now());
   const BackendPtr holder = placed.source ? engines[*placed.source] : nullptr;
-  CachePlan cache = plan_cache(*engines[placed.target], holder.get(), store);
+  CachePlan cache = plan_cache(*engines[placed.target], holder.get(), store, placed.store_pays);
   cache.candidates = static_cast<uint32_t>(candidates.size());
   send_to(engines[placed.target], std::move(cache));
 }
@@ -114,18 +123,36 @@
          http1::same_name(names.expected_weights, name) || http1::same_name(names.last_event_id, name);
 }
 
-CachePlan RequestRun::plan_cache(const Backend& target, const Backend* holder,
-                                 const CacheStore* store) const {
+const BackendPtr& RequestRun::choose_for_call(const std::vector<BackendPtr>& candidates,
+                                              const std::vector<placement::EngineView>& views) {
+  const size_t chosen = placement::choose_nearest(views, context_.work_times[plan_.service].ms(),
+                                                  context_.costs.ways, context_.random.bits());
+  if (views[chosen].outstanding < views[chosen].slots) {
+    work_began_ = context_.loop.now();
+  }
+  return candidates[chosen];
+}
+
+CachePlan RequestRun::plan_cache(const Backend& target, const Backend* holder, const CacheStore* store,
+                                 bool store_pays) const {
   CachePlan plan;
   const TimePoint now = context_.loop.now();
   const uint64_t weights = target.record.version_of(plan_.fields.model);
   const uint32_t shared = placement::shared_tokens(chain_);
   const std::string store_address = store == nullptr ? "" : store->address;
   const bool stored = store != nullptr && store->memory.held_tokens(chain_, weights, now) >= shared;
-  // An engine takes only what it lacks, and a miss costs a millisecond: a source is named in any case.
+  // The store is named also when it is not known to hold the prompt: an engine takes only what it lacks, and
+  // a miss costs a millisecond. Where a move from it takes longer than to read, it gets nothing either.
+  const bool of_use = store_pays && shared >= kMinStoredTokens;
   const bool surely_held = holder != nullptr && holder->memory.surely_holds(chain_, weights, now);
-  plan.source = holder == nullptr || (stored && !surely_held) ? store_address : holder->record.address;
-  if (!stored && shared >= kMinStoredTokens) {
+  if (of_use && (holder == nullptr || (stored && !surely_held))) {
+    plan.source = store_address;
+    plan.source_place = place_of_store(store_address);
+  } else if (holder != nullptr) {
+    plan.source = holder->record.address;
+    plan.source_place = holder->place;
+  }
+  if (of_use && !stored) {
     plan.target = store_address;
   }
   return plan;
@@ -200,9 +227,10 @@
         backend->record.version_of(plan_.fields.model) != target.record.version_of(plan_.fields.model)) {
       continue;
     }
-    // Copies within a zone are cheaper; among equals the less loaded engine has more room.
+    // Copies within a zone are cheapest, and none crosses regions while an engine of the region can hold it;
+    // among equals the less loaded engine has more room.
     const auto rank = [&](const Backend& entry) {
-      return std::make_pair(entry.record.zone != target.record.zone,
+      return std::make_pair(topology::distance(entry.place, target.place),
                             entry.outstanding + entry.others_outstanding);
     };
     if (best == nullptr || rank(*backend) < rank(*best)) {
@@ -293,6 +321,7 @@
   sent.weights = run_weights_;
   sent.cache_source = cache.source;
   sent.copy_of = cache.from;
+  note_distances(*backend, cache, sent);
   story_.add(sent);
   context_.pool.outliers().on_dispatch(backend->record.id, now);
   const std::string id = plan_.fields.id;
--- a/src/events/request_events.h
+++ b/src/events/request_events.h
@@ -46,8 +46,10 @@
   uint64_t queued_tokens = 0;   ///< prompt tokens waiting to be read there before it
   uint64_t missing_tokens = 0;  ///< of its prompt that are not known to be held there
   uint64_t weights = 0;
-  std::string cache_source;  ///< address; empty: none
-  std::string copy_of;       ///< the run that it goes on from; empty: a run from the start
+  std::string cache_source;     ///< address; empty: none
+  std::string copy_of;          ///< the run that it goes on from; empty: a run from the start
+  std::string distance;         ///< of the back end from this router
+  std::string source_distance;  ///< of the cache's source from the back end; empty: no source
   std::vector<LogField> fields() const {
     return {{"backend", backend},
             {"candidates", candidates},
@@ -56,7 +58,9 @@
             {"missing_tokens", missing_tokens},
             {"weights", weights},
             {"cache_source", cache_source},
-            {"copy_of", copy_of}};
+            {"copy_of", copy_of},
+            {"distance", distance},
+            {"source_distance", source_distance}};
   }
 };
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -66,7 +66,7 @@
       names_(names),
       malformed_tokens_(names.token_counts + " must be two whole numbers joined by a comma"),
       stories_(log_, settings.stories),
-      pool_(loop),
+      pool_(loop, settings.topology),
       context_{loop, names_, pool_, metrics_, stories_},
       link_(
           loop, settings.link, [this] { return make_status(); },
@@ -75,8 +75,8 @@
       edge_(loop, settings.listen, *this) {
   context_.random = Random(seed_from_device());
   context_.quotas = admission::QuotaGate(settings.quotas, seed_from_device());
-  context_.zone = settings.zone;
   context_.topology = settings.topology;
+  context_.place = settings.topology.place_of(settings.zone);
   context_.budget_options = settings.budget;
   context_.sharing_routers = delivery::SharingRouters(settings.routers_settle);
   context_.old_weights_limit = settings.old_weights_limit;
--- a/src/placement/part_placement.cc
+++ b/src/placement/part_placement.cc
@@ -9,20 +9,56 @@
 
 namespace {
 
+/// An engine that holds the beginning of the chain.
+struct Holder {
+  size_t position = 0;
+  uint32_t tokens = 0;  ///< shared tokens that it holds
+};
+
 /// What is known of one chain among the engines with the same weights.
 struct WeightsGroup {
   std::optional<size_t> home;  ///< the candidate that the chain belongs to when nobody is known to hold it
   uint64_t home_rank = 0;
-  uint32_t best_cached = 0;     ///< held or being read anywhere
-  std::vector<size_t> sources;  ///< engines that hold `source_tokens`
-  uint32_t source_tokens = 0;   ///< the most shared tokens that any sound engine holds
-  uint32_t stored_tokens = 0;   ///< shared tokens that the store holds
+  std::optional<size_t> near_home;  ///< the same among those of this router's region
+  uint64_t near_home_rank = 0;
+  uint32_t best_cached = 0;  ///< held or being read anywhere
+  std::vector<Holder>
+      holders;                 ///< in each zone the sound engine that holds most, the least busy among equals
+  uint32_t stored_tokens = 0;  ///< shared tokens that the store holds
 };
 
 using Groups = std::map<uint64_t, WeightsGroup>;  ///< by version of the weights
 
+void note_home(WeightsGroup& group, size_t position, const EngineView& engine, uint64_t key) {
+  const uint64_t rank = hash_pair(key, engine.name_hash);
+  if (!group.home || rank > group.home_rank) {
+    group.home = position;
+    group.home_rank = rank;
+  }
+  const bool near = engine.distance != topology::Distance::kOtherRegion;
+  if (near && (!group.near_home || rank > group.near_home_rank)) {
+    group.near_home = position;
+    group.near_home_rank = rank;
+  }
+}
+
+void note_holder(WeightsGroup& group, const Holder& holder, const std::vector<EngineView>& engines) {
+  const EngineView& engine = engines[holder.position];
+  for (Holder& known : group.holders) {
+    const EngineView& other = engines[known.position];
+    if (other.place != engine.place) {
+      continue;
+    }
+    const bool better = holder.tokens > known.tokens ||
+                        (holder.tokens == known.tokens && engine.outstanding < other.outstanding);
+    known = better ? holder : known;
+    return;
+  }
+  group.holders.push_back(holder);
+}
+
 Groups group_by_weights(const PromptChain& chain, const std::vector<EngineView>& engines,
-                        const ChainMemory* store, TimePoint now) {
+                        const StoreView* store, TimePoint now) {
   Groups groups;
   const uint64_t key = shared_key(chain);
   const uint32_t shared = shared_tokens(chain);
@@ -31,12 +67,10 @@
     const auto [entry, added] = groups.try_emplace(engine.weights);
     WeightsGroup& group = entry->second;
     if (added && store != nullptr) {
-      group.stored_tokens = std::min(shared, store->held_tokens(chain, engine.weights, now));
+      group.stored_tokens = std::min(shared, store->memory->held_tokens(chain, engine.weights, now));
     }
-    const uint64_t rank = hash_pair(key, engine.name_hash);
-    if (engine.candidate && (!group.home || rank > group.home_rank)) {
-      group.home = position;
-      group.home_rank = rank;
+    if (engine.candidate) {
+      note_home(group, position, engine, key);
     }
     if (engine.memory == nullptr) {
       continue;
@@ -44,29 +78,53 @@
     group.best_cached = std::max(group.best_cached,
                                  std::min(shared, engine.memory->cached_tokens(chain, engine.weights, now)));
     const uint32_t held = std::min(shared, engine.memory->held_tokens(chain, engine.weights, now));
-    if (!engine.sound || held == 0 || held < group.source_tokens) {
-      continue;
-    }
-    if (held > group.source_tokens) {
-      group.sources.clear();
+    if (engine.sound && held > 0) {
+      note_holder(group, {position, held}, engines);
     }
-    group.source_tokens = held;
-    group.sources.push_back(position);
   }
   return groups;
 }
 
-/// The source for a target: one in its zone if there is one, the least busy among equals.
-std::optional<size_t> source_for(size_t target, const WeightsGroup& group,
-                                 const std::vector<EngineView>& engines) {
-  std::optional<size_t> best;
-  const auto rank = [&](size_t position) {
-    const EngineView& engine = engines[position];
-    return std::make_pair(engine.zone_hash != engines[target].zone_hash, engine.outstanding);
+/// Whether a chain is worth the way to the other region: where what it shares takes longer to read anew, the
+/// fleet keeps it once; else each region reads it for itself.
+bool worth_the_way(const PromptChain& chain, const PlacementCosts& costs) {
+  return shared_tokens(chain) * costs.reread_ms_per_token > costs.ways.other_region_ms;
+}
+
+/// How an engine comes to what others hold of the chain, and what it then has.
+struct Supply {
+  std::optional<size_t> source;
+  bool from_store = false;
+  uint32_t present = 0;  ///< tokens at the chain's beginning
+  double move_ms = 0;
+  double saved_ms = 0;  ///< what is won against reading
+};
+
+/// The supply that saves most; the engine's own tokens alone when no move pays.
+Supply choose_supply(size_t target, uint32_t own, const std::vector<EngineView>& engines,
+                     const WeightsGroup& group, const StoreView* store, double reading_ms_per_token,
+                     const PlacementCosts& costs) {
+  Supply best;
+  best.present = own;
+  const auto offer = [&](uint32_t tokens, double move_ms, std::optional<size_t> source) {
+    const double reading_ms = reading_ms_per_token + costs.reread_ms_per_token;
+    const double saved_ms = (tokens - own) * reading_ms - move_ms;
+    if (saved_ms > best.saved_ms) {
+      best = {source, !source, tokens, move_ms, saved_ms};
+    }
   };
-  for (const size_t position : group.sources) {
-    if (position != target && (!best || rank(position) < rank(*best))) {
-      best = position;
+  const EngineView& engine = engines[target];
+  for (const Holder& holder : group.holders) {
+    const topology::Distance way = topology::distance(engines[holder.position].place, engine.place);
+    if (holder.position != target && holder.tokens > own &&
+        costs.moves.engine_pays(holder.tokens - own, way, reading_ms_per_token)) {
+      offer(holder.tokens, costs.moves.engine_ms(holder.tokens - own, way), holder.position);
+    }
+  }
+  if (store != nullptr && group.stored_tokens > own) {
+    const topology::Distance way = topology::distance(store->place, engine.place);
+    if (costs.moves.store_pays(group.stored_tokens - own, way, reading_ms_per_token)) {
+      offer(group.stored_tokens, costs.moves.store_ms(group.stored_tokens - own, way), std::nullopt);
     }
   }
   return best;
@@ -79,33 +137,32 @@
 };
 
 Option consider(size_t position, const PromptChain& chain, const std::vector<EngineView>& engines,
-                const WeightsGroup& group, const PlacementCosts& costs, TimePoint now) {
+                const WeightsGroup& group, const StoreView* store, const PlacementCosts& costs,
+                TimePoint now) {
   const EngineView& engine = engines[position];
   const uint32_t shared = shared_tokens(chain);
   const uint32_t own =
-      engine.memory == nullptr ? 0 : engine.memory->cached_tokens(chain, engine.weights, now);
+      engine.memory == nullptr
+          ? 0
+          : std::min(chain.prompt_tokens, engine.memory->cached_tokens(chain, engine.weights, now));
+  const double reading_ms_per_token = 1 / costs.prefill_tokens_per_ms;
+  const Supply supply = choose_supply(position, own, engines, group, store, reading_ms_per_token, costs);
+  const uint32_t present = supply.present;
   Option option;
   option.placement.target = position;
-  uint32_t present = std::min(own, chain.prompt_tokens);
-  if (group.source_tokens > own && group.source_tokens >= group.stored_tokens) {
-    option.placement.source = source_for(position, group, engines);
-  } else if (group.stored_tokens > own) {
-    option.placement.from_store = true;
-    option.cost_ms += costs.move_setup_ms + (group.stored_tokens - own) * costs.store_move_ms_per_token;
-    present = group.stored_tokens;
-  }
-  if (option.placement.source) {
-    const uint32_t moved = group.source_tokens - own;
-    const bool across = engines[*option.placement.source].zone_hash != engine.zone_hash;
-    option.cost_ms += costs.move_setup_ms + moved * costs.move_ms_per_token * (across ? 2 : 1);
-    present = group.source_tokens;
-  }
+  option.placement.source = supply.source;
+  option.placement.from_store = supply.from_store;
+  option.placement.store_pays =
+      store != nullptr &&
+      costs.moves.store_pays(shared, topology::distance(store->place, engine.place), reading_ms_per_token);
+  option.cost_ms += supply.move_ms;
   option.placement.missing_tokens = chain.prompt_tokens - std::min(chain.prompt_tokens, present);
   option.cost_ms += (option.placement.missing_tokens + static_cast<double>(engine.prefill_tokens)) /
                     costs.prefill_tokens_per_ms;
   // What another engine holds or is reading should not be read again. Where nobody is known to, the other
   // routers' requests go to the chain's home.
-  const bool at_home = group.home == position;
+  const bool fleet_home = worth_the_way(chain, costs) || !group.near_home;
+  const bool at_home = (fleet_home ? group.home : group.near_home) == position;
   const uint32_t expected = group.best_cached > 0 || at_home ? group.best_cached : shared / 2;
   option.cost_ms += (expected - std::min(expected, present)) * costs.reread_ms_per_token;
   if (!at_home && own < shared) {
@@ -114,13 +171,25 @@
   option.cost_ms += engine.outstanding * costs.per_outstanding_ms;
   option.cost_ms += engine.outstanding >= engine.slots ? costs.full_ms : 0;
   option.cost_ms += engine.old_weights ? costs.old_weights_ms : 0;
-  option.cost_ms += engine.same_zone ? 0 : costs.other_zone_ms;
+  option.cost_ms += costs.ways.ms(engine.distance);
   return option;
 }
 
 }  // namespace
 
-Placement place(const PromptChain& chain, const std::vector<EngineView>& engines, const ChainMemory* store,
+double WayCosts::ms(topology::Distance distance) const {
+  switch (distance) {
+    case topology::Distance::kSameZone:
+      return 0;
+    case topology::Distance::kSameRegion:
+      return other_zone_ms;
+    case topology::Distance::kOtherRegion:
+      return other_region_ms;
+  }
+  return other_region_ms;
+}
+
+Placement place(const PromptChain& chain, const std::vector<EngineView>& engines, const StoreView* store,
                 const PlacementCosts& costs, TimePoint now) {
   const Groups groups = group_by_weights(chain, engines, store, now);
   std::optional<Option> best;
@@ -129,7 +198,7 @@
       continue;
     }
     const Option option =
-        consider(position, chain, engines, groups.at(engines[position].weights), costs, now);
+        consider(position, chain, engines, groups.at(engines[position].weights), store, costs, now);
     if (!best || option.cost_ms < best->cost_ms) {
       best = option;
     }
@@ -137,24 +206,4 @@
   return best->placement;
 }
 
-size_t choose_least_loaded(const std::vector<EngineView>& engines, uint64_t random) {
-  std::optional<size_t> best;
-  double best_load = 0;
-  for (size_t step = 0; step < engines.size(); ++step) {
-    const size_t position = (step + random) % engines.size();
-    const EngineView& engine = engines[position];
-    if (!engine.candidate) {
-      continue;
-    }
-    const double load =
-        static_cast<double>(engine.outstanding) / static_cast<double>(std::max(1U, engine.slots)) +
-        (engine.same_zone ? 0.0 : 0.01);
-    if (!best || load < best_load) {
-      best = position;
-      best_load = load;
-    }
-  }
-  return best.value_or(0);
-}
-
 }  // namespace stoat::placement
--- a/src/placement/part_placement.h
+++ b/src/placement/part_placement.h
@@ -15,6 +15,8 @@
 
 #include "src/common/time.h"
 #include "src/placement/chain_memory.h"
+#include "src/placement/move_costs.h"
+#include "src/topology/topology.h"
 
 namespace stoat::placement {
 
@@ -26,11 +28,25 @@
   uint32_t outstanding = 0;     ///< requests under way there, of all routers as far as known
   uint64_t prefill_tokens = 0;  ///< of requests there that have no first token yet
   uint32_t slots = 1;
-  uint64_t zone_hash = 0;
-  bool old_weights = false;  ///< a newer version is named
-  bool same_zone = false;    ///< as this router
-  bool candidate = true;     ///< may get the request
-  bool sound = true;         ///< may be a source of KV cache
+  topology::Place place;
+  topology::Distance distance = topology::Distance::kSameRegion;  ///< from this router
+  bool old_weights = false;                                       ///< a newer version is named
+  bool candidate = true;                                          ///< may get the request
+  bool sound = true;                                              ///< may be a source of KV cache
+};
+
+/// The store that a chain belongs to.
+struct StoreView {
+  const ChainMemory* memory = nullptr;
+  topology::Place place;
+};
+
+/// What the way to an engine is worth, in milliseconds: the time there and back, and what the bytes cost.
+struct WayCosts {
+  double other_zone_ms = 2.0;
+  /// 40 ms on the way at the distances meant, and the link between regions is narrow.
+  double other_region_ms = 60.0;
+  double ms(topology::Distance distance) const;
 };
 
 /// Assumed costs, in milliseconds.
@@ -39,11 +55,8 @@
   double per_outstanding_ms = 1.0;
   double full_ms = 400.0;
   double old_weights_ms = 120.0;
-  double other_zone_ms = 2.0;
-  double move_setup_ms = 4.0;
-  double move_ms_per_token = 0.015;  ///< within a zone; twice that between zones
-  /// From a store, whose one link all engines share: as dear as four times within a zone.
-  double store_move_ms_per_token = 0.06;
+  WayCosts ways;
+  MoveCosts moves;
   /// For each token of shared parts that the engine gets a copy of: the copy pushes other parts out.
   double copy_ms_per_token = 0.03;
   double reread_ms_per_token = 0.1;  ///< what it is worth not to read again what another engine holds
@@ -54,14 +67,12 @@
   size_t target = 0;
   std::optional<size_t> source;
   bool from_store = false;      ///< the store holds more than any engine
+  bool store_pays = false;      ///< to take all shared parts from the store would pay
   uint32_t missing_tokens = 0;  ///< that the target has to read itself
 };
 
 /// The best placement; at least one of `engines` must be a candidate. `store` is nullptr when there is none.
-Placement place(const PromptChain& chain, const std::vector<EngineView>& engines, const ChainMemory* store,
+Placement place(const PromptChain& chain, const std::vector<EngineView>& engines, const StoreView* store,
                 const PlacementCosts& costs, TimePoint now);
 
-/// The engine for a call without a prompt: the least loaded candidate for its size, at random among equals.
-size_t choose_least_loaded(const std::vector<EngineView>& engines, uint64_t random);
-
 }  // namespace stoat::placement
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -68,6 +68,14 @@
   return found == by_service_.end() ? nullptr : found->second;
 }
 
+const fleet::Service* RouteTable::store_at(const std::string& address) const {
+  const auto& services = configuration_->services;
+  const auto found = std::find_if(services.begin(), services.end(), [&](const fleet::Service& service) {
+    return service.store_address == address;
+  });
+  return found == services.end() ? nullptr : &*found;
+}
+
 const std::string& SplitChooser::choose(const fleet::Route& route) {
   if (route.shares.size() == 1) {
     return route.shares.front().service;
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -21,6 +21,8 @@
   /// The holder of a key, or nullptr.
   const fleet::Tenant* tenant_of_key(const std::string& key) const;
   const fleet::Service* service(const std::string& name) const;
+  /// The store at an address; nullptr when there is none.
+  const fleet::Service* store_at(const std::string& address) const;
   const fleet::FleetConfiguration& configuration() const { return *configuration_; }
   bool has_tenants() const { return !configuration_->tenants.empty(); }
   /// True when any tenant has a quota.
--- a/src/topology/topology.cc
+++ b/src/topology/topology.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "src/common/hash.h"
+
 namespace stoat::topology {
 
 const char* to_text(Distance distance) {
@@ -16,16 +18,24 @@
   return "unknown";
 }
 
+Distance distance(const Place& place, const Place& other) {
+  if (place == other) {
+    return Distance::kSameZone;
+  }
+  return place.region == other.region ? Distance::kSameRegion : Distance::kOtherRegion;
+}
+
 std::string Topology::region_of(const std::string& zone) const {
   const auto found = regions_.find(zone);
   return found == regions_.end() ? "" : found->second;
 }
 
 Distance Topology::distance(const std::string& zone, const std::string& other) const {
-  if (zone == other) {
-    return Distance::kSameZone;
-  }
-  return region_of(zone) == region_of(other) ? Distance::kSameRegion : Distance::kOtherRegion;
+  return topology::distance(place_of(zone), place_of(other));
+}
+
+Place Topology::place_of(const std::string& zone) const {
+  return {hash_bytes(zone), hash_bytes(region_of(zone))};
 }
 
 std::vector<std::string> Topology::zones_of(const std::string& region) const {
--- a/tests/unit/fleet_parts_test.cc
+++ b/tests/unit/fleet_parts_test.cc
@@ -193,7 +193,7 @@
       engines_[i].memory = &memories_[i];
       engines_[i].weights = kWeights;
       engines_[i].slots = 8;
-      engines_[i].same_zone = true;
+      engines_[i].distance = topology::Distance::kSameZone;
     }
   }
   void allow_only(size_t target) {
@@ -247,7 +247,7 @@
 
 TEST_F(PartPlacementTest, AmongHoldersTheOneInTheTargetsZoneIsTheSource) {
   allow_only(0);
-  engines_[1].zone_hash = 7;
+  engines_[1].place.zone = 7;
   memories_[1].note_held({1}, kWeights, 1s);
   memories_[2].note_held({1}, kWeights, 1s);
   EXPECT_EQ(place().source, std::optional<size_t>(2));
@@ -329,7 +329,8 @@
   placement::ChainMemory store;
   memories_[1].note_held({1}, kWeights, 1s);
   store.note_held({1, 2}, kWeights, 1s);
-  const auto placed = placement::place(prompt_, engines_, &store, {}, 1s);
+  const placement::StoreView view{&store, {}};
+  const auto placed = placement::place(prompt_, engines_, &view, {}, 1s);
   EXPECT_TRUE(placed.from_store);
   EXPECT_EQ(placed.source, std::nullopt);
   EXPECT_EQ(placed.missing_tokens, 500U);
