--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -293,6 +293,7 @@
   if (!failed) {
     context_.pool.outliers().on_success(backend_->record.id);
     learn_run();
+    note_work_time();
   }
   end_exchange(true);
   if (streaming_) {
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -26,6 +26,7 @@
 #include "src/fleet/fleet_messages.h"
 #include "src/fleet/version_history.h"
 #include "src/placement/cache_namespace.h"
+#include "src/placement/plain_placement.h"
 #include "src/routing/route_table.h"
 #include "src/topology/topology.h"
 
@@ -52,8 +53,8 @@
   Metrics& metrics;
   events::StoryBook& stories;
   Random random{0};
-  std::string zone = {};
   topology::Topology topology = {};
+  topology::Place place = {};  ///< of this router
   uint32_t router_count = 1;
   delivery::SharingRouters sharing_routers{10s};  ///< of the bound on repeats
   Duration old_weights_limit =
@@ -71,7 +72,8 @@
   std::map<std::string, admission::RequestQueue> queues = {};     ///< by service
   std::map<std::string, admission::ReturnSchedule> returns = {};  ///< by service
   admission::LoadLimits load_limits = {};
-  Duration longest_return = 10s;  ///< the longest Retry-After for load
+  Duration longest_return = 10s;                               ///< the longest Retry-After for load
+  std::map<std::string, placement::WorkTime> work_times = {};  ///< of calls without a prompt, by service
   admission::QuotaGate quotas{{}, 0};
 
   delivery::WindowBudget& budget_of(const std::string& service) {
@@ -101,9 +103,10 @@
 struct CachePlan {
   std::string source = {};
   std::string target = {};
-  std::string backup = {};  ///< the engine that gets a copy of the run's memory
-  std::string from = {};    ///< of a run that goes on from such a copy: where it ran, and its id
-  uint32_t candidates = 1;  ///< engines that it was placed among, for the log
+  std::string backup = {};            ///< the engine that gets a copy of the run's memory
+  std::string from = {};              ///< of a run that goes on from such a copy: where it ran, and its id
+  uint32_t candidates = 1;            ///< engines that it was placed among, for the log
+  topology::Place source_place = {};  ///< counts when there is a source
 };
 
 /// What was expected of a send's first event when it was made.
@@ -186,8 +189,18 @@
   const char* why_no_copy(const Backend& origin) const;
   /// Goes on from the copy of the run at an engine that failed.
   bool go_on_from_copy(const Backend& origin);
+  /// Chooses the engine for a call without a prompt.
+  const BackendPtr& choose_for_call(const std::vector<BackendPtr>& candidates,
+                                    const std::vector<placement::EngineView>& views);
   /// `holder`: an engine that is a source, or nullptr; `store`: the one of the chain, or nullptr.
-  CachePlan plan_cache(const Backend& target, const Backend* holder, const CacheStore* store) const;
+  /// `store_pays`: it is worth while for the target to take the shared parts from the store.
+  CachePlan plan_cache(const Backend& target, const Backend* holder, const CacheStore* store,
+                       bool store_pays) const;
+  /// Where the store stands; a place of its own when that is not known.
+  topology::Place place_of_store(const std::string& address) const;
+  /// Counts how far a request and its KV cache go, and tells it to the log.
+  void note_distances(const Backend& target, const CachePlan& cache, events::RequestSent& sent) const;
+  void note_work_time();
   std::string request_head(const Backend& backend, const CachePlan& cache, TimePoint now) const;
   bool set_by_system(const std::string& name) const;
   /// Why the request may not be sent again; nullptr when it may, which then counts as a repeat.
@@ -241,6 +254,8 @@
   std::string stored_at_;         ///< address of the store that the engine at backend_ sends what it reads
   TimePoint last_sign_{0};        ///< of the exchange at backend_: when it was sent, or last heard
   bool begun_at_engine_ = false;  ///< the run at backend_ has made its first event
+  /// When a call without a prompt was sent to an engine with a free slot; else nullopt.
+  std::optional<TimePoint> work_began_;
   uint64_t counted_prefill_ = 0;  ///< tokens counted at backend_ until the first event
   uint64_t moved_tokens_ = 0;     ///< KV cache that the engine at backend_ is expected to take from elsewhere
   TimePoint sent_at_{0};          ///< when the exchange at backend_ began
--- a/src/events/request_events.h
+++ b/src/events/request_events.h
@@ -58,8 +58,10 @@
   uint64_t missing_tokens = 0;  ///< of its prompt that are not known to be held there
   int64_t expected_ms = 0;      ///< from this send to the first event
   uint64_t weights = 0;
-  std::string cache_source;  ///< address; empty: none
-  std::string copy_of;       ///< the run that it goes on from; empty: a run from the start
+  std::string cache_source;     ///< address; empty: none
+  std::string copy_of;          ///< the run that it goes on from; empty: a run from the start
+  std::string distance;         ///< of the back end from this router
+  std::string source_distance;  ///< of the cache's source from the back end; empty: no source
   std::vector<LogField> fields() const {
     return {{"backend", backend},
             {"candidates", candidates},
@@ -69,7 +71,9 @@
             {"expected_ms", expected_ms},
             {"weights", weights},
             {"cache_source", cache_source},
-            {"copy_of", copy_of}};
+            {"copy_of", copy_of},
+            {"distance", distance},
+            {"source_distance", source_distance}};
   }
 };
 
