Bound waiting and refusing by what is known, not by shares of a target

Cause: a request waited at its router for an eighth of its objective, was refused when less than an eighth of its time would be left, and waited a fifth of its objective for a back end: shares of targets, with no reason in what callers or engines do. Change: one round of news (100 ms) bounds both waits; a request is refused when even the longest of the service's recent requests would be too late in its place.

--- a/src/admission/load_admission.cc
+++ b/src/admission/load_admission.cc
@@ -4,16 +4,8 @@
 
 namespace stoat::admission {
 
-namespace {
-
-Duration share_of(Duration time, double share) { return from_seconds(to_seconds(time) * share); }
-
-}  // namespace
-
 TimePoint wait_limit(const RequestTimes& request, const LoadLimits& limits) {
-  const Duration objective =
-      request.objective > Duration(0) ? request.objective : request.deadline - request.arrived;
-  return std::min(request.deadline, request.arrived + share_of(objective, limits.longest_wait));
+  return std::min(request.deadline, request.arrived + limits.longest_wait);
 }
 
 Verdict decide(const RequestTimes& request, const ServiceOutlook& outlook, const LoadLimits& limits,
@@ -22,8 +14,11 @@
   if (!busy || outlook.wait <= limits.useful_queue) {
     return Verdict::kSend;
   }
-  const Duration headroom = share_of(request.deadline - request.arrived, limits.headroom);
-  if (now + outlook.wait + std::max(outlook.answer, headroom) > request.deadline) {
+  // All are compared as if they had as much to read as the longest. Compared by its own reading a long prompt
+  // would be refused alone, whenever the wait settles just below the deadline: at twice the load that the
+  // engines take (replay), 0.30 of the long and 0.65 of the short prompts were answered, with it 0.50 and
+  // 0.64. While a service is that busy its engines never stand idle for it.
+  if (now + outlook.wait + std::max(outlook.answer, outlook.long_answer) > request.deadline) {
     return Verdict::kRefuse;
   }
   return now < wait_limit(request, limits) ? Verdict::kWait : Verdict::kSend;
--- a/src/admission/load_admission.h
+++ b/src/admission/load_admission.h
@@ -11,18 +11,18 @@
 
 namespace stoat::admission {
 
-/// Until when a request is worth what.
+/// When a request came, and when its caller gives it up.
 struct RequestTimes {
   TimePoint arrived{0};
-  Duration objective{0};  ///< from its arrival; 0: none
   TimePoint deadline{0};
 };
 
 /// What the engines that may take a request promise, as far as a router knows.
 struct ServiceOutlook {
-  Duration wait{0};        ///< until the first of them has a slot and begins to read it
-  Duration answer{0};      ///< from then to its first event
-  double taken_share = 0;  ///< slots taken over slots, of all engines of the service; above 1: queues
+  Duration wait{0};         ///< until the first of them has a slot and begins to read it
+  Duration answer{0};       ///< from then to its first event
+  Duration long_answer{0};  ///< the same of the longest of the service's recent requests
+  double taken_share = 0;   ///< slots taken over slots, of all engines of the service; above 1: queues
 };
 
 enum class Verdict : uint8_t { kSend, kWait, kRefuse };
@@ -32,14 +32,10 @@
   /// A queue of so long at an engine is no loss: routers hear of a free slot some 200 ms late, and the engine
   /// would stand idle meanwhile.
   Duration useful_queue = 200ms;
-  /// Part of its objective that a request may wait at the router. Engines queue by urgency as well, so what
-  /// is gained is the late choice alone, and there must be time left to answer.
-  double longest_wait = 0.125;
-  /// Part of its time that a request must have left when it gets its slot. One with much to read is treated
-  /// as the others are up to there: compared by its own reading it would be refused alone whenever the wait
-  /// settles just below the deadline. At twice the load that the engines take (replay), 0.30 of the long and
-  /// 0.65 of the short prompts were answered without it, 0.59 and 0.65 with it.
-  double headroom = 0.125;
+  /// How long a request may wait at the router. Loads are told each 100 ms: after one round of news the
+  /// router knows where slots became free, and one that is kept longer only stands behind those that engines
+  /// queued.
+  Duration longest_wait = 100ms;
   /// Below this share of slots taken nothing is refused or held: a few engines are full, not the service, or
   /// what is known is wrong.
   double busy_share = 0.5;
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -73,9 +73,8 @@
     limit_ms = std::min(limit_ms, *plan_.fields.deadline_ms);
   }
   give_up_at_ = plan_.arrived + Duration(1000 * limit_ms);
-  // Refused early, a request can still be in time elsewhere or a little later.
-  const int64_t objective_ms = route.target_latency_ms > 0 ? route.target_latency_ms : route.timeout_ms;
-  wait_until_ = std::min(give_up_at_, plan_.arrived + Duration(1000 * objective_ms / 5));
+  // While no back end may take it: one round of news tells of those that have come or are usable again.
+  wait_until_ = std::min(give_up_at_, plan_.arrived + context_.load_limits.longest_wait);
   chain_ = make_chain(plan_);
   context_.budget_of(plan_.service).on_request(plan_.arrived);
   story_.add(events::RequestAccepted{route.name, plan_.service,
--- a/src/dispatch/request_run_admission.cc
+++ b/src/dispatch/request_run_admission.cc
@@ -26,9 +26,7 @@
   return std::min(kMaxUrgency, tenant_priority * kRoutePriorities + plan_.route->priority);
 }
 
-admission::RequestTimes RequestRun::times() const {
-  return {plan_.arrived, Duration(1000 * plan_.route->target_latency_ms), give_up_at_};
-}
+admission::RequestTimes RequestRun::times() const { return {plan_.arrived, give_up_at_}; }
 
 admission::ServiceOutlook RequestRun::outlook(const std::vector<BackendPtr>& candidates) const {
   const auto has_free_slot = [](const BackendPtr& backend) {
@@ -57,7 +55,7 @@
     taken += placement::present_outstanding(queue, speed.run_ms());
     slots += queue.slots;
   }
-  return {from_ms(wait_ms), from_ms(answer_ms), taken / slots};
+  return {from_ms(wait_ms), from_ms(answer_ms), from_ms(speed.long_answer_ms()), taken / slots};
 }
 
 bool RequestRun::has_room() const {
@@ -85,6 +83,9 @@
   const TimePoint now = context_.loop.now();
   const bool held_long_enough = now >= admission::wait_limit(times(), context_.load_limits);
   const admission::ServiceOutlook known = outlook(candidates);
+  if (known.answer > Duration(0) && queue_number_ == 0) {
+    context_.speeds[plan_.service].note_answer(to_seconds(known.answer) * kMillisecondsPerSecond);
+  }
   const admission::Verdict verdict = admission::decide(times(), known, context_.load_limits, now);
   if (verdict == admission::Verdict::kRefuse) {
     refuse_for_load(known);
--- a/src/placement/first_event_model.cc
+++ b/src/placement/first_event_model.cc
@@ -51,6 +51,10 @@
   run_ms_.add(std::min(slot_ms, kMostTimesRun * run_ms()), kServiceMemory);
 }
 
+void ServiceSpeed::note_answer(double expected_ms) {
+  long_answer_ms_ = std::max(expected_ms, kServiceMemory * long_answer_ms_);
+}
+
 double present_outstanding(const EngineQueue& queue, double run_ms) {
   const double still_known = std::exp(-to_seconds(queue.age) * 1000 / std::max(1.0, run_ms));
   const double others = queue.others_outstanding * still_known + queue.usual_others * (1 - still_known);
--- a/src/placement/first_event_model.h
+++ b/src/placement/first_event_model.h
@@ -84,9 +84,14 @@
   /// theirs would make the next ones be expected to wait longer, without end.
   void observe_run(double slot_ms);
 
+  /// A request is expected to take so long from its slot to its first event.
+  void note_answer(double expected_ms);
+
   double ms_per_token() const { return reading_ms_ / read_tokens_; }
   double base_ms() const { return base_ms_.value(); }
   double run_ms() const { return run_ms_.value(); }
+  /// Expected time from a slot to the first event, of the longest of the service's recent requests.
+  double long_answer_ms() const { return long_answer_ms_; }
   /// Time to the first event at an engine with a free slot.
   double idle_ms(uint64_t tokens) const { return base_ms() + static_cast<double>(tokens) * ms_per_token(); }
 
@@ -104,6 +109,7 @@
   double reading_ms_ = kPriorTokens / kDefaultTokensPerMs;
   FadingMean base_ms_{kDefaultBaseMs, kPriorSamples};
   FadingMean run_ms_{kDefaultRunMs, kPriorSamples};
+  double long_answer_ms_ = 0;
 };
 
 /// Requests at an engine now, from news of some age: those known then end as runs do, and as many come as
