Run the served programs under faults drawn from seeds

Cause: since the first router went, no test paused processes or hit several at once beside traffic; single faults were placed by ServedPrograms.*.

It does not cut links, damage disks or take several members away at once (docs/PROOFS.md, "Not proved").

--- a/tests/process/served_programs_test.cc
+++ b/tests/process/served_programs_test.cc
@@ -180,6 +180,17 @@
   EXPECT_TRUE(ServedFleet::wait_until([this] { return fleet_->knows(2, 4); }, 5s));
 }
 
+TEST(Programs, KeepTheirPromisesUnderFaultsDrawnFromASeed) {
+  const std::string folder =
+      (std::filesystem::temp_directory_path() / ("stoat-chaos-test-" + std::to_string(getpid()))).string();
+  const CommandOutput output = run_command(
+      test::program_folder() + "/stoat-chaos --set first_seed=2 --set duration_s=12 --set 'programs=\"" +
+      test::program_folder() + "\"' --set 'configuration=\"" + demo_configuration() +
+      "\"' --set 'work_folder=\"" + folder + "\"'");
+  EXPECT_EQ(output.status, 0) << output.text;
+  std::filesystem::remove_all(folder);
+}
+
 TEST(Programs, AWrongSettingsFileGetsAllFindingsWithTheirPlaces) {
   const std::string file =
       (std::filesystem::temp_directory_path() / ("stoat-wrong-" + std::to_string(getpid()) + ".toml"))
@@ -199,7 +210,7 @@
 TEST(Programs, EachTellsItsVersionAndItsHelp) {
   for (const char* program :
        {"stoat-router", "stoat-control", "stoat-platform-router", "stoat-platform-control", "stoatctl",
-        "stoat-load", "stoat-simulate", "standin-backend"}) {
+        "stoat-load", "stoat-simulate", "stoat-chaos", "standin-backend"}) {
     const std::string path = test::program_folder() + "/" + program;
     EXPECT_EQ(run_command(path + " --version").status, 0) << program;
     EXPECT_NE(run_command(path + " --help").text.find("Usage"), std::string::npos) << program;
