Name distances in one place

The counters of bytes and those of requests named the same distances in different words; both use topology::to_text now: zone, region, regions.

Tested: unit_tests rc 0, property_tests 20 passed on main.

--- a/src/topology/topology.cc
+++ b/src/topology/topology.cc
@@ -9,11 +9,11 @@
 const char* to_text(Distance distance) {
   switch (distance) {
     case Distance::kSameZone:
-      return "same zone";
+      return "zone";
     case Distance::kSameRegion:
-      return "same region";
+      return "region";
     case Distance::kOtherRegion:
-      return "other region";
+      return "regions";
   }
   return "unknown";
 }
--- a/src/topology/topology.h
+++ b/src/topology/topology.h
@@ -18,7 +18,8 @@
   kOtherRegion,  ///< the way between two regions
 };
 
-/// The name of a distance, for logs and metrics.
+/// The name of a distance in logs and metrics: "zone", "region" (another zone of it), "regions" (between
+/// two).
 const char* to_text(Distance distance);
 
 /// A zone and its region as numbers that are quick to compare.
--- a/src/wire/traffic.cc
+++ b/src/wire/traffic.cc
@@ -10,7 +10,8 @@
 constexpr std::array<const char*, kPurposes> kPurposeNames = {
     "log",   "confirmations", "calls",      "statuses", "updates", "backends", "heartbeats", "routers",
     "loads", "caches",        "placements", "spending", "levels",  "wholes",   "other"};
-constexpr std::array<const char*, 3> kDistanceNames = {"zone", "region", "regions"};
+
+const char* name_of(size_t distance) { return topology::to_text(static_cast<topology::Distance>(distance)); }
 
 /// Takes the place of a buffer, and only counts.
 struct CountingBuffer {
@@ -123,7 +124,7 @@
       const auto purpose = static_cast<Purpose>(position);
       const uint64_t added = sums_[distance][purpose] - published_[distance][purpose];
       if (added > 0) {
-        metrics.count(counter, {{"kind", kPurposeNames[position]}, {"distance", kDistanceNames[distance]}},
+        metrics.count(counter, {{"kind", kPurposeNames[position]}, {"distance", name_of(distance)}},
                       static_cast<double>(added));
       }
     }
@@ -140,7 +141,7 @@
       since[purpose] = sums_[distance][purpose] - logged_[distance][purpose];
     }
     if (since.total() > 0) {
-      lines.push_back({kDistanceNames[distance], since.to_text()});
+      lines.push_back({name_of(distance), since.to_text()});
     }
   }
   logged_ = sums_;
