Name back ends the nearest member for their heartbeats

Cause: the answer to a heartbeat named no address, so each one went to some member: with five members in two regions most of them cross zones and about half cross regions, 2,500 a second at 3,000 back ends, and each again to the other members.

Change: the member that is nearest to a back end (own zone, else own region, else any; of several one by rendezvous, which is also the one that follows its cache) answers with its own address. A back end without a member in its zone gets one only from members that have heard the others for long enough to know who is there. A member without a confirmation of a leader for 1 s takes the heartbeat and refuses it (503), so that the back end tells another member too: what a cut-off member hears comes to nobody, and its back ends would count as lost after 4 s.

Caches are followed by the nearest member too, no longer by one of any region where the zone has none.

No figure of a whole fleet yet.

--- a/src/control/cache_assignment.cc
+++ b/src/control/cache_assignment.cc
@@ -7,13 +7,13 @@
 namespace stoat::control {
 
 std::string follower_of(const std::string& holder, const std::string& zone,
-                        const std::vector<LiveMember>& members) {
+                        const std::vector<LiveMember>& members, const topology::Topology& topology) {
   const uint64_t holder_hash = hash_bytes(holder);
   const LiveMember* best = nullptr;
-  std::pair<bool, uint64_t> best_rank;
+  std::pair<int, uint64_t> best_rank;  // the greater, the better
   for (const LiveMember& member : members) {
-    const std::pair<bool, uint64_t> rank(member.zone == zone,
-                                         hash_pair(holder_hash, hash_bytes(member.address)));
+    const std::pair<int, uint64_t> rank(-static_cast<int>(topology.distance(member.zone, zone)),
+                                        hash_pair(holder_hash, hash_bytes(member.address)));
     if (best == nullptr || rank > best_rank) {
       best = &member;
       best_rank = rank;
--- a/src/control/cache_assignment.h
+++ b/src/control/cache_assignment.h
@@ -1,10 +1,13 @@
-/// Which control member follows which cache: one in the cache's zone where there is one, so that events cross
-/// no zone, else any, by rendezvous order. All members that hear the same members come to the same result.
+/// Which control member follows which cache, and hears which back end: the nearest one, so that events and
+/// heartbeats cross no zone where they need not; of several that are as near one by rendezvous order. All
+/// members that hear the same members come to the same result.
 #pragma once
 
 #include <string>
 #include <vector>
 
+#include "src/topology/topology.h"
+
 namespace stoat::control {
 
 /// A control member that is heard.
@@ -13,8 +16,8 @@
   std::string zone;
 };
 
-/// The address of the member that is to follow a cache; empty when there is none.
+/// The address of the member that is to follow a cache, or to hear a back end; empty when there is none.
 std::string follower_of(const std::string& holder, const std::string& zone,
-                        const std::vector<LiveMember>& members);
+                        const std::vector<LiveMember>& members, const topology::Topology& topology);
 
 }  // namespace stoat::control
--- a/src/control/control_program.cc
+++ b/src/control/control_program.cc
@@ -17,7 +17,7 @@
                                const FleetInterface& interface)
     : engines_(loop, interface),
       fleet_(loop, settings.fleet, engines_),
-      api_(fleet_, interface, settings.directory_lifetime_s),
+      api_(fleet_, interface, settings.directory_lifetime_s, to_string(settings.control)),
       control_(loop, settings.control),
       directory_(loop, settings.directory),
       metrics_(loop, settings.metrics) {
--- a/src/control/fleet_admin_api.cc
+++ b/src/control/fleet_admin_api.cc
@@ -44,8 +44,12 @@
 
 }  // namespace
 
-FleetAdminApi::FleetAdminApi(FleetServer& fleet, FleetInterface interface, double directory_lifetime_s)
-    : fleet_(fleet), interface_(std::move(interface)), directory_lifetime_s_(directory_lifetime_s) {}
+FleetAdminApi::FleetAdminApi(FleetServer& fleet, FleetInterface interface, double directory_lifetime_s,
+                             std::string heartbeat_address)
+    : fleet_(fleet),
+      interface_(std::move(interface)),
+      directory_lifetime_s_(directory_lifetime_s),
+      heartbeat_address_(std::move(heartbeat_address)) {}
 
 void FleetAdminApi::put_configuration(const http::ExchangePtr& exchange) {
   Findings findings;
@@ -91,11 +95,13 @@
     exchange->reply(kBadRequest, "text/plain", "malformed heartbeat\n");
     return;
   }
-  fleet_.heartbeat(*record);
-  if (record->state == fleet::BackendState::kReady) {
-    reply_status(exchange, true);
-  } else {
+  const HeartbeatAdvice advice = fleet_.heartbeat(*record);
+  if (record->state != fleet::BackendState::kReady) {
     retire(exchange, record->id, record->state);
+  } else if (advice == HeartbeatAdvice::kStay) {
+    exchange->reply(kOk, kJson, heartbeat_answer(heartbeat_address_, interface_.bodies));
+  } else {
+    reply_status(exchange, advice != HeartbeatAdvice::kMove);
   }
 }
 
--- a/src/control/fleet_admin_api.h
+++ b/src/control/fleet_admin_api.h
@@ -10,8 +10,10 @@
 /// See the head of this file. Must outlive the servers that its routes were added to.
 class FleetAdminApi {
  public:
-  /// Answers of the directory hold for `directory_lifetime_s`.
-  FleetAdminApi(FleetServer& fleet, FleetInterface interface, double directory_lifetime_s);
+  /// Answers of the directory hold for `directory_lifetime_s`. `heartbeat_address`: "address:port" at which
+  /// this member takes heartbeats.
+  FleetAdminApi(FleetServer& fleet, FleetInterface interface, double directory_lifetime_s,
+                std::string heartbeat_address);
   FleetAdminApi(const FleetAdminApi&) = delete;
   FleetAdminApi& operator=(const FleetAdminApi&) = delete;
 
@@ -33,6 +35,7 @@
   FleetServer& fleet_;
   FleetInterface interface_;
   double directory_lifetime_s_;
+  std::string heartbeat_address_;
 };
 
 }  // namespace stoat::control
--- a/src/control/fleet_bodies.cc
+++ b/src/control/fleet_bodies.cc
@@ -345,6 +345,10 @@
   return body.dump();
 }
 
+std::string heartbeat_answer(const std::string& address, const BodyNames& names) {
+  return json{{names.heartbeat_address, address}}.dump();
+}
+
 std::string routers_body(const std::vector<std::string>& addresses, double lifetime_s) {
   return json{{"addresses", addresses}, {"lifetime_s", lifetime_s}}.dump();
 }
--- a/src/control/fleet_bodies.h
+++ b/src/control/fleet_bodies.h
@@ -32,6 +32,9 @@
 
 std::string order_body(const VersionOrder& order, const BodyNames& names);
 
+/// The answer to a heartbeat: later ones should go to `address`.
+std::string heartbeat_answer(const std::string& address, const BodyNames& names);
+
 /// The answer of the directory of routers.
 std::string routers_body(const std::vector<std::string>& addresses, double lifetime_s);
 
--- a/src/control/fleet_interface.h
+++ b/src/control/fleet_interface.h
@@ -25,6 +25,7 @@
   std::string gap = "gap";
   // a heartbeat
   std::string software = "software";
+  std::string heartbeat_address = "heartbeat_address";  ///< in the answer: where later ones should go
   // an order to an engine
   std::string operation = "operation";
   std::string load_weights = "load_weights";  ///< the operation
--- a/src/control/fleet_knowledge.cc
+++ b/src/control/fleet_knowledge.cc
@@ -336,6 +336,13 @@
   return members;
 }
 
+bool FleetKnowledge::is_home(const fleet::BackendRecord& record, TimePoint now) const {
+  if (!settled_ && record.zone != options_.zone) {
+    return false;  // nearer members may not have been heard yet
+  }
+  return follower_of(record.id, record.zone, live_members(now), options_.topology) == options_.address;
+}
+
 FollowedCache FleetKnowledge::claim_cache(const std::string& holder, const std::string& address, bool store) {
   const CacheMirror::Cache* known = caches_.find(holder);
   const auto held = claimed_.find(holder);
@@ -364,7 +371,7 @@
   const auto consider = [&](const std::string& holder, const std::string& address, const std::string& zone,
                             bool store) {
     holders.insert(holder);
-    if (follower_of(holder, zone, members) == options_.address) {
+    if (follower_of(holder, zone, members, options_.topology) == options_.address) {
       chosen[holder] = claim_cache(holder, address, store);
     }
   };
--- a/src/control/fleet_knowledge.h
+++ b/src/control/fleet_knowledge.h
@@ -116,6 +116,8 @@
     const auto found = peers_.find(address);
     return found == peers_.end() ? "" : found->second.zone;
   }
+  /// True when heartbeats of a back end should come to this member.
+  bool is_home(const fleet::BackendRecord& record, TimePoint now) const;
   /// This member and those that are heard.
   std::vector<LiveMember> live_members(TimePoint now) const;
 
--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -21,13 +21,24 @@
 constexpr uint64_t kRecentRetired = 256;
 /// While so many bytes wait for a router, no news are added: what is newer replaces what is older.
 constexpr size_t kMaxUnsentNews = 64U << 10U;
+/// A member without a confirmation of a leader for so long is taken to be cut off: what it hears does not
+/// come to the others. An election takes less; a back end counts as lost after 4 s.
+constexpr Duration kCutOff = 1s;
 /// Named versions of a model that routers are told.
 constexpr size_t kNamedVersions = 6;
 
 }  // namespace
 
-void FleetServer::heartbeat(const fleet::BackendRecord& record) {
-  knowledge_.on_heartbeat(record, loop_.now());
+HeartbeatAdvice FleetServer::heartbeat(const fleet::BackendRecord& record) {
+  const TimePoint now = loop_.now();
+  knowledge_.on_heartbeat(record, now);
+  if (!last_confirmed_) {
+    return HeartbeatAdvice::kNone;
+  }
+  if (now - *last_confirmed_ > kCutOff) {
+    return HeartbeatAdvice::kMove;
+  }
+  return knowledge_.is_home(record, now) ? HeartbeatAdvice::kStay : HeartbeatAdvice::kNone;
 }
 
 bool FleetServer::retired(const std::string& id, fleet::BackendState state) const {
--- a/src/control/fleet_peers.cc
+++ b/src/control/fleet_peers.cc
@@ -138,6 +138,9 @@
 
 void FleetServer::note_confirmation() {
   const auto newest = confirmation();
+  if (newest) {
+    last_confirmed_ = std::max(last_confirmed_.value_or(newest->at), newest->at);
+  }
   const bool confirmed = newest && loop_.now() - newest->at < kFreshConfirmation;
   if (confirmed && !was_confirmed_) {
     push_to_routers();  // they wait for the key lease, after a restart for the configuration as well
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -52,6 +52,13 @@
 /// Reads the settings of a fleet control member.
 FleetControlSettings read_fleet_control_settings(SettingsReader& reader);
 
+/// What a back end is told when a member has taken its heartbeat.
+enum class HeartbeatAdvice : uint8_t {
+  kNone,
+  kStay,  ///< this member is the nearest: let later heartbeats come here
+  kMove,  ///< this member is cut off from the leader: tell another one
+};
+
 /// See the head of this file.
 class FleetServer {
  public:
@@ -68,7 +75,7 @@
   /// Gives the operator's document of the newest configuration; nullopt when this can't be confirmed.
   void read_configuration(std::function<void(std::optional<std::string>)> on_read);
   /// Takes a heartbeat; what it tells goes to the other members and to the routers soon after.
-  void heartbeat(const fleet::BackendRecord& record);
+  HeartbeatAdvice heartbeat(const fleet::BackendRecord& record);
   /// True when a back end is known to be retired at least as far as `state`.
   bool retired(const std::string& id, fleet::BackendState state) const;
   /// Up to `limit` routers that are ready, for callers in a zone.
@@ -206,7 +213,8 @@
   CacheWatch watch_;
   WeightRollout rollout_;
   bool led_ = false;
-  bool was_confirmed_ = false;  ///< routers were told that a leader is confirmed
+  bool was_confirmed_ = false;               ///< routers were told that a leader is confirmed
+  std::optional<TimePoint> last_confirmed_;  ///< when a quorum last confirmed a leader, as far as is known
   TimePoint leader_since_{0};
 };
 
--- a/tests/unit/fleet_admin_api_test.cc
+++ b/tests/unit/fleet_admin_api_test.cc
@@ -114,6 +114,14 @@
   EXPECT_EQ(read.body, kConfiguration);
 }
 
+TEST_F(FleetAdminApiTest, ABackEndIsToldToKeepItsHeartbeatsAtTheNearestMember) {
+  ASSERT_TRUE(done("PUT", "/v1/configuration", kConfiguration));
+  const std::string heartbeat = R"({"service":"models","address":"127.0.0.1:9","slots":8,"sequence":1})";
+  const auto answer = call(control_, "PUT", "/v1/backends/e1", heartbeat);
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(json::parse(answer.body).value("heartbeat_address", ""), to_string(control_)) << answer.body;
+}
+
 TEST_F(FleetAdminApiTest, RefusesAWrongConfigurationWithItsFindings) {
   const auto answer = call(control_, "PUT", "/v1/configuration", R"({"version":1,"routes":[{"name":"r"}]})");
   EXPECT_EQ(answer.status, 400);
--- a/tests/unit/fleet_knowledge_test.cc
+++ b/tests/unit/fleet_knowledge_test.cc
@@ -234,6 +234,23 @@
   EXPECT_EQ(second_.choose_caches({{"s:1", "z2"}}, now_).size(), 2U);
 }
 
+TEST_F(FleetKnowledgeTest, HeartbeatsBelongToTheNearestMember) {
+  const topology::Topology topology({{"z1", "a"}, {"z2", "b"}, {"z3", "b"}});
+  FleetKnowledge near{{"10.0.0.3:7", "z2", {}, {}, 1, now_, topology}};
+  FleetKnowledge far{{"10.0.0.4:7", "z1", {}, {}, 2, now_, topology}};
+  EXPECT_TRUE(near.is_home(engine("e1", 1, "z2"), now_));
+  EXPECT_FALSE(far.is_home(engine("e1", 1, "z2"), now_));  // it does not know yet who else is there
+  now_ += 10s;
+  for (FleetKnowledge* member : {&near, &far}) {
+    member->expire(now_);
+  }
+  send(near, far, false);
+  send(far, near, false);
+  EXPECT_TRUE(near.is_home(engine("e2", 1, "z3"), now_));  // no member in its zone, but in its region
+  EXPECT_FALSE(far.is_home(engine("e2", 1, "z3"), now_));
+  EXPECT_TRUE(far.is_home(engine("e2", 1, "z3"), now_ + 5s));  // the near one is silent
+}
+
 TEST_F(FleetKnowledgeTest, AnotherMemberGoesOnFollowingWhereASilentOneStopped) {
   first_.on_heartbeat(engine("e1"), now_);
   exchange();
--- /dev/null
+++ b/tests/unit/heartbeat_advice_test.cc
@@ -0,0 +1,89 @@
+/// What a member tells back ends when it is cut off from the others.
+#include "tests/support/small_fleet.h"
+
+namespace stoat {
+namespace {
+
+/// Two members, each on a thread; neither has a quorum alone.
+class HeartbeatAdviceTest : public ::testing::Test {
+ protected:
+  struct Running {
+    EventLoop loop;
+    test::NotedOrders orders;
+    std::unique_ptr<control::FleetServer> server;
+    std::thread thread;
+    Running(const Endpoint& internal, const std::vector<Endpoint>& seeds, const std::string& folder) {
+      control::FleetControlSettings settings;
+      settings.name = to_string(internal);
+      settings.zone = "z1";
+      settings.internal = internal;
+      settings.seeds = seeds;
+      settings.data_folder = folder;
+      settings.first_start = true;
+      settings.core.target_voters = 2;
+      settings.core.replica.election_timeout = 200ms;
+      settings.core.replica.heartbeat_interval = 40ms;
+      server = std::make_unique<control::FleetServer>(loop, settings, orders);
+      thread = std::thread([this] { loop.run(); });
+    }
+    ~Running() {
+      loop.post([this] { loop.stop(); });
+      thread.join();
+    }
+    Running(const Running&) = delete;
+    Running& operator=(const Running&) = delete;
+  };
+  HeartbeatAdviceTest() {
+    root_ = std::filesystem::temp_directory_path() / ("stoat-advice-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(root_);
+    const std::vector<Endpoint> endpoints = {{"127.0.0.1", test::free_port()},
+                                             {"127.0.0.2", test::free_port()}};
+    for (size_t position = 0; position < endpoints.size(); ++position) {
+      members_.push_back(std::make_unique<Running>(endpoints[position], endpoints,
+                                                   (root_ / std::to_string(position)).string()));
+    }
+  }
+  ~HeartbeatAdviceTest() override {
+    members_.clear();
+    std::filesystem::remove_all(root_);
+  }
+  control::HeartbeatAdvice beat(size_t member) {
+    fleet::BackendRecord record;
+    record.id = "e1";
+    record.zone = "z1";
+    record.address = "127.0.0.1:9";
+    record.sequence = ++sequence_;
+    return test::run_on(members_[member]->loop, [&] { return members_[member]->server->heartbeat(record); });
+  }
+  template <typename Condition>
+  static bool eventually(const Condition& condition) {
+    for (int tries = 0; tries < 400; ++tries) {
+      if (condition()) {
+        return true;
+      }
+      std::this_thread::sleep_for(25ms);
+    }
+    return false;
+  }
+
+  std::filesystem::path root_;
+  std::vector<std::unique_ptr<Running>> members_;
+  uint64_t sequence_ = 0;
+};
+
+TEST_F(HeartbeatAdviceTest, OneMemberKeepsABackEndUntilItIsCutOff) {
+  const auto voters = [this](size_t member) {
+    return test::run_on(members_[member]->loop, [&] { return members_[member]->server->voter_count(); });
+  };
+  ASSERT_TRUE(eventually([&] { return voters(0) == 2 && voters(1) == 2; }));
+  // Of two members in its zone one is the back end's.
+  const auto stays = [this](size_t member) { return beat(member) == control::HeartbeatAdvice::kStay; };
+  ASSERT_TRUE(eventually([&] { return stays(0) != stays(1); }));
+  const size_t home = stays(0) ? 0 : 1;
+  members_.erase(members_.begin() + static_cast<std::ptrdiff_t>(1 - home));
+  // Without the other one there is no leader that is confirmed: what this one hears comes to nobody.
+  EXPECT_TRUE(eventually([this] { return beat(0) == control::HeartbeatAdvice::kMove; }));
+}
+
+}  // namespace
+}  // namespace stoat
