Wait for a near member that has just started before taking a feed from afar

A router takes the feed of a member that vouches for a leader before one that is near. The members of the leader's region vouch some 100 ms earlier, so routers of the other one began feeds there, each with all that is known, and began again at a near member. From 3.6 s after the start on the members of the two regions did not hear each other in time, 702 and 670 back ends counted as silent at once, and keys could not be confirmed.

Change: a member that has been known for less than 2 s counts as if it vouched, so that distance decides; a first feed is taken from another region only 1 s after the first answer of any member. A near member that is cut off is left after 2 s, as before.

Test: FeedChoice.ANearMemberThatHasJustStartedIsWaitedFor, red on the former rule.

--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -14,6 +14,9 @@
 constexpr size_t kMaxSent = 16;
 /// After the first answer of a member others may answer for so long before a feed is chosen.
 constexpr Duration kChoiceDelay = 60ms;
+/// Before the first feed is taken from another region, members of the own one may answer for so long: a feed
+/// begins with all that is known, and hundreds of them fill the link between regions.
+constexpr Duration kFarChoiceDelay = 1s;
 
 }  // namespace
 
@@ -69,6 +72,7 @@
     view.distance = options_.topology.distance(options_.zone, member.zone);
     view.connected = member.channel != nullptr && member.channel->open() && member.heard > TimePoint(0);
     view.silence = now - member.heard;
+    view.known = now - member.opened;
     if (member.vouched != Duration::min()) {
       view.vouched = now - member.vouched;
     }
@@ -78,6 +82,11 @@
   if (chosen == feed_ || chosen.empty()) {
     return;
   }
+  const bool far =
+      options_.topology.distance(options_.zone, members_.at(chosen).zone) == topology::Distance::kOtherRegion;
+  if (feed_.empty() && far && now - first_answer_ < kFarChoiceDelay) {
+    return;
+  }
   log_.event(events::FeedChanged{feed_, chosen});
   const std::string before = std::exchange(feed_, chosen);
   for (const std::string& address : {before, chosen}) {
--- a/src/gateway/feed_choice.cc
+++ b/src/gateway/feed_choice.cc
@@ -12,7 +12,9 @@
   return member.connected && member.silence <= (present ? kFeedSilence : kOtherSilence);
 }
 
-bool vouches(const MemberView& member) { return member.vouched && *member.vouched <= kVouchLimit; }
+bool vouches(const MemberView& member) {
+  return member.vouched ? *member.vouched <= kVouchLimit : member.known <= kVouchLimit;
+}
 
 }  // namespace
 
--- a/src/gateway/feed_choice.h
+++ b/src/gateway/feed_choice.h
@@ -20,13 +20,16 @@
   Duration silence{0};  ///< since it was last heard
   std::optional<Duration>
       vouched;  ///< age of the newest confirmation of a leader that it told; nullopt: none
+  Duration known{Duration::max()};  ///< since the connection to it was begun
 };
 
 /// The member whose feed is silent for so long is left: it answers each 400 ms.
 inline constexpr Duration kFeedSilence = 1s;
 /// Other members are asked each 1.2 s; one that has answered within this time may take over.
 inline constexpr Duration kOtherSilence = 2500ms;
-/// A member whose newest confirmation is older than this is cut off from the leader, or there is none.
+/// A member whose newest confirmation is older than this is cut off from the leader, or there is none. One
+/// that has not been known for longer counts as if it had told one: after a restart of all members those of
+/// the leader's region tell one first, and all routers of the other region took their whole feeds from there.
 inline constexpr Duration kVouchLimit = 2s;
 
 /// The member to follow, given the present one (empty: none). `router` is the router's name. Stays at the
--- a/tests/unit/feed_choice_test.cc
+++ b/tests/unit/feed_choice_test.cc
@@ -81,6 +81,17 @@
   EXPECT_EQ(choose_feed(members, far, "r1"), "c");
 }
 
+TEST(FeedChoice, ANearMemberThatHasJustStartedIsWaitedFor) {
+  std::vector<MemberView> members = {member("far"), member("near")};
+  members[0].distance = Distance::kOtherRegion;
+  members[1].vouched = std::nullopt;  // the leader was elected in the other region, a moment ago
+  members[1].known = 300ms;
+  EXPECT_EQ(choose_feed(members, "", "r1"), "near");
+  EXPECT_EQ(choose_feed(members, "near", "r1"), "near");
+  members[1].known = gateway::kVouchLimit + 1ms;  // it should have heard of a leader by now
+  EXPECT_EQ(choose_feed(members, "near", "r1"), "far");
+}
+
 TEST(FeedChoice, NobodyHeardNobodyChosen) {
   MemberView deaf = member("a");
   deaf.silence = gateway::kOtherSilence + 1ms;
