--- a/src/common/time.h
+++ b/src/common/time.h
@@ -33,4 +33,10 @@
   return std::chrono::duration_cast<TimePoint>(std::chrono::steady_clock::now().time_since_epoch());
 }
 
+/// The wall clock, in milliseconds since 1970. It may step; only programs call it.
+inline int64_t wall_clock_ms() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
+}
+
 }  // namespace stoat
--- a/src/control/fleet_admin_api.cc
+++ b/src/control/fleet_admin_api.cc
@@ -11,9 +11,12 @@
 
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
 constexpr size_t kMaxAddresses = 64;
 constexpr char kJson[] = "application/json";
+constexpr char kText[] = "text/plain";
 
 void reply_status(const http::ExchangePtr& exchange, bool done) {
   exchange->reply(done ? kOk : kUnavailable, kJson, "{}\n");
@@ -42,6 +45,17 @@
           {"zone", backend.zone}, {"state", state_of(backend)}, {"models", models}};
 }
 
+void answer_order(const http::ExchangePtr& exchange, const std::optional<CommandResult>& result) {
+  if (!result) {
+    reply_status(exchange, false);
+  } else if (result->code == ResultCode::kOk) {
+    reply_status(exchange, true);
+  } else {
+    const bool under_way = result->code == ResultCode::kUnderWay;
+    exchange->reply(under_way ? kConflict : kBadRequest, kText, result->message + "\n");
+  }
+}
+
 }  // namespace
 
 FleetAdminApi::FleetAdminApi(FleetServer& fleet, FleetInterface interface, double directory_lifetime_s,
@@ -55,7 +69,7 @@
   Findings findings;
   auto configuration = read_configuration(exchange->body(), interface_.bodies, findings);
   if (!configuration) {
-    exchange->reply(kBadRequest, "text/plain", findings.to_text());
+    exchange->reply(kBadRequest, kText, findings.to_text());
     return;
   }
   fleet_.commit(fleet::PutConfiguration{std::move(*configuration), exchange->body()}, answer_with(exchange));
@@ -70,12 +84,46 @@
 void FleetAdminApi::name_weights(const http::ExchangePtr& exchange) {
   const auto named = read_named_weights(exchange->body());
   if (!named) {
-    exchange->reply(kBadRequest, "text/plain", "model and version are needed\n");
+    exchange->reply(kBadRequest, kText, "model and version are needed\n");
     return;
   }
   fleet_.commit(*named, answer_with(exchange));
 }
 
+void FleetAdminApi::order_rollout(const http::ExchangePtr& exchange) {
+  Findings findings;
+  fleet::StartServiceRollout order = read_rollout_order(exchange->body(), interface_.bodies, findings);
+  if (!findings.empty()) {
+    // Alone, an unknown service is for the log to find: this member may be behind.
+    if (!order.service.empty() && !fleet_.has_service(order.service)) {
+      const std::string message = "'" + order.service + "' is no service with back ends";
+      findings.add({"configuration", 0, 0, "rollout.service", message});
+    }
+    exchange->reply(kBadRequest, kText, findings.to_text());
+    return;
+  }
+  fleet_.order_rollout(std::move(order), [exchange](const std::optional<CommandResult>& result) {
+    answer_order(exchange, result);
+  });
+}
+
+void FleetAdminApi::get_rollout(const http::ExchangePtr& exchange) {
+  const std::string service = exchange->path().substr(interface_.paths.rollouts.size() + 1);
+  if (service.empty()) {
+    exchange->reply(kNotFound, kText, "no service is named\n");
+    return;
+  }
+  fleet_.read_rollout(service, [this, exchange](const auto& found) {
+    if (!found) {
+      reply_status(exchange, false);
+    } else if (found->empty()) {
+      exchange->reply(kNotFound, kText, "no rollout was ordered for this service\n");
+    } else {
+      exchange->reply(kOk, kJson, rollout_body(found->front(), interface_.bodies));
+    }
+  });
+}
+
 void FleetAdminApi::retire(const http::ExchangePtr& exchange, const std::string& id,
                            fleet::BackendState state) {
   if (fleet_.retired(id, state)) {
@@ -92,7 +140,7 @@
 void FleetAdminApi::take_heartbeat(const http::ExchangePtr& exchange) {
   const auto record = read_heartbeat(backend_of(*exchange), exchange->body(), interface_.bodies);
   if (!record) {
-    exchange->reply(kBadRequest, "text/plain", "malformed heartbeat\n");
+    exchange->reply(kBadRequest, kText, "malformed heartbeat\n");
     return;
   }
   const HeartbeatAdvice advice = fleet_.heartbeat(*record);
@@ -140,6 +188,10 @@
   server.route("GET", paths.configuration,
                [this](const http::ExchangePtr& exchange) { get_configuration(exchange); });
   server.route("POST", paths.weights, [this](const http::ExchangePtr& exchange) { name_weights(exchange); });
+  server.route("POST", paths.rollouts,
+               [this](const http::ExchangePtr& exchange) { order_rollout(exchange); });
+  server.route("GET", paths.rollouts + "/*",
+               [this](const http::ExchangePtr& exchange) { get_rollout(exchange); });
   server.route("GET", paths.status, [this](const http::ExchangePtr& exchange) { tell_status(exchange); });
   const std::string backends = paths.backends + "*";
   server.route("PUT", backends, [this](const http::ExchangePtr& exchange) { take_heartbeat(exchange); });
--- a/src/control/fleet_admin_api.h
+++ b/src/control/fleet_admin_api.h
@@ -26,6 +26,8 @@
   void put_configuration(const http::ExchangePtr& exchange);
   void get_configuration(const http::ExchangePtr& exchange);
   void name_weights(const http::ExchangePtr& exchange);
+  void order_rollout(const http::ExchangePtr& exchange);
+  void get_rollout(const http::ExchangePtr& exchange);
   void retire(const http::ExchangePtr& exchange, const std::string& id, fleet::BackendState state);
   void take_heartbeat(const http::ExchangePtr& exchange);
   void tell_status(const http::ExchangePtr& exchange);
--- a/src/control/fleet_bodies.cc
+++ b/src/control/fleet_bodies.cc
@@ -307,6 +307,35 @@
   return findings.empty() && named.version > 0 ? std::optional(named) : std::nullopt;
 }
 
+fleet::StartServiceRollout read_rollout_order(const std::string& text, const BodyNames& names,
+                                              Findings& findings) {
+  constexpr double kMillisecondsPerSecond = 1000;
+  constexpr double kLongestSeconds = 1e9;
+  const json document = json::parse(text, nullptr, false);
+  const FieldReader reader(document, "rollout", findings);
+  fleet::StartServiceRollout order;
+  order.service = reader.text("service");
+  order.target_version = reader.text(names.rollout_target);
+  const json* duration = reader.find(names.rollout_seconds);
+  const double seconds = duration != nullptr && duration->is_number() ? duration->get<double>() : 0;
+  if (seconds > 0 && seconds <= kLongestSeconds) {
+    order.duration_ms = std::max<int64_t>(1, static_cast<int64_t>(seconds * kMillisecondsPerSecond));
+  } else {
+    reader.add(names.rollout_seconds, "must be a number above 0");
+  }
+  return order;
+}
+
+std::string rollout_body(const fleet::ServiceRollout& rollout, const BodyNames& names) {
+  const char* state = "running";
+  if (rollout.phase == fleet::RolloutPhase::kCompleted) {
+    state = "completed";
+  } else if (rollout.phase == fleet::RolloutPhase::kRolledBack) {
+    state = "rolled_back";
+  }
+  return json{{"state", state}, {names.rollout_target, rollout.target_version}}.dump();
+}
+
 std::optional<EngineReport> read_report(const std::string& text) {
   const json document = json::parse(text, nullptr, false);
   Findings findings;
--- a/src/control/fleet_bodies.h
+++ b/src/control/fleet_bodies.h
@@ -25,6 +25,13 @@
 /// A named version of weights; nullopt when it can't be read.
 std::optional<fleet::NameWeights> read_named_weights(const std::string& text);
 
+/// An operator's order to move a service to another version; what is wrong with it becomes findings.
+fleet::StartServiceRollout read_rollout_order(const std::string& text, const BodyNames& names,
+                                              Findings& findings);
+
+/// The state of a service's rollout as operators see it.
+std::string rollout_body(const fleet::ServiceRollout& rollout, const BodyNames& names);
+
 std::optional<EngineReport> read_report(const std::string& text);
 
 /// What a cache of an engine or a store tells of its changes; nullopt when it is malformed.
--- a/src/control/fleet_calls.cc
+++ b/src/control/fleet_calls.cc
@@ -18,10 +18,11 @@
 
 void FleetServer::on_control_call(const ChannelPtr& channel, wire::ControlCall call) {
   const uint64_t call_id = call.call_id;
-  const auto answer = [channel, call_id](bool done) {
+  const auto answer = [channel, call_id](const CallOutcome& outcome) {
     wire::ControlAnswer reply;
     reply.call_id = call_id;
-    reply.status = done ? wire::CallStatus::kDone : wire::CallStatus::kUnavailable;
+    reply.status = outcome.done ? wire::CallStatus::kDone : wire::CallStatus::kUnavailable;
+    reply.result = outcome.result;
     channel->send(reply);
   };
   if (!core_->replica().leads()) {
@@ -32,19 +33,19 @@
     channel->send(reply);
     return;
   }
-  commit(std::move(call.command), answer);
+  propose(std::move(call.command), answer);
 }
 
-void FleetServer::on_confirmed_read(const ChannelPtr& channel, const fleet::ConfirmedRead& read) {
-  const uint64_t call_id = read.call_id;
-  const auto answer = [channel, call_id](const std::optional<std::string>& source) {
-    channel->send(fleet::ConfirmedReadAnswer{call_id, source.has_value(), source.value_or("")});
+void FleetServer::on_confirmed_read(const ChannelPtr& channel, const fleet::ConfirmedRead& question) {
+  const uint64_t call_id = question.call_id;
+  const auto answer = [channel, call_id](const CallOutcome& outcome) {
+    channel->send(fleet::ConfirmedReadAnswer{call_id, outcome.done, outcome.source, outcome.rollout});
   };
   if (!core_->replica().leads()) {
-    answer(std::nullopt);
+    answer({});
     return;
   }
-  read_configuration(answer);
+  read(question.rollout_of, answer);
 }
 
 uint64_t FleetServer::add_waiting(Waiting waiting) {
@@ -54,7 +55,7 @@
   return token;
 }
 
-void FleetServer::finish(uint64_t token, bool done, const std::optional<std::string>& source) {
+void FleetServer::finish(uint64_t token, const CallOutcome& outcome) {
   const auto found = waiting_.find(token);
   if (found == waiting_.end()) {
     return;
@@ -62,36 +63,40 @@
   const Waiting waiting = std::move(found->second);
   waiting_.erase(found);
   forwarded_.erase(token);
-  if (waiting.on_done) {
-    waiting.on_done(done);
+  waiting.on_end(outcome);
+}
+
+void FleetServer::take_command(uint64_t token, Command command) {
+  if (!accepts(command)) {
+    finish(token, {});
+    return;
   }
-  if (waiting.on_read) {
-    const bool known = source.has_value() && !source->empty();
-    waiting.on_read(done && known ? source : std::nullopt);
+  if (auto* order = std::get_if<fleet::StartServiceRollout>(&command.value)) {
+    stamp(*order);
   }
+  core_->call(token, command, loop_.now());
+  driver_->drive();
 }
 
-void FleetServer::commit(Command command, Committed on_done) {
-  Waiting waiting;
-  waiting.on_done = std::move(on_done);
-  const uint64_t token = add_waiting(std::move(waiting));
+void FleetServer::propose(Command command, std::function<void(const CallOutcome&)> on_end) {
+  const uint64_t token = add_waiting({.on_end = std::move(on_end)});
   if (core_->replica().leads()) {
-    if (!accepts(command)) {
-      finish(token, false, std::nullopt);
-      return;
-    }
-    core_->call(token, command, loop_.now());
-    driver_->drive();
+    take_command(token, std::move(command));
     return;
   }
   forward(token, wire::ControlCall{token, std::move(command)});
 }
 
+void FleetServer::commit(Command command, Committed on_done) {
+  propose(std::move(command),
+          [on_done = std::move(on_done)](const CallOutcome& outcome) { on_done(outcome.done); });
+}
+
 void FleetServer::forward(uint64_t token, wire::Message message) {
   const TimePoint now = loop_.now();
   forwarded_.on_leader(core_->leader_address(), now);
   if (!forwarded_.add(token, std::move(message), now)) {
-    finish(token, false, std::nullopt);
+    finish(token, {});
     return;
   }
   send_forwarded();
@@ -104,32 +109,32 @@
     if (const ChannelPtr leader = leader_channel()) {
       leader->send(call.message);
     } else if (auto* own = std::get_if<wire::ControlCall>(&call.message.value)) {
-      if (!accepts(own->command)) {
-        finish(call.token, false, std::nullopt);
-        continue;
-      }
-      core_->call(call.token, std::move(own->command), now);  // this member has come to lead
-      driver_->drive();
+      take_command(call.token, std::move(own->command));  // this member has come to lead
     } else {
       core_->read(call.token, now);
       driver_->drive();
     }
   }
   for (const uint64_t token : forwarded_.leaderless(now)) {
-    finish(token, false, std::nullopt);
+    finish(token, {});
   }
 }
 
-void FleetServer::read_configuration(std::function<void(std::optional<std::string>)> on_read) {
-  Waiting waiting;
-  waiting.on_read = std::move(on_read);
-  const uint64_t token = add_waiting(std::move(waiting));
+void FleetServer::read(const std::string& rollout_of, std::function<void(const CallOutcome&)> on_end) {
+  const uint64_t token = add_waiting({.on_end = std::move(on_end), .rollout_of = rollout_of});
   if (core_->replica().leads()) {
     core_->read(token, loop_.now());
     driver_->drive();
     return;
   }
-  forward(token, fleet::ConfirmedRead{token});
+  forward(token, fleet::ConfirmedRead{token, rollout_of});
+}
+
+void FleetServer::read_configuration(std::function<void(std::optional<std::string>)> on_read) {
+  read("", [on_read = std::move(on_read)](const CallOutcome& outcome) {
+    const bool known = outcome.done && !outcome.source.empty();
+    on_read(known ? std::optional(outcome.source) : std::nullopt);
+  });
 }
 
 void FleetServer::deliver_answers() {
@@ -138,7 +143,16 @@
   }
   delivering_ = true;
   for (const CallAnswer& answer : core_->take_answers()) {
-    finish(answer.token, answer.status == wire::CallStatus::kDone, core_->state().fleet().source());
+    CallOutcome outcome;
+    outcome.done = answer.status == wire::CallStatus::kDone;
+    outcome.result = answer.result;
+    const auto waiting = waiting_.find(answer.token);
+    if (waiting != waiting_.end() && !waiting->second.rollout_of.empty()) {
+      outcome.rollout = rollout_of(waiting->second.rollout_of);
+    } else {
+      outcome.source = core_->state().fleet().source();
+    }
+    finish(answer.token, outcome);
   }
   delivering_ = false;
   notice_changes();
@@ -153,7 +167,7 @@
     }
   }
   for (const uint64_t token : expired) {
-    finish(token, false, std::nullopt);
+    finish(token, {});
   }
 }
 
--- a/src/control/fleet_interface.h
+++ b/src/control/fleet_interface.h
@@ -26,6 +26,9 @@
   // a heartbeat
   std::string software = "software";
   std::string heartbeat_address = "heartbeat_address";  ///< in the answer: where later ones should go
+  // an operator's order to move a service to another version
+  std::string rollout_target = "target_version";
+  std::string rollout_seconds = "duration_s";
   // an order to an engine
   std::string operation = "operation";
   std::string load_weights = "load_weights";  ///< the operation
@@ -45,6 +48,7 @@
   std::string routers = "/v1/routers";
   std::string zone_parameter = "zone";  ///< of a question for routers: the zone of the caller
   std::string status = "/v1/status";
+  std::string rollouts = "/v1/rollouts";  ///< the service's name follows in a question for one
   // of an engine or a store
   std::string order = "/v1/order";
   std::string report = "/v1/report";
--- a/src/control/fleet_knowledge.cc
+++ b/src/control/fleet_knowledge.cc
@@ -75,6 +75,7 @@
     untold_.unreachable.push_back({loads.router, backend});
   }
   quotas_.on_router(loads.spending, now);
+  answers_.on_router(loads);
   if (followers_.count(loads.router) > 0) {
     loads_.set_router(loads.router, loads.loads);
   }
@@ -238,6 +239,7 @@
   }
   apply_engine_notes(news);
   quotas_.on_peer(news.sender, news.start_id, news.anew, news.spending, now);
+  answers_.on_member(news.sender, news.start_id, news.answers);
   if (news.anew) {
     quotas_.adopt(news.windows, Duration(1000 * news.quotas_age_ms), now);
   }
@@ -270,6 +272,7 @@
   news.loads = loads_.take_own_changes();
   news.start_id = quotas_.start_id();
   news.spending = quotas_.take_changed_sums();
+  news.answers = answers_.take_changes();
   for (const auto& [address, peer] : peers_) {
     if (!peer.complete) {
       news.incomplete.push_back(address);
@@ -299,6 +302,7 @@
   news.loads = loads_.own_sums();
   news.start_id = quotas_.start_id();
   news.spending = quotas_.sums();
+  news.answers = answers_.own();
   news.windows = quotas_.windows(now);
   news.quotas_age_ms = to_milliseconds(quotas_.age(now));
   news.shared_parts = caches_.shared_parts();
--- a/src/control/fleet_knowledge.h
+++ b/src/control/fleet_knowledge.h
@@ -21,6 +21,7 @@
 #include "src/fleet/backend_registry.h"
 #include "src/fleet/fleet_messages.h"
 #include "src/fleet/version_history.h"
+#include "src/rollout/answer_book.h"
 #include "src/topology/topology.h"
 
 namespace stoat::control {
@@ -83,6 +84,12 @@
   void set_version(const std::string& id, const std::string& model, uint64_t version);
   /// On a change of leader: no engine is known to load.
   void clear_loading();
+  /// A router that follows this member has told what it does about rollouts.
+  void on_applied(const fleet::RouterRollouts& applied) { untold_.applied.push_back(applied); }
+  /// The leader tells how old the orders are that are under way.
+  void tell_rollout_ages(std::vector<fleet::RolloutAge> ages) { untold_.rollout_ages = std::move(ages); }
+  /// Drops what was counted under other orders.
+  void keep_answers(const std::set<uint64_t>& rollouts) { answers_.keep(rollouts); }
   /// Takes another member's news.
   void on_peer_news(const fleet::PeerNews& news, TimePoint now);
   /// Lets what has been silent for long go. To be called a few times a second.
@@ -118,6 +125,7 @@
   }
   /// True when heartbeats of a back end should come to this member.
   bool is_home(const fleet::BackendRecord& record, TimePoint now) const;
+  const rollout::AnswerBook& answers() const { return answers_; }
   /// This member and those that are heard.
   std::vector<LiveMember> live_members(TimePoint now) const;
 
@@ -152,6 +160,7 @@
   RouterDirectory routers_;
   LoadBook loads_;
   admission::QuotaBook quotas_;
+  rollout::AnswerBook answers_;
   std::map<std::string, TimePoint> silent_routers_;  ///< own followers that went silent, and when
   CacheMirror caches_;
   std::map<std::string, fleet::RouterRecord> followers_;  ///< routers that take this member's feed
--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -118,6 +118,11 @@
       update.members.push_back(member.address);
     }
   }
+  if (link.told.rollouts != rollouts_revision_) {
+    for (const auto& [service, rollout] : core_->state().fleet().rollouts()) {
+      update.rollouts.push_back(rollout);
+    }
+  }
   update.router_count = static_cast<uint32_t>(ready_count_);
   return update;
 }
@@ -143,14 +148,14 @@
     link.configuration_sent = configuration_version();
     link.configuration_sent_at = loop_.now();
   }
-  link.told = {retired_.revision(), named_revision_, members_revision_};
+  link.told = {retired_.revision(), named_revision_, members_revision_, rollouts_revision_};
   link.channel->send(update);
 }
 
 void FleetServer::push_to_routers() {
   // Routers that were told the same get the same frame.
   std::map<std::pair<ToldRevisions, bool>, wire::Frame> frames;
-  const ToldRevisions newest{retired_.revision(), named_revision_, members_revision_};
+  const ToldRevisions newest{retired_.revision(), named_revision_, members_revision_, rollouts_revision_};
   for (auto& [name, link] : routers_) {
     if (!link.channel->open()) {
       continue;
@@ -194,6 +199,10 @@
   link.heard = loop_.now();
   link.silent = false;
   knowledge_.on_router(status.router, status.follows, loop_.now());
+  note_applied(name, status.rollouts);
+  if (status.follows && !progress_.empty()) {
+    knowledge_.on_applied({name, status.rollouts});
+  }
   answer_router(link);
   if (begins) {
     std::map<FeedCursor, FeedFrame> frames;
@@ -214,6 +223,7 @@
     if (link.channel == channel && !link.silent) {
       link.silent = true;
       knowledge_.forget_router(name);
+      confirmations_.note_closed(name, loop_.now());
       log_.event(events::RouterChanged{name, "closed", link.status.configuration_version});
     }
   }
@@ -318,6 +328,7 @@
   }
   noticed_revision_ = state.revision();
   notice_named_weights();
+  note_rollouts();
   for (const fleet::RetiredBackend& retired : state.retired()) {
     if (retired_.set(retired.id, retired.state)) {
       knowledge_.retire(retired.id, retired.state);
--- a/src/control/fleet_peers.cc
+++ b/src/control/fleet_peers.cc
@@ -74,6 +74,10 @@
   const TimePoint now = loop_.now();
   measure_peer(news.sender, news.zone);
   knowledge_.on_peer_news(news, now);
+  for (const fleet::RouterRollouts& entry : news.applied) {
+    confirmations_.note(entry.router, entry.applied, now);
+  }
+  adopt_ages(news);
   for (const fleet::NamedVersion& named : news.weights) {
     const auto known = named_.find(named.model);
     if (known != named_.end() && known->second.versions().count(named.version) > 0) {
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -17,6 +17,9 @@
 constexpr Duration kKnowledgeInterval = 100ms;
 constexpr Duration kCacheInterval = 30ms;
 constexpr Duration kRolloutInterval = 20ms;
+constexpr Duration kServiceRolloutInterval = 100ms;
+/// A router that reaches no member honours keys for about so long (gateway::ControlLinkOptions::key_lease).
+constexpr Duration kAloneTime = 5s;
 constexpr Duration kStopGrace = 300ms;
 constexpr Duration kTrafficInterval = 10s;  ///< of lines in the log
 /// From a back end's heartbeat until the members that it did not come to have it.
@@ -61,7 +64,8 @@
       knowledge_({to_string(settings_.internal), settings_.zone, settings_.registry, settings_.quotas,
                   seed_from_device(), loop.now(), settings_.topology}),
       watch_(orders),
-      rollout_(settings_.rollout) {
+      rollout_(settings_.rollout),
+      confirmations_(kAloneTime) {
   start_core(restore());
   if (core_->replica().last_index() == 0 && settings_.first_start && !settings_.seeds.empty() &&
       settings_.seeds.front() == settings_.internal) {
@@ -81,6 +85,7 @@
   loop.every(kCacheInterval, [this] { follow_caches(); });
   loop.every(kRolloutInterval, [this] { roll_out_weights(); });
   loop.every(kTrafficInterval, [this] { log_traffic(); });
+  loop.every(kServiceRolloutInterval, [this] { drive_rollouts(); });
   log_.info("started", {{"name", settings_.name},
                         {"internal", to_string(settings_.internal)},
                         {"identity", to_hex(identity_.id)},
@@ -209,12 +214,12 @@
   } else if (auto* answer = std::get_if<wire::ControlAnswer>(&message.value)) {
     const bool kept = answer->status == wire::CallStatus::kNotLeader && forwarded_.holds(answer->call_id);
     if (!kept) {
-      finish(answer->call_id, answer->status == wire::CallStatus::kDone, std::nullopt);
+      finish(answer->call_id, {answer->status == wire::CallStatus::kDone, answer->result});
     }
   } else if (auto* read = std::get_if<fleet::ConfirmedRead>(&message.value)) {
     on_confirmed_read(channel, *read);
   } else if (auto* read_answer = std::get_if<fleet::ConfirmedReadAnswer>(&message.value)) {
-    finish(read_answer->call_id, read_answer->confirmed, read_answer->source);
+    finish(read_answer->call_id, {read_answer->confirmed, {}, read_answer->source, read_answer->rollout});
   } else if (auto* join = std::get_if<wire::JoinRequest>(&message.value)) {
     on_join(channel, *join);
   } else if (auto* addresses = std::get_if<fleet::MemberAddresses>(&message.value)) {
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -26,6 +26,9 @@
 #include "src/control/router_link.h"
 #include "src/control/weight_rollout.h"
 #include "src/http/event_loop.h"
+#include "src/rollout/answer_book.h"
+#include "src/rollout/rollout_planner.h"
+#include "src/rollout/router_confirmations.h"
 #include "src/storage/replica_store.h"
 #include "src/topology/topology.h"
 #include "src/wire/channel.h"
@@ -44,11 +47,24 @@
   bool first_start = false;  ///< the fleet starts for the first time: the first seed founds it
   ControlOptions core;
   RolloutOptions rollout;
+  rollout::PlannerOptions service_rollout;
+  rollout::JudgeOptions judge;
   fleet::RegistryOptions registry;
   admission::QuotaTolerance quotas;
   Duration holder_lease = 3s;  ///< how long a former holder's orders keep a new one waiting
 };
 
+/// What a member knows of an order besides what the log has.
+struct RolloutProgress {
+  TimePoint ordered_at{0};
+  TimePoint step_at{0};
+  TimePoint others_seen{0};  ///< when a back end of another version was last there
+  rollout::VersionJudge judge;
+  rollout::AnswerTable judged;  ///< the sums that the judge has taken
+  bool proposed = false;        ///< a step is on its way
+  TimePoint proposed_at{0};
+};
+
 /// Reads the settings of a fleet control member.
 FleetControlSettings read_fleet_control_settings(SettingsReader& reader);
 
@@ -74,6 +90,15 @@
   void commit(Command command, Committed on_done);
   /// Gives the operator's document of the newest configuration; nullopt when this can't be confirmed.
   void read_configuration(std::function<void(std::optional<std::string>)> on_read);
+  /// How an order ended; nullopt when that is not known.
+  using OrderTaken = std::function<void(const std::optional<CommandResult>&)>;
+  /// Orders the move of a service to another version.
+  void order_rollout(fleet::StartServiceRollout order, OrderTaken on_taken);
+  /// A service's last rollout, if there is one; nullopt when it can't be confirmed.
+  using RolloutRead = std::function<void(const std::optional<std::vector<fleet::ServiceRollout>>&)>;
+  void read_rollout(const std::string& service, RolloutRead on_read);
+  /// True when the newest configuration that this member has names a service with back ends.
+  bool has_service(const std::string& name) const;
   /// Takes a heartbeat; what it tells goes to the other members and to the routers soon after.
   HeartbeatAdvice heartbeat(const fleet::BackendRecord& record);
   /// True when a back end is known to be retired at least as far as `state`.
@@ -94,9 +119,16 @@
   const FleetKnowledge& knowledge() const { return knowledge_; }
 
  private:
+  /// How a call ended. `done`: durable and applied, or confirmed; else nothing is known.
+  struct CallOutcome {
+    bool done = false;
+    CommandResult result = {};
+    std::string source = {};
+    std::vector<fleet::ServiceRollout> rollout = {};
+  };
   struct Waiting {
-    Committed on_done;
-    std::function<void(std::optional<std::string>)> on_read;
+    std::function<void(const CallOutcome&)> on_end;
+    std::string rollout_of = {};  ///< service whose rollout is read
     TimePoint expires{0};
   };
   using ChannelPtr = std::shared_ptr<wire::Channel>;
@@ -125,8 +157,12 @@
   /// Has the leader carry out a call, now or as soon as there is one.
   void forward(uint64_t token, wire::Message message);
   void send_forwarded();
+  /// At the leader: puts a command into the log.
+  void take_command(uint64_t token, Command command);
+  void propose(Command command, std::function<void(const CallOutcome&)> on_end);
+  void read(const std::string& rollout_of, std::function<void(const CallOutcome&)> on_end);
   void deliver_answers();
-  void finish(uint64_t token, bool done, const std::optional<std::string>& source);
+  void finish(uint64_t token, const CallOutcome& outcome);
   void expire_calls();
 
   // fleet_nodes.cc: routers
@@ -164,6 +200,26 @@
   void choose_caches();
   void follow_caches();
 
+  // fleet_service_rollout.cc: services that are moved to another version of their program
+  void stamp(fleet::StartServiceRollout& order) const;
+  std::vector<fleet::ServiceRollout> rollout_of(const std::string& service) const;
+  /// Requests that were sent under an order, as far as this member knows.
+  struct SentRequests {
+    uint64_t target = 0;
+    uint64_t all = 0;
+  };
+  SentRequests sent_under(uint64_t rollout) const;
+  void note_rollouts();
+  void log_step(const fleet::ServiceRollout& rollout);
+  void note_applied(const std::string& router, const std::vector<fleet::AppliedRollout>& applied);
+  void adopt_ages(const fleet::PeerNews& news);
+  void drive_rollouts();
+  void judge_answers();
+  void step_rollout(const fleet::ServiceRollout& rollout);
+  rollout::RolloutView view_of(const fleet::ServiceRollout& rollout);
+  /// From an order to now, by the wall clocks: all that is left after a restart.
+  static Duration age_at_start(const fleet::ServiceRollout& rollout);
+
   // fleet_rollout.cc: new weights
   void roll_out_weights();
   void take_step(const RolloutStep& step);
@@ -212,6 +268,10 @@
   TimePoint next_exchange_{0};  ///< when the other members are to hear of this one, changes or not
   CacheWatch watch_;
   WeightRollout rollout_;
+  std::map<uint64_t, RolloutProgress> progress_;  ///< by id of orders that are not final
+  rollout::RouterConfirmations confirmations_;
+  std::map<uint64_t, uint64_t> noted_steps_;  ///< by id of the order: the newest step that was seen
+  uint64_t rollouts_revision_ = 0;            ///< counts changes of orders and their steps
   bool led_ = false;
   bool was_confirmed_ = false;               ///< routers were told that a leader is confirmed
   std::optional<TimePoint> last_confirmed_;  ///< when a quorum last confirmed a leader, as far as is known
--- a/src/control/router_link.h
+++ b/src/control/router_link.h
@@ -16,8 +16,10 @@
   uint64_t retired = 0;
   uint64_t weights = 0;
   uint64_t members = 0;
+  uint64_t rollouts = 0;
   bool operator<(const ToldRevisions& other) const {
-    return std::tie(retired, weights, members) < std::tie(other.retired, other.weights, other.members);
+    return std::tie(retired, weights, members, rollouts) <
+           std::tie(other.retired, other.weights, other.members, other.rollouts);
   }
 };
 
--- a/src/control/state_machine.cc
+++ b/src/control/state_machine.cc
@@ -5,10 +5,31 @@
 namespace stoat::control {
 
 CommandResult StateMachine::apply(const Command& command) {
+  if (const auto* start = std::get_if<fleet::StartServiceRollout>(&command.value)) {
+    return apply_start(*start);
+  }
   std::visit([this](const auto& fleet_command) { fleet_.apply(fleet_command); }, command.value);
   return {};
 }
 
+CommandResult StateMachine::apply_start(const fleet::StartServiceRollout& start) {
+  CommandResult result;
+  switch (fleet_.apply(start)) {
+    case fleet::RolloutVerdict::kTaken:
+      break;
+    case fleet::RolloutVerdict::kUnknownService:
+      result.code = ResultCode::kInvalid;
+      result.message = "service: '" + start.service + "' is no service with back ends";
+      break;
+    case fleet::RolloutVerdict::kUnderWay:
+      result.code = ResultCode::kUnderWay;
+      result.message =
+          "a rollout to '" + fleet_.rollouts().at(start.service).target_version + "' is under way";
+      break;
+  }
+  return result;
+}
+
 std::string StateMachine::save() const { return wire::encode(fleet_); }
 
 bool StateMachine::load(const std::string& bytes) {
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -20,6 +20,8 @@
   const fleet::FleetState& fleet() const { return fleet_; }
 
  private:
+  CommandResult apply_start(const fleet::StartServiceRollout& start);
+
   fleet::FleetState fleet_;
 };
 
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -77,6 +77,10 @@
   std::vector<BackendPtr> serving(const std::string& service) const;
   /// Those and the ones that are draining, whose KV cache may still be taken.
   std::vector<BackendPtr> present(const std::string& service) const;
+  /// All known back ends of a service, those included that have signed off.
+  std::vector<BackendPtr> of_service(const std::string& service) const {
+    return up_to(fleet::BackendState::kGone, service);
+  }
   /// A known back end, or nullptr.
   BackendPtr find(const std::string& id) const;
   /// Control still tells the events of the caches that it follows: they count until then.
--- a/src/dispatch/request_end.cc
+++ b/src/dispatch/request_end.cc
@@ -29,6 +29,7 @@
   }
   const bool at_work = backend_ != nullptr;
   if (at_work) {
+    count_end(rollout::SendEnd::kTimedOut);
     end_exchange(false);
   }
   if (streaming_) {
@@ -61,6 +62,7 @@
 
 void RequestRun::break_off(const char* reason) {
   if (backend_ != nullptr) {
+    count_end(rollout::SendEnd::kTimedOut);
     end_exchange(false);
   }
   answer_->abort();
@@ -69,6 +71,7 @@
 
 void RequestRun::cancel() {
   if (backend_ != nullptr) {
+    count_end(rollout::SendEnd::kAbandoned);
     end_exchange(false);
   }
   done("the caller left", 0);
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -84,6 +84,7 @@
     give_up("no time left");  // it has waited for the router's start
     return;
   }
+  draw_version();
   try_dispatch();
 }
 
@@ -186,17 +187,6 @@
   }
 }
 
-void RequestRun::note_weights(const http1::Headers& headers) {
-  const std::string* text = headers.find(context_.names.weights_version);
-  const auto version = text == nullptr ? std::nullopt : parse_integer(*text);
-  const uint64_t known = backend_->record.version_of(plan_.fields.model);
-  if (!version || known == 0 || static_cast<uint64_t>(*version) <= known) {
-    return;
-  }
-  BackendPool::note_version(*backend_, plan_.fields.model, static_cast<uint64_t>(*version));
-  tried_.erase(backend_->record.id);  // it was asked for the wrong weights; it may be asked again
-}
-
 void RequestRun::on_answer_body(std::string_view piece) {
   note_sign();
   if (kind_ == AnswerKind::kEvents) {
@@ -214,6 +204,7 @@
     return;
   }
   note_first_event();
+  count_first_event();
   if (!begun_at_engine_ && !chain_.links.empty()) {
     begun_at_engine_ = true;
     learn_first_event();
@@ -243,6 +234,7 @@
   if (kind_ == AnswerKind::kNotRun) {
     context_.pool.outliers().on_success(backend_->record.id);
     story_.add(events::RequestNotRun{backend_->record.id, head_.status});
+    count_end(rollout::SendEnd::kNotRun);
     end_exchange(true);
     on_not_run(true);
     return;
@@ -254,6 +246,7 @@
     }
     context_.pool.outliers().on_success(backend_->record.id);
     learn_run();
+    count_end(rollout::SendEnd::kAnswered);
     end_exchange(true);
     if (!streaming_) {
       answer_->start(head_);
@@ -271,6 +264,7 @@
 
 void RequestRun::finish_whole() {
   const bool failed = head_.status >= kFirstServerError;
+  count_end(failed ? rollout::SendEnd::kFailed : rollout::SendEnd::kAnswered);
   if (failed && plan_.route->repeatable()) {
     // The engine's own failure: another may do better, else this answer is what there is.
     ++runs_;
@@ -362,6 +356,7 @@
   }
   context_.metrics.count("stoat_router_exchange_failures_total", {{"kind", to_text(failure)}});
   const BackendPtr failed = backend_;
+  count_failure(failure);
   end_exchange(false);
   if (failure == ExchangeFailure::kNotConnected) {
     story_.add(events::RequestNotRun{failed->record.id, 0});
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -27,6 +27,8 @@
 #include "src/fleet/version_history.h"
 #include "src/placement/cache_namespace.h"
 #include "src/placement/plain_placement.h"
+#include "src/rollout/answer_counter.h"
+#include "src/rollout/service_versions.h"
 #include "src/routing/route_table.h"
 #include "src/topology/topology.h"
 
@@ -75,6 +77,8 @@
   Duration longest_return = 10s;                               ///< the longest Retry-After for load
   std::map<std::string, placement::WorkTime> work_times = {};  ///< of calls without a prompt, by service
   admission::QuotaGate quotas{{}, 0};
+  rollout::ServiceVersions versions = {};
+  rollout::AnswerCounter answers = {};  ///< of services that are moved to another version
 
   delivery::WindowBudget& budget_of(const std::string& service) {
     return budgets.try_emplace(service, budget_options).first->second;
@@ -161,6 +165,17 @@
   void learn_first_event();
   /// The run at backend_ has ended well: learns how long it took a slot.
   void learn_run() const;
+  /// Of back ends that may get the request, those of the version that it is to go to.
+  std::vector<BackendPtr> of_wanted_version(std::vector<BackendPtr> found) const;
+  /// Counts the send to backend_ when its service is moved to another version.
+  void count_send();
+  void count_first_event();
+  void count_end(rollout::SendEnd end);
+  void count_failure(ExchangeFailure failure);
+  /// Decides whether the request goes to a version that is on trial.
+  void draw_version();
+  /// True when the versions of two back ends allow that a run goes on from a copy.
+  bool may_go_on_at(const Backend& copy, const Backend& origin) const;
   std::optional<Duration> outdated_for(const Backend& backend) const;
   uint32_t urgency() const;
   admission::RequestTimes times() const;
@@ -244,6 +259,8 @@
   uint32_t runs_ = 0;      ///< engines that may have run it
   uint32_t refusals_ = 0;  ///< engines that said that they did not
   std::set<std::string> tried_;
+  bool sampled_ = false;                              ///< it goes to the version that is on trial
+  std::optional<rollout::CountedSend> counted_send_;  ///< of the exchange at backend_
   placement::PromptChain chain_;
 
   BackendPtr backend_;
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -39,7 +39,7 @@
   const fleet::Service* service = plan_.table->service(plan_.service);
   std::vector<BackendPtr> usable;
   std::vector<BackendPtr> doubtful;
-  for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
+  for (const BackendPtr& backend : of_wanted_version(context_.pool.serving(plan_.service))) {
     const fleet::BackendRecord& record = backend->record;
     if (record.loading || tried_.count(record.id) > 0) {
       continue;
@@ -224,6 +224,7 @@
   BackendPtr best;
   for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
     if (!may_hold_copy(*backend) || backend->record.id == target.record.id ||
+        !may_go_on_at(*backend, target) ||
         backend->record.version_of(plan_.fields.model) != target.record.version_of(plan_.fields.model)) {
       continue;
     }
@@ -254,7 +255,7 @@
       backup_->record.version_of(model) != run_weights_) {
     return "weights changed";
   }
-  if (!may_hold_copy(*backup_)) {
+  if (!may_hold_copy(*backup_) || !may_go_on_at(*backup_, origin)) {
     return "the engine with the copy is not sound";
   }
   if (context_.loop.now() >= give_up_at_) {
@@ -320,6 +321,7 @@
   }
   sent_at_ = now;
   expect_first_event();
+  count_send();
   sent.missing_tokens = counted_prefill_;
   sent.expected_ms = std::llround(expected_->forecast.total_ms());
   sent.weights = run_weights_;
--- /dev/null
+++ b/src/events/rollout_events.h
@@ -0,0 +1,75 @@
+/// What becomes of an order that moves a service to another version, as typed events for the log.
+/// docs/OPERATIONS.md explains each.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "src/common/log_line.h"
+#include "src/fleet/service_rollout.h"
+
+namespace stoat::events {
+
+/// The phase as operators read it.
+inline const char* to_text(fleet::RolloutPhase phase) {
+  switch (phase) {
+    case fleet::RolloutPhase::kWaiting:
+      return "waiting";
+    case fleet::RolloutPhase::kTrial:
+      return "trial";
+    case fleet::RolloutPhase::kSwitching:
+      return "switching";
+    case fleet::RolloutPhase::kReturning:
+      return "returning";
+    case fleet::RolloutPhase::kCompleted:
+      return "completed";
+    case fleet::RolloutPhase::kRolledBack:
+      return "rolled back";
+  }
+  return "unknown";
+}
+
+/// An order was taken, or has taken a step; with what this member had counted then.
+struct ServiceRolloutStepped {
+  static constexpr const char* kSentence = "service rollout stepped";
+  fleet::ServiceRollout rollout;
+  int64_t age_ms = 0;        ///< since the order
+  uint64_t answers = 0;      ///< of the target version that were judged
+  uint64_t failed = 0;       ///< of them
+  double doubt = 0;          ///< 1 and more: bad
+  uint64_t target_sent = 0;  ///< requests
+  uint64_t all_sent = 0;
+  std::vector<LogField> fields() const {
+    return {{"service", rollout.service},
+            {"id", rollout.id},
+            {"step", rollout.step},
+            {"target_version", rollout.target_version},
+            {"phase", to_text(rollout.phase)},
+            {"share", rollout.share},
+            {"spread", rollout.spread},
+            {"reason", rollout.reason},
+            {"age_ms", age_ms},
+            {"answers", answers},
+            {"failed", failed},
+            {"doubt", doubt},
+            {"target_sent", target_sent},
+            {"all_sent", all_sent}};
+  }
+};
+
+/// A router keeps to an order, or to a step of it, from now on.
+struct RolloutApplied {
+  static constexpr const char* kSentence = "service rollout applied";
+  fleet::ServiceRollout rollout;
+  std::vector<LogField> fields() const {
+    return {{"service", rollout.service},
+            {"id", rollout.id},
+            {"step", rollout.step},
+            {"target_version", rollout.target_version},
+            {"phase", to_text(rollout.phase)},
+            {"share", rollout.share}};
+  }
+};
+
+}  // namespace stoat::events
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -8,6 +8,7 @@
 #include "src/fleet/backend_record.h"
 #include "src/fleet/fleet_configuration.h"
 #include "src/fleet/fleet_state.h"
+#include "src/fleet/service_rollout.h"
 
 namespace stoat::fleet {
 
@@ -26,7 +27,8 @@
   uint64_t sequence = 0;               ///< echoed by the answer
   uint64_t configuration_version = 0;  ///< that it has in force
   bool follows = false;                ///< it takes the member's feed (FleetNews)
-  MSGPACK_DEFINE_ARRAY(router, sequence, configuration_version, follows)
+  std::vector<AppliedRollout> rollouts = {};
+  MSGPACK_DEFINE_ARRAY(router, sequence, configuration_version, follows, rollouts)
 };
 
 /// What a tenant with a quota has spent of it.
@@ -61,7 +63,10 @@
   std::vector<std::string> unreachable;       ///< ids of back ends that could not be reached lately
   std::vector<TenantSpending> spending = {};  ///< since the last message
   uint64_t spending_number = 0;               ///< rises with each message that has spending; 0: it has none
-  MSGPACK_DEFINE_ARRAY(router, loads, unreachable, spending, spending_number)
+  uint64_t start_id = 0;                      ///< of the router, anew at each of its starts
+  bool answers_anew = false;                  ///< all of its counts follow, not only those that changed
+  std::vector<AnswerCount> answers = {};      ///< since its start
+  MSGPACK_DEFINE_ARRAY(router, loads, unreachable, spending, spending_number, start_id, answers_anew, answers)
 };
 
 /// A back end, or a store of KV cache, holds a chain of prompt parts.
@@ -123,8 +128,10 @@
   std::vector<std::string> members;   ///< "address:port" of the internal protocol of each; empty: as before
   uint32_t router_count = 0;          ///< live routers
   uint64_t spending_taken = 0;        ///< with an answer: the newest RouterLoads::spending_number that came
+  std::vector<ServiceRollout> rollouts =
+      {};  ///< all that were ever ordered, the last of each service; empty: as before
   MSGPACK_DEFINE_ARRAY(answers, leads, zone, quorum_age_ms, confirmed_version, configuration, retired,
-                       weights, members, router_count, spending_taken)
+                       weights, members, router_count, spending_taken, rollouts)
 };
 
 /// Control member to the routers that follow it: what has changed in the fleet since the last of these. A
@@ -206,13 +213,17 @@
   int64_t quotas_age_ms = 0;                  ///< with the whole: for how long the sender has counted
   std::vector<HeartbeatMark> marks = {};
   std::vector<RecordQuestion> questions = {};
+  std::vector<AnswerCount> answers = {};      ///< of the sender's routers since its start, where it changed
+  std::vector<RouterRollouts> applied = {};   ///< what the sender's routers have said since the last news
+  std::vector<RolloutAge> rollout_ages = {};  ///< from the leader: of orders that are not final
   MSGPACK_DEFINE_ARRAY(sender, zone, term, leads, number, anew, incomplete, heartbeats, routers, loads,
                        caches, placements, shared_parts, unreachable, engines, weights, start_id, spending,
-                       windows, quotas_age_ms, marks, questions)
+                       windows, quotas_age_ms, marks, questions, answers, applied, rollout_ages)
   bool empty() const {
     return !anew && incomplete.empty() && heartbeats.empty() && routers.empty() && loads.empty() &&
            caches.empty() && placements.empty() && shared_parts.empty() && unreachable.empty() &&
-           engines.empty() && spending.empty() && marks.empty() && questions.empty();
+           engines.empty() && spending.empty() && marks.empty() && questions.empty() && answers.empty() &&
+           applied.empty() && rollout_ages.empty();
   }
 };
 
@@ -230,18 +241,20 @@
   MSGPACK_DEFINE_ARRAY(number, quorum_age_ms, configuration_version)
 };
 
-/// Control member to the leader: the configuration, confirmed to be the newest.
+/// Control member to the leader: the configuration, or a service's last rollout, confirmed to be the newest.
 struct ConfirmedRead {
   uint64_t call_id = 0;
-  MSGPACK_DEFINE_ARRAY(call_id)
+  std::string rollout_of = {};  ///< name of a service; empty: the configuration
+  MSGPACK_DEFINE_ARRAY(call_id, rollout_of)
 };
 
 /// The answer to a ConfirmedRead.
 struct ConfirmedReadAnswer {
   uint64_t call_id = 0;
   bool confirmed = false;
-  std::string source;  ///< the operator's document; empty when there is none yet
-  MSGPACK_DEFINE_ARRAY(call_id, confirmed, source)
+  std::string source;                        ///< the operator's document; empty when there is none yet
+  std::vector<ServiceRollout> rollout = {};  ///< that was asked for; empty: none was ever ordered
+  MSGPACK_DEFINE_ARRAY(call_id, confirmed, source, rollout)
 };
 
 /// Control member to one that asks to join: whom else to ask.
--- a/src/fleet/fleet_state.cc
+++ b/src/fleet/fleet_state.cc
@@ -38,6 +38,55 @@
   ++revision_;
 }
 
+RolloutVerdict FleetState::apply(const StartServiceRollout& command) {
+  const auto& services = configuration_.services;
+  const bool known = std::any_of(services.begin(), services.end(), [&](const Service& service) {
+    return service.name == command.service && service.store_address.empty();
+  });
+  if (!known) {
+    return RolloutVerdict::kUnknownService;
+  }
+  const auto last = rollouts_.find(command.service);
+  if (last != rollouts_.end()) {
+    const ServiceRollout& before = last->second;
+    const bool same = before.target_version == command.target_version;
+    if (!before.final()) {
+      return same ? RolloutVerdict::kTaken : RolloutVerdict::kUnderWay;
+    }
+    const bool repeated = command.accepted_at_ms - before.accepted_at_ms < kRepeatedOrderMs;
+    if (same && (before.phase == RolloutPhase::kCompleted || repeated)) {
+      return RolloutVerdict::kTaken;
+    }
+  }
+  ++revision_;
+  ServiceRollout order;
+  order.service = command.service;
+  order.id = revision_;
+  order.step = 1;
+  order.target_version = command.target_version;
+  order.active_versions = command.active_versions;
+  order.duration_ms = command.duration_ms;
+  order.accepted_at_ms = command.accepted_at_ms;
+  order.reason = "ordered";
+  rollouts_[command.service] = order;
+  return RolloutVerdict::kTaken;
+}
+
+void FleetState::apply(const StepServiceRollout& command) {
+  const auto found = rollouts_.find(command.service);
+  if (found == rollouts_.end() || found->second.final() || found->second.id != command.id ||
+      found->second.step != command.from_step) {
+    return;
+  }
+  ServiceRollout& order = found->second;
+  ++order.step;
+  order.phase = command.phase;
+  order.share = command.share;
+  order.spread = command.spread;
+  order.reason = command.reason;
+  ++revision_;
+}
+
 BackendState FleetState::retired_state(const std::string& id) const {
   const auto found = std::find_if(retired_.begin(), retired_.end(),
                                   [&](const RetiredBackend& backend) { return backend.id == id; });
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -8,6 +8,7 @@
 
 #include "src/fleet/backend_record.h"
 #include "src/fleet/fleet_configuration.h"
+#include "src/fleet/service_rollout.h"
 
 namespace stoat::fleet {
 
@@ -42,12 +43,25 @@
 /// How many retired back ends are remembered; the oldest goes first. A late heartbeat comes within seconds.
 inline constexpr size_t kMaxRetired = 4096;
 
+/// An order that comes so long after the same one was taken is a new one; before, the same again, whose
+/// acknowledgement was lost. Operators repeat orders for some seconds only.
+inline constexpr int64_t kRepeatedOrderMs = 10000;
+
+/// How the state took an order of a rollout.
+enum class RolloutVerdict : uint8_t {
+  kTaken,           ///< it runs, runs already, or is done
+  kUnknownService,  ///< no service of the configuration
+  kUnderWay,        ///< the service is being moved to another version
+};
+
 /// See the head of this file.
 class FleetState {
  public:
   void apply(const PutConfiguration& command);
   void apply(const NameWeights& command);
   void apply(const RetireBackend& command);
+  RolloutVerdict apply(const StartServiceRollout& command);
+  void apply(const StepServiceRollout& command);
 
   const FleetConfiguration& configuration() const { return configuration_; }
   const std::string& source() const { return source_; }
@@ -57,9 +71,11 @@
   const std::vector<RetiredBackend>& retired() const { return retired_; }
   /// The state of a retired back end; kReady when it is not retired.
   BackendState retired_state(const std::string& id) const;
+  /// The last rollout of each service.
+  const std::map<std::string, ServiceRollout>& rollouts() const { return rollouts_; }
   /// Counts what was applied with an effect; lets followers see that something is new.
   uint64_t revision() const { return revision_; }
-  MSGPACK_DEFINE_ARRAY(configuration_, source_, weights_, retired_, revision_)
+  MSGPACK_DEFINE_ARRAY(configuration_, source_, weights_, retired_, revision_, rollouts_)
 
  private:
   FleetConfiguration configuration_;
@@ -67,6 +83,7 @@
   std::map<std::string, uint64_t> weights_;
   std::vector<RetiredBackend> retired_;
   uint64_t revision_ = 0;
+  std::map<std::string, ServiceRollout> rollouts_;  ///< by service
 };
 
 }  // namespace stoat::fleet
--- a/src/gateway/gateway_feed.cc
+++ b/src/gateway/gateway_feed.cc
@@ -72,7 +72,8 @@
 
 void GatewayServer::tell_loads() {
   std::vector<fleet::BackendLoad> loads = pool_.own_loads();
-  if (loads_told_ && loads == told_loads_ && untold_unreachable_.empty() && !context_.quotas.has_untold()) {
+  if (loads_told_ && loads == told_loads_ && untold_unreachable_.empty() && !context_.quotas.has_untold() &&
+      !context_.answers.has_changes()) {
     return;
   }
   fleet::RouterLoads message{settings_.name, loads, {}};
@@ -83,6 +84,9 @@
   admission::NumberedSpending spending = context_.quotas.take_untold();
   message.spending = std::move(spending.spending);
   message.spending_number = spending.number;
+  message.start_id = start_id_;
+  message.answers_anew = !loads_told_;
+  message.answers = loads_told_ ? context_.answers.take_changes() : context_.answers.take_all();
   if (link_.send_to_feed(message)) {
     loads_told_ = true;
     untold_unreachable_.clear();
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -69,6 +69,7 @@
       malformed_tokens_(names.token_counts + " must be two whole numbers joined by a comma"),
       stories_(log_, settings.stories),
       pool_(loop, settings.topology),
+      start_id_(seed_from_device()),
       context_{loop, names_, pool_, metrics_, stories_},
       link_(
           loop, settings.link, [this] { return make_status(); },
@@ -123,6 +124,7 @@
   status.router.region = settings_.region;
   status.router.ready = ready();
   status.configuration_version = table_ == nullptr ? 0 : table_->configuration().version;
+  status.rollouts = applied_rollouts();
   return status;
 }
 
@@ -144,6 +146,7 @@
     context_.quotas.set_router_count(update.router_count);
   }
   context_.quotas.confirm(update.spending_taken);
+  take_rollouts(update);
 }
 
 void GatewayServer::take_configuration(const fleet::FleetConfiguration& configuration) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -83,6 +83,11 @@
   void tell_placement(fleet::ChainPlacement placement);
   void take_configuration(const fleet::FleetConfiguration& configuration);
   fleet::RouterStatus make_status();
+  // gateway_rollouts.cc: services that are moved to another version
+  void take_rollouts(const fleet::FleetUpdate& update);
+  std::vector<fleet::AppliedRollout> applied_rollouts() const;
+  /// Tells the members at once that the last request at a version that is left has ended.
+  void tell_ended_rollouts();
   void note_key_lease();
   /// `retry_after_s`: 0: the caller is not told when to come back.
   void refuse(const dispatch::RunPlan& plan, edge::CallerAnswer& answer, int status, const char* reason,
@@ -110,6 +115,8 @@
   Metrics metrics_;
   events::StoryBook stories_;
   dispatch::BackendPool pool_;
+  uint64_t start_id_ = 0;                  ///< of this process
+  std::map<uint64_t, bool> others_ended_;  ///< by id of an order: no request runs at other versions, as told
   dispatch::DispatchContext context_;
   std::shared_ptr<const routing::RouteTable> table_;
   routing::SplitChooser splits_;
--- /dev/null
+++ b/tests/unit/rollout_planner_test.cc
@@ -0,0 +1,150 @@
+/// The planner's steps of a service's move to another version, also when something fails halfway.
+#include "src/rollout/rollout_planner.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/support/rollouts.h"
+
+namespace stoat {
+namespace {
+
+using fleet::RolloutPhase;
+using fleet::ServiceRollout;
+using test::make_rollout;
+
+class PlannerTest : public ::testing::Test {
+ protected:
+  PlannerTest() {
+    view_.rollout = &rollout_;
+    view_.target_ready = 45;
+    view_.others_ready = 45;
+    view_.longest_run = 2s;
+    view_.in_step = 900ms;
+    view_.all_sent = 3000;
+    view_.target_sent = 200;
+    view_.judgement.answers = 200;
+    view_.judgement.covered = true;
+  }
+  std::optional<fleet::StepServiceRollout> next(RolloutPhase phase, Duration age) {
+    rollout_ = make_rollout(phase);
+    rollout_.spread = phase != RolloutPhase::kWaiting;
+    view_.age = age;
+    return rollout::next_step(view_, options_);
+  }
+  bool leads_to(RolloutPhase phase, Duration age, RolloutPhase expected) {
+    const auto step = next(phase, age);
+    return step && step->phase == expected;
+  }
+  ServiceRollout rollout_;
+  rollout::RolloutView view_;
+  rollout::PlannerOptions options_;
+};
+
+TEST_F(PlannerTest, WaitsForBackEndsThenTriesThenSwitches) {
+  view_.target_ready = 0;
+  EXPECT_FALSE(next(RolloutPhase::kWaiting, 1s));
+  view_.target_ready = 45;
+  const auto trial = next(RolloutPhase::kWaiting, 1s);
+  ASSERT_TRUE(trial);
+  EXPECT_EQ(trial->phase, RolloutPhase::kTrial);
+  EXPECT_GT(trial->share, 0.05);
+  EXPECT_LT(trial->share, 0.09);
+  EXPECT_FALSE(next(RolloutPhase::kTrial, 5s)) << "it is on trial as long as it can be";
+  EXPECT_TRUE(leads_to(RolloutPhase::kTrial, 8s, RolloutPhase::kSwitching));
+}
+
+TEST_F(PlannerTest, CompletesOnlyWhenAllRoutersHaveLeftTheOthersAndNothingRunsThere) {
+  view_.in_step = 1500ms;
+  view_.all_applied = false;
+  EXPECT_FALSE(next(RolloutPhase::kSwitching, 10s));
+  view_.all_applied = true;
+  view_.others_running = 1;
+  EXPECT_FALSE(next(RolloutPhase::kSwitching, 10s));
+  EXPECT_FALSE(next(RolloutPhase::kSwitching, 13s))
+      << "its runs would be cut off; the deadline is missed instead";
+  view_.others_running = 0;
+  EXPECT_TRUE(leads_to(RolloutPhase::kSwitching, 10s, RolloutPhase::kCompleted));
+}
+
+TEST_F(PlannerTest, ABadVersionGoesBackAlsoFromTheSwitch) {
+  view_.judgement.bad = true;
+  EXPECT_TRUE(leads_to(RolloutPhase::kTrial, 3s, RolloutPhase::kReturning));
+  EXPECT_TRUE(leads_to(RolloutPhase::kSwitching, 9s, RolloutPhase::kReturning));
+  view_.all_applied = false;
+  EXPECT_FALSE(next(RolloutPhase::kReturning, 4s));
+  view_.all_applied = true;
+  EXPECT_TRUE(leads_to(RolloutPhase::kReturning, 4s, RolloutPhase::kRolledBack));
+}
+
+TEST_F(PlannerTest, BackEndsThatNeverComeOrAreTooFewGoBackBeforeTheDeadline) {
+  view_.target_ready = 0;
+  EXPECT_TRUE(leads_to(RolloutPhase::kWaiting, 11s, RolloutPhase::kReturning));
+  view_.target_ready = 3;
+  EXPECT_FALSE(next(RolloutPhase::kTrial, 8s)) << "more may come";
+  EXPECT_TRUE(leads_to(RolloutPhase::kTrial, 11s, RolloutPhase::kReturning));
+}
+
+TEST_F(PlannerTest, AVersionThatWasNotSeenOrIsInDoubtGoesBack) {
+  view_.judgement.answers = 3;
+  EXPECT_FALSE(next(RolloutPhase::kTrial, 8s));
+  EXPECT_TRUE(leads_to(RolloutPhase::kTrial, 11s, RolloutPhase::kReturning));
+  view_.judgement.answers = 200;
+  view_.judgement.doubt = 0.7;
+  EXPECT_TRUE(leads_to(RolloutPhase::kTrial, 11s, RolloutPhase::kReturning));
+}
+
+TEST_F(PlannerTest, WhenAllOthersHaveGoneAVersionThatWasSeenTakesOver) {
+  view_.others_ready = 0;
+  view_.others_gone = 200ms;
+  EXPECT_FALSE(next(RolloutPhase::kTrial, 5s)) << "they may be back at once";
+  view_.others_gone = 2s;
+  EXPECT_TRUE(leads_to(RolloutPhase::kTrial, 5s, RolloutPhase::kSwitching));
+  view_.judgement.bad = true;
+  EXPECT_TRUE(leads_to(RolloutPhase::kTrial, 5s, RolloutPhase::kReturning)) << "a bad one does not";
+}
+
+TEST_F(PlannerTest, AServiceThatTheConfigurationDropsGoesBack) {
+  view_.service_known = false;
+  EXPECT_TRUE(leads_to(RolloutPhase::kWaiting, 2s, RolloutPhase::kReturning));
+  EXPECT_TRUE(leads_to(RolloutPhase::kTrial, 2s, RolloutPhase::kReturning));
+  EXPECT_TRUE(leads_to(RolloutPhase::kSwitching, 9s, RolloutPhase::kReturning));
+}
+
+TEST_F(PlannerTest, ALeaderThatComesAfterTheDeadlineEndsIt) {
+  EXPECT_TRUE(leads_to(RolloutPhase::kWaiting, 30s, RolloutPhase::kReturning));
+  view_.judgement.answers = 0;
+  EXPECT_TRUE(leads_to(RolloutPhase::kTrial, 30s, RolloutPhase::kReturning));
+  view_.all_applied = true;
+  EXPECT_TRUE(leads_to(RolloutPhase::kSwitching, 30s, RolloutPhase::kCompleted));
+}
+
+TEST_F(PlannerTest, AVersionThatHasHadItsShareIsHeld) {
+  view_.target_sent = 0.09 * view_.all_sent + 40;
+  const auto held = next(RolloutPhase::kTrial, 5s);
+  ASSERT_TRUE(held);
+  EXPECT_EQ(held->share, 0);
+}
+
+TEST_F(PlannerTest, OfFewBackEndsOneBearsTheFullLoadInBursts) {
+  view_.target_ready = view_.others_ready = 4;
+  view_.target_sent = 50;
+  const auto burst = next(RolloutPhase::kTrial, 5s);
+  ASSERT_TRUE(burst);
+  EXPECT_DOUBLE_EQ(burst->share, 0.25);
+  view_.target_sent = 240;
+  const auto unearned = next(RolloutPhase::kTrial, 5s);
+  EXPECT_TRUE(!unearned || unearned->share < 0.2) << "its part of the requests so far does not allow it";
+}
+
+TEST_F(PlannerTest, TheOnlyVersionThereIsServesAndIsDone) {
+  rollout_ = make_rollout(RolloutPhase::kWaiting);
+  rollout_.active_versions.clear();
+  view_.others_ready = 0;
+  view_.age = 1s;
+  const auto step = rollout::next_step(view_, options_);
+  ASSERT_TRUE(step);
+  EXPECT_EQ(step->phase, RolloutPhase::kSwitching);
+}
+
+}  // namespace
+}  // namespace stoat
--- /dev/null
+++ b/tests/unit/service_rollout_test.cc
@@ -0,0 +1,318 @@
+/// The move of a service to another version: what the log takes, which versions routers use, and what is
+/// counted.
+#include <gtest/gtest.h>
+
+#include "platform/names.h"
+#include "src/control/fleet_bodies.h"
+#include "src/control/state_machine.h"
+#include "src/rollout/answer_book.h"
+#include "src/rollout/router_confirmations.h"
+#include "src/rollout/service_versions.h"
+#include "tests/support/rollouts.h"
+
+namespace stoat {
+namespace {
+
+using control::ResultCode;
+using fleet::RolloutPhase;
+using fleet::ServiceRollout;
+
+class RolloutStateTest : public ::testing::Test {
+ protected:
+  RolloutStateTest() {
+    fleet::PutConfiguration put;
+    put.configuration.version = 1;
+    put.configuration.services.resize(2);
+    put.configuration.services[0].name = "s";
+    put.configuration.services[1].name = "store";
+    put.configuration.services[1].store_address = "127.0.0.1:1";
+    state_.apply(put);
+  }
+  ResultCode order(const std::string& version, int64_t at_ms = 1000, const std::string& service = "s") {
+    return state_.apply(fleet::StartServiceRollout{service, version, 12000, at_ms, {"v1"}}).code;
+  }
+  const ServiceRollout& rollout() const { return state_.fleet().rollouts().at("s"); }
+  void step(RolloutPhase phase, double share) {
+    state_.apply(fleet::StepServiceRollout{"s", rollout().id, rollout().step, phase, share, false, "test"});
+  }
+  control::StateMachine state_;
+};
+
+TEST_F(RolloutStateTest, TheSameOrderAgainIsTakenAgainAndChangesNothing) {
+  EXPECT_EQ(order("v2"), ResultCode::kOk);
+  step(RolloutPhase::kTrial, 0.07);
+  const ServiceRollout before = rollout();
+  EXPECT_EQ(order("v2", 3000), ResultCode::kOk) << "its acknowledgement was lost";
+  EXPECT_EQ(rollout(), before);
+}
+
+TEST_F(RolloutStateTest, AnotherVersionIsRefusedWhileOneIsUnderWay) {
+  EXPECT_EQ(order("v2"), ResultCode::kOk);
+  EXPECT_EQ(order("v3"), ResultCode::kUnderWay);
+  EXPECT_EQ(rollout().target_version, "v2");
+}
+
+TEST_F(RolloutStateTest, AVersionThatWasRolledBackMayBeOrderedAnewButNotByARepeat) {
+  order("v2", 1000);
+  const uint64_t first = rollout().id;
+  step(RolloutPhase::kRolledBack, 0);
+  EXPECT_EQ(order("v2", 4000), ResultCode::kOk);
+  EXPECT_EQ(rollout().id, first) << "the order was repeated because its acknowledgement was lost";
+  EXPECT_EQ(rollout().phase, RolloutPhase::kRolledBack);
+  EXPECT_EQ(order("v2", 1000 + fleet::kRepeatedOrderMs), ResultCode::kOk);
+  EXPECT_GT(rollout().id, first);
+  EXPECT_EQ(rollout().phase, RolloutPhase::kWaiting);
+}
+
+TEST_F(RolloutStateTest, TheActiveVersionMayBeOrderedAgainAndAnotherOneAfterIt) {
+  order("v2");
+  step(RolloutPhase::kCompleted, 1);
+  EXPECT_EQ(order("v2", 900000), ResultCode::kOk);
+  EXPECT_EQ(rollout().phase, RolloutPhase::kCompleted);
+  EXPECT_EQ(order("v1", 900000), ResultCode::kOk);
+  EXPECT_EQ(rollout().phase, RolloutPhase::kWaiting);
+}
+
+TEST_F(RolloutStateTest, ServicesWithoutBackEndsAreRefused) {
+  EXPECT_EQ(order("v2", 1000, "nobody"), ResultCode::kInvalid);
+  EXPECT_EQ(order("v2", 1000, "store"), ResultCode::kInvalid);
+}
+
+TEST_F(RolloutStateTest, AStepFromAnEarlierStateChangesNothing) {
+  order("v2");
+  const fleet::StepServiceRollout late{"s", rollout().id, rollout().step, RolloutPhase::kTrial, 0.07, false,
+                                       ""};
+  step(RolloutPhase::kReturning, 0);
+  state_.apply(late);
+  EXPECT_EQ(rollout().phase, RolloutPhase::kReturning) << "a former leader's step came after the new one's";
+  step(RolloutPhase::kRolledBack, 0);
+  step(RolloutPhase::kTrial, 0.07);
+  EXPECT_EQ(rollout().phase, RolloutPhase::kRolledBack) << "it is final";
+}
+
+TEST_F(RolloutStateTest, OutlivesARestart) {
+  order("v2");
+  step(RolloutPhase::kSwitching, 1);
+  control::StateMachine restored;
+  ASSERT_TRUE(restored.load(state_.save()));
+  EXPECT_EQ(restored.fleet().rollouts().at("s"), rollout());
+}
+
+TEST(RolloutBodies, ReadsAnOrderAndNamesAllThatIsWrong) {
+  Findings none;
+  const auto order = control::read_rollout_order(R"({"service":"s","target_version":"v2","duration_s":12})",
+                                                 platform::body_names(), none);
+  EXPECT_TRUE(none.empty());
+  EXPECT_EQ(order.duration_ms, 12000);
+  EXPECT_EQ(order.target_version, "v2");
+  for (const char* duration : {"0", "-1", "\"x\"", "null"}) {
+    Findings findings;
+    control::read_rollout_order(std::string(R"({"target_version":"","duration_s":)") + duration + "}",
+                                platform::body_names(), findings);
+    EXPECT_EQ(findings.list().size(), 3U) << duration;
+  }
+  Findings broken;
+  control::read_rollout_order("[", platform::body_names(), broken);
+  EXPECT_FALSE(broken.empty());
+}
+
+TEST(RolloutBodies, TellsTheState) {
+  ServiceRollout rollout;
+  rollout.target_version = "v2";
+  EXPECT_EQ(control::rollout_body(rollout, platform::body_names()),
+            R"({"state":"running","target_version":"v2"})");
+  rollout.phase = RolloutPhase::kReturning;
+  EXPECT_EQ(control::rollout_body(rollout, platform::body_names()),
+            R"({"state":"running","target_version":"v2"})");
+  rollout.phase = RolloutPhase::kRolledBack;
+  EXPECT_EQ(control::rollout_body(rollout, platform::body_names()),
+            R"({"state":"rolled_back","target_version":"v2"})");
+  rollout.phase = RolloutPhase::kCompleted;
+  EXPECT_EQ(control::rollout_body(rollout, platform::body_names()),
+            R"({"state":"completed","target_version":"v2"})");
+}
+
+using test::make_rollout;
+
+TEST(ServiceVersions, AnyVersionServesWithoutAnOrder) {
+  rollout::ServiceVersions versions;
+  EXPECT_EQ(versions.limits("s", false).rank("v1"), versions.limits("s", false).rank("v2"));
+  EXPECT_FALSE(versions.draw("s", "r", 0, 1s));
+}
+
+TEST(ServiceVersions, AVersionThatWasTakenBackGetsNothingEvenIfItIsTheOnlyOne) {
+  rollout::ServiceVersions versions;
+  versions.take({make_rollout(RolloutPhase::kRolledBack)});
+  EXPECT_EQ(versions.limits("s", true).rank("v2"), rollout::VersionLimits::kNever);
+  EXPECT_EQ(versions.limits("s", true).rank("v1"), 0);
+}
+
+TEST(ServiceVersions, AVersionThatNoOrderNamesServesOnlyWhenNothingElseDoes) {
+  rollout::ServiceVersions versions;
+  versions.take({make_rollout(RolloutPhase::kRolledBack)});
+  EXPECT_GT(versions.limits("s", false).rank("v3"), versions.limits("s", false).rank("v1"));
+  versions.take({make_rollout(RolloutPhase::kCompleted, 2)});
+  EXPECT_GT(versions.limits("s", false).rank("v3"), versions.limits("s", false).rank("v2"));
+  EXPECT_NE(versions.limits("s", false).rank("v3"), rollout::VersionLimits::kNever);
+}
+
+TEST(ServiceVersions, OnTrialOnlyWhatWasDrawnGoesToTheNewVersion) {
+  rollout::ServiceVersions versions;
+  versions.take({make_rollout(RolloutPhase::kTrial)});
+  versions.confirm(10s);
+  EXPECT_EQ(versions.limits("s", false).rank("v2"), rollout::VersionLimits::kNever)
+      << "also when all of the others have crashed: the bound on what it gets is the fleet's";
+  EXPECT_EQ(versions.limits("s", true).rank("v2"), 0);
+  EXPECT_NE(versions.limits("s", true).rank("v1"), rollout::VersionLimits::kNever);
+  EXPECT_TRUE(versions.draw("s", "r", 0.01, 10s));
+  EXPECT_FALSE(versions.draw("s", "r", 0.99, 10s));
+}
+
+TEST(ServiceVersions, ARouterOutOfTouchGivesAVersionOnTrialNothing) {
+  rollout::ServiceVersions versions;
+  versions.take({make_rollout(RolloutPhase::kTrial)});
+  versions.confirm(10s);
+  EXPECT_TRUE(versions.draw("s", "r", 0.01, 11s));
+  EXPECT_FALSE(versions.draw("s", "r", 0.01, 13s)) << "it may have been taken back";
+  versions.confirm(13s);
+  EXPECT_TRUE(versions.draw("s", "r", 0.01, 13s));
+}
+
+TEST(ServiceVersions, AnOlderStepThatComesLateChangesNothing) {
+  rollout::ServiceVersions versions;
+  EXPECT_TRUE(versions.take({make_rollout(RolloutPhase::kReturning, 3)}));
+  EXPECT_FALSE(versions.take({make_rollout(RolloutPhase::kTrial, 2)}));
+  EXPECT_EQ(versions.find("s")->phase, RolloutPhase::kReturning);
+}
+
+TEST(ServiceVersions, TheSharesOfAllRoutesAddUpToTheShare) {
+  const std::vector<std::vector<double>> mixes = {{1}, {0.5, 0.5}, {0.94, 0.05, 0.01}, {0.999, 0.001}};
+  for (const auto& mix : mixes) {
+    double sum = 0;
+    for (const double part : mix) {
+      sum += part * rollout::share_of_route(0.07, part, mix.size());
+    }
+    EXPECT_LE(sum, 0.07 + 1e-9);
+    EXPECT_GT(rollout::share_of_route(0.07, mix.back(), mix.size()), 0.0699) << "rare routes are seen too";
+  }
+}
+
+TEST(ServiceVersions, TheSampleIsTheSameAtAllRoutersAndBearsTheLoadOfTheWhole) {
+  std::vector<std::string> ids;
+  ids.reserve(45);
+  for (int index = 0; index < 45; ++index) {
+    ids.push_back("i-" + std::to_string(index));
+  }
+  const ServiceRollout rollout = make_rollout(RolloutPhase::kTrial);
+  const auto sample = rollout::sample_of(ids, rollout);
+  EXPECT_EQ(sample.size(), 4U);  // 0.07 of 45, rounded up
+  std::reverse(ids.begin(), ids.end());
+  EXPECT_EQ(rollout::sample_of(ids, rollout), sample);
+  ServiceRollout spread = rollout;
+  spread.spread = true;
+  EXPECT_EQ(rollout::sample_of(ids, spread).size(), 45U);
+}
+
+fleet::AnswerKey key_of(bool target, const std::string& engine = "") { return {5, target, engine, "r", 0}; }
+
+TEST(AnswerCounts, ASendThatNeverArrivedIsNoneOfTheOthersAndALeftAnswerIsSlowOnlyWhenItWas) {
+  rollout::AnswerCounter counter;
+  rollout::CountedSend send;
+  send.key = key_of(false);
+  send.objective = 500ms;
+  counter.begin(send, 1s);
+  counter.end(send, rollout::SendEnd::kNotRun, 2s);
+  EXPECT_FALSE(counter.has_changes());
+  counter.begin(send, 1s);
+  counter.end(send, rollout::SendEnd::kAbandoned, 1200ms);
+  const auto early = counter.take_changes();
+  ASSERT_EQ(early.size(), 1U);
+  EXPECT_EQ(early[0].sums.sent, 1U);
+  EXPECT_EQ(early[0].sums.times[rollout::time_bucket(200ms)], 0U);
+  counter.begin(send, 1s);
+  counter.end(send, rollout::SendEnd::kAbandoned, 3s);
+  EXPECT_EQ(counter.take_changes()[0].sums.times[rollout::time_bucket(2s)], 1U);
+}
+
+class AnswerBookTest : public ::testing::Test {
+ protected:
+  static fleet::AnswerCount count(uint64_t sent) {
+    fleet::AnswerCount entry;
+    entry.key = key_of(true, "e");
+    entry.sums.sent = sent;
+    return entry;
+  }
+  static fleet::RouterLoads loads(uint64_t start, bool anew, uint64_t sent) {
+    fleet::RouterLoads message;
+    message.router = "r1";
+    message.start_id = start;
+    message.answers_anew = anew;
+    if (sent > 0) {
+      message.answers = {count(sent)};
+    }
+    return message;
+  }
+  uint64_t total(const rollout::AnswerBook& book) const {
+    const auto found = book.totals().find(key_of(true, "e"));
+    return found == book.totals().end() ? 0 : found->second.sent;
+  }
+  rollout::AnswerBook book_;
+};
+
+TEST_F(AnswerBookTest, ALaterMessageMakesUpForALostOne) {
+  book_.on_router(loads(1, true, 0));
+  book_.on_router(loads(1, false, 2));
+  book_.on_router(loads(1, false, 9));  // the one with 5 was lost
+  EXPECT_EQ(total(book_), 9U);
+  book_.on_router(loads(1, true, 9));  // its feed begins anew
+  EXPECT_EQ(total(book_), 9U);
+}
+
+TEST_F(AnswerBookTest, ARouterThatComesFromAnotherMemberIsNotCountedTwice) {
+  book_.on_member("m2", 7, {count(10)});  // that member counted them
+  book_.on_router(loads(1, true, 10));
+  book_.on_router(loads(1, false, 12));
+  EXPECT_EQ(total(book_), 12U);
+}
+
+TEST_F(AnswerBookTest, AMemberOrRouterThatRestartsBeginsAtNothing) {
+  book_.on_member("m2", 7, {count(10)});
+  book_.on_member("m2", 8, {count(3)});
+  EXPECT_EQ(total(book_), 13U);
+  book_.on_router(loads(1, true, 0));
+  book_.on_router(loads(1, false, 4));
+  book_.on_router(loads(2, true, 0));
+  book_.on_router(loads(2, false, 1));
+  EXPECT_EQ(total(book_), 18U);
+}
+
+TEST_F(AnswerBookTest, CountsOfAnOrderThatIsDoneAreDropped) {
+  book_.on_member("m2", 7, {count(10)});
+  book_.keep({});
+  EXPECT_TRUE(book_.totals().empty());
+}
+
+TEST(RouterConfirmations, EveryRouterThatMayServeMustKeepToTheStep) {
+  rollout::RouterConfirmations confirmations(5s);
+  confirmations.note("r1", {{5, 3, 0, 2}}, 10s);
+  confirmations.note("r2", {{5, 2, 4, 0}}, 10s);
+  EXPECT_FALSE(confirmations.word_on(5, 3, 10s).all_applied);
+  confirmations.note("r2", {{5, 3, 1, 0}}, 10s);
+  EXPECT_TRUE(confirmations.word_on(5, 3, 10s).all_applied);
+  EXPECT_EQ(confirmations.word_on(5, 3, 10s).others_running, 1U);
+  confirmations.note("r3", {}, 10s);
+  EXPECT_FALSE(confirmations.word_on(5, 3, 10s).all_applied) << "one that has just started";
+}
+
+TEST(RouterConfirmations, ARouterThatIsGoneOrHonoursNoKeysAnyMoreIsNotWaitedFor) {
+  rollout::RouterConfirmations confirmations(5s);
+  confirmations.note("r1", {{5, 2, 4, 0}}, 10s);
+  confirmations.note("r2", {{5, 2, 4, 0}}, 14s);
+  confirmations.note_closed("r2", 14s);
+  EXPECT_FALSE(confirmations.word_on(5, 3, 14500ms).all_applied);
+  EXPECT_FALSE(confirmations.word_on(5, 3, 14900ms).all_applied) << "r1 is out of touch but may serve";
+  EXPECT_TRUE(confirmations.word_on(5, 3, 15500ms).all_applied);
+}
+
+}  // namespace
+}  // namespace stoat
