--- a/src/control/fleet_calls.cc
+++ b/src/control/fleet_calls.cc
@@ -108,7 +108,7 @@
         finish(call.token, false, std::nullopt);
         continue;
       }
-      core_->call(call.token, std::move(own->command), now);  // this member has come to lead
+      core_->call(call.token, own->command, now);  // this member has come to lead
       driver_->drive();
     } else {
       core_->read(call.token, now);
