Let operators order moves to other versions by stoatctl, and prove them with real processes

Cause: the calls existed without a command, and no test moved a service between versions with processes of the fleet. Ruled out: a fake of the fleet; three members, two routers and stand-ins start in half a second. Change: stoatctl rollout start|status; stand-ins tell a version and can fail a part of their calls; three process tests: a good version with the leader killed and started again midway, a version whose calls fail, orders that are wrong. The fixture of the process tests moves to a header.

--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -32,6 +32,8 @@
   ExitStatus get_configuration();
   ExitStatus put_configuration();
   ExitStatus name_weights();
+  ExitStatus start_rollout();
+  ExitStatus show_rollout();
   ExitStatus remove_backend();
   ExitStatus explain_request();
 
@@ -44,6 +46,7 @@
   const CtlOptions& options_;
   AdminConnection connection_;
   control::FleetPaths paths_;
+  control::BodyNames names_;
 };
 
 ExitStatus Command::bad_input(const std::string& message) {
@@ -119,6 +122,23 @@
   return report(connection_.call("POST", paths_.weights, body.dump()), "the version is named\n");
 }
 
+ExitStatus Command::start_rollout() {
+  const std::string& text = argument(4);
+  double seconds = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+  if (error != std::errc() || end != text.data() + text.size() || !(seconds > 0)) {
+    return bad_input("'" + text + "' is no duration: seconds above 0");
+  }
+  const json body = {
+      {"service", argument(2)}, {names_.rollout_target, argument(3)}, {names_.rollout_seconds, seconds}};
+  return report(connection_.call("POST", paths_.rollouts, body.dump()), "the order is durable\n");
+}
+
+ExitStatus Command::show_rollout() {
+  const http::ClientResult result = connection_.call("GET", paths_.rollouts + "/" + argument(2));
+  return report(result, result.body + "\n");
+}
+
 ExitStatus Command::remove_backend() {
   return report(connection_.call("DELETE", paths_.backends + argument(2)), "the back end is retired\n");
 }
@@ -147,6 +167,11 @@
       {"configuration put", "FILE", 1, "put a configuration in force", &Command::put_configuration},
       {"weights", "MODEL VERSION", 2, "name the version of a model's weights that engines are to have",
        &Command::name_weights},
+      {"rollout start", "SERVICE VERSION SECONDS", 3,
+       "move a service's traffic to a version of its program, judged by its answers",
+       &Command::start_rollout},
+      {"rollout status", "SERVICE", 1, "tell how the last rollout of a service stands",
+       &Command::show_rollout},
       {"backend remove", "ID", 1, "retire a back end for good", &Command::remove_backend},
       {"explain", "REQUEST_ID FILE...", 2,
        "tell from logs what happened to a request, without any connection", &Command::explain_request, true},
--- a/standins/backend_server.cc
+++ b/standins/backend_server.cc
@@ -20,6 +20,7 @@
 constexpr int kConflict = 409;
 constexpr int kFenced = 412;
 constexpr int kMisdirected = 421;
+constexpr int kInternalError = 500;
 constexpr int kUnavailable = 503;
 constexpr Duration kHeartbeat = 300ms;
 constexpr Duration kCallLimit = 1s;
@@ -72,6 +73,8 @@
   settings.token_time = Duration(kUsPerMs * reader.integer("token_ms", 20, 0, 60000));
   settings.work_time = Duration(kUsPerMs * reader.integer("work_ms", 10, 0, 60000));
   settings.load_time = Duration(kUsPerMs * reader.integer("load_ms", 1000, 0, 600000));
+  settings.software = reader.text("software", "");
+  settings.fails_each = static_cast<uint32_t>(reader.integer("fails_each", 0, 0, 1000000));
   settings.runs_file = reader.text("runs_file", "");
   return settings;
 }
@@ -142,9 +145,12 @@
 void BackendServer::run_call(const http::ExchangePtr& exchange) {
   loop_.after(settings_.work_time, [this, exchange] {
     --running_;
-    if (!exchange->gone()) {
-      exchange->reply(kOk, "text/plain", kCallAnswer, answer_headers(*exchange));
+    if (exchange->gone()) {
+      return;
     }
+    const bool fails = settings_.fails_each > 0 && ++calls_ % settings_.fails_each == 0;
+    exchange->reply(fails ? kInternalError : kOk, "text/plain", fails ? "failed\n" : kCallAnswer,
+                    answer_headers(*exchange));
   });
 }
 
@@ -264,15 +270,11 @@
   request.method = "PUT";
   request.path = interface_.paths.backends + id_;
   request.timeout = kCallLimit;
-  request.body = json{
-      {"service", settings_.service},
-      {"address", to_string(settings_.listen)},
-      {"zone", settings_.zone},
-      {"slots", settings_.slots},
-      {"state", stopping_ ? "draining" : "ready"},
-      {"sequence", heartbeats_},
-      {"models",
-       models()}}.dump();
+  request.body = json{{"service", settings_.service},   {"address", to_string(settings_.listen)},
+                      {"zone", settings_.zone},         {"slots", settings_.slots},
+                      {"software", settings_.software}, {"state", stopping_ ? "draining" : "ready"},
+                      {"sequence", heartbeats_},        {"models", models()}}
+                     .dump();
   client_.start(request, nullptr, [](const http::ClientResult&) {});
 }
 
--- a/standins/backend_server.h
+++ b/standins/backend_server.h
@@ -32,6 +32,8 @@
   Duration token_time = 20ms;         ///< between two tokens of a stream
   Duration work_time = 10ms;          ///< of a plain service's answer
   Duration load_time = 1s;            ///< to load weights
+  std::string software;               ///< version of its program, as it tells control; empty: not told
+  uint32_t fails_each = 0;            ///< of a plain service: each so many calls fail; 0: none
   /// The id of each request that begins to run is added to this file, which outlives the process; empty:
   /// none.
   std::string runs_file;
@@ -92,6 +94,7 @@
   uint64_t highest_fence_ = 0;
   bool loading_ = false;
   uint32_t running_ = 0;
+  uint64_t calls_ = 0;  ///< answered by a plain service
   TimePoint prefill_free_at_{0};
   uint64_t heartbeats_ = 0;
   bool stopping_ = false;
--- /dev/null
+++ b/tests/process/served_programs.h
@@ -0,0 +1,95 @@
+/// A small fleet of the served programs for one test, with what operators type.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+
+#include "tests/support/paths.h"
+#include "tools/served_fleet.h"
+
+namespace stoat::tools {
+
+/// What a command printed, and its exit status.
+struct CommandOutput {
+  int status = 0;
+  std::string text;
+};
+
+inline CommandOutput run_command(const std::string& command) {
+  CommandOutput output;
+  std::FILE* pipe = popen((command + " 2>&1").c_str(), "r");
+  char buffer[4096];
+  while (const size_t count = fread(buffer, 1, sizeof(buffer), pipe)) {
+    output.text.append(buffer, count);
+  }
+  output.status = WEXITSTATUS(pclose(pipe));
+  return output;
+}
+
+inline std::string demo_configuration() { return test::source_folder() + "/scripts/demo.json"; }
+
+inline std::string configuration_of_version(uint64_t version) {
+  std::ifstream file(demo_configuration());
+  nlohmann::json document = nlohmann::json::parse(file);
+  document["version"] = version;
+  return document.dump();
+}
+
+/// A fleet of real processes for one test.
+class ServedPrograms : public testing::Test {
+ protected:
+  void SetUp() override {
+    const std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
+    work_folder_ =
+        (std::filesystem::temp_directory_path() / ("stoat-" + name + "-" + std::to_string(getpid())))
+            .string();
+    processes_ = std::make_unique<ProcessFleet>(test::program_folder(), work_folder_);
+    options_.configuration_file = demo_configuration();
+    fleet_ = std::make_unique<ServedFleet>(*processes_, options_);
+    fleet_->start();
+  }
+  void TearDown() override {
+    fleet_.reset();
+    processes_.reset();
+    if (!HasFailure()) {
+      std::filesystem::remove_all(work_folder_);
+    }
+  }
+
+  std::vector<RequestRecord> send(Duration duration, const std::vector<TimedAction>& actions = {}) {
+    return run_load(fleet_->target(), classes_, plan_requests(classes_, 40, duration, ++seed_), actions);
+  }
+
+  void expect_promises(const std::vector<RequestRecord>& records) {
+    for (const std::string& violation : check_promises(classes_, records, fleet_->runs())) {
+      ADD_FAILURE() << violation << "; logs in " << work_folder_;
+    }
+  }
+
+  static size_t complete(const std::vector<RequestRecord>& records) {
+    return static_cast<size_t>(std::count_if(records.begin(), records.end(), [](const RequestRecord& record) {
+      return record.outcome == CallerOutcome::kComplete;
+    }));
+  }
+
+  CommandOutput stoatctl(const std::string& arguments) {
+    std::string members;
+    for (const Endpoint& member : fleet_->admin_endpoints()) {
+      members += (members.empty() ? "" : ",") + to_string(member);
+    }
+    return run_command(test::program_folder() + "/stoatctl --control " + members + " " + arguments);
+  }
+
+  ServedFleetOptions options_;  ///< to be changed before SetUp()
+  std::vector<RequestClass> classes_ = demo_classes();
+  std::string work_folder_;
+  uint64_t seed_ = 0;
+  std::unique_ptr<ProcessFleet> processes_;
+  std::unique_ptr<ServedFleet> fleet_;
+};
+
+}  // namespace stoat::tools
--- /dev/null
+++ b/tests/process/service_rollout_test.cc
@@ -0,0 +1,78 @@
+/// Real processes that move a plain service to another version of its program while callers use it.
+#include <fstream>
+
+#include "tests/process/served_programs.h"
+
+namespace stoat::tools {
+namespace {
+
+class ServiceRolloutTest : public ServedPrograms {
+ protected:
+  void SetUp() override {
+    options_.software = "v1";
+    ServedPrograms::SetUp();
+  }
+  void start_new_version(uint32_t fails_each) {
+    fleet_->start_service("service-new-1", "v2", fails_each);
+    fleet_->start_service("service-new-2", "v2", fails_each);
+  }
+  std::string state() {
+    const nlohmann::json page = nlohmann::json::parse(stoatctl("rollout status search").text, nullptr, false);
+    return page.is_object() ? page.value("state", "") : "";
+  }
+  /// How many requests began to run at a back end.
+  size_t runs_at(const std::string& name) const {
+    std::ifstream file(work_folder_ + "/" + name + ".runs");
+    size_t count = 0;
+    for (std::string line; std::getline(file, line);) {
+      ++count;
+    }
+    return count;
+  }
+};
+
+TEST_F(ServiceRolloutTest, AGoodVersionGetsAllTrafficAlthoughTheLeaderIsKilledMidway) {
+  start_new_version(0);
+  const CommandOutput order = stoatctl("rollout start search v2 14");
+  ASSERT_EQ(order.status, 0) << order.text;
+  EXPECT_EQ(stoatctl("rollout start search v2 14").status, 0) << "the same order is acknowledged again";
+  EXPECT_EQ(stoatctl("rollout start search v3 14").status, 1) << "another one contradicts it";
+  const std::string killed = fleet_->leader();
+  const std::vector<RequestRecord> records =
+      send(13s, {{3s, [&] { processes_->kill(killed); }}, {5s, [&] { processes_->start(killed); }}});
+  expect_promises(records);
+  EXPECT_EQ(complete(records), records.size()) << "no request is lost to a move";
+  EXPECT_TRUE(ServedFleet::wait_until([this] { return state() == "completed"; }, 3s)) << state();
+  // The old ones are stopped without a drain.
+  processes_->kill("service-1");
+  processes_->kill("service-2");
+  const std::vector<RequestRecord> later = send(2s);
+  expect_promises(later);
+  EXPECT_EQ(complete(later), later.size());
+}
+
+TEST_F(ServiceRolloutTest, AVersionWhoseCallsFailIsTakenBack) {
+  start_new_version(2);
+  ASSERT_EQ(stoatctl("rollout start search v2 12").status, 0);
+  const std::vector<RequestRecord> records = send(11s);
+  EXPECT_TRUE(ServedFleet::wait_until([this] { return state() == "rolled_back"; }, 3s)) << state();
+  const size_t tried = runs_at("service-new-1") + runs_at("service-new-2");
+  EXPECT_GT(tried, 0U) << "it was never tried";
+  constexpr size_t kAllowed = 50;
+  EXPECT_LE(tried, records.size() / 10 + kAllowed);
+  const std::vector<RequestRecord> later = send(2s);
+  EXPECT_EQ(runs_at("service-new-1") + runs_at("service-new-2"), tried) << "sent to after it was taken back";
+  EXPECT_EQ(complete(later), later.size());
+}
+
+TEST_F(ServiceRolloutTest, OperatorsAreToldWhatIsWrongWithAnOrder) {
+  EXPECT_EQ(stoatctl("rollout status search").status, 1) << "none was ordered";
+  EXPECT_EQ(stoatctl("rollout start search v2 0").status, 2);
+  EXPECT_EQ(stoatctl("rollout start search v2").status, 2);
+  const CommandOutput unknown = stoatctl("rollout start nobody v2 10");
+  EXPECT_EQ(unknown.status, 1) << unknown.text;
+  EXPECT_NE(unknown.text.find("nobody"), std::string::npos) << unknown.text;
+}
+
+}  // namespace
+}  // namespace stoat::tools
--- a/tools/served_fleet.cc
+++ b/tools/served_fleet.cc
@@ -94,6 +94,9 @@
                                        setting("listen", to_string(processes_.free_endpoint())),
                                        setting("runs_file", runs_file(name)),
                                        list_setting("control", admin_)};
+  if (!engine && !options_.software.empty()) {
+    settings.push_back(setting("software", options_.software));
+  }
   if (engine) {
     settings.push_back(setting("model", LoadTarget().model));
     settings.push_back("slots=16");
@@ -103,6 +106,16 @@
   processes_.add(name, "standin-backend", settings);
 }
 
+void ServedFleet::start_service(const std::string& name, const std::string& software, uint32_t fails_each) {
+  backends_.push_back(name);
+  processes_.add(name, "standin-backend",
+                 {setting("name", name), setting("service", "search"),
+                  setting("listen", to_string(processes_.free_endpoint())),
+                  setting("runs_file", runs_file(name)), list_setting("control", admin_),
+                  setting("software", software), "fails_each=" + std::to_string(fails_each)});
+  processes_.start(name);
+}
+
 std::string ServedFleet::runs_file(const std::string& name) const {
   return processes_.work_folder() + "/" + name + ".runs";
 }
--- a/tools/served_fleet.h
+++ b/tools/served_fleet.h
@@ -20,6 +20,7 @@
   uint32_t engines = 3;
   uint32_t services = 2;
   std::string configuration_file;
+  std::string software;  ///< version of the plain service's program; empty: not told
 };
 
 /// See the head of this file. Names: control-1, router-1, engine-1, service-1 and so on.
@@ -30,6 +31,9 @@
   /// Starts all and waits until every router and back end is known to control. Throws std::runtime_error when
   /// that takes too long.
   void start();
+  /// Starts another back end of the plain service, which tells control this version of its program. Each
+  /// `fails_each`-th call to it fails; 0: none.
+  void start_service(const std::string& name, const std::string& software, uint32_t fails_each);
   /// Puts a document in force; false when it was not acknowledged within `limit`.
   bool put_configuration(const std::string& document, Duration limit = Duration(10s)) const;
   /// The status that the member that leads tells; null when none leads.
