Tell in the log which tenant was turned away, and when a tenant comes near its quota

Cause: a refusal for a quota named neither tenant nor level, so its cause could not be found from the log. Change: the tenant in the line of a request that is turned away; a line of control when a tenant begins or ceases to be metered, with what is left and the part of the routers that is not heard.

--- a/src/admission/quota_book.cc
+++ b/src/admission/quota_book.cc
@@ -203,7 +203,11 @@
     }
     const double level = account.level(now);
     const double enough = (account.metered ? kMeteredUntil : kMeteredBelow) * account.allowance.burst;
+    const bool was_metered = account.metered;
     account.metered = level < enough;
+    if (account.metered != was_metered) {
+      changes_.push_back({tenant, static_cast<int64_t>(level), account.metered});
+    }
     metered_ += account.metered ? 1 : 0;
     if (!account.metered && told_.find(tenant) == nullptr) {
       continue;  // routers don't meter what they were never told of
--- a/src/admission/quota_book.h
+++ b/src/admission/quota_book.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/admission/quota_allowance.h"
@@ -57,6 +58,9 @@
   const fleet::RevisionTable<std::string, fleet::QuotaLevel>& told() const { return told_; }
   /// Tenants that are metered now.
   size_t metered() const { return metered_; }
+  /// Tenants that began or ceased to be metered since the last call, with their levels.
+  std::vector<fleet::QuotaLevel> take_changes() { return std::exchange(changes_, {}); }
+  double unheard_share() const { return unheard_share_; }
 
  private:
   static constexpr size_t kWindowSteps = 80;
@@ -108,6 +112,7 @@
   std::map<std::string, Peer> peers_;        ///< by internal address
   fleet::RevisionTable<std::string, fleet::QuotaLevel> told_;
   size_t metered_ = 0;
+  std::vector<fleet::QuotaLevel> changes_;
 };
 
 }  // namespace stoat::admission
--- a/src/control/fleet_knowledge.h
+++ b/src/control/fleet_knowledge.h
@@ -118,6 +118,8 @@
   const LoadBook& loads() const { return loads_; }
   const CacheMirror& caches() const { return caches_; }
   const admission::QuotaBook& quotas() const { return quotas_; }
+  /// Tenants that began or ceased to be metered since the last call.
+  std::vector<fleet::QuotaLevel> take_quota_changes() { return quotas_.take_changes(); }
   /// The zone of another member; empty: it has not been heard.
   std::string zone_of_peer(const std::string& address) const {
     const auto found = peers_.find(address);
--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -68,6 +68,10 @@
   metrics_.set("stoat_control_feeds", static_cast<double>(feeds));
   metrics_.set("stoat_control_followed_caches", static_cast<double>(watch_.size()));
   metrics_.set("stoat_control_metered_tenants", static_cast<double>(knowledge_.quotas().metered()));
+  for (const fleet::QuotaLevel& change : knowledge_.take_quota_changes()) {
+    log_.event(events::TenantMetered{change.tenant, change.metered, change.level,
+                                     knowledge_.quotas().unheard_share()});
+  }
   traffic_->publish(metrics_, "stoat_control_sent_bytes_total");
   note_backends();
   note_members();
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -118,6 +118,18 @@
   std::vector<LogField> fields() const { return {{"member", member}, {"bytes", bytes}}; }
 };
 
+/// A tenant comes near its quota, so that routers keep to what is left of it, or is far from it again.
+struct TenantMetered {
+  static constexpr const char* kSentence = "tenant metered";
+  std::string tenant;
+  bool metered = false;
+  int64_t left = 0;          ///< over all routers, in the quota's unit
+  double unheard_share = 0;  ///< of the routers, whose spending does not come in now
+  std::vector<LogField> fields() const {
+    return {{"tenant", tenant}, {"metered", metered}, {"left", left}, {"unheard_share", unheard_share}};
+  }
+};
+
 /// A router tells its state for the first time, is ready or not any more, or is no longer heard.
 struct RouterChanged {
   static constexpr const char* kSentence = "router changed";
--- a/src/events/request_events.h
+++ b/src/events/request_events.h
@@ -147,11 +147,13 @@
   const char* reason = "";
   uint64_t configuration_version = 0;
   int64_t keys_left_ms = 0;  ///< how long keys are still honoured; negative: since when not
+  std::string tenant;        ///< empty: not known
   std::vector<LogField> fields() const {
     return {{"status", status},
             {"reason", reason},
             {"version", configuration_version},
-            {"keys_left_ms", keys_left_ms}};
+            {"keys_left_ms", keys_left_ms},
+            {"tenant", tenant}};
   }
 };
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -180,7 +180,7 @@
   }
   events::RequestStory story(plan.fields.id);
   story.add(events::RequestTurnedAway{status, reason, table_ == nullptr ? 0 : table_->configuration().version,
-                                      link_.keys_left_ms()});
+                                      link_.keys_left_ms(), plan.tenant == nullptr ? "" : plan.tenant->name});
   story.finish(stories_, true, reason, loop_.now());
   metrics_.count("stoat_router_requests_total", {{"status", std::to_string(status)}});
   answer.reply(head, std::string(reason) + "\n");
--- a/tests/unit/logging_test.cc
+++ b/tests/unit/logging_test.cc
@@ -61,7 +61,7 @@
   check(events::NotSentAgain{"no budget for repeats"});
   check(events::CopyNotUsed{"b", "weights changed", 2});
   check(events::RequestEnded{});
-  check(events::RequestTurnedAway{503, "no route", 2, -4});
+  check(events::RequestTurnedAway{503, "no route", 2, -4, "t1"});
   check(events::ConfigurationInForce{1, 2, 3});
   check(events::WeightsNamed{"m", 2, 3});
   check(events::BackendChanged{"b", "s", "a", "silent", 2});
