Take the bounds of a version on trial from the settings

Cause: a tenth of the requests and fifty more were constants of the planner, though each deployment tells its own. Ruled out: to hand the bounds themselves on; what is spent on purpose has to stay below them. Change: rollout_exposure_share and rollout_exposure_slack, filled by the deployment; the planner's options follow from them and are the same as before for a tenth and fifty. Tests: PlannerOptionsTest.*; 52 tests of roll-outs and planners pass.

--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -48,6 +48,7 @@
   settings.registry.overdue_after =
       Duration(1000 * reader.integer("backend_heartbeat_ms", 1200, 10, 600000)) + kHeartbeatDelay;
   settings.quotas = admission::read_quota_tolerance(reader);
+  settings.service_rollout = rollout::planner_options(rollout::read_exposure_bounds(reader));
   settings.holder_lease = Duration(1000 * reader.integer("holder_lease_ms", 3000, 0, 600000));
   // Versions that follow soon are then loaded in one: a load costs an engine its cache.
   settings.rollout.start_delay = Duration(1000 * reader.integer("weights_limit_ms", 8000, 0, 3600000)) / 4;
--- a/src/rollout/rollout_planner.cc
+++ b/src/rollout/rollout_planner.cc
@@ -9,6 +9,14 @@
 
 namespace {
 
+/// Parts of the operators' bounds that are spent on a version on trial, and above which it gets no more for
+/// now. Draws of a tenth of the requests exceed their mean by 0.26 sqrt(N), and news of them are up to 0.5 s
+/// late.
+constexpr double kShareUsed = 0.7;
+constexpr double kSlackUsed = 0.5;
+constexpr double kShareHeld = 0.85;
+constexpr double kSlackHeld = 0.72;
+
 using fleet::RolloutPhase;
 using fleet::StepServiceRollout;
 
@@ -193,6 +201,22 @@
 
 }  // namespace
 
+ExposureBounds read_exposure_bounds(SettingsReader& reader) {
+  ExposureBounds bounds;
+  bounds.share = reader.number("rollout_exposure_share", bounds.share, 0.0001, 1);
+  bounds.slack = reader.number("rollout_exposure_slack", bounds.slack, 0, 1e9);
+  return bounds;
+}
+
+PlannerOptions planner_options(const ExposureBounds& bounds) {
+  PlannerOptions options;
+  options.share = kShareUsed * bounds.share;
+  options.extra = kSlackUsed * bounds.slack;
+  options.hold_share = kShareHeld * bounds.share;
+  options.hold_extra = kSlackHeld * bounds.slack;
+  return options;
+}
+
 Duration switch_lead(const RolloutView& view, const PlannerOptions& options) {
   const Duration lead = std::min(view.longest_run + options.confirm_time + options.dwell,
                                  part_of(duration_of(view), options.lead_part));
--- a/src/rollout/rollout_planner.h
+++ b/src/rollout/rollout_planner.h
@@ -7,12 +7,22 @@
 #include <optional>
 #include <string>
 
+#include "src/common/settings.h"
 #include "src/common/time.h"
 #include "src/fleet/service_rollout.h"
 #include "src/rollout/version_judge.h"
 
 namespace stoat::rollout {
 
+/// What operators let a version get before it is known to be good.
+struct ExposureBounds {
+  double share = 0.1;  ///< of the service's requests
+  double slack = 50;   ///< requests besides
+};
+
+/// Reads rollout_exposure_share and rollout_exposure_slack.
+ExposureBounds read_exposure_bounds(SettingsReader& reader);
+
 /// Settings of a planner. The first four keep what a bad version gets below the operators' bound: a tenth of
 /// the service's requests and 50 more.
 struct PlannerOptions {
@@ -42,6 +52,9 @@
   Duration last_moment = 400ms;    ///< before the deadline, from when on a return waits for no router
 };
 
+/// Spends so much of the bounds that news which are late, and draws that fall high, stay within them.
+PlannerOptions planner_options(const ExposureBounds& bounds);
+
 /// All that a step depends on.
 struct RolloutView {
   const fleet::ServiceRollout* rollout = nullptr;
--- a/tests/unit/rollout_planner_test.cc
+++ b/tests/unit/rollout_planner_test.cc
@@ -146,5 +146,25 @@
   EXPECT_EQ(step->phase, RolloutPhase::kSwitching);
 }
 
+TEST(PlannerOptionsTest, SpendLessThanOperatorsAllow) {
+  const rollout::PlannerOptions usual = rollout::planner_options({0.1, 50});
+  EXPECT_DOUBLE_EQ(usual.share, rollout::PlannerOptions{}.share);
+  EXPECT_DOUBLE_EQ(usual.extra, rollout::PlannerOptions{}.extra);
+  EXPECT_DOUBLE_EQ(usual.hold_share, rollout::PlannerOptions{}.hold_share);
+  EXPECT_DOUBLE_EQ(usual.hold_extra, rollout::PlannerOptions{}.hold_extra);
+  const rollout::PlannerOptions strict = rollout::planner_options({0.02, 10});
+  EXPECT_LT(strict.share, strict.hold_share);
+  EXPECT_LT(strict.hold_share, 0.02);
+  EXPECT_LT(strict.hold_extra, 10);
+}
+
+TEST(PlannerOptionsTest, BoundsThatAreWrongBecomeFindings) {
+  Findings findings;
+  SettingsReader reader =
+      SettingsReader::load("", {"rollout_exposure_share=1.5", "rollout_exposure_slack=-1"}, findings);
+  rollout::read_exposure_bounds(reader);
+  EXPECT_EQ(findings.list().size(), 2U) << findings.to_text();
+}
+
 }  // namespace
 }  // namespace stoat
