Work out once what a send needs, and keep one copy of the conversions to milliseconds

Cause: each send walked all back ends of its service twice for the mean of the other routers' requests; the bound on waiting was kept in a member and worked out again beside it; three files converted spans to milliseconds, each in its own way. Ruled out: one learned time of work for plain calls (WorkTime) and runs (ServiceSpeed): it would change what is learned. Change: the mean is handed to the send; wait_until_ is admission::wait_limit() and the only bound; the conversions stand in common/time.h. No behaviour changes.

--- a/src/common/time.h
+++ b/src/common/time.h
@@ -22,6 +22,17 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
 
+/// A span as fractional milliseconds.
+inline double to_fractional_ms(Duration span) {
+  return std::chrono::duration<double, std::milli>(span).count();
+}
+
+/// A span from fractional milliseconds.
+inline Duration from_fractional_ms(double milliseconds) {
+  constexpr double kMicrosecondsPerMillisecond = 1000;
+  return Duration(static_cast<int64_t>(milliseconds * kMicrosecondsPerMillisecond));
+}
+
 /// A span as fractional seconds.
 inline double to_seconds(Duration span) { return std::chrono::duration<double>(span).count(); }
 
--- a/src/dispatch/request_distance.cc
+++ b/src/dispatch/request_distance.cc
@@ -23,12 +23,10 @@
   if (!work_began_) {
     return;
   }
-  constexpr double kMicrosecondsPerMs = 1000;
   const double way_ms = context_.costs.ways.ms(topology::distance(context_.place, backend_->place));
   const Duration taken = context_.loop.now() - *work_began_;
   work_began_.reset();
-  context_.work_times[plan_.service].observe(static_cast<double>(taken.count()) / kMicrosecondsPerMs -
-                                             way_ms);
+  context_.work_times[plan_.service].observe(to_fractional_ms(taken) - way_ms);
 }
 
 }  // namespace stoat::dispatch
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -73,8 +73,8 @@
     limit_ms = std::min(limit_ms, *plan_.fields.deadline_ms);
   }
   give_up_at_ = plan_.arrived + Duration(1000 * limit_ms);
-  // While no back end may take it: one round of news tells of those that have come or are usable again.
-  wait_until_ = std::min(give_up_at_, plan_.arrived + context_.load_limits.longest_wait);
+  // Also while no back end may take it: one round of news tells of those that have come or are usable again.
+  wait_until_ = admission::wait_limit(times(), context_.load_limits);
   chain_ = make_chain(plan_);
   context_.budget_of(plan_.service).on_request(plan_.arrived);
   story_.add(events::RequestAccepted{route.name, plan_.service,
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -160,7 +160,7 @@
   /// Mean of the other routers' requests at the service's back ends.
   double usual_others() const;
   /// Notes what is expected of the send that is about to be made.
-  void expect_first_event();
+  void expect_first_event(double usual_others);
   /// The engine at backend_ has made its first event: learns from it.
   void learn_first_event();
   /// The run at backend_ has ended well: learns how long it took a slot.
@@ -192,7 +192,8 @@
   Duration return_after(Duration wait);
   /// Places the request on one of the candidates, of which there is at least one, and sends it there.
   void dispatch(const std::vector<BackendPtr>& candidates);
-  void send_to(const BackendPtr& backend, CachePlan cache);
+  /// `usual_others`: see EngineQueue.
+  void send_to(const BackendPtr& backend, CachePlan cache, double usual_others);
   /// Counts the tokens that the engine has to read before this request's first event.
   void count_prefill(const CachePlan& cache);
   /// Notes that the engine holds the prompt now.
@@ -248,7 +249,7 @@
   DoneHandler on_done_;
   event* timer_ = nullptr;
   TimePoint give_up_at_{0};  ///< the caller's deadline or the route's time-out
-  TimePoint wait_until_{0};  ///< until when it may wait for a back end
+  TimePoint wait_until_{0};  ///< until when it may wait for a back end, or for a slot at one
   bool waiting_ = false;
   uint64_t queue_number_ = 0;  ///< in the queue for a slot; 0: not there
   TimePoint queued_at_{0};
--- a/src/dispatch/request_run_admission.cc
+++ b/src/dispatch/request_run_admission.cc
@@ -12,13 +12,8 @@
 constexpr Duration kSlotWaitStep = 20ms;
 /// A request that could not be placed though engines seem to have room is told to come back after so long.
 constexpr Duration kNoRoomKnown = 500ms;
-constexpr double kMicrosecondsPerMillisecond = 1000;
 constexpr double kMillisecondsPerSecond = 1000;
 
-Duration from_ms(double milliseconds) {
-  return Duration(static_cast<int64_t>(milliseconds * kMicrosecondsPerMillisecond));
-}
-
 }  // namespace
 
 uint32_t RequestRun::urgency() const {
@@ -55,7 +50,8 @@
     taken += placement::present_outstanding(queue, speed.run_ms());
     slots += queue.slots;
   }
-  return {from_ms(wait_ms), from_ms(answer_ms), from_ms(speed.long_answer_ms()), taken / slots};
+  return {from_fractional_ms(wait_ms), from_fractional_ms(answer_ms),
+          from_fractional_ms(speed.long_answer_ms()), taken / slots};
 }
 
 bool RequestRun::has_room() const {
@@ -81,10 +77,10 @@
     return;
   }
   const TimePoint now = context_.loop.now();
-  const bool held_long_enough = now >= admission::wait_limit(times(), context_.load_limits);
+  const bool held_long_enough = now >= wait_until_;
   const admission::ServiceOutlook known = outlook(candidates);
   if (known.answer > Duration(0) && queue_number_ == 0) {
-    context_.speeds[plan_.service].note_answer(to_seconds(known.answer) * kMillisecondsPerSecond);
+    context_.speeds[plan_.service].note_answer(to_fractional_ms(known.answer));
   }
   const admission::Verdict verdict = admission::decide(times(), known, context_.load_limits, now);
   if (verdict == admission::Verdict::kRefuse) {
@@ -105,7 +101,7 @@
 void RequestRun::wait_for_slot(const admission::ServiceOutlook& known) {
   const TimePoint now = context_.loop.now();
   waiting_ = true;
-  arm_timer(std::min(now + kSlotWaitStep, admission::wait_limit(times(), context_.load_limits)));
+  arm_timer(std::min(now + kSlotWaitStep, wait_until_));
   if (queue_number_ != 0) {
     return;
   }
--- a/src/dispatch/request_run_forecast.cc
+++ b/src/dispatch/request_run_forecast.cc
@@ -9,8 +9,6 @@
 
 constexpr double kMillisecondsPerSecond = 1000;
 
-double to_fractional_ms(Duration span) { return to_seconds(span) * kMillisecondsPerSecond; }
-
 }  // namespace
 
 placement::EngineQueue RequestRun::queue_of(const Backend& backend, double usual_others) const {
@@ -33,8 +31,8 @@
   return serving.empty() ? 0 : sum / static_cast<double>(serving.size());
 }
 
-void RequestRun::expect_first_event() {
-  placement::EngineQueue queue = queue_of(*backend_, usual_others());
+void RequestRun::expect_first_event(double usual_others) {
+  placement::EngineQueue queue = queue_of(*backend_, usual_others);
   // Both count this request already.
   queue.own_outstanding -= queue.own_outstanding > 0 ? 1 : 0;
   queue.waiting_tokens -= std::min<uint64_t>(queue.waiting_tokens, counted_prefill_);
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -86,7 +86,7 @@
   }
   if (chain_.links.empty()) {
     send_to(choose_for_call(candidates, views),
-            CachePlan{.candidates = static_cast<uint32_t>(candidates.size())});
+            CachePlan{.candidates = static_cast<uint32_t>(candidates.size())}, others);
     return;
   }
   // Those that can't take the request may still hold what its engine needs.
@@ -112,7 +112,7 @@
   const BackendPtr holder = placed.source ? engines[*placed.source] : nullptr;
   CachePlan cache = plan_cache(*engines[placed.target], holder.get(), store, placed.store_pays);
   cache.candidates = static_cast<uint32_t>(candidates.size());
-  send_to(engines[placed.target], std::move(cache));
+  send_to(engines[placed.target], std::move(cache), others);
 }
 
 bool RequestRun::set_by_system(const std::string& name) const {
@@ -280,11 +280,11 @@
   context_.metrics.count("stoat_router_copies_used_total");
   CachePlan cache;
   cache.from = origin.record.address + "/" + plan_.fields.id;
-  send_to(std::exchange(backup_, nullptr), cache);
+  send_to(std::exchange(backup_, nullptr), cache, usual_others());
   return true;
 }
 
-void RequestRun::send_to(const BackendPtr& backend, CachePlan cache) {
+void RequestRun::send_to(const BackendPtr& backend, CachePlan cache, double usual_others) {
   const TimePoint now = context_.loop.now();
   const auto connection = context_.pool.take_connection(backend);
   tried_.insert(backend->record.id);
@@ -320,7 +320,7 @@
     count_prefill(cache);
   }
   sent_at_ = now;
-  expect_first_event();
+  expect_first_event(usual_others);
   count_send();
   sent.missing_tokens = counted_prefill_;
   sent.expected_ms = std::llround(expected_->forecast.total_ms());
