Count what other members' routers spend from a member's first message on

Cause: members that start together take each other's first message as the whole and never ask for more, but the quota book took sums only after a message marked as the whole. Each member then counted its own routers alone, and let a tenant near its quota spend several times the rate. Ruled out: the window that counts as spent after a start (it was there, 5.05 million in the log), spending that routers did not tell (the members' own sums add up to all of it), news that are late (nothing was metered for 5 s). Change: a message says whether its sums are those that changed, all, or all since the sender's start; the first message of a member counts in full. Figures: MembersThatStartTogetherCountWhatTheOthersRoutersSpend fails without the change (1,000 tokens left where 300 are) and passes with it.

--- a/src/admission/quota_book.cc
+++ b/src/admission/quota_book.cc
@@ -146,16 +146,17 @@
   }
 }
 
-void QuotaBook::on_peer(const std::string& peer, uint64_t start_id, bool whole,
+void QuotaBook::on_peer(const std::string& peer, uint64_t start_id, SumsScope scope,
                         const std::vector<fleet::TenantSpending>& sums, TimePoint now) {
   Peer& entry = peers_[peer];
   const bool same_start = entry.start_id == start_id;
-  if (!whole && !same_start) {
+  if (scope == SumsScope::kChanged && !same_start) {
     return;  // the whole is asked for, and tells the same and more
   }
-  // All that a member has told since its start is new when an earlier start of it was known. Else it is older
-  // than this member's count, as far as this one can tell.
-  const bool counts = entry.start_id != 0;
+  // All that a member has told since its start is new when an earlier start of it was known, and with its
+  // first message. Else it is older than this member's count, as far as this one can tell. Without the first
+  // message as a beginning, members that had started together never counted what the others' routers spent.
+  const bool counts = entry.start_id != 0 || scope == SumsScope::kFirst;
   if (!same_start) {
     entry.sums.clear();
     entry.start_id = start_id;
--- a/src/admission/quota_book.h
+++ b/src/admission/quota_book.h
@@ -24,6 +24,13 @@
 
 namespace stoat::admission {
 
+/// How much of a member's sums a message of it has.
+enum class SumsScope : uint8_t {
+  kChanged,  ///< those that have changed since the message before
+  kFirst,    ///< the first message since the member's start: all, and all of it was spent since then
+  kAll,      ///< all, of a member that has counted for some time
+};
+
 /// See the head of this file.
 class QuotaBook {
  public:
@@ -36,9 +43,8 @@
   void configure(const std::vector<fleet::Tenant>& tenants, TimePoint now);
   /// A router of this member has spent.
   void on_router(const std::vector<fleet::TenantSpending>& spending, TimePoint now);
-  /// Another member tells what its routers have spent since its start; `whole`: of all tenants, else where it
-  /// has changed.
-  void on_peer(const std::string& peer, uint64_t start_id, bool whole,
+  /// Another member tells what its routers have spent since its start.
+  void on_peer(const std::string& peer, uint64_t start_id, SumsScope scope,
                const std::vector<fleet::TenantSpending>& sums, TimePoint now);
   /// Another member tells what it knows to be spent. It counts when that one has counted for longer.
   void adopt(const std::vector<fleet::WindowSpending>& windows, Duration age, TimePoint now);
--- a/src/control/fleet_knowledge.cc
+++ b/src/control/fleet_knowledge.cc
@@ -205,11 +205,13 @@
   peer.zone = news.zone;
   peer.heard = now;
   routers_.on_member_heard(news.sender, now);
+  // It has just started, and this is all that it knows.
+  const bool first = !news.anew && news.number == 1 && peer.number == 0;
   if (news.anew) {
     loads_.forget_peer(news.sender);
     peer.complete = true;
-  } else if (news.number == 1 && peer.number == 0) {
-    peer.complete = true;  // it has just started, and this is all that it knows
+  } else if (first) {
+    peer.complete = true;
   } else if (news.number != peer.number + 1) {
     peer.complete = false;  // something of it was lost, or it has never told the whole
   }
@@ -238,7 +240,9 @@
     add_placement(placement);
   }
   apply_engine_notes(news);
-  quotas_.on_peer(news.sender, news.start_id, news.anew, news.spending, now);
+  using admission::SumsScope;
+  const SumsScope scope = news.anew ? SumsScope::kAll : first ? SumsScope::kFirst : SumsScope::kChanged;
+  quotas_.on_peer(news.sender, news.start_id, scope, news.spending, now);
   answers_.on_member(news.sender, news.start_id, news.answers);
   if (news.anew) {
     quotas_.adopt(news.windows, Duration(1000 * news.quotas_age_ms), now);
--- a/tests/support/quota_fleet.h
+++ b/tests/support/quota_fleet.h
@@ -331,8 +331,9 @@
     const auto all = whole ? members_[from]->book.sums() : sums;
     const auto windows = members_[from]->book.windows(now_);
     const Duration age = members_[from]->book.age(now_);
-    later([this, from, to, start, whole, all, windows, age] {
-      members_[to]->book.on_peer("m" + std::to_string(from), start, whole, all, now_);
+    const auto scope = whole ? admission::SumsScope::kAll : admission::SumsScope::kChanged;
+    later([this, from, to, start, whole, scope, all, windows, age] {
+      members_[to]->book.on_peer("m" + std::to_string(from), start, scope, all, now_);
       if (whole) {
         members_[to]->book.adopt(windows, age, now_);
       }
--- a/tests/unit/fleet_knowledge_test.cc
+++ b/tests/unit/fleet_knowledge_test.cc
@@ -174,6 +174,24 @@
   EXPECT_EQ(second_.loads().totals().find("e1")->outstanding, 2U);
 }
 
+// Members that started together never asked each other for the whole, and never counted what the others'
+// routers spent: each let its tenants spend the whole quota.
+TEST_F(FleetKnowledgeTest, MembersThatStartTogetherCountWhatTheOthersRoutersSpend) {
+  fleet::Tenant tenant;
+  tenant.name = "t";
+  tenant.quota = {1000, 1000, fleet::QuotaUnit::kTokens, 0};
+  for (FleetKnowledge* member : {&first_, &second_}) {
+    member->configure_quotas({tenant}, now_);
+  }
+  exchange();
+  first_.on_router_loads({"r1", {}, {}, {{"t", 700}}}, now_);
+  exchange();
+  constexpr int64_t kRefilledAtMost = 200;
+  for (const FleetKnowledge* member : {&first_, &second_}) {
+    EXPECT_LE(member->quotas().windows(now_).front().bucket, 300 + kRefilledAtMost);
+  }
+}
+
 TEST_F(FleetKnowledgeTest, ASilentMembersLoadsCountNoMore) {
   first_.on_router(router("r1"), true, now_);
   first_.on_router_loads({"r1", {{"e1", 2, 500}}, {}, {}}, now_);
--- a/tests/unit/quota_test.cc
+++ b/tests/unit/quota_test.cc
@@ -108,11 +108,11 @@
   for (auto* book : {&first, &second}) {
     book->configure({limited_tenant()}, now);
   }
-  second.on_peer("first", 1, true, first.sums(), now);
+  second.on_peer("first", 1, admission::SumsScope::kAll, first.sums(), now);
   first.on_router({{"t", 400}}, now);
   first.take_changed_sums();  // lost
   first.on_router({{"t", 200}}, now);
-  second.on_peer("first", 1, false, first.take_changed_sums(), now);
+  second.on_peer("first", 1, admission::SumsScope::kChanged, first.take_changed_sums(), now);
   EXPECT_EQ(second.windows(now).front().bucket, 400);
 }
 
