Tell a back end's incarnations apart by its name and its start

Cause: back ends may start again under the name that they had, and begin their counts anew. Everything was kept under the name: the heartbeats of the new incarnation counted as late, a late mark of the former one as the newest of the new one, and weights, retirements, caches and speeds of the former one were taken for the new one's. Heartbeats of other writers with an unknown state counted as ready, and one with another service or address under a known name took its place. Ruled out: a start beside the name in each table, since each of eight tables would have to compare it. Change: the id under which all tables keep a back end is its name and its start; the name alone goes to the back end and comes from it. A heartbeat has to tell a known state; one that contradicts what is known of a living back end, or takes its address for a service that no configuration names, is refused. Addresses have an index: each of N back ends that registered was compared with all others. Two tests' heartbeats had no state, and got one. Not done: a retirement by name alone of a back end that no member knows yet binds no incarnation.

--- a/src/control/fleet_admin_api.cc
+++ b/src/control/fleet_admin_api.cc
@@ -143,6 +143,10 @@
     exchange->reply(kBadRequest, kText, "malformed heartbeat\n");
     return;
   }
+  if (fleet_.contradicts(*record)) {
+    exchange->reply(kConflict, kText, "another back end is known under this id or address\n");
+    return;
+  }
   const HeartbeatAdvice advice = fleet_.heartbeat(*record);
   if (record->state != fleet::BackendState::kReady) {
     retire(exchange, record->id, record->state);
@@ -196,7 +200,7 @@
   const std::string backends = paths.backends + "*";
   server.route("PUT", backends, [this](const http::ExchangePtr& exchange) { take_heartbeat(exchange); });
   server.route("DELETE", backends, [this](const http::ExchangePtr& exchange) {
-    retire(exchange, backend_of(*exchange), fleet::BackendState::kGone);
+    retire(exchange, fleet_.incarnation_of(backend_of(*exchange)), fleet::BackendState::kGone);
   });
 }
 
--- a/src/control/fleet_bodies.cc
+++ b/src/control/fleet_bodies.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "src/common/hash.h"
+#include "src/fleet/incarnation.h"
 #include "src/placement/cache_namespace.h"
 
 namespace stoat::control {
@@ -39,12 +40,24 @@
     if (value == nullptr) {
       return fallback;
     }
-    if (!value->is_number() || value->get<double>() < 0) {
+    if (!value->is_number() || value->get<double>() < 0 || value->get<double>() > kLargestWhole) {
       add(key, "must be a number of 0 or more");
       return fallback;
     }
     return static_cast<int64_t>(value->get<double>());
   }
+  /// A whole number of 0 or more; 0 when it is missing.
+  uint64_t count(const std::string& key) const {
+    const json* value = find(key);
+    if (value == nullptr) {
+      return 0;
+    }
+    if (!value->is_number_unsigned()) {
+      add(key, "must be a whole number of 0 or more");
+      return 0;
+    }
+    return value->get<uint64_t>();
+  }
   /// A number of 0 or more; 0 when it is missing.
   double amount(const std::string& key) const {
     const json* value = find(key);
@@ -92,6 +105,8 @@
   }
 
  private:
+  static constexpr double kLargestWhole = 9007199254740992.0;  ///< all whole numbers up to it are exact
+
   const json& object_;
   std::string place_;
   Findings& findings_;
@@ -208,6 +223,17 @@
   return tenant;
 }
 
+fleet::BackendState read_backend_state(const FieldReader& reader) {
+  const std::string state = reader.text("state");
+  if (state == "draining") {
+    return fleet::BackendState::kDraining;
+  }
+  if (state != "ready") {
+    reader.add("state", "must be ready or draining");
+  }
+  return fleet::BackendState::kReady;
+}
+
 std::string numbered(const char* list, size_t position) {
   return std::string(list) + "[" + std::to_string(position) + "]";
 }
@@ -278,21 +304,20 @@
   return findings.empty() ? std::optional(configuration) : std::nullopt;
 }
 
-std::optional<fleet::BackendRecord> read_heartbeat(const std::string& id, const std::string& text,
+std::optional<fleet::BackendRecord> read_heartbeat(const std::string& name, const std::string& text,
                                                    const BodyNames& names) {
   const json document = json::parse(text, nullptr, false);
   Findings findings;
   const FieldReader reader(document, "heartbeat", findings);
   fleet::BackendRecord record;
-  record.id = id;
+  record.id = fleet::incarnation_id(name, reader.count(names.started));
   record.service = reader.text("service");
   record.address = reader.text("address");
   record.zone = reader.optional_text("zone");
   record.slots = static_cast<uint32_t>(reader.whole("slots", 1));
   record.software = reader.optional_text(names.software);
   record.sequence = static_cast<uint64_t>(reader.whole("sequence", 0));
-  record.state = reader.optional_text("state") == "draining" ? fleet::BackendState::kDraining
-                                                             : fleet::BackendState::kReady;
+  record.state = read_backend_state(reader);
   record.models = read_models(reader, findings);
   return findings.empty() ? std::optional(record) : std::nullopt;
 }
@@ -336,11 +361,12 @@
   return json{{"state", state}, {names.rollout_target, rollout.target_version}}.dump();
 }
 
-std::optional<EngineReport> read_report(const std::string& text) {
+std::optional<EngineReport> read_report(const std::string& text, const BodyNames& names) {
   const json document = json::parse(text, nullptr, false);
   Findings findings;
   const FieldReader reader(document, "report", findings);
   EngineReport report;
+  report.started_ms = reader.count(names.started);
   report.busy = reader.flag("busy");
   report.order_sequence = static_cast<uint64_t>(reader.whole("sequence", 0));
   report.models = read_models(reader, findings);
--- a/src/control/fleet_bodies.h
+++ b/src/control/fleet_bodies.h
@@ -18,8 +18,8 @@
 std::optional<fleet::FleetConfiguration> read_configuration(const std::string& text, const BodyNames& names,
                                                             Findings& findings);
 
-/// A heartbeat of the engine `id`; nullopt when it can't be read.
-std::optional<fleet::BackendRecord> read_heartbeat(const std::string& id, const std::string& text,
+/// A heartbeat of the back end that calls itself `name`; nullopt when it can't be read.
+std::optional<fleet::BackendRecord> read_heartbeat(const std::string& name, const std::string& text,
                                                    const BodyNames& names);
 
 /// A named version of weights; nullopt when it can't be read.
@@ -32,7 +32,7 @@
 /// The state of a service's rollout as operators see it.
 std::string rollout_body(const fleet::ServiceRollout& rollout, const BodyNames& names);
 
-std::optional<EngineReport> read_report(const std::string& text);
+std::optional<EngineReport> read_report(const std::string& text, const BodyNames& names);
 
 /// What a cache of an engine or a store tells of its changes; nullopt when it is malformed.
 std::optional<CacheEvents> read_cache_events(const std::string& text, const BodyNames& names);
--- a/src/control/fleet_engine_client.cc
+++ b/src/control/fleet_engine_client.cc
@@ -1,6 +1,7 @@
 #include "src/control/fleet_engine_client.h"
 
 #include "src/control/fleet_bodies.h"
+#include "src/fleet/incarnation.h"
 
 namespace stoat::control {
 
@@ -39,7 +40,7 @@
   request.method = "POST";
   request.path = interface_.paths.order;
   request.headers = {{"Content-Type", "application/json"},
-                     {interface_.expected_backend_header, order.engine}};
+                     {interface_.expected_backend_header, std::string(fleet::backend_name(order.engine))}};
   request.body = order_body(order, interface_.bodies);
   request.timeout = kOrderTimeout;
   request.fresh_connection = true;
@@ -56,9 +57,9 @@
   }
   request.path = interface_.paths.report;
   request.timeout = kReportTimeout;
-  client_.start(request, nullptr, [on_report = std::move(on_report)](const http::ClientResult& result) {
+  client_.start(request, nullptr, [this, on_report = std::move(on_report)](const http::ClientResult& result) {
     constexpr int kOk = 200;
-    const auto report = result.status == kOk ? read_report(result.body) : std::nullopt;
+    const auto report = result.status == kOk ? read_report(result.body, interface_.bodies) : std::nullopt;
     on_report(report ? &*report : nullptr);
   });
 }
--- a/src/control/fleet_interface.h
+++ b/src/control/fleet_interface.h
@@ -25,6 +25,7 @@
   std::string gap = "gap";
   // a heartbeat
   std::string software = "software";
+  std::string started = "started_ms";  ///< Unix time of the back end's start; also in a report
   std::string heartbeat_address = "heartbeat_address";  ///< in the answer: where later ones should go
   // an operator's order to move a service to another version
   std::string rollout_target = "target_version";
--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -41,6 +41,22 @@
   return knowledge_.is_home(record, now) ? HeartbeatAdvice::kStay : HeartbeatAdvice::kNone;
 }
 
+bool FleetServer::contradicts(const fleet::BackendRecord& record) const {
+  const fleet::BackendRegistry& registry = knowledge_.registry();
+  const fleet::BackendRecord* known = registry.find(record.id);
+  if (known != nullptr) {
+    return known->service != record.service || known->address != record.address;
+  }
+  // A service that no configuration names serves nobody: its back end takes no address from another one.
+  return configuration_version() > 0 && !has_service(record.service) &&
+         registry.address_taken(record.address, record.id);
+}
+
+std::string FleetServer::incarnation_of(const std::string& name) const {
+  const fleet::BackendRecord* newest = knowledge_.registry().find_by_name(name);
+  return newest == nullptr ? name : newest->id;
+}
+
 bool FleetServer::retired(const std::string& id, fleet::BackendState state) const {
   return core_->state().fleet().retired_state(id) >= state;
 }
--- a/src/control/fleet_rollout.cc
+++ b/src/control/fleet_rollout.cc
@@ -1,6 +1,7 @@
 /// FleetServer: carries out the steps of the weight rollout.
 #include "src/common/hash.h"
 #include "src/control/fleet_server.h"
+#include "src/fleet/incarnation.h"
 
 namespace stoat::control {
 
@@ -82,7 +83,9 @@
     if (term != core_->replica().term()) {
       return;
     }
-    if (report == nullptr) {
+    const uint64_t started = fleet::started_ms(engine);
+    if (report == nullptr || (report->started_ms != 0 && started != 0 && report->started_ms != started)) {
+      // No answer, or one of another incarnation at the same address.
       rollout_.on_order_answer(engine, OrderAnswer::kNone, loop_.now());
       return;
     }
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -99,6 +99,11 @@
   void read_rollout(const std::string& service, RolloutRead on_read);
   /// True when the newest configuration that this member has names a service with back ends.
   bool has_service(const std::string& name) const;
+  /// True when a heartbeat can't be of the back end that it names, or names no service while another back end
+  /// is at its address.
+  bool contradicts(const fleet::BackendRecord& record) const;
+  /// The id of the newest incarnation of a back end that is known, else its name.
+  std::string incarnation_of(const std::string& name) const;
   /// Takes a heartbeat; what it tells goes to the other members and to the routers soon after.
   HeartbeatAdvice heartbeat(const fleet::BackendRecord& record);
   /// True when a back end is known to be retired at least as far as `state`.
--- a/src/control/weight_rollout.h
+++ b/src/control/weight_rollout.h
@@ -35,6 +35,7 @@
   bool busy = false;            ///< an order is under way
   uint64_t order_sequence = 0;  ///< orders taken since its start
   std::vector<fleet::ModelVersion> models;
+  uint64_t started_ms = 0;  ///< Unix time of its start; 0: not told
 };
 
 /// How an order was answered.
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -7,6 +7,7 @@
 #include "src/dispatch/request_run.h"
 
 namespace stoat::dispatch {
+#include "src/fleet/incarnation.h"
 
 namespace {
 
@@ -175,7 +176,7 @@
   }
   const int64_t left_ms = std::max<int64_t>(1, to_milliseconds(give_up_at_ - now));
   add(names.deadline_ms, std::to_string(left_ms));
-  add(names.expected_backend, backend.record.id);
+  add(names.expected_backend, std::string(fleet::backend_name(backend.record.id)));
   if (plan_.tenant != nullptr) {
     add(names.tenant, plan_.tenant->name);
   }
--- a/src/fleet/backend_record.h
+++ b/src/fleet/backend_record.h
@@ -25,7 +25,7 @@
 
 /// One incarnation of a back end. Of two records with one id the one with the higher sequence is newer.
 struct BackendRecord {
-  std::string id;  ///< new at every start of the back end
+  std::string id;  ///< of the incarnation, see incarnation.h
   std::string service;
   std::string address;  ///< "address:port"
   std::string zone;
--- a/src/fleet/backend_registry.cc
+++ b/src/fleet/backend_registry.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "src/common/hash.h"
+#include "src/fleet/incarnation.h"
 
 namespace stoat::fleet {
 
@@ -24,6 +25,9 @@
   if (known != seen_.end() && record.sequence <= known->second.record.sequence) {
     return false;
   }
+  if (!credible(record)) {
+    return false;
+  }
   const auto superseded = superseded_.find(record.id);
   if (superseded != superseded_.end() && record.sequence <= superseded->second.sequence) {
     return false;
@@ -46,6 +50,7 @@
     updated.state = std::max(updated.state, known->second.record.state);
     settle_address(record.id, now);
   } else {
+    replace_former(record);
     take_address(record, now);
   }
   seen_[record.id] = Seen{updated, now, {}};
@@ -54,6 +59,49 @@
   return true;
 }
 
+bool BackendRegistry::credible(const BackendRecord& record) const {
+  const auto known = seen_.find(record.id);
+  if (known != seen_.end()) {
+    const BackendRecord& before = known->second.record;
+    return before.service == record.service && before.address == record.address;
+  }
+  const auto newest = newest_.find(backend_name(record.id));
+  return newest == newest_.end() || started_ms(record.id) >= started_ms(newest->second);
+}
+
+void BackendRegistry::replace_former(const BackendRecord& record) {
+  if (started_ms(record.id) == 0) {
+    return;
+  }
+  std::string& newest = newest_[std::string(backend_name(record.id))];
+  if (!newest.empty() && newest != record.id) {
+    retired_[newest] = BackendState::kGone;
+    drop(newest);
+  }
+  newest = record.id;
+}
+
+void BackendRegistry::forget_name(const std::string& id) {
+  const auto newest = newest_.find(backend_name(id));
+  if (newest != newest_.end() && newest->second == id) {
+    newest_.erase(newest);
+  }
+}
+
+void BackendRegistry::drop(const std::string& id) {
+  const auto known = seen_.find(id);
+  if (known == seen_.end()) {
+    return;
+  }
+  const std::string& address = known->second.record.address;
+  if (!address_taken(address, id)) {
+    at_address_.erase(address);
+  }
+  table_.erase(id);
+  ids_.erase(mark_key(id));
+  seen_.erase(known);
+}
+
 MarkResult BackendRegistry::on_mark(uint64_t key, uint64_t sequence, TimePoint now) {
   const BackendRecord* known = find_by_key(key);
   if (known == nullptr) {
@@ -66,21 +114,16 @@
 
 void BackendRegistry::take_address(const BackendRecord& record, TimePoint now) {
   superseded_.erase(record.id);
-  for (auto position = seen_.begin(); position != seen_.end();) {
-    const BackendRecord& holder = position->second.record;
-    if (holder.address != record.address) {
-      ++position;
-      continue;
-    }
+  if (address_taken(record.address, record.id)) {
+    const std::string holder = at_address_.at(record.address);
     if (record.sequence <= kFirstSequence) {
-      retired_[holder.id] = BackendState::kGone;  // this one has just started
+      retired_[holder] = BackendState::kGone;  // this one has just started
     } else {
-      superseded_[holder.id] = Superseded{holder.sequence, record.id, now};
+      superseded_[holder] = Superseded{seen_.at(holder).record.sequence, record.id, now};
     }
-    table_.erase(holder.id);
-    ids_.erase(mark_key(holder.id));
-    position = seen_.erase(position);
+    drop(holder);
   }
+  at_address_[record.address] = record.id;
 }
 
 void BackendRegistry::settle_address(const std::string& id, TimePoint now) {
@@ -130,9 +173,9 @@
   for (auto position = seen_.begin(); position != seen_.end();) {
     Seen& seen = position->second;
     if (now - seen.at > options_.forget_after) {
-      table_.erase(position->first);
-      ids_.erase(mark_key(position->first));
-      position = seen_.erase(position);
+      const std::string id = (position++)->first;
+      forget_name(id);
+      drop(id);
       continue;
     }
     if (!seen.record.lost && lost(seen, now)) {
@@ -180,6 +223,11 @@
   return known != seen_.end() && known->second.at >= since;
 }
 
+const BackendRecord* BackendRegistry::find_by_name(const std::string& name) const {
+  const auto newest = newest_.find(name);
+  return newest == newest_.end() ? find(name) : find(newest->second);
+}
+
 const BackendRecord* BackendRegistry::find_by_key(uint64_t key) const {
   const auto id = ids_.find(key);
   return id == ids_.end() ? nullptr : find(id->second);
--- a/src/fleet/backend_registry.h
+++ b/src/fleet/backend_registry.h
@@ -56,6 +56,13 @@
   std::vector<BackendRecord> records() const;
   const BackendRecord* find(const std::string& id) const;
   const BackendRecord* find_by_key(uint64_t key) const;
+  /// The newest incarnation of a back end, by the name that it gives itself.
+  const BackendRecord* find_by_name(const std::string& name) const;
+  /// True when another back end than `id` is known at an address.
+  bool address_taken(const std::string& address, const std::string& id) const {
+    const auto holder = at_address_.find(address);
+    return holder != at_address_.end() && holder->second != id;
+  }
   /// True when a heartbeat of it came no longer ago than `since`.
   bool heard_since(const std::string& id, TimePoint since) const;
   /// The same with the order of the changes. Sequences are left out: they change with every heartbeat.
@@ -68,6 +75,15 @@
     std::map<std::string, TimePoint> unreachable;  ///< by router: when it last could not reach the back end
   };
   bool lost(const Seen& seen, TimePoint now) const;
+  /// False for a heartbeat of an incarnation before the newest one of its back end, and for one under the id
+  /// of another back end: a back end keeps its service and address for as long as it runs.
+  bool credible(const BackendRecord& record) const;
+  /// Lets the newest incarnation of a back end take the place of the one before.
+  void replace_former(const BackendRecord& record);
+  /// A back end that is forgotten may be taken for new again, whenever it started.
+  void forget_name(const std::string& id);
+  /// Drops a back end from all tables but the memory of those that have ended.
+  void drop(const std::string& id);
   /// A back end whose address another one has taken, not with the first heartbeat of its life. Which of the
   /// two lives is known from their next heartbeats: this one may have been on its way for seconds.
   struct Superseded {
@@ -84,7 +100,11 @@
   RegistryOptions options_;
   std::map<std::string, Seen> seen_;
   std::unordered_map<uint64_t, std::string> ids_;  ///< of those in `seen_`, by mark_key()
+  /// The same, by address. Without it each of N back ends that register was compared with all others.
+  std::unordered_map<std::string, std::string> at_address_;
   std::map<std::string, Superseded> superseded_;
+  std::map<std::string, std::string, std::less<>>
+      newest_;  ///< id of those in `seen_` that tell their start, by name
   std::map<std::string, BackendState> retired_;
   RevisionTable<std::string, BackendRecord> table_;
 };
--- /dev/null
+++ b/src/fleet/incarnation.cc
@@ -0,0 +1,32 @@
+#include "src/fleet/incarnation.h"
+
+#include <charconv>
+
+namespace stoat::fleet {
+
+namespace {
+
+constexpr char kSeparator = '@';
+
+}  // namespace
+
+std::string incarnation_id(std::string_view name, uint64_t started_ms) {
+  // A name that has the separator itself gets the suffix always, so that the last one is never the name's.
+  if (started_ms == 0 && name.find(kSeparator) == std::string_view::npos) {
+    return std::string(name);
+  }
+  return std::string(name) + kSeparator + std::to_string(started_ms);
+}
+
+std::string_view backend_name(std::string_view id) { return id.substr(0, id.rfind(kSeparator)); }
+
+uint64_t started_ms(std::string_view id) {
+  const size_t separator = id.rfind(kSeparator);
+  uint64_t started = 0;
+  if (separator != std::string_view::npos) {
+    std::from_chars(id.data() + separator + 1, id.data() + id.size(), started);
+  }
+  return started;
+}
+
+}  // namespace stoat::fleet
--- a/tests/fuzz/parsers_fuzz.cc
+++ b/tests/fuzz/parsers_fuzz.cc
@@ -41,7 +41,7 @@
     }
     default:
       (void)control::read_named_weights(text);
-      (void)control::read_report(text);
+      (void)control::read_report(text, {});
       break;
   }
   return 0;
--- a/tests/property/input_property_test.cc
+++ b/tests/property/input_property_test.cc
@@ -74,7 +74,7 @@
   RC_ASSERT(read == findings.empty());
   (void)control::read_heartbeat("backend", bytes, {});
   (void)control::read_named_weights(bytes);
-  (void)control::read_report(bytes);
+  (void)control::read_report(bytes, {});
   (void)control::read_cache_events(bytes, {});
 }
 
--- a/tests/unit/fleet_admin_api_test.cc
+++ b/tests/unit/fleet_admin_api_test.cc
@@ -30,8 +30,8 @@
   EXPECT_EQ(configuration->services[2].store_address, "127.0.0.1:9");
   EXPECT_EQ(configuration->tenants[0].keys[0], "k");
   EXPECT_EQ(configuration->tenants[0].quota.cost_of(std::nullopt), 7);
-  const auto record =
-      read_heartbeat("e", R"({"service":"models","address":"a:1","software":"v3","sequence":1})", {});
+  const auto record = read_heartbeat(
+      "e", R"({"service":"models","address":"a:1","software":"v3","state":"ready","sequence":1})", {});
   ASSERT_TRUE(record);
   EXPECT_EQ(record->software, "v3");
   const auto events = read_cache_events(R"({"epoch":1,"next_event":4,"gap":true,"events":[]})", {});
@@ -121,9 +121,10 @@
   std::string told;
   const auto give_up_at = std::chrono::steady_clock::now() + 5s;
   for (int sequence = 1; told.empty() && std::chrono::steady_clock::now() < give_up_at; ++sequence) {
-    const auto answer = call(control_, "PUT", "/v1/backends/e1",
-                             R"({"service":"models","address":"127.0.0.1:9","slots":8,"sequence":)" +
-                                 std::to_string(sequence) + "}");
+    const auto answer =
+        call(control_, "PUT", "/v1/backends/e1",
+             R"({"service":"models","address":"127.0.0.1:9","state":"ready","slots":8,"sequence":)" +
+                 std::to_string(sequence) + "}");
     ASSERT_EQ(answer.status, 200);
     told = json::parse(answer.body).value("heartbeat_address", "");
   }
@@ -140,8 +141,10 @@
 TEST_F(FleetAdminApiTest, TakesWeightsHeartbeatsAndRemovals) {
   EXPECT_TRUE(done("POST", "/v1/weights", R"({"model":"m","version":2})"));
   EXPECT_EQ(call(control_, "POST", "/v1/weights", R"({"model":"m"})").status, 400);
-  EXPECT_EQ(call(control_, "PUT", "/v1/backends/e1", R"({"service":"s","address":"127.0.0.1:9"})").status,
-            200);
+  EXPECT_EQ(
+      call(control_, "PUT", "/v1/backends/e1", R"({"service":"s","address":"127.0.0.1:9","state":"ready"})")
+          .status,
+      200);
   EXPECT_EQ(call(control_, "PUT", "/v1/backends/e1", "{}").status, 400);
   EXPECT_TRUE(done("DELETE", "/v1/backends/e1"));
 }
--- /dev/null
+++ b/tests/unit/incarnation_test.cc
@@ -0,0 +1,134 @@
+/// Back ends that start again under the name that they had, and heartbeats of other writers.
+#include "src/fleet/incarnation.h"
+
+#include <gtest/gtest.h>
+
+#include "platform/names.h"
+#include "src/control/fleet_bodies.h"
+#include "src/fleet/backend_registry.h"
+
+namespace stoat {
+namespace {
+
+using fleet::BackendState;
+
+constexpr uint64_t kFirstStart = 1767225600000;
+constexpr uint64_t kSecondStart = kFirstStart + 5000;
+
+fleet::BackendRecord engine(uint64_t started_ms, uint64_t sequence,
+                            const std::string& address = "10.0.0.1:80") {
+  fleet::BackendRecord record;
+  record.id = fleet::incarnation_id("e1", started_ms);
+  record.service = "models";
+  record.address = address;
+  record.sequence = sequence;
+  record.models = {{"m", 1}};
+  return record;
+}
+
+TEST(Incarnation, TellsNameAndStartOfItsId) {
+  const std::string id = fleet::incarnation_id("e1", kFirstStart);
+  EXPECT_EQ(fleet::backend_name(id), "e1");
+  EXPECT_EQ(fleet::started_ms(id), kFirstStart);
+  EXPECT_EQ(fleet::incarnation_id("e1", 0), "e1");
+  EXPECT_EQ(fleet::started_ms("e1"), 0U);
+}
+
+TEST(Incarnation, KeepsANameThatLooksLikeAnId) {
+  const std::string id = fleet::incarnation_id("e1@7", 0);
+  EXPECT_EQ(fleet::backend_name(id), "e1@7");
+  EXPECT_EQ(fleet::started_ms(id), 0U);
+}
+
+class RestartedBackEndTest : public testing::Test {
+ protected:
+  std::string serving() const {
+    std::string ids;
+    for (const fleet::BackendRecord& record : registry_.records()) {
+      ids += record.id + (record.state == BackendState::kReady ? "" : " retired");
+    }
+    return ids;
+  }
+  const std::string first_ = fleet::incarnation_id("e1", kFirstStart);
+  const std::string second_ = fleet::incarnation_id("e1", kSecondStart);
+  fleet::BackendRegistry registry_{fleet::RegistryOptions{}};
+};
+
+TEST_F(RestartedBackEndTest, TakesThePlaceOfItsFormerIncarnationAtOnce) {
+  registry_.on_heartbeat(engine(kFirstStart, 40), 1s);
+  EXPECT_TRUE(registry_.on_heartbeat(engine(kSecondStart, 1), 2s));
+  EXPECT_EQ(serving(), second_);
+}
+
+TEST_F(RestartedBackEndTest, TakesItsPlaceAtAnotherAddressToo) {
+  registry_.on_heartbeat(engine(kFirstStart, 40), 1s);
+  registry_.on_heartbeat(engine(kSecondStart, 3, "10.0.0.2:80"), 2s);
+  EXPECT_EQ(serving(), second_);
+  EXPECT_FALSE(registry_.address_taken("10.0.0.1:80", "other"));
+}
+
+TEST_F(RestartedBackEndTest, ALateHeartbeatOfTheFormerIncarnationChangesNothing) {
+  registry_.on_heartbeat(engine(kFirstStart, 40), 1s);
+  registry_.on_heartbeat(engine(kSecondStart, 1), 2s);
+  EXPECT_FALSE(registry_.on_heartbeat(engine(kFirstStart, 41), 3s));
+  EXPECT_EQ(registry_.on_mark(fleet::mark_key(first_), 42, 3s), fleet::MarkResult::kUnknown);
+  EXPECT_TRUE(registry_.on_heartbeat(engine(kSecondStart, 2), 4s));
+  EXPECT_EQ(serving(), second_);
+}
+
+TEST_F(RestartedBackEndTest, IsNotBoundByTheRetirementOfItsFormerIncarnation) {
+  registry_.on_heartbeat(engine(kFirstStart, 40), 1s);
+  registry_.retire(first_, BackendState::kDraining);
+  registry_.on_heartbeat(engine(kSecondStart, 1), 2s);
+  EXPECT_EQ(serving(), second_);
+}
+
+TEST_F(RestartedBackEndTest, HasOlderWeightsAgain) {
+  registry_.on_heartbeat(engine(kFirstStart, 40), 1s);
+  registry_.set_version(first_, "m", 7);
+  registry_.on_heartbeat(engine(kSecondStart, 1), 2s);
+  EXPECT_EQ(registry_.find(second_)->version_of("m"), 1U);
+  EXPECT_EQ(registry_.find_by_name("e1")->id, second_);
+}
+
+TEST(OtherWriters, AHeartbeatUnderAnothersIdChangesNothing) {
+  fleet::BackendRegistry registry{fleet::RegistryOptions{}};
+  registry.on_heartbeat(engine(0, 4), 1s);
+  fleet::BackendRecord foreign = engine(0, 900);
+  foreign.service = "other";
+  EXPECT_FALSE(registry.on_heartbeat(foreign, 2s));
+  EXPECT_TRUE(registry.on_heartbeat(engine(0, 5), 3s));
+  EXPECT_EQ(registry.find("e1")->service, "models");
+}
+
+struct ForeignHeartbeat {
+  const char* what;
+  const char* body;
+};
+
+class ForeignHeartbeatTest : public testing::TestWithParam<ForeignHeartbeat> {};
+
+TEST_P(ForeignHeartbeatTest, NamesNoBackEnd) {
+  EXPECT_FALSE(control::read_heartbeat("e1", GetParam().body, platform::body_names())) << GetParam().what;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bodies, ForeignHeartbeatTest,
+    testing::Values(
+        ForeignHeartbeat{"no state", R"({"service":"s","address":"a:1","sequence":1})"},
+        ForeignHeartbeat{"unknown state",
+                         R"({"service":"s","address":"a:1","sequence":1,"state":"sleeping"})"},
+        ForeignHeartbeat{"state of another type",
+                         R"({"service":"s","address":"a:1","sequence":1,"state":7})"},
+        ForeignHeartbeat{"start as a text",
+                         R"({"service":"s","address":"a:1","sequence":1,"state":"ready","born":"x"})"},
+        ForeignHeartbeat{"start as a fraction",
+                         R"({"service":"s","address":"a:1","sequence":1,"state":"ready","born":1.5})"},
+        ForeignHeartbeat{"sequence beyond all numbers",
+                         R"({"service":"s","address":"a:1","sequence":1e300,"state":"ready"})"},
+        ForeignHeartbeat{"models of another type",
+                         R"({"service":"s","address":"a:1","sequence":1,"state":"ready","models":{"a":1}})"},
+        ForeignHeartbeat{"bytes that are no text", "\xff\xfe{\"service\":"}));
+
+}  // namespace
+}  // namespace stoat
--- a/tests/unit/platform_bodies_test.cc
+++ b/tests/unit/platform_bodies_test.cc
@@ -104,7 +104,7 @@
 TEST(PlatformBodies, ReadsWeightsReportsAndEvents) {
   EXPECT_EQ(control::read_named_weights(R"({"model":"m","version":2})")->version, 2U);
   EXPECT_FALSE(control::read_named_weights(R"({"model":"m"})"));
-  EXPECT_TRUE(control::read_report(R"({"busy":true,"sequence":2,"models":[]})")->busy);
+  EXPECT_TRUE(control::read_report(R"({"busy":true,"sequence":2,"models":[]})", body_names())->busy);
   const auto events = control::read_cache_events(
       R"({"epoch":7,"next_page_token":120,"lost":true,"events":[[119,"+","s-v2","5c1e",800,"m"],)"
       R"([120,"-","t-a-b-v3","91bd",128,"m"],[121,"+","another's","91bd",128,"m"],[122,"+"]]})",
