Let a member look only at caches and routers that have come or gone

Cause: ten times a second each member chose anew which of all caches it follows: at 10,000 back ends and ten members a hundred thousand hashes and string comparisons each time; and each question to the directory divided a thousand routers between the zones anew. Ruled out: a longer interval, which only moves the size at which it breaks. Change: CacheDuty keeps the choice and looks at the back ends that the registry's table names as changed; all are looked at when members or stores change, and each 30 s. The assignment of routers is kept until a seat changes.

--- a/src/control/cache_assignment.h
+++ b/src/control/cache_assignment.h
@@ -14,6 +14,7 @@
 struct LiveMember {
   std::string address;  ///< internal; identifies it
   std::string zone;
+  bool operator==(const LiveMember&) const = default;
 };
 
 /// The address of the member that is to follow a cache, or to hear a back end; empty when there is none.
--- a/src/control/cache_mirror.cc
+++ b/src/control/cache_mirror.cc
@@ -124,15 +124,25 @@
   }
 }
 
-void CacheMirror::keep(const std::set<std::string>& holders) {
-  for (auto entry = caches_.begin(); entry != caches_.end();) {
-    if (holders.count(entry->first) > 0) {
-      ++entry;
-      continue;
+void CacheMirror::drop(const std::string& holder) {
+  const auto known = caches_.find(holder);
+  if (known == caches_.end()) {
+    return;
+  }
+  clear(holder, known->second);
+  heads_.erase(holder);
+  caches_.erase(known);
+}
+
+void CacheMirror::keep(const std::function<bool(const std::string&)>& wanted) {
+  std::vector<std::string> others;
+  for (const auto& [holder, cache] : caches_) {
+    if (!wanted(holder)) {
+      others.push_back(holder);
     }
-    clear(entry->first, entry->second);
-    heads_.erase(entry->first);
-    entry = caches_.erase(entry);
+  }
+  for (const std::string& holder : others) {
+    drop(holder);
   }
 }
 
--- a/src/control/cache_mirror.h
+++ b/src/control/cache_mirror.h
@@ -2,6 +2,7 @@
 /// others those parts that prompts share, which each of them tells its own routers. Free of I/O.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -58,8 +59,10 @@
   bool told(const fleet::ChainPlacement& placement) const;
   /// A member is not heard any more: what it followed is followed by nobody.
   void lose_follower(const std::string& follower);
-  /// Forgets all caches but these.
-  void keep(const std::set<std::string>& holders);
+  /// Forgets a cache.
+  void drop(const std::string& holder);
+  /// Forgets all caches but the wanted ones.
+  void keep(const std::function<bool(const std::string& holder)>& wanted);
 
   /// A known cache, or nullptr.
   const Cache* find(const std::string& holder) const;
--- a/src/control/fleet_knowledge.cc
+++ b/src/control/fleet_knowledge.cc
@@ -21,6 +21,7 @@
       registry_(options_.registry),
       routers_(options_.topology),
       quotas_(options_.quotas, options_.start_id, options_.started),
+      cache_duty_(options_.address, options_.topology),
       caches_(options_.address) {}
 
 bool FleetKnowledge::on_heartbeat(const fleet::BackendRecord& record, TimePoint now) {
@@ -373,31 +374,21 @@
 
 std::vector<FollowedCache> FleetKnowledge::choose_caches(
     const std::map<std::string, std::string>& store_zones, TimePoint now) {
-  const std::vector<LiveMember> members = live_members(now);
-  std::set<std::string> holders;
-  std::map<std::string, FollowedCache> chosen;
-  const auto consider = [&](const std::string& holder, const std::string& address, const std::string& zone,
-                            bool store) {
-    holders.insert(holder);
-    if (follower_of(holder, zone, members, options_.topology) == options_.address) {
-      chosen[holder] = claim_cache(holder, address, store);
-    }
-  };
-  for (const auto& [address, zone] : store_zones) {
-    consider(address, address, zone, true);
+  if (cache_duty_.update(registry_.table(), store_zones, live_members(now), now)) {
+    caches_.keep([this](const std::string& holder) { return cache_duty_.knows(holder); });
   }
-  registry_.table().visit_all([&](const std::string& id, const fleet::BackendRecord& record) {
-    if (!record.models.empty()) {
-      consider(id, record.address, record.zone, false);
-    }
-  });
-  caches_.keep(holders);
-  claimed_ = std::move(chosen);
+  for (const std::string& holder : cache_duty_.take_gone()) {
+    caches_.drop(holder);
+  }
+  std::map<std::string, FollowedCache> chosen;
   std::vector<FollowedCache> list;
-  list.reserve(claimed_.size());
-  for (const auto& [holder, followed] : claimed_) {
+  list.reserve(cache_duty_.mine().size());
+  for (const auto& [holder, cache] : cache_duty_.mine()) {
+    const FollowedCache followed = claim_cache(holder, cache.address, cache.store);
+    chosen.emplace(holder, followed);
     list.push_back(followed);
   }
+  claimed_ = std::move(chosen);
   return list;
 }
 
--- a/src/control/fleet_knowledge.h
+++ b/src/control/fleet_knowledge.h
@@ -14,6 +14,7 @@
 #include "src/admission/quota_book.h"
 #include "src/common/time.h"
 #include "src/control/cache_assignment.h"
+#include "src/control/cache_duty.h"
 #include "src/control/cache_mirror.h"
 #include "src/control/cache_watch.h"
 #include "src/control/load_book.h"
@@ -163,6 +164,7 @@
   LoadBook loads_;
   admission::QuotaBook quotas_;
   rollout::AnswerBook answers_;
+  CacheDuty cache_duty_;
   std::map<std::string, TimePoint> silent_routers_;  ///< own followers that went silent, and when
   CacheMirror caches_;
   std::map<std::string, fleet::RouterRecord> followers_;  ///< routers that take this member's feed
--- a/src/control/router_directory.cc
+++ b/src/control/router_directory.cc
@@ -23,6 +23,8 @@
 constexpr size_t kFewestAssigned = 8;
 /// With a smaller part of the assigned routers ready, callers are told all of the region.
 constexpr double kReadyShare = 0.5;
+/// Zones of callers for which the assignment of routers is kept.
+constexpr size_t kMaxAssignments = 64;
 
 }  // namespace
 
@@ -59,9 +61,14 @@
 }
 
 void RouterDirectory::note_seat(const fleet::RouterRecord& router, TimePoint now) {
-  if (router.ready) {
-    seats_[router.name] = {router.zone, now};
+  if (!router.ready) {
+    return;
+  }
+  Seat& seat = seats_[router.name];
+  if (seat.zone != router.zone || seat.ready_at == TimePoint(0)) {
+    ++seats_revision_;
   }
+  seat = {router.zone, now};
 }
 
 void RouterDirectory::expire(TimePoint now) {
@@ -70,7 +77,8 @@
       note_seat(known.router, now);
     }
   }
-  std::erase_if(seats_, [&](const auto& entry) { return now - entry.second.ready_at > kSeatTime; });
+  seats_revision_ +=
+      std::erase_if(seats_, [&](const auto& entry) { return now - entry.second.ready_at > kSeatTime; });
   std::erase_if(routers_, [&](const auto& entry) {
     const auto member = members_heard_.find(entry.second.member);
     const TimePoint told = member == members_heard_.end() ? TimePoint(0) : member->second;
@@ -118,15 +126,27 @@
   return list;
 }
 
-std::vector<fleet::RouterRecord> RouterDirectory::assigned_of(
-    const std::string& zone, const std::vector<fleet::RouterRecord>& list) const {
+const std::map<std::string, std::string>& RouterDirectory::assignment_for(const std::string& zone) const {
+  if (assignments_.size() > kMaxAssignments) {
+    assignments_.clear();  // callers may name any zone
+  }
+  Assignment& known = assignments_[zone];
+  if (known.revision == seats_revision_) {
+    return known.zones;
+  }
   std::map<std::string, std::string> zones;
   for (const auto& [name, seat] : seats_) {
     if (topology_.distance(zone, seat.zone) != topology::Distance::kOtherRegion) {
       zones[name] = seat.zone;
     }
   }
-  const std::map<std::string, std::string> assigned = assign_to_callers(zones);
+  known = {seats_revision_, assign_to_callers(zones)};
+  return known.zones;
+}
+
+std::vector<fleet::RouterRecord> RouterDirectory::assigned_of(
+    const std::string& zone, const std::vector<fleet::RouterRecord>& list) const {
+  const std::map<std::string, std::string>& assigned = assignment_for(zone);
   const auto seats = static_cast<size_t>(std::count_if(
       assigned.begin(), assigned.end(), [&](const auto& entry) { return entry.second == zone; }));
   std::vector<fleet::RouterRecord> chosen;
--- a/src/control/router_directory.h
+++ b/src/control/router_directory.h
@@ -60,12 +60,21 @@
   /// serve them.
   std::vector<fleet::RouterRecord> assigned_of(const std::string& zone,
                                                const std::vector<fleet::RouterRecord>& list) const;
+  /// Which zone's callers each router of the region is for. Kept until a seat changes: to work it out for
+  /// each of hundreds of questions a second, with a thousand routers, takes a member some percent of a core.
+  const std::map<std::string, std::string>& assignment_for(const std::string& zone) const;
   /// Cuts a list to `limit`, those of the zone first, then others that differ from zone to zone.
   static void cut(std::vector<fleet::RouterRecord>& list, const std::string& zone, size_t limit);
 
   std::map<std::string, Known> routers_;  ///< by name
   std::map<std::string, TimePoint> members_heard_;
   std::map<std::string, Seat> seats_;  ///< by router
+  uint64_t seats_revision_ = 1;        ///< changes when a seat comes, goes or moves
+  struct Assignment {
+    uint64_t revision = 0;
+    std::map<std::string, std::string> zones;  ///< by router
+  };
+  mutable std::map<std::string, Assignment> assignments_;  ///< by zone of the callers; bounded
   topology::Topology topology_;
 };
 
