Place a request among a cell of 256 back ends, and keep a router's work apart from their number

Cause: for each request a router looked at all back ends of the fleet six times, by string, and compared each one that is present with each candidate: 10,000 times 10,000 steps. With each message of its feed it renewed the trust in each cache, and ten times a second it looked for its own requests at all back ends. Ruled out: too few slots or tokens (engines work on 0.05 requests a second in the mean), and the network (a probe of the configuration is answered in time). Change: each service is a ring in the order of hashes; a request is placed among the 256 back ends that follow the hash of what its prompt shares, and among more only while none of them has a free slot. Smaller services are one cell. Trust in events is one time for all caches of a feed; own loads are kept by those back ends that have any. Still everything is told to everybody.

--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -34,7 +34,14 @@
     parse_endpoint(record.address, backend->endpoint);
     outliers_.know(record.id);
   }
+  const bool moves = backend->record.service != record.service;
+  if (moves) {
+    leave(backend);
+  }
   const fleet::BackendRecord known = std::exchange(backend->record, record);
+  if (moves) {
+    enter(backend);
+  }
   for (fleet::ModelVersion& entry : backend->record.models) {
     entry.version = std::max(entry.version, known.version_of(entry.model));
   }
@@ -54,9 +61,18 @@
   }
   known->second->idle.clear();
   outliers_.forget(id);
+  leave(known->second);
+  busy_.erase(id);
   backends_.erase(known);
 }
 
+void BackendPool::leave(const BackendPtr& backend) {
+  const auto ring = rings_.find(backend->record.service);
+  if (ring != rings_.end()) {
+    ring->second.remove(backend);
+  }
+}
+
 std::set<std::string> BackendPool::ids() const {
   std::set<std::string> list;
   for (const auto& [id, backend] : backends_) {
@@ -98,13 +114,14 @@
 }
 
 void BackendPool::set_told_loads(const std::vector<fleet::BackendLoad>& loads) {
-  std::map<std::string, const fleet::BackendLoad*> told;
-  for (const fleet::BackendLoad& load : loads) {
-    told[load.backend] = &load;
+  for (const BackendPtr& backend : std::exchange(told_, {})) {
+    backend->told = {};
   }
-  for (const auto& [id, backend] : backends_) {
-    const auto entry = told.find(id);
-    backend->told = entry == told.end() ? fleet::BackendLoad{} : *entry->second;
+  for (const fleet::BackendLoad& load : loads) {
+    if (const BackendPtr known = find(load.backend)) {
+      known->told = load;
+      told_.push_back(known);
+    }
   }
 }
 
@@ -121,22 +138,20 @@
   }
 }
 
-std::vector<BackendPtr> BackendPool::up_to(fleet::BackendState state, const std::string& service) const {
-  std::vector<BackendPtr> list;
-  for (const auto& [id, backend] : backends_) {
-    if (backend->record.service == service && backend->record.state <= state) {
-      list.push_back(backend);
-    }
-  }
-  return list;
+size_t BackendPool::count(const std::string& service) const {
+  const auto ring = rings_.find(service);
+  return ring == rings_.end() ? 0 : ring->second.size();
 }
 
-std::vector<BackendPtr> BackendPool::serving(const std::string& service) const {
-  return up_to(fleet::BackendState::kReady, service);
-}
-
-std::vector<BackendPtr> BackendPool::present(const std::string& service) const {
-  return up_to(fleet::BackendState::kDraining, service);
+std::vector<BackendPtr> BackendPool::cell(const std::string& service, uint64_t key, size_t size,
+                                          fleet::BackendState state) const {
+  const auto ring = rings_.find(service);
+  if (ring == rings_.end()) {
+    return {};
+  }
+  std::vector<BackendPtr> found = ring->second.cell(key, size);
+  std::erase_if(found, [state](const BackendPtr& backend) { return backend->record.state > state; });
+  return found;
 }
 
 BackendPtr BackendPool::find(const std::string& id) const {
@@ -144,18 +159,24 @@
   return known == backends_.end() ? nullptr : known->second;
 }
 
-void BackendPool::keep_followed(TimePoint until) {
-  for (const auto& [id, backend] : backends_) {
-    backend->memory.keep_following(until);
+void BackendPool::begin_request(const BackendPtr& backend) {
+  ++backend->outstanding;
+  busy_[backend->record.id] = backend;
+}
+
+void BackendPool::end_request(const BackendPtr& backend) {
+  backend->outstanding -= backend->outstanding > 0 ? 1 : 0;
+  const auto busy = busy_.find(backend->record.id);
+  // Another incarnation may be known under the id by now.
+  if (backend->outstanding == 0 && busy != busy_.end() && busy->second == backend) {
+    busy_.erase(busy);
   }
 }
 
 std::vector<fleet::BackendLoad> BackendPool::own_loads() const {
   std::vector<fleet::BackendLoad> loads;
-  for (const auto& [id, backend] : backends_) {
-    if (backend->outstanding > 0) {
-      loads.push_back({id, backend->outstanding, static_cast<uint32_t>(backend->prefill_tokens)});
-    }
+  for (const auto& [id, backend] : busy_) {
+    loads.push_back({id, backend->outstanding, static_cast<uint32_t>(backend->prefill_tokens)});
   }
   return loads;
 }
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -11,6 +11,7 @@
 
 #include "src/delivery/outlier_detector.h"
 #include "src/dispatch/engine_connection.h"
+#include "src/dispatch/service_ring.h"
 #include "src/fleet/backend_record.h"
 #include "src/fleet/fleet_messages.h"
 #include "src/placement/first_event_model.h"
@@ -38,9 +39,12 @@
   std::shared_ptr<EngineConnection> probe;  ///< a connection under way that is to show whether it answers
   TimePoint probed{0};                      ///< when the last probe began
   TimePoint unreachable{0};                 ///< when the last probe that failed began
-};
 
-using BackendPtr = std::shared_ptr<Backend>;
+  bool has_free_slot() const {
+    return record.slots == 0 ||  // not told
+           outstanding + others_outstanding < record.slots;
+  }
+};
 
 /// See the head of this file.
 class BackendPool {
@@ -73,18 +77,21 @@
   void forget_holdings();
   /// Notes the version of a model's weights that an answer told. Versions only go up within one start.
   static void note_version(Backend& backend, const std::string& model, uint64_t version);
-  /// Back ends of a service that may get new requests, by id.
-  std::vector<BackendPtr> serving(const std::string& service) const;
-  /// Those and the ones that are draining, whose KV cache may still be taken.
-  std::vector<BackendPtr> present(const std::string& service) const;
+  /// How many back ends of a service are known, those included that have signed off.
+  size_t count(const std::string& service) const;
+  /// The `size` back ends of a service that follow a key (see ServiceRing), without those whose state is
+  /// beyond `state`.
+  std::vector<BackendPtr> cell(const std::string& service, uint64_t key, size_t size,
+                               fleet::BackendState state = fleet::BackendState::kReady) const;
   /// All known back ends of a service, those included that have signed off.
   std::vector<BackendPtr> of_service(const std::string& service) const {
-    return up_to(fleet::BackendState::kGone, service);
+    return cell(service, 0, count(service), fleet::BackendState::kGone);
   }
   /// A known back end, or nullptr.
   BackendPtr find(const std::string& id) const;
-  /// Control still tells the events of the caches that it follows: they count until then.
-  void keep_followed(TimePoint until);
+  /// A request of this router begins, or ends, at a back end.
+  void begin_request(const BackendPtr& backend);
+  void end_request(const BackendPtr& backend);
   /// Own requests under way, for the other routers.
   std::vector<fleet::BackendLoad> own_loads() const;
 
@@ -100,7 +107,8 @@
   uint64_t connects() const { return connects_; }
 
  private:
-  std::vector<BackendPtr> up_to(fleet::BackendState state, const std::string& service) const;
+  void enter(const BackendPtr& backend) { rings_[backend->record.service].add(backend); }
+  void leave(const BackendPtr& backend);
   static void update_others(Backend& backend);
   void drop_idle(const std::weak_ptr<Backend>& weak, EngineConnection* connection);
   void end_probe(const std::weak_ptr<Backend>& weak);
@@ -108,6 +116,9 @@
   EventLoop& loop_;
   topology::Topology topology_;
   std::map<std::string, BackendPtr> backends_;  ///< by id
+  std::map<std::string, ServiceRing> rings_;    ///< of `backends_`, by service
+  std::map<std::string, BackendPtr> busy_;      ///< with own requests under way, by id
+  std::vector<BackendPtr> told_;                ///< whose own loads have been told
   std::map<std::string, fleet::BackendState> retired_;
   delivery::OutlierDetector outliers_;
   TimePoint totals_told_{0};
--- a/src/dispatch/request_end.cc
+++ b/src/dispatch/request_end.cc
@@ -41,7 +41,7 @@
   } else if (ran_ == Ran::kMaybe) {
     reply_own(kBadGateway, reason, 0);
   } else {
-    const std::vector<BackendPtr> serving = context_.pool.serving(plan_.service);
+    const std::vector<BackendPtr> serving = serving_in_cell();
     const double retry_after_s =
         serving.empty() ? kNoBackendRetryAfterS : to_seconds(return_after(outlook(serving).wait));
     reply_own(kUnavailable, reason, retry_after_s);
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -139,7 +139,7 @@
     backend_->memory.drop_pending(chain_);
   }
   note_first_event();
-  backend_->outstanding -= backend_->outstanding > 0 ? 1 : 0;
+  context_.pool.end_request(backend_);
   if (keep_connection) {
     context_.pool.release(backend_, connection_);
   } else {
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -44,6 +44,12 @@
 inline constexpr uint32_t kMaxUrgency = 9;
 inline constexpr uint32_t kRoutePriorities = 3;
 
+/// Back ends that a request is placed among. So many have room for a prompt that a tenth of a large fleet's
+/// requests share, while what a router does for a request does not grow with the fleet.
+inline constexpr size_t kCellSize = 256;
+/// By so much the cell grows while none of its back ends has a free slot.
+inline constexpr size_t kCellGrowth = 4;
+
 /// The value of a Retry-After header.
 std::string retry_after_text(double seconds);
 
@@ -153,7 +159,18 @@
   void on_timer();
   void try_dispatch();
   void note_waiting();
+  /// Back ends that the request may be sent to now. Looks at a cell of the service, and at more of it only
+  /// while no back end of the cell has a free slot.
   std::vector<BackendPtr> candidates() const;
+  /// Of these back ends, those that may get the request, and those that may where nothing better is there.
+  void find_candidates(const std::vector<BackendPtr>& among, std::vector<BackendPtr>& usable,
+                       std::vector<BackendPtr>& doubtful) const;
+  /// Which cell of the service the request belongs to: that of what its prompt shares.
+  uint64_t cell_key() const;
+  /// Back ends of its cell whose KV cache may be taken. `candidates`: how many it is placed among.
+  std::vector<BackendPtr> present_in_cell(size_t candidates) const;
+  /// Back ends of its cell that serve.
+  std::vector<BackendPtr> serving_in_cell() const;
   placement::EngineView view_of(const Backend& backend, double usual_others) const;
   /// What is known of the work at a back end. `usual_others`: see EngineQueue.
   placement::EngineQueue queue_of(const Backend& backend, double usual_others) const;
@@ -227,6 +244,8 @@
   /// `reached`: the back end got the request and refused it; else no connection was made.
   void on_not_run(bool reached);
   void end_exchange(bool keep_connection);
+  /// Stops or goes on reading the answer, as the caller takes it.
+  void on_flow(bool paused);
   /// The back end has sent something.
   void note_sign();
   void note_first_event();
@@ -244,8 +263,6 @@
   void done(const char* outcome, int status);
 
   DispatchContext& context_;
-  /// Stops or goes on reading the answer, as the caller takes it.
-  void on_flow(bool paused);
   RunPlan plan_;
   std::shared_ptr<edge::CallerAnswer> answer_;
   DoneHandler on_done_;
@@ -284,6 +301,7 @@
   edge::AnswerHead head_;
   std::string body_;
   delivery::EventSplitter splitter_;
+  bool paused_ = false;     ///< the caller does not take what it was sent; the back end is not read
   bool streaming_ = false;  ///< the answer's head has gone to the caller
   std::optional<int64_t> last_event_id_;
   TimePoint first_event_at_{0};
@@ -293,4 +311,3 @@
 };
 
 }  // namespace stoat::dispatch
-  bool paused_ = false;     ///< the caller does not take what it was sent; the back end is not read
--- a/src/dispatch/request_run_admission.cc
+++ b/src/dispatch/request_run_admission.cc
@@ -24,11 +24,8 @@
 admission::RequestTimes RequestRun::times() const { return {plan_.arrived, give_up_at_}; }
 
 admission::ServiceOutlook RequestRun::outlook(const std::vector<BackendPtr>& candidates) const {
-  const auto has_free_slot = [](const BackendPtr& backend) {
-    return backend->record.slots == 0 ||  // not told
-           backend->outstanding + backend->others_outstanding < backend->record.slots;
-  };
-  if (std::any_of(candidates.begin(), candidates.end(), has_free_slot)) {
+  const auto free = [](const BackendPtr& backend) { return backend->has_free_slot(); };
+  if (std::any_of(candidates.begin(), candidates.end(), free)) {
     return {};
   }
   const placement::ServiceSpeed& speed = context_.speeds[plan_.service];
@@ -62,7 +59,7 @@
 
 void RequestRun::note_waiting() {
   events::RequestWaits waits;
-  for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
+  for (const BackendPtr& backend : serving_in_cell()) {
     ++waits.known;
     waits.tried += tried_.count(backend->record.id) > 0 ? 1 : 0;
     waits.loading += backend->record.loading ? 1 : 0;
@@ -143,11 +140,14 @@
 Duration RequestRun::return_after(Duration wait) {
   const placement::ServiceSpeed& speed = context_.speeds[plan_.service];
   double per_second = 0;
-  for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
+  for (const BackendPtr& backend : serving_in_cell()) {
     const bool usable = !backend->record.loading && !backend->record.lost;
     const double run_ms = std::max(1.0, speed.run_ms() * backend->speed.slowness());
     per_second += usable ? backend->record.slots * kMillisecondsPerSecond / run_ms : 0;
   }
+  // The cell stands for the whole service.
+  const double cells = static_cast<double>(context_.pool.count(plan_.service)) / kCellSize;
+  per_second *= std::max(1.0, cells);
   admission::RefusedRequest request;
   request.tenant = plan_.tenant == nullptr ? "" : plan_.tenant->name;
   request.time_left = give_up_at_ - context_.loop.now();
--- a/src/dispatch/request_run_forecast.cc
+++ b/src/dispatch/request_run_forecast.cc
@@ -23,7 +23,7 @@
 }
 
 double RequestRun::usual_others() const {
-  const std::vector<BackendPtr> serving = context_.pool.serving(plan_.service);
+  const std::vector<BackendPtr> serving = serving_in_cell();
   double sum = 0;
   for (const BackendPtr& backend : serving) {
     sum += backend->others_outstanding;
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -2,12 +2,14 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <unordered_set>
 #include <utility>
 
+#include "src/common/hash.h"
 #include "src/dispatch/request_run.h"
+#include "src/fleet/incarnation.h"
 
 namespace stoat::dispatch {
-#include "src/fleet/incarnation.h"
 
 namespace {
 
@@ -36,11 +38,42 @@
 }
 
 std::vector<BackendPtr> RequestRun::candidates() const {
-  const TimePoint now = context_.loop.now();
-  const fleet::Service* service = plan_.table->service(plan_.service);
+  const size_t known = context_.pool.count(plan_.service);
+  const auto free = [](const BackendPtr& backend) { return backend->has_free_slot(); };
+  // The back ends of a version on trial are few, and drawn from all.
+  const bool on_trial = context_.versions.find(plan_.service) != nullptr;
   std::vector<BackendPtr> usable;
   std::vector<BackendPtr> doubtful;
-  for (const BackendPtr& backend : of_wanted_version(context_.pool.serving(plan_.service))) {
+  for (size_t size = on_trial ? known : kCellSize;; size *= kCellGrowth) {
+    const auto cell = context_.pool.cell(plan_.service, cell_key(), size);
+    find_candidates(of_wanted_version(cell), usable, doubtful);
+    if (size >= known || std::any_of(usable.begin(), usable.end(), free)) {
+      break;
+    }
+    usable.clear();
+    doubtful.clear();
+  }
+  return usable.empty() ? doubtful : usable;
+}
+
+uint64_t RequestRun::cell_key() const {
+  return chain_.links.empty() ? hash_bytes(plan_.fields.id) : placement::shared_key(chain_);
+}
+
+std::vector<BackendPtr> RequestRun::present_in_cell(size_t candidates) const {
+  return context_.pool.cell(plan_.service, cell_key(), std::max(kCellSize, candidates),
+                            fleet::BackendState::kDraining);
+}
+
+std::vector<BackendPtr> RequestRun::serving_in_cell() const {
+  return context_.pool.cell(plan_.service, cell_key(), kCellSize);
+}
+
+void RequestRun::find_candidates(const std::vector<BackendPtr>& among, std::vector<BackendPtr>& usable,
+                                 std::vector<BackendPtr>& doubtful) const {
+  const TimePoint now = context_.loop.now();
+  const fleet::Service* service = plan_.table->service(plan_.service);
+  for (const BackendPtr& backend : among) {
     const fleet::BackendRecord& record = backend->record;
     if (record.loading || tried_.count(record.id) > 0) {
       continue;
@@ -55,7 +88,6 @@
     }
     (is_sound(context_.pool, *backend, now) ? usable : doubtful).push_back(backend);
   }
-  return usable.empty() ? doubtful : usable;
 }
 
 placement::EngineView RequestRun::view_of(const Backend& backend, double usual_others) const {
@@ -91,8 +123,9 @@
     return;
   }
   // Those that can't take the request may still hold what its engine needs.
-  for (const BackendPtr& backend : context_.pool.present(plan_.service)) {
-    if (std::find(candidates.begin(), candidates.end(), backend) == candidates.end()) {
+  const std::unordered_set<BackendPtr> may_take(candidates.begin(), candidates.end());
+  for (const BackendPtr& backend : present_in_cell(candidates.size())) {
+    if (may_take.count(backend) == 0) {
       engines.push_back(backend);
       views.push_back(view_of(*backend, others));
       views.back().candidate = false;
@@ -223,7 +256,7 @@
     return nullptr;
   }
   BackendPtr best;
-  for (const BackendPtr& backend : context_.pool.serving(plan_.service)) {
+  for (const BackendPtr& backend : context_.pool.cell(plan_.service, target.name_hash, kCellSize)) {
     if (!may_hold_copy(*backend) || backend->record.id == target.record.id ||
         !may_go_on_at(*backend, target) ||
         backend->record.version_of(plan_.fields.model) != target.record.version_of(plan_.fields.model)) {
@@ -306,7 +339,7 @@
   kind_ = AnswerKind::kNone;
   body_.clear();
   splitter_.reset();
-  ++backend->outstanding;
+  context_.pool.begin_request(backend);
   begun_at_engine_ = false;
   last_sign_ = now;
   stored_at_ = cache.target;
@@ -338,6 +371,7 @@
                      const std::string* echoed = headers.find(id_name);
                      return echoed == nullptr || *echoed == id;
                    });
+  connection->set_reading(!paused_);
   arm_timer(give_up_at_);
 }
 
@@ -371,7 +405,6 @@
   backend_->memory.note_held(placement.links, run_weights_, now);
   if (!known) {
     context_.tell_placement(placement);
-  connection->set_reading(!paused_);
   }
   if (CacheStore* store = context_.stores.find(stored_at_)) {
     store->memory.note_held(placement.links, run_weights_, now);
--- a/src/dispatch/store_set.cc
+++ b/src/dispatch/store_set.cc
@@ -38,12 +38,6 @@
   return best;
 }
 
-void StoreSet::keep_followed(TimePoint until) {
-  for (auto& [address, store] : stores_) {
-    store.memory.keep_following(until);
-  }
-}
-
 std::string StoreSet::to_text() const {
   std::string text;
   for (const auto& [address, store] : stores_) {
--- a/src/dispatch/store_set.h
+++ b/src/dispatch/store_set.h
@@ -30,8 +30,6 @@
   CacheStore* find(const std::string& address);
   /// The store that a chain belongs to; nullptr when there is none.
   CacheStore* store_for(const placement::PromptChain& chain);
-  /// Control still tells the events of the stores that it follows: they count until then.
-  void keep_followed(TimePoint until);
   /// Addresses, joined by commas, for the log.
   std::string to_text() const;
 
--- a/src/gateway/gateway_feed.cc
+++ b/src/gateway/gateway_feed.cc
@@ -16,7 +16,6 @@
 }  // namespace
 
 void GatewayServer::on_news(const fleet::FleetNews& news) {
-  const TimePoint trusted_until = loop_.now() + kEventsTrust;
   if (news.anew) {
     feed_begun_ = true;
     loads_told_ = false;
@@ -42,8 +41,7 @@
     pool_.set_total_load(load);
   }
   pool_.note_totals_told(loop_.now());
-  pool_.keep_followed(trusted_until);
-  context_.stores.keep_followed(trusted_until);
+  events_trust_.until = loop_.now() + kEventsTrust;
   for (const fleet::CacheChanges& changes : news.caches) {
     take_cache(changes);
   }
@@ -134,7 +132,7 @@
 }
 
 void GatewayServer::apply_changes(const fleet::CacheChanges& changes, placement::ChainMemory& memory) const {
-  memory.follow_until(changes.followed ? loop_.now() + kEventsTrust : TimePoint(0));
+  memory.follow(changes.followed ? &events_trust_ : nullptr);
   if (changes.anew) {
     memory.forget_holdings();
   }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -117,6 +117,7 @@
   Logger log_{"router"};
   Metrics metrics_;
   events::StoryBook stories_;
+  placement::EventTrust events_trust_;  ///< of all caches that the feed tells of
   dispatch::BackendPool pool_;
   uint64_t start_id_ = 0;                  ///< of this process
   std::map<uint64_t, bool> others_ended_;  ///< by id of an order: no request runs at other versions, as told
--- a/src/placement/chain_memory.h
+++ b/src/placement/chain_memory.h
@@ -42,6 +42,12 @@
 /// What a cache without events was seen to hold this recently it still holds.
 inline constexpr Duration kSurelyHeld = 2s;
 
+/// Until when events that one feed tells of caches count. Shared by all caches of the feed, so that a message
+/// of it renews them without a look at each.
+struct EventTrust {
+  TimePoint until{0};
+};
+
 /// See the head of this file. Each part counts under the weights that made it.
 class ChainMemory {
  public:
@@ -58,15 +64,9 @@
   void set_holding(uint64_t link, uint64_t weights, uint32_t tokens);
   /// An event: the cache holds nothing of a part any more.
   void drop_holding(uint64_t link);
-  /// Events come in until then, unless this or keep_following() is called again; 0: none come in.
-  void follow_until(TimePoint until) { followed_until_ = until; }
-  /// The teller of the events is still there: a cache that is followed stays so until then.
-  void keep_following(TimePoint until) {
-    if (followed_until_ > TimePoint(0)) {
-      followed_until_ = until;
-    }
-  }
-  bool followed(TimePoint now) const { return now < followed_until_; }
+  /// Events come in for as long as `trust` says, which has to outlive this; nullptr: none come in.
+  void follow(const EventTrust* trust) { trust_ = trust; }
+  bool followed(TimePoint now) const { return trust_ != nullptr && now < trust_->until; }
   /// Forgets what events told.
   void forget_holdings();
 
@@ -95,7 +95,7 @@
   void drop_old(TimePoint now);
 
   Duration hold_time_;
-  TimePoint followed_until_{0};                  ///< 0: control does not follow it
+  const EventTrust* trust_ = nullptr;            ///< nullptr: control does not follow it
   std::unordered_map<uint64_t, Entry> entries_;  ///< by part
 };
 
--- a/tests/unit/cache_watch_test.cc
+++ b/tests/unit/cache_watch_test.cc
@@ -189,12 +189,13 @@
  protected:
   static constexpr uint64_t kWeights = 3;
   placement::PromptChain chain_{{{1, 1000}, {2, 500}, {3, 70}}, 1570};
+  placement::EventTrust trust_{3600s};
   placement::ChainMemory memory_;
 };
 
 TEST_F(ChainMemoryTest, WithEventsOnlyWhatTheyTellCounts) {
   memory_.note_held({1, 2}, kWeights, 1s);
-  memory_.follow_until(3600s);
+  memory_.follow(&trust_);
   EXPECT_EQ(memory_.held_tokens(chain_, kWeights, 1s + placement::kEventDelay + 1ms), 0U);
   memory_.set_holding(1, kWeights, 1000);
   memory_.set_holding(2, kWeights, 500);
@@ -203,7 +204,7 @@
 }
 
 TEST_F(ChainMemoryTest, APartDroppedInPartEndsWhatCanBeUsed) {
-  memory_.follow_until(3600s);
+  memory_.follow(&trust_);
   memory_.set_holding(1, kWeights, 1000);
   memory_.set_holding(2, kWeights, 500);
   memory_.set_holding(1, kWeights, 640);
@@ -212,7 +213,7 @@
 }
 
 TEST_F(ChainMemoryTest, ADropGoesBeforeWhatWasSeenAMomentAgo) {
-  memory_.follow_until(3600s);
+  memory_.follow(&trust_);
   memory_.set_holding(1, kWeights, 1000);
   memory_.note_held({1}, kWeights, 1s);
   memory_.set_holding(1, kWeights, 0);
@@ -220,7 +221,7 @@
 }
 
 TEST_F(ChainMemoryTest, ADropOfWhatEventsNeverToldChangesNothing) {
-  memory_.follow_until(3600s);
+  memory_.follow(&trust_);
   memory_.note_held({1}, kWeights, 1s);
   memory_.drop_holding(1);  // of an earlier copy
   EXPECT_EQ(memory_.held_tokens(chain_, kWeights, 1s), 1000U);
@@ -230,7 +231,8 @@
 }
 
 TEST_F(ChainMemoryTest, WithoutEventsWhatWasSeenCountsForItsTime) {
-  memory_.follow_until(2s);
+  trust_.until = 2s;
+  memory_.follow(&trust_);
   memory_.set_holding(1, kWeights, 1000);
   memory_.note_held({2}, kWeights, 1s);
   EXPECT_EQ(memory_.held_tokens(chain_, kWeights, 3s), 0U);  // nobody tells whether the first is still there
@@ -240,7 +242,7 @@
 }
 
 TEST_F(ChainMemoryTest, NewWeightsMakeAllCountNoMore) {
-  memory_.follow_until(3600s);
+  memory_.follow(&trust_);
   memory_.set_holding(1, kWeights, 1000);
   EXPECT_EQ(memory_.held_tokens(chain_, kWeights + 1, 1s), 0U);
   memory_.set_holding(1, kWeights + 1, 10);
