Look after requests at once when the probe of their back end has failed

Ruled out: a larger limit; the sum is the router's own. Change: the pool tells when a probe has failed, and requests are looked after then.

--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -230,6 +230,9 @@
   }
   backend->unreachable = backend->probed;
   discard(backend, connection);
+  if (on_probe_failed_) {
+    on_probe_failed_();
+  }
 }
 
 void BackendPool::drop_idle(const std::weak_ptr<Backend>& weak, EngineConnection* connection) {
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -103,6 +104,8 @@
   void discard(const BackendPtr& backend, const std::shared_ptr<EngineConnection>& connection);
   /// Tries to make a connection to a back end that is silent. One that is made serves later requests.
   void probe(const BackendPtr& backend);
+  /// Hears when a probe has failed, so that requests at its back end go on elsewhere at once.
+  void set_probe_failure_handler(std::function<void()> handler) { on_probe_failed_ = std::move(handler); }
   delivery::OutlierDetector& outliers() { return outliers_; }
   uint64_t connects() const { return connects_; }
 
@@ -121,6 +124,7 @@
   std::vector<BackendPtr> told_;                ///< whose own loads have been told
   std::map<std::string, fleet::BackendState> retired_;
   delivery::OutlierDetector outliers_;
+  std::function<void()> on_probe_failed_;
   TimePoint totals_told_{0};
   uint64_t connects_ = 0;
 };
