Give the choice of candidates a file of its own, and one copy of what a sound back end is

Cause: request_send.cc chose candidates, placed, and sent; the edge decided on a Retry-After by a flag set elsewhere. Ruled out: - Change: request_candidates.cc; BackendPool::is_sound; a refusal is told its Retry-After. No behaviour changes.

--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -217,6 +217,12 @@
   }
 }
 
+bool BackendPool::is_sound(const Backend& backend) {
+  const auto health = outliers_.handle_of(backend.record.id);
+  return !backend.record.loading && !backend.record.lost &&
+         delivery::OutlierDetector::usable(health, loop_.now());
+}
+
 void BackendPool::end_probe(const std::weak_ptr<Backend>& weak) {
   const BackendPtr backend = weak.lock();
   if (backend == nullptr || backend->probe == nullptr) {
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -106,6 +106,8 @@
   void probe(const BackendPtr& backend);
   /// Hears when a probe has failed, so that requests at its back end go on elsewhere at once.
   void set_probe_failure_handler(std::function<void()> handler) { on_probe_failed_ = std::move(handler); }
+  /// True when a back end is heard, has its weights in place, and has not failed too often lately.
+  bool is_sound(const Backend& backend);
   delivery::OutlierDetector& outliers() { return outliers_; }
   uint64_t connects() const { return connects_; }
 
--- /dev/null
+++ b/src/dispatch/request_candidates.cc
@@ -0,0 +1,70 @@
+/// RequestRun: which back ends a request may be sent to, out of the cell of its service.
+#include <algorithm>
+
+#include "src/common/hash.h"
+#include "src/dispatch/request_run.h"
+
+namespace stoat::dispatch {
+
+std::optional<Duration> RequestRun::outdated_for(const Backend& backend) const {
+  // Each version has its own limit: the lowest one above counts, however soon others followed.
+  const auto wanted = context_.wanted.find(plan_.fields.model);
+  if (wanted == context_.wanted.end()) {
+    return std::nullopt;
+  }
+  return wanted->second.outdated_for(backend.record.version_of(plan_.fields.model), context_.loop.now());
+}
+
+std::vector<BackendPtr> RequestRun::candidates() const {
+  const size_t known = context_.pool.count(plan_.service);
+  const auto free = [](const BackendPtr& backend) { return backend->has_free_slot(); };
+  // The back ends of a version on trial are few, and drawn from all.
+  const bool on_trial = context_.versions.find(plan_.service) != nullptr;
+  std::vector<BackendPtr> usable;
+  std::vector<BackendPtr> doubtful;
+  for (size_t size = on_trial ? known : kCellSize;; size *= kCellGrowth) {
+    const auto cell = context_.pool.cell(plan_.service, cell_key(), size);
+    find_candidates(of_wanted_version(cell), usable, doubtful);
+    if (size >= known || std::any_of(usable.begin(), usable.end(), free)) {
+      break;
+    }
+    usable.clear();
+    doubtful.clear();
+  }
+  return usable.empty() ? doubtful : usable;
+}
+
+uint64_t RequestRun::cell_key() const {
+  return chain_.links.empty() ? hash_bytes(plan_.fields.id) : placement::shared_key(chain_);
+}
+
+std::vector<BackendPtr> RequestRun::present_in_cell(size_t candidates) const {
+  return context_.pool.cell(plan_.service, cell_key(), std::max(kCellSize, candidates),
+                            fleet::BackendState::kDraining);
+}
+
+std::vector<BackendPtr> RequestRun::serving_in_cell() const {
+  return context_.pool.cell(plan_.service, cell_key(), kCellSize);
+}
+
+void RequestRun::find_candidates(const std::vector<BackendPtr>& among, std::vector<BackendPtr>& usable,
+                                 std::vector<BackendPtr>& doubtful) const {
+  const fleet::Service* service = plan_.table->service(plan_.service);
+  for (const BackendPtr& backend : among) {
+    const fleet::BackendRecord& record = backend->record;
+    if (record.loading || tried_.count(record.id) > 0) {
+      continue;
+    }
+    if (outdated_for(*backend).value_or(Duration(0)) > context_.old_weights_limit) {
+      continue;
+    }
+    if (service != nullptr && service->connection_limit > 0 && backend->idle.empty() &&
+        backend->connections >=
+            std::max<size_t>(2, service->connection_limit / (context_.router_count + 1))) {
+      continue;
+    }
+    (context_.pool.is_sound(*backend) ? usable : doubtful).push_back(backend);
+  }
+}
+
+}  // namespace stoat::dispatch
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -5,7 +5,6 @@
 #include <unordered_set>
 #include <utility>
 
-#include "src/common/hash.h"
 #include "src/dispatch/request_run.h"
 #include "src/fleet/incarnation.h"
 
@@ -20,76 +19,8 @@
 /// The store gets a prompt's own part as well, so only prompts that share much are sent there.
 constexpr uint32_t kMinStoredTokens = 1000;
 
-/// True when a back end is heard, has its weights in place, and has not failed too often lately.
-bool is_sound(BackendPool& pool, const Backend& backend, TimePoint now) {
-  const auto health = pool.outliers().handle_of(backend.record.id);
-  return !backend.record.loading && !backend.record.lost && delivery::OutlierDetector::usable(health, now);
-}
-
 }  // namespace
 
-std::optional<Duration> RequestRun::outdated_for(const Backend& backend) const {
-  // Each version has its own limit: the lowest one above counts, however soon others followed.
-  const auto wanted = context_.wanted.find(plan_.fields.model);
-  if (wanted == context_.wanted.end()) {
-    return std::nullopt;
-  }
-  return wanted->second.outdated_for(backend.record.version_of(plan_.fields.model), context_.loop.now());
-}
-
-std::vector<BackendPtr> RequestRun::candidates() const {
-  const size_t known = context_.pool.count(plan_.service);
-  const auto free = [](const BackendPtr& backend) { return backend->has_free_slot(); };
-  // The back ends of a version on trial are few, and drawn from all.
-  const bool on_trial = context_.versions.find(plan_.service) != nullptr;
-  std::vector<BackendPtr> usable;
-  std::vector<BackendPtr> doubtful;
-  for (size_t size = on_trial ? known : kCellSize;; size *= kCellGrowth) {
-    const auto cell = context_.pool.cell(plan_.service, cell_key(), size);
-    find_candidates(of_wanted_version(cell), usable, doubtful);
-    if (size >= known || std::any_of(usable.begin(), usable.end(), free)) {
-      break;
-    }
-    usable.clear();
-    doubtful.clear();
-  }
-  return usable.empty() ? doubtful : usable;
-}
-
-uint64_t RequestRun::cell_key() const {
-  return chain_.links.empty() ? hash_bytes(plan_.fields.id) : placement::shared_key(chain_);
-}
-
-std::vector<BackendPtr> RequestRun::present_in_cell(size_t candidates) const {
-  return context_.pool.cell(plan_.service, cell_key(), std::max(kCellSize, candidates),
-                            fleet::BackendState::kDraining);
-}
-
-std::vector<BackendPtr> RequestRun::serving_in_cell() const {
-  return context_.pool.cell(plan_.service, cell_key(), kCellSize);
-}
-
-void RequestRun::find_candidates(const std::vector<BackendPtr>& among, std::vector<BackendPtr>& usable,
-                                 std::vector<BackendPtr>& doubtful) const {
-  const TimePoint now = context_.loop.now();
-  const fleet::Service* service = plan_.table->service(plan_.service);
-  for (const BackendPtr& backend : among) {
-    const fleet::BackendRecord& record = backend->record;
-    if (record.loading || tried_.count(record.id) > 0) {
-      continue;
-    }
-    if (outdated_for(*backend).value_or(Duration(0)) > context_.old_weights_limit) {
-      continue;
-    }
-    if (service != nullptr && service->connection_limit > 0 && backend->idle.empty() &&
-        backend->connections >=
-            std::max<size_t>(2, service->connection_limit / (context_.router_count + 1))) {
-      continue;
-    }
-    (is_sound(context_.pool, *backend, now) ? usable : doubtful).push_back(backend);
-  }
-}
-
 placement::EngineView RequestRun::view_of(const Backend& backend, double usual_others) const {
   placement::EngineView view;
   view.name_hash = backend.name_hash;
@@ -105,7 +36,7 @@
   view.distance = topology::distance(context_.place, backend.place);
   view.old_weights = outdated_for(backend).value_or(Duration(0)) > kOldWeightsFree;
   // A dead source holds the request up.
-  view.sound = is_sound(context_.pool, backend, context_.loop.now());
+  view.sound = context_.pool.is_sound(backend);
   return view;
 }
 
@@ -245,8 +176,7 @@
 }
 
 bool RequestRun::may_hold_copy(const Backend& backend) const {
-  return backend.record.state == fleet::BackendState::kReady &&
-         is_sound(context_.pool, backend, context_.loop.now());
+  return backend.record.state == fleet::BackendState::kReady && context_.pool.is_sound(backend);
 }
 
 BackendPtr RequestRun::choose_backup(const Backend& target) const {
--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -23,7 +23,9 @@
 constexpr size_t kResumeAt = 16U << 10U;
 /// A body is held here, and once more on its way to the back end.
 constexpr size_t kBodyCopies = 2;
-constexpr const char* kNoRoomRetryS = "1.00";
+/// Seconds after which a caller for whom there is no room may come again: slow readers are let go within a
+/// few.
+constexpr const char* kNoRoomRetryAfter = "1.00";
 
 const char* reason_of(int status) { return http_status_str(static_cast<http_status>(status)); }
 
@@ -309,7 +311,7 @@
 
 void CallerConnection::refuse_body() {
   if (no_room_) {
-    refuse(503, "too much is held for slow readers");
+    refuse(503, "too much is held for slow readers", kNoRoomRetryAfter);
   } else if (body_too_long_) {
     refuse(413, "the body is too long");
   } else {
@@ -317,11 +319,11 @@
   }
 }
 
-void CallerConnection::refuse(int status, std::string_view reason) {
+void CallerConnection::refuse(int status, std::string_view reason, const char* retry_after) {
   AnswerHead head;
   head.status = status;
-  if (no_room_) {
-    head.headers.add("Retry-After", kNoRoomRetryS);
+  if (retry_after != nullptr) {
+    head.headers.add("Retry-After", retry_after);
   }
   head.headers.add("Content-Type", "text/plain");
   close_after_ = true;
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -47,7 +47,8 @@
   void read_head();
   void read_body();
   void after_answer();
-  void refuse(int status, std::string_view reason);
+  /// `retry_after`: seconds, as text; nullptr: none is told.
+  void refuse(int status, std::string_view reason, const char* retry_after = nullptr);
   /// Refuses a request whose body can't be taken.
   void refuse_body();
   void write_head(const AnswerHead& head, bool chunked, size_t length);
