Deliver a ready answer to a caller who takes it slowly, however long that is

Cause: a connection's last answer had 2 s to be read, and one on a kept connection the idle time; then the rest was cut off, also where the caller was still taking it. Ruled out: a longer limit, which cuts a longer answer. Change: such a connection is closed when the caller has taken nothing since the last look.

--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr size_t kHeadEndBytes = 4;
-/// How long a connection that was refused may take to read the answer.
+/// How long a caller may take nothing of its connection's last answer.
 constexpr Duration kFlushLimit = 2s;
 /// Bytes of following requests that are taken in while an answer is due.
 constexpr size_t kMaxReadAhead = 256U << 10U;
@@ -75,8 +75,10 @@
 void CallerConnection::on_timer() {
   switch (phase_) {
     case Phase::kIdle:
+      close_unless_taking(server_.limits_.idle_timeout);
+      break;
     case Phase::kFlushing:
-      close();
+      close_unless_taking(kFlushLimit);
       break;
     case Phase::kHead:
     case Phase::kBody:
@@ -88,6 +90,16 @@
   }
 }
 
+void CallerConnection::close_unless_taking(Duration next_look) {
+  if (unsent() == 0 || taken() == taken_at_check_) {
+    close();
+    return;
+  }
+  // The answer is ready: whoever takes it slowly gets all of it.
+  taken_at_check_ = taken();
+  arm_timer(next_look);
+}
+
 void CallerConnection::check_stall() {
   const size_t waiting = unsent();
   answer_held_.set(waiting);
@@ -417,6 +429,7 @@
 
 void CallerConnection::after_answer() {
   answer_held_.set(unsent());
+  taken_at_check_ = taken();
   request_held_.set(0);
   flow_handler_ = nullptr;
   paused_ = false;
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -66,6 +66,9 @@
   void update_flow();
   /// Lets a caller go that has taken nothing since the last look.
   void check_stall();
+  /// Ends a connection whose last answer is whole, unless the caller has taken some of it since the last
+  /// look.
+  void close_unless_taking(Duration next_look);
   /// Bytes that the caller has taken since the start.
   uint64_t taken() const { return written_ - unsent(); }
   /// Counts what is held of a request's body: here, and on its way to the back end. False: there is no room.
--- a/tests/unit/slow_readers_test.cc
+++ b/tests/unit/slow_readers_test.cc
@@ -24,6 +24,10 @@
  public:
   explicit StreamingHandler(EventLoop& loop) : loop_(loop) {}
   void on_request(edge::CallerRequest request, std::shared_ptr<edge::CallerAnswer> answer) override {
+    if (request.target == "/whole") {
+      answer->reply({}, std::string(kAnswerBytes, 'x'));
+      return;
+    }
     if (request.target != "/long") {
       answer->reply({}, "short");
       return;
@@ -136,6 +140,20 @@
   EXPECT_LT(handler_.most_unsent, 100U << 10U);
 }
 
+TEST_F(SlowReadersTest, ACallerThatTakesItsLastAnswerSlowlyGetsAllOfIt) {
+  RawClient client(port_);
+  client.send("GET /whole HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  size_t received = 0;
+  // Together longer than a caller may take nothing.
+  for (int rest = 0; rest < 6; ++rest) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    received += client.read_all(std::chrono::milliseconds(1)).size();
+    client.forget_input();
+  }
+  received += client.read_all(std::chrono::seconds(10)).size();
+  EXPECT_GE(received, kAnswerBytes);
+}
+
 TEST_F(SlowReadersTest, OthersAreServedBesideManyWhoNeverFinishTheirRequests) {
   std::vector<std::unique_ptr<RawClient>> readers;
   for (int count = 0; count < 200; ++count) {
