Keep one copy of what contradicts a back end, and of what a caller has taken

Cause: a reading of the whole change: the server and the registry each compared service and address with what is known, two looks after slow callers noted their progress alike, and a request without room was counted in two places. Ruled out: the starts of test files that look alike (usual includes and fixtures); cells read more than once for a request. Change: BackendRegistry::contradicts, CallerConnection::took_some and no_room; hold_request keeps what is held already by itself; two functions of HeldBytes that nobody called are gone.

--- a/src/control/fleet_nodes.cc
+++ b/src/control/fleet_nodes.cc
@@ -43,12 +43,11 @@
 
 bool FleetServer::contradicts(const fleet::BackendRecord& record) const {
   const fleet::BackendRegistry& registry = knowledge_.registry();
-  const fleet::BackendRecord* known = registry.find(record.id);
-  if (known != nullptr) {
-    return known->service != record.service || known->address != record.address;
+  if (registry.contradicts(record)) {
+    return true;
   }
   // A service that no configuration names serves nobody: its back end takes no address from another one.
-  return configuration_version() > 0 && !has_service(record.service) &&
+  return registry.find(record.id) == nullptr && configuration_version() > 0 && !has_service(record.service) &&
          registry.address_taken(record.address, record.id);
 }
 
--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <utility>
 
 #include "src/http/socket_options.h"
 
@@ -91,12 +92,11 @@
 }
 
 void CallerConnection::close_unless_taking(Duration next_look) {
-  if (unsent() == 0 || taken() == taken_at_check_) {
+  if (unsent() == 0 || !took_some()) {
     close();
     return;
   }
   // The answer is ready: whoever takes it slowly gets all of it.
-  taken_at_check_ = taken();
   arm_timer(next_look);
 }
 
@@ -106,15 +106,19 @@
   if (waiting == 0) {
     return;
   }
-  if (taken() == taken_at_check_) {
+  if (!took_some()) {
     ++server_.flow_counts_.let_go;
     close(CallerEnd::kStalled);
     return;
   }
-  taken_at_check_ = taken();
   arm_timer(server_.hold_.stall);
 }
 
+bool CallerConnection::took_some() {
+  const uint64_t before = std::exchange(taken_at_check_, taken());
+  return taken_at_check_ != before;
+}
+
 void CallerConnection::on_written() {
   const auto keep = shared_from_this();
   answer_held_.set(unsent());
@@ -142,15 +146,22 @@
 
 bool CallerConnection::hold_request(size_t body_bytes) {
   const size_t wanted = kBodyCopies * body_bytes;
-  if (wanted > request_held_.bytes() && !server_.held_.has_room(wanted - request_held_.bytes())) {
-    no_room_ = true;
-    ++server_.flow_counts_.no_room;
-    return false;
+  if (wanted <= request_held_.bytes()) {
+    return true;
+  }
+  if (!server_.held_.has_room(wanted - request_held_.bytes())) {
+    return no_room();
   }
   request_held_.set(wanted);
   return true;
 }
 
+bool CallerConnection::no_room() {
+  no_room_ = true;
+  ++server_.flow_counts_.no_room;
+  return false;
+}
+
 void CallerConnection::on_event(short events) {
   if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
     close();
@@ -255,9 +266,7 @@
 
 bool CallerConnection::on_head() {
   if (!server_.held_.has_room(kPauseAbove)) {
-    no_room_ = true;
-    ++server_.flow_counts_.no_room;
-    return false;
+    return no_room();
   }
   request_.method = parser_.method();
   request_.target = parser_.target();
@@ -285,8 +294,7 @@
     body_too_long_ = true;
     return false;
   }
-  const size_t length = request_.body.size() + piece.size();
-  if (kBodyCopies * length > request_held_.bytes() && !hold_request(length)) {
+  if (!hold_request(request_.body.size() + piece.size())) {
     return false;
   }
   request_.body.append(piece);
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -73,6 +73,10 @@
   uint64_t taken() const { return written_ - unsent(); }
   /// Counts what is held of a request's body: here, and on its way to the back end. False: there is no room.
   bool hold_request(size_t body_bytes);
+  /// Notes that there is no room for the request; always false.
+  bool no_room();
+  /// True when the caller has taken something since the last look, which this is.
+  bool took_some();
 
   EdgeServer& server_;
   bufferevent* connection_ = nullptr;
--- a/src/edge/held_bytes.h
+++ b/src/edge/held_bytes.h
@@ -11,8 +11,6 @@
 class HeldBytes {
  public:
   explicit HeldBytes(size_t limit) : limit_(limit) {}
-  void set_limit(size_t limit) { limit_ = limit; }
-  size_t limit() const { return limit_; }
   size_t used() const { return used_; }
   /// True when so many bytes more may be held.
   bool has_room(size_t more) const { return more <= limit_ && used_ <= limit_ - more; }
--- a/src/fleet/backend_registry.cc
+++ b/src/fleet/backend_registry.cc
@@ -59,11 +59,14 @@
   return true;
 }
 
+bool BackendRegistry::contradicts(const BackendRecord& record) const {
+  const BackendRecord* known = find(record.id);
+  return known != nullptr && (known->service != record.service || known->address != record.address);
+}
+
 bool BackendRegistry::credible(const BackendRecord& record) const {
-  const auto known = seen_.find(record.id);
-  if (known != seen_.end()) {
-    const BackendRecord& before = known->second.record;
-    return before.service == record.service && before.address == record.address;
+  if (contradicts(record)) {
+    return false;
   }
   const auto newest = newest_.find(backend_name(record.id));
   return newest == newest_.end() || started_ms(record.id) >= started_ms(newest->second);
--- a/src/fleet/backend_registry.h
+++ b/src/fleet/backend_registry.h
@@ -55,6 +55,9 @@
   /// All that is known, by id.
   std::vector<BackendRecord> records() const;
   const BackendRecord* find(const std::string& id) const;
+  /// True when another service or address is known under the record's id: a back end keeps both for as long
+  /// as it runs.
+  bool contradicts(const BackendRecord& record) const;
   const BackendRecord* find_by_key(uint64_t key) const;
   /// The newest incarnation of a back end, by the name that it gives itself.
   const BackendRecord* find_by_name(const std::string& name) const;
@@ -75,8 +78,8 @@
     std::map<std::string, TimePoint> unreachable;  ///< by router: when it last could not reach the back end
   };
   bool lost(const Seen& seen, TimePoint now) const;
-  /// False for a heartbeat of an incarnation before the newest one of its back end, and for one under the id
-  /// of another back end: a back end keeps its service and address for as long as it runs.
+  /// False for a heartbeat of an incarnation before the newest one of its back end, and for one that
+  /// contradicts what is known.
   bool credible(const BackendRecord& record) const;
   /// Lets the newest incarnation of a back end take the place of the one before.
   void replace_former(const BackendRecord& record);
