Read the limits that back ends name, and tell them and what is sent there to the log and the metrics

What was seen: back ends that named limits got as many requests as before, and no log line or metric had a word of it, so that two hypotheses could not be told apart: nobody reads the limit, or each router keeps to it by itself.

Changed: the header is read into a typed reading (a number, none, or unreadable with a finding); a router notes the limit, its changes and its end, and tells each 4 s what it sent to each limited back end. Nothing is decided by it yet.

--- a/src/dispatch/request_protocol.h
+++ b/src/dispatch/request_protocol.h
@@ -33,6 +33,8 @@
   std::string signature = "X-Answer-Signature";  ///< set on each answer of an engine that is really its own
   std::string not_run = "X-Not-Run";
   std::string weights_version = "X-Weights-Version";  ///< of the weights that made the answer
+  /// Requests a second that a back end takes from all routers together, for as long as its answers say so.
+  std::string rate_limit = "X-Rate-Limit";
 };
 
 }  // namespace stoat::dispatch
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr int kMisdirected = 421;
 constexpr int kFirstServerError = 500;
 /// Engines that may say that they did not run a request before it is refused.
 constexpr uint32_t kMaxRefusals = 3;
@@ -196,6 +195,7 @@
   } else {
     kind_ = AnswerKind::kWhole;
   }
+  note_rate_limit(headers);
 }
 
 void RequestRun::on_answer_body(std::string_view piece) {
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "src/admission/backend_limits.h"
 #include "src/admission/load_admission.h"
 #include "src/admission/quota_gate.h"
 #include "src/admission/request_queue.h"
@@ -38,6 +39,7 @@
 
 /// Statuses that decide or end a request's run.
 inline constexpr int kFirstError = 300;
+inline constexpr int kMisdirected = 421;
 inline constexpr int kBadGateway = 502;
 inline constexpr int kUnavailable = 503;
 /// Urgencies that engines tell apart go from 0, the most urgent, to this; a tenant's go before its routes'.
@@ -83,6 +85,7 @@
   Duration longest_return = 10s;                               ///< the longest Retry-After for load
   std::map<std::string, placement::WorkTime> work_times = {};  ///< of calls without a prompt, by service
   admission::QuotaGate quotas{{}, 0};
+  admission::BackendLimits limits = {};
   rollout::ServiceVersions versions = {};
   rollout::AnswerCounter answers = {};  ///< of services that are moved to another version
 
@@ -250,6 +253,8 @@
   void note_sign();
   void note_first_event();
   void note_weights(const http1::Headers& headers);
+  /// Takes the limit that the answer's head names, or no longer names.
+  void note_rate_limit(const http1::Headers& headers);
   void forward_event(const delivery::StreamEvent& event);
   void finish_whole();
   void reply_own(int status, const char* reason, double retry_after_s);
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -270,6 +270,9 @@
   body_.clear();
   splitter_.reset();
   context_.pool.begin_request(backend);
+  if (context_.limits.count_send(backend->record.id)) {
+    context_.metrics.count("stoat_router_limited_sends_total");
+  }
   begun_at_engine_ = false;
   last_sign_ = now;
   stored_at_ = cache.target;
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -51,6 +51,39 @@
   }
 };
 
+/// A back end in need names how many requests a second it takes from all routers together, names another
+/// number, or takes any number again.
+struct BackendLimitChanged {
+  static constexpr const char* kSentence = "backend limit changed";
+  std::string backend;
+  double per_second = 0;    ///< 0: it names no limit any more
+  double before = 0;        ///< 0: it had named none
+  const char* source = "";  ///< an "answer" to this router, or "control"
+  std::vector<LogField> fields() const {
+    return {{"backend", backend}, {"per_second", per_second}, {"before", before}, {"source", source}};
+  }
+};
+
+/// A back end's limit can't be read, or not in full.
+struct BackendLimitUnreadable {
+  static constexpr const char* kSentence = "backend limit unreadable";
+  std::string backend;
+  std::string finding;
+  std::vector<LogField> fields() const { return {{"backend", backend}, {"finding", finding}}; }
+};
+
+/// What this router has sent to a back end with a limit since the last of these.
+struct LimitedBackendUsed {
+  static constexpr const char* kSentence = "limited backend used";
+  std::string backend;
+  double per_second = 0;  ///< of all routers together
+  uint64_t sent = 0;
+  int64_t span_ms = 0;
+  std::vector<LogField> fields() const {
+    return {{"backend", backend}, {"per_second", per_second}, {"sent", sent}, {"span_ms", span_ms}};
+  }
+};
+
 /// Access keys may be honoured from now on, or no more.
 struct KeyLeaseChanged {
   static constexpr const char* kSentence = "key lease changed";
--- a/src/gateway/gateway_feed.cc
+++ b/src/gateway/gateway_feed.cc
@@ -34,7 +34,7 @@
   if (feed_begun_ && news.complete) {
     feed_begun_ = false;
     for (const std::string& id : std::exchange(untold_backends_, {})) {
-      pool_.remove(id);
+      remove_backend(id);
     }
   }
   for (const fleet::BackendLoad& load : news.loads) {
@@ -62,12 +62,17 @@
   for (const std::string& id : news.gone) {
     if (const dispatch::BackendPtr known = pool_.find(id)) {
       events::add_backend_changes(&known->record, nullptr, changes);
-      pool_.remove(id);
+      remove_backend(id);
     }
   }
   events::log_backend_changes(log_, changes);
 }
 
+void GatewayServer::remove_backend(const std::string& id) {
+  pool_.remove(id);
+  context_.limits.forget(id);
+}
+
 void GatewayServer::tell_loads() {
   std::vector<fleet::BackendLoad> loads = pool_.own_loads();
   if (loads_told_ && loads == told_loads_ && untold_unreachable_.empty() && !context_.quotas.has_untold() &&
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -23,6 +23,9 @@
 constexpr Duration kStartCheck = 20ms;
 constexpr Duration kTrafficInterval = 10s;  ///< of lines in the log
 constexpr Duration kMetricsInterval = 1s;
+/// What was sent to each limited back end is logged so often, for the first few of them.
+constexpr Duration kLimitUseInterval = 4s;
+constexpr size_t kMostLimitLines = 10;
 /// The part of the memory that may be held for slow readers. The fleet's state takes less than a quarter of
 /// it, and requests under way some more.
 constexpr size_t kHeldPart = 4;
@@ -101,7 +104,9 @@
   loop_.every(kMetricsInterval, [this] {
     link_.traffic().publish(metrics_, "stoat_router_control_bytes_total");
     publish_flow();
+    publish_limits();
   });
+  loop_.every(kLimitUseInterval, [this] { log_limit_use(); });
   loop_.every(kTrafficInterval, [this] {
     for (const wire::TrafficMeter::Line& line : link_.traffic().take_lines()) {
       log_.event(events::BytesSent{line.distance, line.bytes});
@@ -120,6 +125,21 @@
   metrics_.set("stoat_router_requests_without_room", static_cast<double>(counts.no_room));
 }
 
+void GatewayServer::publish_limits() {
+  metrics_.set("stoat_router_limited_backends", static_cast<double>(context_.limits.size()));
+}
+
+void GatewayServer::log_limit_use() {
+  std::vector<admission::LimitUse> uses = context_.limits.take_use();
+  if (uses.size() > kMostLimitLines) {
+    uses.resize(kMostLimitLines);
+  }
+  for (const admission::LimitUse& use : uses) {
+    log_.event(events::LimitedBackendUsed{use.backend, use.per_second, use.sent,
+                                          to_milliseconds(kLimitUseInterval)});
+  }
+}
+
 bool GatewayServer::ready() const {
   return !stopping_ && table_ != nullptr && (!settings_.fail_closed || link_.keys_confirmed());
 }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -73,12 +73,16 @@
   void on_news(const fleet::FleetNews& news);
   /// Takes back ends that are new, have changed, or are gone.
   void take_backends(const fleet::FleetNews& news);
+  void remove_backend(const std::string& id);
   void take_placement(const fleet::ChainPlacement& placement);
   void take_cache(const fleet::CacheChanges& changes);
   /// Tells the member of the feed the own requests under way, when they have changed.
   void tell_loads();
   /// Tells the metrics what is held for slow readers.
   void publish_flow();
+  /// Tells the metrics and the log what goes to back ends that have named limits.
+  void publish_limits();
+  void log_limit_use();
   /// Lets requests at back ends that have gone dark go on elsewhere.
   void check_silence();
   void apply_changes(const fleet::CacheChanges& changes, placement::ChainMemory& memory) const;
