Reproduce that seven routers together exceed the limit that a back end names

What callers and engines see: a back end in need names 1 request a second and gets 66 in 4 s from routers that know it, where 11 are allowed (one and a half times the limit, and five).

The small fleet of the tests can start more routers.

--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -101,18 +101,15 @@
     control.first_start = true;
     control.core.target_voters = 1;
     control.holder_lease = 0ms;
-    gateway::GatewaySettings router;
-    router.name = "r1";
-    router.zone = "z1";
-    router.listen = {"127.0.0.1", free_port()};
-    router.link.seeds = {control.internal};
-    router.link.status_interval = status_interval;
-    router.budget.slack = repeat_slack;
-    router.routers_settle = 0s;
-    router_port_ = router.listen.port;
+    router_settings_.zone = "z1";
+    router_settings_.link.seeds = {control.internal};
+    router_settings_.link.status_interval = status_interval;
+    router_settings_.budget.slack = repeat_slack;
+    router_settings_.routers_settle = 0s;
     control_endpoint_ = control.internal;
     control_ = std::make_unique<control::FleetServer>(control_loop_, control, orders_);
-    router_ = std::make_unique<gateway::GatewayServer>(loop_, router, names_);
+    router_ = make_router("r1");
+    router_port_ = router_settings_.listen.port;
     control_thread_ = std::thread([this] { control_loop_.run(); });
     thread_ = std::thread([this] { loop_.run(); });
   }
@@ -120,6 +117,7 @@
     loop_.post([this] { loop_.stop(); });
     thread_.join();
     silence_control();
+    more_routers_.clear();
     router_.reset();
     control_.reset();
     std::filesystem::remove_all(folder_);
@@ -149,6 +147,17 @@
     return false;
   }
 
+  /// Starts another router beside the first, and gives its port once it is ready.
+  uint16_t add_router() {
+    const std::string name = "r" + std::to_string(more_routers_.size() + 2);
+    on_loop([&] {
+      more_routers_.push_back(make_router(name));
+      return true;
+    });
+    const uint16_t port = router_settings_.listen.port;
+    EXPECT_TRUE(wait_for([this] { return more_routers_.back()->ready(); }));
+    return port;
+  }
   static fleet::Route make_route(const std::string& name, fleet::RouteKind kind, const std::string& service) {
     fleet::Route route;
     route.name = name;
@@ -249,9 +258,16 @@
     return "X-Request-Id: " + id + "\r\nX-Answer-Signature: s\r\n";
   }
 
+  std::unique_ptr<gateway::GatewayServer> make_router(const std::string& name) {
+    router_settings_.name = name;
+    router_settings_.listen = {"127.0.0.1", free_port()};
+    return std::make_unique<gateway::GatewayServer>(loop_, router_settings_, names_);
+  }
+
   EventLoop control_loop_;
   EventLoop loop_;
   dispatch::HeaderNames names_;
+  gateway::GatewaySettings router_settings_;  ///< of the router that was made last
   NotedOrders orders_;
   std::filesystem::path folder_;
   uint16_t router_port_ = 0;
@@ -259,6 +275,7 @@
   uint64_t sequence_ = 0;
   std::unique_ptr<control::FleetServer> control_;
   std::unique_ptr<gateway::GatewayServer> router_;
+  std::vector<std::unique_ptr<gateway::GatewayServer>> more_routers_;
   std::thread control_thread_;
   std::thread thread_;
 };
--- /dev/null
+++ b/tests/unit/backend_limit_test.cc
@@ -0,0 +1,140 @@
+/// Back ends in need name in their answers how many requests a second they take from all routers together.
+///
+/// Two engines of twelve named limits of 1.2 and 1.1 a second and still got 13 and 16 requests in 4 s, from
+/// seven routers that each sent them about 0.5 a second: exactly as many as before. No log line or metric of
+/// any process had a word of a limit.
+#include <deque>
+#include <mutex>
+
+#include "tests/support/small_fleet.h"
+
+namespace stoat {
+namespace {
+
+using standins::Script;
+using standins::ScriptedEngine;
+using standins::SeenRequest;
+using standins::send_step;
+using standins::whole_answer;
+using test::status_of;
+using Clock = std::chrono::steady_clock;
+
+/// What a back end with a limit is held to: no more than this part of what the limit allows in a window, and
+/// a few besides, from routers that have passed the limit on for a while.
+constexpr double kTolerance = 1.5;
+constexpr double kSlackRequests = 5;
+constexpr std::chrono::seconds kWindow{4};
+constexpr std::chrono::milliseconds kToldFor{500};
+constexpr std::chrono::seconds kFirstWindowEnd{3};  ///< after the limit was first named
+
+/// A back end that names a limit while it is in need, and notes who asks it when.
+class NeedyEngine {
+ public:
+  explicit NeedyEngine(std::string limit)
+      : limit_(std::move(limit)), engine_([this](const SeenRequest& seen) { return answer(seen); }) {}
+
+  const ScriptedEngine& engine() const { return engine_; }
+  void set_in_need(bool in_need) { in_need_ = in_need; }
+  size_t count() const { return engine_.requests().size(); }
+  /// The most requests in a window that count, from routers that knew the limit.
+  size_t most_in_window() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::deque<Clock::time_point> window;
+    size_t most = 0;
+    for (const auto& [at, router] : arrivals_) {
+      const auto told = told_.find(router);
+      if (told == told_.end() || at < told->second + kToldFor) {
+        continue;
+      }
+      window.push_back(at);
+      while (window.front() <= at - kWindow) {
+        window.pop_front();
+      }
+      most = at < first_named_ + kFirstWindowEnd ? most : std::max(most, window.size());
+    }
+    return most;
+  }
+
+ private:
+  Script answer(const SeenRequest& seen) {
+    const auto now = Clock::now();
+    const std::string router = seen.header("X-Via");
+    std::string headers = "X-Request-Id: " + seen.header("X-Request-Id") + "\r\nX-Answer-Signature: s\r\n";
+    const std::lock_guard<std::mutex> lock(mutex_);
+    arrivals_.emplace_back(now, router);
+    if (in_need_) {
+      headers += "X-Rate-Limit: " + limit_ + "\r\n";
+      first_named_ = told_.empty() ? now : first_named_;
+      told_.emplace(router, now);
+    }
+    return {send_step(whole_answer(200, headers, "body"))};
+  }
+
+  std::string limit_;
+  std::atomic<bool> in_need_{true};
+  mutable std::mutex mutex_;
+  std::vector<std::pair<Clock::time_point, std::string>> arrivals_;
+  std::map<std::string, Clock::time_point> told_;  ///< by router: when it first got an answer with the limit
+  Clock::time_point first_named_;
+  ScriptedEngine engine_;
+};
+
+class BackendLimitTest : public test::SmallFleet {
+ protected:
+  static constexpr size_t kRouters = 7;
+
+  void SetUp() override {
+    ASSERT_TRUE(configure(make_configuration(1)));
+    ports_ = {router_port_};
+    while (ports_.size() < kRouters) {
+      ports_.push_back(add_router());
+    }
+  }
+  std::string ask_router(size_t router, const std::string& id) {
+    test::RawClient client(ports_[router]);
+    client.send(
+        request("GET", "/safe/", id, "X-Via: r" + std::to_string(router) + "\r\nConnection: close\r\n"));
+    return client.read_all();
+  }
+  /// Each router is asked four times a second for so long. Gives how many requests got 200.
+  size_t ask_all(std::chrono::milliseconds span) {
+    constexpr std::chrono::milliseconds kBetween{250};
+    std::atomic<size_t> served{0};
+    std::vector<std::thread> callers;
+    const auto end = Clock::now() + span;
+    for (size_t router = 0; router < kRouters; ++router) {
+      callers.emplace_back([this, router, end, kBetween, &served] {
+        for (size_t number = 0; Clock::now() < end; ++number) {
+          const std::string id = std::to_string(router) + "-" + std::to_string(number);
+          served += status_of(ask_router(router, id)) == "HTTP/1.1 200" ? 1 : 0;
+          std::this_thread::sleep_for(kBetween);
+        }
+      });
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    return served;
+  }
+  std::vector<uint16_t> ports_;
+};
+
+Script plain_answer(const SeenRequest& seen) {
+  return {send_step(whole_answer(
+      200, "X-Request-Id: " + seen.header("X-Request-Id") + "\r\nX-Answer-Signature: s\r\n", "body"))};
+}
+
+TEST_F(BackendLimitTest, RoutersTogetherKeepToTheLimitThatABackEndNames) {
+  constexpr double kLimit = 1;
+  NeedyEngine needy("1.0");
+  ScriptedEngine other(plain_answer);
+  add_engine("needy", "calls", needy.engine());
+  add_engine("other", "calls", other);
+  const size_t served = ask_all(std::chrono::seconds(8));
+  EXPECT_LE(needy.most_in_window(), kTolerance * kLimit * kWindow.count() + kSlackRequests);
+  EXPECT_EQ(served, needy.count() + other.requests().size());
+  EXPECT_GT(served, kRouters * 20);
+}
+
+}  // namespace
+}  // namespace stoat
