Let a starting router wait for the first back end of a service

What callers saw: a request to a router that had just started was refused after 102 ms with 503 "no back end", one of 495, in a test of real processes beside load; the log said "request waits known=0".

Cause: the router had begun its feed at a member that heard its first heartbeats 8 ms later. Requests wait 2.5 s for the first configuration of a router, but 100 ms only for the first back end. Ruled out: limits of back ends (none was known), and the move of the service to another version.

Changed: within start_wait (2.5 s) of a router's start, a request of a service of which no back end is known waits for one, for half of its time at most. Later it is refused after 100 ms as before, so nobody waits for a service that has none.

The new test fails with start_wait 0 (503 after 100 ms) and passes with it.

--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -76,8 +76,7 @@
     limit_ms = std::min(limit_ms, *plan_.fields.deadline_ms);
   }
   give_up_at_ = plan_.arrived + Duration(1000 * limit_ms);
-  // Also while no back end may take it: one round of news tells of those that have come or are usable again.
-  wait_until_ = admission::wait_limit(times(), context_.load_limits);
+  wait_until_ = wait_limit();
   chain_ = make_chain(plan_);
   context_.budget_of(plan_.service).on_request(plan_.arrived);
   story_.add(events::RequestAccepted{route.name, plan_.service,
@@ -91,6 +90,18 @@
   try_dispatch();
 }
 
+TimePoint RequestRun::wait_limit() const {
+  // Also while no back end may take it: one round of news tells of those that have come or are usable again.
+  const TimePoint usual = admission::wait_limit(times(), context_.load_limits);
+  if (context_.pool.count(plan_.service) > 0) {
+    return usual;
+  }
+  // A feed may begin at a member that has heard no back end yet. Half of its time is left to serve the
+  // request.
+  const TimePoint half = plan_.arrived + (give_up_at_ - plan_.arrived) / 2;
+  return std::max(usual, std::min(half, context_.starts_until));
+}
+
 void RequestRun::on_timer() {
   const auto keep = shared_from_this();
   const TimePoint now = context_.loop.now();
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -85,6 +85,8 @@
   Duration longest_return = 10s;                               ///< the longest Retry-After for load
   std::map<std::string, placement::WorkTime> work_times = {};  ///< of calls without a prompt, by service
   admission::QuotaGate quotas{{}, 0};
+  /// Until then the router has just started: a service of which it knows no back end may have some.
+  TimePoint starts_until{0};
   admission::BackendLimits limits = {};
   /// Asks control for the permits that requests want (see BackendLimits::want).
   std::function<void()> ask_for_permits = [] {};
@@ -163,6 +165,8 @@
   void arm_timer(TimePoint at);
   void on_timer();
   void try_dispatch();
+  /// Until when it may wait for a back end, or for a slot at one.
+  TimePoint wait_limit() const;
   /// Looks for a back end again a little later.
   void wait_a_step();
   void note_waiting();
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -87,6 +87,7 @@
       edge_(loop, settings.listen, *this, settings.hold) {
   context_.random = Random(seed_from_device());
   context_.quotas = admission::QuotaGate(settings.quotas, seed_from_device());
+  context_.starts_until = loop.now() + settings.start_wait;
   context_.ask_for_permits = [this] { ask_for_permits(); };
   link_.set_permit_handler(
       [this](const fleet::PermitAnswer& answer) { context_.limits.on_answer(answer, loop_.now()); });
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -89,6 +89,21 @@
   EXPECT_EQ(status_of(answer.get()), "HTTP/1.1 200");
 }
 
+/// A fleet of real processes refused the first of 495 requests after 102 ms ("request waits known=0", "no
+/// back end"): the router had just begun a feed at a member that heard its first heartbeats 8 ms later.
+TEST_F(StartingFleetTest, ARequestWaitsForTheFirstBackEndOfItsService) {
+  ScriptedEngine engine([](const SeenRequest& request) -> Script {
+    return {send_step(whole_answer(200, own(request.header("X-Request-Id")), "body"))};
+  });
+  ASSERT_TRUE(configure(make_configuration(1)));
+  router_settings_.start_wait = 20s;
+  router_port_ = add_router();
+  auto answer = std::async(std::launch::async, [this] { return ask("GET", "/safe/", "q1"); });
+  EXPECT_EQ(answer.wait_for(std::chrono::milliseconds(400)), std::future_status::timeout);
+  add_engine("e1", "calls", engine);
+  EXPECT_EQ(status_of(answer.get()), "HTTP/1.1 200");
+}
+
 TEST_F(StartingFleetTest, ARequestWaitsForNoLongerThanHalfOfItsTime) {
   const auto start = std::chrono::steady_clock::now();
   const std::string answer = ask("GET", "/safe/", "q1");  // the caller gives it 2 s
