--- a/standins/backend_server.cc
+++ b/standins/backend_server.cc
@@ -75,6 +75,7 @@
   settings.load_time = Duration(kUsPerMs * reader.integer("load_ms", 1000, 0, 600000));
   settings.software = reader.text("software", "");
   settings.fails_each = static_cast<uint32_t>(reader.integer("fails_each", 0, 0, 1000000));
+  settings.rate_limit = reader.number("rate_limit", 0, 0, 1e6);
   settings.runs_file = reader.text("runs_file", "");
   return settings;
 }
@@ -105,9 +106,13 @@
 }
 
 std::vector<http::Header> BackendServer::answer_headers(const http::Exchange& exchange) const {
-  return {{names_.request_id, exchange.header(names_.request_id)},
-          {names_.signature, id_},
-          {names_.weights_version, std::to_string(weights_)}};
+  std::vector<http::Header> headers = {{names_.request_id, exchange.header(names_.request_id)},
+                                       {names_.signature, id_},
+                                       {names_.weights_version, std::to_string(weights_)}};
+  if (settings_.rate_limit > 0) {
+    headers.push_back({names_.rate_limit, std::to_string(settings_.rate_limit)});
+  }
+  return headers;
 }
 
 bool BackendServer::turn_away(const http::ExchangePtr& exchange) {
--- a/standins/backend_server.h
+++ b/standins/backend_server.h
@@ -34,6 +34,7 @@
   Duration load_time = 1s;            ///< to load weights
   std::string software;               ///< version of its program, as it tells control; empty: not told
   uint32_t fails_each = 0;            ///< of a plain service: each so many calls fail; 0: none
+  double rate_limit = 0;              ///< requests a second that it names in its answers; 0: it names none
   /// The id of each request that begins to run is added to this file, which outlives the process; empty:
   /// none.
   std::string runs_file;
--- a/tests/process/service_rollout_test.cc
+++ b/tests/process/service_rollout_test.cc
@@ -21,14 +21,7 @@
     return page.is_object() ? page.value("state", "") : "";
   }
   /// How many requests began to run at a back end.
-  size_t runs_at(const std::string& name) const {
-    std::ifstream file(work_folder_ + "/" + name + ".runs");
-    size_t count = 0;
-    for (std::string line; std::getline(file, line);) {
-      ++count;
-    }
-    return count;
-  }
+  size_t runs_at(const std::string& name) const { return fleet_->runs_at(name).size(); }
 };
 
 TEST_F(ServiceRolloutTest, AGoodVersionGetsAllTrafficAlthoughTheLeaderIsKilledMidway) {
--- a/tools/served_fleet.cc
+++ b/tools/served_fleet.cc
@@ -51,7 +51,8 @@
     add_backend("engine-" + std::to_string(number), "engines", true);
   }
   for (uint32_t number = 1; number <= options.services; ++number) {
-    add_backend("service-" + std::to_string(number), "search", false);
+    const bool limited = number <= options.limited_services;
+    add_backend("service-" + std::to_string(number), "search", false, limited ? options.rate_limit : 0);
   }
 }
 
@@ -88,7 +89,8 @@
   }
 }
 
-void ServedFleet::add_backend(const std::string& name, const std::string& service, bool engine) {
+void ServedFleet::add_backend(const std::string& name, const std::string& service, bool engine,
+                              double rate_limit) {
   backends_.push_back(name);
   std::vector<std::string> settings = {setting("name", name), setting("service", service),
                                        setting("listen", to_string(processes_.free_endpoint())),
@@ -103,6 +105,9 @@
     settings.push_back("token_ms=10");
     settings.push_back("prefill_us_per_token=30");
   }
+  if (rate_limit > 0) {
+    settings.push_back("rate_limit=" + std::to_string(rate_limit));
+  }
   processes_.add(name, "standin-backend", settings);
 }
 
@@ -208,10 +213,16 @@
 std::multiset<std::string> ServedFleet::runs() const {
   std::multiset<std::string> runs;
   for (const std::string& name : backends_) {
-    std::ifstream file(runs_file(name));
-    for (std::string line; std::getline(file, line);) {
-      runs.insert(line);
-    }
+    runs.merge(runs_at(name));
+  }
+  return runs;
+}
+
+std::multiset<std::string> ServedFleet::runs_at(const std::string& name) const {
+  std::multiset<std::string> runs;
+  std::ifstream file(runs_file(name));
+  for (std::string line; std::getline(file, line);) {
+    runs.insert(line);
   }
   return runs;
 }
--- a/tools/served_fleet.h
+++ b/tools/served_fleet.h
@@ -20,7 +20,9 @@
   uint32_t engines = 3;
   uint32_t services = 2;
   std::string configuration_file;
-  std::string software;  ///< version of the plain service's program; empty: not told
+  std::string software;           ///< version of the plain service's program; empty: not told
+  uint32_t limited_services = 0;  ///< the first so many back ends of the plain service name a limit
+  double rate_limit = 0;          ///< in requests a second
 };
 
 /// See the head of this file. Names: control-1, router-1, engine-1, service-1 and so on.
@@ -49,11 +51,14 @@
   std::vector<std::string> names_of(const std::string& kind) const;
   /// Ids of requests that began to run, as often as they did, over all back ends and their kills.
   std::multiset<std::string> runs() const;
+  /// The same of one back end.
+  std::multiset<std::string> runs_at(const std::string& name) const;
 
  private:
   void add_controls();
   void add_routers();
-  void add_backend(const std::string& name, const std::string& service, bool engine);
+  /// `rate_limit`: requests a second that it names as its limit; 0: it names none.
+  void add_backend(const std::string& name, const std::string& service, bool engine, double rate_limit = 0);
   std::string runs_file(const std::string& name) const;
 
   ProcessFleet& processes_;
