--- a/tools/chaos_main.cc
+++ b/tools/chaos_main.cc
@@ -17,6 +17,15 @@
 
 constexpr Duration kHealLimit = 20s;
 constexpr Duration kCalm = 3s;
+/// One plain back end of three names this limit, in requests a second.
+constexpr uint32_t kServices = 3;
+constexpr char kLimitedBackend[] = "service-1";
+constexpr double kRateLimit = 1;
+/// It gets at most so many times what the limit allows, and a few besides.
+constexpr double kLimitTolerance = 1.5;
+constexpr double kLimitSlack = 5;
+/// Requests of all routers until they know the limit of a back end that has just started: 0.2 s of them.
+constexpr double kBeforeLimitIsKnown = 10;
 
 struct ChaosSettings {
   uint64_t first_seed = 1;
@@ -119,14 +128,32 @@
   violations.insert(violations.end(), more.begin(), more.end());
 }
 
+/// The back end with a limit gets no more than that allows, however routers and control members come and go.
+void check_limit(const ServedFleet& fleet, const std::vector<PlannedFault>& faults, Duration span,
+                 std::vector<std::string>& violations) {
+  const auto hits_it = [](const PlannedFault& fault) { return fault.process == kLimitedBackend; };
+  const auto starts = 1 + std::count_if(faults.begin(), faults.end(), hits_it);
+  const double allowed = kLimitTolerance * kRateLimit * to_seconds(span) + kLimitSlack +
+                         kBeforeLimitIsKnown * static_cast<double>(starts);
+  const size_t runs = fleet.runs_at(kLimitedBackend).size();
+  if (static_cast<double>(runs) > allowed) {
+    violations.push_back(std::string(kLimitedBackend) + " ran " + std::to_string(runs) + " requests in " +
+                         std::to_string(to_seconds(span)) + " s, allowed " + std::to_string(allowed));
+  }
+}
+
 bool run_seed(const ChaosSettings& settings, uint64_t seed) {
   const std::string folder =
       settings.work_folder + "/" + std::to_string(getpid()) + "-" + std::to_string(seed);
   ProcessFleet processes(settings.programs, folder);
   ServedFleetOptions options;
   options.configuration_file = settings.configuration;
+  options.services = kServices;
+  options.limited_services = 1;
+  options.rate_limit = kRateLimit;
   ServedFleet fleet(processes, options);
   fleet.start();
+  const TimePoint begin_at = monotonic_now();
   const std::vector<RequestClass> classes = demo_classes();
   const std::vector<PlannedFault> faults = plan_faults(targets_of(fleet), settings.duration, seed);
   const auto records = run_load(fleet.target(), classes,
@@ -134,10 +161,12 @@
                                 actions_of(processes, faults));
   std::vector<std::string> violations = check_promises(classes, records, fleet.runs());
   check_calm(fleet, settings, seed, classes, violations);
+  check_limit(fleet, faults, monotonic_now() - begin_at, violations);
   std::cout << "seed " << seed << ": faults " << faults.size() << ", requests " << records.size()
             << ", complete " << count(records, CallerOutcome::kComplete) << ", refused "
             << count(records, CallerOutcome::kRefused) << ", failed "
-            << count(records, CallerOutcome::kFailed) << "\n";
+            << count(records, CallerOutcome::kFailed) << ", at the limited back end "
+            << fleet.runs_at(kLimitedBackend).size() << "\n";
   for (const std::string& violation : violations) {
     std::cout << "seed " << seed << ": " << violation << "\n";
   }
