Let a request wait for a quarter of its time, not half, for a starting router's first back end

The check that a request without a back end is refused within 900 ms of its 2 s failed on a router less than 2.5 s old (it waited 1 s).

--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -17,6 +17,9 @@
 /// A back end that this router has heard nothing from for so long, while a request runs there, is probed. At
 /// 400 ms engines under load were probed as well, which cost about as much in new connections as it gained.
 constexpr Duration kSilence = 900ms;
+/// A request waits for such a part of its time for the first back end of its service that a router which has
+/// just started hears of: the rest is for serving it, or for coming back.
+constexpr int kStartWaitPart = 4;
 /// How often a waiting request looks for a back end again.
 constexpr Duration kWaitStep = 25ms;
 /// Answers up to this size are held until they are whole.
@@ -96,10 +99,9 @@
   if (context_.pool.count(plan_.service) > 0) {
     return usual;
   }
-  // A feed may begin at a member that has heard no back end yet. Half of its time is left to serve the
-  // request.
-  const TimePoint half = plan_.arrived + (give_up_at_ - plan_.arrived) / 2;
-  return std::max(usual, std::min(half, context_.starts_until));
+  // A feed may begin at a member that has heard no back end yet.
+  const TimePoint longest = plan_.arrived + (give_up_at_ - plan_.arrived) / kStartWaitPart;
+  return std::max(usual, std::min(longest, context_.starts_until));
 }
 
 void RequestRun::on_timer() {
