--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -80,6 +80,16 @@
   throw std::runtime_error("no free port");
 }
 
+/// The headers that make an answer to a request the back end's own.
+inline std::string own_headers(const standins::SeenRequest& request) {
+  return "X-Request-Id: " + request.header("X-Request-Id") + "\r\nX-Answer-Signature: s\r\n";
+}
+
+/// A scripted engine's success.
+inline standins::Script succeed(const standins::SeenRequest& request, const std::string& body = "body") {
+  return {standins::send_step(standins::whole_answer(200, own_headers(request), body))};
+}
+
 /// The status line's beginning of an answer: "HTTP/1.1 200".
 inline std::string status_of(const std::string& answer) { return answer.substr(0, 12); }
 
