--- a/src/admission/backend_limits.cc
+++ b/src/admission/backend_limits.cc
@@ -15,8 +15,8 @@
 constexpr Duration kLeaderChange = 100ms;
 /// A router that got no permit asks again no sooner than after so long.
 constexpr Duration kLeastWait = 20ms;
-/// What this router heard itself counts for so long against what control tells, which is older.
-constexpr Duration kOwnWordHolds = 1s;
+/// A limit in an answer to this router counts for so long against what control tells, which is older.
+constexpr Duration kAnswerHolds = 1s;
 
 }  // namespace
 
@@ -47,9 +47,9 @@
 std::optional<LimitChange> BackendLimits::note_told(const fleet::BackendLimit& told, TimePoint now) {
   const auto known = limited_.find(told.backend);
   const double before = known == limited_.end() ? 0 : known->second.per_second;
-  const bool own_word =
-      known != limited_.end() && known->second.heard_here && now - known->second.heard < kOwnWordHolds;
-  if (own_word || before == told.per_second) {
+  const bool heard_lately =
+      known != limited_.end() && known->second.heard_here && now - known->second.heard < kAnswerHolds;
+  if (heard_lately || before == told.per_second) {
     return std::nullopt;
   }
   if (told.per_second <= 0) {
--- a/src/admission/backend_limits.h
+++ b/src/admission/backend_limits.h
@@ -1,4 +1,4 @@
-/// The limits that back ends in need have named, as one router knows them, the permits that it holds for
+/// The limits that overloaded back ends have named, as one router knows them, the permits that it holds for
 /// them, and what it has sent there. Back ends that name no limit are not in here, and may be sent to. Free
 /// of I/O.
 ///
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -51,7 +51,7 @@
   }
 };
 
-/// A back end in need names how many requests a second it takes from all routers together, names another
+/// An overloaded back end names how many requests a second it takes from all routers together, names another
 /// number, or takes any number again.
 struct BackendLimitChanged {
   static constexpr const char* kSentence = "backend limit changed";
--- a/tests/unit/backend_limit_test.cc
+++ b/tests/unit/backend_limit_test.cc
@@ -1,4 +1,4 @@
-/// Back ends in need name in their answers how many requests a second they take from all routers together.
+/// Overloaded back ends name in their answers how many requests a second they take from all routers together.
 ///
 /// Two engines of twelve named limits of 1.2 and 1.1 a second and still got 13 and 16 requests in 4 s, from
 /// seven routers that each sent them about 0.5 a second: exactly as many as before. No log line or metric of
@@ -36,14 +36,14 @@
 
 constexpr std::chrono::milliseconds kHeartbeatInterval{500};
 
-/// A back end that names a limit while it is in need, and notes who asks it when.
-class NeedyEngine {
+/// A back end that names a limit while it is told to, and notes who asks it when.
+class LimitingEngine {
  public:
-  explicit NeedyEngine(std::string limit)
+  explicit LimitingEngine(std::string limit)
       : limit_(std::move(limit)), engine_([this](const SeenRequest& seen) { return answer(seen); }) {}
 
   const ScriptedEngine& engine() const { return engine_; }
-  void set_in_need(bool in_need) { in_need_ = in_need; }
+  void set_naming(bool naming) { naming_ = naming; }
   size_t count() const { return engine_.requests().size(); }
   /// The most requests in a window that count, from routers that knew the limit.
   size_t most_in_window() const {
@@ -71,7 +71,7 @@
     std::string headers = test::own_headers(seen);
     const std::lock_guard<std::mutex> lock(mutex_);
     arrivals_.emplace_back(now, router);
-    if (in_need_) {
+    if (naming_) {
       headers += "X-Rate-Limit: " + limit_ + "\r\n";
       first_named_ = told_.empty() ? now : first_named_;
       told_.emplace(router, now);
@@ -80,7 +80,7 @@
   }
 
   std::string limit_;
-  std::atomic<bool> in_need_{true};
+  std::atomic<bool> naming_{true};
   mutable std::mutex mutex_;
   std::vector<std::pair<Clock::time_point, std::string>> arrivals_;
   std::map<std::string, Clock::time_point> told_;  ///< by router: when it first got an answer with the limit
@@ -133,45 +133,45 @@
 
 TEST_F(BackendLimitTest, RoutersTogetherKeepToTheLimitThatABackEndNames) {
   constexpr double kLimit = 1;
-  NeedyEngine needy("1.0");
+  LimitingEngine limited("1.0");
   ScriptedEngine other([](const SeenRequest& seen) { return test::succeed(seen); });
-  add_engine("needy", "calls", needy.engine());
+  add_engine("limited", "calls", limited.engine());
   add_engine("other", "calls", other);
   const size_t served = ask_all(std::chrono::seconds(8));
-  EXPECT_LE(needy.most_in_window(), kTolerance * kLimit * kWindow.count() + kSlackRequests);
-  EXPECT_EQ(served, needy.count() + other.requests().size());
+  EXPECT_LE(limited.most_in_window(), kTolerance * kLimit * kWindow.count() + kSlackRequests);
+  EXPECT_EQ(served, limited.count() + other.requests().size());
   EXPECT_GT(served, kRouters * 20);
-  EXPECT_GE(needy.count(), kLimit * 4);  // what it takes is not left unused
+  EXPECT_GE(limited.count(), kLimit * 4);  // what it takes is not left unused
 }
 
 TEST_F(BackendLimitTest, ALimitEndsWithTheFirstAnswerThatNamesNone) {
-  NeedyEngine needy("1.0");
+  LimitingEngine limited("1.0");
   ScriptedEngine other([](const SeenRequest& seen) { return test::succeed(seen); });
-  add_engine("needy", "calls", needy.engine());
+  add_engine("limited", "calls", limited.engine());
   add_engine("other", "calls", other);
   ask_all(std::chrono::seconds(4));
-  needy.set_in_need(false);
+  limited.set_naming(false);
   ask_all(std::chrono::seconds(3));
-  const size_t before = needy.count();
+  const size_t before = limited.count();
   const size_t served = ask_all(std::chrono::seconds(3));
-  EXPECT_GT(needy.count() - before, served / 4);
+  EXPECT_GT(limited.count() - before, served / 4);
 }
 
 TEST_F(BackendLimitTest, RoutersThatHaveHeardNothingKnowTheLimitFromControl) {
-  NeedyEngine needy("0.5");
-  add_engine("needy", "calls", needy.engine());
+  LimitingEngine limited("0.5");
+  add_engine("limited", "calls", limited.engine());
   EXPECT_EQ(status_of(ask_router(0, "first")), "HTTP/1.1 200");
   std::this_thread::sleep_for(std::chrono::milliseconds(600));
-  const size_t before = needy.count();
+  const size_t before = limited.count();
   for (size_t router = 1; router < kRouters; ++router) {
     ask_router(router, std::to_string(router));
   }
-  EXPECT_LE(needy.count() - before, 2U);
+  EXPECT_LE(limited.count() - before, 2U);
 }
 
 TEST_F(BackendLimitTest, WhatIsBeyondTheLimitsOfAllBackEndsIsToldAtOnceWhenToComeBack) {
-  NeedyEngine needy("0.5");
-  add_engine("needy", "calls", needy.engine());
+  LimitingEngine limited("0.5");
+  add_engine("limited", "calls", limited.engine());
   EXPECT_EQ(status_of(ask_router(0, "first")), "HTTP/1.1 200");
   size_t served = 1;
   size_t refused = 0;
@@ -189,7 +189,7 @@
   }
   EXPECT_GT(refused, 0U);
   EXPECT_GE(served, 3U);
-  EXPECT_EQ(needy.count(), served);  // what was refused has not run
+  EXPECT_EQ(limited.count(), served);  // what was refused has not run
 }
 
 TEST(BackendLimits, ANewIncarnationHasNoLimitUntilItNamesOne) {
