Name in the log which request it was, and tell a crash of a back end from a broken connection

What could not be seen: the logs of the incident name a request by the id of one try, so that neither of two hypotheses could be ruled out: that one request came again and crashed the engines, or that the engines crashed by themselves. Nor did a router know whether a back end had crashed or had broken one connection. Change: each accepted request has a fingerprint of method, host, path, caller and body in its line. After a broken exchange the router connects to the back end at once; where its machine refuses, 'backend crashed' tells which requests broke off there, and a counter rises. The new connection serves later requests, in place of the broken one. A probe that is refused ends at once now, not after 300 ms. Nothing is decided by it yet.

--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -94,6 +94,7 @@
                                                      events::WeightsNamed::kSentence,
                                                      events::BackendChanged::kSentence,
                                                      events::BackendLimitChanged::kSentence,
+                                                     events::BackendCrashed::kSentence,
                                                      events::KeyLeaseChanged::kSentence,
                                                      events::ControlMemberChanged::kSentence,
                                                      events::LeaderChanged::kSentence,
--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -193,7 +193,7 @@
   }
   const std::weak_ptr<Backend> weak = backend;
   auto connection = EngineConnection::connect(
-      loop_, backend->endpoint, [this, weak](EngineConnection* lost) { drop_idle(weak, lost); });
+      loop_, backend->endpoint, [this, weak](EngineConnection* lost) { on_unusable(weak, lost); });
   if (connection != nullptr) {
     ++backend->connections;
     ++connects_;
@@ -203,17 +203,35 @@
 
 void BackendPool::probe(const BackendPtr& backend) {
   const TimePoint now = loop_.now();
-  if (backend->probe != nullptr || now - backend->probed < kProbeInterval) {
-    return;
+  if (backend->probe == nullptr && now - backend->probed >= kProbeInterval) {
+    start_probe(backend);
+  }
+}
+
+void BackendPool::check(const BackendPtr& backend) {
+  if (backend->probe != nullptr && backend->probe->connected()) {
+    end_probe(backend);  // it says nothing of what came after
   }
-  backend->probed = now;
+  if (backend->probe == nullptr) {
+    start_probe(backend);
+  }
+}
+
+void BackendPool::start_probe(const BackendPtr& backend) {
+  backend->probed = loop_.now();
   const std::weak_ptr<Backend> weak = backend;
-  backend->probe = EngineConnection::connect(loop_, backend->endpoint,
-                                             [this, weak](EngineConnection* lost) { drop_idle(weak, lost); });
+  backend->probe = EngineConnection::connect(
+      loop_, backend->endpoint, [this, weak](EngineConnection* lost) { on_unusable(weak, lost); });
   if (backend->probe != nullptr) {
     ++backend->connections;
     ++connects_;
-    loop_.after(kProbeTime, [this, weak] { end_probe(weak); });
+    const std::weak_ptr<EngineConnection> probe = backend->probe;
+    loop_.after(kProbeTime, [this, weak, probe] {
+      const BackendPtr probed = weak.lock();
+      if (probed != nullptr && probed->probe != nullptr && probed->probe == probe.lock()) {
+        end_probe(probed);
+      }
+    });
   }
 }
 
@@ -223,29 +241,29 @@
          delivery::OutlierDetector::usable(health, loop_.now());
 }
 
-void BackendPool::end_probe(const std::weak_ptr<Backend>& weak) {
-  const BackendPtr backend = weak.lock();
-  if (backend == nullptr || backend->probe == nullptr) {
-    return;
-  }
+void BackendPool::end_probe(const BackendPtr& backend) {
   const auto connection = std::exchange(backend->probe, nullptr);
   if (connection->connected() && connection->usable()) {
     backend->heard = loop_.now();
     release(backend, connection);
+    on_probe_ended_(backend, ProbeResult::kReached);
     return;
   }
   backend->unreachable = backend->probed;
+  const bool refused = connection->refused();
   discard(backend, connection);
-  if (on_probe_failed_) {
-    on_probe_failed_();
-  }
+  on_probe_ended_(backend, refused ? ProbeResult::kRefused : ProbeResult::kUnanswered);
 }
 
-void BackendPool::drop_idle(const std::weak_ptr<Backend>& weak, EngineConnection* connection) {
+void BackendPool::on_unusable(const std::weak_ptr<Backend>& weak, EngineConnection* connection) {
   const BackendPtr backend = weak.lock();
   if (backend == nullptr) {
     return;
   }
+  if (backend->probe.get() == connection) {
+    end_probe(backend);
+    return;
+  }
   backend->connections -=
       std::erase_if(backend->idle, [connection](const auto& entry) { return entry.get() == connection; });
 }
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -20,6 +20,13 @@
 
 namespace stoat::dispatch {
 
+/// How an attempt to connect to a back end ended.
+enum class ProbeResult : uint8_t {
+  kReached,
+  kRefused,    ///< its machine says that nothing listens there
+  kUnanswered  ///< nothing came back in time, or the new connection was lost at once
+};
+
 /// One back end.
 struct Backend {
   fleet::BackendRecord record;
@@ -40,6 +47,7 @@
   std::shared_ptr<EngineConnection> probe;  ///< a connection under way that is to show whether it answers
   TimePoint probed{0};                      ///< when the last probe began
   TimePoint unreachable{0};                 ///< when the last probe that failed began
+  std::vector<uint64_t> broken = {};        ///< fingerprints of requests that broke off since the last check
 
   bool has_free_slot() const {
     return record.slots == 0 ||  // not told
@@ -104,8 +112,12 @@
   void discard(const BackendPtr& backend, const std::shared_ptr<EngineConnection>& connection);
   /// Tries to make a connection to a back end that is silent. One that is made serves later requests.
   void probe(const BackendPtr& backend);
-  /// Hears when a probe has failed, so that requests at its back end go on elsewhere at once.
-  void set_probe_failure_handler(std::function<void()> handler) { on_probe_failed_ = std::move(handler); }
+  /// Tries to make a connection to a back end at once, to tell a broken connection from a crash. A probe that
+  /// has not been answered yet serves as well.
+  void check(const BackendPtr& backend);
+  using ProbeHandler = std::function<void(const BackendPtr&, ProbeResult)>;
+  /// Hears how each probe ended.
+  void set_probe_handler(ProbeHandler handler) { on_probe_ended_ = std::move(handler); }
   /// True when a back end is heard, has its weights in place, and has not failed too often lately.
   bool is_sound(const Backend& backend);
   delivery::OutlierDetector& outliers() { return outliers_; }
@@ -115,8 +127,10 @@
   void enter(const BackendPtr& backend) { rings_[backend->record.service].add(backend); }
   void leave(const BackendPtr& backend);
   static void update_others(Backend& backend);
-  void drop_idle(const std::weak_ptr<Backend>& weak, EngineConnection* connection);
-  void end_probe(const std::weak_ptr<Backend>& weak);
+  /// A connection that no request uses has died.
+  void on_unusable(const std::weak_ptr<Backend>& weak, EngineConnection* connection);
+  void start_probe(const BackendPtr& backend);
+  void end_probe(const BackendPtr& backend);
 
   EventLoop& loop_;
   topology::Topology topology_;
@@ -126,7 +140,7 @@
   std::vector<BackendPtr> told_;                ///< whose own loads have been told
   std::map<std::string, fleet::BackendState> retired_;
   delivery::OutlierDetector outliers_;
-  std::function<void()> on_probe_failed_;
+  ProbeHandler on_probe_ended_ = [](const BackendPtr&, ProbeResult) {};
   TimePoint totals_told_{0};
   uint64_t connects_ = 0;
 };
--- a/src/dispatch/engine_connection.cc
+++ b/src/dispatch/engine_connection.cc
@@ -112,7 +112,9 @@
     bufferevent_set_timeouts(connection_, nullptr, nullptr);
     return;
   }
-  const bool silent = EVUTIL_SOCKET_ERROR() == ETIMEDOUT;
+  const int error = EVUTIL_SOCKET_ERROR();
+  const bool silent = error == ETIMEDOUT;
+  refused_ = !connected_ && (events & BEV_EVENT_ERROR) != 0 && (error == ECONNREFUSED || error == ECONNRESET);
   if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
     const auto keep = shared_from_this();
     read();
--- a/src/dispatch/engine_connection.h
+++ b/src/dispatch/engine_connection.h
@@ -56,6 +56,8 @@
   /// Stops or goes on reading the answer. What the back end writes meanwhile waits there.
   void set_reading(bool reading);
   bool connected() const { return connected_; }
+  /// True when the other side's machine said that nothing listens there.
+  bool refused() const { return refused_; }
   bool usable() const { return connection_ != nullptr && reusable_; }
   /// When an idle connection is closed by the back end, as far as it has said.
   TimePoint idle_until() const { return idle_until_; }
@@ -80,6 +82,7 @@
   Belongs belongs_;
   UnusableHandler on_unusable_;
   bool connected_ = false;
+  bool refused_ = false;
   bool reusable_ = true;
   bool skipping_ = false;     ///< the answer being read belongs to another request
   bool answer_done_ = false;  ///< the answer is whole; told after the parser has returned
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 
 #include "src/common/hash.h"
+#include "src/dispatch/request_fingerprint.h"
 
 namespace stoat::dispatch {
 
@@ -37,6 +38,10 @@
   return chain;
 }
 
+uint64_t fingerprint_of(const RunPlan& plan) {
+  return request_fingerprint(plan.request, plan.tenant == nullptr ? plan.fields.key : plan.tenant->name);
+}
+
 }  // namespace
 
 RequestRun::RequestRun(DispatchContext& context, RunPlan plan, std::shared_ptr<edge::CallerAnswer> answer,
@@ -45,6 +50,7 @@
       plan_(std::move(plan)),
       answer_(std::move(answer)),
       on_done_(std::move(on_done)),
+      fingerprint_(fingerprint_of(plan_)),
       last_event_id_(plan_.fields.last_event_id),
       story_(plan_.fields.id) {
   const auto on_timeout = [](evutil_socket_t, short, void* run) {
@@ -82,9 +88,9 @@
   wait_until_ = wait_limit();
   chain_ = make_chain(plan_);
   context_.budget_of(plan_.service).on_request(plan_.arrived);
-  story_.add(events::RequestAccepted{route.name, plan_.service,
-                                     plan_.tenant == nullptr ? "" : plan_.tenant->name,
-                                     plan_.table->configuration().version, limit_ms, chain_.prompt_tokens});
+  story_.add(events::RequestAccepted{
+      route.name, plan_.service, plan_.tenant == nullptr ? "" : plan_.tenant->name,
+      plan_.table->configuration().version, limit_ms, chain_.prompt_tokens, to_hex(fingerprint_)});
   if (context_.loop.now() >= give_up_at_) {
     give_up("no time left");  // it has waited for the router's start
     return;
@@ -391,6 +397,10 @@
   const BackendPtr failed = backend_;
   count_failure(failure);
   end_exchange(false);
+  if (failure == ExchangeFailure::kBroken || failure == ExchangeFailure::kMalformed) {
+    failed->broken.push_back(fingerprint_);
+    context_.pool.check(failed);
+  }
   if (failure == ExchangeFailure::kNotConnected) {
     story_.add(events::RequestNotRun{failed->record.id, 0});
     on_not_run(false);
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -310,6 +310,7 @@
   bool sampled_ = false;                              ///< it goes to the version that is on trial
   std::optional<rollout::CountedSend> counted_send_;  ///< of the exchange at backend_
   placement::PromptChain chain_;
+  const uint64_t fingerprint_;  ///< see request_fingerprint()
 
   BackendPtr backend_;
   BackendPtr backup_;         ///< has a copy of the run at backend_
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -84,6 +84,18 @@
   }
 };
 
+/// A back end broke off requests, and nothing listens at its address any more.
+struct BackendCrashed {
+  static constexpr const char* kSentence = "backend crashed";
+  std::string backend;
+  std::string service;
+  size_t broken = 0;     ///< requests of this router that broke off
+  std::string requests;  ///< the first few of their fingerprints
+  std::vector<LogField> fields() const {
+    return {{"backend", backend}, {"service", service}, {"broken", broken}, {"requests", requests}};
+  }
+};
+
 /// Access keys may be honoured from now on, or no more.
 struct KeyLeaseChanged {
   static constexpr const char* kSentence = "key lease changed";
--- a/src/events/request_events.h
+++ b/src/events/request_events.h
@@ -18,13 +18,15 @@
   uint64_t configuration_version = 0;
   int64_t time_left_ms = 0;  ///< until the caller or the route gives it up
   uint32_t prompt_tokens = 0;
+  std::string fingerprint = {};  ///< the same for a request that comes again under another id
   std::vector<LogField> fields() const {
     return {{"route", route},
             {"service", service},
             {"tenant", tenant},
             {"version", configuration_version},
             {"time_left_ms", time_left_ms},
-            {"prompt_tokens", prompt_tokens}};
+            {"prompt_tokens", prompt_tokens},
+            {"fingerprint", fingerprint}};
   }
 };
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -98,7 +98,9 @@
   context_.old_weights_limit = settings.old_weights_limit;
   context_.load_limits.useful_queue = settings.useful_engine_queue;
   context_.longest_return = settings.longest_retry_after;
-  pool_.set_probe_failure_handler([this] { check_silence(); });
+  pool_.set_probe_handler([this](const dispatch::BackendPtr& backend, dispatch::ProbeResult result) {
+    on_probe_ended(backend, result);
+  });
   context_.tell_unreachable = [this](const std::string& backend) { untold_unreachable_.insert(backend); };
   context_.tell_placement = [this](fleet::ChainPlacement placement) { tell_placement(std::move(placement)); };
   loop_.every(kLoadsInterval, [this] {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -89,6 +89,8 @@
   void log_limit_use();
   /// Lets requests at back ends that have gone dark go on elsewhere.
   void check_silence();
+  // gateway_crashes.cc: back ends that crash under requests
+  void on_probe_ended(const dispatch::BackendPtr& backend, dispatch::ProbeResult result);
   void apply_changes(const fleet::CacheChanges& changes, placement::ChainMemory& memory) const;
   /// Keeps a placement for the other routers, which hear of it a little later.
   void tell_placement(fleet::ChainPlacement placement);
