--- a/standins/scripted_engine.cc
+++ b/standins/scripted_engine.cc
@@ -163,6 +163,11 @@
         ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
         return false;
       }
+      case ScriptStep::Kind::kCrash:
+        ::shutdown(listener_, SHUT_RDWR);
+        crashed_ = true;
+        stopping_ = true;
+        return false;
       case ScriptStep::Kind::kClose:
         return false;
     }
--- a/standins/scripted_engine.h
+++ b/standins/scripted_engine.h
@@ -23,7 +23,13 @@
 
 /// What the engine does with a request, in order.
 struct ScriptStep {
-  enum class Kind { kSend, kWait, kClose, kReset };
+  enum class Kind {
+    kSend,
+    kWait,
+    kClose,
+    kReset,
+    kCrash  ///< the whole engine ends: nothing listens any more, and all connections break off
+  };
   Kind kind = Kind::kSend;
   std::string bytes;
   std::chrono::milliseconds wait{0};
@@ -34,6 +40,7 @@
 inline ScriptStep send_step(std::string bytes) { return {ScriptStep::Kind::kSend, std::move(bytes), {}}; }
 inline ScriptStep wait_step(std::chrono::milliseconds wait) { return {ScriptStep::Kind::kWait, "", wait}; }
 inline ScriptStep close_step() { return {ScriptStep::Kind::kClose, "", {}}; }
+inline ScriptStep crash_step() { return {ScriptStep::Kind::kCrash, "", {}}; }
 inline ScriptStep reset_step() { return {ScriptStep::Kind::kReset, "", {}}; }
 
 /// A whole answer with a length. `headers` are lines that end in CR LF.
@@ -50,6 +57,8 @@
 
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
   std::vector<SeenRequest> requests() const;
+  /// True once it has crashed.
+  bool crashed() const { return crashed_; }
   /// Connections that the other side has closed.
   size_t closed_by_peer() const { return closed_by_peer_; }
 
@@ -62,6 +71,7 @@
   int listener_ = -1;
   int port_ = 0;
   std::atomic<bool> stopping_{false};
+  std::atomic<bool> crashed_{false};
   std::atomic<size_t> closed_by_peer_{0};
   mutable std::mutex mutex_;
   std::vector<SeenRequest> requests_;
