Let the programs' clock go on while their machine is suspended

What callers could see: a router whose machine had slept went on honouring keys on a lease that had ended meanwhile; likewise permits, leaders' leases and confirmations. Cause: all times of the product come from the steady clock, which stands still while a machine is suspended. Ruled out: the wall clock, which steps. Change: monotonic_now(), the one source of time, reads the clock since the boot. Timers of event loops stay on the steady clock and come late by the suspension, as after a freeze; leases are compared with the time at each use, so they hold.

--- a/src/common/time.h
+++ b/src/common/time.h
@@ -2,6 +2,8 @@
 /// Nothing below the programs reads a clock; tests and the simulator pass their own time.
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 #include <cstdint>
 
@@ -39,9 +41,14 @@
 /// A span from fractional seconds.
 inline Duration from_seconds(double seconds) { return Duration(static_cast<int64_t>(seconds * 1e6)); }
 
-/// The machine's monotonic clock. Only event loops and programs call it.
+/// The machine's clock since its boot, which never steps and goes on while the machine is suspended: a lease
+/// that ended meanwhile has ended. Timers of event loops go by the steady clock, which stands still then, so
+/// they come late. Only event loops and programs call it.
 inline TimePoint monotonic_now() {
-  return std::chrono::duration_cast<TimePoint>(std::chrono::steady_clock::now().time_since_epoch());
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);  // fails only for a clock that the kernel does not have
+  return std::chrono::duration_cast<TimePoint>(std::chrono::seconds(now.tv_sec) +
+                                               std::chrono::nanoseconds(now.tv_nsec));
 }
 
 /// The wall clock, in milliseconds since 1970. It may step; only programs call it.
