Tell the log and the metrics for how long back ends want rest

What could not be seen: a request that a back end turned away left 'request not run' and the status 503; not whether the back end had named a rest, or for how long. Two hypotheses of the incident could not be told apart. Change: the header is read once into a typed reading, in the way that limits are: seconds, a decimal number; of several the longest; more than ten minutes counts as ten minutes; what is no number, negative or a date changes nothing and leaves a line. 'backend rests' and a counter tell each one.

--- a/src/dispatch/rate_limit_header.h
+++ b/src/dispatch/rate_limit_header.h
@@ -1,10 +1,7 @@
 /// What a back end says in an answer of the load that it takes.
 #pragma once
 
-#include <cstdint>
-#include <string>
-
-#include "src/http1/message.h"
+#include "src/dispatch/number_header.h"
 
 namespace stoat::dispatch {
 
@@ -13,20 +10,20 @@
 inline constexpr double kLeastRateLimit = 0.25;
 /// No back end takes more requests a second: a higher limit counts as this one.
 inline constexpr double kMostRateLimit = 1e6;
+/// A back end that asks for a longer rest, in seconds, is asked again after this one.
+inline constexpr double kLongestRest = 600;
 
-/// The limit that an answer names.
-struct RateLimitReading {
-  enum class Kind : uint8_t {
-    kNone,       ///< it names none
-    kNamed,      ///< see per_second
-    kUnreadable  ///< what is known of the back end's limit stays as it is
-  };
-  Kind kind = Kind::kNone;
-  double per_second = 0;  ///< requests a second from all routers together
-  std::string finding;    ///< what is wrong with it; empty: nothing
-};
+/// Requests a second that a back end takes from all routers together. Of several, the lowest counts.
+inline NumberReading read_rate_limit(const http1::Headers& headers, const std::string& name) {
+  return read_number(headers, name,
+                     {kLeastRateLimit, kMostRateLimit, false, "a number of requests a second",
+                      "more than any back end takes"});
+}
 
-/// Reads the header `name`. Of several, the lowest counts.
-RateLimitReading read_rate_limit(const http1::Headers& headers, const std::string& name);
+/// Seconds for which a back end that turned a request away wants nothing from this router. Of several, the
+/// longest counts.
+inline NumberReading read_rest(const http1::Headers& headers, const std::string& name) {
+  return read_number(headers, name, {0, kLongestRest, true, "a number of seconds", "longer than any rest"});
+}
 
 }  // namespace stoat::dispatch
--- a/src/dispatch/request_limits.cc
+++ b/src/dispatch/request_limits.cc
@@ -73,7 +73,7 @@
   }
   const std::string& backend = backend_->record.id;
   const TimePoint now = context_.loop.now();
-  const RateLimitReading reading = read_rate_limit(headers, context_.names.rate_limit);
+  const NumberReading reading = read_rate_limit(headers, context_.names.rate_limit);
   if (!reading.finding.empty()) {
     context_.metrics.count("stoat_router_limits_unreadable_total");
     if (context_.stories.take_lines(1, "limit unreadable", now)) {
@@ -81,9 +81,9 @@
     }
   }
   std::optional<admission::LimitChange> change;
-  if (reading.kind == RateLimitReading::Kind::kNamed) {
-    change = context_.limits.note_named(backend, reading.per_second, now);
-  } else if (reading.kind == RateLimitReading::Kind::kNone && kind_ != AnswerKind::kNotRun) {
+  if (reading.kind == NumberReading::Kind::kNamed) {
+    change = context_.limits.note_named(backend, reading.value, now);
+  } else if (reading.kind == NumberReading::Kind::kNone && kind_ != AnswerKind::kNotRun) {
     change = context_.limits.note_unnamed(backend, sent_at_);
   }
   if (change && context_.stories.take_lines(1, "limit changed", now)) {
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -231,6 +231,7 @@
     kind_ = AnswerKind::kWhole;
   }
   note_rate_limit(headers);
+  note_rest(headers);
 }
 
 void RequestRun::on_answer_body(std::string_view piece) {
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -294,6 +294,8 @@
   void spend_permit(const Backend& backend);
   /// Takes the limit that the answer's head names, or no longer names.
   void note_rate_limit(const http1::Headers& headers);
+  /// Takes for how long the back end that turned the request away wants rest.
+  void note_rest(const http1::Headers& headers);
   void forward_event(const delivery::StreamEvent& event);
   void finish_whole();
   void reply_own(int status, const char* reason, double retry_after_s);
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -72,6 +72,22 @@
   std::vector<LogField> fields() const { return {{"backend", backend}, {"finding", finding}}; }
 };
 
+/// A back end turned a request away, and wants nothing from this router for a while.
+struct BackendRests {
+  static constexpr const char* kSentence = "backend rests";
+  std::string backend;
+  int64_t rest_ms = 0;
+  std::vector<LogField> fields() const { return {{"backend", backend}, {"rest_ms", rest_ms}}; }
+};
+
+/// For how long a back end wants rest can't be read, or not in full.
+struct BackendRestUnreadable {
+  static constexpr const char* kSentence = "backend rest unreadable";
+  std::string backend;
+  std::string finding;
+  std::vector<LogField> fields() const { return {{"backend", backend}, {"finding", finding}}; }
+};
+
 /// What this router has sent to a back end with a limit since the last of these.
 struct LimitedBackendUsed {
   static constexpr const char* kSentence = "limited backend used";
--- a/tests/unit/rate_limit_header_test.cc
+++ b/tests/unit/rate_limit_header_test.cc
@@ -6,9 +6,9 @@
 namespace stoat::dispatch {
 namespace {
 
-using Kind = RateLimitReading::Kind;
+using Kind = NumberReading::Kind;
 
-RateLimitReading read(const std::vector<std::string>& values) {
+NumberReading read(const std::vector<std::string>& values) {
   http1::Headers headers;
   headers.add("X-Other", "7");
   for (const std::string& value : values) {
@@ -20,34 +20,34 @@
 TEST(RateLimitHeader, ReadsDecimalNumbers) {
   EXPECT_EQ(read({}).kind, Kind::kNone);
   EXPECT_EQ(read({"1.2"}).kind, Kind::kNamed);
-  EXPECT_DOUBLE_EQ(read({"1.2"}).per_second, 1.2);
-  EXPECT_DOUBLE_EQ(read({"40"}).per_second, 40);
+  EXPECT_DOUBLE_EQ(read({"1.2"}).value, 1.2);
+  EXPECT_DOUBLE_EQ(read({"40"}).value, 40);
   EXPECT_EQ(read({"40"}).finding, "");
 }
 
 TEST(RateLimitHeader, WhatIsNoNumberChangesNothing) {
   for (const char* value : {"", "fast", "1.2 ", "1,2", "-1", "nan", "inf", "1e3", "0x10", "--1"}) {
-    const RateLimitReading reading = read({value});
+    const NumberReading reading = read({value});
     EXPECT_EQ(reading.kind, Kind::kUnreadable) << value;
     EXPECT_NE(reading.finding.find(value), std::string::npos) << reading.finding;
   }
 }
 
 TEST(RateLimitHeader, NoLimitIsBelowWhatShowsItsEndNorAboveWhatAnyBackEndTakes) {
-  EXPECT_DOUBLE_EQ(read({"0"}).per_second, kLeastRateLimit);
+  EXPECT_DOUBLE_EQ(read({"0"}).value, kLeastRateLimit);
   EXPECT_EQ(read({"0"}).kind, Kind::kNamed);
-  const RateLimitReading huge = read({"99999999999999999999"});
-  EXPECT_DOUBLE_EQ(huge.per_second, kMostRateLimit);
+  const NumberReading huge = read({"99999999999999999999"});
+  EXPECT_DOUBLE_EQ(huge.value, kMostRateLimit);
   EXPECT_NE(huge.finding, "");
 }
 
 TEST(RateLimitHeader, OfSeveralTheLowestCounts) {
-  const RateLimitReading twice = read({"5", "2"});
-  EXPECT_DOUBLE_EQ(twice.per_second, 2);
+  const NumberReading twice = read({"5", "2"});
+  EXPECT_DOUBLE_EQ(twice.value, 2);
   EXPECT_NE(twice.finding.find("2 times"), std::string::npos) << twice.finding;
-  const RateLimitReading half = read({"x", "3"});
+  const NumberReading half = read({"x", "3"});
   EXPECT_EQ(half.kind, Kind::kNamed);
-  EXPECT_DOUBLE_EQ(half.per_second, 3);
+  EXPECT_DOUBLE_EQ(half.value, 3);
   EXPECT_EQ(read({"3", "x"}).kind, Kind::kNamed);
 }
 
