Send nothing to a back end that asked for rest until its rest has ended

What callers saw: refused by three engines at rest in a row, in some 10 ms, while others had room. Cause: a refusal that names a rest counted as nothing: the back end stayed usable, and having no work it looked better than all others to each next request. Evidence: 164 lines 'backend rests' in 5 s of the reproducing test, read rightly. Ruled out: a rest that was read and ended too soon. Change: a back end at rest is no candidate, and gets no copies, until the moment that it named and up to a tenth of the rest later, drawn, so that routers do not come back at once. One request goes ahead then; the others follow once it was taken. Where all rest, callers are told at once when the first wakes. The word holds between the back end and this router, as it was given; the outlier detector hears of no failure. Why it works: the one check stands where candidates are sorted, which every send passes, first ones and repeats; copies have their own, which uses the same.

--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "src/delivery/outlier_detector.h"
+#include "src/dispatch/backend_rest.h"
 #include "src/dispatch/engine_connection.h"
 #include "src/dispatch/service_ring.h"
 #include "src/fleet/backend_record.h"
@@ -43,6 +44,7 @@
   uint64_t others_prefill_tokens = 0;
   placement::ChainMemory memory;
   placement::EngineSpeed speed;
+  BackendRest rest;
   TimePoint heard{0};                       ///< when anything last came from it to this router
   std::shared_ptr<EngineConnection> probe;  ///< a connection under way that is to show whether it answers
   TimePoint probed{0};                      ///< when the last probe began
--- a/src/dispatch/request_candidates.cc
+++ b/src/dispatch/request_candidates.cc
@@ -60,6 +60,12 @@
       continue;
     }
     const bool sound = context_.pool.is_sound(*backend);
+    if (!backend->rest.may_send(backend->outstanding, now)) {
+      if (sound) {
+        candidates.resting.push_back(backend);
+      }
+      continue;
+    }
     // The limit holds for all routers together, which only the leader of control can see.
     if (!context_.limits.may_send(record.id, now)) {
       if (sound) {
--- a/src/dispatch/request_rest.cc
+++ b/src/dispatch/request_rest.cc
@@ -1,10 +1,19 @@
 /// RequestRun: back ends that want rest.
+#include <algorithm>
+
 #include "src/dispatch/rate_limit_header.h"
 #include "src/dispatch/request_run.h"
 #include "src/events/fleet_events.h"
 
 namespace stoat::dispatch {
 
+namespace {
+
+/// Routers that were given the same rest come back spread over this part of it.
+constexpr double kRestSpread = 0.1;
+
+}  // namespace
+
 void RequestRun::note_rest(const http1::Headers& headers) {
   if (kind_ != AnswerKind::kNotRun || head_.status != kUnavailable) {
     return;
@@ -22,10 +31,25 @@
     return;
   }
   const Duration rest = from_seconds(reading.value);
+  backend_->rest.begin(now + rest + from_seconds(reading.value * kRestSpread * context_.random.unit()));
   context_.metrics.count("stoat_router_rests_total");
   if (context_.stories.take_lines(1, "backend rests", now)) {
     context_.stories.log().event(events::BackendRests{backend, to_milliseconds(rest)});
   }
 }
 
+void RequestRun::wait_for_rest(const std::vector<BackendPtr>& resting) {
+  const TimePoint now = context_.loop.now();
+  TimePoint first = resting.front()->rest.until();
+  for (const BackendPtr& backend : resting) {
+    first = std::min(first, backend->rest.until());
+  }
+  if (now < wait_until_ && first <= wait_until_) {
+    wait_a_step();
+    return;
+  }
+  context_.metrics.count("stoat_router_rest_refusals_total", {{"route", plan_.route->name}});
+  reply_own(kUnavailable, "all back ends rest", to_seconds(return_after(std::max(Duration(0), first - now))));
+}
+
 }  // namespace stoat::dispatch
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -143,6 +143,10 @@
     wait_for_permit(limited, "back ends take no more requests now");
     return;
   }
+  if (ran_ == Ran::kNo && !found.resting.empty()) {
+    wait_for_rest(found.resting);
+    return;
+  }
   if (now >= wait_until_ || ran_ != Ran::kNo) {
     give_up("no back end");
     return;
@@ -232,6 +236,9 @@
   }
   note_rate_limit(headers);
   note_rest(headers);
+  if (kind_ == AnswerKind::kEvents || kind_ == AnswerKind::kWhole) {
+    backend_->rest.on_taken(context_.loop.now());
+  }
 }
 
 void RequestRun::on_answer_body(std::string_view piece) {
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -179,6 +179,7 @@
     std::vector<BackendPtr> usable;
     std::vector<BackendPtr> doubtful;  ///< may get it where nothing better is there
     std::vector<BackendPtr> limited;   ///< would be usable, but for their limit
+    std::vector<BackendPtr> resting;   ///< would be usable, but want rest
     const std::vector<BackendPtr>& to_send() const { return usable.empty() ? doubtful : usable; }
   };
   /// Looks at a cell of the service, and at more of it only while no back end of the cell has a free slot.
@@ -296,6 +297,8 @@
   void note_rate_limit(const http1::Headers& headers);
   /// Takes for how long the back end that turned the request away wants rest.
   void note_rest(const http1::Headers& headers);
+  /// Lets the request wait for the first of these to end its rest, or refuses it when that is too late.
+  void wait_for_rest(const std::vector<BackendPtr>& resting);
   void forward_event(const delivery::StreamEvent& event);
   void finish_whole();
   void reply_own(int status, const char* reason, double retry_after_s);
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -176,7 +176,8 @@
 }
 
 bool RequestRun::may_hold_copy(const Backend& backend) const {
-  return backend.record.state == fleet::BackendState::kReady && context_.pool.is_sound(backend);
+  return backend.record.state == fleet::BackendState::kReady && context_.pool.is_sound(backend) &&
+         backend.rest.may_send(backend.outstanding, context_.loop.now());
 }
 
 BackendPtr RequestRun::choose_backup(const Backend& target) const {
--- a/tests/unit/resting_backend_test.cc
+++ b/tests/unit/resting_backend_test.cc
@@ -103,5 +103,47 @@
   }
 }
 
+TEST_F(RestingBackendTest, WhereAllBackEndsRestCallersAreToldAtOnceWhenTheFirstWakes) {
+  constexpr milliseconds kRest{3000};
+  add_resting(3, "3", kRest);
+  size_t asked = 0;
+  ask_for(kOnTheWay, asked);
+  last_.clear();
+  const auto begin = Clock::now();
+  EXPECT_EQ(ask_for(milliseconds(1), asked), 0U);
+  EXPECT_LT(Clock::now() - begin, milliseconds(300));
+  ASSERT_NE(last_.find("Retry-After: "), std::string::npos);
+  const double told = std::stod(last_.substr(last_.find("Retry-After: ") + 13));
+  EXPECT_GT(told, 1.5);
+  EXPECT_LT(told, 4.5);
+  for (const RestingEngine& engine : resting_) {
+    EXPECT_EQ(engine.meanwhile(), 0U);
+  }
+}
+
+TEST_F(RestingBackendTest, ARestThatCannotBeReadLosesNoBackEnd) {
+  for (const char* rest : {"-5", "soon", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+    resting_.emplace_back(rest, milliseconds(300));
+    add_engine("odd" + std::to_string(resting_.size()), "calls", resting_.back().engine());
+  }
+  size_t asked = 0;
+  ask_for(milliseconds(800), asked);
+  const size_t before = asked;
+  const size_t served = ask_for(milliseconds(200), asked);
+  EXPECT_EQ(served, asked - before);
+}
+
+TEST(BackendRest, OneRequestGoesAheadOfTheOthersAfterARest) {
+  dispatch::BackendRest rest;
+  EXPECT_TRUE(rest.may_send(5, 1s));
+  rest.begin(3s);
+  EXPECT_FALSE(rest.may_send(0, 2s));
+  rest.on_taken(2s);  // an answer to a request that was sent before
+  EXPECT_TRUE(rest.may_send(0, 3s));
+  EXPECT_FALSE(rest.may_send(1, 3s));
+  rest.on_taken(4s);
+  EXPECT_TRUE(rest.may_send(9, 4s));
+}
+
 }  // namespace
 }  // namespace stoat
