Send nothing further to a back end that says in an answer that it leaves

What callers could see: requests cut by the end of a back end that had said in its answers that it was leaving, where no heartbeat had told it yet. Cause: routers passed the word on to callers like any other header. Change: the word of an answer of its own counts as a drain of that incarnation, at this router at once and for good; heartbeats tell the others, as before.

--- a/src/dispatch/request_protocol.h
+++ b/src/dispatch/request_protocol.h
@@ -35,6 +35,8 @@
   std::string weights_version = "X-Weights-Version";  ///< of the weights that made the answer
   /// Requests a second that a back end takes from all routers together, for as long as its answers say so.
   std::string rate_limit = "X-Rate-Limit";
+  /// Set to 1 in each answer of a back end that is about to end: it wants no further requests.
+  std::string leaving = "X-Leaving";
   /// Seconds for which a back end that turns a request away with 503 wants nothing from this router.
   std::string rest = "Retry-After";
 };
--- a/src/dispatch/request_rest.cc
+++ b/src/dispatch/request_rest.cc
@@ -1,4 +1,4 @@
-/// RequestRun: back ends that want rest.
+/// RequestRun: back ends that want rest, or are leaving.
 #include <algorithm>
 
 #include "src/dispatch/rate_limit_header.h"
@@ -38,6 +38,20 @@
   }
 }
 
+void RequestRun::note_leaving(const http1::Headers& headers) {
+  const std::string* leaving = headers.find(context_.names.leaving);
+  const bool own_word = head_.status != kMisdirected && kind_ != AnswerKind::kFailure;
+  if (leaving == nullptr || *leaving != "1" || !own_word ||
+      backend_->record.state != fleet::BackendState::kReady) {
+    return;
+  }
+  const std::string& backend = backend_->record.id;
+  context_.pool.retire({{backend, fleet::BackendState::kDraining}});
+  if (context_.stories.take_lines(1, "backend leaving", context_.loop.now())) {
+    context_.stories.log().event(events::BackendLeaving{backend});
+  }
+}
+
 void RequestRun::wait_for_rest(const std::vector<BackendPtr>& resting) {
   const TimePoint now = context_.loop.now();
   TimePoint first = resting.front()->rest.until();
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -236,6 +236,7 @@
   }
   note_rate_limit(headers);
   note_rest(headers);
+  note_leaving(headers);
   if (kind_ == AnswerKind::kEvents || kind_ == AnswerKind::kWhole) {
     backend_->rest.on_taken(context_.loop.now());
   }
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -295,6 +295,8 @@
   void spend_permit(const Backend& backend);
   /// Takes the limit that the answer's head names, or no longer names.
   void note_rate_limit(const http1::Headers& headers);
+  /// Takes the word of the back end that it is leaving.
+  void note_leaving(const http1::Headers& headers);
   /// Takes for how long the back end that turned the request away wants rest.
   void note_rest(const http1::Headers& headers);
   /// Lets the request wait for the first of these to end its rest, or refuses it when that is too late.
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -80,6 +80,13 @@
   std::vector<LogField> fields() const { return {{"backend", backend}, {"rest_ms", rest_ms}}; }
 };
 
+/// A back end says in an answer that it is about to end: it gets no further requests from this router.
+struct BackendLeaving {
+  static constexpr const char* kSentence = "backend leaving";
+  std::string backend;
+  std::vector<LogField> fields() const { return {{"backend", backend}}; }
+};
+
 /// For how long a back end wants rest can't be read, or not in full.
 struct BackendRestUnreadable {
   static constexpr const char* kSentence = "backend rest unreadable";
--- a/standins/backend_server.cc
+++ b/standins/backend_server.cc
@@ -76,6 +76,8 @@
   settings.software = reader.text("software", "");
   settings.fails_each = static_cast<uint32_t>(reader.integer("fails_each", 0, 0, 1000000));
   settings.rate_limit = reader.number("rate_limit", 0, 0, 1e6);
+  settings.rest_s = reader.number("rest_s", 0, 0, 600);
+  settings.crash_on = reader.text("crash_on", "");
   settings.runs_file = reader.text("runs_file", "");
   return settings;
 }
@@ -112,6 +114,9 @@
   if (settings_.rate_limit > 0) {
     headers.push_back({names_.rate_limit, std::to_string(settings_.rate_limit)});
   }
+  if (stopping_) {
+    headers.push_back({names_.leaving, "1"});
+  }
   return headers;
 }
 
@@ -124,6 +129,9 @@
   }
   std::vector<http::Header> headers = answer_headers(*exchange);
   headers.push_back({names_.not_run, "1"});
+  if (!misdirected && settings_.rest_s > 0) {
+    headers.push_back({names_.rest, std::to_string(settings_.rest_s)});
+  }
   exchange->reply(misdirected ? kMisdirected : kUnavailable, "text/plain", "not run\n", headers);
   return true;
 }
@@ -140,6 +148,11 @@
   }
   ++running_;
   note_run(exchange->header(names_.request_id));
+  if (!settings_.crash_on.empty() && exchange->body().find(settings_.crash_on) != std::string::npos) {
+    log_.error("crashes under a request", {{"request", exchange->header(names_.request_id)}});
+    flush_logs();
+    std::abort();
+  }
   if (settings_.model.empty()) {
     run_call(exchange);
   } else {
--- a/standins/backend_server.h
+++ b/standins/backend_server.h
@@ -35,6 +35,8 @@
   std::string software;               ///< version of its program, as it tells control; empty: not told
   uint32_t fails_each = 0;            ///< of a plain service: each so many calls fail; 0: none
   double rate_limit = 0;              ///< requests a second that it names in its answers; 0: it names none
+  double rest_s = 0;     ///< rest that it asks for when it turns a request away, in seconds; 0: none
+  std::string crash_on;  ///< it crashes under a request whose body contains this; empty: under none
   /// The id of each request that begins to run is added to this file, which outlives the process; empty:
   /// none.
   std::string runs_file;
--- a/tests/unit/resting_backend_test.cc
+++ b/tests/unit/resting_backend_test.cc
@@ -1,4 +1,4 @@
-/// Back ends that turn requests away and name for how long they want nothing.
+/// Back ends that name in their answers for how long they want nothing, or that they leave.
 #include <deque>
 
 #include "tests/support/small_fleet.h"
@@ -133,6 +133,19 @@
   EXPECT_EQ(served, asked - before);
 }
 
+TEST_F(RestingBackendTest, ABackEndThatSaysInAnAnswerThatItLeavesGetsNoFurtherRequests) {
+  ScriptedEngine leaving([](const SeenRequest& seen) -> Script {
+    return {send_step(whole_answer(200, test::own_headers(seen) + "X-Leaving: 1\r\n", "body"))};
+  });
+  ScriptedEngine other([](const SeenRequest& seen) { return test::succeed(seen); });
+  add_engine("leaving", "calls", leaving);
+  add_engine("other", "calls", other);
+  size_t asked = 0;
+  const size_t served = ask_for(milliseconds(1500), asked);  // with heartbeats that say nothing of it
+  EXPECT_EQ(served, asked);
+  EXPECT_LE(leaving.requests().size(), 1U);
+}
+
 TEST(BackendRest, OneRequestGoesAheadOfTheOthersAfterARest) {
   dispatch::BackendRest rest;
   EXPECT_TRUE(rest.may_send(5, 1s));
