--- /dev/null
+++ b/tests/process/crashing_request_test.cc
@@ -0,0 +1,59 @@
+/// Real processes: three routers, and back ends that crash under one request, while the leader of control is
+/// killed.
+#include "src/http/blocking.h"
+#include "tests/process/served_programs.h"
+
+namespace stoat::tools {
+namespace {
+
+class CrashingRequestProcessTest : public ServedPrograms {
+ protected:
+  void SetUp() override {
+    options_.routers = 3;
+    options_.services = 6;
+    options_.crash_on = "crash";
+    ServedPrograms::SetUp();
+  }
+  /// Sends a request that may run once to one of the routers in turn, and gives the status of its answer.
+  int send_call(size_t number, const std::string& body) {
+    const LoadTarget target = fleet_->target();
+    const dispatch::HeaderNames names;
+    http::ClientRequest request;
+    request.endpoint = target.routers[number % target.routers.size()];
+    request.method = "POST";
+    request.path = "/order/";
+    request.headers = {{"Host", target.host},
+                       {names.request_id, body + std::to_string(number)},
+                       {names.credential, names.credential_scheme + " " + target.key}};
+    request.body = body;
+    return http::fetch(request).status;
+  }
+};
+
+TEST_F(CrashingRequestProcessTest, FewBackEndsCrashUnderOneRequestThroughAChangeOfLeader) {
+  constexpr int kUnavailable = 503;
+  constexpr size_t kMostCrashes = 3;
+  const std::string leader = fleet_->leader();
+  int last = 0;
+  for (size_t number = 0; number < 24; ++number) {
+    last = send_call(number, "crash");
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    if (number == 1) {
+      processes_->kill(leader);
+    }
+    if (number == 4) {
+      processes_->start(leader);
+    }
+  }
+  EXPECT_EQ(last, kUnavailable);
+  EXPECT_EQ(fleet_->runs().size(), kMostCrashes);
+  constexpr size_t kOthers = 12;
+  size_t served = 0;
+  for (size_t number = 0; number < kOthers; ++number) {
+    served += send_call(number, "sound") == 200 ? 1 : 0;
+  }
+  EXPECT_EQ(served, kOthers);
+}
+
+}  // namespace
+}  // namespace stoat::tools
--- a/tools/served_fleet.cc
+++ b/tools/served_fleet.cc
@@ -105,6 +105,9 @@
     settings.push_back("token_ms=10");
     settings.push_back("prefill_us_per_token=30");
   }
+  if (!engine && !options_.crash_on.empty()) {
+    settings.push_back(setting("crash_on", options_.crash_on));
+  }
   if (rate_limit > 0) {
     settings.push_back("rate_limit=" + std::to_string(rate_limit));
   }
--- a/tools/served_fleet.h
+++ b/tools/served_fleet.h
@@ -23,6 +23,7 @@
   std::string software;           ///< version of the plain service's program; empty: not told
   uint32_t limited_services = 0;  ///< the first so many back ends of the plain service name a limit
   double rate_limit = 0;          ///< in requests a second
+  std::string crash_on;           ///< plain services crash under bodies that contain this; empty: under none
 };
 
 /// See the head of this file. Names: control-1, router-1, engine-1, service-1 and so on.
