Take only a refused connection for the sign of a crash

Callers could have seen their request held back for what an overloaded back end did: it resets new connections while its queue is long, and that counted like a refusal. Change: a reset is no refusal. All tests of crashes and of dead engines pass as before.

--- a/src/dispatch/engine_connection.cc
+++ b/src/dispatch/engine_connection.cc
@@ -114,7 +114,7 @@
   }
   const int error = EVUTIL_SOCKET_ERROR();
   const bool silent = error == ETIMEDOUT;
-  refused_ = !connected_ && (events & BEV_EVENT_ERROR) != 0 && (error == ECONNREFUSED || error == ECONNRESET);
+  refused_ = !connected_ && (events & BEV_EVENT_ERROR) != 0 && error == ECONNREFUSED;
   if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
     const auto keep = shared_from_this();
     read();
