Keep one copy of delayed messages in tests, and of runs over seeds

The simulated fleets of permits and of quotas had the same lines for messages on their way, and the two programs that look for faults the same loop over seeds.

--- a/tests/support/permit_fleet.h
+++ b/tests/support/permit_fleet.h
@@ -13,6 +13,7 @@
 #include "src/admission/backend_limits.h"
 #include "src/admission/permit_book.h"
 #include "src/common/random.h"
+#include "tests/support/delayed_actions.h"
 
 namespace stoat::test {
 
@@ -86,16 +87,12 @@
   void later(std::function<void()> action) {
     if (!random_.chance(options_.loss)) {
       const Duration delay = Duration(random_.between(1000, options_.most_delay.count()));
-      in_flight_.emplace(now_ + delay, std::move(action));
+      in_flight_.add(now_ + delay, std::move(action));
     }
   }
   void step() {
     now_ += kStep;
-    while (!in_flight_.empty() && in_flight_.begin()->first <= now_) {
-      const auto action = std::move(in_flight_.begin()->second);
-      in_flight_.erase(in_flight_.begin());
-      action();
-    }
+    in_flight_.run_due(now_);
     for (size_t index = 0; index < routers_.size(); ++index) {
       if (now_ >= routers_[index].frozen_until) {
         serve(index);
@@ -151,7 +148,7 @@
   TimePoint now_{1s};
   std::vector<Leader> leaders_;
   std::vector<Router> routers_;
-  std::multimap<TimePoint, std::function<void()>> in_flight_;
+  DelayedActions in_flight_;
   std::deque<TimePoint> sends_;  ///< of the last window
   size_t most_ = 0;
   size_t total_ = 0;
--- a/tests/support/quota_fleet.h
+++ b/tests/support/quota_fleet.h
@@ -14,6 +14,7 @@
 #include "src/admission/quota_book.h"
 #include "src/admission/quota_gate.h"
 #include "src/common/random.h"
+#include "tests/support/delayed_actions.h"
 
 namespace stoat::test {
 
@@ -159,17 +160,13 @@
   }
   void later(std::function<void()> action) {
     if (!random_.chance(loss_)) {
-      in_flight_.emplace(now_ + options_.delay, std::move(action));
+      in_flight_.add(now_ + options_.delay, std::move(action));
     }
   }
 
   void step() {
     now_ += kStep;
-    while (!in_flight_.empty() && in_flight_.begin()->first <= now_) {
-      const auto action = std::move(in_flight_.begin()->second);
-      in_flight_.erase(in_flight_.begin());
-      action();
-    }
+    in_flight_.run_due(now_);
     const int64_t tick = now_ / kStep;
     for (size_t index = 0; index < routers_.size(); ++index) {
       if ((tick + static_cast<int64_t>(index)) % 10 == 0) {
@@ -279,7 +276,7 @@
       taken_[index] = batch->number;
       Member* target = members_[member].get();
       const uint64_t start = target->book.start_id();
-      in_flight_.emplace(now_ + options_.delay, [this, member, start, batch] {
+      in_flight_.add(now_ + options_.delay, [this, member, start, batch] {
         if (members_[member]->book.start_id() == start) {
           members_[member]->book.on_router(batch->spending, now_);
         }
@@ -347,7 +344,7 @@
   uint64_t starts_ = 0;
   std::vector<std::unique_ptr<Member>> members_;
   std::vector<std::unique_ptr<Router>> routers_;
-  std::multimap<TimePoint, std::function<void()>> in_flight_;
+  DelayedActions in_flight_;
   std::map<std::pair<size_t, size_t>, uint64_t> known_starts_;
   std::map<size_t, uint64_t> taken_;
   size_t only_router_ = SIZE_MAX;
--- a/tools/chaos_main.cc
+++ b/tools/chaos_main.cc
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "simulation/seed_runs.h"
 #include "src/common/command_line.h"
 #include "tools/fault_plan.h"
 #include "tools/served_fleet.h"
@@ -184,12 +185,8 @@
 }
 
 int run(const ChaosSettings& settings) {
-  uint64_t failed = 0;
-  for (uint64_t seed = settings.first_seed; seed < settings.first_seed + settings.seeds; ++seed) {
-    failed += run_seed(settings, seed) ? 0 : 1;
-  }
-  std::cout << settings.seeds << " seeds, " << failed << " failed\n";
-  return failed == 0 ? 0 : 1;
+  return run_seeds(settings.first_seed, settings.seeds,
+                   [&settings](uint64_t seed) { return run_seed(settings, seed); });
 }
 
 }  // namespace
