Notice a back end that still took a connection while it crashed

What callers could have seen: one more back end lost under a request that crashes them. Evidence for the gap: a back end that breaks a request off 20 ms before nothing listens any more is not noted at all; three of them, and the request is sent on. Seen to fail before. Change: a check whose connection is made and lost at once is repeated after 50 ms, three times at most, before it tells anything.

--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -14,6 +14,9 @@
 /// A connection is made within some milliseconds, or its opening packet is lost: then the next one would be
 /// sent after a second.
 constexpr Duration kProbeTime = 300ms;
+/// After a connection that was lost at once, the next one is tried so much later, and so often at most.
+constexpr Duration kCheckPause = 50ms;
+constexpr uint32_t kMostLostChecks = 3;
 
 }  // namespace
 
@@ -213,10 +216,25 @@
     end_probe(backend);  // it says nothing of what came after
   }
   if (backend->probe == nullptr) {
+    backend->lost_checks = 0;
     start_probe(backend);
   }
 }
 
+bool BackendPool::checks_again(const BackendPtr& backend, const EngineConnection& probe) {
+  if (backend->broken.empty() || !probe.connected() || ++backend->lost_checks > kMostLostChecks) {
+    return false;
+  }
+  const std::weak_ptr<Backend> weak = backend;
+  loop_.after(kCheckPause, [this, weak] {
+    const BackendPtr checked = weak.lock();
+    if (checked != nullptr && checked->probe == nullptr) {
+      start_probe(checked);
+    }
+  });
+  return true;
+}
+
 void BackendPool::start_probe(const BackendPtr& backend) {
   backend->probed = loop_.now();
   const std::weak_ptr<Backend> weak = backend;
@@ -249,6 +267,10 @@
     on_probe_ended_(backend, ProbeResult::kReached);
     return;
   }
+  if (checks_again(backend, *connection)) {
+    discard(backend, connection);
+    return;
+  }
   backend->unreachable = backend->probed;
   const bool refused = connection->refused();
   discard(backend, connection);
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -50,6 +50,7 @@
   TimePoint probed{0};                      ///< when the last probe began
   TimePoint unreachable{0};                 ///< when the last probe that failed began
   std::vector<uint64_t> broken = {};        ///< fingerprints of requests that broke off since the last check
+  uint32_t lost_checks = 0;                 ///< connections of the present check that were lost at once
 
   bool has_free_slot() const {
     return record.slots == 0 ||  // not told
@@ -132,6 +133,9 @@
   /// A connection that no request uses has died.
   void on_unusable(const std::weak_ptr<Backend>& weak, EngineConnection* connection);
   void start_probe(const BackendPtr& backend);
+  /// True when the probe that has ended is followed by another: its connection was made and lost at once, as
+  /// at a process that is about to be gone.
+  bool checks_again(const BackendPtr& backend, const EngineConnection& probe);
   void end_probe(const BackendPtr& backend);
 
   EventLoop& loop_;
--- a/standins/scripted_engine.cc
+++ b/standins/scripted_engine.cc
@@ -81,6 +81,12 @@
   ::close(listener_);
 }
 
+void ScriptedEngine::crash() {
+  ::shutdown(listener_, SHUT_RDWR);
+  crashed_ = true;
+  stopping_ = true;
+}
+
 std::vector<SeenRequest> ScriptedEngine::requests() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return requests_;
@@ -164,9 +170,7 @@
         return false;
       }
       case ScriptStep::Kind::kCrash:
-        ::shutdown(listener_, SHUT_RDWR);
-        crashed_ = true;
-        stopping_ = true;
+        crash();
         return false;
       case ScriptStep::Kind::kClose:
         return false;
--- a/standins/scripted_engine.h
+++ b/standins/scripted_engine.h
@@ -57,6 +57,8 @@
 
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
   std::vector<SeenRequest> requests() const;
+  /// Ends as a whole: nothing listens any more, and all connections break off.
+  void crash();
   /// True once it has crashed.
   bool crashed() const { return crashed_; }
   /// Connections that the other side has closed.
--- a/tests/unit/crashing_request_test.cc
+++ b/tests/unit/crashing_request_test.cc
@@ -105,6 +105,27 @@
   }
 }
 
+TEST_F(CrashingRequestTest, ABackEndThatBreaksRequestsOffAMomentBeforeItIsGoneCountsAsCrashed) {
+  constexpr milliseconds kMoment{20};
+  std::deque<ScriptedEngine> engines;
+  for (auto& engine : engines_) {
+    engine.reset();
+  }
+  records_.clear();
+  for (size_t number = 0; number < kThirdCrash; ++number) {
+    engines.emplace_back([](const SeenRequest&) -> Script { return {standins::reset_step()}; });
+    add_engine("late" + std::to_string(number), "calls", engines.back());
+    for (size_t tries = 0; tries < 60 && engines.back().requests().empty(); ++tries) {
+      send_to_router(0, "once" + std::to_string(number) + "-" + std::to_string(tries), kCrashing);
+    }
+    std::this_thread::sleep_for(kMoment);
+    engines.back().crash();
+    std::this_thread::sleep_for(milliseconds(400));
+  }
+  const std::string answer = send_to_router(0, "after", kCrashing);
+  EXPECT_NE(answer.find("back ends crashed under the request"), std::string::npos) << answer;
+}
+
 TEST_F(CrashingRequestTest, ARequestWhoseConnectionsBreakIsNotTakenForOneThatCrashesBackEnds) {
   for (auto& engine : engines_) {
     engine.reset();
