Close connection sockets immediately, even with pending callbacks

Symptom: a control member that restarted after losing its disk remained a learner and never showed an acknowledged order. The leader listed it and sent the log (82 kB in 9 s) on a connection that nothing read. The member received nothing from a leader and kept asking to join. This occurs only when members run inside one process, as in the tests, because the end of a process closes its sockets.

Cause: Channel::close() called bufferevent_free(), which closes the socket from the event loop. If a deferred callback of the connection was pending and the loop did not run again, the socket stayed open. The leader's connection had been accepted by the previous instance of the member and remained established.

In such a run, /proc/net/tcp showed an established connection on the member's port with 22 kB unread.

Fix: http::close_connection() detaches the socket from the bufferevent and closes it before freeing the bufferevent. Engine and caller connections had the same fault and now use it too.

Before the fix, the new test fails because the peer's read times out. With the fix, it passes.

--- a/src/dispatch/engine_connection.cc
+++ b/src/dispatch/engine_connection.cc
@@ -100,7 +100,7 @@
 
 void EngineConnection::close() {
   if (connection_ != nullptr) {
-    bufferevent_free(connection_);
+    http::close_connection(connection_);
     connection_ = nullptr;
   }
   listener_ = nullptr;
--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -62,7 +62,7 @@
 
 CallerConnection::~CallerConnection() {
   if (connection_ != nullptr) {
-    bufferevent_free(connection_);
+    http::close_connection(connection_);
   }
   event_free(timer_);
 }
@@ -173,7 +173,7 @@
     return;
   }
   const auto keep = shared_from_this();
-  bufferevent_free(connection_);
+  http::close_connection(connection_);
   connection_ = nullptr;
   event_del(timer_);
   const bool open = phase_ == Phase::kAnswer;
--- a/src/http/socket_options.cc
+++ b/src/http/socket_options.cc
@@ -61,6 +61,15 @@
   return connection;
 }
 
+void close_connection(bufferevent* connection) {
+  const evutil_socket_t descriptor = bufferevent_getfd(connection);
+  if (descriptor >= 0) {
+    bufferevent_setfd(connection, -1);
+    evutil_closesocket(descriptor);
+  }
+  bufferevent_free(connection);
+}
+
 void send_without_delay(evhttp_connection* connection) {
   send_without_delay(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)));
 }
--- a/src/http/socket_options.h
+++ b/src/http/socket_options.h
@@ -14,6 +14,9 @@
 /// acknowledged, which takes up to 40 ms.
 void send_without_delay(int socket);
 
+/// Overload for the socket of an HTTP connection.
+void send_without_delay(evhttp_connection* connection);
+
 /// Closes a connection, or gives up making it, once what was sent has gone unacknowledged for so long.
 void limit_silence(int socket, Duration limit);
 
@@ -25,7 +28,9 @@
 /// Its callbacks are deferred. nullptr when the endpoint is malformed or no socket is to be had.
 bufferevent* connect_to(event_base* base, const Endpoint& endpoint, Duration silence_limit);
 
-/// The same for the socket of an HTTP connection.
-void send_without_delay(evhttp_connection* connection);
+/// Closes the socket of a bufferevent immediately and frees the bufferevent. bufferevent_free() alone defers
+/// closing the socket to the event loop. If a deferred callback is pending and the loop does not run again,
+/// the socket stays open and the peer keeps sending to it.
+void close_connection(bufferevent* connection);
 
 }  // namespace stoat::http
--- a/src/wire/channel.cc
+++ b/src/wire/channel.cc
@@ -64,7 +64,7 @@
 
 Channel::~Channel() {
   if (connection_ != nullptr) {
-    bufferevent_free(connection_);
+    http::close_connection(connection_);
   }
 }
 
@@ -95,7 +95,7 @@
   if (connection_ == nullptr) {
     return;
   }
-  bufferevent_free(connection_);
+  http::close_connection(connection_);
   connection_ = nullptr;
   on_message_ = nullptr;
   on_closed_ = nullptr;
--- a/tests/unit/channel_test.cc
+++ b/tests/unit/channel_test.cc
@@ -27,6 +27,13 @@
   SilentListener(const SilentListener&) = delete;
   SilentListener& operator=(const SilentListener&) = delete;
   const Endpoint& endpoint() const { return endpoint_; }
+  /// Accepts a connection and sets its receive timeout. Returns its socket, or -1 on failure.
+  int accept_connection(std::chrono::seconds receive_timeout) const {
+    const int accepted = ::accept(socket_, nullptr, nullptr);
+    const timeval timeout{receive_timeout.count(), 0};
+    setsockopt(accepted, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+    return accepted;
+  }
 
  private:
   int socket_;
@@ -70,5 +77,34 @@
   channel->close();
 }
 
+// Guards against a closed channel's socket staying open when the event loop does not run again.
+TEST(ChannelTest, ClosingAChannelWithAPendingCallbackClosesItsSocketWithoutRunningTheLoop) {
+  const SilentListener listener;
+  int peer = -1;
+  {
+    EventLoop loop;
+    const auto channel = Channel::connect(
+        loop, listener.endpoint(), [](const std::shared_ptr<Channel>&, const Message&) {},
+        [](const std::shared_ptr<Channel>&) {});
+    loop.after(50ms, [&] { loop.stop(); });
+    loop.run();
+    peer = listener.accept_connection(1s);
+    ASSERT_GE(peer, 0);
+    while (channel->unsent_bytes() <= kMaxUnsentBytes) {
+      channel->send(large_piece());
+    }
+    channel->send(large_piece());  // exceeds the limit and schedules a deferred error callback
+    channel->close();
+  }
+  ssize_t received = 0;
+  std::vector<char> bytes(kPieceBytes);
+  do {
+    received = ::recv(peer, bytes.data(), bytes.size(), 0);
+  } while (received > 0);
+  const bool timed_out = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  EXPECT_FALSE(timed_out) << "the peer's connection is still open";
+  ::close(peer);
+}
+
 }  // namespace
 }  // namespace stoat::wire
