Drop join requests once they have been granted

Each change is a log entry on every disk and competes with commands and reads.

Cause: the leader kept a join request for 1.5 s after granting it. When the requesting member was then replaced and removed from the list, its old identity was added again as a learner, removed because another member has its address, and added again.

Evidence: seen in a log of members running in one process.

Fix: ControlCore drops join requests of members that are already listed. A member that has not yet been told of its admission sends its request again.

--- a/simulation/control_simulation.cc
+++ b/simulation/control_simulation.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "src/common/hash.h"
+
 namespace stoat::simulation {
 
 namespace {
@@ -9,6 +11,7 @@
 constexpr Duration kCallRetry = 300ms;
 constexpr Duration kCallLimit = 4s;
 constexpr Duration kRefusedRetry = 50ms;
+constexpr Duration kJoinInterval = 150ms;
 
 control::ControlOptions member_options(const ControlSimulationOptions& options) {
   control::ControlOptions member;
@@ -41,10 +44,14 @@
     };
     members_.push_back(std::make_unique<SimulatedMember>(events_, name, member_options(options),
                                                          random_.bits(), send_from, answer_from));
-    founders.members.push_back({random_.bits() | 1U, name, name, true});
+    if (options.founders == 0 || position < options.founders) {
+      founders.members.push_back({random_.bits() | 1U, name, name, true});
+    }
   }
   for (size_t position = 0; position < members_.size(); ++position) {
-    members_[position]->found(founders.members[position].id, founders);
+    if (position < founders.members.size()) {
+      members_[position]->found(founders.members[position].id, founders);
+    }
     members_[position]->start();
   }
   checked_.resize(members_.size());
@@ -230,11 +237,15 @@
 }
 
 void ControlSimulation::announce_joins() {
+  if (events_.now() < next_join_requests_) {
+    return;
+  }
+  next_join_requests_ = events_.now() + kJoinInterval;
   for (auto& member : members_) {
     if (!member->running() || member->frozen() || !member->core().wants_to_join()) {
       continue;
     }
-    const wire::JoinRequest request{{member->id(), member->name(), member->name(), false}};
+    const wire::JoinRequest request{{member->id(), to_hex(member->id()), member->name(), false}};
     for (auto& other : members_) {
       if (other != member) {
         network_.send(member->name(), other->name(), [&other, request] {
--- a/simulation/control_simulation.h
+++ b/simulation/control_simulation.h
@@ -16,6 +16,7 @@
 struct ControlSimulationOptions {
   uint64_t seed = 1;
   uint32_t voters = 3;
+  uint32_t founders = 0;  ///< initial members; the others start with empty disks and join. 0: all voters
   Duration duration{20s};
   bool random_faults = true;
   bool client_load = true;
@@ -128,6 +129,7 @@
   std::vector<std::unique_ptr<SimulatedMember>> members_;
   std::map<uint64_t, Call> calls_;
   std::map<uint64_t, Acknowledged> reads_;  ///< what each must show, by token
+  TimePoint next_join_requests_{0};         ///< when members may next send join requests
   uint64_t last_token_ = 0;
   uint64_t last_document_ = 0;
   std::vector<fleet::PutConfiguration> sent_configurations_;  ///< for resends
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -40,11 +40,14 @@
     view.silence = self ? Duration(0) : now - replica_.last_answer_of(member.id);
     views.push_back(view);
   }
+  // Drops requests of listed members: a stale request would re-add a member after its removal.
+  std::erase_if(joining_, [&](const auto& entry) {
+    const PendingJoin& request = entry.second;
+    return is_listed(request.member.id) || now - request.received >= options_.planner.joining_lease;
+  });
   std::vector<consensus::Member> joining;
-  for (const auto& [name, member] : joining_) {
-    if (now - joining_heard_[name] < options_.planner.joining_lease) {
-      joining.push_back(member);
-    }
+  for (const auto& [name, request] : joining_) {
+    joining.push_back(request.member);
   }
   if (const auto list = plan_members(views, joining, options_.target_voters, options_.planner)) {
     replica_.propose_members(*list, now);
@@ -158,25 +161,21 @@
   return "";
 }
 
-bool ControlCore::wants_to_join() const {
+bool ControlCore::wants_to_join() const { return !is_listed(replica_.id()) || replica_.leader() == 0; }
+
+bool ControlCore::is_listed(consensus::MemberId id) const {
   const auto& members = replica_.members().members;
-  const bool listed = std::any_of(members.begin(), members.end(), [this](const consensus::Member& member) {
-    return member.id == replica_.id();
-  });
-  return !listed || replica_.leader() == 0;
+  return std::any_of(members.begin(), members.end(),
+                     [id](const consensus::Member& member) { return member.id == id; });
 }
 
 void ControlCore::on_join(const wire::JoinRequest& request, TimePoint now) {
   const consensus::Member& member = request.member;
-  const auto& members = replica_.members().members;
-  const bool known = std::any_of(members.begin(), members.end(),
-                                 [&](const consensus::Member& other) { return other.id == member.id; });
-  if (known) {
+  if (is_listed(member.id)) {
     joining_.erase(member.name);
     return;
   }
-  joining_[member.name] = member;
-  joining_heard_[member.name] = now;
+  joining_[member.name] = {member, now};
 }
 
 }  // namespace stoat::control
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -75,7 +75,13 @@
     uint64_t token = 0;
     uint64_t term = 0;
   };
+  struct PendingJoin {
+    consensus::Member member;
+    TimePoint received{0};  ///< time of the latest request
+  };
   void apply(const consensus::Entry& entry);
+  /// Whether the current member list contains the id.
+  bool is_listed(consensus::MemberId id) const;
   void fail_waiting(wire::CallStatus status);
   void keep_members(TimePoint now);
 
@@ -88,8 +94,7 @@
   std::map<uint64_t, uint64_t> waiting_reads_;  ///< read id to token
   uint64_t last_read_id_ = 0;
   std::vector<CallAnswer> answers_;
-  std::map<std::string, consensus::Member> joining_;
-  std::map<std::string, TimePoint> joining_heard_;  ///< by name
+  std::map<std::string, PendingJoin> joining_;  ///< by member name
 };
 
 }  // namespace stoat::control
--- a/tests/simulation/control_scenarios_test.cc
+++ b/tests/simulation/control_scenarios_test.cc
@@ -294,5 +294,50 @@
       << "without waiting for an election timeout";
 }
 
+/// Member ids from the leader's member list; empty if there is no leader.
+struct Membership {
+  std::vector<consensus::MemberId> voters;
+  std::vector<consensus::MemberId> learners;
+  bool operator==(const Membership&) const = default;
+};
+
+Membership leader_membership(ControlSimulation& simulation) {
+  Membership membership;
+  const int leader = simulation.leader();
+  if (leader < 0) {
+    return membership;
+  }
+  const consensus::Replica& replica = simulation.member(static_cast<size_t>(leader)).core().replica();
+  for (const consensus::Member& member : replica.members().members) {
+    (member.voter ? membership.voters : membership.learners).push_back(member.id);
+  }
+  return membership;
+}
+
+// Guards against a stale join request that repeatedly re-adds the old identity of a replaced member.
+TEST(ControlGrowth, AMemberWipedRightAfterJoiningIsReplacedOnceAndItsOldIdentityIsNotReadmitted) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    ControlSimulationOptions options;
+    options.seed = seed;
+    options.random_faults = false;
+    options.client_load = false;
+    options.founders = 1;
+    ControlSimulation simulation(options);
+    ASSERT_TRUE(simulation.run_until([&] { return leader_membership(simulation).voters.size() == 3; }, 10s));
+    ASSERT_TRUE(simulation.put(1, "document"));
+    const size_t wiped = 1 + seed % 2;
+    simulation.member(wiped).wipe_disk();
+    simulation.member(wiped).start();
+    ASSERT_TRUE(simulation.wait_replaced(wiped)) << "seed " << seed;
+    const Membership after_replacement = leader_membership(simulation);
+    const auto changed = [&] {
+      const Membership current = leader_membership(simulation);
+      return !current.voters.empty() && current != after_replacement;
+    };
+    EXPECT_FALSE(simulation.run_until(changed, 3s)) << "seed " << seed << ": the member list changed again";
+    EXPECT_TRUE(simulation.violations().empty()) << simulation.violations().front();
+  }
+}
+
 }  // namespace
 }  // namespace stoat::simulation
