Count a broken exchange as a crash until the back end's outcome is known

Symptom: more than three back ends crash under one request, and all requests that run on them fail. The known failure is FewBackEndsCrashUnderOneRequestThroughAChangeOfLeader (4 crashes, once, under load).

Cause: a crash was detected only if a connection was refused within about 0.3 s of a broken exchange. If the check ended in any other way, all exchanges that had broken off were forgotten. This loses a crash in two cases: - The back end was already being probed because it was silent (a crash 0.9 s or more after the request arrived). The check took the end of that open probe for its own result and forgot the crash that it was to report. - The listener still accepts connections. Checking later would only have been a larger constant.

Change: a broken exchange counts as a crash at once, at all routers, until the outcome is known, for 6 s at most. By then control reports a silent back end as lost. - If the back end ended (refused, lost, or replaced without signing off), the crash stays counted. - If it survived (it begins to answer a request sent later), the exchange no longer counts. While the outcome is unknown, the router probes the back end 0.5 s after each probe or health check has ended, and where the connection is held it sends one request to the service's health path; any answer of the back end (any status but 421, which comes from another back end at its address) shows that it survived. What is sent in the meantime therefore does not depend on how long a check takes. The log and stoat_router_backend_crashes_total report by which sign a crash was detected.

Cost: a request that broke off at two back ends whose outcome is unknown is sent only with a permit; at three it is refused with the time left.

--- a/src/admission/crash_book.cc
+++ b/src/admission/crash_book.cc
@@ -20,6 +20,8 @@
 /// A request is forgotten so long after its last crash: while it is known, one more crash quarantines it
 /// anew.
 constexpr Duration kMemory = 2 * kLongestQuarantine;
+/// Applies instead of kMemory to requests without a confirmed crash.
+constexpr Duration kUnconfirmedMemory = 2 * kUnconfirmedCrashTimeout;
 
 }  // namespace
 
@@ -37,31 +39,52 @@
   return "unknown";
 }
 
+CrashBook::Evidence CrashBook::evidence_of(const fleet::CrashNotice& notice) {
+  if (notice.unconfirmed) {
+    return notice.acquitted ? Evidence::kSurvived : Evidence::kUnconfirmed;
+  }
+  return notice.acquitted ? Evidence::kAcquitted : Evidence::kCrashed;
+}
+
 bool CrashBook::put(Entry& entry, const std::string& backend, const Crash& crash) {
   const auto known = entry.crashes.find(backend);
   if (known != entry.crashes.end()) {
-    return crash.acquitted && !std::exchange(known->second.acquitted, true);
+    const bool changed = crash.evidence > known->second.evidence;
+    known->second.evidence = std::max(known->second.evidence, crash.evidence);
+    return changed;
   }
   if (entry.crashes.size() >= kMostCrashes) {
-    const auto oldest = std::min_element(
+    const auto rank = [](const Crash& candidate) {
+      return std::make_pair(candidate.evidence == Evidence::kCrashed, candidate.at);
+    };
+    const auto lowest = std::min_element(
         entry.crashes.begin(), entry.crashes.end(),
-        [](const auto& left, const auto& right) { return left.second.at < right.second.at; });
-    if (crash.at <= oldest->second.at) {
+        [&](const auto& left, const auto& right) { return rank(left.second) < rank(right.second); });
+    if (rank(crash) <= rank(lowest->second)) {
       return false;
     }
-    entry.crashes.erase(oldest);
+    entry.crashes.erase(lowest);
   }
   entry.crashes.emplace(backend, crash);
   entry.last = std::max(entry.last, crash.at);
   return true;
 }
 
-uint32_t CrashBook::count(const Entry& entry) {
-  return static_cast<uint32_t>(std::count_if(entry.crashes.begin(), entry.crashes.end(),
-                                             [](const auto& crash) { return !crash.second.acquitted; }));
+CrashBook::Count CrashBook::count(const Entry& entry, TimePoint now) {
+  Count counts;
+  for (const auto& [backend, crash] : entry.crashes) {
+    if (crash.evidence == Evidence::kCrashed) {
+      ++counts.confirmed;
+      counts.last_confirmed = std::max(counts.last_confirmed, crash.at);
+    } else if (crash.evidence == Evidence::kUnconfirmed && now - crash.at < kUnconfirmedCrashTimeout) {
+      ++counts.unconfirmed;
+      counts.last_unconfirmed = std::max(counts.last_unconfirmed, crash.at);
+    }
+  }
+  return counts;
 }
 
-bool CrashBook::make_room() {
+bool CrashBook::make_room(TimePoint now) {
   for (size_t looks = 0; looks < kMostLooks && !order_.empty(); ++looks) {
     const uint64_t oldest = order_.front();
     order_.pop_front();
@@ -69,7 +92,7 @@
     if (entry == entries_.end()) {
       continue;
     }
-    if (count(entry->second) < kSuspectCrashes) {
+    if (count(entry->second, now).total() < kSuspectCrashes) {
       entries_.erase(entry);
       changed_.erase(oldest);
       return true;
@@ -79,55 +102,67 @@
   return false;
 }
 
-CrashBook::Entry* CrashBook::entry_of(uint64_t request) {
+CrashBook::Entry* CrashBook::entry_of(uint64_t request, TimePoint now) {
   const auto known = entries_.find(request);
   if (known != entries_.end()) {
     return &known->second;
   }
-  if (entries_.size() >= kMostRequests && !make_room()) {
+  if (entries_.size() >= kMostRequests && !make_room(now)) {
     return nullptr;
   }
   order_.push_back(request);
   return &entries_[request];
 }
 
-bool CrashBook::note_crash(uint64_t request, const std::string& backend, TimePoint now) {
-  Entry* entry = entry_of(request);
-  if (entry == nullptr || !put(*entry, backend, {now, false})) {
+bool CrashBook::note_evidence(uint64_t request, const std::string& backend, const Crash& crash) {
+  Entry* entry = entry_of(request, crash.at);
+  if (entry == nullptr || !put(*entry, backend, crash)) {
     return false;
   }
   changed_.insert(request);
   return true;
 }
 
-bool CrashBook::acquit(uint64_t request) {
+bool CrashBook::note_broken_exchange(uint64_t request, const std::string& backend, TimePoint now) {
+  return note_evidence(request, backend, {now, Evidence::kUnconfirmed});
+}
+
+bool CrashBook::note_survival(uint64_t request, const std::string& backend, TimePoint now) {
+  return entries_.count(request) > 0 && note_evidence(request, backend, {now, Evidence::kSurvived});
+}
+
+bool CrashBook::note_crash(uint64_t request, const std::string& backend, TimePoint now) {
+  return note_evidence(request, backend, {now, Evidence::kCrashed});
+}
+
+bool CrashBook::acquit(uint64_t request, TimePoint now) {
   const auto known = entries_.find(request);
-  if (known == entries_.end() || count(known->second) == 0) {
+  if (known == entries_.end() || count(known->second, now).total() == 0) {
     return false;
   }
   for (auto& [backend, crash] : known->second.crashes) {
-    crash.acquitted = true;
+    crash.evidence = Evidence::kAcquitted;
   }
   changed_.insert(request);
   return true;
 }
 
 bool CrashBook::merge(const fleet::CrashRecord& record, TimePoint now) {
-  Entry* entry = record.crashes.empty() ? nullptr : entry_of(record.request);
+  Entry* entry = record.crashes.empty() ? nullptr : entry_of(record.request, now);
   if (entry == nullptr) {
     return false;
   }
   bool news = false;
   for (const fleet::CrashNotice& told : record.crashes) {
     const TimePoint at = now - Duration(1000 * std::max<int64_t>(0, told.age_ms));
-    news = put(*entry, told.backend, {at, told.acquitted}) || news;
+    news = put(*entry, told.backend, {at, evidence_of(told)}) || news;
   }
   return news;
 }
 
-uint32_t CrashBook::crashes(uint64_t request) const {
+uint32_t CrashBook::crashes(uint64_t request, TimePoint now) const {
   const auto known = entries_.find(request);
-  return known == entries_.end() ? 0 : count(known->second);
+  return known == entries_.end() ? 0 : count(known->second, now).total();
 }
 
 StandingReason CrashBook::standing(uint64_t request, TimePoint now) const {
@@ -136,11 +171,15 @@
     return {};
   }
   StandingReason reason;
-  reason.crashes = count(known->second);
-  if (reason.crashes >= options_.crashes) {
+  const Count counts = count(known->second, now);
+  reason.crashes = counts.total();
+  if (counts.confirmed >= options_.crashes) {
     const Duration held =
-        std::min(kLongestQuarantine, options_.first * (1 << (reason.crashes - options_.crashes)));
-    reason.left = std::max(Duration(0), known->second.last + held - now);
+        std::min(kLongestQuarantine, options_.first * (1 << (counts.confirmed - options_.crashes)));
+    reason.left = std::max(Duration(0), counts.last_confirmed + held - now);
+  }
+  if (counts.total() >= options_.crashes && counts.unconfirmed > 0) {
+    reason.left = std::max(reason.left, counts.last_unconfirmed + kUnconfirmedCrashTimeout - now);
   }
   if (reason.left > Duration(0)) {
     reason.standing = RequestStanding::kQuarantined;
@@ -155,7 +194,9 @@
   const auto known = entries_.find(request);
   if (known != entries_.end()) {
     for (const auto& [backend, crash] : known->second.crashes) {
-      record.crashes.push_back({backend, to_milliseconds(now - crash.at), crash.acquitted});
+      const bool counted = crash.evidence == Evidence::kUnconfirmed || crash.evidence == Evidence::kCrashed;
+      const bool confirmed = crash.evidence >= Evidence::kCrashed;
+      record.crashes.push_back({backend, to_milliseconds(now - crash.at), !counted, !confirmed});
     }
   }
   return record;
@@ -190,7 +231,10 @@
 std::vector<uint64_t> CrashBook::expire(TimePoint now) {
   std::vector<uint64_t> forgotten;
   for (auto entry = entries_.begin(); entry != entries_.end();) {
-    if (now - entry->second.last <= kMemory) {
+    const auto is_confirmed = [](const auto& crash) { return crash.second.evidence >= Evidence::kCrashed; };
+    const auto& crashes = entry->second.crashes;
+    const bool has_confirmed = std::any_of(crashes.begin(), crashes.end(), is_confirmed);
+    if (now - entry->second.last <= (has_confirmed ? kMemory : kUnconfirmedMemory)) {
       ++entry;
       continue;
     }
--- a/src/admission/crash_book.h
+++ b/src/admission/crash_book.h
@@ -3,8 +3,10 @@
 /// never ending well. Free of I/O.
 ///
 /// Each crash counts once, whoever tells it and however often: it is known by the back end's incarnation. One
-/// good end acquits a request of all crashes before it. So books that tell one another their records agree
-/// in the end, in whatever order the records come.
+/// good end acquits a request of all crashes before it. A broken exchange counts as an unconfirmed crash
+/// until the back end is known to have crashed or survived, or kUnconfirmedCrashTimeout has passed, so that a
+/// request is held back even when crash detection is slow. The evidence for one incarnation is merged by
+/// maximum (see Evidence), so books that exchange their records converge in whatever order the records come.
 #pragma once
 
 #include <cstdint>
@@ -25,6 +27,10 @@
 /// Stands for a request where permits to try it are counted (see BackendLimits).
 std::string trial_key(uint64_t request);
 
+/// How long a broken exchange counts as a crash without confirmation. Control reports a silent back end as
+/// lost within this time.
+inline constexpr Duration kUnconfirmedCrashTimeout = 6s;
+
 /// How requests under which back ends crash are held back.
 struct QuarantineOptions {
   uint32_t crashes = 3;   ///< from so many on, the request is not sent for a while
@@ -53,16 +59,20 @@
  public:
   explicit CrashBook(const QuarantineOptions& options = {}) : options_(options) {}
 
+  /// Records an exchange that broke off at a back end that may have crashed. Returns true when that is new.
+  bool note_broken_exchange(uint64_t request, const std::string& backend, TimePoint now);
+  /// Records that a back end did not crash when the request broke off there. Returns true when that is new.
+  bool note_survival(uint64_t request, const std::string& backend, TimePoint now);
   /// A back end crashed while the request was under way there. Returns true when that is new.
   bool note_crash(uint64_t request, const std::string& backend, TimePoint now);
   /// The request has ended well. Returns true when a crash counted against it.
-  bool acquit(uint64_t request);
+  bool acquit(uint64_t request, TimePoint now);
   /// Takes what another process knows. Returns true when that changes anything.
   bool merge(const fleet::CrashRecord& record, TimePoint now);
 
   StandingReason standing(uint64_t request, TimePoint now) const;
-  /// Crashes that count against a request.
-  uint32_t crashes(uint64_t request) const;
+  /// Number of crashes that count against a request, including unconfirmed ones.
+  uint32_t crashes(uint64_t request, TimePoint now) const;
   /// What is known of a request.
   fleet::CrashRecord record(uint64_t request, TimePoint now) const;
   /// What has changed by note_crash() and acquit() since the last call.
@@ -77,21 +87,39 @@
   size_t size() const { return entries_.size(); }
 
  private:
+  /// Outcome of a broken exchange for the back end. Merging keeps the greater value.
+  enum class Evidence : uint8_t {
+    kUnconfirmed,  ///< the back end may have crashed
+    kSurvived,     ///< it answered a later request
+    kCrashed,      ///< it crashed during the request
+    kAcquitted,    ///< the request has ended well since then
+  };
   struct Crash {
     TimePoint at{0};
-    bool acquitted = false;
+    Evidence evidence = Evidence::kUnconfirmed;
   };
   struct Entry {
     std::map<std::string, Crash> crashes;  ///< by incarnation of the back end
-    TimePoint last{0};
+    TimePoint last{0};                     ///< time of the newest crash
+  };
+  /// Crashes that count against a request, and the time of the newest of each kind.
+  struct Count {
+    uint32_t confirmed = 0;
+    uint32_t unconfirmed = 0;
+    TimePoint last_confirmed{0};
+    TimePoint last_unconfirmed{0};
+    uint32_t total() const { return confirmed + unconfirmed; }
   };
-  /// Adds a crash, or takes that it was acquitted of. Returns true when that changes anything.
+  static Evidence evidence_of(const fleet::CrashNotice& notice);
+  /// Adds a crash or merges its evidence with a known one. Returns true when that changes anything.
   static bool put(Entry& entry, const std::string& backend, const Crash& crash);
-  static uint32_t count(const Entry& entry);
+  static Count count(const Entry& entry, TimePoint now);
+  /// Records evidence observed by this process. Returns true when it is new.
+  bool note_evidence(uint64_t request, const std::string& backend, const Crash& crash);
   /// The entry of a request, made where there is room; else nullptr.
-  Entry* entry_of(uint64_t request);
+  Entry* entry_of(uint64_t request, TimePoint now);
   /// Forgets an old entry that is no suspect. False when there is none.
-  bool make_room();
+  bool make_room(TimePoint now);
 
   QuarantineOptions options_;
   std::map<uint64_t, Entry> entries_;  ///< by fingerprint
--- a/src/control/crash_ledger.h
+++ b/src/control/crash_ledger.h
@@ -45,23 +45,26 @@
   std::vector<fleet::CrashRecord> all(TimePoint now) const { return book_.all(now); }
   /// What is known of a request now.
   fleet::CrashRecord record(uint64_t request, TimePoint now) const { return book_.record(request, now); }
-  /// Requests that routers are told of, by fingerprint: the crashes that are known, and those that count.
-  const fleet::RevisionTable<uint64_t, std::pair<size_t, uint32_t>>& told() const { return told_; }
+  /// Requests that routers are told of, by fingerprint, with the known crashes of each; the ages are zero.
+  const fleet::RevisionTable<uint64_t, std::vector<fleet::CrashNotice>>& told() const { return told_; }
 
  private:
   bool take(const fleet::CrashRecord& record, TimePoint now) {
     if (!book_.merge(record, now)) {
       return false;
     }
-    const size_t known = book_.record(record.request, now).crashes.size();
-    if (known >= admission::kSuspectCrashes) {
-      told_.set(record.request, {known, book_.crashes(record.request)});
+    std::vector<fleet::CrashNotice> notices = book_.record(record.request, now).crashes;
+    if (notices.size() >= admission::kSuspectCrashes) {
+      for (fleet::CrashNotice& notice : notices) {
+        notice.age_ms = 0;  // a change of age alone is not a new revision
+      }
+      told_.set(record.request, notices);
     }
     return true;
   }
 
   admission::CrashBook book_;
-  fleet::RevisionTable<uint64_t, std::pair<size_t, uint32_t>> told_;
+  fleet::RevisionTable<uint64_t, std::vector<fleet::CrashNotice>> told_;
   std::set<uint64_t> untold_;
 };
 
--- a/src/control/fleet_feed.cc
+++ b/src/control/fleet_feed.cc
@@ -95,7 +95,7 @@
 bool FleetKnowledge::add_crashes(FeedCursor& cursor, fleet::FleetNews& news, TimePoint now) const {
   cursor.crashes = crashes_.told().visit_since(
       cursor.crashes, kCrashRecordsPerMessage,
-      [&](uint64_t request, const std::pair<size_t, uint32_t>* known) {
+      [&](uint64_t request, const std::vector<fleet::CrashNotice>* known) {
         if (known != nullptr) {  // what is forgotten here is forgotten at the routers likewise
           news.crashes.push_back(crashes_.record(request, now));
         }
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -28,6 +28,12 @@
   kUnanswered  ///< nothing came back in time, or the new connection was lost at once
 };
 
+/// An exchange that broke off at a back end that may have crashed.
+struct BrokenExchange {
+  uint64_t request = 0;  ///< fingerprint of the request
+  TimePoint at{0};       ///< when the exchange broke off
+};
+
 /// One back end.
 struct Backend {
   fleet::BackendRecord record;
@@ -49,7 +55,9 @@
   std::shared_ptr<EngineConnection> probe;  ///< a connection under way that is to show whether it answers
   TimePoint probed{0};                      ///< when the last probe began
   TimePoint unreachable{0};                 ///< when the last probe that failed began
-  std::vector<uint64_t> broken = {};        ///< fingerprints of requests that broke off since the last check
+  std::vector<BrokenExchange> broken = {};  ///< neither confirmed as crashes nor marked as survived
+  bool outcome_check_pending = false;       ///< a health check is running or the next probe is scheduled
+  bool ended_unexpectedly = false;          ///< control reported it as gone before it signed off
   uint32_t lost_checks = 0;                 ///< connections of the present check that were lost at once
 
   bool has_free_slot() const {
--- a/src/dispatch/engine_connection.h
+++ b/src/dispatch/engine_connection.h
@@ -15,6 +15,9 @@
 
 namespace stoat::dispatch {
 
+/// The status with which a back end turns away a request that names another one.
+inline constexpr int kMisdirected = 421;
+
 /// Why an exchange ended without a whole answer.
 enum class ExchangeFailure : uint8_t {
   kNotConnected,  ///< the connection was never made: certainly nothing was sent
--- a/src/dispatch/request_crashes.cc
+++ b/src/dispatch/request_crashes.cc
@@ -1,4 +1,6 @@
 /// RequestRun: requests under which back ends crash.
+#include <algorithm>
+
 #include "src/common/hash.h"
 #include "src/dispatch/request_run.h"
 
@@ -52,7 +54,7 @@
 }
 
 bool RequestRun::suspected() const {
-  return context_.crashes.crashes(fingerprint_) >= admission::kSuspectCrashes;
+  return context_.crashes.crashes(fingerprint_, context_.loop.now()) >= admission::kSuspectCrashes;
 }
 
 void RequestRun::spend_trial() {
@@ -61,8 +63,35 @@
   }
 }
 
+void RequestRun::note_broken_exchange(const BackendPtr& backend) {
+  const TimePoint now = context_.loop.now();
+  std::erase_if(backend->broken, [now](const BrokenExchange& exchange) {
+    return now - exchange.at >= admission::kUnconfirmedCrashTimeout;
+  });
+  backend->broken.push_back({fingerprint_, now});
+  if (context_.crashes.note_broken_exchange(fingerprint_, backend->record.id, now)) {
+    context_.note_standing(fingerprint_, "break");
+  }
+  if (backend->ended_unexpectedly) {
+    context_.note_crash(*backend, "gone");
+  } else {
+    context_.pool.check(backend);
+  }
+}
+
+void note_survival(DispatchContext& context, Backend& backend, TimePoint sent_at) {
+  std::vector<BrokenExchange>& broken = backend.broken;
+  const auto first_earlier =
+      std::partition(broken.begin(), broken.end(),
+                     [sent_at](const BrokenExchange& exchange) { return exchange.at >= sent_at; });
+  for (auto exchange = first_earlier; exchange != broken.end(); ++exchange) {
+    context.crashes.note_survival(exchange->request, backend.record.id, context.loop.now());
+  }
+  broken.erase(first_earlier, broken.end());
+}
+
 void RequestRun::acquit() {
-  if (context_.crashes.acquit(fingerprint_)) {
+  if (context_.crashes.acquit(fingerprint_, context_.loop.now())) {
     context_.limits.forget(admission::trial_key(fingerprint_));
     context_.note_standing(fingerprint_, "good end");
   }
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -234,6 +234,9 @@
   } else {
     kind_ = AnswerKind::kWhole;
   }
+  if (kind_ != AnswerKind::kFailure && status != kMisdirected) {
+    note_survival(context_, *backend_, sent_at_);
+  }
   note_rate_limit(headers);
   note_rest(headers);
   note_leaving(headers);
@@ -416,11 +419,14 @@
   }
   context_.metrics.count("stoat_router_exchange_failures_total", {{"kind", to_text(failure)}});
   const BackendPtr failed = backend_;
+  const bool refused = connection_->refused();
   count_failure(failure);
   end_exchange(false);
   if (failure == ExchangeFailure::kBroken || failure == ExchangeFailure::kMalformed) {
-    failed->broken.push_back(fingerprint_);
-    context_.pool.check(failed);
+    note_broken_exchange(failed);
+  }
+  if (refused) {
+    context_.note_crash(*failed, "refused");
   }
   if (failure == ExchangeFailure::kNotConnected) {
     story_.add(events::RequestNotRun{failed->record.id, 0});
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -40,7 +40,6 @@
 
 /// Statuses that decide or end a request's run.
 inline constexpr int kFirstError = 300;
-inline constexpr int kMisdirected = 421;
 inline constexpr int kBadGateway = 502;
 inline constexpr int kUnavailable = 503;
 /// Urgencies that engines tell apart go from 0, the most urgent, to this; a tenant's go before its routes'.
@@ -78,6 +77,9 @@
   std::function<void(fleet::ChainPlacement)> tell_placement = [](const fleet::ChainPlacement&) {};
   /// Tells control that a back end could not be reached.
   std::function<void(const std::string&)> tell_unreachable = [](const std::string&) {};
+  /// Confirms the broken exchanges at a back end that has ended without signing off as crashes. `sign` names
+  /// how this was detected: "refused", "gone" or "lost".
+  std::function<void(Backend&, const char* sign)> note_crash = [](Backend&, const char*) {};
   placement::PlacementCosts costs = {};
   std::map<std::string, placement::ServiceSpeed> speeds = {};     ///< by service
   std::map<std::string, admission::RequestQueue> queues = {};     ///< by service
@@ -102,6 +104,10 @@
   }
 };
 
+/// Marks the broken exchanges at a back end that precede `sent_at` as survived. Called when the back end has
+/// begun to answer a request sent at that time.
+void note_survival(DispatchContext& context, Backend& backend, TimePoint sent_at);
+
 /// Everything about a request that is fixed before it is sent.
 struct RunPlan {
   edge::CallerRequest request;
@@ -204,6 +210,8 @@
   bool suspected() const;
   /// Uses up the permit of a suspect that is sent.
   void spend_trial();
+  /// Records that the exchange broke off at a back end that may have crashed.
+  void note_broken_exchange(const BackendPtr& backend);
   /// The request has ended well: no crash was its fault.
   void acquit();
   /// Which cell of the service the request belongs to: that of what its prompt shares.
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -107,15 +107,20 @@
   }
 };
 
-/// A back end broke off requests, and nothing listens at its address any more.
+/// A back end ended without signing off after it broke off requests.
 struct BackendCrashed {
   static constexpr const char* kSentence = "backend crashed";
   std::string backend;
   std::string service;
-  size_t broken = 0;     ///< requests of this router that broke off
-  std::string requests;  ///< the first few of their fingerprints
+  const char* sign = "";  ///< "refused" (connection refused), "gone" or "lost" (reported by control)
+  size_t broken = 0;      ///< requests of this router that broke off
+  std::string requests;   ///< the first few of their fingerprints
   std::vector<LogField> fields() const {
-    return {{"backend", backend}, {"service", service}, {"broken", broken}, {"requests", requests}};
+    return {{"backend", backend},
+            {"service", service},
+            {"sign", sign},
+            {"broken", broken},
+            {"requests", requests}};
   }
 };
 
@@ -126,7 +131,7 @@
   const char* standing = "";  ///< "clear", "suspect" (tried one at a time) or "quarantined" (not sent)
   uint32_t crashes = 0;       ///< that count against it
   int64_t left_ms = 0;        ///< of the quarantine
-  const char* source = "";    ///< a "crash" or a "good end" at this router, or "control"
+  const char* source = "";    ///< a "break", a "crash" or a "good end" at this router, or "control"
   std::vector<LogField> fields() const {
     return {{"fingerprint", fingerprint},
             {"standing", standing},
--- a/src/fleet/crash_record.h
+++ b/src/fleet/crash_record.h
@@ -1,4 +1,5 @@
-/// Requests that were under way at back ends when these crashed, as processes tell each other.
+/// Confirmed and unconfirmed crashes of back ends with the request that was under way, as exchanged between
+/// processes.
 #pragma once
 
 #include <cstdint>
@@ -8,12 +9,15 @@
 
 namespace stoat::fleet {
 
-/// A crash of one back end.
+/// A confirmed or unconfirmed crash of one back end.
 struct CrashNotice {
-  std::string backend;     ///< id of its incarnation
-  int64_t age_ms = 0;      ///< since the crash, as far as the sender knows
-  bool acquitted = false;  ///< the request has run well since then: the crash does not count against it
-  MSGPACK_DEFINE_ARRAY(backend, age_ms, acquitted)
+  std::string backend;       ///< id of its incarnation
+  int64_t age_ms = 0;        ///< since the crash, as far as the sender knows
+  bool acquitted = false;    ///< the crash does not count against the request
+  bool unconfirmed = false;  ///< an exchange broke off, but no crash is known. With `acquitted`, the
+                             ///< back end survived; a confirmed crash is acquitted when the request
+                             ///< has ended well since then
+  MSGPACK_DEFINE_ARRAY(backend, age_ms, acquitted, unconfirmed)
   bool operator==(const CrashNotice&) const = default;
 };
 
--- a/src/gateway/gateway_crashes.cc
+++ b/src/gateway/gateway_crashes.cc
@@ -1,8 +1,11 @@
 /// GatewayServer: back ends that crash, and the requests that were under way there.
+#include <algorithm>
 #include <utility>
 
 #include "src/common/hash.h"
+#include "src/dispatch/health_check.h"
 #include "src/events/fleet_events.h"
+#include "src/fleet/incarnation.h"
 #include "src/gateway/gateway_server.h"
 
 namespace stoat::gateway {
@@ -11,6 +14,9 @@
 
 /// Fingerprints that the log names of one crash.
 constexpr size_t kMostNamed = 8;
+/// Delay from the end of a probe or health check to the next probe, while it is unknown whether the back end
+/// crashed.
+constexpr Duration kOutcomeCheckInterval = 500ms;
 
 std::string to_text(const std::vector<uint64_t>& fingerprints) {
   std::string text;
@@ -23,21 +29,86 @@
 }  // namespace
 
 void GatewayServer::on_probe_ended(const dispatch::BackendPtr& backend, dispatch::ProbeResult result) {
-  const std::vector<uint64_t> broken = std::exchange(backend->broken, {});
-  if (result == dispatch::ProbeResult::kRefused && !broken.empty()) {
-    note_crash(*backend, broken);
+  if (result == dispatch::ProbeResult::kRefused) {
+    note_crash(*backend, "refused");
+  }
+  if (!backend->broken.empty()) {
+    check_outcome(backend, result);
   }
   if (result != dispatch::ProbeResult::kReached) {
     check_silence();
   }
 }
 
-void GatewayServer::note_crash(const dispatch::Backend& backend, const std::vector<uint64_t>& broken) {
+void GatewayServer::check_outcome(const dispatch::BackendPtr& backend, dispatch::ProbeResult result) {
+  if (std::exchange(backend->outcome_check_pending, true)) {
+    return;
+  }
+  if (result == dispatch::ProbeResult::kReached) {
+    check_health(backend);
+  } else {
+    schedule_outcome_check(backend);
+  }
+}
+
+void GatewayServer::check_health(const dispatch::BackendPtr& backend) {
+  const TimePoint sent_at = loop_.now();
+  const auto on_end = [this, backend, sent_at](bool answered) {
+    if (answered) {
+      dispatch::note_survival(context_, *backend, sent_at);
+    }
+    schedule_outcome_check(backend);
+  };
+  dispatch::HealthCheck::start(loop_, pool_, backend, health_check_head(*backend), on_end);
+}
+
+void GatewayServer::schedule_outcome_check(const dispatch::BackendPtr& backend) {
+  const std::weak_ptr<dispatch::Backend> weak = backend;
+  loop_.after(kOutcomeCheckInterval, [this, weak] {
+    const dispatch::BackendPtr checked = weak.lock();
+    if (checked == nullptr) {
+      return;
+    }
+    checked->outcome_check_pending = false;
+    const TimePoint now = loop_.now();
+    const auto unconfirmed = [now](const dispatch::BrokenExchange& exchange) {
+      return now - exchange.at < admission::kUnconfirmedCrashTimeout;
+    };
+    const bool outcome_unknown = std::any_of(checked->broken.begin(), checked->broken.end(), unconfirmed);
+    if (outcome_unknown && !checked->ended_unexpectedly) {
+      pool_.check(checked);
+    }
+  });
+}
+
+std::string GatewayServer::health_check_head(const dispatch::Backend& backend) const {
+  std::string path;
+  if (table_ != nullptr) {
+    const auto& services = table_->configuration().services;
+    const auto found = std::find_if(services.begin(), services.end(), [&](const fleet::Service& service) {
+      return service.name == backend.record.service;
+    });
+    path = found == services.end() ? "" : found->health_path;
+  }
+  return "GET " + (path.empty() ? "/" : path) + " HTTP/1.1\r\nHost: " + backend.record.address + "\r\n" +
+         names_.expected_backend + ": " + std::string(fleet::backend_name(backend.record.id)) + "\r\n\r\n";
+}
+
+void GatewayServer::note_crash(dispatch::Backend& backend, const char* sign) {
   const TimePoint now = loop_.now();
-  metrics_.count("stoat_router_backend_crashes_total", {{"service", backend.record.service}});
+  std::vector<uint64_t> broken;
+  for (const dispatch::BrokenExchange& exchange : std::exchange(backend.broken, {})) {
+    if (now - exchange.at < admission::kUnconfirmedCrashTimeout) {
+      broken.push_back(exchange.request);
+    }
+  }
+  if (broken.empty()) {
+    return;
+  }
+  metrics_.count("stoat_router_backend_crashes_total", {{"service", backend.record.service}, {"sign", sign}});
   if (stories_.take_lines(1, "backend crashed", now)) {
-    log_.event(
-        events::BackendCrashed{backend.record.id, backend.record.service, broken.size(), to_text(broken)});
+    log_.event(events::BackendCrashed{backend.record.id, backend.record.service, sign, broken.size(),
+                                      to_text(broken)});
   }
   for (const uint64_t request : broken) {
     if (context_.crashes.note_crash(request, backend.record.id, now)) {
@@ -57,8 +128,9 @@
 void GatewayServer::log_standing(uint64_t request, const char* source) {
   const TimePoint now = loop_.now();
   const admission::StandingReason reason = context_.crashes.standing(request, now);
-  const bool first_crash = reason.crashes == 1 && std::string_view(source) == "crash";
-  if (!first_crash && stories_.take_lines(1, "request standing", now)) {
+  const bool single_local_crash =
+      reason.crashes <= 1 && std::string_view(source) != "control" && std::string_view(source) != "good end";
+  if (!single_local_crash && stories_.take_lines(1, "request standing", now)) {
     log_.event(events::RequestStandingChanged{to_hex(request), admission::to_text(reason.standing),
                                               reason.crashes, to_milliseconds(reason.left), source});
   }
--- a/src/gateway/gateway_feed.cc
+++ b/src/gateway/gateway_feed.cc
@@ -58,12 +58,19 @@
     const dispatch::BackendPtr known = pool_.find(record.id);
     const fleet::BackendRecord before = known == nullptr ? fleet::BackendRecord{} : known->record;
     pool_.put(record);
+    if (record.lost) {
+      note_crash(*pool_.find(record.id), "lost");
+    }
     events::add_backend_changes(known == nullptr ? nullptr : &before, &record, changes);
     untold_backends_.erase(record.id);
   }
   for (const std::string& id : news.gone) {
     if (const dispatch::BackendPtr known = pool_.find(id)) {
       events::add_backend_changes(&known->record, nullptr, changes);
+      known->ended_unexpectedly = known->record.state == fleet::BackendState::kReady;
+      if (known->ended_unexpectedly) {
+        note_crash(*known, "gone");
+      }
       remove_backend(id);
     }
   }
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -105,6 +105,7 @@
   pool_.set_probe_handler([this](const dispatch::BackendPtr& backend, dispatch::ProbeResult result) {
     on_probe_ended(backend, result);
   });
+  context_.note_crash = [this](dispatch::Backend& backend, const char* sign) { note_crash(backend, sign); };
   context_.tell_unreachable = [this](const std::string& backend) { untold_unreachable_.insert(backend); };
   context_.tell_placement = [this](fleet::ChainPlacement placement) { tell_placement(std::move(placement)); };
   loop_.every(kLoadsInterval, [this] {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -92,7 +92,18 @@
   void check_silence();
   // gateway_crashes.cc: back ends that crash under requests
   void on_probe_ended(const dispatch::BackendPtr& backend, dispatch::ProbeResult result);
-  void note_crash(const dispatch::Backend& backend, const std::vector<uint64_t>& broken);
+  /// Confirms the broken exchanges at a back end that has ended without signing off as crashes. `sign` names
+  /// how this was detected: "refused", "gone" or "lost".
+  void note_crash(dispatch::Backend& backend, const char* sign);
+  /// Continues to check whether a back end with broken exchanges has crashed, unless a check is pending.
+  /// Sends a health check if the probe that ended with `result` reached the back end.
+  void check_outcome(const dispatch::BackendPtr& backend, dispatch::ProbeResult result);
+  /// Sends a health check. An answer marks the earlier broken exchanges as survived.
+  void check_health(const dispatch::BackendPtr& backend);
+  /// Probes the back end again after a delay if it is still unknown whether it crashed.
+  void schedule_outcome_check(const dispatch::BackendPtr& backend);
+  /// Head of the request to the health path of the back end's service, or to "/" if none is configured.
+  std::string health_check_head(const dispatch::Backend& backend) const;
   /// Takes what other routers know of requests under which back ends crash.
   void take_crashes(const std::vector<fleet::CrashRecord>& records);
   void log_standing(uint64_t request, const char* source);
--- a/tests/unit/crash_book_test.cc
+++ b/tests/unit/crash_book_test.cc
@@ -37,24 +37,24 @@
   CrashBook book;
   for (int router = 0; router < 5; ++router) {
     book.note_crash(kRequest, "b1", 1s);
-    book.merge({kRequest, {{"b1", 300, false}}}, 2s);
+    book.merge({kRequest, {{"b1", 300, false, false}}}, 2s);
   }
-  EXPECT_EQ(book.crashes(kRequest), 1U);
+  EXPECT_EQ(book.crashes(kRequest, 5s), 1U);
 }
 
 TEST(CrashBook, OneGoodEndAcquits) {
   CrashBook book = book_with(3);
-  EXPECT_TRUE(book.acquit(kRequest));
+  EXPECT_TRUE(book.acquit(kRequest, 4s));
   EXPECT_EQ(book.standing(kRequest, 4s).standing, RequestStanding::kClear);
-  EXPECT_FALSE(book.acquit(kRequest));
+  EXPECT_FALSE(book.acquit(kRequest, 4s));
 }
 
 TEST(CrashBook, AnAcquittalIsNotUndoneByARecordThatComesLate) {
   CrashBook book = book_with(3);
   const fleet::CrashRecord before = book.record(kRequest, 4s);
-  book.acquit(kRequest);
+  book.acquit(kRequest, 4s);
   EXPECT_FALSE(book.merge(before, 5s));
-  EXPECT_EQ(book.crashes(kRequest), 0U);
+  EXPECT_EQ(book.crashes(kRequest, 5s), 0U);
 }
 
 TEST(CrashBook, BooksAgreeInWhateverOrderRecordsCome) {
@@ -63,7 +63,7 @@
     std::vector<fleet::CrashRecord> records;
     for (int number = 0; number < 6; ++number) {
       const std::string backend = "b" + std::to_string(random.below(4));
-      records.push_back({kRequest, {{backend, 1000, random.below(4) == 0}}});
+      records.push_back({kRequest, {{backend, 1000, random.below(4) == 0, random.below(2) == 0}}});
     }
     CrashBook forwards;
     CrashBook backwards;
@@ -75,12 +75,32 @@
   }
 }
 
+// Guards against sending a request to more back ends while its crashes are not confirmed yet.
+TEST(CrashBook, BrokenExchangesCountAsCrashesUntilTheOutcomeIsKnown) {
+  CrashBook book;
+  for (const char* backend : {"b1", "b2", "b3"}) {
+    EXPECT_TRUE(book.note_broken_exchange(kRequest, backend, 1s));
+  }
+  EXPECT_EQ(book.standing(kRequest, 2s).standing, RequestStanding::kQuarantined);
+  EXPECT_EQ(book.standing(kRequest, 2s).left, admission::kUnconfirmedCrashTimeout - 1s);
+  EXPECT_EQ(book.standing(kRequest, 1s + admission::kUnconfirmedCrashTimeout).standing,
+            RequestStanding::kClear);
+  EXPECT_TRUE(book.note_survival(kRequest, "b3", 2s));
+  EXPECT_EQ(book.standing(kRequest, 2s).standing, RequestStanding::kSuspect);
+  EXPECT_FALSE(book.note_broken_exchange(kRequest, "b3", 2s))
+      << "a late break must not override a known survival";
+  EXPECT_TRUE(book.note_crash(kRequest, "b3", 3s)) << "a confirmed crash overrides survival";
+  EXPECT_TRUE(book.note_crash(kRequest, "b1", 3s));
+  EXPECT_TRUE(book.note_crash(kRequest, "b2", 3s));
+  EXPECT_GT(book.standing(kRequest, 4s).left, 100s);
+}
+
 TEST(CrashBook, AFloodOfOtherRequestsDoesNotPushOutASuspect) {
   CrashBook book = book_with(2);
   for (uint64_t other = 100; other < 40000; ++other) {
     book.note_crash(other, "elsewhere", 3s);
   }
-  EXPECT_EQ(book.crashes(kRequest), 2U);
+  EXPECT_EQ(book.crashes(kRequest, 5s), 2U);
   EXPECT_LE(book.size(), 8192U);
 }
 
@@ -107,7 +127,7 @@
       const auto next_kill = static_cast<uint64_t>(sent / kBetweenKills + 1);
       const TimePoint killed = static_cast<int64_t>(next_kill) * kBetweenKills;
       if (next_kill % kBackends != backend || killed > sent + kRun) {
-        book.acquit(request);
+        book.acquit(request, sent);
         break;
       }
       book.note_crash(request, std::to_string(backend) + "@" + std::to_string(next_kill), killed);
--- a/tests/unit/crashing_request_test.cc
+++ b/tests/unit/crashing_request_test.cc
@@ -1,5 +1,6 @@
 /// Requests under which back ends crash, and that come again under other ids.
 #include <deque>
+#include <map>
 
 #include "tests/support/small_fleet.h"
 
@@ -26,6 +27,7 @@
   static constexpr size_t kRouters = 3;
   static constexpr size_t kEngines = 6;
   static constexpr const char* kCrashing = "crashing";
+  static constexpr milliseconds kNoAnswerWait{5000};  ///< before a crashed back end resets a connection
 
   void SetUp() override {
     ASSERT_TRUE(configure(make_configuration(1)));
@@ -39,19 +41,37 @@
   }
   /// Starts one more back end.
   void start_engine() {
-    engines_.push_back(std::make_unique<ScriptedEngine>([this](const SeenRequest& seen) -> Script {
+    const size_t number = engines_.size();
+    engines_.push_back(std::make_unique<ScriptedEngine>([this, number](const SeenRequest& seen) -> Script {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (listener_close_times_.count(number) > 0) {
+        return {standins::wait_step(kNoAnswerWait), standins::reset_step()};
+      }
       if (seen.body != kCrashing) {
         return test::succeed(seen);
       }
-      const std::lock_guard<std::mutex> lock(mutex_);
       crashes_.push_back(Clock::now());
-      return {standins::crash_step()};
+      if (listener_close_delay_ == milliseconds(0)) {
+        return {standins::wait_step(crash_delay_), standins::crash_step()};
+      }
+      listener_close_times_[number] = Clock::now() + listener_close_delay_;
+      return {standins::reset_step()};
     }));
     ids_.push_back("engine" + std::to_string(engines_.size()));
     add_engine(ids_.back(), "calls", *engines_.back());
   }
+  /// Closes the listeners of crashed back ends whose close time has passed.
+  void close_due_listeners() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto& [number, closes_at] : listener_close_times_) {
+      if (engines_[number] != nullptr && Clock::now() >= closes_at) {
+        engines_[number]->crash();
+      }
+    }
+  }
   /// Lets those that live send heartbeats, and puts another in the place of each one that has crashed.
   void keep_engines() {
+    close_due_listeners();
     for (size_t number = 0; number < engines_.size(); ++number) {
       if (engines_[number] != nullptr && engines_[number]->crashed()) {
         std::erase_if(records_, [&](const auto& record) { return record.id == ids_[number]; });
@@ -74,7 +94,10 @@
   }
 
   std::vector<uint16_t> ports_;
+  milliseconds crash_delay_{0};           ///< from the arrival of the request to the crash
+  milliseconds listener_close_delay_{0};  ///< how long listeners accept connections after a crash
   mutable std::mutex mutex_;
+  std::map<size_t, Clock::time_point> listener_close_times_;  ///< by index in `engines_`
   std::vector<Clock::time_point> crashes_;
   std::deque<std::unique_ptr<ScriptedEngine>> engines_;
   std::vector<std::string> ids_;  ///< of `engines_`
@@ -105,6 +128,40 @@
   }
 }
 
+// Guards against missing a crash while a probe of the silent back end is still open.
+TEST_F(CrashingRequestTest, CrashesDuringAProbeOfASilentBackEndAreCounted) {
+  crash_delay_ = milliseconds(1050);  // after the first probe has connected, before it ends
+  constexpr size_t kSends = 10;
+  std::string last;
+  for (size_t number = 0; number < kSends; ++number) {
+    last = send_to_router(number % kRouters, "crashing" + std::to_string(number), kCrashing);
+    std::this_thread::sleep_for(milliseconds(300));
+    keep_engines();
+  }
+  const size_t replaced = engines_.size() - kEngines;  // one for each crash
+  EXPECT_LE(replaced, kThirdCrash);
+  EXPECT_NE(last.find("back ends crashed under the request"), std::string::npos) << last;
+}
+
+// Guards against missing a crash while the back end's listener still accepts connections.
+TEST_F(CrashingRequestTest, CrashesAreCountedWhileTheListenerStillAcceptsConnections) {
+  listener_close_delay_ = milliseconds(700);
+  constexpr milliseconds kBetween{350};
+  constexpr std::chrono::seconds kSpan{7};
+  std::string last;
+  const auto end = Clock::now() + kSpan;
+  for (size_t number = 0; Clock::now() < end; ++number) {
+    last = send_to_router(number % kRouters, "crashing" + std::to_string(number), kCrashing);
+    std::this_thread::sleep_for(kBetween);
+    keep_engines();
+  }
+  EXPECT_LE(crashes().size(), kThirdCrash);
+  EXPECT_EQ(status_of(last), "HTTP/1.1 503") << last;  // refused by the router without being sent
+  for (size_t router = 0; router < kRouters; ++router) {
+    EXPECT_EQ(status_of(send_to_router(router, "other" + std::to_string(router), "other")), "HTTP/1.1 200");
+  }
+}
+
 TEST_F(CrashingRequestTest, ABackEndThatBreaksRequestsOffAMomentBeforeItIsGoneCountsAsCrashed) {
   constexpr milliseconds kMoment{20};
   std::deque<ScriptedEngine> engines;
