Check test ports on all local addresses

Tests that start members failed with "Address already in use" when run concurrently: 34 of 1,500 runs of RolloutMembersTest failed, with 60 running at a time at a load of 42.

free_port() checked for listeners on 127.0.0.1 only, while members in tests also listen on 127.0.0.2 to 127.0.0.4. Processes whose ids differ by a multiple of 400 use the same port range.

Check the port on all addresses instead. The new test fails without the fix, because a port with a listener on 127.0.0.2 was reported as free, and passes with it. A race remains: two processes may still choose the same port between the check and the start of the server.

--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -53,21 +53,22 @@
 /// Ports that belong to one process: tests that run side by side have process ids close to one another.
 inline constexpr int kPortsOfProcess = 40;
 
-/// True when nothing listens at a port of the loopback address.
+/// Returns whether no socket listens on the port on any local IPv4 address.
 inline bool is_free(uint16_t port) {
   const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
   const int on = 1;
   ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_addr.s_addr = htonl(INADDR_ANY);
   address.sin_port = htons(port);
   const bool free = ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
   ::close(socket);
   return free;
 }
 
-/// A port of the loopback address at which nothing listens, and no other test that runs now will.
+/// Returns a port on which no socket listens on any local IPv4 address. The port is not reserved: another
+/// process may take it before the caller listens on it.
 inline uint16_t free_port() {
   static int next = 0;
   const int first = kFirstTestPort + ::getpid() * kPortsOfProcess % kTestPorts;
--- a/tests/unit/free_port_test.cc
+++ b/tests/unit/free_port_test.cc
@@ -1,4 +1,9 @@
 /// The ports at which tests listen.
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <fstream>
 #include <set>
 
@@ -22,5 +27,20 @@
   }
 }
 
+// Guards against "Address already in use" when a server listens on a loopback address other than 127.0.0.1.
+TEST(FreePort, IsNotInUseOnAnotherLoopbackAddress) {
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  ASSERT_EQ(::inet_pton(AF_INET, "127.0.0.2", &address.sin_addr), 1);
+  const uint16_t port = test::free_port();
+  address.sin_port = htons(port);
+  ASSERT_EQ(::bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+  ASSERT_EQ(::listen(listener, 1), 0);
+  EXPECT_FALSE(test::is_free(port));
+  ::close(listener);
+  EXPECT_TRUE(test::is_free(port));
+}
+
 }  // namespace
 }  // namespace stoat
