Let a suspect request reuse its permit when the connection fails

A request under which two back ends crashed is sent by one permit in 2 s for the whole fleet. If that send went to a back end that had already crashed, the caller's request was refused and had to wait for another permit, however many back ends could have run it. A request that had not caused the crashes waited just as long.

The send used up the permit although the connection was refused, and a suspect request was never sent again.

Return the permit when no connection was made, unless it belongs to an earlier grant, and send the request to another back end.

--- a/src/admission/backend_limits.cc
+++ b/src/admission/backend_limits.cc
@@ -90,6 +90,19 @@
   return true;
 }
 
+void BackendLimits::give_back(const std::string& backend, TimePoint sent_at, TimePoint now) {
+  const auto known = limited_.find(backend);
+  if (known == limited_.end()) {
+    return;
+  }
+  Limited& limited = known->second;
+  const bool same_grant = sent_at >= limited.usable_from;
+  if (same_grant && now < limited.usable_until) {
+    ++limited.permits;
+    limited.sent -= limited.sent > 0 ? 1 : 0;
+  }
+}
+
 bool BackendLimits::question_due(const Limited& limited, TimePoint now) const {
   const bool holds_permits = limited.permits > 0 && now < limited.usable_until;
   const bool open = limited.question != 0 && now - limited.asked < kAnswerTime;
--- a/src/admission/backend_limits.h
+++ b/src/admission/backend_limits.h
@@ -54,6 +54,9 @@
   bool may_send(const std::string& backend, TimePoint now) const;
   /// Uses a permit up where one is needed. False when the request may not be sent.
   bool spend(const std::string& backend, TimePoint now);
+  /// Returns the permit of a request that was sent at `sent_at` but did not reach the back end. Does nothing
+  /// if the permit has expired or belongs to an earlier grant.
+  void give_back(const std::string& backend, TimePoint sent_at, TimePoint now);
   /// A request would go to a back end if there was a permit. Returns true when control is to be asked.
   bool want(const std::string& backend, TimePoint now);
   /// The earliest moment at which a back end without a permit may be sent to; nullopt: control has not
--- a/src/dispatch/request_crashes.cc
+++ b/src/dispatch/request_crashes.cc
@@ -1,5 +1,6 @@
 /// RequestRun: requests under which back ends crash.
 #include <algorithm>
+#include <utility>
 
 #include "src/common/hash.h"
 #include "src/dispatch/request_run.h"
@@ -58,8 +59,13 @@
 }
 
 void RequestRun::spend_trial() {
-  if (suspected()) {
-    context_.limits.spend(admission::trial_key(fingerprint_), context_.loop.now());
+  trial_permit_used_ =
+      suspected() && context_.limits.spend(admission::trial_key(fingerprint_), context_.loop.now());
+}
+
+void RequestRun::return_trial_permit() {
+  if (std::exchange(trial_permit_used_, false)) {
+    context_.limits.give_back(admission::trial_key(fingerprint_), sent_at_, context_.loop.now());
   }
 }
 
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -362,7 +362,8 @@
   if (now >= give_up_at_) {
     return "no time left";
   }
-  if (suspected()) {
+  const bool never_reached = certainly_not_run && !reached_;
+  if (suspected() && !never_reached) {
     return "back ends crashed under it";
   }
   if (certainly_not_run && refusals_ >= kMaxRefusals) {
@@ -375,8 +376,7 @@
     return "all attempts of the route are used";
   }
   // What never reached a back end is no load on the service, and counts against no bound.
-  const bool costs_nothing = certainly_not_run && !reached_;
-  if (costs_nothing || context_.budget_of(plan_.service).take(now, context_.sharing_routers.count())) {
+  if (never_reached || context_.budget_of(plan_.service).take(now, context_.sharing_routers.count())) {
     return nullptr;
   }
   return "no budget for repeats";
@@ -430,6 +430,7 @@
   }
   if (failure == ExchangeFailure::kNotConnected) {
     story_.add(events::RequestNotRun{failed->record.id, 0});
+    return_trial_permit();
     on_not_run(false);
     return;
   }
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -210,6 +210,8 @@
   bool suspected() const;
   /// Uses up the permit of a suspect that is sent.
   void spend_trial();
+  /// Returns the permit used by the current send if the request did not reach its back end.
+  void return_trial_permit();
   /// Records that the exchange broke off at a back end that may have crashed.
   void note_broken_exchange(const BackendPtr& backend);
   /// The request has ended well: no crash was its fault.
@@ -361,8 +363,9 @@
   edge::AnswerHead head_;
   std::string body_;
   delivery::EventSplitter splitter_;
-  bool paused_ = false;     ///< the caller does not take what it was sent; the back end is not read
-  bool streaming_ = false;  ///< the answer's head has gone to the caller
+  bool trial_permit_used_ = false;  ///< the current send used a permit and has not returned it
+  bool paused_ = false;             ///< the caller does not take what it was sent; the back end is not read
+  bool streaming_ = false;          ///< the answer's head has gone to the caller
   std::optional<int64_t> last_event_id_;
   TimePoint first_event_at_{0};
   TimePoint last_event_at_{0};
--- a/tests/unit/backend_limit_test.cc
+++ b/tests/unit/backend_limit_test.cc
@@ -192,6 +192,29 @@
   EXPECT_EQ(limited.count(), served);  // what was refused has not run
 }
 
+// Guards against exceeding the limit by returning a permit to a later grant.
+TEST(BackendLimits, APermitIsReturnedOnlyToItsOwnGrant) {
+  admission::BackendLimits limits;
+  limits.note_named("b", 1, 1s);
+  const auto grant_one = [&](TimePoint now) {
+    limits.want("b", now);
+    const uint64_t number = limits.take_question(now).number;
+    fleet::PermitAnswer answer;
+    answer.number = number;
+    answer.terms.push_back({"b", 1, 0});
+    limits.on_answer(answer, now);
+  };
+  grant_one(2s);
+  ASSERT_TRUE(limits.spend("b", 2s));
+  EXPECT_FALSE(limits.may_send("b", 2s));
+  limits.give_back("b", 2s, 2s);
+  EXPECT_TRUE(limits.spend("b", 2s));
+  grant_one(5s);
+  limits.give_back("b", 2s, 5s);
+  EXPECT_TRUE(limits.spend("b", 5s));
+  EXPECT_FALSE(limits.may_send("b", 5s)) << "a permit of an earlier grant was returned";
+}
+
 TEST(BackendLimits, ANewIncarnationHasNoLimitUntilItNamesOne) {
   admission::BackendLimits limits;
   limits.note_named("b#1", 1, 1s);
--- a/tests/unit/crashing_request_test.cc
+++ b/tests/unit/crashing_request_test.cc
@@ -162,6 +162,32 @@
   }
 }
 
+// Guards against refusing a suspect until the next permit when the back end chosen for it does not accept
+// connections.
+TEST_F(CrashingRequestTest, ASuspectIsSentToAnotherBackEndWithTheSamePermitWhenTheConnectionFails) {
+  send_to_router(0, "first", kCrashing);  // repeated once: two crashes
+  ASSERT_EQ(crashes().size(), admission::kSuspectCrashes);
+  std::this_thread::sleep_for(milliseconds(400));
+  size_t alive = 0;
+  for (auto& engine : engines_) {
+    alive += engine->crashed() ? 0 : 1;
+    if (!engine->crashed() && alive > 1) {
+      engine->crash();  // still listed by the routers
+    }
+  }
+  constexpr size_t kMaxTries = 30;
+  std::string answer = "back ends crashed under the request";
+  for (size_t tries = 0;
+       tries < kMaxTries && answer.find("back ends crashed under the request") != std::string::npos;
+       ++tries) {
+    std::this_thread::sleep_for(milliseconds(200));
+    beat();  // includes the crashed back ends
+    answer =
+        send_to_router(1, "trial" + std::to_string(tries), kCrashing);  // refused until there is a permit
+  }
+  EXPECT_EQ(crashes().size(), kThirdCrash) << "the one living back end was not tried";
+}
+
 TEST_F(CrashingRequestTest, ABackEndThatBreaksRequestsOffAMomentBeforeItIsGoneCountsAsCrashed) {
   constexpr milliseconds kMoment{20};
   std::deque<ScriptedEngine> engines;
