Share the loop that sends the crashing request in tests

Two tests sent the crashing request to the routers in turn for a time, with the same eight lines; they call send_crashing_for() now. Spans, intervals and assertions are unchanged.

--- a/tests/unit/crashing_request_test.cc
+++ b/tests/unit/crashing_request_test.cc
@@ -88,6 +88,17 @@
                 body);
     return client.read_all();
   }
+  /// Sends the crashing request to the routers in turn, at this interval, and returns the last answer.
+  std::string send_crashing_for(std::chrono::seconds span, milliseconds interval) {
+    std::string last;
+    const auto end = Clock::now() + span;
+    for (size_t number = 0; Clock::now() < end; ++number) {
+      last = send_to_router(number % kRouters, "crashing" + std::to_string(number), kCrashing);
+      std::this_thread::sleep_for(interval);
+      keep_engines();
+    }
+    return last;
+  }
   std::vector<Clock::time_point> crashes() const {
     const std::lock_guard<std::mutex> lock(mutex_);
     return crashes_;
@@ -106,13 +117,7 @@
 TEST_F(CrashingRequestTest, ARequestThatCrashedThreeBackEndsReachesFewOthers) {
   constexpr milliseconds kBetween{300};
   constexpr std::chrono::seconds kSpan{8};
-  std::string last;
-  const auto end = Clock::now() + kSpan;
-  for (size_t number = 0; Clock::now() < end; ++number) {
-    last = send_to_router(number % kRouters, "crashing" + std::to_string(number), kCrashing);
-    std::this_thread::sleep_for(kBetween);
-    keep_engines();
-  }
+  const std::string last = send_crashing_for(kSpan, kBetween);
   const std::vector<Clock::time_point> times = crashes();
   ASSERT_GE(times.size(), kThirdCrash);
   const auto bound_from = times[kThirdCrash - 1] + kContact;
@@ -148,13 +153,7 @@
   listener_close_delay_ = milliseconds(700);
   constexpr milliseconds kBetween{350};
   constexpr std::chrono::seconds kSpan{7};
-  std::string last;
-  const auto end = Clock::now() + kSpan;
-  for (size_t number = 0; Clock::now() < end; ++number) {
-    last = send_to_router(number % kRouters, "crashing" + std::to_string(number), kCrashing);
-    std::this_thread::sleep_for(kBetween);
-    keep_engines();
-  }
+  const std::string last = send_crashing_for(kSpan, kBetween);
   EXPECT_LE(crashes().size(), kThirdCrash);
   EXPECT_EQ(status_of(last), "HTTP/1.1 503") << last;  // refused by the router without being sent
   for (size_t router = 0; router < kRouters; ++router) {
