Tell the log and the metrics which messages and records can't be read, and which build runs

What could not be told apart in the incident: a connection that was lost and one that was closed since the first message on it had a number that the receiver does not know; an empty disk and one whose entries are passed over; and which build a process is. No logic has changed: what could not be read is handled as before.

--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -10,7 +10,7 @@
       replica_(options.replica, restored, seed, now),
       applied_index_(restored.snapshot.index) {
   if (restored.snapshot.index > 0) {
-    state_.load(restored.snapshot.state);
+    load_state(restored.snapshot.index, restored.snapshot.state);
   }
 }
 
@@ -92,7 +92,7 @@
     replica_.persisted(last.index, last.term, now);
   }
   if (output.install && output.install->index > applied_index_) {
-    state_.load(output.install->state);
+    load_state(output.install->index, output.install->state);
     applied_index_ = output.install->index;
   }
   for (const consensus::Entry& entry : output.committed) {
@@ -107,6 +107,12 @@
   }
 }
 
+void ControlCore::load_state(uint64_t index, const std::string& bytes) {
+  if (!state_.load(bytes)) {
+    unreadable_.push_back({"snapshot", index, std::nullopt, bytes.size()});
+  }
+}
+
 void ControlCore::apply(const consensus::Entry& entry) {
   if (entry.index != applied_index_ + 1) {
     return;  // already covered by a snapshot
@@ -116,6 +122,8 @@
   if (entry.kind == consensus::EntryKind::kCommand) {
     if (const auto command = wire::decode<Command>(entry.payload)) {
       result = state_.apply(*command);
+    } else {
+      unreadable_.push_back({"entry", entry.index, wire::tag_of(entry.payload), entry.payload.size()});
     }
   }
   const auto found = pending_calls_.find(entry.index);
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "src/consensus/replica.h"
@@ -29,6 +30,14 @@
   CommandResult result;
 };
 
+/// A log entry or snapshot that could not be decoded.
+struct UnreadableRecord {
+  const char* kind = "";        ///< "entry" or "snapshot"
+  uint64_t index = 0;           ///< of the entry, or of the last entry that the snapshot covers
+  std::optional<uint32_t> tag;  ///< of the command
+  size_t bytes = 0;
+};
+
 /// A snapshot to be written to disk.
 struct DueSnapshot {
   consensus::Snapshot snapshot;
@@ -66,6 +75,9 @@
   /// The entries after `index`, for rewriting the log behind a snapshot.
   std::vector<consensus::Entry> entries_after(uint64_t index) const;
 
+  /// Records that could not be decoded since the last call.
+  std::vector<UnreadableRecord> take_unreadable_records() { return std::exchange(unreadable_, {}); }
+
   const StateMachine& state() const { return state_; }
   const consensus::Replica& replica() const { return replica_; }
   consensus::Replica& replica() { return replica_; }
@@ -82,6 +94,7 @@
     TimePoint received{0};  ///< time of the latest request
   };
   void apply(const consensus::Entry& entry);
+  void load_state(uint64_t index, const std::string& bytes);
   /// Whether the current member list contains the id.
   bool is_listed(consensus::MemberId id) const;
   void fail_pending(wire::CallStatus status);
@@ -96,6 +109,7 @@
   std::map<uint64_t, uint64_t> pending_reads_;     ///< read id to token
   uint64_t last_read_id_ = 0;
   std::vector<CallAnswer> answers_;
+  std::vector<UnreadableRecord> unreadable_;
   std::map<std::string, PendingJoin> pending_joins_;  ///< by member name
 };
 
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <stdexcept>
 
+#include "src/common/build_info.h"
 #include "src/common/hash.h"
 #include "src/common/random.h"
+#include "src/events/fleet_events.h"
 
 namespace stoat::control {
 
@@ -78,6 +80,7 @@
       loop, settings_.internal,
       [this](const ChannelPtr& channel, wire::Message message) { on_message(channel, std::move(message)); },
       [this](const ChannelPtr& channel) { on_router_closed(channel); });
+  channels_->set_unreadable_handler(unreadable_handler());
   loop.every(kTickInterval, [this] { tick(); });
   loop.every(kJoinInterval, [this] { ask_to_join(); });
   loop.every(kFeedInterval, [this] {
@@ -93,7 +96,10 @@
                         {"internal", to_string(settings_.internal)},
                         {"identity", to_hex(identity_.id)},
                         {"first_start", settings_.first_start},
-                        {"last_index", core_->replica().last_index()}});
+                        {"last_index", core_->replica().last_index()},
+                        {"version", kBuildVersion},
+                        {"commit", build_commit()}});
+  metrics_.set("stoat_build_info", 1, build_labels());
 }
 
 FleetServer::~FleetServer() {
@@ -163,12 +169,19 @@
       loop_, endpoint,
       [this](const ChannelPtr& from, wire::Message message) { on_message(from, std::move(message)); },
       [](const ChannelPtr&) {});
+  channel->set_unreadable_handler(unreadable_handler());
   // The other member's zone is unknown until its first update arrives.
   channel->set_meter(traffic_,
                      settings_.topology.distance(settings_.zone, soft_state_.zone_of_peer(address)));
   return channel;
 }
 
+wire::Channel::UnreadableHandler FleetServer::unreadable_handler() {
+  return [this](const wire::Channel& channel, const wire::UnreadableMessage& message) {
+    unreadable_messages_.report(channel, message, loop_.now());
+  };
+}
+
 FleetServer::ChannelPtr FleetServer::leader_channel() {
   const std::string address = core_->leader_address();
   return address.empty() || core_->replica().leads() ? nullptr : channel_to(address);
@@ -288,12 +301,21 @@
     log_.info(leads ? "leads" : "leads no more", {{"term", core_->replica().term()}});
     metrics_.set("stoat_control_leads", leads ? 1 : 0);
   }
+  report_unreadable_records();
   request_confirmation();
   track_confirmation();
   send_forwarded();
   expire_calls();
 }
 
+void FleetServer::report_unreadable_records() {
+  for (const UnreadableRecord& record : core_->take_unreadable_records()) {
+    metrics_.count("stoat_control_unreadable_records_total", {{"kind", record.kind}});
+    log_.event(events::RecordUnreadable{record.kind, record.index,
+                                        record.tag ? std::to_string(*record.tag) : "none", record.bytes});
+  }
+}
+
 void FleetServer::stop() {
   if (stopping_) {
     return;
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -33,6 +33,7 @@
 #include "src/storage/replica_store.h"
 #include "src/topology/topology.h"
 #include "src/wire/channel.h"
+#include "src/wire/unreadable_messages.h"
 
 namespace stoat::control {
 
@@ -156,7 +157,9 @@
   ChannelPtr bulk_channel_to(const std::string& address);
   ChannelPtr open_channel(std::map<std::string, ChannelPtr>& channels, const std::string& address);
   ChannelPtr leader_channel();
+  wire::Channel::UnreadableHandler unreadable_handler();
   void tick();
+  void report_unreadable_records();
   void ask_to_join();
 
   // fleet_calls.cc: commands and confirmed reads
@@ -248,6 +251,7 @@
   EngineInterface& engine_orders_;
   Logger log_{"control"};
   Metrics metrics_;
+  wire::UnreadableMessages unreadable_messages_{log_, metrics_, "stoat_control_unreadable_messages_total"};
   std::shared_ptr<wire::TrafficMeter> traffic_ = std::make_shared<wire::TrafficMeter>();
   storage::DiskFileSystem files_;
   storage::ReplicaStore store_;
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -22,6 +22,31 @@
   }
 };
 
+/// A message from another process could not be decoded; its connection is closed.
+struct MessageUnreadable {
+  static constexpr const char* kMessage = "message unreadable";
+  std::string peer;  ///< host of the sender
+  std::string tag;   ///< of the message's type, or "none"
+  size_t bytes = 0;
+  std::string error;
+  uint64_t unlogged = 0;  ///< like this one, since the last line
+  std::vector<LogField> fields() const {
+    return {{"peer", peer}, {"tag", tag}, {"bytes", bytes}, {"error", error}, {"unlogged", unlogged}};
+  }
+};
+
+/// A record of the replicated state could not be decoded.
+struct RecordUnreadable {
+  static constexpr const char* kMessage = "record unreadable";
+  const char* kind = "";  ///< "entry" or "snapshot"
+  uint64_t index = 0;     ///< of the entry, or of the last entry that the snapshot covers
+  std::string tag;        ///< of the command, or "none"
+  size_t bytes = 0;
+  std::vector<LogField> fields() const {
+    return {{"kind", kind}, {"index", index}, {"tag", tag}, {"bytes", bytes}};
+  }
+};
+
 /// A target version of a model's weights was set.
 struct TargetWeightsChanged {
   static constexpr const char* kMessage = "weights named";
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -142,6 +142,7 @@
           on_message(address, std::move(message));
         },
         [](const std::shared_ptr<wire::Channel>&) {});
+    member.channel->set_unreadable_handler(on_unreadable_);
     set_traffic_meter(member);
   }
 }
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -72,6 +72,10 @@
   bool has_leader() const { return connected_to(leader_address_); }
   /// Sends a message to the member that last reported that it leads. Returns false when there is none.
   bool send_to_leader(const wire::Message& message) { return send_to(leader_address_, message); }
+  /// Sets the handler for messages that could not be decoded.
+  void set_unreadable_handler(wire::Channel::UnreadableHandler handler) {
+    on_unreadable_ = std::move(handler);
+  }
   /// Traffic sent to members. A member that has not reported its zone yet counts as one in another region.
   wire::TrafficMeter& traffic() { return *traffic_; }
   /// Returns the number of members that have answered within their timeout.
@@ -109,6 +113,8 @@
   StatusProvider make_status_;
   UpdateHandler on_update_;
   FeedUpdateHandler on_feed_update_;
+  wire::Channel::UnreadableHandler on_unreadable_ = [](const wire::Channel&, const wire::UnreadableMessage&) {
+  };
   PermitHandler on_permit_answer_ = [](const fleet::PermitResponse&) {};
   Logger log_{"link"};
   std::shared_ptr<wire::TrafficMeter> traffic_ = std::make_shared<wire::TrafficMeter>();
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "src/common/build_info.h"
 #include "src/events/fleet_events.h"
 
 namespace stoat::gateway {
@@ -98,6 +99,10 @@
   };
   context_.startup_ends_at = loop.now() + settings.max_startup_wait;
   context_.request_permits = [this] { request_permits(); };
+  control_link_.set_unreadable_handler(
+      [this](const wire::Channel& channel, const wire::UnreadableMessage& message) {
+        unreadable_messages_.report(channel, message, loop_.now());
+      });
   control_link_.set_permit_handler([this](const fleet::PermitResponse& response) {
     context_.limits.on_permit_answer(response, loop_.now());
   });
@@ -136,7 +141,11 @@
       log_.event(events::BytesSent{line.distance, line.bytes});
     }
   });
-  log_.info("started", {{"name", settings.name}, {"listen", to_string(settings.listen)}});
+  metrics_.set("stoat_build_info", 1, build_labels());
+  log_.info("started", {{"name", settings.name},
+                        {"listen", to_string(settings.listen)},
+                        {"version", kBuildVersion},
+                        {"commit", build_commit()}});
 }
 
 GatewayServer::~GatewayServer() = default;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -14,6 +14,7 @@
 #include "src/http/server.h"
 #include "src/routing/route_table.h"
 #include "src/topology/topology.h"
+#include "src/wire/unreadable_messages.h"
 
 namespace stoat::gateway {
 
@@ -168,6 +169,7 @@
   fleet::PlacementUpdate pending_placements_;
   std::map<const edge::ResponseWriter*, std::shared_ptr<dispatch::ActiveRequest>> active_requests_;
   StartupQueue startup_queue_;
+  wire::UnreadableMessages unreadable_messages_{log_, metrics_, "stoat_router_unreadable_messages_total"};
   ControlLink control_link_;
   edge::EdgeServer edge_;
   bool permit_request_pending_ = false;  ///< a permit request is about to be sent
--- a/src/wire/channel.cc
+++ b/src/wire/channel.cc
@@ -93,6 +93,21 @@
   return connection_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(connection_));
 }
 
+std::string Channel::peer_host() const {
+  sockaddr_storage address{};
+  socklen_t length = sizeof(address);
+  char text[INET6_ADDRSTRLEN] = "";
+  const evutil_socket_t socket = connection_ == nullptr ? -1 : bufferevent_getfd(connection_);
+  if (socket < 0 || getpeername(socket, reinterpret_cast<sockaddr*>(&address), &length) != 0) {
+    return "";
+  }
+  const void* host = address.ss_family == AF_INET6
+                         ? static_cast<const void*>(&reinterpret_cast<sockaddr_in6*>(&address)->sin6_addr)
+                         : static_cast<const void*>(&reinterpret_cast<sockaddr_in*>(&address)->sin_addr);
+  inet_ntop(address.ss_family, host, text, sizeof(text));
+  return text;
+}
+
 void Channel::close() {
   if (connection_ == nullptr) {
     return;
@@ -135,6 +150,7 @@
     evbuffer_remove(input, body.data(), length);
     auto message = decode<Message>(body);
     if (!message) {
+      on_unreadable_(*this, {tag_of(body), body.size(), message.error().message});
       fail();
       return;
     }
@@ -170,7 +186,9 @@
     http::set_unacknowledged_timeout(socket, kUnacknowledgedTimeout);
     bufferevent* connection =
         bufferevent_socket_new(server->loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-    server->track(Channel::adopt(connection, server->on_message_, server->on_closed_));
+    const auto channel = Channel::adopt(connection, server->on_message_, server->on_closed_);
+    channel->set_unreadable_handler(server->on_unreadable_);
+    server->track(channel);
   };
   listener_ = evconnlistener_new_bind(loop.base(), on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
                                       -1, reinterpret_cast<sockaddr*>(&storage), length);
--- a/src/wire/channel.h
+++ b/src/wire/channel.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,11 +39,20 @@
 /// Encodes a message as a frame.
 Frame make_frame(const Message& message);
 
+/// A received message that could not be decoded.
+struct UnreadableMessage {
+  std::optional<uint32_t> tag;  ///< of the message's type; nullopt: the bytes are no tagged message
+  size_t bytes = 0;
+  std::string error;
+};
+
 /// One connection. A channel keeps itself alive until it is closed. A closed channel can't be reopened.
 class Channel : public std::enable_shared_from_this<Channel> {
  public:
   using MessageHandler = std::function<void(const std::shared_ptr<Channel>&, Message)>;
   using ClosedHandler = std::function<void(const std::shared_ptr<Channel>&)>;
+  /// Called for each message that could not be decoded.
+  using UnreadableHandler = std::function<void(const Channel&, const UnreadableMessage&)>;
 
   /// Takes ownership of a connected or connecting bufferevent.
   static std::shared_ptr<Channel> adopt(bufferevent* connection, MessageHandler on_message,
@@ -63,6 +73,9 @@
     distance_ = distance;
   }
   bool metered() const { return meter_ != nullptr; }
+  void set_unreadable_handler(UnreadableHandler handler) { on_unreadable_ = std::move(handler); }
+  /// Address of the other side without its port; empty if the channel is not connected.
+  std::string peer_host() const;
   /// Closes without calling the closed handler.
   void close();
   bool open() const { return connection_ != nullptr; }
@@ -87,6 +100,7 @@
   std::shared_ptr<Channel> self_;  ///< keeps the channel alive until it is closed
   MessageHandler on_message_;
   ClosedHandler on_closed_;
+  UnreadableHandler on_unreadable_ = [](const Channel&, const UnreadableMessage&) {};
 };
 
 /// Closes the channels of a map without calling their closed handlers.
@@ -108,6 +122,8 @@
   ~ChannelServer();
   ChannelServer(const ChannelServer&) = delete;
   ChannelServer& operator=(const ChannelServer&) = delete;
+  /// Sets the handler of the channels that are accepted from now on.
+  void set_unreadable_handler(Channel::UnreadableHandler handler) { on_unreadable_ = std::move(handler); }
   /// Stops accepting new connections.
   void stop_listening();
 
@@ -120,6 +136,7 @@
   std::vector<std::weak_ptr<Channel>> accepted_;  ///< closed by the destructor
   Channel::MessageHandler on_message_;
   Channel::ClosedHandler on_closed_;
+  Channel::UnreadableHandler on_unreadable_ = [](const Channel&, const UnreadableMessage&) {};
 };
 
 }  // namespace stoat::wire
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <msgpack.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
+#include <tuple>
 #include <variant>
 
 namespace stoat::wire {
@@ -45,6 +47,13 @@
   }
 }
 
+/// The tag of an encoded TaggedVariant, also if the alternative is unknown; nullopt if the bytes are no
+/// encoded variant.
+inline std::optional<uint32_t> tag_of(std::string_view bytes) {
+  const auto tagged = decode<std::tuple<uint32_t, msgpack::object>>(bytes);
+  return tagged ? std::optional(std::get<0>(*tagged)) : std::nullopt;
+}
+
 /// A variant that is encoded as [index, value]. New alternatives must be added at the end.
 template <typename... Alternatives>
 struct TaggedVariant {
