Reproduce that routers are left behind while members of two builds run side by side

The stand-ins and the load tool can speak the target platform's names now, since production speaks no others, and members of a loopback fleet have addresses of their own: production takes every member at the first seed's address for the founder.

--- a/standins/backend_server.cc
+++ b/standins/backend_server.cc
@@ -86,11 +86,14 @@
   return to_hex(hash_pair(hash_bytes(prompt_parts), index));
 }
 
-BackendServer::BackendServer(EventLoop& loop, const BackendSettings& settings)
+BackendServer::BackendServer(EventLoop& loop, const BackendSettings& settings,
+                             const control::FleetHttpInterface& interface, const dispatch::HeaderNames& names)
     : loop_(loop),
       settings_(settings),
       id_(settings.name + "-" + to_hex(seed_from_device())),
       epoch_(seed_from_device() >> 1U),
+      interface_(interface),
+      names_(names),
       client_(loop),
       server_(loop, settings.listen),
       cache_(settings.cache_tokens) {
--- a/standins/backend_server.h
+++ b/standins/backend_server.h
@@ -58,7 +58,8 @@
 /// The HTTP server of a simulated backend.
 class BackendServer {
  public:
-  BackendServer(EventLoop& loop, const BackendSettings& settings);
+  BackendServer(EventLoop& loop, const BackendSettings& settings,
+                const control::FleetHttpInterface& interface = {}, const dispatch::HeaderNames& names = {});
 
  private:
   struct Stream {
--- /dev/null
+++ b/tests/process/two_builds_test.cc
@@ -0,0 +1,104 @@
+// Fleets of real processes of two builds, while machines are replaced one after the other.
+#include <algorithm>
+
+#include "platform/names.h"
+#include "tests/process/fleet_process_test.h"
+#include "tools/upgrade_run.h"
+
+namespace stoat::tools {
+namespace {
+
+/// Callers that are not served while processes of two builds run side by side: this share more than beside
+/// processes of one build, where nothing is lost at a router that has settled.
+constexpr double kAllowedLoss = 0.01;
+
+class TwoBuildsTest : public FleetProcessTest {
+ protected:
+  void SetUp() override { start_fleet(test::production_program_directory()); }
+
+  void start_fleet(const std::string& first_bin_folder) {
+    ASSERT_FALSE(test::production_program_directory().empty()) << "run scripts/build-production first";
+    options_.programs = {"stoat-platform-control", "stoat-platform-router", "stoat-platform-standin",
+                         platform::fleet_interface(), platform::header_names()};
+    options_.first_bin_folder = first_bin_folder;
+    options_.control_members = 3;
+    options_.routers = 3;
+    options_.engines = 1;
+    FleetProcessTest::SetUp();
+  }
+
+  /// Replaces these processes in this order.
+  UpgradePlan plan(const std::vector<std::string>& order, const std::string& bin_folder) const {
+    UpgradePlan plan;
+    for (const std::string& process : order) {
+      plan.replacements.push_back({process, bin_folder});
+    }
+    return plan;
+  }
+
+  void expect_no_violation(const UpgradePlan& plan) {
+    const UpgradeResult result = run_upgrade(*processes_, *fleet_, plan);
+    for (const std::string& violation : result.violations) {
+      ADD_FAILURE() << violation << "; logs in " << work_folder_;
+    }
+    EXPECT_TRUE(result.has_newest_configuration) << "of version " << result.acknowledged_version;
+    EXPECT_GT(result.probes, 0U);
+    EXPECT_GE(static_cast<double>(result.served), (1 - kAllowedLoss) * static_cast<double>(result.probes));
+    RecordProperty("probes", static_cast<int>(result.probes));
+    RecordProperty("served", static_cast<int>(result.served));
+  }
+
+  const std::vector<std::string> members_first_ = {"control-1", "control-2", "control-3",
+                                                   "router-1",  "router-2",  "router-3"};
+};
+
+// Routers of the production build that members of this build had replaced kept an old configuration.
+TEST_F(TwoBuildsTest, RoutersGetConfigurationsWhileMembersAreReplaced) {
+  expect_no_violation(plan(members_first_, test::program_directory()));
+}
+
+// Routers of this build did not hear of back ends from members of the production build.
+TEST_F(TwoBuildsTest, RoutersServeBeforeMembersAreReplaced) {
+  expect_no_violation(plan({"router-1", "router-2", "router-3", "control-1", "control-2", "control-3"},
+                           test::program_directory()));
+}
+
+TEST_F(TwoBuildsTest, MembersAndRoutersAreReplacedInTurn) {
+  expect_no_violation(plan({"control-3", "router-1", "control-2", "router-2", "control-1", "router-3"},
+                           test::program_directory()));
+}
+
+TEST_F(TwoBuildsTest, AFleetThatStaysHalfReplacedObeysItsConfiguration) {
+  UpgradePlan half = plan({"control-1", "router-1"}, test::program_directory());
+  half.time_after = 10s;
+  expect_no_violation(half);
+}
+
+// The configuration that had been acknowledged was gone once all members had been replaced.
+TEST_F(TwoBuildsTest, AConfigurationOutlivesTheReplacementOfAllMembers) {
+  UpgradePlan quiet = plan(members_first_, test::program_directory());
+  quiet.configuration_interval = Duration(0);
+  expect_no_violation(quiet);
+}
+
+class OneBuildTest : public TwoBuildsTest {
+ protected:
+  void SetUp() override { start_fleet(""); }
+};
+
+// The control run: what is asked of two builds holds for one.
+TEST_F(OneBuildTest, NothingIsLostWhileAllProcessesAreReplaced) {
+  expect_no_violation(plan(members_first_, test::program_directory()));
+}
+
+class ReturnToProductionTest : public TwoBuildsTest {
+ protected:
+  void SetUp() override { start_fleet(""); }
+};
+
+TEST_F(ReturnToProductionTest, ConfigurationsAreObeyedOnTheWayBack) {
+  expect_no_violation(plan(members_first_, test::production_program_directory()));
+}
+
+}  // namespace
+}  // namespace stoat::tools
--- a/tools/load_generator.h
+++ b/tools/load_generator.h
@@ -18,6 +18,7 @@
   std::string host = "demo";
   std::string key = "demo-key";
   std::string model = "demo-model";
+  dispatch::HeaderNames headers = {};
 };
 
 /// How a request ended, as seen by the client.
@@ -61,7 +62,7 @@
   EventLoop& loop_;
   http::Client client_;
   LoadTarget target_;
-  dispatch::HeaderNames names_;
+  const dispatch::HeaderNames& names_ = target_.headers;
   std::vector<RequestClass> classes_;
   std::vector<RequestRecord> records_;
   std::vector<std::string> bodies_;  ///< received so far, of streams
--- a/tools/loopback_fleet.cc
+++ b/tools/loopback_fleet.cc
@@ -1,10 +1,9 @@
 #include "tools/loopback_fleet.h"
 
 #include <fstream>
-#include <sstream>
+#include <map>
 #include <stdexcept>
 
-#include "src/control/fleet_interface.h"
 #include "src/http/blocking.h"
 
 namespace stoat::tools {
@@ -17,6 +16,7 @@
 constexpr Duration kStartTimeout = 30s;
 constexpr Duration kPollInterval = 50ms;
 constexpr Duration kCallTimeout = 3s;
+constexpr Duration kRequestTimeout = 1s;
 
 std::string quoted(const std::string& text) { return "\"" + text + "\""; }
 
@@ -30,6 +30,23 @@
   return key + "=[" + list + "]";
 }
 
+json rename_fields(const json& document, const std::map<std::string, std::string>& new_names) {
+  if (!document.is_structured()) {
+    return document;
+  }
+  json renamed = document.is_array() ? json::array() : json::object();
+  for (const auto& [name, value] : document.items()) {
+    const auto found = new_names.find(name);
+    const json inner = rename_fields(value, new_names);
+    if (document.is_array()) {
+      renamed.push_back(inner);
+    } else {
+      renamed[found == new_names.end() ? name : found->second] = inner;
+    }
+  }
+  return renamed;
+}
+
 http::ClientResult send_request(const Endpoint& endpoint, const std::string& method, const std::string& path,
                                 const std::string& body = "") {
   http::ClientRequest request;
@@ -60,20 +77,29 @@
   std::vector<Endpoint> internal;
   for (uint32_t number = 1; number <= options_.control_members; ++number) {
     internal.push_back(processes_.free_endpoint());
+    internal.back().address = "127.0.0." + std::to_string(number);
   }
   seeds_setting_ = list_setting("seeds", internal);
   for (uint32_t number = 1; number <= options_.control_members; ++number) {
     const std::string name = "control-" + std::to_string(number);
     control_names_.push_back(name);
     admin_endpoints_.push_back(processes_.free_endpoint());
-    processes_.add(name, "stoat-control",
-                   {setting("name", name), setting("zone", "zone-" + std::to_string(number)), seeds_setting_,
-                    setting("internal", to_string(internal[number - 1])),
-                    setting("control", to_string(admin_endpoints_.back())),
-                    setting("directory", to_string(processes_.free_endpoint())),
-                    setting("metrics", to_string(processes_.free_endpoint())),
-                    setting("data_folder", processes_.make_folder(name + "-data")), "first_start=true",
-                    "tolerated_losses=" + std::to_string((options_.control_members - 1) / 2)});
+    add_server(name, options_.programs.control,
+               {setting("name", name), setting("zone", "zone-" + std::to_string(number)), seeds_setting_,
+                setting("internal", to_string(internal[number - 1])),
+                setting("control", to_string(admin_endpoints_.back())),
+                setting("directory", to_string(processes_.free_endpoint())),
+                setting("metrics", to_string(processes_.free_endpoint())),
+                setting("data_folder", processes_.make_folder(name + "-data")), "first_start=true",
+                "tolerated_losses=" + std::to_string((options_.control_members - 1) / 2)});
+  }
+}
+
+void LoopbackFleet::add_server(const std::string& name, const std::string& program,
+                               const std::vector<std::string>& settings) {
+  processes_.add(name, program, settings);
+  if (!options_.first_bin_folder.empty()) {
+    processes_.set_bin_folder(name, options_.first_bin_folder);
   }
 }
 
@@ -81,11 +107,11 @@
   for (uint32_t number = 1; number <= options_.routers; ++number) {
     const std::string name = "router-" + std::to_string(number);
     router_endpoints_.push_back(processes_.free_endpoint());
-    processes_.add(name, "stoat-router",
-                   {setting("name", name), setting("zone", "zone-" + std::to_string(number)), seeds_setting_,
-                    setting("listen", to_string(router_endpoints_.back())),
-                    setting("ready", to_string(processes_.free_endpoint())),
-                    setting("metrics", to_string(processes_.free_endpoint()))});
+    add_server(name, options_.programs.router,
+               {setting("name", name), setting("zone", "zone-" + std::to_string(number)), seeds_setting_,
+                setting("listen", to_string(router_endpoints_.back())),
+                setting("ready", to_string(processes_.free_endpoint())),
+                setting("metrics", to_string(processes_.free_endpoint()))});
   }
 }
 
@@ -111,13 +137,13 @@
   if (rate_limit > 0) {
     settings.push_back("rate_limit=" + std::to_string(rate_limit));
   }
-  processes_.add(name, "standin-backend", settings);
+  processes_.add(name, options_.programs.backend, settings);
 }
 
 void LoopbackFleet::start_service_backend(const std::string& name, const std::string& software,
                                           uint32_t fails_each) {
   backend_names_.push_back(name);
-  processes_.add(name, "standin-backend",
+  processes_.add(name, options_.programs.backend,
                  {setting("name", name), setting("service", "search"),
                   setting("listen", to_string(processes_.free_endpoint())),
                   setting("runs_file", runs_file(name)), list_setting("control", admin_endpoints_),
@@ -133,33 +159,56 @@
   for (const std::string& name : processes_.names()) {
     processes_.start(name);
   }
-  std::ifstream file(options_.configuration_file);
-  std::ostringstream document;
-  document << file.rdbuf();
-  if (!put_configuration(document.str(), kStartTimeout)) {
+  if (!put_configuration(make_configuration().dump(), kStartTimeout)) {
     throw std::runtime_error("the configuration was not accepted; see the logs in " +
                              processes_.work_folder());
   }
-  if (!wait_until([this] { return has_registered(router_endpoints_.size(), backend_names_.size()); },
-                  kStartTimeout)) {
+  const auto has_started = [this] {
+    return options_.first_bin_folder.empty() ? has_registered(router_endpoints_.size(), backend_names_.size())
+                                             : every_router_serves();
+  };
+  if (!wait_until(has_started, kStartTimeout)) {
     throw std::runtime_error("not all routers and backends were registered in time; see the logs in " +
                              processes_.work_folder());
   }
 }
 
+json LoopbackFleet::make_configuration() const {
+  std::ifstream file(options_.configuration_file);
+  const control::JsonFieldNames own;
+  const control::JsonFieldNames& names = options_.programs.interface.field_names;
+  return rename_fields(json::parse(file), {{own.open_route, names.open_route},
+                                           {own.keys, names.keys},
+                                           {own.kv_tokens, names.kv_tokens},
+                                           {own.kv_bytes, names.kv_bytes}});
+}
+
 bool LoopbackFleet::put_configuration(const std::string& document, Duration limit) const {
   size_t next = 0;
   return wait_until(
       [&] {
         const Endpoint& member = admin_endpoints_[next++ % admin_endpoints_.size()];
-        return send_request(member, "PUT", control::FleetPaths().configuration, document).status == kOk;
+        return send_request(member, "PUT", options_.programs.interface.paths.configuration, document)
+                   .status == kOk;
       },
       limit);
 }
 
+json LoopbackFleet::read_configuration() const {
+  for (const Endpoint& member : admin_endpoints_) {
+    const http::ClientResult result =
+        send_request(member, "GET", options_.programs.interface.paths.configuration);
+    if (result.status == kOk) {
+      return json::parse(result.body, nullptr, false);
+    }
+  }
+  return {};
+}
+
 json LoopbackFleet::status_of_leader() const {
   for (const Endpoint& member : admin_endpoints_) {
-    json page = json::parse(send_request(member, "GET", control::FleetPaths().status).body, nullptr, false);
+    json page = json::parse(send_request(member, "GET", options_.programs.interface.paths.status).body,
+                            nullptr, false);
     if (page.is_object() && page["leads"] == true) {
       return page;
     }
@@ -170,7 +219,8 @@
 std::string LoopbackFleet::leader() const {
   for (size_t position = 0; position < admin_endpoints_.size(); ++position) {
     const json page = json::parse(
-        send_request(admin_endpoints_[position], "GET", control::FleetPaths().status).body, nullptr, false);
+        send_request(admin_endpoints_[position], "GET", options_.programs.interface.paths.status).body,
+        nullptr, false);
     if (page.is_object() && page["leads"] == true) {
       return control_names_[position];
     }
@@ -201,9 +251,35 @@
   return ready == backends;
 }
 
+http::ClientResult LoopbackFleet::send_to_router(size_t router, const std::string& path,
+                                                 const std::string& request_id) const {
+  const LoadTarget& target = this->target();
+  http::ClientRequest request;
+  request.endpoint = target.routers.at(router);
+  request.method = "POST";
+  request.path = path;
+  request.timeout = kRequestTimeout;
+  request.headers = {{"Host", target.host},
+                     {target.headers.request_id, request_id},
+                     {target.headers.deadline_ms, std::to_string(to_milliseconds(kRequestTimeout))},
+                     {target.headers.credential, target.headers.credential_scheme + " " + target.key}};
+  request.body = "{}";
+  return http::fetch(request);
+}
+
+bool LoopbackFleet::every_router_serves() const {
+  for (size_t router = 0; router < router_endpoints_.size(); ++router) {
+    if (send_to_router(router, "/search/", "start-" + std::to_string(router)).status != kOk) {
+      return false;
+    }
+  }
+  return true;
+}
+
 LoadTarget LoopbackFleet::target() const {
   LoadTarget target;
   target.routers = router_endpoints_;
+  target.headers = options_.programs.headers;
   return target;
 }
 
--- a/tools/loopback_fleet.h
+++ b/tools/loopback_fleet.h
@@ -8,11 +8,23 @@
 #include <string>
 #include <vector>
 
+#include "src/control/fleet_interface.h"
+#include "src/dispatch/request_protocol.h"
+#include "src/http/client.h"
 #include "tools/load_generator.h"
 #include "tools/process_fleet.h"
 
 namespace stoat::tools {
 
+/// The programs of a fleet and the names in their protocols.
+struct FleetPrograms {
+  std::string control = "stoat-control";
+  std::string router = "stoat-router";
+  std::string backend = "standin-backend";
+  control::FleetHttpInterface interface = {};
+  dispatch::HeaderNames headers = {};
+};
+
 /// How many processes of each kind to run, and how the simulated backends behave.
 struct LoopbackFleetOptions {
   uint32_t control_members = 3;
@@ -20,6 +32,9 @@
   uint32_t engines = 3;
   uint32_t services = 2;  ///< backends of the plain service
   std::string configuration_file;
+  FleetPrograms programs = {};
+  /// Folder from which control members and routers are started at first; empty: that of the ProcessFleet.
+  std::string first_bin_folder;
   std::string software;           ///< program version that the plain service reports; empty: none
   uint32_t limited_services = 0;  ///< how many backends of the plain service announce `rate_limit`
   double rate_limit = 0;          ///< in requests per second
@@ -38,8 +53,12 @@
   /// Starts another backend of the plain service, which reports `software` as its program version. Every
   /// `fails_each`-th request to it fails; 0: none.
   void start_service_backend(const std::string& name, const std::string& software, uint32_t fails_each);
+  /// The configuration document that the fleet's programs read, with their field names.
+  nlohmann::json make_configuration() const;
   /// Puts a configuration document in force. Returns false if it was not acknowledged within `limit`.
   bool put_configuration(const std::string& document, Duration limit = Duration(10s)) const;
+  /// Reads the configuration back; null if no member answers.
+  nlohmann::json read_configuration() const;
   /// The status page of the leading control member; null if there is no leader.
   nlohmann::json status_of_leader() const;
   /// The name of the leading control member; empty if there is none.
@@ -48,6 +67,9 @@
   static bool wait_until(const std::function<bool()>& condition, Duration limit);
   /// Whether exactly this many routers and ready backends are registered with the leader.
   bool has_registered(size_t routers, size_t backends) const;
+  /// Sends a request of the plain service to one router, as its client, and waits for the response.
+  http::ClientResult send_to_router(size_t router, const std::string& path,
+                                    const std::string& request_id) const;
   /// The routers as a target for run_load().
   LoadTarget target() const;
   const std::vector<Endpoint>& admin_endpoints() const { return admin_endpoints_; }
@@ -62,8 +84,11 @@
  private:
   void add_control_members();
   void add_routers();
+  void add_server(const std::string& name, const std::string& program,
+                  const std::vector<std::string>& settings);
   /// `rate_limit`: limit that the backend announces, in requests per second; 0: none.
   void add_backend(const std::string& name, const std::string& service, bool engine, double rate_limit = 0);
+  bool every_router_serves() const;
   std::string runs_file(const std::string& name) const;
 
   ProcessFleet& processes_;
--- a/tools/process_fleet.cc
+++ b/tools/process_fleet.cc
@@ -67,12 +67,17 @@
 void ProcessFleet::add(const std::string& name, const std::string& program,
                        const std::vector<std::string>& settings) {
   processes_[name].program = program;
+  processes_[name].bin_folder = bin_folder_;
   processes_[name].settings = settings;
 }
 
+void ProcessFleet::set_bin_folder(const std::string& name, const std::string& bin_folder) {
+  processes_.at(name).bin_folder = bin_folder;
+}
+
 void ProcessFleet::start(const std::string& name) {
   Process& process = processes_.at(name);
-  const std::string program = bin_folder_ + "/" + process.program;
+  const std::string program = process.bin_folder + "/" + process.program;
   std::vector<std::string> arguments{program};
   for (const std::string& setting : process.settings) {
     arguments.push_back("--set");
--- a/tools/process_fleet.h
+++ b/tools/process_fleet.h
@@ -28,6 +28,8 @@
   Endpoint free_endpoint();
   /// Adds a process, given by its program and its "key=value" settings, without starting it.
   void add(const std::string& name, const std::string& program, const std::vector<std::string>& settings);
+  /// Executes the program of a process from another folder from its next start on.
+  void set_bin_folder(const std::string& name, const std::string& bin_folder);
   /// Starts a process. Its output is appended to the log file NAME.log.
   void start(const std::string& name);
   /// Sends SIGTERM and waits. Returns the exit status, 128 + N if signal N ended the process, or -1 if it had
@@ -56,6 +58,7 @@
  private:
   struct Process {
     std::string program;
+    std::string bin_folder;
     std::vector<std::string> settings;
     pid_t pid = 0;
   };
