Give each message between processes an explicit tag, the one that production uses

What callers saw: routers of production beside new members kept an old configuration (404 for routes acknowledged 2 s before, dropped routes served). Cause: the tag of a message was its position in the variant. When the first request path was removed, its 15 message types were taken out of the list and all others moved: RouterStatus went from 19 to 4, FleetUpdate from 20 to 5. Each side closes the connection at the first message ('message unreadable ... tag=19' in the log of TwoBuildsTest). ControlResponse, CommandResult and JoinRequest had lost fields in their middle, and ResultCode kInvalid had moved from 2 to 1, which production reads as another result. Change: each type names its tag; tags of removed types are reserved, and the compiler refuses a tag that is used twice or reserved. Removed fields keep their place (RemovedField).

--- a/src/control/command.h
+++ b/src/control/command.h
@@ -8,22 +8,27 @@
 
 namespace stoat::control {
 
-/// Any command. New alternatives go at the end, since the encoding contains the index of the alternative.
-using Command = wire::TaggedVariant<fleet::PutConfiguration, fleet::SetTargetWeights, fleet::RetireBackend,
-                                    fleet::StartServiceRollout, fleet::StepServiceRollout>;
+/// Any command.
+using Command = wire::TaggedVariant<
+    wire::ReservedTags<>, wire::Alternative<0, fleet::PutConfiguration>,
+    wire::Alternative<1, fleet::SetTargetWeights>, wire::Alternative<2, fleet::RetireBackend>,
+    wire::Alternative<3, fleet::StartServiceRollout>, wire::Alternative<4, fleet::StepServiceRollout>>;
 
-/// Outcome of applying a command.
+/// Outcome of applying a command. Members of other builds send 1, 3 and 4 with other meanings.
 enum class ResultCode : uint8_t {
-  kOk,
-  kInvalid,            ///< the command contradicts the state; `message` gives the reason
-  kRolloutInProgress,  ///< another rollout of the service is in progress; `message` names it
+  kOk = 0,
+  kInvalid = 2,            ///< the command contradicts the state; `message` gives the reason
+  kRolloutInProgress = 5,  ///< another rollout of the service is in progress; `message` names it
 };
 
 /// Result of applying a command, returned to its caller.
 struct CommandResult {
   ResultCode code = ResultCode::kOk;
   std::string message;
-  MSGPACK_DEFINE_ARRAY(code, message)
+  wire::RemovedField<uint64_t> version = {};
+  wire::RemovedField<uint8_t> claim_state = {};
+  wire::RemovedField<std::string> outcome = {};
+  MSGPACK_DEFINE_ARRAY(code, version, claim_state, outcome, message)
 };
 
 }  // namespace stoat::control
--- a/src/storage/replica_store.cc
+++ b/src/storage/replica_store.cc
@@ -20,7 +20,9 @@
   MSGPACK_DEFINE_ARRAY(index)
 };
 
-using LogRecord = wire::TaggedVariant<consensus::HardState, consensus::Entry, TruncateRecord>;
+using LogRecord =
+    wire::TaggedVariant<wire::ReservedTags<>, wire::Alternative<0, consensus::HardState>,
+                        wire::Alternative<1, consensus::Entry>, wire::Alternative<2, TruncateRecord>>;
 
 std::string encode_record(const LogRecord& record) { return make_record(wire::encode(record)); }
 
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -1,6 +1,7 @@
-/// MessagePack encoding of typed messages. A variant is encoded as [alternative index, value].
+/// MessagePack encoding of typed messages. A variant is encoded as [tag, value].
 #pragma once
 
+#include <array>
 #include <msgpack.hpp>
 #include <optional>
 #include <string>
@@ -54,46 +55,86 @@
   return tagged ? std::optional(std::get<0>(*tagged)) : std::nullopt;
 }
 
-/// A variant that is encoded as [index, value]. New alternatives must be added at the end.
-template <typename... Alternatives>
+/// One type of a TaggedVariant and the tag that identifies it in the encoding.
+template <uint32_t kTagValue, typename Type>
+struct Alternative {
+  static constexpr uint32_t kTag = kTagValue;
+  using Value = Type;
+};
+
+/// Tags of types that no longer exist. They must not be used again, because other builds may still send them.
+template <uint32_t... kTags>
+struct ReservedTags {
+  static constexpr bool contains(uint32_t tag) { return ((tag == kTags) || ...); }
+};
+
+/// A variant that is encoded as [tag, value]. Processes of several builds read each other's variants, so the
+/// tag of a type never changes, and fields may only be added to it, at its end.
+template <typename Reserved, typename... Alternatives>
 struct TaggedVariant {
-  using Variant = std::variant<Alternatives...>;
+  using Variant = std::variant<typename Alternatives::Value...>;
   Variant value;
 
   TaggedVariant() = default;
-  template <typename Alternative, typename = std::enable_if_t<std::is_constructible_v<Variant, Alternative>>>
-  TaggedVariant(Alternative&& alternative) : value(std::forward<Alternative>(alternative)) {}
+  template <typename Type, typename = std::enable_if_t<std::is_constructible_v<Variant, Type>>>
+  TaggedVariant(Type&& initial) : value(std::forward<Type>(initial)) {}
+
+  /// Whether the tag is that of one of the types.
+  static constexpr bool knows(uint32_t tag) { return ((tag == Alternatives::kTag) || ...); }
 
   template <typename Packer>
   void msgpack_pack(Packer& packer) const {
     packer.pack_array(2);
-    packer.pack(static_cast<uint32_t>(value.index()));
-    std::visit([&packer](const auto& alternative) { packer.pack(alternative); }, value);
+    packer.pack(kTags[value.index()]);
+    std::visit([&packer](const auto& held) { packer.pack(held); }, value);
   }
 
   void msgpack_unpack(const msgpack::object& object) {
     if (object.type != msgpack::type::ARRAY || object.via.array.size != 2) {
       throw msgpack::type_error();
     }
-    const auto index = object.via.array.ptr[0].as<uint32_t>();
-    if (!read_alternative<0>(index, object.via.array.ptr[1])) {
+    const auto tag = object.via.array.ptr[0].as<uint32_t>();
+    const bool is_read = (read_as<Alternatives>(tag, object.via.array.ptr[1]) || ...);
+    if (!is_read) {
       throw msgpack::type_error();
     }
   }
 
  private:
-  template <size_t Index>
-  bool read_alternative(uint32_t index, const msgpack::object& body) {
-    if constexpr (Index < sizeof...(Alternatives)) {
-      if (index != Index) {
-        return read_alternative<Index + 1>(index, body);
+  static constexpr std::array<uint32_t, sizeof...(Alternatives)> kTags = {Alternatives::kTag...};
+
+  static constexpr bool tags_are_unique() {
+    for (size_t first = 0; first < kTags.size(); ++first) {
+      for (size_t second = first + 1; second < kTags.size(); ++second) {
+        if (kTags[first] == kTags[second]) {
+          return false;
+        }
       }
-      value = body.as<std::variant_alternative_t<Index, Variant>>();
-      return true;
-    } else {
+    }
+    return true;
+  }
+  static_assert(tags_are_unique(), "two types have the same tag");
+  static_assert(!(Reserved::contains(Alternatives::kTag) || ...), "a type has the tag of a removed one");
+
+  template <typename Candidate>
+  bool read_as(uint32_t tag, const msgpack::object& body) {
+    if (tag != Candidate::kTag) {
       return false;
     }
+    value = body.as<typename Candidate::Value>();
+    return true;
+  }
+};
+
+/// Keeps the place of a removed field in an encoding: written as the default of its former type, skipped when
+/// it is read.
+template <typename Type>
+struct RemovedField {
+  template <typename Packer>
+  void msgpack_pack(Packer& packer) const {
+    packer.pack(Type{});
   }
+  void msgpack_unpack(const msgpack::object&) {}
 };
 
 }  // namespace stoat::wire
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -25,7 +25,8 @@
   uint64_t call_id = 0;
   CallStatus status = CallStatus::kDone;
   control::CommandResult result;
-  MSGPACK_DEFINE_ARRAY(call_id, status, result)
+  RemovedField<std::string> leader = {};
+  MSGPACK_DEFINE_ARRAY(call_id, status, leader, result)
 };
 
 /// From one control member to another: a consensus message.
@@ -37,15 +38,24 @@
 /// From a control member that is not in the member list to its peers: requests to be added.
 struct JoinRequest {
   consensus::Member member;
-  MSGPACK_DEFINE_ARRAY(member)
+  RemovedField<bool> is_blank = {};
+  MSGPACK_DEFINE_ARRAY(member, is_blank)
 };
 
-/// Any message. New alternatives must be added at the end.
-using Message = TaggedVariant<ControlCall, ControlResponse, PeerMessage, JoinRequest, fleet::RouterStatus,
-                              fleet::FleetUpdate, fleet::PeerUpdate, fleet::ConfirmedRead,
-                              fleet::ConfirmedReadResponse, fleet::MemberAddresses, fleet::PlacementUpdate,
-                              fleet::FleetFeedUpdate, fleet::RouterLoads, fleet::ConfirmationRequest,
-                              fleet::ConfirmationResponse, fleet::PermitRequest, fleet::PermitResponse>;
+/// Tags of the messages of a request path that no longer exists.
+using ReservedMessageTags = ReservedTags<0, 1, 2, 3, 4, 5, 8, 9, 10, 11, 12, 13, 16, 17, 18>;
+
+/// Any message between processes.
+using Message =
+    TaggedVariant<ReservedMessageTags, Alternative<6, ControlCall>, Alternative<7, ControlResponse>,
+                  Alternative<14, PeerMessage>, Alternative<15, JoinRequest>,
+                  Alternative<19, fleet::RouterStatus>, Alternative<20, fleet::FleetUpdate>,
+                  Alternative<21, fleet::PeerUpdate>, Alternative<22, fleet::ConfirmedRead>,
+                  Alternative<23, fleet::ConfirmedReadResponse>, Alternative<24, fleet::MemberAddresses>,
+                  Alternative<25, fleet::PlacementUpdate>, Alternative<26, fleet::FleetFeedUpdate>,
+                  Alternative<27, fleet::RouterLoads>, Alternative<28, fleet::ConfirmationRequest>,
+                  Alternative<29, fleet::ConfirmationResponse>, Alternative<30, fleet::PermitRequest>,
+                  Alternative<31, fleet::PermitResponse>>;
 
 }  // namespace stoat::wire
 
