Give each command of the replicated log an explicit tag, the one that production uses

What callers saw: a member of this build that started on a disk of production knew no configuration until the next one arrived, and once all members were replaced the acknowledged one was gone (a read of it: 503). Members of production passed over everything that a new leader wrote. Cause: as with messages, the tag was the position in the variant, and removing six commands had moved PutConfiguration from 6 to 0. An entry that can't be decoded is passed over ('record unreadable kind=entry tag=6'). Found on the way: production's leader also writes ExpireClaims (tag 5) at intervals, so it is read, without effect, and is among the kept bytes now.

--- a/src/control/command.h
+++ b/src/control/command.h
@@ -8,11 +8,20 @@
 
 namespace stoat::control {
 
+/// Written by members of earlier builds at intervals; has no effect.
+struct ExpireClaims {
+  int64_t before_ms = 0;
+  MSGPACK_DEFINE_ARRAY(before_ms)
+};
+
+/// Tags of commands that no longer exist and that no fleet has in its log.
+using ReservedCommandTags = wire::ReservedTags<0, 1, 2, 3, 4>;
+
 /// Any command.
 using Command = wire::TaggedVariant<
-    wire::ReservedTags<>, wire::Alternative<0, fleet::PutConfiguration>,
-    wire::Alternative<1, fleet::SetTargetWeights>, wire::Alternative<2, fleet::RetireBackend>,
-    wire::Alternative<3, fleet::StartServiceRollout>, wire::Alternative<4, fleet::StepServiceRollout>>;
+    ReservedCommandTags, wire::Alternative<5, ExpireClaims>, wire::Alternative<6, fleet::PutConfiguration>,
+    wire::Alternative<7, fleet::SetTargetWeights>, wire::Alternative<8, fleet::RetireBackend>,
+    wire::Alternative<9, fleet::StartServiceRollout>, wire::Alternative<10, fleet::StepServiceRollout>>;
 
 /// Outcome of applying a command. Members of other builds send 1, 3 and 4 with other meanings.
 enum class ResultCode : uint8_t {
--- a/src/control/state_machine.cc
+++ b/src/control/state_machine.cc
@@ -1,5 +1,6 @@
 #include "src/control/state_machine.h"
 
+#include <type_traits>
 #include <utility>
 
 namespace stoat::control {
@@ -8,7 +9,12 @@
   if (const auto* start = std::get_if<fleet::StartServiceRollout>(&command.value)) {
     return apply_rollout_start(*start);
   }
-  std::visit([this](const auto& fleet_command) { fleet_.apply(fleet_command); }, command.value);
+  const auto apply_to_fleet = [this](const auto& fleet_command) {
+    if constexpr (!std::is_same_v<std::decay_t<decltype(fleet_command)>, ExpireClaims>) {
+      fleet_.apply(fleet_command);
+    }
+  };
+  std::visit(apply_to_fleet, command.value);
   return {};
 }
 
