--- a/src/control/state_machine.cc
+++ b/src/control/state_machine.cc
@@ -1,7 +1,11 @@
 #include "src/control/state_machine.h"
 
+#include <map>
+#include <optional>
+#include <tuple>
 #include <type_traits>
 #include <utility>
+#include <vector>
 
 namespace stoat::control {
 
@@ -36,14 +40,41 @@
   return result;
 }
 
-std::string StateMachine::save() const { return wire::encode(fleet_); }
+namespace {
+
+using EmptyMap = std::map<uint32_t, uint32_t>;
+using EmptyList = std::vector<uint32_t>;
+using EmptyRecord = std::tuple<EmptyList>;
+using RemovedList = wire::RemovedField<EmptyList>;
+using RemovedMap = wire::RemovedField<EmptyMap>;
+
+/// The encoded form of the state. The removed fields are those that earlier builds read before the fleet.
+struct SavedState {
+  wire::RemovedField<std::tuple<uint64_t, EmptyMap, EmptyMap, EmptyMap, EmptyRecord>> configuration = {};
+  RemovedList changes = {};
+  RemovedList history = {};
+  RemovedList answers = {};
+  RemovedMap orders = {};
+  RemovedMap claims = {};
+  RemovedMap closed_attempts = {};
+  std::optional<fleet::FleetState> fleet;  ///< never missing in a valid encoding
+  MSGPACK_DEFINE_ARRAY(configuration, changes, history, answers, orders, claims, closed_attempts, fleet)
+};
+
+}  // namespace
+
+std::string StateMachine::save() const {
+  SavedState saved;
+  saved.fleet = fleet_;
+  return wire::encode(saved);
+}
 
 bool StateMachine::load(const std::string& bytes) {
-  auto saved = wire::decode<fleet::FleetState>(bytes);
-  if (!saved) {
+  auto saved = wire::decode<SavedState>(bytes);
+  if (!saved || !saved->fleet) {
     return false;
   }
-  fleet_ = std::move(*saved);
+  fleet_ = std::move(*saved->fleet);
   return true;
 }
 
