Skip messages of unknown type and keep the connection

Cause: every message that can't be decoded closed its channel. Change: one whose tag is unknown is counted, logged and skipped; one that is malformed still closes the channel.

--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -22,7 +22,7 @@
   }
 };
 
-/// A message from another process could not be decoded; its connection is closed.
+/// A message from another process could not be decoded. Its connection is closed if the type is known.
 struct MessageUnreadable {
   static constexpr const char* kMessage = "message unreadable";
   std::string peer;  ///< host of the sender
--- a/src/wire/channel.cc
+++ b/src/wire/channel.cc
@@ -150,7 +150,11 @@
     evbuffer_remove(input, body.data(), length);
     auto message = decode<Message>(body);
     if (!message) {
-      on_unreadable_(*this, {tag_of(body), body.size(), message.error().message});
+      const std::optional<uint32_t> tag = tag_of(body);
+      on_unreadable_(*this, {tag, body.size(), message.error().message});
+      if (tag && !Message::knows(*tag)) {
+        continue;  // of a build that has more types
+      }
       fail();
       return;
     }
--- a/src/wire/channel.h
+++ b/src/wire/channel.h
@@ -46,7 +46,8 @@
   std::string error;
 };
 
-/// One connection. A channel keeps itself alive until it is closed. A closed channel can't be reopened.
+/// One connection. It skips messages of unknown type, and closes on other unreadable ones. A channel keeps
+/// itself alive until it is closed. A closed channel can't be reopened.
 class Channel : public std::enable_shared_from_this<Channel> {
  public:
   using MessageHandler = std::function<void(const std::shared_ptr<Channel>&, Message)>;
--- a/tests/unit/channel_test.cc
+++ b/tests/unit/channel_test.cc
@@ -106,5 +106,34 @@
   ::close(peer);
 }
 
+// A message that only later builds know must not close the connection between the two.
+TEST(ChannelTest, AMessageOfUnknownTypeIsCountedAndTheNextOneIsRead) {
+  const SilentListener peer;
+  EventLoop loop;
+  std::vector<uint32_t> unreadable_tags;
+  uint64_t received = 0;
+  const auto channel = Channel::connect(
+      loop, peer.endpoint(),
+      [&](const std::shared_ptr<Channel>&, const Message& message) {
+        received = std::get<fleet::ConfirmationRequest>(message.value).number;
+        loop.stop();
+      },
+      [&](const std::shared_ptr<Channel>&) { loop.stop(); });
+  channel->set_unreadable_handler([&](const Channel&, const UnreadableMessage& message) {
+    unreadable_tags.push_back(message.tag.value_or(0));
+  });
+  const int accepted = peer.accept_connection(std::chrono::seconds(1));
+  const std::string unknown("\x00\x00\x00\x04\x92\x63\x91\x01", 8);  // tag 99
+  const std::string frames = unknown + make_frame(fleet::ConfirmationRequest{5}).bytes;
+  ASSERT_EQ(::send(accepted, frames.data(), frames.size(), 0), static_cast<ssize_t>(frames.size()));
+  loop.after(std::chrono::seconds(5), [&] { loop.stop(); });
+  loop.run();
+  EXPECT_EQ(unreadable_tags, std::vector<uint32_t>{99});
+  EXPECT_EQ(received, 5U);
+  EXPECT_TRUE(channel->open());
+  channel->close();
+  ::close(accepted);
+}
+
 }  // namespace
 }  // namespace stoat::wire
