Send full heartbeats while a member is heard that reads no compact ones

Cause: a heartbeat without news is told to the other members as a compact one, in a field that production does not read. Change: processes state the version of the protocol that they speak; a build that states none is 0. While any member that was heard lately is older than compact heartbeats, the whole record is sent, as before they existed. FleetSoftStateTest.BackendsStayKnown...: failed before, with this change taken out. Other messages of this kind (limits, crashes, answers, rollouts) only add fields, and what an earlier build makes of their absence is what it did alone.

--- a/src/control/fleet_routers.cc
+++ b/src/control/fleet_routers.cc
@@ -117,6 +117,7 @@
   fleet::FleetUpdate update;
   update.leads = core_->replica().leads();
   update.zone = settings_.zone;
+  update.protocol_version = fleet::kProtocolVersion;
   if (const auto confirmed = confirmation()) {
     update.quorum_age_ms = to_milliseconds(now - confirmed->at) + 1;
     update.confirmed_version = confirmed->version;
--- a/src/control/fleet_soft_state.cc
+++ b/src/control/fleet_soft_state.cc
@@ -30,7 +30,7 @@
   if (!registry_.on_heartbeat(record, now)) {
     return false;
   }
-  if (registry_.table().revision() == before) {
+  if (registry_.table().revision() == before && peers_speak(fleet::kStatedVersions)) {
     pending_update_.compact_heartbeats.push_back({fleet::backend_id_hash(record.id), record.sequence});
   } else {
     pending_update_.heartbeats.push_back(record);
@@ -38,6 +38,11 @@
   return true;
 }
 
+bool FleetSoftState::peers_speak(fleet::ProtocolVersion version) const {
+  return std::all_of(peers_.begin(), peers_.end(),
+                     [version](const auto& entry) { return entry.second.protocol_version >= version; });
+}
+
 void FleetSoftState::apply_compact_heartbeats(const fleet::PeerUpdate& peer_update, TimePoint now) {
   for (const fleet::CompactHeartbeat& mark : peer_update.compact_heartbeats) {
     if (registry_.on_compact_heartbeat(mark.backend, mark.sequence, now) ==
@@ -209,6 +214,7 @@
   Peer& peer = peers_[peer_update.sender];
   peer.zone = peer_update.zone;
   peer.last_update = now;
+  peer.protocol_version = peer_update.protocol_version;
   routers_.on_member_update(peer_update.sender, now);
   // The first update of a member that has just started contains its full state.
   const bool is_first = !peer_update.is_full_state && peer_update.number == 1 && peer.last_number == 0;
@@ -296,6 +302,7 @@
   peer_update.zone = options_.zone;
   peer_update.term = term;
   peer_update.leads = leads;
+  peer_update.protocol_version = fleet::kProtocolVersion;
   peer_update.number = ++last_update_number_;
   peer_update.loads = loads_.take_own_changes();
   peer_update.start_id = quotas_.start_id();
@@ -328,6 +335,7 @@
   peer_update.zone = options_.zone;
   peer_update.term = term;
   peer_update.leads = leads;
+  peer_update.protocol_version = fleet::kProtocolVersion;
   peer_update.number = last_update_number_;
   peer_update.is_full_state = true;
   peer_update.loads = loads_.own_sums();
--- a/src/control/fleet_soft_state.h
+++ b/src/control/fleet_soft_state.h
@@ -158,9 +158,12 @@
     TimePoint last_update{0};  ///< when its last update arrived
     uint64_t last_number = 0;  ///< of its last update
     bool complete = false;     ///< its full state arrived, and every update since
+    fleet::ProtocolVersion protocol_version = 0;
   };
   /// Fraction of the routers whose quota spending cannot reach this member now.
   double unheard_share(TimePoint now) const;
+  /// Whether all members that were heard lately speak this version of the protocol or a later one.
+  bool peers_speak(fleet::ProtocolVersion version) const;
   /// Applies a peer's compact heartbeats and answers its requests for backend records.
   void apply_compact_heartbeats(const fleet::PeerUpdate& peer_update, TimePoint now);
   /// Removes the prompt parts that are not shared: they are of no use to routers of other members.
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -10,6 +10,7 @@
 #include "src/fleet/crash_record.h"
 #include "src/fleet/fleet_configuration.h"
 #include "src/fleet/fleet_state.h"
+#include "src/fleet/protocol_version.h"
 #include "src/fleet/service_rollout.h"
 
 namespace stoat::fleet {
@@ -30,7 +31,8 @@
   uint64_t configuration_version = 0;  ///< version of the configuration in use
   bool follows = false;                ///< the router is subscribed to the member's feed (FleetFeedUpdate)
   std::vector<AppliedRollout> rollouts = {};
-  MSGPACK_DEFINE_ARRAY(router, sequence, configuration_version, follows, rollouts)
+  ProtocolVersion protocol_version = 0;
+  MSGPACK_DEFINE_ARRAY(router, sequence, configuration_version, follows, rollouts, protocol_version)
 };
 
 /// What a tenant has used of its quota.
@@ -137,8 +139,10 @@
   uint64_t acknowledged_spending_sequence =
       0;  ///< in an answer: the highest RouterLoads::spending_sequence received
   std::vector<ServiceRollout> rollouts = {};  ///< the last rollout of each service; empty: unchanged
+  ProtocolVersion protocol_version = 0;
   MSGPACK_DEFINE_ARRAY(answers, leads, zone, quorum_age_ms, confirmed_version, configuration, retired,
-                       weights, members, router_count, acknowledged_spending_sequence, rollouts)
+                       weights, members, router_count, acknowledged_spending_sequence, rollouts,
+                       protocol_version)
 };
 
 /// Control member to its subscribed routers: changes of the fleet since the previous message. A feed starts
@@ -229,10 +233,11 @@
   std::vector<RolloutAge> rollout_ages = {};  ///< only from the leader: rollouts that are not final
   std::vector<BackendLimit> limits = {};      ///< reported by the sender's routers; with the full state: all
   std::vector<CrashRecord> crashes = {};      ///< the same for crashes
+  ProtocolVersion protocol_version = 0;
   MSGPACK_DEFINE_ARRAY(sender, zone, term, leads, number, is_full_state, incomplete, heartbeats, routers,
                        loads, caches, placements, shared_parts, unreachable, engines, weights, start_id,
                        spending, windows, quotas_age_ms, compact_heartbeats, record_requests, answers,
-                       applied, rollout_ages, limits, crashes)
+                       applied, rollout_ages, limits, crashes, protocol_version)
   bool empty() const {
     return !is_full_state && incomplete.empty() && heartbeats.empty() && routers.empty() && loads.empty() &&
            caches.empty() && placements.empty() && shared_parts.empty() && unreachable.empty() &&
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -195,6 +195,7 @@
   status.router.ready = ready();
   status.configuration_version = route_table_ == nullptr ? 0 : route_table_->configuration().version;
   status.rollouts = applied_rollouts();
+  status.protocol_version = fleet::kProtocolVersion;
   return status;
 }
 
--- a/tests/unit/fleet_soft_state_test.cc
+++ b/tests/unit/fleet_soft_state_test.cc
@@ -451,5 +451,22 @@
   EXPECT_EQ(confirmation_tracker.newest()->at, 10s - 40ms);
 }
 
+// A member of a build that knows no compact heartbeats lost all back ends that it did not hear itself.
+TEST_F(FleetSoftStateTest, BackendsStayKnownAtAMemberThatReadsNoCompactHeartbeats) {
+  FleetSoftState member{{"a:1", "z1", {}}};
+  PeerUpdate from_earlier_build;
+  from_earlier_build.sender = "b:1";
+  from_earlier_build.number = 1;
+  for (uint64_t sequence = 1; sequence <= 3; ++sequence) {
+    const TimePoint now(Duration(std::chrono::milliseconds(200 * sequence)));
+    member.on_peer_update(from_earlier_build, now);
+    ++from_earlier_build.number;
+    ASSERT_TRUE(member.on_heartbeat(engine_record("e", sequence), now));
+    const PeerUpdate update = member.take_peer_update(1, false, now);
+    ASSERT_EQ(update.heartbeats.size(), 1U) << "heartbeat " << sequence;
+    EXPECT_EQ(update.heartbeats[0].sequence, sequence);
+  }
+}
+
 }  // namespace
 }  // namespace stoat
