Ask only a leader that knows permits for them

What operators would see: a router of this build that knows a back end with a limit closes its connection to a leader of production with each request for permits, every few ms, and with it loses its configurations. Cause: production has no such message and closes at an unknown one; that can't be taught to it. Change: the router looks at the protocol version that the leader states. Under an older leader a limited back end gets nothing from it, as while none leads.

--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -184,6 +184,11 @@
   return member != members_.end() && member->second.channel != nullptr && member->second.channel->open();
 }
 
+bool ControlLink::leader_grants_permits() const {
+  const auto leader = members_.find(leader_address_);
+  return has_leader() && leader->second.protocol_version >= fleet::kStatedVersions;
+}
+
 bool ControlLink::send_to(const std::string& address, const wire::Message& message) {
   if (!connected_to(address)) {
     return false;
@@ -235,6 +240,7 @@
     return;
   }
   Member& member = found->second;
+  member.protocol_version = update->protocol_version;
   record_answer(address, member, update->leads);
   if (member.zone != update->zone) {
     member.zone = update->zone;
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -70,6 +70,8 @@
   void set_permit_handler(PermitHandler handler) { on_permit_answer_ = std::move(handler); }
   /// Returns true while a leader with an open connection is known.
   bool has_leader() const { return connected_to(leader_address_); }
+  /// Returns true while the known leader answers permit requests.
+  bool leader_grants_permits() const;
   /// Sends a message to the member that last reported that it leads. Returns false when there is none.
   bool send_to_leader(const wire::Message& message) { return send_to(leader_address_, message); }
   /// Sets the handler for messages that could not be decoded.
@@ -88,6 +90,7 @@
     TimePoint connect_started_at{0};
     bool reachable = false;  ///< as last logged
     std::string zone;        ///< as the member reported it; empty: not reported yet
+    fleet::ProtocolVersion protocol_version = 0;
     /// Time of the newest leader confirmation that the member reported.
     TimePoint leader_confirmed_at{Duration::min()};
     /// Send times of statuses without an answer, by sequence number.
--- a/src/gateway/gateway_feed.cc
+++ b/src/gateway/gateway_feed.cc
@@ -93,7 +93,7 @@
   }
   loop_.after(Duration(0), [this] {
     permit_request_pending_ = false;
-    if (!control_link_.has_leader()) {
+    if (!control_link_.leader_grants_permits()) {
       return;
     }
     const fleet::PermitRequest permit_request = context_.limits.take_permit_request(loop_.now());
