Read disks that the builds after production wrote

Cause: those builds wrote the tags 0 to 4 and the fleet's state alone. Change: a type can be read under former tags, never written; 0 to 4 belonged to commands that production's fleet never writes.

--- a/src/control/command.h
+++ b/src/control/command.h
@@ -14,14 +14,13 @@
   MSGPACK_DEFINE_ARRAY(before_ms)
 };
 
-/// Tags of commands that no longer exist and that no fleet has in its log.
-using ReservedCommandTags = wire::ReservedTags<0, 1, 2, 3, 4>;
-
-/// Any command.
+/// Any command. Builds for a time wrote the tags 0 to 4, which had belonged to other commands that no fleet
+/// has in its log.
 using Command = wire::TaggedVariant<
-    ReservedCommandTags, wire::Alternative<5, ExpireClaims>, wire::Alternative<6, fleet::PutConfiguration>,
-    wire::Alternative<7, fleet::SetTargetWeights>, wire::Alternative<8, fleet::RetireBackend>,
-    wire::Alternative<9, fleet::StartServiceRollout>, wire::Alternative<10, fleet::StepServiceRollout>>;
+    wire::ReservedTags<>, wire::Alternative<5, ExpireClaims>,
+    wire::Alternative<6, fleet::PutConfiguration, 0>, wire::Alternative<7, fleet::SetTargetWeights, 1>,
+    wire::Alternative<8, fleet::RetireBackend, 2>, wire::Alternative<9, fleet::StartServiceRollout, 3>,
+    wire::Alternative<10, fleet::StepServiceRollout, 4>>;
 
 /// Outcome of applying a command. Members of other builds send 1, 3 and 4 with other meanings.
 enum class ResultCode : uint8_t {
--- a/src/control/state_machine.cc
+++ b/src/control/state_machine.cc
@@ -70,12 +70,16 @@
 }
 
 bool StateMachine::load(const std::string& bytes) {
-  auto saved = wire::decode<SavedState>(bytes);
-  if (!saved || !saved->fleet) {
-    return false;
+  if (auto saved = wire::decode<SavedState>(bytes); saved && saved->fleet) {
+    fleet_ = std::move(*saved->fleet);
+    return true;
   }
-  fleet_ = std::move(*saved->fleet);
-  return true;
+  // Builds for a time saved the state of the fleet alone.
+  if (auto fleet = wire::decode<fleet::FleetState>(bytes)) {
+    fleet_ = std::move(*fleet);
+    return true;
+  }
+  return false;
 }
 
 }  // namespace stoat::control
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -55,11 +55,13 @@
   return tagged ? std::optional(std::get<0>(*tagged)) : std::nullopt;
 }
 
-/// One type of a TaggedVariant and the tag that identifies it in the encoding.
-template <uint32_t kTagValue, typename Type>
+/// One type of a TaggedVariant and the tag that identifies it in the encoding. It is read under `kFormerTags`
+/// too, but never written.
+template <uint32_t kTagValue, typename Type, uint32_t... kFormerTags>
 struct Alternative {
   static constexpr uint32_t kTag = kTagValue;
   using Value = Type;
+  static constexpr bool reads(uint32_t tag) { return tag == kTagValue || ((tag == kFormerTags) || ...); }
 };
 
 /// Tags of types that no longer exist. They must not be used again, because other builds may still send them.
@@ -80,7 +82,7 @@
   TaggedVariant(Type&& initial) : value(std::forward<Type>(initial)) {}
 
   /// Whether the tag is that of one of the types.
-  static constexpr bool knows(uint32_t tag) { return ((tag == Alternatives::kTag) || ...); }
+  static constexpr bool knows(uint32_t tag) { return (Alternatives::reads(tag) || ...); }
 
   template <typename Packer>
   void msgpack_pack(Packer& packer) const {
@@ -118,7 +120,7 @@
 
   template <typename Candidate>
   bool read_as(uint32_t tag, const msgpack::object& body) {
-    if (tag != Candidate::kTag) {
+    if (!Candidate::reads(tag)) {
       return false;
     }
     value = body.as<typename Candidate::Value>();
--- a/tests/unit/earlier_builds_test.cc
+++ b/tests/unit/earlier_builds_test.cc
@@ -152,5 +152,22 @@
   std::filesystem::remove_all(folder);
 }
 
+// A disk of a build that wrote other tags and another snapshot must not look empty.
+TEST(EarlierBuildsTest, CommandsAndSnapshotsOfTheBuildAfterProductionAreRead) {
+  const auto records = records_of("a60f4a0");
+  control::StateMachine applied;
+  for (const char* name : {"PutConfiguration", "SetTargetWeights", "RetireBackend", "StartServiceRollout",
+                           "StepServiceRollout"}) {
+    const auto command = wire::decode<control::Command>(records.at("command." + std::string(name)));
+    ASSERT_TRUE(command.has_value()) << name;
+    applied.apply(*command);
+  }
+  control::StateMachine loaded;
+  ASSERT_TRUE(loaded.load(records.at("snapshot.state")));
+  EXPECT_EQ(loaded.fleet().source(), "document");
+  EXPECT_EQ(loaded.fleet().rollouts().at("s1").share, 0.25);
+  EXPECT_EQ(loaded.save(), applied.save());
+}
+
 }  // namespace
 }  // namespace stoat
