Stop a member that can't read its replicated state, instead of passing over the record

What callers saw: in the incident each replaced member went on without the configuration on its disk; once all were replaced it was gone. Its disk stays as it is for a build that can read it. A state with too few fields is malformed (it was read as an empty one).

--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -109,23 +109,24 @@
 
 void ControlCore::load_state(uint64_t index, const std::string& bytes) {
   if (!state_.load(bytes)) {
-    unreadable_.push_back({"snapshot", index, std::nullopt, bytes.size()});
+    unreadable_ = {"snapshot", index, std::nullopt, bytes.size()};
   }
 }
 
 void ControlCore::apply(const consensus::Entry& entry) {
-  if (entry.index != applied_index_ + 1) {
-    return;  // already covered by a snapshot
+  if (unreadable_ || entry.index != applied_index_ + 1) {
+    return;  // already covered by a snapshot, or after an entry that could not be applied
   }
-  applied_index_ = entry.index;
   CommandResult result;
   if (entry.kind == consensus::EntryKind::kCommand) {
-    if (const auto command = wire::decode<Command>(entry.payload)) {
-      result = state_.apply(*command);
-    } else {
-      unreadable_.push_back({"entry", entry.index, wire::tag_of(entry.payload), entry.payload.size()});
+    const auto command = wire::decode<Command>(entry.payload);
+    if (!command) {
+      unreadable_ = {"entry", entry.index, wire::tag_of(entry.payload), entry.payload.size()};
+      return;
     }
+    result = state_.apply(*command);
   }
+  applied_index_ = entry.index;
   const auto found = pending_calls_.find(entry.index);
   if (found == pending_calls_.end()) {
     return;
@@ -144,7 +145,7 @@
 }
 
 std::optional<DueSnapshot> ControlCore::due_snapshot() const {
-  if (applied_index_ < replica_.snapshot_index() + options_.entries_per_snapshot) {
+  if (unreadable_ || applied_index_ < replica_.snapshot_index() + options_.entries_per_snapshot) {
     return std::nullopt;
   }
   DueSnapshot due;
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -4,7 +4,6 @@
 
 #include <map>
 #include <optional>
-#include <utility>
 #include <vector>
 
 #include "src/consensus/replica.h"
@@ -75,8 +74,8 @@
   /// The entries after `index`, for rewriting the log behind a snapshot.
   std::vector<consensus::Entry> entries_after(uint64_t index) const;
 
-  /// Records that could not be decoded since the last call.
-  std::vector<UnreadableRecord> take_unreadable_records() { return std::exchange(unreadable_, {}); }
+  /// The record that could not be decoded. From then on nothing is applied and no snapshot is due.
+  const std::optional<UnreadableRecord>& unreadable_record() const { return unreadable_; }
 
   const StateMachine& state() const { return state_; }
   const consensus::Replica& replica() const { return replica_; }
@@ -109,7 +108,7 @@
   std::map<uint64_t, uint64_t> pending_reads_;     ///< read id to token
   uint64_t last_read_id_ = 0;
   std::vector<CallAnswer> answers_;
-  std::vector<UnreadableRecord> unreadable_;
+  std::optional<UnreadableRecord> unreadable_;
   std::map<std::string, PendingJoin> pending_joins_;  ///< by member name
 };
 
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -117,6 +117,11 @@
   settings_.core.replica.id = identity_.id;
   driver_.reset();
   core_ = std::make_unique<ControlCore>(settings_.core, restored, seed_from_device(), loop_.now());
+  if (core_->unreadable_record()) {
+    throw std::runtime_error("cannot read the state in " + settings_.data_folder +
+                             "/snapshot, which covers " + std::to_string(restored.snapshot.index) +
+                             " entries");
+  }
   driver_ = std::make_unique<DurableDriver>(
       loop_, *core_, store_, [this](const consensus::Message& message) { send_to_peer(message); },
       [this] { deliver_answers(); },
@@ -286,6 +291,9 @@
 }
 
 void FleetServer::tick() {
+  if (stop_if_unreadable()) {
+    return;
+  }
   const TimePoint now = loop_.now();
   core_->tick(now);
   driver_->process_output();
@@ -301,19 +309,23 @@
     log_.info(leads ? "leads" : "leads no more", {{"term", core_->replica().term()}});
     metrics_.set("stoat_control_leads", leads ? 1 : 0);
   }
-  report_unreadable_records();
   request_confirmation();
   track_confirmation();
   send_forwarded();
   expire_calls();
 }
 
-void FleetServer::report_unreadable_records() {
-  for (const UnreadableRecord& record : core_->take_unreadable_records()) {
-    metrics_.count("stoat_control_unreadable_records_total", {{"kind", record.kind}});
-    log_.event(events::RecordUnreadable{record.kind, record.index,
-                                        record.tag ? std::to_string(*record.tag) : "none", record.bytes});
+bool FleetServer::stop_if_unreadable() {
+  const std::optional<UnreadableRecord>& record = core_->unreadable_record();
+  if (!record) {
+    return false;
   }
+  metrics_.count("stoat_control_unreadable_records_total", {{"kind", record->kind}});
+  log_.event(events::RecordUnreadable{record->kind, record->index,
+                                      record->tag ? std::to_string(*record->tag) : "none", record->bytes});
+  log_.error("replicated state unreadable, stopping", {{"folder", settings_.data_folder}});
+  loop_.stop();
+  return true;
 }
 
 void FleetServer::stop() {
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -159,7 +159,8 @@
   ChannelPtr leader_channel();
   wire::Channel::UnreadableHandler unreadable_handler();
   void tick();
-  void report_unreadable_records();
+  /// Stops the member if its replicated state can't be read. Returns whether it did.
+  bool stop_if_unreadable();
   void ask_to_join();
 
   // fleet_calls.cc: commands and confirmed reads
--- a/src/control/state_machine.cc
+++ b/src/control/state_machine.cc
@@ -75,11 +75,14 @@
     return true;
   }
   // Builds for a time saved the state of the fleet alone.
-  if (auto fleet = wire::decode<fleet::FleetState>(bytes)) {
-    fleet_ = std::move(*fleet);
-    return true;
+  constexpr size_t kFleetFields = 6;
+  const auto fields = wire::decode<std::vector<msgpack::object>>(bytes);
+  auto fleet = wire::decode<fleet::FleetState>(bytes);
+  if (!fields || fields->size() != kFleetFields || !fleet) {
+    return false;
   }
-  return false;
+  fleet_ = std::move(*fleet);
+  return true;
 }
 
 }  // namespace stoat::control
--- a/tests/unit/control_core_test.cc
+++ b/tests/unit/control_core_test.cc
@@ -46,5 +46,31 @@
   EXPECT_FALSE(core.wants_to_join());
 }
 
+// A member passed over entries of another build and went on with a state that lacked them.
+TEST(ControlCore, AMemberGoesNoFurtherThanAnEntryItCannotRead) {
+  ControlCore core = core_with({{kOwnId, "b", "b", true}});
+  consensus::Output output;
+  const std::string unknown_command("\x92\x63\x91\x01", 4);  // tag 99
+  const std::string known_command = wire::encode(Command(fleet::SetTargetWeights{"m", 3}));
+  output.committed.push_back({2, 1, consensus::EntryKind::kCommand, unknown_command});
+  output.committed.push_back({3, 1, consensus::EntryKind::kCommand, known_command});
+  core.on_persisted(output, TimePoint(1s));
+  ASSERT_TRUE(core.unreadable_record().has_value());
+  EXPECT_EQ(core.unreadable_record()->index, 2U);
+  EXPECT_EQ(core.unreadable_record()->tag, 99U);
+  EXPECT_EQ(core.applied_index(), 1U);
+  EXPECT_TRUE(core.state().fleet().weights().empty());
+}
+
+// A member with an unreadable snapshot started with an empty state.
+TEST(ControlCore, AnUnreadableSnapshotIsReported) {
+  consensus::RestoredState restored = restored_with({{kOwnId, "b", "b", true}});
+  restored.snapshot.state = "\x90";
+  ControlOptions options;
+  options.replica.id = kOwnId;
+  const ControlCore core(options, restored, 1, TimePoint(1s));
+  EXPECT_TRUE(core.unreadable_record().has_value());
+}
+
 }  // namespace
 }  // namespace stoat::control
