Order no rollout of a service while a member or router of an earlier build is heard

What callers would see: production's members skip the commands of rollouts, so a member of production that comes to lead knows none, and its routers send to all versions alike, past the rollout's exposure. Cause: commands that were added after production enter the log whether all can read them or not. Change: the leader refuses the order (503, the operator sends it again) while a member or router that it hears states no protocol version, with a line in the log. RolloutFleetTest.AnOrderIsRefused...: the order was taken without the check.

--- a/src/control/fleet_calls.cc
+++ b/src/control/fleet_calls.cc
@@ -1,4 +1,6 @@
 /// FleetServer: commands and confirmed reads, from local callers and from other members.
+#include <algorithm>
+
 #include "src/control/fleet_server.h"
 
 namespace stoat::control {
@@ -10,7 +12,19 @@
 
 }  // namespace
 
+bool FleetServer::all_processes_speak(fleet::ProtocolVersion version) const {
+  return soft_state_.peers_speak(version) &&
+         std::all_of(router_links_.begin(), router_links_.end(), [version](const auto& entry) {
+           return entry.second.silent || entry.second.status.protocol_version >= version;
+         });
+}
+
 bool FleetServer::accepts(const Command& command) const {
+  if (std::holds_alternative<fleet::StartServiceRollout>(command.value) &&
+      !all_processes_speak(fleet::kStatedVersions)) {
+    log_.info("rollout refused, a member or router of an earlier build is running");
+    return false;
+  }
   // During bootstrap, only retirements are accepted until there are enough voters to make a command durable.
   return voter_count() >= settings_.core.target_voters ||
          std::holds_alternative<fleet::RetireBackend>(command.value);
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -166,6 +166,8 @@
   // fleet_calls.cc: commands and confirmed reads
   void on_control_call(const ChannelPtr& channel, wire::ControlCall call);
   void on_confirmed_read(const ChannelPtr& channel, const fleet::ConfirmedRead& read);
+  /// Whether all members and routers that were heard lately speak this version of the protocol.
+  bool all_processes_speak(fleet::ProtocolVersion version) const;
   bool accepts(const Command& command) const;
   uint64_t add_pending_call(PendingCall pending);
   /// Sends a call to the leader, or holds it until a leader is known.
--- a/src/control/fleet_soft_state.h
+++ b/src/control/fleet_soft_state.h
@@ -150,6 +150,8 @@
   const rollout::AnswerAggregator& answers() const { return answers_; }
   /// This member and the others that have sent an update recently.
   std::vector<LiveMember> live_members(TimePoint now) const;
+  /// Whether all members that were heard lately speak this version of the protocol or a later one.
+  bool peers_speak(fleet::ProtocolVersion version) const;
 
  private:
   /// State of another member.
@@ -162,8 +164,6 @@
   };
   /// Fraction of the routers whose quota spending cannot reach this member now.
   double unheard_share(TimePoint now) const;
-  /// Whether all members that were heard lately speak this version of the protocol or a later one.
-  bool peers_speak(fleet::ProtocolVersion version) const;
   /// Applies a peer's compact heartbeats and answers its requests for backend records.
   void apply_compact_heartbeats(const fleet::PeerUpdate& peer_update, TimePoint now);
   /// Removes the prompt parts that are not shared: they are of no use to routers of other members.
--- a/tests/unit/rollout_fleet_test.cc
+++ b/tests/unit/rollout_fleet_test.cc
@@ -192,5 +192,23 @@
   EXPECT_GT(requests_at(2), 10U);
 }
 
+// Members and routers of an earlier build do not know rollouts: they skip the order and send as before.
+TEST_F(RolloutFleetTest, AnOrderIsRefusedWhileARouterOfAnEarlierBuildIsHeard) {
+  start_engine("1");
+  EventLoop loop;
+  Endpoint member;
+  ASSERT_TRUE(parse_endpoint(to_string(router_settings_.link.seeds.front()), member));
+  const auto earlier_router = wire::Channel::connect(
+      loop, member, [&](const std::shared_ptr<wire::Channel>&, const wire::Message&) { loop.stop(); },
+      [](const std::shared_ptr<wire::Channel>&) {});
+  fleet::RouterStatus status;
+  status.router.name = "earlier";
+  status.sequence = 1;
+  earlier_router->send(status);
+  loop.run();
+  EXPECT_EQ(submit_order("2"), std::nullopt);
+  earlier_router->close();
+}
+
 }  // namespace
 }  // namespace stoat
