--- a/tests/process/two_builds_test.cc
+++ b/tests/process/two_builds_test.cc
@@ -81,6 +81,17 @@
   expect_no_violation(quiet);
 }
 
+// Kills, stops and pauses while each restarted process is of either build; seeded, with the schedule of its
+// seed.
+TEST(TwoBuildsSoakTest, GuaranteesHoldWhileProcessesOfBothBuildsComeAndGo) {
+  const CommandOutput soak = run_command(
+      test::program_directory() +
+      "/stoat-chaos --set first_seed=1 --set seeds=3 --set duration_s=8 --set 'programs=\"" +
+      test::program_directory() + "\"' --set 'other_programs=\"" + test::production_program_directory() +
+      "\"' --set 'configuration=\"" + demo_configuration() + "\"'");
+  EXPECT_EQ(soak.status, 0) << soak.text;
+}
+
 class OneBuildTest : public TwoBuildsTest {
  protected:
   void SetUp() override { start_fleet(""); }
