--- a/tests/process/two_builds_test.cc
+++ b/tests/process/two_builds_test.cc
@@ -24,6 +24,7 @@
     options_.control_members = 3;
     options_.routers = 3;
     options_.engines = 1;
+    options_.control_settings = {"entries_per_snapshot=10"};  // so that snapshots are read and sent too
     FleetProcessTest::SetUp();
   }
 
--- a/tools/loopback_fleet.cc
+++ b/tools/loopback_fleet.cc
@@ -91,12 +91,15 @@
                 setting("directory", to_string(processes_.free_endpoint())),
                 setting("metrics", to_string(processes_.free_endpoint())),
                 setting("data_folder", processes_.make_folder(name + "-data")), "first_start=true",
-                "tolerated_losses=" + std::to_string((options_.control_members - 1) / 2)});
+                "tolerated_losses=" + std::to_string((options_.control_members - 1) / 2)},
+               options_.control_settings);
   }
 }
 
 void LoopbackFleet::add_server(const std::string& name, const std::string& program,
-                               const std::vector<std::string>& settings) {
+                               std::vector<std::string> settings,
+                               const std::vector<std::string>& more_settings) {
+  settings.insert(settings.end(), more_settings.begin(), more_settings.end());
   processes_.add(name, program, settings);
   if (!options_.first_bin_folder.empty()) {
     processes_.set_bin_folder(name, options_.first_bin_folder);
--- a/tools/loopback_fleet.h
+++ b/tools/loopback_fleet.h
@@ -33,6 +33,7 @@
   uint32_t services = 2;  ///< backends of the plain service
   std::string configuration_file;
   FleetPrograms programs = {};
+  std::vector<std::string> control_settings;  ///< "key=value" settings of the control members, added last
   /// Folder from which control members and routers are started at first; empty: that of the ProcessFleet.
   std::string first_bin_folder;
   std::string software;           ///< program version that the plain service reports; empty: none
@@ -84,8 +85,8 @@
  private:
   void add_control_members();
   void add_routers();
-  void add_server(const std::string& name, const std::string& program,
-                  const std::vector<std::string>& settings);
+  void add_server(const std::string& name, const std::string& program, std::vector<std::string> settings,
+                  const std::vector<std::string>& more_settings = {});
   /// `rate_limit`: limit that the backend announces, in requests per second; 0: none.
   void add_backend(const std::string& name, const std::string& service, bool engine, double rate_limit = 0);
   bool every_router_serves() const;
