Check at compile time that a written tag is read as one type only, and let the soak choose the size of its fleet

A former tag of one type could have been the tag of another. stoat-chaos takes control_members and routers, for runs as large as the machine bears.

--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -105,12 +105,11 @@
  private:
   static constexpr std::array<uint32_t, sizeof...(Alternatives)> kTags = {Alternatives::kTag...};
 
+  /// Whether each tag that is written is read as one type only.
   static constexpr bool tags_are_unique() {
-    for (size_t first = 0; first < kTags.size(); ++first) {
-      for (size_t second = first + 1; second < kTags.size(); ++second) {
-        if (kTags[first] == kTags[second]) {
-          return false;
-        }
+    for (const uint32_t tag : kTags) {
+      if ((static_cast<size_t>(Alternatives::reads(tag)) + ...) != 1) {
+        return false;
       }
     }
     return true;
--- a/tools/chaos_main.cc
+++ b/tools/chaos_main.cc
@@ -36,6 +36,8 @@
   uint64_t seeds = 1;
   Duration duration{20s};
   double requests_per_second = 40;
+  uint32_t control_members = 3;
+  uint32_t routers = 2;
   std::string programs;  ///< folder of the programs
   /// Folder of the programs of another build; empty: none. The fleet then speaks the target platform's
   /// protocol, starts from this folder, and each restarted process is of a build drawn from the seed.
@@ -50,6 +52,8 @@
   settings.seeds = static_cast<uint64_t>(reader.integer("seeds", 1, 1, 100000));
   settings.duration = from_seconds(reader.number("duration_s", 20, 1, 86400));
   settings.requests_per_second = reader.number("requests_per_second", 40, 0.1, 10000);
+  settings.control_members = static_cast<uint32_t>(reader.integer("control_members", 3, 1, 9));
+  settings.routers = static_cast<uint32_t>(reader.integer("routers", 2, 1, 200));
   settings.programs = reader.text("programs", "build/bin");
   settings.other_programs = reader.text("other_programs", "");
   settings.configuration = reader.text("configuration", "scripts/demo.json");
@@ -191,6 +195,8 @@
   ProcessFleet processes(settings.programs, folder);
   LoopbackFleetOptions options;
   options.configuration_file = settings.configuration;
+  options.control_members = settings.control_members;
+  options.routers = settings.routers;
   options.services = kPlainServices;
   options.limited_services = 1;
   options.rate_limit = kRateLimit;
