--- a/tests/process/two_builds_test.cc
+++ b/tests/process/two_builds_test.cc
@@ -64,11 +64,13 @@
                            test::program_directory()));
 }
 
+// Leaders of both builds in one group, with routers of both.
 TEST_F(TwoBuildsTest, MembersAndRoutersAreReplacedInTurn) {
   expect_no_violation(plan({"control-3", "router-1", "control-2", "router-2", "control-1", "router-3"},
                            test::program_directory()));
 }
 
+// A router of this build beside two members of production, and the reverse, got no back ends.
 TEST_F(TwoBuildsTest, AFleetThatStaysHalfReplacedObeysItsConfiguration) {
   UpgradePlan half = plan({"control-1", "router-1"}, test::program_directory());
   half.time_after = 10s;
@@ -108,6 +110,7 @@
   void SetUp() override { start_fleet(""); }
 };
 
+// Members of production passed over what members of this build had written.
 TEST_F(ReturnToProductionTest, ConfigurationsAreObeyedOnTheWayBack) {
   expect_no_violation(plan(members_first_, test::production_program_directory()));
 }
