Let the test of a refused rollout order also see the order taken

It now waits for callers to be served, expects the refusal, closes the earlier router and expects the same order to be taken.

--- a/tests/unit/rollout_fleet_test.cc
+++ b/tests/unit/rollout_fleet_test.cc
@@ -194,7 +194,8 @@
 
 // Members and routers of an earlier build do not know rollouts: they skip the order and send as before.
 TEST_F(RolloutFleetTest, AnOrderIsRefusedWhileARouterOfAnEarlierBuildIsHeard) {
-  start_engine("1");
+  start_old_version();
+  start_callers();
   EventLoop loop;
   Endpoint member;
   ASSERT_TRUE(parse_endpoint(to_string(router_settings_.link.seeds.front()), member));
@@ -206,8 +207,10 @@
   status.sequence = 1;
   earlier_router->send(status);
   loop.run();
-  EXPECT_EQ(submit_order("2"), std::nullopt);
+  EXPECT_EQ(submit_order("v2"), std::nullopt);
   earlier_router->close();
+  EXPECT_TRUE(wait_for([this] { return submit_order("v2") == control::ResultCode::kOk; }));
+  stop_callers();
 }
 
 }  // namespace
