Name the first stated protocol version in full, and tell no history in comments

kStatedVersions is kFirstStatedVersion; comments say which bytes are read, not when they were written. No behaviour changes.

--- a/src/control/command.h
+++ b/src/control/command.h
@@ -14,8 +14,7 @@
   MSGPACK_DEFINE_ARRAY(before_ms)
 };
 
-/// Any command. Builds for a time wrote the tags 0 to 4, which had belonged to other commands that no fleet
-/// has in its log.
+/// Any command. The tags 0 to 4 are read from the disks of builds that wrote them.
 using Command = wire::TaggedVariant<
     wire::ReservedTags<>, wire::Alternative<5, ExpireClaims>,
     wire::Alternative<6, fleet::PutConfiguration, 0>, wire::Alternative<7, fleet::SetTargetWeights, 1>,
--- a/src/control/fleet_calls.cc
+++ b/src/control/fleet_calls.cc
@@ -21,7 +21,7 @@
 
 bool FleetServer::accepts(const Command& command) const {
   if (std::holds_alternative<fleet::StartServiceRollout>(command.value) &&
-      !all_processes_speak(fleet::kStatedVersions)) {
+      !all_processes_speak(fleet::kFirstStatedVersion)) {
     log_.info("rollout refused, a member or router of an earlier build is running");
     return false;
   }
--- a/src/control/fleet_soft_state.cc
+++ b/src/control/fleet_soft_state.cc
@@ -30,7 +30,7 @@
   if (!registry_.on_heartbeat(record, now)) {
     return false;
   }
-  if (registry_.table().revision() == before && peers_speak(fleet::kStatedVersions)) {
+  if (registry_.table().revision() == before && peers_speak(fleet::kFirstStatedVersion)) {
     pending_update_.compact_heartbeats.push_back({fleet::backend_id_hash(record.id), record.sequence});
   } else {
     pending_update_.heartbeats.push_back(record);
--- a/src/control/state_machine.cc
+++ b/src/control/state_machine.cc
@@ -74,7 +74,7 @@
     fleet_ = std::move(*saved->fleet);
     return true;
   }
-  // Builds for a time saved the state of the fleet alone.
+  // Disks of some builds hold the state of the fleet alone.
   constexpr size_t kFleetFields = 6;
   const auto fields = wire::decode<std::vector<msgpack::object>>(bytes);
   auto fleet = wire::decode<fleet::FleetState>(bytes);
--- a/src/fleet/protocol_version.h
+++ b/src/fleet/protocol_version.h
@@ -1,5 +1,5 @@
 /// Versions of the protocol between routers and control members. A process states the version that it speaks
-/// in its periodic messages. Builds from before the versions state none, which is read as 0.
+/// in its periodic messages. A build that states none is read as version 0.
 #pragma once
 
 #include <cstdint>
@@ -8,11 +8,11 @@
 
 using ProtocolVersion = uint32_t;
 
-/// The first version in which members read compact heartbeats and rollout commands, routers obey rollouts,
-/// and leaders answer permit requests.
-inline constexpr ProtocolVersion kStatedVersions = 1;
+/// The first version that processes state. From it on members read compact heartbeats and rollout commands,
+/// routers obey rollouts, and leaders answer permit requests.
+inline constexpr ProtocolVersion kFirstStatedVersion = 1;
 
 /// The version that this build speaks.
-inline constexpr ProtocolVersion kProtocolVersion = kStatedVersions;
+inline constexpr ProtocolVersion kProtocolVersion = kFirstStatedVersion;
 
 }  // namespace stoat::fleet
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -186,7 +186,7 @@
 
 bool ControlLink::leader_grants_permits() const {
   const auto leader = members_.find(leader_address_);
-  return has_leader() && leader->second.protocol_version >= fleet::kStatedVersions;
+  return has_leader() && leader->second.protocol_version >= fleet::kFirstStatedVersion;
 }
 
 bool ControlLink::send_to(const std::string& address, const wire::Message& message) {
--- a/tests/unit/control_link_test.cc
+++ b/tests/unit/control_link_test.cc
@@ -42,7 +42,7 @@
 // A permit request closes the connection to a leader of a build that does not know the message.
 TEST(ControlLinkTest, OnlyALeaderThatGrantsPermitsIsAskedForThem) {
   EXPECT_FALSE(asks_for_permits(0));
-  EXPECT_TRUE(asks_for_permits(fleet::kStatedVersions));
+  EXPECT_TRUE(asks_for_permits(fleet::kFirstStatedVersion));
 }
 
 }  // namespace
