Tell when, how often and in how many bytes a router is sent a configuration, and when it is read

The logs could not tell the three hypotheses apart: who sent a version to which router, how many copies, how much was queued before it, when the router had read it and how long it then took to build its tables. No logic changes.

At members: 'configuration sent' (router, version, held, bytes, unsent, copies) and two counters. At routers: 'configuration received' (member, version, held, announced_ms), build_ms in 'configuration in force', and a gauge for how long a newer version has been confirmed than the one in force. A router can be told to reach a member through another address, and tells which version it has in force, both for tests with slow links.

--- a/src/control/fleet_routers.cc
+++ b/src/control/fleet_routers.cc
@@ -168,17 +168,31 @@
          (is_reply && now - configuration_applied_at_ >= kOtherRouterConfigurationDelay);
 }
 
+void FleetServer::record_configuration_sent(RouterLink& link, size_t bytes) {
+  const uint64_t version = configuration_version();
+  link.configuration_copies = link.sent_configuration_version == version ? link.configuration_copies + 1 : 1;
+  link.sent_configuration_version = version;
+  link.configuration_sent_at = loop_.now();
+  metrics_.count("stoat_control_configurations_sent_total");
+  metrics_.count("stoat_control_configuration_bytes_total", {}, static_cast<double>(bytes));
+  log_.event(events::ConfigurationSent{link.status.router.name, version, link.status.configuration_version,
+                                       bytes, link.channel->unsent_bytes(), link.configuration_copies});
+}
+
 void FleetServer::reply_to_router(RouterLink& link) {
   fleet::FleetUpdate update = make_update(link);
   update.answers = link.status.sequence;
   update.acknowledged_spending_sequence = link.acknowledged_spending_sequence;
-  if (needs_configuration(link, true)) {
+  const bool configuration = needs_configuration(link, true);
+  if (configuration) {
     update.configuration.push_back(core_->state().fleet().configuration());
-    link.sent_configuration_version = configuration_version();
-    link.configuration_sent_at = loop_.now();
   }
   link.sent = {retired_backends_.revision(), target_weights_revision_, members_revision_, rollouts_revision_};
-  link.channel->send(update);
+  const wire::Frame frame = wire::make_frame(update);
+  if (configuration) {
+    record_configuration_sent(link, frame.bytes.size());
+  }
+  link.channel->send_frame(frame);
 }
 
 void FleetServer::push_to_routers() {
@@ -201,8 +215,7 @@
     }
     link.sent = newest;
     if (configuration) {
-      link.sent_configuration_version = configuration_version();
-      link.configuration_sent_at = loop_.now();
+      record_configuration_sent(link, frame.bytes.size());
     }
     link.channel->send_frame(frame);
   }
@@ -370,9 +383,9 @@
     logged_configuration_version_ = state.configuration().version;
     configuration_applied_at_ = loop_.now();
     soft_state_.configure_quotas(state.configuration().tenants, loop_.now());
-    log_.event(events::ConfigurationInForce{state.configuration().version,
-                                            state.configuration().routes.size(),
-                                            state.configuration().tenants.size()});
+    log_.event(events::ConfigurationInForce{
+        state.configuration().version, state.configuration().routes.size(),
+        state.configuration().tenants.size(), to_milliseconds(loop_.now() - configuration_applied_at_)});
   }
   push_to_routers();
 }
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -188,6 +188,8 @@
   void drop_silent_routers();
   fleet::FleetUpdate make_update(const RouterLink& link) const;
   bool needs_configuration(const RouterLink& link, bool is_reply) const;
+  /// Notes that the configuration goes out to a router in a frame of `bytes`, before it is queued.
+  void record_configuration_sent(RouterLink& link, size_t bytes);
   void reply_to_router(RouterLink& link);
   void push_to_routers();
   void feed_routers();
--- a/src/control/router_link.h
+++ b/src/control/router_link.h
@@ -33,6 +33,7 @@
   FeedCursor cursor;
   uint64_t sent_configuration_version = 0;  ///< version sent last
   TimePoint configuration_sent_at{0};
+  uint32_t configuration_copies = 0;  ///< of that version, on this connection
   /// Highest spending number received on this connection; see fleet::RouterLoads.
   uint64_t acknowledged_spending_sequence = 0;
 
@@ -42,6 +43,7 @@
     sent = {};
     cursor = {};
     sent_configuration_version = 0;
+    configuration_copies = 0;
     acknowledged_spending_sequence = 0;
   }
 };
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -17,8 +17,36 @@
   uint64_t version = 0;
   size_t routes = 0;
   size_t tenants = 0;
+  int64_t build_ms = 0;  ///< time that it took to build the tables from it
   std::vector<LogField> fields() const {
-    return {{"version", version}, {"routes", routes}, {"tenants", tenants}};
+    return {{"version", version}, {"routes", routes}, {"tenants", tenants}, {"build_ms", build_ms}};
+  }
+};
+
+/// A control member has sent a configuration to a router.
+struct ConfigurationSent {
+  static constexpr const char* kMessage = "configuration sent";
+  std::string router;
+  uint64_t version = 0;
+  uint64_t held = 0;    ///< version that the router last reported
+  size_t bytes = 0;     ///< of the message
+  size_t unsent = 0;    ///< bytes that were queued on the connection before
+  uint32_t copies = 0;  ///< of this version on this connection, with this one
+  std::vector<LogField> fields() const {
+    return {{"router", router}, {"version", version}, {"held", held},
+            {"bytes", bytes},   {"unsent", unsent},   {"copies", copies}};
+  }
+};
+
+/// A router has read a configuration that a control member sent.
+struct ConfigurationReceived {
+  static constexpr const char* kMessage = "configuration received";
+  std::string member;
+  uint64_t version = 0;
+  uint64_t held = 0;         ///< version in force before; equal or higher: the configuration is of no use
+  int64_t announced_ms = 0;  ///< since a member first confirmed this or a later version to the router
+  std::vector<LogField> fields() const {
+    return {{"member", member}, {"version", version}, {"held", held}, {"announced_ms", announced_ms}};
   }
 };
 
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -137,7 +137,7 @@
     member.unanswered_statuses.clear();
     member.leader_confirmed_at = Duration::min();
     member.channel = wire::Channel::connect(
-        loop_, endpoint,
+        loop_, options_.connect_to(endpoint),
         [this, address](const std::shared_ptr<wire::Channel>&, wire::Message message) {
           on_message(address, std::move(message));
         },
@@ -247,6 +247,7 @@
     set_traffic_meter(member);
   }
   store_member_list(update->members);
+  record_configuration(address, *update);
   const bool was_ready = make_status_().router.ready;
   on_update_(*update);
   extend_key_lease(member, *update);
@@ -277,6 +278,19 @@
   }
 }
 
+void ControlLink::record_configuration(const std::string& address, const fleet::FleetUpdate& update) {
+  const uint64_t sent_version = update.configuration.empty() ? 0 : update.configuration.front().version;
+  const uint64_t version = std::max(update.confirmed_version, sent_version);
+  if (version > announced_version_) {
+    announced_version_ = version;
+    announced_at_ = loop_.now();
+  }
+  if (sent_version > 0) {
+    log_.event(events::ConfigurationReceived{address, sent_version, configuration_version_,
+                                             to_milliseconds(loop_.now() - announced_at_)});
+  }
+}
+
 bool ControlLink::confirms_configuration(const fleet::FleetUpdate& update) const {
   return update.quorum_age_ms >= 0 && update.confirmed_version <= configuration_version_;
 }
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -33,6 +33,8 @@
   Duration feed_member_timeout = 1200ms;  ///< reconnects to the feed member after this long without a message
   Duration other_member_timeout = 4s;     ///< the same for the other members
   Duration key_lease = 4500ms;            ///< how long a confirmation allows access keys to be accepted
+  /// Where to connect to reach a member's endpoint, if another address leads there.
+  std::function<Endpoint(const Endpoint&)> connect_to = [](const Endpoint& member) { return member; };
 };
 
 /// Connects a router to the control members and chooses the feed member.
@@ -52,6 +54,10 @@
   /// Sets the configuration version in force. A confirmation of a newer version does not extend the key
   /// lease.
   void set_configuration_version(uint64_t version) { configuration_version_ = version; }
+  /// Returns for how long a newer configuration than the one in force has been announced; 0: there is none.
+  Duration time_behind() const {
+    return announced_version_ > configuration_version_ ? loop_.now() - announced_at_ : Duration(0);
+  }
   /// Returns true while access keys may be accepted.
   bool key_lease_valid() const { return loop_.now() < key_lease_ends_at_; }
   /// Returns true if access keys could be accepted at some time since the start.
@@ -110,6 +116,8 @@
   void record_answer(const std::string& address, Member& member, bool leads);
   void extend_key_lease(Member& member, const fleet::FleetUpdate& update);
   bool confirms_configuration(const fleet::FleetUpdate& update) const;
+  /// Notes which version the member confirms, and logs a configuration that it sent.
+  void record_configuration(const std::string& address, const fleet::FleetUpdate& update);
 
   EventLoop& loop_;
   ControlLinkOptions options_;
@@ -129,6 +137,8 @@
   std::vector<std::string> listed_members_;  ///< as the members last reported
   uint64_t last_sequence_ = 0;
   uint64_t configuration_version_ = 0;
+  uint64_t announced_version_ = 0;  ///< highest version that a member confirmed
+  TimePoint announced_at_{0};       ///< when it was first confirmed to this router
   TimePoint key_lease_ends_at_{Duration::min()};
 };
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -131,6 +131,7 @@
   });
   loop_.every(kMetricsInterval, [this] {
     control_link_.traffic().publish(metrics_, "stoat_router_control_bytes_total");
+    metrics_.set("stoat_router_configuration_behind_seconds", to_seconds(control_link_.time_behind()));
     publish_slow_reader_metrics();
     publish_limit_metrics();
     expire_crash_records();
@@ -193,12 +194,16 @@
   status.router.zone = settings_.zone;
   status.router.region = settings_.region;
   status.router.ready = ready();
-  status.configuration_version = route_table_ == nullptr ? 0 : route_table_->configuration().version;
+  status.configuration_version = configuration_version();
   status.rollouts = applied_rollouts();
   status.protocol_version = fleet::kProtocolVersion;
   return status;
 }
 
+uint64_t GatewayServer::configuration_version() const {
+  return route_table_ == nullptr ? 0 : route_table_->configuration().version;
+}
+
 void GatewayServer::on_update(const fleet::FleetUpdate& update) {
   for (const fleet::FleetConfiguration& configuration : update.configuration) {
     apply_configuration(configuration);
@@ -224,6 +229,7 @@
   if (route_table_ != nullptr && configuration.version <= route_table_->configuration().version) {
     return;
   }
+  const TimePoint started_at = loop_.now();
   route_table_ =
       std::make_shared<routing::RouteTable>(std::make_shared<const fleet::FleetConfiguration>(configuration));
   control_link_.set_configuration_version(configuration.version);
@@ -235,7 +241,8 @@
   limits.idle_timeout = Duration(1000 * configuration.limits.idle_timeout_ms);
   edge_.set_limits(limits);
   log_.event(events::ConfigurationInForce{configuration.version, configuration.routes.size(),
-                                          configuration.tenants.size()});
+                                          configuration.tenants.size(),
+                                          to_milliseconds(loop_.now() - started_at)});
 }
 
 void GatewayServer::refuse(const dispatch::RoutedRequest& plan, edge::ResponseWriter& response, int status,
@@ -250,9 +257,9 @@
     head.headers.add("Retry-After", dispatch::retry_after_text(retry_after_s));
   }
   events::RequestEventLog request_log(plan.fields.id);
-  request_log.add(events::RequestRejected{
-      status, reason, route_table_ == nullptr ? 0 : route_table_->configuration().version,
-      control_link_.key_lease_left_ms(), plan.tenant == nullptr ? "" : plan.tenant->name});
+  request_log.add(events::RequestRejected{status, reason, configuration_version(),
+                                          control_link_.key_lease_left_ms(),
+                                          plan.tenant == nullptr ? "" : plan.tenant->name});
   request_log.finish(request_log_sampler_, true, reason, loop_.now());
   metrics_.count("stoat_router_requests_total", {{"status", std::to_string(status)}});
   response.reply(head, std::string(reason) + "\n");
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -69,6 +69,8 @@
   void stop();
   void set_seeds(std::vector<Endpoint> seeds) { control_link_.set_seeds(std::move(seeds)); }
   const Metrics& metrics() const { return metrics_; }
+  /// Returns the version of the configuration in force; 0 if there is none yet.
+  uint64_t configuration_version() const;
   /// Returns true when the feed has reported the backend.
   bool knows_backend(const std::string& id) const { return pool_.find(id) != nullptr; }
 
