Let routers fetch what changed of a configuration, from one member at a time

Cause: every member sent every router the whole configuration, the ones that it does not follow too, from 0.4 s after they had applied it until its status named the version, and again each second. Nobody knew what the others had sent or what was still queued. So the slower a link, the more was sent over it: once the first copy took 0.4 s, five were queued, and what came next waited behind them. The link between regions carried three copies for each router of the other region, also to members that still had to apply the version.

Change: members announce the version that they have applied, and keep a log of changes and one whole. A router asks one member for what it lacks, 64 KB at a time, and goes on elsewhere where that one stopped. A small change is pushed to followers that hold the version before. What is queued is bounded by the router's own requests, so copies cannot add up, whatever the link, the size and the number of members. Routers of earlier builds are still sent wholes, once a connection.

--- a/src/control/fleet_routers.cc
+++ b/src/control/fleet_routers.cc
@@ -13,11 +13,6 @@
 /// A router that follows this member reports its status every 400 ms; other routers report every 1.2 s.
 constexpr Duration kFollowingRouterTimeout = 1500ms;
 constexpr Duration kOtherRouterTimeout = 3500ms;
-/// For this long after a member has applied a new configuration, it sends the configuration only to the
-/// routers that follow it.
-constexpr Duration kOtherRouterConfigurationDelay = 400ms;
-/// Minimum interval before the same configuration is sent to a router again.
-constexpr Duration kConfigurationResendDelay = 1s;
 /// Number of retirements sent to a newly connected router; backends retired earlier are no longer in
 /// any registry.
 constexpr uint64_t kMaxRecentRetirements = 256;
@@ -151,48 +146,25 @@
     }
   }
   update.router_count = static_cast<uint32_t>(ready_router_count_);
+  update.configuration_version = configuration_publisher_.version();
   return update;
 }
 
-bool FleetServer::needs_configuration(const RouterLink& link, bool is_reply) const {
-  const uint64_t version = configuration_version();
-  const TimePoint now = loop_.now();
-  if (link.status.configuration_version >= version) {
-    return false;
-  }
-  if (link.sent_configuration_version >= version &&
-      now - link.configuration_sent_at < kConfigurationResendDelay) {
-    return false;
-  }
-  return link.status.follows ||
-         (is_reply && now - configuration_applied_at_ >= kOtherRouterConfigurationDelay);
-}
-
-void FleetServer::record_configuration_sent(RouterLink& link, size_t bytes) {
-  const uint64_t version = configuration_version();
-  link.configuration_copies = link.sent_configuration_version == version ? link.configuration_copies + 1 : 1;
-  link.sent_configuration_version = version;
-  link.configuration_sent_at = loop_.now();
-  metrics_.count("stoat_control_configurations_sent_total");
-  metrics_.count("stoat_control_configuration_bytes_total", {}, static_cast<double>(bytes));
-  log_.event(events::ConfigurationSent{link.status.router.name, version, link.status.configuration_version,
-                                       bytes, link.channel->unsent_bytes(), link.configuration_copies});
-}
-
 void FleetServer::reply_to_router(RouterLink& link) {
   fleet::FleetUpdate update = make_update(link);
   update.answers = link.status.sequence;
   update.acknowledged_spending_sequence = link.acknowledged_spending_sequence;
-  const bool configuration = needs_configuration(link, true);
+  const bool configuration = needs_whole_configuration(link, true);
   if (configuration) {
     update.configuration.push_back(core_->state().fleet().configuration());
   }
   link.sent = {retired_backends_.revision(), target_weights_revision_, members_revision_, rollouts_revision_};
   const wire::Frame frame = wire::make_frame(update);
+  link.channel->send_frame(frame);
   if (configuration) {
-    record_configuration_sent(link, frame.bytes.size());
+    record_configuration_sent(link,
+                              {link.status.router.name, configuration_version(), 0, frame.bytes.size()});
   }
-  link.channel->send_frame(frame);
 }
 
 void FleetServer::push_to_routers() {
@@ -204,7 +176,7 @@
     if (!link.channel->open()) {
       continue;
     }
-    const bool configuration = needs_configuration(link, false);
+    const bool configuration = needs_whole_configuration(link, false);
     wire::Frame& frame = frames[{link.sent, configuration}];
     if (frame.empty()) {
       fleet::FleetUpdate update = make_update(link);
@@ -214,10 +186,11 @@
       frame = wire::make_frame(update);
     }
     link.sent = newest;
+    link.channel->send_frame(frame);
     if (configuration) {
-      record_configuration_sent(link, frame.bytes.size());
+      record_configuration_sent(link,
+                                {link.status.router.name, configuration_version(), 0, frame.bytes.size()});
     }
-    link.channel->send_frame(frame);
   }
 }
 
@@ -386,6 +359,8 @@
     log_.event(events::ConfigurationInForce{
         state.configuration().version, state.configuration().routes.size(),
         state.configuration().tenants.size(), to_milliseconds(loop_.now() - configuration_applied_at_)});
+    configuration_publisher_.publish(state.configuration());
+    push_configuration_change();
   }
   push_to_routers();
 }
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -226,6 +226,8 @@
     on_router_loads(channel, *loads);
   } else if (auto* permits = std::get_if<fleet::PermitRequest>(&message.value)) {
     on_permit_request(channel, *permits);
+  } else if (auto* configuration_request = std::get_if<fleet::ConfigurationRequest>(&message.value)) {
+    on_configuration_request(channel, *configuration_request);
   } else if (auto* placements = std::get_if<fleet::PlacementUpdate>(&message.value)) {
     soft_state_.on_placements(placements->placements);
   } else if (auto* peer_update = std::get_if<fleet::PeerUpdate>(&message.value)) {
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -17,6 +17,7 @@
 #include "src/common/metrics.h"
 #include "src/common/settings.h"
 #include "src/control/cache_event_poller.h"
+#include "src/control/configuration_publisher.h"
 #include "src/control/control_core.h"
 #include "src/control/durable_driver.h"
 #include "src/control/engine_interface.h"
@@ -26,6 +27,7 @@
 #include "src/control/peer_flow_control.h"
 #include "src/control/router_link.h"
 #include "src/control/weight_rollout.h"
+#include "src/events/fleet_events.h"
 #include "src/http/event_loop.h"
 #include "src/rollout/answer_aggregator.h"
 #include "src/rollout/rollout_planner.h"
@@ -187,9 +189,13 @@
   void on_router_closed(const ChannelPtr& channel);
   void drop_silent_routers();
   fleet::FleetUpdate make_update(const RouterLink& link) const;
-  bool needs_configuration(const RouterLink& link, bool is_reply) const;
-  /// Notes that the configuration goes out to a router in a frame of `bytes`, before it is queued.
-  void record_configuration_sent(RouterLink& link, size_t bytes);
+  /// True if the router is of a build that does not request configurations, and lacks the newest.
+  bool needs_whole_configuration(const RouterLink& link, bool is_reply) const;
+  void on_configuration_request(const ChannelPtr& channel, const fleet::ConfigurationRequest& request);
+  /// Sends a small change to the routers that follow this member and hold the version before.
+  void push_configuration_change();
+  void send_configuration_part(RouterLink& link, const fleet::ConfigurationPart& part);
+  void record_configuration_sent(RouterLink& link, const events::ConfigurationSent& sent);
   void reply_to_router(RouterLink& link);
   void push_to_routers();
   void feed_routers();
@@ -288,6 +294,7 @@
   uint64_t target_weights_revision_ = 0;   ///< incremented when `target_weights_` changes
   uint64_t members_revision_ = 0;          ///< incremented when the member list changes
   TimePoint configuration_applied_at_{0};  ///< of the newest configuration
+  ConfigurationPublisher configuration_publisher_;
 
   LeaderConfirmationTracker confirmation_tracker_;
   TimePoint next_confirmation_request_{0};
--- a/src/control/router_link.h
+++ b/src/control/router_link.h
@@ -1,6 +1,7 @@
 /// A router's connection to a control member, and what was sent on it.
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <tuple>
@@ -31,12 +32,16 @@
   bool silent = false;  ///< regarded as gone until its next status arrives
   SentRevisions sent;
   FeedCursor cursor;
-  uint64_t sent_configuration_version = 0;  ///< version sent last
-  TimePoint configuration_sent_at{0};
-  uint32_t configuration_copies = 0;  ///< of that version, on this connection
+  uint64_t sent_configuration_version = 0;  ///< version sent last, to its end
+  uint32_t configuration_copies = 0;        ///< of that version, on this connection
   /// Highest spending number received on this connection; see fleet::RouterLoads.
   uint64_t acknowledged_spending_sequence = 0;
 
+  bool fetches_configurations() const { return status.protocol_version >= fleet::kFirstFetchingVersion; }
+  /// Version that the router holds once it has read what was sent to it.
+  uint64_t expected_configuration_version() const {
+    return std::max(status.configuration_version, sent_configuration_version);
+  }
   /// Starts over on a new connection.
   void reconnect(const std::shared_ptr<wire::Channel>& connection) {
     channel = connection;
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -23,33 +23,48 @@
   }
 };
 
-/// A control member has sent a configuration to a router.
+/// A control member has sent a router the last part of a configuration or of a change.
 struct ConfigurationSent {
   static constexpr const char* kMessage = "configuration sent";
   std::string router;
   uint64_t version = 0;
-  uint64_t held = 0;    ///< version that the router last reported
-  size_t bytes = 0;     ///< of the message
-  size_t unsent = 0;    ///< bytes that were queued on the connection before
+  uint64_t base = 0;    ///< version that the change is for; 0: a whole configuration
+  size_t bytes = 0;     ///< of the change or the whole
+  size_t unsent = 0;    ///< bytes that are queued on the connection, with it
   uint32_t copies = 0;  ///< of this version on this connection, with this one
   std::vector<LogField> fields() const {
-    return {{"router", router}, {"version", version}, {"held", held},
+    return {{"router", router}, {"version", version}, {"base", base},
             {"bytes", bytes},   {"unsent", unsent},   {"copies", copies}};
   }
 };
 
-/// A router has read a configuration that a control member sent.
+/// A router has read a configuration, or a change, that a control member sent.
 struct ConfigurationReceived {
   static constexpr const char* kMessage = "configuration received";
   std::string member;
   uint64_t version = 0;
   uint64_t held = 0;         ///< version in force before; equal or higher: the configuration is of no use
-  int64_t announced_ms = 0;  ///< since a member first confirmed this or a later version to the router
+  size_t bytes = 0;          ///< of the change or the whole; 0: sent unasked by a member of an earlier build
+  int64_t announced_ms = 0;  ///< since the newest version was first announced to the router
   std::vector<LogField> fields() const {
-    return {{"member", member}, {"version", version}, {"held", held}, {"announced_ms", announced_ms}};
+    return {{"member", member},
+            {"version", version},
+            {"held", held},
+            {"bytes", bytes},
+            {"announced_ms", announced_ms}};
   }
 };
 
+/// A configuration that a router received does not match what a member announced. The router requests the
+/// whole one.
+struct ConfigurationMismatch {
+  static constexpr const char* kMessage = "configuration does not match";
+  std::string member;
+  uint64_t held = 0;  ///< version in force
+  std::string error;
+  std::vector<LogField> fields() const { return {{"member", member}, {"held", held}, {"error", error}}; }
+};
+
 /// A message from another process could not be decoded. Its connection is closed if the type is known.
 struct MessageUnreadable {
   static constexpr const char* kMessage = "message unreadable";
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -130,8 +130,9 @@
   std::string zone;      ///< of the sender
   /// Time since a quorum last confirmed the leader, as far as the sender knows; negative: unknown.
   int64_t quorum_age_ms = -1;
-  uint64_t confirmed_version = 0;                 ///< version of the configuration at that confirmation
-  std::vector<FleetConfiguration> configuration;  ///< at most one
+  uint64_t confirmed_version = 0;  ///< version of the configuration at that confirmation
+  /// At most one; only for routers of builds before kFirstFetchingVersion.
+  std::vector<FleetConfiguration> configuration;
   std::vector<RetiredBackend> retired;
   std::vector<TargetWeightsVersion> weights;  ///< the latest of each model, oldest first; empty: unchanged
   std::vector<std::string> members;           ///< "address:port" for the internal protocol; empty: unchanged
@@ -140,9 +141,33 @@
       0;  ///< in an answer: the highest RouterLoads::spending_sequence received
   std::vector<ServiceRollout> rollouts = {};  ///< the last rollout of each service; empty: unchanged
   ProtocolVersion protocol_version = 0;
+  uint64_t configuration_version = 0;  ///< that the sender has applied, so that it can be requested
   MSGPACK_DEFINE_ARRAY(answers, leads, zone, quorum_age_ms, confirmed_version, configuration, retired,
                        weights, members, router_count, acknowledged_spending_sequence, rollouts,
-                       protocol_version)
+                       protocol_version, configuration_version)
+};
+
+/// Router to a control member: asks for bytes of the configuration, or of a change, that it lacks.
+struct ConfigurationRequest {
+  std::string router;
+  uint64_t held_version = 0;  ///< in force at the router; 0: none
+  bool whole = false;         ///< a change to the held version did not fit
+  uint64_t document = 0;      ///< ConfigurationPart::document that is being received; 0: none
+  uint64_t offset = 0;        ///< of the first byte asked for; 0 if the member does not keep the document
+  uint64_t bytes = 0;         ///< number of bytes asked for
+  MSGPACK_DEFINE_ARRAY(router, held_version, whole, document, offset, bytes)
+};
+
+/// Control member to router: consecutive bytes of an encoded FleetConfiguration or ConfigurationChange.
+struct ConfigurationPart {
+  uint64_t base_version = 0;  ///< held version that the change is for; 0: a whole configuration
+  uint64_t version = 0;       ///< of the configuration that results
+  uint64_t digest = 0;        ///< digest_of() that configuration
+  uint64_t document = 0;      ///< hash of all bytes; the same at all members that have the same document
+  uint64_t total_bytes = 0;
+  uint64_t offset = 0;
+  std::string bytes;
+  MSGPACK_DEFINE_ARRAY(base_version, version, digest, document, total_bytes, offset, bytes)
 };
 
 /// Control member to its subscribed routers: changes of the fleet since the previous message. A feed starts
--- a/src/fleet/protocol_version.h
+++ b/src/fleet/protocol_version.h
@@ -12,7 +12,11 @@
 /// routers obey rollouts, and leaders answer permit requests.
 inline constexpr ProtocolVersion kFirstStatedVersion = 1;
 
+/// From this version on, members announce configurations and routers request them. Earlier routers are sent
+/// whole configurations unasked.
+inline constexpr ProtocolVersion kFirstFetchingVersion = 2;
+
 /// The version that this build speaks.
-inline constexpr ProtocolVersion kProtocolVersion = kFirstStatedVersion;
+inline constexpr ProtocolVersion kProtocolVersion = kFirstFetchingVersion;
 
 }  // namespace stoat::fleet
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -17,6 +17,8 @@
 /// Before the first feed is taken from another region, members of the router's own region have this long to
 /// answer: a feed begins with the full state, and hundreds of feeds saturate the link between regions.
 constexpr Duration kOtherRegionChoiceDelay = 1s;
+/// How often it is checked whether a configuration must be requested from another member.
+constexpr Duration kFetchCheckInterval = 100ms;
 
 }  // namespace
 
@@ -28,6 +30,7 @@
       on_update_(std::move(on_update)),
       on_feed_update_(std::move(on_feed_update)) {
   loop.every(options_.status_interval, [this] { tick(); });
+  loop.every(kFetchCheckInterval, [this] { fetch_configuration(); });
   loop.after(Duration(0), [this] { tick(); });
 }
 
@@ -112,6 +115,7 @@
       continue;
     }
     entry->second.channel->close();
+    configuration_fetch_.on_member_lost(entry->first);
     entry = members_.erase(entry);
   }
   for (const std::string& address : wanted_addresses) {
@@ -141,7 +145,11 @@
         [this, address](const std::shared_ptr<wire::Channel>&, wire::Message message) {
           on_message(address, std::move(message));
         },
-        [](const std::shared_ptr<wire::Channel>&) {});
+        [this, address](const std::shared_ptr<wire::Channel>&) {
+          configuration_fetch_.on_member_lost(address);
+          fetch_configuration();
+        });
+    configuration_fetch_.on_member_lost(address);
     member.channel->set_unreadable_handler(on_unreadable_);
     set_traffic_meter(member);
   }
@@ -230,6 +238,11 @@
     }
     return;
   }
+  if (const auto* part = std::get_if<fleet::ConfigurationPart>(&message.value)) {
+    found->second.last_message_at = loop_.now();
+    on_configuration_part(address, *part);
+    return;
+  }
   if (const auto* permit_answer = std::get_if<fleet::PermitResponse>(&message.value)) {
     found->second.last_message_at = loop_.now();
     on_permit_answer_(*permit_answer);
@@ -251,6 +264,7 @@
   const bool was_ready = make_status_().router.ready;
   on_update_(*update);
   extend_key_lease(member, *update);
+  fetch_configuration();
   if (!was_ready && make_status_().router.ready) {
     // Clients are sent here only once the members know that this router is ready. The next interval would be
     // up to 400 ms later.
@@ -278,21 +292,73 @@
   }
 }
 
+void ControlLink::set_configuration(std::shared_ptr<const fleet::FleetConfiguration> configuration) {
+  configuration_fetch_.set_held(std::move(configuration));
+}
+
+Duration ControlLink::time_behind() const {
+  return configuration_fetch_.announced_version() > configuration_fetch_.held_version()
+             ? loop_.now() - configuration_fetch_.announced_at()
+             : Duration(0);
+}
+
 void ControlLink::record_configuration(const std::string& address, const fleet::FleetUpdate& update) {
-  const uint64_t sent_version = update.configuration.empty() ? 0 : update.configuration.front().version;
-  const uint64_t version = std::max(update.confirmed_version, sent_version);
-  if (version > announced_version_) {
-    announced_version_ = version;
-    announced_at_ = loop_.now();
+  configuration_fetch_.on_announcement(address, update.configuration_version, loop_.now());
+  for (const fleet::FleetConfiguration& configuration : update.configuration) {
+    configuration_fetch_.on_announcement(address, configuration.version, loop_.now());
+    log_.event(
+        events::ConfigurationReceived{address, configuration.version, configuration_fetch_.held_version(), 0,
+                                      to_milliseconds(loop_.now() - configuration_fetch_.announced_at())});
   }
-  if (sent_version > 0) {
-    log_.event(events::ConfigurationReceived{address, sent_version, configuration_version_,
-                                             to_milliseconds(loop_.now() - announced_at_)});
+}
+
+std::vector<std::string> ControlLink::connected_members() const {
+  std::vector<std::pair<topology::Distance, std::string>> connected;
+  for (const auto& [address, member] : members_) {
+    if (member.last_message_at > TimePoint(0) && connected_to(address)) {
+      connected.emplace_back(options_.topology.distance(options_.zone, member.zone), address);
+    }
+  }
+  std::sort(connected.begin(), connected.end());
+  std::vector<std::string> addresses;
+  for (auto& [distance, address] : connected) {
+    addresses.push_back(std::move(address));
+  }
+  return addresses;
+}
+
+void ControlLink::fetch_configuration() {
+  if (configuration_fetch_.announced_version() <= configuration_fetch_.held_version()) {
+    return;
+  }
+  auto next = configuration_fetch_.next_request(feed_address_, connected_members(), loop_.now());
+  if (next) {
+    next->request.router = options_.router;
+    send_to(next->member, next->request);
+  }
+}
+
+void ControlLink::on_configuration_part(const std::string& address, const fleet::ConfigurationPart& part) {
+  const uint64_t held_version = configuration_fetch_.held_version();
+  const auto received = configuration_fetch_.on_part(address, part, loop_.now());
+  if (!received) {
+    log_.event(events::ConfigurationMismatch{address, held_version, received.error()});
+  } else if (*received) {
+    const ReceivedConfiguration& complete = **received;
+    log_.event(
+        events::ConfigurationReceived{address, complete.configuration->version, held_version, complete.bytes,
+                                      to_milliseconds(loop_.now() - configuration_fetch_.announced_at())});
+    on_configuration_(complete.configuration);
+    if (!key_lease_valid()) {
+      // Confirmations of this version did not extend the lease before it was in force.
+      send_status_to_all();
+    }
   }
+  fetch_configuration();
 }
 
 bool ControlLink::confirms_configuration(const fleet::FleetUpdate& update) const {
-  return update.quorum_age_ms >= 0 && update.confirmed_version <= configuration_version_;
+  return update.quorum_age_ms >= 0 && update.confirmed_version <= configuration_fetch_.held_version();
 }
 
 void ControlLink::extend_key_lease(Member& member, const fleet::FleetUpdate& update) {
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -13,6 +13,7 @@
 #include "src/common/log.h"
 #include "src/common/settings.h"
 #include "src/fleet/fleet_messages.h"
+#include "src/gateway/configuration_fetch.h"
 #include "src/gateway/feed_choice.h"
 #include "src/http/event_loop.h"
 #include "src/topology/topology.h"
@@ -43,6 +44,7 @@
   using UpdateHandler = std::function<void(const fleet::FleetUpdate&)>;
   using FeedUpdateHandler = std::function<void(const fleet::FleetFeedUpdate&)>;
   using StatusProvider = std::function<fleet::RouterStatus()>;
+  using ConfigurationHandler = std::function<void(const std::shared_ptr<const fleet::FleetConfiguration>&)>;
   using PermitHandler = std::function<void(const fleet::PermitResponse&)>;
 
   ControlLink(EventLoop& loop, ControlLinkOptions options, StatusProvider make_status,
@@ -51,13 +53,12 @@
   ControlLink(const ControlLink&) = delete;
   ControlLink& operator=(const ControlLink&) = delete;
 
-  /// Sets the configuration version in force. A confirmation of a newer version does not extend the key
-  /// lease.
-  void set_configuration_version(uint64_t version) { configuration_version_ = version; }
+  /// Sets the configuration in force. A confirmation of a newer version does not extend the key lease.
+  void set_configuration(std::shared_ptr<const fleet::FleetConfiguration> configuration);
+  /// Sets the handler for configurations that were requested from a member.
+  void set_configuration_handler(ConfigurationHandler handler) { on_configuration_ = std::move(handler); }
   /// Returns for how long a newer configuration than the one in force has been announced; 0: there is none.
-  Duration time_behind() const {
-    return announced_version_ > configuration_version_ ? loop_.now() - announced_at_ : Duration(0);
-  }
+  Duration time_behind() const;
   /// Returns true while access keys may be accepted.
   bool key_lease_valid() const { return loop_.now() < key_lease_ends_at_; }
   /// Returns true if access keys could be accepted at some time since the start.
@@ -116,8 +117,13 @@
   void record_answer(const std::string& address, Member& member, bool leads);
   void extend_key_lease(Member& member, const fleet::FleetUpdate& update);
   bool confirms_configuration(const fleet::FleetUpdate& update) const;
-  /// Notes which version the member confirms, and logs a configuration that it sent.
+  /// Notes which version the member has, and logs a configuration that it sent unasked.
   void record_configuration(const std::string& address, const fleet::FleetUpdate& update);
+  void on_configuration_part(const std::string& address, const fleet::ConfigurationPart& part);
+  /// Requests a newer configuration, if there is one and it is not on its way.
+  void fetch_configuration();
+  /// The members that can be asked, the nearest first.
+  std::vector<std::string> connected_members() const;
 
   EventLoop& loop_;
   ControlLinkOptions options_;
@@ -126,6 +132,7 @@
   FeedUpdateHandler on_feed_update_;
   wire::Channel::UnreadableHandler on_unreadable_ = [](const wire::Channel&, const wire::UnreadableMessage&) {
   };
+  ConfigurationHandler on_configuration_ = [](const std::shared_ptr<const fleet::FleetConfiguration>&) {};
   PermitHandler on_permit_answer_ = [](const fleet::PermitResponse&) {};
   Logger log_{"link"};
   std::shared_ptr<wire::TrafficMeter> traffic_ = std::make_shared<wire::TrafficMeter>();
@@ -136,9 +143,7 @@
   uint32_t ticks_ = 0;
   std::vector<std::string> listed_members_;  ///< as the members last reported
   uint64_t last_sequence_ = 0;
-  uint64_t configuration_version_ = 0;
-  uint64_t announced_version_ = 0;  ///< highest version that a member confirmed
-  TimePoint announced_at_{0};       ///< when it was first confirmed to this router
+  ConfigurationFetch configuration_fetch_;
   TimePoint key_lease_ends_at_{Duration::min()};
 };
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -103,6 +103,10 @@
       [this](const wire::Channel& channel, const wire::UnreadableMessage& message) {
         unreadable_messages_.report(channel, message, loop_.now());
       });
+  control_link_.set_configuration_handler(
+      [this](const std::shared_ptr<const fleet::FleetConfiguration>& configuration) {
+        apply_configuration(configuration);
+      });
   control_link_.set_permit_handler([this](const fleet::PermitResponse& response) {
     context_.limits.on_permit_answer(response, loop_.now());
   });
@@ -206,7 +210,7 @@
 
 void GatewayServer::on_update(const fleet::FleetUpdate& update) {
   for (const fleet::FleetConfiguration& configuration : update.configuration) {
-    apply_configuration(configuration);
+    apply_configuration(std::make_shared<const fleet::FleetConfiguration>(configuration));
   }
   pool_.retire(update.retired);
   for (const fleet::TargetWeightsVersion& named : update.weights) {
@@ -225,23 +229,23 @@
   store_rollouts(update);
 }
 
-void GatewayServer::apply_configuration(const fleet::FleetConfiguration& configuration) {
-  if (route_table_ != nullptr && configuration.version <= route_table_->configuration().version) {
+void GatewayServer::apply_configuration(
+    const std::shared_ptr<const fleet::FleetConfiguration>& configuration) {
+  if (configuration->version <= configuration_version()) {
     return;
   }
   const TimePoint started_at = loop_.now();
-  route_table_ =
-      std::make_shared<routing::RouteTable>(std::make_shared<const fleet::FleetConfiguration>(configuration));
-  control_link_.set_configuration_version(configuration.version);
-  context_.quotas.configure(configuration.tenants);
+  route_table_ = std::make_shared<routing::RouteTable>(configuration);
+  control_link_.set_configuration(configuration);
+  context_.quotas.configure(configuration->tenants);
   edge::EdgeLimits limits;
-  limits.header_bytes = configuration.limits.header_bytes;
-  limits.body_bytes = configuration.limits.body_bytes;
-  limits.header_timeout = Duration(1000 * configuration.limits.header_timeout_ms);
-  limits.idle_timeout = Duration(1000 * configuration.limits.idle_timeout_ms);
+  limits.header_bytes = configuration->limits.header_bytes;
+  limits.body_bytes = configuration->limits.body_bytes;
+  limits.header_timeout = Duration(1000 * configuration->limits.header_timeout_ms);
+  limits.idle_timeout = Duration(1000 * configuration->limits.idle_timeout_ms);
   edge_.set_limits(limits);
-  log_.event(events::ConfigurationInForce{configuration.version, configuration.routes.size(),
-                                          configuration.tenants.size(),
+  log_.event(events::ConfigurationInForce{configuration->version, configuration->routes.size(),
+                                          configuration->tenants.size(),
                                           to_milliseconds(loop_.now() - started_at)});
 }
 
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -119,7 +119,7 @@
                           placement::KvCacheEstimate& cache_estimate) const;
   /// Queues a placement for the other routers, which receive it in the next batch.
   void announce_placement(fleet::ChainPlacement placement);
-  void apply_configuration(const fleet::FleetConfiguration& configuration);
+  void apply_configuration(const std::shared_ptr<const fleet::FleetConfiguration>& configuration);
   fleet::RouterStatus make_status();
   // Implemented in gateway_rollouts.cc: services that are moved to another version.
   void store_rollouts(const fleet::FleetUpdate& update);
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -55,7 +55,8 @@
                   Alternative<25, fleet::PlacementUpdate>, Alternative<26, fleet::FleetFeedUpdate>,
                   Alternative<27, fleet::RouterLoads>, Alternative<28, fleet::ConfirmationRequest>,
                   Alternative<29, fleet::ConfirmationResponse>, Alternative<30, fleet::PermitRequest>,
-                  Alternative<31, fleet::PermitResponse>>;
+                  Alternative<31, fleet::PermitResponse>, Alternative<32, fleet::ConfigurationRequest>,
+                  Alternative<33, fleet::ConfigurationPart>>;
 
 }  // namespace stoat::wire
 
--- a/src/wire/traffic.cc
+++ b/src/wire/traffic.cc
@@ -80,9 +80,11 @@
                              std::is_same_v<Type, fleet::ConfirmedRead> ||
                              std::is_same_v<Type, fleet::ConfirmedReadResponse>) {
           return Purpose::kCalls;
-        } else if constexpr (std::is_same_v<Type, fleet::RouterStatus>) {
+        } else if constexpr (std::is_same_v<Type, fleet::RouterStatus> ||
+                             std::is_same_v<Type, fleet::ConfigurationRequest>) {
           return Purpose::kStatuses;
-        } else if constexpr (std::is_same_v<Type, fleet::FleetUpdate>) {
+        } else if constexpr (std::is_same_v<Type, fleet::FleetUpdate> ||
+                             std::is_same_v<Type, fleet::ConfigurationPart>) {
           return Purpose::kUpdates;
         } else if constexpr (std::is_same_v<Type, fleet::PlacementUpdate>) {
           return Purpose::kPlacements;
