Tell members at once that a router is ready after its first configuration

A router became ready with a fetched configuration and told the members at the next interval only (ReadyNoticeTest failed): until then callers were not sent there. And a request for a configuration bore the name of the link's options, not the one that the statuses bear; where these differ (routers made by tests) members did not answer it, and some 150 tests of the small fleet failed.

--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -333,7 +333,7 @@
   }
   auto next = configuration_fetch_.next_request(feed_address_, connected_members(), loop_.now());
   if (next) {
-    next->request.router = options_.router;
+    next->request.router = make_status_().router.name;
     send_to(next->member, next->request);
   }
 }
@@ -348,9 +348,12 @@
     log_.event(
         events::ConfigurationReceived{address, complete.configuration->version, held_version, complete.bytes,
                                       to_milliseconds(loop_.now() - configuration_fetch_.announced_at())});
+    const bool was_ready = make_status_().router.ready;
     on_configuration_(complete.configuration);
-    if (!key_lease_valid()) {
-      // Confirmations of this version did not extend the lease before it was in force.
+    const bool became_ready = !was_ready && make_status_().router.ready;
+    if (became_ready || !key_lease_valid()) {
+      // Clients are sent here only once the members know that this router is ready, and confirmations of this
+      // version have not extended the lease yet.
       send_status_to_all();
     }
   }
