--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -126,9 +126,10 @@
     uint64_t confirmed_round = 0;
     TimePoint last_response{0};
     TimePoint last_sent{0};
-    bool probing = false;  ///< searching for the last matching entry; one append at a time
+    bool probing = false;  ///< searching for the last matching entry, with appends without entries
     bool sending_snapshot = false;
     uint64_t snapshot_offset = 0;
+    uint64_t chunk_round = 0;  ///< round in which the chunk at snapshot_offset was sent
   };
   struct PendingRead {
     uint64_t read_id = 0;
@@ -159,7 +160,11 @@
   void on_append_response(const Message& message, TimePoint now);
   void on_snapshot_response(const Message& message, TimePoint now);
   void send_append(MemberId member, Progress& progress, bool heartbeat, TimePoint now);
+  /// A snapshot message for the position that the transfer has reached, without bytes.
+  Message make_snapshot_message(MemberId member, Progress& progress) const;
   void send_snapshot_chunk(MemberId member, Progress& progress, TimePoint now);
+  /// Sends a heartbeat to a follower that is sent a snapshot. The response tells whether a chunk was lost.
+  void send_snapshot_probe(MemberId member, Progress& progress, TimePoint now);
   void broadcast_append(TimePoint now);
   void heartbeat(TimePoint now);
   void update_commit();
--- a/src/consensus/replica_leader.cc
+++ b/src/consensus/replica_leader.cc
@@ -1,5 +1,6 @@
 // Leader side of Replica: replication, commitment, linearizable reads, membership and leadership transfer.
 #include <algorithm>
+#include <utility>
 
 #include "src/consensus/replica.h"
 #include "src/wire/codec.h"
@@ -102,9 +103,11 @@
 
 void Replica::send_append(MemberId member, Progress& progress, bool heartbeat, TimePoint now) {
   if (progress.next <= log_.snapshot_index() && encoded_snapshot_ != nullptr) {
-    if (!progress.sending_snapshot || heartbeat) {
+    if (!progress.sending_snapshot) {
       progress.sending_snapshot = true;
       send_snapshot_chunk(member, progress, now);
+    } else if (heartbeat) {
+      send_snapshot_probe(member, progress, now);
     }
     return;
   }
@@ -122,14 +125,16 @@
   message.log_term = log_.term_at(progress.next - 1);
   message.commit = commit_;
   message.round = round_;
-  message.entries = log_.slice(progress.next, options_.max_append_entries, options_.max_append_bytes);
-  progress.next += progress.probing ? 0 : message.entries.size();
+  if (!progress.probing) {
+    message.entries = log_.slice(progress.next, options_.max_append_entries, options_.max_append_bytes);
+  }
+  progress.next += message.entries.size();
   progress.inflight += message.entries.empty() ? 0 : 1;
   progress.last_sent = now;
   output_.send_now.push_back(std::move(message));
 }
 
-void Replica::send_snapshot_chunk(MemberId member, Progress& progress, TimePoint now) {
+Message Replica::make_snapshot_message(MemberId member, Progress& progress) const {
   Message message = make_message(MessageKind::kSnapshotChunk, member);
   if (progress.snapshot_offset > encoded_snapshot_->size()) {
     progress.snapshot_offset = 0;
@@ -137,6 +142,17 @@
   message.round = round_;
   message.log_index = log_.snapshot_index();
   message.offset = progress.snapshot_offset;
+  return message;
+}
+
+void Replica::send_snapshot_probe(MemberId member, Progress& progress, TimePoint now) {
+  progress.last_sent = now;
+  output_.send_now.push_back(make_snapshot_message(member, progress));
+}
+
+void Replica::send_snapshot_chunk(MemberId member, Progress& progress, TimePoint now) {
+  Message message = make_snapshot_message(member, progress);
+  progress.chunk_round = round_;
   message.bytes = encoded_snapshot_->substr(progress.snapshot_offset, options_.snapshot_chunk_bytes);
   message.last_chunk = progress.snapshot_offset + message.bytes.size() == encoded_snapshot_->size();
   progress.last_sent = now;
@@ -167,14 +183,12 @@
   if (message.log_term != log_.snapshot_index()) {
     return;  // the response is for a snapshot that has since been replaced
   }
-  // Only a response that advances the transfer triggers the next chunk at once. If every response did, a
-  // message duplicated by the network would be duplicated for ever. Lost chunks are resent with the next
-  // heartbeat.
+  // Only a response that advances the transfer, or that answers a probe sent after the chunk, triggers a
+  // chunk. If every response did, a message duplicated by the network would be duplicated for ever.
   const bool advances = message.offset > progress.snapshot_offset;
-  if (advances || message.round == round_) {
+  const bool chunk_was_lost = message.round > progress.chunk_round;
+  if (advances || chunk_was_lost) {
     progress.snapshot_offset = message.offset;
-  }
-  if (advances) {
     send_snapshot_chunk(message.from, progress, now);
   }
 }
@@ -190,14 +204,9 @@
   ++round_;
   round_started_at_[round_] = now;
   next_heartbeat_ = now + options_.heartbeat_interval;
+  // A follower that has lost appends rejects the next heartbeat, which follows them. Without a response they
+  // may still be under way, and are not sent again.
   for (auto& [member, progress] : progress_) {
-    const bool stopped_responding = now - progress.last_response > options_.heartbeat_interval * 3;
-    if (stopped_responding && !progress.sending_snapshot) {
-      // Appends in flight may be lost: resume after the last entry known to match.
-      progress.next = progress.match + 1;
-      progress.inflight = 0;
-      progress.probing = false;
-    }
     send_append(member, progress, true, now);
   }
   update_commit();
@@ -216,12 +225,12 @@
   confirm_reads();
   // As with snapshots, a response without new information triggers no message.
   if (message.granted) {
-    progress.probing = false;
-    if (message.log_index <= progress.match) {
+    const bool found_match = std::exchange(progress.probing, false);
+    if (message.log_index <= progress.match && !found_match) {
       return;
     }
-    progress.match = message.log_index;
-    progress.next = std::max(progress.next, progress.match + 1);
+    progress.match = std::max(progress.match, message.log_index);
+    progress.next = std::max(found_match ? 0 : progress.next, progress.match + 1);
     update_commit();
   } else {
     const bool stale =
--- a/tests/unit/replica_leader_test.cc
+++ b/tests/unit/replica_leader_test.cc
@@ -69,6 +69,38 @@
                      three_members());
     replica_.take_output();
   }
+  /// Lets heartbeats pass that kOther answers and kLagging does not. Returns what kLagging was sent
+  /// meanwhile.
+  std::vector<Message> pass_heartbeats(int count) {
+    std::vector<Message> to_lagging;
+    for (int number = 0; number < count; ++number) {
+      now_ += 100ms;
+      deliver_response(MessageKind::kAppendResponse, kOther, true, replica_.last_index());
+      replica_.tick(now_);
+      for (Message& message : replica_.take_output().send_now) {
+        if (message.to == kLagging) {
+          to_lagging.push_back(std::move(message));
+        }
+      }
+    }
+    return to_lagging;
+  }
+  /// Entries in messages.
+  static size_t count_entries(const std::vector<Message>& messages) {
+    size_t count = 0;
+    for (const Message& message : messages) {
+      count += message.entries.size();
+    }
+    return count;
+  }
+  /// Bytes of snapshots in messages.
+  static size_t count_snapshot_bytes(const std::vector<Message>& messages) {
+    size_t count = 0;
+    for (const Message& message : messages) {
+      count += message.bytes.size();
+    }
+    return count;
+  }
   /// Number of messages of a kind sent to the lagging member since the last call.
   int64_t sent_to_lagging(MessageKind kind) {
     const std::vector<Message> sent = replica_.take_output().send_now;
@@ -102,5 +134,68 @@
   EXPECT_EQ(sent_to_lagging(MessageKind::kAppend), 1) << "the lagging member gets no more messages";
 }
 
+// A leader sent a large entry again with each heartbeat while it was still under way on a slow link.
+TEST_F(ReplicaLeaderTest, EntryIsNotSentAgainWhileItIsUnderWay) {
+  ASSERT_TRUE(replica_.leads());
+  deliver_response(MessageKind::kAppendResponse, kLagging, true, replica_.last_index());
+  replica_.take_output();
+  replica_.propose(std::string(1U << 20U, 'x'), now_);
+  EXPECT_EQ(sent_to_lagging(MessageKind::kAppend), 1);
+  const std::vector<Message> heartbeats = pass_heartbeats(20);
+  EXPECT_GE(heartbeats.size(), 10U);
+  EXPECT_EQ(count_entries(heartbeats), 0U);
+}
+
+TEST_F(ReplicaLeaderTest, LostEntryIsSentAgainOnceTheFollowerLacksIt) {
+  ASSERT_TRUE(replica_.leads());
+  const uint64_t held = replica_.last_index();
+  deliver_response(MessageKind::kAppendResponse, kLagging, true, held);
+  const uint64_t lost = replica_.propose("lost", now_);
+  const std::vector<Message> heartbeats = pass_heartbeats(5);
+  ASSERT_FALSE(heartbeats.empty());
+  deliver_response(MessageKind::kAppendResponse, kLagging, false, held, heartbeats.back().log_index);
+  const std::vector<Message> probe = replica_.take_output().send_now;
+  ASSERT_EQ(probe.size(), 1U);
+  EXPECT_EQ(probe[0].log_index, held);
+  EXPECT_TRUE(probe[0].entries.empty());
+  deliver_response(MessageKind::kAppendResponse, kLagging, true, held);
+  const std::vector<Message> resent = replica_.take_output().send_now;
+  ASSERT_EQ(resent.size(), 1U);
+  ASSERT_EQ(resent[0].entries.size(), 1U);
+  EXPECT_EQ(resent[0].entries[0].index, lost);
+}
+
+// A leader sent a chunk of a snapshot again with each heartbeat while it was still under way on a slow link.
+TEST_F(ReplicaLeaderTest, SnapshotChunkIsNotSentAgainWhileItIsUnderWay) {
+  ASSERT_TRUE(replica_.leads());
+  fill_and_compact(10, 10);
+  deliver_response(MessageKind::kAppendResponse, kLagging, false, 1, 2);
+  replica_.take_output();
+  const std::vector<Message> heartbeats = pass_heartbeats(20);
+  EXPECT_GE(heartbeats.size(), 10U);
+  EXPECT_EQ(count_snapshot_bytes(heartbeats), 0U);
+}
+
+TEST_F(ReplicaLeaderTest, LostSnapshotChunkIsSentAgainOnceTheFollowerLacksIt) {
+  ASSERT_TRUE(replica_.leads());
+  fill_and_compact(10, 10);
+  deliver_response(MessageKind::kAppendResponse, kLagging, false, 1, 2);
+  replica_.take_output();
+  const std::vector<Message> heartbeats = pass_heartbeats(5);
+  ASSERT_FALSE(heartbeats.empty());
+  Message response;
+  response.kind = MessageKind::kSnapshotResponse;
+  response.from = kLagging;
+  response.to = kSelf;
+  response.term = kTerm;
+  response.round = heartbeats.back().round;
+  response.log_index = 1;
+  response.log_term = heartbeats.back().log_index;
+  replica_.receive(response, now_);
+  EXPECT_GT(count_snapshot_bytes(replica_.take_output().send_now), 0U);
+  replica_.receive(response, now_);
+  EXPECT_EQ(count_snapshot_bytes(replica_.take_output().send_now), 0U) << "a repeated response";
+}
+
 }  // namespace
 }  // namespace stoat::consensus
