Refuse unknown routes and keys for good only by a configuration confirmed as the newest

Cause: a router refused from whatever it held.

Change: 404 and 401 are given while the configuration was confirmed as the newest within 0.9 of configuration_ms (new setting, 3,000 by default) and no newer one has been heard of.

A gauge counts configurations that did not match.

--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -161,7 +161,8 @@
 
 int64_t ControlLink::key_lease_left_ms() const {
   constexpr int64_t kNeverConfirmedMs = -1000000;
-  return had_key_lease() ? to_milliseconds(key_lease_ends_at_ - loop_.now()) : kNeverConfirmedMs;
+  return had_key_lease() ? to_milliseconds(configuration_confirmed_at_ + options_.key_lease - loop_.now())
+                         : kNeverConfirmedMs;
 }
 
 size_t ControlLink::responsive_member_count() const {
@@ -303,8 +304,11 @@
 }
 
 void ControlLink::record_configuration(const std::string& address, const fleet::FleetUpdate& update) {
+  newest_known_version_ =
+      std::max({newest_known_version_, update.confirmed_version, update.configuration_version});
   configuration_fetch_.on_announcement(address, update.configuration_version, loop_.now());
   for (const fleet::FleetConfiguration& configuration : update.configuration) {
+    newest_known_version_ = std::max(newest_known_version_, configuration.version);
     configuration_fetch_.on_announcement(address, configuration.version, loop_.now());
     log_.event(
         events::ConfigurationReceived{address, configuration.version, configuration_fetch_.held_version(), 0,
@@ -342,6 +346,7 @@
   const uint64_t held_version = configuration_fetch_.held_version();
   const auto received = configuration_fetch_.on_part(address, part, loop_.now());
   if (!received) {
+    ++configuration_mismatches_;
     log_.event(events::ConfigurationMismatch{address, held_version, received.error()});
   } else if (*received) {
     const ReceivedConfiguration& complete = **received;
@@ -377,7 +382,7 @@
     member.leader_confirmed_at = std::max(member.leader_confirmed_at, confirmed_at);
   }
   if (confirms_configuration(update)) {
-    key_lease_ends_at_ = std::max(key_lease_ends_at_, confirmed_at + options_.key_lease);
+    configuration_confirmed_at_ = std::max(configuration_confirmed_at_, confirmed_at);
   }
 }
 
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -57,12 +57,22 @@
   void set_configuration(std::shared_ptr<const fleet::FleetConfiguration> configuration);
   /// Sets the handler for configurations that were requested from a member.
   void set_configuration_handler(ConfigurationHandler handler) { on_configuration_ = std::move(handler); }
+  /// Returns how many received configurations did not match what a member announced.
+  uint64_t configuration_mismatches() const { return configuration_mismatches_; }
   /// Returns for how long a newer configuration than the one in force has been announced; 0: there is none.
   Duration time_behind() const;
   /// Returns true while access keys may be accepted.
-  bool key_lease_valid() const { return loop_.now() < key_lease_ends_at_; }
+  bool key_lease_valid() const {
+    return had_key_lease() && loop_.now() < configuration_confirmed_at_ + options_.key_lease;
+  }
   /// Returns true if access keys could be accepted at some time since the start.
-  bool had_key_lease() const { return key_lease_ends_at_ != Duration::min(); }
+  bool had_key_lease() const { return configuration_confirmed_at_ != Duration::min(); }
+  /// Returns true if the configuration in force was confirmed as the newest at most `age` ago, and no newer
+  /// one has been heard of since.
+  bool configuration_is_newest(Duration age) const {
+    return newest_known_version_ <= configuration_fetch_.held_version() && had_key_lease() &&
+           loop_.now() - configuration_confirmed_at_ <= age;
+  }
   /// Returns how long access keys may still be accepted, in milliseconds. Negative: the time since the lease
   /// ended.
   int64_t key_lease_left_ms() const;
@@ -144,7 +154,10 @@
   std::vector<std::string> listed_members_;  ///< as the members last reported
   uint64_t last_sequence_ = 0;
   ConfigurationFetch configuration_fetch_;
-  TimePoint key_lease_ends_at_{Duration::min()};
+  uint64_t configuration_mismatches_ = 0;
+  uint64_t newest_known_version_ = 0;  ///< of all configurations that members announced or confirmed
+  /// When the configuration in force was last confirmed as the newest; min: never.
+  TimePoint configuration_confirmed_at_{Duration::min()};
 };
 
 }  // namespace stoat::gateway
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -9,20 +9,10 @@
 
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kTooManyRequests = 429;
-constexpr int kUnavailable = 503;
 constexpr Duration kShutdownCheckInterval = 50ms;
-/// Retry-After in seconds: a router that has just started, or has lost the control plane, needs about this
-/// long until it can serve.
-constexpr double kStartupRetryAfterS = 2;
 constexpr Duration kEngineQueueMargin = 1500ms;
 /// How often this router's load on the backends is reported, if it has changed.
 constexpr Duration kLoadReportInterval = 100ms;
-/// How often a starting router checks the queued requests.
-constexpr Duration kStartupCheckInterval = 20ms;
 constexpr Duration kTrafficLogInterval = 10s;  ///< between log lines with the bytes sent
 constexpr Duration kMetricsInterval = 1s;
 /// How often the requests sent to limited backends are logged, for the first kMaxLimitUsageLines backends.
@@ -46,6 +36,8 @@
   const int64_t revocation_ms = reader.integer("revocation_ms", 5000, 100, 3600000);
   // The rest of the revocation time is left for a request to get from the edge to the engine.
   settings.link.key_lease = Duration(900 * revocation_ms);
+  // The rest is left for the way from the confirmation to the request.
+  settings.configuration_max_age = Duration(900 * reader.integer("configuration_ms", 3000, 100, 3600000));
   settings.link.router = settings.name;
   settings.link.zone = settings.zone;
   settings.link.topology = settings.topology;
@@ -135,7 +127,7 @@
   });
   loop_.every(kMetricsInterval, [this] {
     control_link_.traffic().publish(metrics_, "stoat_router_control_bytes_total");
-    metrics_.set("stoat_router_configuration_behind_seconds", to_seconds(control_link_.time_behind()));
+    publish_configuration_metrics();
     publish_slow_reader_metrics();
     publish_limit_metrics();
     expire_crash_records();
@@ -163,6 +155,12 @@
   metrics_.set("stoat_router_requests_without_room", static_cast<double>(counts.buffer_refusals));
 }
 
+void GatewayServer::publish_configuration_metrics() {
+  metrics_.set("stoat_router_configuration_behind_seconds", to_seconds(control_link_.time_behind()));
+  metrics_.set("stoat_router_configuration_mismatches",
+               static_cast<double>(control_link_.configuration_mismatches()));
+}
+
 void GatewayServer::publish_limit_metrics() {
   metrics_.set("stoat_router_limited_backends", static_cast<double>(context_.limits.size()));
 }
@@ -249,113 +247,6 @@
                                           to_milliseconds(loop_.now() - started_at)});
 }
 
-void GatewayServer::refuse(const dispatch::RoutedRequest& plan, edge::ResponseWriter& response, int status,
-                           const char* reason, double retry_after_s) {
-  edge::ResponseHead head;
-  head.status = status;
-  if (!plan.fields.id.empty()) {
-    head.headers.add(names_.request_id, plan.fields.id);
-  }
-  head.headers.add("Content-Type", "text/plain");
-  if (retry_after_s > 0) {
-    head.headers.add("Retry-After", dispatch::retry_after_text(retry_after_s));
-  }
-  events::RequestEventLog request_log(plan.fields.id);
-  request_log.add(events::RequestRejected{status, reason, configuration_version(),
-                                          control_link_.key_lease_left_ms(),
-                                          plan.tenant == nullptr ? "" : plan.tenant->name});
-  request_log.finish(request_log_sampler_, true, reason, loop_.now());
-  metrics_.count("stoat_router_requests_total", {{"status", std::to_string(status)}});
-  response.reply(head, std::string(reason) + "\n");
-}
-
-bool GatewayServer::admit(dispatch::RoutedRequest& plan, edge::ResponseWriter& response) {
-  if (route_table_ == nullptr) {
-    refuse(plan, response, kUnavailable, "no configuration yet", kStartupRetryAfterS);
-    return false;
-  }
-  plan.table = route_table_;
-  const std::string* host = plan.request.headers.find("Host");
-  plan.route = host == nullptr ? nullptr : route_table_->find(*host, plan.request.target);
-  if (plan.route == nullptr) {
-    refuse(plan, response, kNotFound, "no route");
-    return false;
-  }
-  if (plan.fields.malformed_token_counts) {
-    refuse(plan, response, kBadRequest, malformed_token_counts_message_.c_str());
-    return false;
-  }
-  if (!route_table_->has_tenants() || plan.route->open) {
-    return true;
-  }
-  return admit_key(plan, response) && admit_quota(plan, response);
-}
-
-bool GatewayServer::admit_key(dispatch::RoutedRequest& plan, edge::ResponseWriter& response) {
-  plan.tenant = route_table_->tenant_of_key(plan.fields.key);
-  if (settings_.fail_closed && !control_link_.key_lease_valid()) {
-    refuse(plan, response, kUnavailable, "keys can't be confirmed", kStartupRetryAfterS);
-    return false;
-  }
-  if (plan.tenant == nullptr) {
-    refuse(plan, response, kUnauthorized, "unknown key");
-    return false;
-  }
-  return true;
-}
-
-bool GatewayServer::admit_quota(dispatch::RoutedRequest& plan, edge::ResponseWriter& response) {
-  const fleet::TenantQuota& quota = plan.tenant->quota;
-  if (!quota.limited()) {
-    return true;
-  }
-  const dispatch::RequestFields& fields = plan.fields;
-  const auto tokens = fields.has_token_counts
-                          ? std::optional<uint64_t>(uint64_t{fields.prompt_tokens} + fields.output_tokens)
-                          : std::nullopt;
-  plan.quota_cost = quota.cost_of(tokens);
-  const auto decision = context_.quotas.admit(plan.tenant->name, plan.quota_cost, loop_.now());
-  if (!decision.admitted) {
-    metrics_.count("stoat_router_quota_refusals_total", {{"tenant", plan.tenant->name}});
-    refuse(plan, response, kTooManyRequests, "the tenant's quota is used up",
-           to_seconds(decision.retry_after));
-  }
-  return decision.admitted;
-}
-
-bool GatewayServer::starting() const {
-  return route_table_ == nullptr || (settings_.fail_closed && !control_link_.had_key_lease()) ||
-         (route_table_->has_quotas() && !quotas_known_);
-}
-
-bool GatewayServer::queue_until_started(edge::EdgeRequest& request,
-                                        std::shared_ptr<edge::ResponseWriter>& response) {
-  const TimePoint now = loop_.now();
-  const auto client_timeout_ms = dispatch::read_fields(request.headers, names_).deadline_ms;
-  WaitingRequest waiting{std::move(request), std::move(response), now,
-                         now + startup_wait_limit(client_timeout_ms, settings_.max_startup_wait)};
-  if (!startup_queue_.add(waiting)) {
-    request = std::move(waiting.request);
-    response = std::move(waiting.response);
-    return false;
-  }
-  if (startup_queue_.size() == 1) {
-    loop_.after(kStartupCheckInterval, [this] { process_startup_queue(); });
-  }
-  return true;
-}
-
-void GatewayServer::process_startup_queue() {
-  std::vector<WaitingRequest> due =
-      starting() ? startup_queue_.take_expired(loop_.now()) : startup_queue_.take_all();
-  for (WaitingRequest& waiting : due) {
-    serve(std::move(waiting.request), waiting.response, waiting.arrived);
-  }
-  if (startup_queue_.size() > 0) {
-    loop_.after(kStartupCheckInterval, [this] { process_startup_queue(); });
-  }
-}
-
 void GatewayServer::on_request(edge::EdgeRequest request, std::shared_ptr<edge::ResponseWriter> response) {
   if (starting() && queue_until_started(request, response)) {
     return;
@@ -370,7 +261,7 @@
   plan.arrived = arrived;
   plan.fields = dispatch::read_fields(request.headers, names_);
   plan.request = std::move(request);
-  if (!admit(plan, *response)) {
+  if (queue_until_configured(plan, response) || !admit(plan, *response)) {
     return;
   }
   plan.service = traffic_splitter_.choose(*plan.route);
@@ -396,6 +287,7 @@
 void GatewayServer::on_disconnect(const edge::ResponseWriter* response,
                                   edge::DisconnectReason disconnect_reason) {
   startup_queue_.remove(response);
+  configuration_queue_.remove(response);
   const auto found = active_requests_.find(response);
   if (found != active_requests_.end()) {
     const auto active_request = found->second;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -29,6 +29,9 @@
   bool fail_closed = true;             ///< access keys are rejected without a confirmed configuration
   Duration shutdown_timeout = 7s;      ///< from SIGTERM to the end of the process at the latest
   Duration stop_listening_after = 3s;  ///< from SIGTERM until new connections are refused
+  /// A route or key is refused as unknown only by a configuration that was confirmed as the newest within
+  /// this time.
+  Duration configuration_max_age = 2700ms;
   /// Engines with older weights are no longer used after this time since the newer version was announced.
   Duration old_weights_timeout = 6s;
   /// How long a request may wait for a router that has just started. Control members elect a leader within a
@@ -90,6 +93,8 @@
   void report_loads();
   /// Updates the metrics for data buffered for slow clients.
   void publish_slow_reader_metrics();
+  /// Updates the metrics for configurations on their way to this router.
+  void publish_configuration_metrics();
   /// Updates the metric for backends that have set limits.
   void publish_limit_metrics();
   void log_limit_usage();
@@ -131,12 +136,27 @@
   /// `retry_after_s` is sent as Retry-After; 0: no Retry-After.
   void refuse(const dispatch::RoutedRequest& plan, edge::ResponseWriter& response, int status,
               const char* reason, double retry_after_s = 0);
+  /// Refuses a request whose route or key is unknown: with `status` if that is the fleet's word, and
+  /// otherwise as not served for now.
+  void refuse_unknown(const dispatch::RoutedRequest& plan, edge::ResponseWriter& response, int status,
+                      const char* reason);
   /// Returns true until the router can first decide about requests after its start.
   bool starting() const;
   /// Queues a request until the router can decide about it. Returns false when the queue is full.
   bool queue_until_started(edge::EdgeRequest& request, std::shared_ptr<edge::ResponseWriter>& response);
   /// Serves the queued requests once the router has started. Refuses those whose wait expires earlier.
   void process_startup_queue();
+  /// True while a refusal of an unknown route or key is also the fleet's.
+  bool configuration_is_newest() const {
+    return control_link_.configuration_is_newest(settings_.configuration_max_age);
+  }
+  /// Returns whether the configuration in force has the request's route, and its key if it needs one.
+  bool knows_route_and_key(const dispatch::RoutedRequest& plan) const;
+  /// Queues a request that a newer configuration may allow. Returns false when it must be decided now.
+  bool queue_until_configured(dispatch::RoutedRequest& plan,
+                              const std::shared_ptr<edge::ResponseWriter>& response);
+  /// Serves the queued requests that can be decided now.
+  void process_configuration_queue();
   void serve(edge::EdgeRequest request, const std::shared_ptr<edge::ResponseWriter>& response,
              TimePoint arrived);
   bool admit(dispatch::RoutedRequest& plan, edge::ResponseWriter& response);
@@ -171,6 +191,9 @@
   fleet::PlacementUpdate pending_placements_;
   std::map<const edge::ResponseWriter*, std::shared_ptr<dispatch::ActiveRequest>> active_requests_;
   StartupQueue startup_queue_;
+  StartupQueue configuration_queue_;          ///< requests that a newer configuration may allow
+  uint64_t configuration_queue_version_ = 0;  ///< in force when a request was last added to it
+  bool configuration_queue_check_pending_ = false;
   wire::UnreadableMessages unreadable_messages_{log_, metrics_, "stoat_router_unreadable_messages_total"};
   ControlLink control_link_;
   edge::EdgeServer edge_;
