--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -324,10 +324,9 @@
     }
   }
   std::sort(connected.begin(), connected.end());
-  std::vector<std::string> addresses;
-  for (auto& [distance, address] : connected) {
-    addresses.push_back(std::move(address));
-  }
+  std::vector<std::string> addresses(connected.size());
+  std::transform(connected.begin(), connected.end(), addresses.begin(),
+                 [](auto& entry) { return std::move(entry.second); });
   return addresses;
 }
 
