Spread fetches of configurations over equally near members, and count from the right announcement

Members at one distance are now asked in an order of each router's own.

announced_ms counted from the version before where a small change arrives ahead of its announcement (1,832 ms for a change that took 20).

--- a/src/gateway/configuration_fetch.cc
+++ b/src/gateway/configuration_fetch.cc
@@ -142,6 +142,9 @@
 
 tl::expected<std::optional<ReceivedConfiguration>, std::string> ConfigurationFetch::on_part(
     const std::string& member, const fleet::ConfigurationPart& part, TimePoint now) {
+  if (part.version > announced_version_) {
+    on_announcement(member, part.version, now);  // a small change is sent before it is announced
+  }
   const bool fits =
       part.version > held_version() && (part.base_version == 0 || part.base_version == held_version());
   if (!fits || !add(member, part, now)) {
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
+#include "src/common/hash.h"
 #include "src/events/fleet_events.h"
 
 namespace stoat::gateway {
@@ -317,16 +319,18 @@
 }
 
 std::vector<std::string> ControlLink::connected_members() const {
-  std::vector<std::pair<topology::Distance, std::string>> connected;
+  // Routers with several equally near members spread over them.
+  std::vector<std::tuple<topology::Distance, uint64_t, std::string>> connected;
   for (const auto& [address, member] : members_) {
     if (member.last_message_at > TimePoint(0) && connected_to(address)) {
-      connected.emplace_back(options_.topology.distance(options_.zone, member.zone), address);
+      connected.emplace_back(options_.topology.distance(options_.zone, member.zone),
+                             hash_pair(hash_bytes(options_.router), hash_bytes(address)), address);
     }
   }
   std::sort(connected.begin(), connected.end());
   std::vector<std::string> addresses(connected.size());
   std::transform(connected.begin(), connected.end(), addresses.begin(),
-                 [](auto& entry) { return std::move(entry.second); });
+                 [](auto& entry) { return std::move(std::get<std::string>(entry)); });
   return addresses;
 }
 
