Tell which back ends a router reaches on its own links, and since when

Each router now keeps for each back end whether the last sign on its own links was a response or a failure, logs `reach of back ends changed` and has two gauges. No decision uses it yet.

--- a/src/dispatch/active_request.cc
+++ b/src/dispatch/active_request.cc
@@ -193,6 +193,7 @@
 void ActiveRequest::note_activity() {
   last_activity_ = context_.loop.now();
   backend_->last_received_at = last_activity_;
+  context_.pool.links().on_heard(backend_->record.id, last_activity_);
 }
 
 void ActiveRequest::on_flow_control(bool paused) {
@@ -413,6 +414,9 @@
 void ActiveRequest::on_exchange_failure(ExchangeFailure failure) {
   const auto keep = shared_from_this();
   const TimePoint now = context_.loop.now();
+  if (failure != ExchangeFailure::kMalformed) {
+    context_.pool.links().on_failure(backend_->record.id, now);
+  }
   if (failure == ExchangeFailure::kNotConnected || failure == ExchangeFailure::kSilent) {
     context_.report_unreachable(backend_->record.id);
   }
--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -37,6 +37,7 @@
     backend->place = topology_.location_of(record.zone);
     parse_endpoint(record.address, backend->endpoint);
     outliers_.track(record.id);
+    links_.track(record.id);
   }
   const bool moves = backend->record.service != record.service;
   if (moves) {
@@ -65,6 +66,7 @@
   }
   known->second->idle.clear();
   outliers_.forget(id);
+  links_.forget(id);
   remove_from_ring(known->second);
   busy_.erase(id);
   backends_.erase(known);
@@ -201,7 +203,7 @@
   }
   const std::weak_ptr<Backend> weak = backend;
   auto connection = BackendConnection::connect(
-      loop_, backend->endpoint, [this, weak](BackendConnection* lost) { on_unusable(weak, lost); });
+      loop_, connect_to_(backend->endpoint), [this, weak](BackendConnection* lost) { on_unusable(weak, lost); });
   if (connection != nullptr) {
     ++backend->connections;
     ++connections_opened_;
@@ -245,7 +247,7 @@
   backend->last_probe_at = loop_.now();
   const std::weak_ptr<Backend> weak = backend;
   backend->probe = BackendConnection::connect(
-      loop_, backend->endpoint, [this, weak](BackendConnection* lost) { on_unusable(weak, lost); });
+      loop_, connect_to_(backend->endpoint), [this, weak](BackendConnection* lost) { on_unusable(weak, lost); });
   if (backend->probe != nullptr) {
     ++backend->connections;
     ++connections_opened_;
@@ -269,6 +271,7 @@
   const auto connection = std::exchange(backend->probe, nullptr);
   if (connection->connected() && connection->usable()) {
     backend->last_received_at = loop_.now();
+    links_.on_heard(backend->record.id, loop_.now());
     release(backend, connection);
     on_probe_ended_(backend, ProbeResult::kReached);
     return;
@@ -278,6 +281,7 @@
     return;
   }
   backend->last_failed_probe_at = backend->last_probe_at;
+  links_.on_failure(backend->record.id, loop_.now());
   const bool refused = connection->refused();
   discard(backend, connection);
   on_probe_ended_(backend, refused ? ProbeResult::kRefused : ProbeResult::kUnanswered);
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -13,6 +13,7 @@
 #include "src/delivery/outlier_detector.h"
 #include "src/dispatch/backend_backoff.h"
 #include "src/dispatch/backend_connection.h"
+#include "src/dispatch/link_monitor.h"
 #include "src/dispatch/service_ring.h"
 #include "src/fleet/backend_record.h"
 #include "src/fleet/fleet_messages.h"
@@ -133,6 +134,12 @@
   /// True if a backend is healthy: not lost, not loading weights, and not ejected for failures.
   bool is_sound(const Backend& backend);
   delivery::OutlierDetector& outliers() { return outliers_; }
+  /// What this router's own links reach.
+  LinkMonitor& links() { return links_; }
+  /// Where to connect to reach a backend's endpoint, if another address leads there.
+  void set_connect_to(std::function<Endpoint(const Endpoint&)> connect_to) {
+    connect_to_ = std::move(connect_to);
+  }
   uint64_t connections_opened() const { return connections_opened_; }
 
  private:
@@ -155,6 +162,8 @@
   std::vector<BackendPtr> published_;           ///< whose own loads were last published
   std::map<std::string, fleet::BackendState> retired_;
   delivery::OutlierDetector outliers_;
+  LinkMonitor links_;
+  std::function<Endpoint(const Endpoint&)> connect_to_ = [](const Endpoint& backend) { return backend; };
   ProbeHandler on_probe_ended_ = [](const BackendPtr&, ProbeResult) {};
   TimePoint totals_updated_at_{0};
   uint64_t connections_opened_ = 0;
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -174,6 +174,17 @@
   }
 };
 
+/// The number of backends that this router does not reach has changed.
+struct BackendReachChanged {
+  static constexpr const char* kMessage = "reach of back ends changed";
+  size_t unreached = 0;  ///< backends that do not answer on this router's own links
+  size_t known = 0;
+  int64_t since_ms = 0;  ///< since the first of them stopped to answer
+  std::vector<LogField> fields() const {
+    return {{"unreached", unreached}, {"known", known}, {"since_ms", since_ms}};
+  }
+};
+
 /// A backend ended without signing off after requests broke off at it.
 struct BackendCrashed {
   static constexpr const char* kMessage = "backend crashed";
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -109,6 +109,7 @@
   context_.old_weights_timeout = settings.old_weights_timeout;
   context_.admission_thresholds.max_useful_engine_queue = settings.useful_engine_queue;
   context_.max_retry_after = settings.longest_retry_after;
+  pool_.set_connect_to(settings.connect_to_backend);
   pool_.set_probe_handler([this](const dispatch::BackendPtr& backend, dispatch::ProbeResult result) {
     on_probe_ended(backend, result);
   });
@@ -124,12 +125,14 @@
   loop_.every(kLoadReportInterval, [this] {
     check_silence();
     report_loads();
+    log_reach_change();
   });
   loop_.every(kMetricsInterval, [this] {
     control_link_.traffic().publish(metrics_, "stoat_router_control_bytes_total");
     publish_configuration_metrics();
     publish_slow_reader_metrics();
     publish_limit_metrics();
+    publish_reach_metrics();
     expire_crash_records();
   });
   loop_.every(kLimitUsageLogInterval, [this] { log_limit_usage(); });
@@ -165,6 +168,24 @@
   metrics_.set("stoat_router_limited_backends", static_cast<double>(context_.limits.size()));
 }
 
+void GatewayServer::publish_reach_metrics() {
+  const dispatch::LinkSummary summary = pool_.links().summary();
+  metrics_.set("stoat_router_unreached_backends", static_cast<double>(summary.unreached));
+  metrics_.set("stoat_router_unreached_seconds",
+               summary.unreached == 0 ? 0 : to_seconds(loop_.now() - summary.unreached_since));
+}
+
+void GatewayServer::log_reach_change() {
+  const dispatch::LinkSummary summary = pool_.links().summary();
+  if (summary.unreached == logged_unreached_ ||
+      !request_log_sampler_.reserve_lines(1, "reach changed", loop_.now())) {
+    return;
+  }
+  logged_unreached_ = summary.unreached;
+  const Duration since = summary.unreached == 0 ? Duration(0) : loop_.now() - summary.unreached_since;
+  log_.event(events::BackendReachChanged{summary.unreached, summary.known, to_milliseconds(since)});
+}
+
 void GatewayServer::log_limit_usage() {
   std::vector<admission::LimitUsage> usages = context_.limits.take_usage();
   if (usages.size() > kMaxLimitUsageLines) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -49,6 +49,10 @@
   /// The longest Retry-After for overload.
   Duration longest_retry_after = 10s;
   edge::BufferLimits buffer_limits;
+  /// Where to connect to reach a backend's endpoint, if another address leads there.
+  std::function<Endpoint(const Endpoint&)> connect_to_backend = [](const Endpoint& backend) {
+    return backend;
+  };
   admission::QuarantineOptions quarantine;
 };
 
@@ -97,7 +101,11 @@
   void publish_configuration_metrics();
   /// Updates the metric for backends that have set limits.
   void publish_limit_metrics();
+  /// Updates the metrics for backends that this router does not reach.
+  void publish_reach_metrics();
   void log_limit_usage();
+  /// Logs how many backends this router does not reach, if the number has changed.
+  void log_reach_change();
   /// Moves requests away from backends that have stopped responding.
   void check_silence();
   // Implemented in gateway_crashes.cc: backends that crash while serving requests.
@@ -186,6 +194,7 @@
   bool quotas_known_ = false;                       ///< a feed has reported which quotas are metered
   std::vector<fleet::BackendLoad> reported_loads_;  ///< this router's loads, as last reported
   bool loads_reported_ = false;                     ///< to the current feed member
+  size_t logged_unreached_ = 0;                     ///< unreached backends, as last logged
   std::set<std::string> unreported_unreachable_;    ///< backends found unreachable since the last report
   bool key_lease_logged_as_held_ = false;           ///< as last logged
   fleet::PlacementUpdate pending_placements_;
