--- a/src/control/fleet_routers.cc
+++ b/src/control/fleet_routers.cc
@@ -22,6 +22,8 @@
 /// A member that has had no confirmation of a leader for this long is considered cut off: heartbeats it
 /// receives do not reach the others. Elections take less time than this; backends count as lost after 4 s.
 constexpr Duration kIsolationTimeout = 1s;
+/// Number of routers that relay for each router.
+constexpr size_t kMaxRelays = 6;
 /// Number of the newest versions of each model's weights that are sent to routers.
 constexpr size_t kMaxNamedVersions = 6;
 
@@ -150,10 +152,27 @@
   return update;
 }
 
+void FleetServer::add_relays(RouterLink& link, fleet::FleetUpdate& update) const {
+  if (!link.status.follows || link.status.protocol_version < fleet::kFirstRelayingVersion) {
+    return;
+  }
+  const RelaySelection& selection = soft_state_.routers().relays();
+  if (link.relays_revision == selection.revision()) {
+    return;
+  }
+  link.relays_revision = selection.revision();
+  fleet::RelayList relays{selection.select(link.status.router, kMaxRelays)};
+  if (relays != link.sent_relays) {
+    link.sent_relays = relays;
+    update.relays.push_back(std::move(relays));
+  }
+}
+
 void FleetServer::reply_to_router(RouterLink& link) {
   fleet::FleetUpdate update = make_update(link);
   update.answers = link.status.sequence;
   update.acknowledged_spending_sequence = link.acknowledged_spending_sequence;
+  add_relays(link, update);
   const bool configuration = needs_whole_configuration(link, true);
   if (configuration) {
     update.configuration.push_back(core_->state().fleet().configuration());
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -196,6 +196,8 @@
   void push_configuration_change();
   void send_configuration_part(RouterLink& link, const fleet::ConfigurationPart& part);
   void record_configuration_sent(RouterLink& link, const events::ConfigurationSent& sent);
+  /// Adds the routers that relay for this one, if they have changed since they were last sent.
+  void add_relays(RouterLink& link, fleet::FleetUpdate& update) const;
   void reply_to_router(RouterLink& link);
   void push_to_routers();
   void feed_routers();
--- a/src/control/router_directory.cc
+++ b/src/control/router_directory.cc
@@ -90,6 +90,7 @@
     const TimePoint last_report = member == member_update_times_.end() ? TimePoint(0) : member->second;
     return now - std::max(entry.second.last_status, last_report) > kSilentRouterRetention;
   });
+  relays_.update(ready(now));
 }
 
 size_t RouterDirectory::count_without_recent_status(const std::map<std::string, fleet::RouterRecord>& own,
--- a/src/control/router_directory.h
+++ b/src/control/router_directory.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "src/common/time.h"
+#include "src/control/relay_selection.h"
 #include "src/fleet/fleet_messages.h"
 #include "src/topology/topology.h"
 
@@ -33,6 +34,8 @@
   /// `own`: the routers that follow this member; they are not counted.
   size_t count_without_recent_status(const std::map<std::string, fleet::RouterRecord>& own,
                                      TimePoint now) const;
+  /// The routers that relay connections, as of the last expire().
+  const RelaySelection& relays() const { return relays_; }
   size_t size() const { return routers_.size(); }
   /// The routers that are ready and not silent, by name.
   std::vector<fleet::RouterRecord> ready(TimePoint now) const;
@@ -81,6 +84,7 @@
   };
   mutable std::map<std::string, Assignment> assignments_;  ///< by zone of the callers; limited in size
   topology::Topology topology_;
+  RelaySelection relays_{topology_};
 };
 
 }  // namespace stoat::control
--- a/src/control/router_link.h
+++ b/src/control/router_link.h
@@ -34,6 +34,8 @@
   FeedCursor cursor;
   uint64_t sent_configuration_version = 0;  ///< version sent last, to its end
   uint32_t configuration_copies = 0;        ///< of that version, on this connection
+  fleet::RelayList sent_relays;             ///< as sent last
+  uint64_t relays_revision = 0;             ///< RelaySelection::revision() when they were last selected
   /// Highest spending number received on this connection; see fleet::RouterLoads.
   uint64_t acknowledged_spending_sequence = 0;
 
@@ -49,6 +51,8 @@
     cursor = {};
     sent_configuration_version = 0;
     configuration_copies = 0;
+    sent_relays = {};
+    relays_revision = 0;
     acknowledged_spending_sequence = 0;
   }
 };
--- a/src/delivery/outlier_detector.cc
+++ b/src/delivery/outlier_detector.cc
@@ -30,6 +30,14 @@
   eject(states_[backend], now);
 }
 
+void OutlierDetector::reinstate(const std::string& backend) {
+  State& state = states_[backend];
+  state.ejections -= state.ejections > 0 && state.ejected_until > TimePoint(0) ? 1 : 0;
+  state.failures = 0;
+  state.half_open = false;
+  state.ejected_until = TimePoint(0);
+}
+
 void OutlierDetector::eject(State& state, TimePoint now) {
   const auto max_ejected =
       static_cast<size_t>(settings_.max_ejected_share * static_cast<double>(states_.size()));
--- a/src/delivery/outlier_detector.h
+++ b/src/delivery/outlier_detector.h
@@ -37,6 +37,8 @@
   /// Nothing listens at the backend's address, or its host does not respond: it has most likely crashed, and
   /// is ejected at once.
   void on_unreachable(const std::string& backend, TimePoint now);
+  /// The backend was not at fault: another router reaches it.
+  void reinstate(const std::string& backend);
   /// True if the backend may be sent a request now.
   static bool usable(Handle backend, TimePoint now) {
     return now >= backend->ejected_until && (!backend->half_open || now >= backend->probe_until);
--- a/src/dispatch/active_request.cc
+++ b/src/dispatch/active_request.cc
@@ -15,10 +15,6 @@
 constexpr int kFirstServerError = 500;
 /// A request is refused after this many engines stated that they did not execute it.
 constexpr uint32_t kMaxRefusals = 3;
-/// A backend that executes a request and from which this router has received nothing for this long is
-/// probed. At 400 ms, engines under load were probed as well: the cost in new connections about equalled the
-/// gain.
-constexpr Duration kSilenceBeforeProbe = 900ms;
 /// While a router that has just started knows no backend of a service, a request waits for one for up to its
 /// time limit divided by this. The rest of the time is left for serving it, or for the caller's retry.
 constexpr int kStartupWaitDivisor = 4;
@@ -131,6 +127,10 @@
   if (blocked_by_crashes()) {
     return;
   }
+  if (cut_off_without_relay()) {
+    fail_request("no back end can be reached from here");
+    return;
+  }
   const TimePoint now = context_.loop.now();
   const Candidates found = find_candidates();
   request_candidate_permits(found);
@@ -192,8 +192,10 @@
 
 void ActiveRequest::note_activity() {
   last_activity_ = context_.loop.now();
-  backend_->last_received_at = last_activity_;
-  context_.pool.links().on_heard(backend_->record.id, last_activity_);
+  backend_->activity(connection_->relayed()).last_received_at = last_activity_;
+  if (!connection_->relayed()) {
+    context_.pool.links().on_heard(backend_->record.id, last_activity_);
+  }
 }
 
 void ActiveRequest::on_flow_control(bool paused) {
@@ -203,21 +205,6 @@
   }
 }
 
-void ActiveRequest::check_silence() {
-  if (backend_ == nullptr || paused_) {
-    return;
-  }
-  const TimePoint last_contact = std::max(last_activity_, backend_->last_received_at);
-  if (context_.loop.now() - last_contact < kSilenceBeforeProbe) {
-    return;
-  }
-  if (backend_->last_failed_probe_at > last_contact) {
-    on_exchange_failure(ExchangeFailure::kSilent);
-    return;
-  }
-  context_.pool.probe(backend_);
-}
-
 void ActiveRequest::on_response_head(int status, const http1::Headers& headers) {
   note_activity();
   head_.status = status;
@@ -411,55 +398,4 @@
   fail_request("refused by back ends");
 }
 
-void ActiveRequest::on_exchange_failure(ExchangeFailure failure) {
-  const auto keep = shared_from_this();
-  const TimePoint now = context_.loop.now();
-  if (failure != ExchangeFailure::kMalformed) {
-    context_.pool.links().on_failure(backend_->record.id, now);
-  }
-  if (failure == ExchangeFailure::kNotConnected || failure == ExchangeFailure::kSilent) {
-    context_.report_unreachable(backend_->record.id);
-  }
-  if (failure == ExchangeFailure::kNotConnected || failure == ExchangeFailure::kSilent) {
-    context_.pool.outliers().on_unreachable(backend_->record.id, now);
-  } else {
-    context_.pool.outliers().on_failure(backend_->record.id, now);
-  }
-  context_.metrics.count("stoat_router_exchange_failures_total", {{"kind", to_text(failure)}});
-  const BackendPtr failed = backend_;
-  const bool refused = connection_->refused();
-  record_rollout_failure(failure);
-  finish_exchange(false);
-  if (failure == ExchangeFailure::kBroken || failure == ExchangeFailure::kMalformed) {
-    note_broken_exchange(failed);
-  }
-  if (refused) {
-    context_.note_crash(*failed, "refused");
-  }
-  if (failure == ExchangeFailure::kNotConnected) {
-    event_log_.add(events::RequestNotRun{failed->record.id, 0});
-    return_trial_permit();
-    on_not_run(false);
-    return;
-  }
-  ++runs_;
-  executed_ = Executed::kMaybe;
-  const auto health = context_.pool.outliers().handle_of(failed->record.id);
-  event_log_.add(events::ExchangeFailed{failed->record.id, to_text(failure), streaming_,
-                                        !delivery::OutlierDetector::usable(health, now)});
-  if (may_retry(false)) {
-    context_.metrics.count("stoat_router_repeats_total");
-    try_dispatch();
-    return;
-  }
-  if (resume_from_backup(*failed)) {
-    return;
-  }
-  if (streaming_) {
-    abort_stream("the engine broke off");
-    return;
-  }
-  reply_with_error(kBadGateway, "the back end failed", 0);
-}
-
 }  // namespace stoat::dispatch
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -166,8 +166,8 @@
   /// the engine. `reason`: outcome for the log.
   void cancel(const char* reason);
   const edge::ResponseWriter* answer() const { return answer_.get(); }
-  /// Probes the backend if it has sent nothing for kSilenceBeforeProbe, and fails the exchange if such a
-  /// probe found it unreachable. To be called several times a second.
+  /// Probes the backend if it has been silent for long, and fails the exchange if it can't be reached. To be
+  /// called several times a second.
   void check_silence();
 
   void on_response_head(int status, const http1::Headers& headers) override;
@@ -212,6 +212,13 @@
   std::optional<TimePoint> earliest_permit_time(const std::vector<std::string>& limited) const;
   /// Lets the request wait for a permit for one of these, or refuses it with `reason` if none comes in time.
   void wait_for_permit(const std::vector<std::string>& limited, const char* reason);
+  // request_failure.cc: exchanges that fail or go silent
+  /// True if no backend can be reached: this router is cut off, and no other one relays.
+  bool cut_off_without_relay() const;
+  /// True if the current exchange is on a direct connection that no longer leads to its backend.
+  bool on_cut_link() const;
+  /// Records what the end of an exchange says of the backend, and of this router's link to it.
+  void judge_link(ExchangeFailure failure, const BackendPtr& backend, const BackendConnection& connection);
   // request_crashes.cc: requests during which backends crash
   /// True if the request may not be sent now because backends crashed while executing it. The request then
   /// waits for a trial permit, or has been refused.
--- a/src/dispatch/backend_connection.cc
+++ b/src/dispatch/backend_connection.cc
@@ -13,11 +13,14 @@
 
 namespace {
 
-/// A connection is abandoned if the backend's host acknowledges nothing for this long.
-constexpr Duration kUnresponsiveTimeout = 1500ms;
+/// A connection is abandoned if the peer's host acknowledges nothing for this long. A sound engine may be
+/// silent for a second or so.
+constexpr Duration kUnresponsiveTimeout = 2500ms;
 /// Connection timeout of 300 ms: a round trip takes some milliseconds. After this timeout, the request was
 /// certainly not executed, and can be sent to another backend at once.
 constexpr timeval kConnectTimeout{0, 300000};
+/// The same for a relayed connection: the relaying router has kConnectTimeout to reach the backend.
+constexpr timeval kRelayedConnectTimeout{0, 600000};
 /// An idle connection is not used in this last part of the time for which the backend keeps it open.
 constexpr Duration kIdleMargin = 400ms;
 /// Idle time-out assumed for backends that do not state one.
@@ -48,6 +51,8 @@
       return "broken off";
     case ExchangeFailure::kMalformed:
       return "malformed answer";
+    case ExchangeFailure::kRelayLost:
+      return "relay lost";
   }
   return "unknown";
 }
@@ -59,24 +64,43 @@
 
 std::shared_ptr<BackendConnection> BackendConnection::connect(EventLoop& loop, const Endpoint& endpoint,
                                                               UnusableHandler on_unusable) {
-  bufferevent* socket = http::start_connection(loop.base(), endpoint, kUnresponsiveTimeout);
-  if (socket == nullptr) {
-    return nullptr;
-  }
-  http::enable_keepalive_probes(bufferevent_getfd(socket));
   std::shared_ptr<BackendConnection> connection(new BackendConnection(loop));
-  connection->connection_ = socket;
   connection->on_unusable_ = std::move(on_unusable);
+  return connection->open(endpoint) ? connection : nullptr;
+}
+
+std::shared_ptr<BackendConnection> BackendConnection::connect_through(EventLoop& loop,
+                                                                      const relay::RelayPtr& relay,
+                                                                      const relay::RelayRequest& request,
+                                                                      UnusableHandler on_unusable) {
+  std::shared_ptr<BackendConnection> connection(new BackendConnection(loop));
+  connection->on_unusable_ = std::move(on_unusable);
+  connection->hop_ = std::make_unique<Hop>(relay);
+  if (!connection->open(relay->endpoint)) {
+    return nullptr;
+  }
+  bufferevent_set_timeouts(connection->connection_, &kRelayedConnectTimeout, &kConnectTimeout);
+  const std::string bytes = relay::encode_request(request);
+  bufferevent_write(connection->connection_, bytes.data(), bytes.size());
+  return connection;
+}
+
+bool BackendConnection::open(const Endpoint& endpoint) {
+  connection_ = http::start_connection(loop_.base(), endpoint, kUnresponsiveTimeout);
+  if (connection_ == nullptr) {
+    return false;
+  }
+  http::enable_keepalive_probes(bufferevent_getfd(connection_));
   const auto on_readable = [](bufferevent*, void* context) {
     static_cast<BackendConnection*>(context)->read();
   };
   const auto on_event = [](bufferevent*, short events, void* context) {
     static_cast<BackendConnection*>(context)->on_event(events);
   };
-  bufferevent_setcb(socket, on_readable, nullptr, on_event, connection.get());
-  bufferevent_set_timeouts(socket, nullptr, &kConnectTimeout);
-  bufferevent_enable(socket, EV_READ | EV_WRITE);
-  return connection;
+  bufferevent_setcb(connection_, on_readable, nullptr, on_event, this);
+  bufferevent_set_timeouts(connection_, nullptr, &kConnectTimeout);
+  bufferevent_enable(connection_, EV_READ | EV_WRITE);
+  return true;
 }
 
 void BackendConnection::send(std::string_view head, std::string_view body, ExchangeListener* listener,
@@ -86,8 +110,16 @@
   parser_.reset();
   skipping_ = false;
   response_complete_ = false;
-  bufferevent_write(connection_, head.data(), head.size());
-  bufferevent_write(connection_, body.data(), body.size());
+  write(head);
+  write(body);
+}
+
+void BackendConnection::write(std::string_view bytes) {
+  if (hop_ != nullptr && !connected_) {
+    hop_->unsent_request += bytes;
+    return;
+  }
+  bufferevent_write(connection_, bytes.data(), bytes.size());
 }
 
 void BackendConnection::set_reading(bool reading) {
@@ -108,20 +140,59 @@
 
 void BackendConnection::on_event(short events) {
   if ((events & BEV_EVENT_CONNECTED) != 0) {
-    connected_ = true;
-    bufferevent_set_timeouts(connection_, nullptr, nullptr);
+    if (hop_ == nullptr) {
+      on_connected();
+    }
     return;
   }
-  const int error = EVUTIL_SOCKET_ERROR();
-  const bool silent = error == ETIMEDOUT;
-  refused_ = !connected_ && (events & BEV_EVENT_ERROR) != 0 && error == ECONNREFUSED;
   if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
-    const auto keep = shared_from_this();
-    read();
-    if (connection_ != nullptr) {
-      on_end((events & BEV_EVENT_EOF) != 0, silent && (events & BEV_EVENT_ERROR) != 0);
-    }
+    on_connection_error(events);
+  }
+}
+
+void BackendConnection::on_connected() {
+  connected_ = true;
+  bufferevent_set_timeouts(connection_, nullptr, nullptr);
+  if (hop_ != nullptr && !hop_->unsent_request.empty()) {
+    bufferevent_write(connection_, hop_->unsent_request.data(), hop_->unsent_request.size());
+    hop_->unsent_request.clear();
+  }
+  on_connected_(this);
+}
+
+void BackendConnection::on_connection_error(short events) {
+  const int error = EVUTIL_SOCKET_ERROR();
+  const bool failed = (events & BEV_EVENT_ERROR) != 0;
+  const auto keep = shared_from_this();
+  refused_ = hop_ == nullptr && !connected_ && failed && error == ECONNREFUSED;
+  read();
+  if (connection_ == nullptr) {
+    return;
+  }
+  if (hop_ != nullptr) {
+    on_relay_lost();
+    return;
+  }
+  on_end((events & BEV_EVENT_EOF) != 0, failed && error == ETIMEDOUT);
+}
+
+void BackendConnection::on_not_connected(relay::ConnectFailure failure) {
+  refused_ = failure == relay::ConnectFailure::kRefused;
+  relay_failed_ = failure != relay::ConnectFailure::kRefused && failure != relay::ConnectFailure::kUnanswered;
+  if (relay_failed_) {
+    relay::RelaySet::avoid(*hop_->use.relay(), loop_.now());
+  }
+  on_end(false, false);
+}
+
+void BackendConnection::on_relay_lost() {
+  relay_failed_ = true;
+  relay::RelaySet::avoid(*hop_->use.relay(), loop_.now());
+  if (listener_ == nullptr || !connected_) {
+    on_end(false, false);
+    return;
   }
+  fail(ExchangeFailure::kRelayLost);
 }
 
 void BackendConnection::on_end(bool orderly, bool silent) {
@@ -156,11 +227,11 @@
 void BackendConnection::read() {
   const auto keep = shared_from_this();
   while (connection_ != nullptr) {
-    evbuffer* input = bufferevent_get_input(connection_);
-    const size_t available = evbuffer_get_contiguous_space(input);
+    const size_t available = readable_bytes();
     if (available == 0) {
       return;
     }
+    evbuffer* input = bufferevent_get_input(connection_);
     if (listener_ == nullptr) {
       // Unsolicited bytes: the connection can no longer be trusted.
       reusable_ = false;
@@ -176,6 +247,9 @@
       return;
     }
     evbuffer_drain(input, used);
+    if (hop_ != nullptr) {
+      hop_->reader.on_data_removed(used);
+    }
     if (state == http1::ParseState::kMalformed || state == http1::ParseState::kStopped) {
       fail(ExchangeFailure::kMalformed);
       return;
@@ -186,6 +260,42 @@
   }
 }
 
+size_t BackendConnection::readable_bytes() {
+  evbuffer* input = bufferevent_get_input(connection_);
+  return hop_ == nullptr ? evbuffer_get_contiguous_space(input) : read_frames(input);
+}
+
+size_t BackendConnection::read_frames(evbuffer* input) {
+  using Next = relay::RelayReader::Next;
+  while (connection_ != nullptr) {
+    const Next next = hop_->reader.advance(input);
+    reusable_ = reusable_ && !hop_->reader.closing();
+    switch (next) {
+      case Next::kMore:
+        if (listener_ == nullptr && connected_ && !reusable_) {
+          on_end(true, false);
+        }
+        return 0;
+      case Next::kData:
+        return hop_->reader.data_bytes(input);
+      case Next::kConnected:
+        on_connected();
+        break;
+      case Next::kNotConnected:
+        on_not_connected(hop_->reader.connect_failure());
+        return 0;
+      case Next::kEnd:
+        on_end(hop_->reader.end_reason() == relay::EndReason::kClosed,
+               hop_->reader.end_reason() == relay::EndReason::kSilent);
+        return 0;
+      case Next::kMalformed:
+        on_relay_lost();
+        return 0;
+    }
+  }
+  return 0;
+}
+
 bool BackendConnection::on_head() {
   const int status = parser_.status();
   constexpr int kFirstFinalStatus = 200;
--- a/src/dispatch/backend_connection.h
+++ b/src/dispatch/backend_connection.h
@@ -10,8 +10,11 @@
 #include "src/common/settings.h"
 #include "src/http/event_loop.h"
 #include "src/http1/message.h"
+#include "src/relay/relay_reader.h"
+#include "src/relay/relay_set.h"
 
 struct bufferevent;
+struct evbuffer;
 
 namespace stoat::dispatch {
 
@@ -24,6 +27,7 @@
   kSilent,        ///< the peer's host no longer acknowledges anything
   kBroken,        ///< reset or closed before the response was complete
   kMalformed,     ///< the bytes received are not a valid response
+  kRelayLost,     ///< the router that relayed the connection ended or broke off; the backend may be fine
 };
 
 /// Name of the failure, for logs and metrics.
@@ -46,12 +50,20 @@
   using ResponseMatcher = std::function<bool(int status, const http1::Headers&)>;
   /// Called when an idle connection was closed or became unusable.
   using UnusableHandler = std::function<void(BackendConnection*)>;
+  /// Called once when the backend has accepted the connection.
+  using ConnectedHandler = std::function<void(BackendConnection*)>;
 
   /// Starts to connect; nullptr if no socket could be created.
   static std::shared_ptr<BackendConnection> connect(EventLoop& loop, const Endpoint& endpoint,
                                                     UnusableHandler on_unusable);
+  /// Starts to connect through a router that relays; nullptr if no socket could be created.
+  static std::shared_ptr<BackendConnection> connect_through(EventLoop& loop, const relay::RelayPtr& relay,
+                                                            const relay::RelayRequest& request,
+                                                            UnusableHandler on_unusable);
   ~BackendConnection() override;
 
+  void set_connected_handler(ConnectedHandler handler) { on_connected_ = std::move(handler); }
+
   /// Sends a request. The connection must be idle.
   void send(std::string_view head, std::string_view body, ExchangeListener* listener,
             ResponseMatcher matches_request);
@@ -62,6 +74,10 @@
   bool connected() const { return connected_; }
   /// True if the peer's host refused the connection because nothing listens at the address.
   bool refused() const { return refused_; }
+  /// True if the connection goes through another router.
+  bool relayed() const { return hop_ != nullptr; }
+  /// True if the other router, and not the backend, is why no connection was made or why it ended.
+  bool relay_failed() const { return relay_failed_; }
   bool usable() const { return connection_ != nullptr && reusable_; }
   /// Time until which an idle connection can be used before the backend closes it, by its Keep-Alive header.
   TimePoint idle_until() const { return idle_until_; }
@@ -71,9 +87,31 @@
   void on_complete() override;
 
  private:
+  /// What a relayed connection has in addition.
+  struct Hop {
+    explicit Hop(relay::RelayPtr relay) : use(std::move(relay)) {}
+    relay::RelayUse use;
+    relay::RelayReader reader;
+    std::string unsent_request;  ///< held until the backend has accepted the connection
+  };
+
   explicit BackendConnection(EventLoop& loop);
+  /// Starts to connect to `endpoint`. Returns false if no socket could be created.
+  bool open(const Endpoint& endpoint);
+  void write(std::string_view bytes);
   void read();
+  /// Number of bytes of the backend at the front of the input. Handles the frames before them; the connection
+  /// may have ended after that.
+  size_t readable_bytes();
+  /// The same for a relayed connection.
+  size_t read_frames(evbuffer* input);
+  void on_connected();
+  /// The relaying router could not connect to the backend.
+  void on_not_connected(relay::ConnectFailure failure);
+  /// The relaying router broke off, or can't be understood.
+  void on_relay_lost();
   void on_event(short events);
+  void on_connection_error(short events);
   /// `orderly`: the peer closed the connection; `silent`: its host has not acknowledged anything for too
   /// long.
   void on_end(bool orderly, bool silent);
@@ -86,8 +124,11 @@
   ExchangeListener* listener_ = nullptr;
   ResponseMatcher matches_request_;
   UnusableHandler on_unusable_;
+  ConnectedHandler on_connected_ = [](BackendConnection*) {};
+  std::unique_ptr<Hop> hop_;  ///< nullptr: a direct connection
   bool connected_ = false;
   bool refused_ = false;
+  bool relay_failed_ = false;
   bool reusable_ = true;
   bool skipping_ = false;           ///< the response being read belongs to another request
   bool response_complete_ = false;  ///< reported once the parser has returned
--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "src/common/hash.h"
+#include "src/fleet/protocol_version.h"
 
 namespace stoat::dispatch {
 
@@ -14,6 +15,8 @@
 /// Connecting takes some milliseconds unless the SYN packet is lost. TCP retransmits a lost SYN only after a
 /// second.
 constexpr Duration kProbeTimeout = 300ms;
+/// The same for a probe through another router, which has kProbeTimeout to reach the backend.
+constexpr Duration kRelayedProbeTimeout = 600ms;
 /// Delay before the next probe of a check whose connection was closed at once, and the maximum number of such
 /// further probes.
 constexpr Duration kRecheckDelay = 50ms;
@@ -191,29 +194,69 @@
   return loads;
 }
 
+LinkPath BackendPool::path_to(const Backend& backend) const {
+  return links_.prefers_relay(backend.record.id) && relays_.usable(loop_.now()) ? LinkPath::kRelayed
+                                                                                : LinkPath::kDirect;
+}
+
+std::shared_ptr<BackendConnection> BackendPool::open_connection(
+    const BackendPtr& backend, LinkPath path, BackendConnection::UnusableHandler on_unusable) {
+  std::shared_ptr<BackendConnection> connection;
+  if (path == LinkPath::kDirect) {
+    connection = BackendConnection::connect(loop_, connect_to_(backend->endpoint), std::move(on_unusable));
+  } else if (const relay::RelayPtr relay = relays_.choose(random_, loop_.now())) {
+    const relay::RelayRequest request{fleet::kProtocolVersion, router_name_, backend->record.id};
+    connection = BackendConnection::connect_through(loop_, relay, request, std::move(on_unusable));
+  }
+  if (connection != nullptr) {
+    ++backend->connections;
+    ++connections_opened_;
+  }
+  return connection;
+}
+
+bool BackendPool::usable_now(const Backend& backend, const BackendConnection& connection,
+                             LinkPath path) const {
+  if (!connection.usable() || loop_.now() >= connection.idle_until()) {
+    return false;
+  }
+  const bool relayed = path == LinkPath::kRelayed;
+  return connection.relayed() ? relayed : !relayed || links_.open_connections_live(backend.record.id);
+}
+
 std::shared_ptr<BackendConnection> BackendPool::take_connection(const BackendPtr& backend) {
-  const TimePoint now = loop_.now();
+  const LinkPath path = path_to(*backend);
   while (!backend->idle.empty()) {
     auto connection = backend->idle.back();
     backend->idle.pop_back();
-    if (connection->usable() && now < connection->idle_until()) {
+    if (usable_now(*backend, *connection, path)) {
       return connection;
     }
     discard(backend, connection);
   }
   const std::weak_ptr<Backend> weak = backend;
-  auto connection = BackendConnection::connect(
-      loop_, connect_to_(backend->endpoint), [this, weak](BackendConnection* lost) { on_unusable(weak, lost); });
-  if (connection != nullptr) {
-    ++backend->connections;
-    ++connections_opened_;
+  return open_connection(backend, path, [this, weak](BackendConnection* lost) { on_unusable(weak, lost); });
+}
+
+std::vector<BackendPtr> BackendPool::sample_others(const std::string& excluded, size_t count) {
+  std::vector<BackendPtr> sample;
+  if (backends_.empty()) {
+    return sample;
+  }
+  auto next = std::next(backends_.begin(), static_cast<std::ptrdiff_t>(random_.below(backends_.size())));
+  for (size_t seen = 0; seen < backends_.size() && sample.size() < count; ++seen, ++next) {
+    next = next == backends_.end() ? backends_.begin() : next;
+    const fleet::BackendRecord& record = next->second->record;
+    if (record.id != excluded && record.state == fleet::BackendState::kReady && !record.lost) {
+      sample.push_back(next->second);
+    }
   }
-  return connection;
+  return sample;
 }
 
 void BackendPool::probe(const BackendPtr& backend) {
-  const TimePoint now = loop_.now();
-  if (backend->probe == nullptr && now - backend->last_probe_at >= kProbeInterval) {
+  const TimePoint last_probe_at = backend->activity(path_to(*backend) == LinkPath::kRelayed).last_probe_at;
+  if (backend->probe == nullptr && loop_.now() - last_probe_at >= kProbeInterval) {
     start_probe(backend);
   }
 }
@@ -244,15 +287,14 @@
 }
 
 void BackendPool::start_probe(const BackendPtr& backend) {
-  backend->last_probe_at = loop_.now();
+  const LinkPath path = path_to(*backend);
+  backend->activity(path == LinkPath::kRelayed).last_probe_at = loop_.now();
   const std::weak_ptr<Backend> weak = backend;
-  backend->probe = BackendConnection::connect(
-      loop_, connect_to_(backend->endpoint), [this, weak](BackendConnection* lost) { on_unusable(weak, lost); });
+  backend->probe =
+      open_connection(backend, path, [this, weak](BackendConnection* lost) { on_unusable(weak, lost); });
   if (backend->probe != nullptr) {
-    ++backend->connections;
-    ++connections_opened_;
     const std::weak_ptr<BackendConnection> probe = backend->probe;
-    loop_.after(kProbeTimeout, [this, weak, probe] {
+    loop_.after(path == LinkPath::kRelayed ? kRelayedProbeTimeout : kProbeTimeout, [this, weak, probe] {
       const BackendPtr probed = weak.lock();
       if (probed != nullptr && probed->probe != nullptr && probed->probe == probe.lock()) {
         end_probe(probed);
@@ -269,9 +311,12 @@
 
 void BackendPool::end_probe(const BackendPtr& backend) {
   const auto connection = std::exchange(backend->probe, nullptr);
+  PathActivity& activity = backend->activity(connection->relayed());
   if (connection->connected() && connection->usable()) {
-    backend->last_received_at = loop_.now();
-    links_.on_heard(backend->record.id, loop_.now());
+    activity.last_received_at = loop_.now();
+    if (!connection->relayed()) {
+      links_.on_connected(backend->record.id, loop_.now());
+    }
     release(backend, connection);
     on_probe_ended_(backend, ProbeResult::kReached);
     return;
@@ -280,11 +325,19 @@
     discard(backend, connection);
     return;
   }
-  backend->last_failed_probe_at = backend->last_probe_at;
-  links_.on_failure(backend->record.id, loop_.now());
   const bool refused = connection->refused();
+  const bool relayed = connection->relayed();
+  const bool relay_failed = connection->relay_failed();
   discard(backend, connection);
-  on_probe_ended_(backend, refused ? ProbeResult::kRefused : ProbeResult::kUnanswered);
+  if (relay_failed) {
+    on_probe_ended_(backend, ProbeResult::kRelayFailed);
+    return;
+  }
+  activity.last_failed_probe_at = activity.last_probe_at;
+  if (!relayed) {
+    verifier_.on_connect_failure(backend, refused);
+  }
+  on_probe_ended_(backend, refused && relayed ? ProbeResult::kRefused : ProbeResult::kUnanswered);
 }
 
 void BackendPool::on_unusable(const std::weak_ptr<Backend>& weak, BackendConnection* connection) {
@@ -296,6 +349,10 @@
     end_probe(backend);
     return;
   }
+  remove_idle(backend, connection);
+}
+
+void BackendPool::remove_idle(const BackendPtr& backend, BackendConnection* connection) {
   backend->connections -=
       std::erase_if(backend->idle, [connection](const auto& entry) { return entry.get() == connection; });
 }
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -10,10 +10,12 @@
 #include <string>
 #include <vector>
 
+#include "src/common/random.h"
 #include "src/delivery/outlier_detector.h"
 #include "src/dispatch/backend_backoff.h"
 #include "src/dispatch/backend_connection.h"
 #include "src/dispatch/link_monitor.h"
+#include "src/dispatch/link_verifier.h"
 #include "src/dispatch/service_ring.h"
 #include "src/fleet/backend_record.h"
 #include "src/fleet/fleet_messages.h"
@@ -25,8 +27,22 @@
 /// Result of a probe, which is an attempt to connect to a backend.
 enum class ProbeResult : uint8_t {
   kReached,
-  kRefused,    ///< its host refused the connection: nothing listens there
-  kUnanswered  ///< timed out, or the new connection was closed at once
+  kRefused,     ///< its host refused the connection: nothing listens there
+  kUnanswered,  ///< timed out, or the new connection was closed at once
+  kRelayFailed  ///< the router that was to relay the connection failed; nothing is known of the backend
+};
+
+/// The way from this router to a backend.
+enum class LinkPath : uint8_t {
+  kDirect,
+  kRelayed  ///< through another router
+};
+
+/// What this router has seen of a backend on one way there.
+struct PathActivity {
+  TimePoint last_received_at{0};      ///< when data was last received
+  TimePoint last_probe_at{0};         ///< when the last probe was started
+  TimePoint last_failed_probe_at{0};  ///< when the last failed probe was started
 };
 
 /// An exchange that broke off at a backend that may have crashed.
@@ -52,14 +68,17 @@
   placement::KvCacheEstimate cache_estimate;
   placement::EngineSpeed speed;
   BackendBackoff backoff;
-  TimePoint last_received_at{0};                      ///< when this router last received data from it
-  std::shared_ptr<BackendConnection> probe;           ///< a connection being made to test whether it responds
-  TimePoint last_probe_at{0};                         ///< when the last probe was started
-  TimePoint last_failed_probe_at{0};                  ///< when the last failed probe was started
+  PathActivity direct;
+  PathActivity relayed;
+  std::shared_ptr<BackendConnection> probe;  ///< a connection being made to test whether it responds
+  bool verifying = false;                    ///< see LinkVerifier
+  bool refused_directly = false;             ///< a direct connection was refused since the verification
+  TimePoint recovery_probe_at{0};            ///< when a direct connection was last tried while relayed
   std::vector<BrokenExchange> broken_exchanges = {};  ///< neither confirmed as crashes nor marked as survived
   bool outcome_check_pending = false;  ///< a health check is running or the next probe is scheduled
   bool ended_unexpectedly = false;     ///< the control plane reported it gone, and it had not deregistered
-  uint32_t dropped_probes = 0;         ///< connections of the current check that were closed at once
+  PathActivity& activity(bool is_relayed) { return is_relayed ? relayed : direct; }
+  uint32_t dropped_probes = 0;  ///< connections of the current check that were closed at once
 
   bool has_free_slot() const {
     return record.slots == 0 ||  // unknown
@@ -118,6 +137,15 @@
 
   /// Returns an idle connection or a new one; nullptr if no socket could be created.
   std::shared_ptr<BackendConnection> take_connection(const BackendPtr& backend);
+  /// The way that a new connection to a backend takes.
+  LinkPath path_to(const Backend& backend) const;
+  /// Opens a connection, relayed or not; nullptr if no socket could be created or no relay can be used.
+  std::shared_ptr<BackendConnection> open_connection(const BackendPtr& backend, LinkPath path,
+                                                     BackendConnection::UnusableHandler on_unusable);
+  /// Removes an idle connection that was closed.
+  void remove_idle(const BackendPtr& backend, BackendConnection* connection);
+  /// Up to `count` ready backends other than `excluded`, drawn at random.
+  std::vector<BackendPtr> sample_others(const std::string& excluded, size_t count);
   /// Returns a connection after a complete response. Closes it if it can't be reused.
   void release(const BackendPtr& backend, const std::shared_ptr<BackendConnection>& connection);
   /// Closes a connection, which cancels its request.
@@ -134,13 +162,24 @@
   /// True if a backend is healthy: not lost, not loading weights, and not ejected for failures.
   bool is_sound(const Backend& backend);
   delivery::OutlierDetector& outliers() { return outliers_; }
+  /// Finds out whether a failed direct connection is the backend's fault or the link's.
+  LinkVerifier& verifier() { return verifier_; }
   /// What this router's own links reach.
   LinkMonitor& links() { return links_; }
+  const LinkMonitor& links() const { return links_; }
+  /// The routers that relay for this one.
+  relay::RelaySet& relays() { return relays_; }
+  /// Sets the name under which this router asks others to relay, and seeds the choice among them.
+  void set_router(const std::string& name, uint64_t seed) {
+    router_name_ = name;
+    random_ = Random(seed);
+  }
   /// Where to connect to reach a backend's endpoint, if another address leads there.
   void set_connect_to(std::function<Endpoint(const Endpoint&)> connect_to) {
     connect_to_ = std::move(connect_to);
   }
   uint64_t connections_opened() const { return connections_opened_; }
+  EventLoop& loop() { return loop_; }
 
  private:
   void add_to_ring(const BackendPtr& backend) { rings_[backend->record.service].add(backend); }
@@ -148,6 +187,8 @@
   static void update_other_loads(Backend& backend);
   /// A connection without a request was closed: an idle one, or a probe.
   void on_unusable(const std::weak_ptr<Backend>& weak, BackendConnection* connection);
+  /// Whether an idle connection can be used for a request that would open a connection of `path` otherwise.
+  bool usable_now(const Backend& backend, const BackendConnection& connection, LinkPath path) const;
   void start_probe(const BackendPtr& backend);
   /// Schedules another probe if the one that ended was connected but closed at once, as by a process that is
   /// about to exit. Returns whether it did.
@@ -163,8 +204,12 @@
   std::map<std::string, fleet::BackendState> retired_;
   delivery::OutlierDetector outliers_;
   LinkMonitor links_;
+  relay::RelaySet relays_;
+  std::string router_name_;
+  Random random_{0};
   std::function<Endpoint(const Endpoint&)> connect_to_ = [](const Endpoint& backend) { return backend; };
   ProbeHandler on_probe_ended_ = [](const BackendPtr&, ProbeResult) {};
+  LinkVerifier verifier_{*this};
   TimePoint totals_updated_at_{0};
   uint64_t connections_opened_ = 0;
 };
--- a/src/dispatch/link_monitor.cc
+++ b/src/dispatch/link_monitor.cc
@@ -1,30 +1,95 @@
 #include "src/dispatch/link_monitor.h"
 
+#include <algorithm>
+
 namespace stoat::dispatch {
 
+void LinkMonitor::forget(const std::string& backend) {
+  links_.erase(backend);
+  failed_since_heard_.erase(backend);
+}
+
 void LinkMonitor::on_heard(const std::string& backend, TimePoint now) {
   const auto link = links_.find(backend);
   if (link != links_.end()) {
     link->second.heard_at = now;
     link->second.unreached_since = TimePoint(0);
+    failed_since_heard_.clear();
+  }
+}
+
+void LinkMonitor::on_connected(const std::string& backend, TimePoint now) {
+  const auto link = links_.find(backend);
+  if (link != links_.end()) {
+    link->second.connect_failed_since = TimePoint(0);
+    link->second.relay_reaches = false;
+    on_heard(backend, now);
   }
 }
 
-void LinkMonitor::on_failure(const std::string& backend, TimePoint now) {
+void LinkMonitor::on_connect_failure(const std::string& backend, TimePoint now) {
   const auto link = links_.find(backend);
-  if (link != links_.end() && link->second.unreached_since == TimePoint(0)) {
+  if (link != links_.end() && link->second.connect_failed_since == TimePoint(0)) {
+    link->second.connect_failed_since = now;
+  }
+  on_broken(backend, now);
+}
+
+void LinkMonitor::on_broken(const std::string& backend, TimePoint now) {
+  const auto link = links_.find(backend);
+  if (link == links_.end()) {
+    return;
+  }
+  const bool was_cut_off = cut_off();
+  failed_since_heard_.insert(backend);
+  cut_off_since_ = was_cut_off ? cut_off_since_ : now;
+  if (link->second.unreached_since == TimePoint(0)) {
     link->second.unreached_since = now;
   }
 }
 
-TimePoint LinkMonitor::unreached_since(const std::string& backend) const {
+void LinkMonitor::on_relay_reached(const std::string& backend) {
+  const auto link = links_.find(backend);
+  if (link != links_.end()) {
+    link->second.relay_reaches = true;
+  }
+}
+
+bool LinkMonitor::relayed_alone(const std::string& backend) const {
+  const auto link = links_.find(backend);
+  return link != links_.end() && link->second.connect_failed_since > TimePoint(0) &&
+         link->second.relay_reaches;
+}
+
+bool LinkMonitor::prefers_relay(const std::string& backend) const {
+  return cut_off() || relayed_alone(backend);
+}
+
+bool LinkMonitor::open_connections_live(const std::string& backend) const {
   const auto link = links_.find(backend);
-  return link == links_.end() ? TimePoint(0) : link->second.unreached_since;
+  return link != links_.end() && !cut_off() && link->second.heard_at >= link->second.connect_failed_since;
+}
+
+bool LinkMonitor::heard_other_since(const std::string& backend, TimePoint since) const {
+  return std::any_of(links_.begin(), links_.end(), [&](const auto& entry) {
+    return entry.first != backend && entry.second.heard_at >= since;
+  });
+}
+
+std::set<std::string> LinkMonitor::relayed_backends() const {
+  std::set<std::string> relayed;
+  for (const auto& [backend, link] : links_) {
+    if (relayed_alone(backend)) {
+      relayed.insert(backend);
+    }
+  }
+  return relayed;
 }
 
 LinkSummary LinkMonitor::summary() const {
   LinkSummary summary;
   summary.known = links_.size();
+  summary.cut_off = cut_off();
   for (const auto& [backend, link] : links_) {
     if (link.unreached_since == TimePoint(0)) {
       continue;
--- a/src/dispatch/request_versions.cc
+++ b/src/dispatch/request_versions.cc
@@ -96,7 +96,15 @@
 }
 
 void ActiveRequest::record_rollout_failure(ExchangeFailure failure) {
+  const bool own_link = !connection_->relayed() && context_.pool.links().prefers_relay(backend_->record.id);
+  if (own_link && failure != ExchangeFailure::kMalformed) {
+    record_rollout_end(rollout::SendOutcome::kAbandoned);  // says nothing of the version
+    return;
+  }
   switch (failure) {
+    case ExchangeFailure::kRelayLost:
+      record_rollout_end(rollout::SendOutcome::kAbandoned);
+      break;
     case ExchangeFailure::kNotConnected:
       record_rollout_end(rollout::SendOutcome::kNotRun);
       break;
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -174,14 +174,20 @@
   }
 };
 
-/// The number of backends that this router does not reach has changed.
+/// What this router reaches over its own links has changed.
 struct BackendReachChanged {
   static constexpr const char* kMessage = "reach of back ends changed";
   size_t unreached = 0;  ///< backends that do not answer on this router's own links
   size_t known = 0;
+  bool cut_off = false;  ///< no backend answers
+  size_t relays = 0;     ///< known routers that relay for this one
   int64_t since_ms = 0;  ///< since the first of them stopped to answer
   std::vector<LogField> fields() const {
-    return {{"unreached", unreached}, {"known", known}, {"since_ms", since_ms}};
+    return {{"unreached", unreached},
+            {"known", known},
+            {"cut_off", cut_off},
+            {"relays", relays},
+            {"since_ms", since_ms}};
   }
 };
 
--- a/src/fleet/backend_record.h
+++ b/src/fleet/backend_record.h
@@ -56,7 +56,9 @@
   std::string zone;
   std::string region;
   bool ready = false;
-  MSGPACK_DEFINE_ARRAY(name, address, zone, region, ready)
+  std::string relay_address = {};  ///< "address:port" where it relays connections; empty: it does not
+  bool cut_off = false;            ///< it reaches no backend itself
+  MSGPACK_DEFINE_ARRAY(name, address, zone, region, ready, relay_address, cut_off)
   bool operator==(const RouterRecord&) const = default;
 };
 
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -122,6 +122,13 @@
   MSGPACK_DEFINE_ARRAY(model, version, age_ms)
 };
 
+/// The routers that relay connections to backends for the receiver.
+struct RelayList {
+  std::vector<std::string> addresses;  ///< "address:port"
+  MSGPACK_DEFINE_ARRAY(addresses)
+  bool operator==(const RelayList&) const = default;
+};
+
 /// Control member to router: the answer to a RouterStatus, or unsolicited on a change. Carries what routers
 /// must obey: configurations, retirements, confirmations. Lists hold only what is new on the connection.
 struct FleetUpdate {
@@ -142,9 +149,10 @@
   std::vector<ServiceRollout> rollouts = {};  ///< the last rollout of each service; empty: unchanged
   ProtocolVersion protocol_version = 0;
   uint64_t configuration_version = 0;  ///< that the sender has applied, so that it can be requested
+  std::vector<RelayList> relays = {};  ///< at most one; empty: unchanged
   MSGPACK_DEFINE_ARRAY(answers, leads, zone, quorum_age_ms, confirmed_version, configuration, retired,
                        weights, members, router_count, acknowledged_spending_sequence, rollouts,
-                       protocol_version, configuration_version)
+                       protocol_version, configuration_version, relays)
 };
 
 /// Router to a control member: asks for bytes of the configuration, or of a change, that it lacks.
--- a/src/fleet/protocol_version.h
+++ b/src/fleet/protocol_version.h
@@ -16,7 +16,11 @@
 /// whole configurations unasked.
 inline constexpr ProtocolVersion kFirstFetchingVersion = 2;
 
+/// From this version on, routers relay connections to backends for one another, and members tell them which
+/// do.
+inline constexpr ProtocolVersion kFirstRelayingVersion = 3;
+
 /// The version that this build speaks.
-inline constexpr ProtocolVersion kProtocolVersion = kFirstFetchingVersion;
+inline constexpr ProtocolVersion kProtocolVersion = kFirstRelayingVersion;
 
 }  // namespace stoat::fleet
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -21,6 +21,9 @@
 /// Divisor for the share of the memory that may buffer data for slow clients. The fleet's state takes less
 /// than a quarter of the memory, and requests in flight take some more.
 constexpr size_t kBufferMemoryDivisor = 4;
+/// Divisor for the share of the memory that relayed connections may take, and what one takes at most.
+constexpr size_t kRelayMemoryDivisor = 8;
+constexpr size_t kRelayedConnectionBytes = 128U << 10U;
 
 }  // namespace
 
@@ -31,6 +34,9 @@
   settings.region = reader.text("region", "");
   settings.topology = topology::read_topology(reader);
   settings.listen = read_endpoint(reader, "listen", "127.0.0.1:8080");
+  if (const std::string relay = reader.text("relay", ""); !relay.empty()) {
+    settings.relay_listen = read_endpoint(reader, "relay", "");
+  }
   settings.link.seeds = read_seed_endpoints(reader);
   settings.fail_closed = reader.flag("fail_closed", true);
   const int64_t revocation_ms = reader.integer("revocation_ms", 5000, 100, 3600000);
@@ -60,6 +66,7 @@
   settings.useful_engine_queue = Duration(1000 * reader.integer("useful_engine_queue_ms", 200, 0, 60000));
   const auto memory_bytes = static_cast<size_t>(reader.integer("memory_mb", 128, 16, 1000000)) << 20U;
   settings.buffer_limits.total_bytes = memory_bytes / kBufferMemoryDivisor;
+  settings.relay_limits.connections = memory_bytes / kRelayMemoryDivisor / kRelayedConnectionBytes;
   settings.buffer_limits.stall_timeout =
       Duration(1000 * reader.integer("caller_stall_ms", 5000, 100, 600000));
   settings.quarantine.crashes = static_cast<uint32_t>(reader.integer("quarantine_crashes", 3, 2, 8));
@@ -109,23 +116,21 @@
   context_.old_weights_timeout = settings.old_weights_timeout;
   context_.admission_thresholds.max_useful_engine_queue = settings.useful_engine_queue;
   context_.max_retry_after = settings.longest_retry_after;
-  pool_.set_connect_to(settings.connect_to_backend);
+  configure_links();
   pool_.set_probe_handler([this](const dispatch::BackendPtr& backend, dispatch::ProbeResult result) {
     on_probe_ended(backend, result);
   });
   context_.note_crash = [this](dispatch::Backend& backend, const char* detected_by) {
     confirm_crash(backend, detected_by);
   };
-  context_.report_unreachable = [this](const std::string& backend) {
-    unreported_unreachable_.insert(backend);
-  };
   context_.announce_placement = [this](fleet::ChainPlacement placement) {
     announce_placement(std::move(placement));
   };
   loop_.every(kLoadReportInterval, [this] {
     check_silence();
     report_loads();
-    log_reach_change();
+    pool_.verifier().probe_relayed();
+    track_reach();
   });
   loop_.every(kMetricsInterval, [this] {
     control_link_.traffic().publish(metrics_, "stoat_router_control_bytes_total");
@@ -168,24 +173,6 @@
   metrics_.set("stoat_router_limited_backends", static_cast<double>(context_.limits.size()));
 }
 
-void GatewayServer::publish_reach_metrics() {
-  const dispatch::LinkSummary summary = pool_.links().summary();
-  metrics_.set("stoat_router_unreached_backends", static_cast<double>(summary.unreached));
-  metrics_.set("stoat_router_unreached_seconds",
-               summary.unreached == 0 ? 0 : to_seconds(loop_.now() - summary.unreached_since));
-}
-
-void GatewayServer::log_reach_change() {
-  const dispatch::LinkSummary summary = pool_.links().summary();
-  if (summary.unreached == logged_unreached_ ||
-      !request_log_sampler_.reserve_lines(1, "reach changed", loop_.now())) {
-    return;
-  }
-  logged_unreached_ = summary.unreached;
-  const Duration since = summary.unreached == 0 ? Duration(0) : loop_.now() - summary.unreached_since;
-  log_.event(events::BackendReachChanged{summary.unreached, summary.known, to_milliseconds(since)});
-}
-
 void GatewayServer::log_limit_usage() {
   std::vector<admission::LimitUsage> usages = context_.limits.take_usage();
   if (usages.size() > kMaxLimitUsageLines) {
@@ -217,6 +204,8 @@
   status.router.zone = settings_.zone;
   status.router.region = settings_.region;
   status.router.ready = ready();
+  status.router.relay_address = relay_server_ == nullptr ? "" : to_string(settings_.relay_listen);
+  status.router.cut_off = pool_.links().cut_off();
   status.configuration_version = configuration_version();
   status.rollouts = applied_rollouts();
   status.protocol_version = fleet::kProtocolVersion;
@@ -244,6 +233,9 @@
     context_.router_count_estimate.note(update.router_count, loop_.now());
     context_.quotas.set_router_count(update.router_count);
   }
+  for (const fleet::RelayList& relays : update.relays) {
+    pool_.relays().set(relays.addresses);
+  }
   context_.quotas.confirm(update.acknowledged_spending_sequence);
   store_rollouts(update);
 }
@@ -325,6 +317,9 @@
   stop_started_at_ = loop_.now();
   log_.info("stopping", {{"requests", active_requests_.size()}});
   edge_.start_draining();
+  if (relay_server_ != nullptr) {
+    relay_server_->start_draining();
+  }
   control_link_.send_status_to_all();
   loop_.every(kShutdownCheckInterval, [this] { check_shutdown(); });
 }
@@ -333,7 +328,8 @@
   const Duration elapsed = loop_.now() - stop_started_at_;
   if (elapsed >= settings_.stop_listening_after) {
     edge_.stop_listening();
-    if (edge_.busy_count() == 0) {
+    const bool relaying = relay_server_ != nullptr && relay_server_->size() > 0;
+    if (edge_.busy_count() == 0 && !relaying) {
       log_.info("stopped");
       loop_.stop();
     }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -12,6 +12,7 @@
 #include "src/gateway/control_link.h"
 #include "src/gateway/startup_queue.h"
 #include "src/http/server.h"
+#include "src/relay/relay_server.h"
 #include "src/routing/route_table.h"
 #include "src/topology/topology.h"
 #include "src/wire/unreadable_messages.h"
@@ -25,6 +26,9 @@
   std::string region;
   topology::Topology topology;  ///< of the zones listed in the settings
   Endpoint listen;              ///< for clients
+  /// For connections to backends that other routers ask for; no port: this router does not relay.
+  Endpoint relay_listen;
+  relay::RelayLimits relay_limits;
   ControlLinkOptions link;
   bool fail_closed = true;             ///< access keys are rejected without a confirmed configuration
   Duration shutdown_timeout = 7s;      ///< from SIGTERM to the end of the process at the latest
@@ -104,10 +108,15 @@
   /// Updates the metrics for backends that this router does not reach.
   void publish_reach_metrics();
   void log_limit_usage();
-  /// Logs how many backends this router does not reach, if the number has changed.
-  void log_reach_change();
   /// Moves requests away from backends that have stopped responding.
   void check_silence();
+  // Implemented in gateway_links.cc: what this router's own links reach, and relaying for other routers.
+  void configure_links();
+  void on_link_verdict(const dispatch::BackendPtr& backend, dispatch::LinkVerdict verdict);
+  /// Returns where this router connects to reach a backend for another router.
+  tl::expected<Endpoint, relay::ConnectFailure> resolve_for_relay(const std::string& backend) const;
+  /// Logs what has changed in what this router reaches, and tells the members when it is cut off.
+  void track_reach();
   // Implemented in gateway_crashes.cc: backends that crash while serving requests.
   void on_probe_ended(const dispatch::BackendPtr& backend, dispatch::ProbeResult result);
   /// Confirms as crashes the broken exchanges at a backend that ended without deregistering. `detected_by`
@@ -194,7 +203,7 @@
   bool quotas_known_ = false;                       ///< a feed has reported which quotas are metered
   std::vector<fleet::BackendLoad> reported_loads_;  ///< this router's loads, as last reported
   bool loads_reported_ = false;                     ///< to the current feed member
-  size_t logged_unreached_ = 0;                     ///< unreached backends, as last logged
+  dispatch::LinkSummary logged_reach_;              ///< as last logged
   std::set<std::string> unreported_unreachable_;    ///< backends found unreachable since the last report
   bool key_lease_logged_as_held_ = false;           ///< as last logged
   fleet::PlacementUpdate pending_placements_;
@@ -206,7 +215,8 @@
   wire::UnreadableMessages unreadable_messages_{log_, metrics_, "stoat_router_unreadable_messages_total"};
   ControlLink control_link_;
   edge::EdgeServer edge_;
-  bool permit_request_pending_ = false;  ///< a permit request is about to be sent
+  std::unique_ptr<relay::RelayServer> relay_server_;  ///< nullptr: this router does not relay
+  bool permit_request_pending_ = false;               ///< a permit request is about to be sent
   bool stopping_ = false;
   TimePoint stop_started_at_{0};
 };
--- a/tests/support/cuttable_link.h
+++ b/tests/support/cuttable_link.h
@@ -1,4 +1,5 @@
-/// The network between one router and the backends: a proxy whose connections a test can cut in different ways.
+/// The network between one router and the backends: a proxy whose connections a test can cut in different
+/// ways.
 #pragma once
 
 #include <event2/buffer.h>
@@ -122,9 +123,9 @@
       sockaddr_in address{};
       address.sin_family = AF_INET;
       address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-      known->listener = evconnlistener_new_bind(loop_.base(), &CuttableLink::on_accept, known.get(),
-                                                LEV_OPT_CLOSE_ON_FREE, -1,
-                                                reinterpret_cast<sockaddr*>(&address), sizeof(address));
+      known->listener =
+          evconnlistener_new_bind(loop_.base(), &CuttableLink::on_accept, known.get(), LEV_OPT_CLOSE_ON_FREE,
+                                  -1, reinterpret_cast<sockaddr*>(&address), sizeof(address));
       if (known->listener == nullptr) {
         throw std::runtime_error("cannot listen");
       }
@@ -200,7 +201,7 @@
   UnansweringListener unanswering_;
   Endpoint closed_port_;
   std::map<std::string, std::unique_ptr<Listener>> listeners_;  ///< by destination
-  std::map<bufferevent*, bufferevent*> pairs_;                  ///< both ends of each connection, by each of them
+  std::map<bufferevent*, bufferevent*> pairs_;  ///< both ends of each connection, by each of them
   std::thread thread_;
 };
 
--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -289,6 +289,7 @@
   std::unique_ptr<gateway::GatewayServer> make_router(const std::string& name) {
     router_settings_.name = name;
     router_settings_.listen = {"127.0.0.1", free_port()};
+    router_settings_.relay_listen = {"127.0.0.1", free_port()};
     return std::make_unique<gateway::GatewayServer>(loop_, router_settings_, header_names_);
   }
 
--- a/tests/unit/cut_off_router_test.cc
+++ b/tests/unit/cut_off_router_test.cc
@@ -31,7 +31,8 @@
   double share() const { return sent == 0 ? 0 : static_cast<double>(served) / static_cast<double>(sent); }
 };
 
-/// Five routers and six backends of each service. The links of the first two routers to the backends can be cut.
+/// Five routers and six backends of each service. The links of the first two routers to the backends can be
+/// cut.
 class CutOffRouterTest : public test::SmallFleet {
  protected:
   static constexpr size_t kRouters = 5;
@@ -46,13 +47,14 @@
   void SetUp() override {
     for (const std::string service : {"calls", "models"}) {
       for (size_t number = 0; number < kEngines; ++number) {
-        engines_.push_back(std::make_unique<ScriptedEngine>([this](const ReceivedRequest& seen) {
-          return run(seen);
-        }));
+        engines_.push_back(
+            std::make_unique<ScriptedEngine>([this](const ReceivedRequest& seen) { return run(seen); }));
       }
     }
     ASSERT_TRUE(configure(make_configuration(1)));
-    router_settings_.connect_to_backend = [this](const Endpoint& backend) { return cut_.entrance_of(backend); };
+    router_settings_.connect_to_backend = [this](const Endpoint& backend) {
+      return cut_.entrance_of(backend);
+    };
     while (ports_.size() < kCutRouters) {
       ports_.push_back(add_router());
     }
@@ -91,9 +93,10 @@
     }
     const std::string first = "id: 1\ndata: a\n\n";
     const std::string last = "id: 2\ndata: b\n\n";
-    const std::string head = "HTTP/1.1 200 OK\r\n" + test::engine_headers(seen) +
-                             "Content-Type: text/event-stream\r\nContent-Length: " +
-                             std::to_string(first.size() + last.size()) + "\r\n\r\n";
+    const std::string head =
+        "HTTP/1.1 200 OK\r\n" + test::engine_headers(seen) +
+        "Content-Type: text/event-stream\r\nContent-Length: " + std::to_string(first.size() + last.size()) +
+        "\r\n\r\n";
     return {standins::send_step(head + first), standins::wait_step(kWorkTime), standins::send_step(last)};
   }
   /// Sends requests to all routers, evenly over `path`, from `from` to `to`; each is tried once.
@@ -121,8 +124,7 @@
   bool send_one(const std::string& path, size_t router, size_t client, size_t number) {
     const std::string id = path.substr(1, 2) + std::to_string(phase_) + "-" + std::to_string(router) + "-" +
                            std::to_string(client) + "-" + std::to_string(number);
-    const std::string body =
-        "body" + std::to_string((number * kClientsPerRouter + client) % kDistinctBodies);
+    const std::string body = "body" + std::to_string((number * kClientsPerRouter + client) % kDistinctBodies);
     test::RawClient caller(ports_[router]);
     caller.send(request("POST", path, id,
                         "Content-Length: " + std::to_string(body.size()) + "\r\nConnection: close\r\n") +
