--- a/tools/loopback_fleet.cc
+++ b/tools/loopback_fleet.cc
@@ -110,16 +110,12 @@
   for (uint32_t number = 1; number <= options_.routers; ++number) {
     const std::string name = "router-" + std::to_string(number);
     router_endpoints_.push_back(processes_.free_endpoint());
-    std::vector<std::string> settings = {setting("name", name),
-                                         setting("zone", "zone-" + std::to_string(number)),
-                                         seeds_setting_,
-                                         setting("listen", to_string(router_endpoints_.back())),
-                                         setting("ready", to_string(processes_.free_endpoint())),
-                                         setting("metrics", to_string(processes_.free_endpoint()))};
-    if (options_.first_bin_folder.empty()) {  // the other build may not know the setting
-      settings.push_back(setting("relay", to_string(processes_.free_endpoint())));
-    }
-    add_server(name, options_.programs.router, settings);
+    add_server(name, options_.programs.router,
+               {setting("name", name), setting("zone", "zone-" + std::to_string(number)), seeds_setting_,
+                setting("listen", to_string(router_endpoints_.back())),
+                setting("ready", to_string(processes_.free_endpoint())),
+                setting("metrics", to_string(processes_.free_endpoint()))});
+    processes_.add_own_settings(name, {setting("relay", to_string(processes_.free_endpoint()))});
   }
 }
 
--- a/tools/process_fleet.cc
+++ b/tools/process_fleet.cc
@@ -71,6 +71,11 @@
   processes_[name].settings = settings;
 }
 
+void ProcessFleet::add_own_settings(const std::string& name, const std::vector<std::string>& settings) {
+  std::vector<std::string>& own = processes_.at(name).own_settings;
+  own.insert(own.end(), settings.begin(), settings.end());
+}
+
 void ProcessFleet::set_bin_folder(const std::string& name, const std::string& bin_folder) {
   processes_.at(name).bin_folder = bin_folder;
 }
@@ -79,7 +84,11 @@
   Process& process = processes_.at(name);
   const std::string program = process.bin_folder + "/" + process.program;
   std::vector<std::string> arguments{program};
-  for (const std::string& setting : process.settings) {
+  std::vector<std::string> settings = process.settings;
+  if (process.bin_folder == bin_folder_) {
+    settings.insert(settings.end(), process.own_settings.begin(), process.own_settings.end());
+  }
+  for (const std::string& setting : settings) {
     arguments.push_back("--set");
     arguments.push_back(setting);
   }
--- a/tools/process_fleet.h
+++ b/tools/process_fleet.h
@@ -28,6 +28,8 @@
   Endpoint free_endpoint();
   /// Adds a process, given by its program and its "key=value" settings, without starting it.
   void add(const std::string& name, const std::string& program, const std::vector<std::string>& settings);
+  /// Adds settings that only programs of the fleet's own folder know.
+  void add_own_settings(const std::string& name, const std::vector<std::string>& settings);
   /// Executes the program of a process from another folder from its next start on.
   void set_bin_folder(const std::string& name, const std::string& bin_folder);
   /// Starts a process. Its output is appended to the log file NAME.log.
@@ -60,6 +62,7 @@
     std::string program;
     std::string bin_folder;
     std::vector<std::string> settings;
+    std::vector<std::string> own_settings;  ///< only for programs of the fleet's own folder
     pid_t pid = 0;
   };
   void send_signal(const std::string& name, int signal_number);
