Keep requests off brittle back ends that are nearly full

Routers passed the header on and sent as before: a full engine got more, fell, and its load went to the next.

A router now reads the header of each answer, forgets it with an answer that lacks it, and then sends to that back end only while it uses less than its share of the slots or a slot is left for each other router; else the request waits at the router as for a slot, or is refused with the time to come back. A broken exchange at a brittle back end is no crash of the request that was there.

Not shared between routers yet: each learns the word from its own answers.

--- a/src/dispatch/active_request.cc
+++ b/src/dispatch/active_request.cc
@@ -146,6 +146,10 @@
     wait_for_permit(limited, "back ends take no more requests now");
     return;
   }
+  if (executed_ == Executed::kNo && !found.full.empty()) {
+    wait_for_room(found.full);
+    return;
+  }
   if (executed_ == Executed::kNo && !found.backing_off.empty()) {
     wait_for_backoff(found.backing_off);
     return;
@@ -230,6 +234,7 @@
   }
   note_rate_limit(headers);
   apply_backoff(headers);
+  note_brittle(headers);
   note_leaving(headers);
   if (kind_ == ResponseKind::kEventStream || kind_ == ResponseKind::kBuffered) {
     backend_->backoff.on_accepted(context_.loop.now());
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -196,6 +196,7 @@
     std::vector<BackendPtr> unhealthy;    ///< used only if none is usable
     std::vector<BackendPtr> limited;      ///< usable except for their rate limit
     std::vector<BackendPtr> backing_off;  ///< usable except that they asked for no requests for a while
+    std::vector<BackendPtr> full;         ///< usable except that they are brittle and nearly full
     /// The usable backends, or the unhealthy ones if there are none.
     const std::vector<BackendPtr>& best_available() const { return usable.empty() ? unhealthy : usable; }
   };
@@ -347,6 +348,11 @@
   void note_rate_limit(const http1::Headers& headers);
   /// Marks the backend as draining if the response head says that it is shutting down.
   void note_leaving(const http1::Headers& headers);
+  /// Records whether the backend states in the response head that it is brittle. One that has refused the
+  /// request gets nothing from this router for a while.
+  void note_brittle(const http1::Headers& headers);
+  /// Lets the request wait for room at one of these brittle backends, or refuses it if none has any in time.
+  void wait_for_room(const std::vector<BackendPtr>& full);
   /// Applies the Retry-After of a backend that refused the request with 503.
   void apply_backoff(const http1::Headers& headers);
   /// Lets the request wait for the first of these backends whose backoff ends, or refuses it if that is too
--- a/src/dispatch/request_candidates.cc
+++ b/src/dispatch/request_candidates.cc
@@ -67,6 +67,12 @@
       }
       continue;
     }
+    if (backend->brittle && !backend->surely_has_room(context_.router_count)) {
+      if (sound) {
+        candidates.full.push_back(backend);
+      }
+      continue;
+    }
     // The limit applies to all routers together, so permits come from the leader of the control plane.
     if (!context_.limits.may_send(record.id, now)) {
       if (sound) {
--- a/src/dispatch/request_crashes.cc
+++ b/src/dispatch/request_crashes.cc
@@ -73,6 +73,9 @@
 }
 
 void ActiveRequest::note_broken_exchange(const BackendPtr& backend) {
+  if (backend->brittle) {
+    return;  // it falls over under load, which is no request's fault
+  }
   const TimePoint now = context_.loop.now();
   std::erase_if(backend->broken_exchanges, [now](const BrokenExchange& exchange) {
     return now - exchange.at >= admission::kUnconfirmedCrashTimeout;
--- a/src/dispatch/request_protocol.h
+++ b/src/dispatch/request_protocol.h
@@ -38,6 +38,9 @@
   std::string rate_limit = "X-Rate-Limit";
   /// Set to 1 in each response of a backend that is shutting down and wants no further requests.
   std::string leaving = "X-Leaving";
+  /// Number of requests that a backend can turn away in a second before it falls over, for as long as its
+  /// responses state it.
+  std::string brittle = "X-Brittle";
   /// Seconds for which a backend that refuses a request with 503 wants no requests from this router.
   std::string retry_after = "Retry-After";
 };
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -154,6 +154,21 @@
   std::vector<LogField> fields() const { return {{"backend", backend}}; }
 };
 
+/// A backend states in its responses that it falls over when it has to turn requests away, or no longer does.
+struct BackendBrittleChanged {
+  static constexpr const char* kMessage = "backend brittle";
+  std::string backend;
+  bool brittle = false;
+  double rejections_per_second = 0;  ///< that it can turn away
+  std::string finding;               ///< what is wrong with the number; empty: nothing
+  std::vector<LogField> fields() const {
+    return {{"backend", backend},
+            {"brittle", brittle},
+            {"rejections_per_second", rejections_per_second},
+            {"finding", finding}};
+  }
+};
+
 /// The time for which a backend asks for no requests can't be parsed, or only in part.
 struct BackendRetryAfterUnreadable {
   static constexpr const char* kMessage = "backend rest unreadable";
--- /dev/null
+++ b/tests/unit/brittle_backend_test.cc
@@ -0,0 +1,196 @@
+/// Backends that fall over when they have to turn more than a few requests away in a second.
+#include <deque>
+#include <mutex>
+#include <thread>
+
+#include "tests/support/small_fleet.h"
+
+namespace stoat {
+namespace {
+
+using standins::ReceivedRequest;
+using standins::Script;
+using standins::ScriptedEngine;
+using test::status_of;
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+/// A backend of some slots and no queue, which falls over for a while.
+class BrittleBackend {
+ public:
+  static constexpr size_t kSlots = 8;
+  static constexpr size_t kMaxRejectionsPerSecond = 5;
+  static constexpr milliseconds kRunTime{200};
+  static constexpr milliseconds kDownTime{2000};
+
+  explicit BrittleBackend(bool brittle)
+      : brittle_(brittle), engine_([this](const ReceivedRequest& seen) { return run(seen); }) {}
+  ScriptedEngine& engine() { return engine_; }
+  size_t falls() const { return falls_; }
+  size_t runs() const { return runs_; }
+
+ private:
+  Script run(const ReceivedRequest& seen) {
+    const std::string headers =
+        test::engine_headers(seen) +
+        (brittle_ ? "X-Brittle: " + std::to_string(kMaxRejectionsPerSecond) + "\r\n" : "");
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      const auto now = Clock::now();
+      if (now < down_until_) {
+        return {standins::reset_step()};
+      }
+      if (running_ >= kSlots) {
+        if (falls_over(now)) {
+          return {standins::reset_step()};
+        }
+        return {standins::send_step(standins::full_response(503, headers + "X-Not-Run: 1\r\n", "full"))};
+      }
+      ++running_;
+    }
+    std::this_thread::sleep_for(kRunTime);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    --running_;
+    if (Clock::now() < down_until_) {
+      return {standins::reset_step()};
+    }
+    ++runs_;
+    return {standins::send_step(standins::full_response(200, headers, "body"))};
+  }
+  bool falls_over(Clock::time_point now) {
+    std::erase_if(rejections_, [now](Clock::time_point at) { return now - at > std::chrono::seconds(1); });
+    rejections_.push_back(now);
+    if (!brittle_ || rejections_.size() <= kMaxRejectionsPerSecond) {
+      return false;
+    }
+    rejections_.clear();
+    down_until_ = now + kDownTime;
+    ++falls_;
+    return true;
+  }
+
+  const bool brittle_;
+  std::mutex mutex_;
+  size_t running_ = 0;
+  std::vector<Clock::time_point> rejections_;
+  Clock::time_point down_until_{};
+  std::atomic<size_t> falls_{0};
+  std::atomic<size_t> runs_{0};
+  ScriptedEngine engine_;
+};
+
+/// Three routers and three brittle backends.
+class BrittleBackendTest : public test::SmallFleet {
+ protected:
+  static constexpr size_t kRouters = 3;
+  static constexpr size_t kBackends = 3;
+  /// Falls that are allowed in one time in which backends are brittle: two, and a tenth of the backends.
+  static constexpr size_t kMaxFalls = 2 + kBackends / 10;
+
+  void SetUp() override {
+    ASSERT_TRUE(configure(make_configuration(1)));
+    ports_ = {router_port_};
+    while (ports_.size() < kRouters) {
+      ports_.push_back(add_router());
+    }
+    for (size_t number = 0; number < kBackends; ++number) {
+      backends_.push_back(std::make_unique<BrittleBackend>(true));
+      add_engine("brittle" + std::to_string(number), "calls", backends_.back()->engine());
+    }
+    heartbeats_ = std::thread([this] {
+      constexpr milliseconds kHeartbeatInterval{500};
+      while (!stopping_) {
+        send_engine_heartbeats();
+        std::this_thread::sleep_for(kHeartbeatInterval);
+      }
+    });
+  }
+  void TearDown() override {
+    stopping_ = true;
+    if (heartbeats_.joinable()) {
+      heartbeats_.join();
+    }
+  }
+  /// Sends `load` times what the backends can run, evenly over the routers.
+  void send_load(double load, milliseconds span) {
+    constexpr double kPerClient = 5;  // requests a second
+    const double per_second = load * 1000.0 * BrittleBackend::kSlots * kBackends /
+                              static_cast<double>(BrittleBackend::kRunTime.count());
+    const auto clients = static_cast<size_t>(per_second / kPerClient);
+    const auto begin = Clock::now();
+    std::vector<std::thread> threads;
+    for (size_t client = 0; client < clients; ++client) {
+      threads.emplace_back([this, client, clients, begin, span] {
+        const milliseconds interval(static_cast<int64_t>(1000 / kPerClient));
+        auto at = begin + client * interval / clients;
+        for (size_t number = 0; at < begin + span; ++number, at += interval) {
+          std::this_thread::sleep_until(at);
+          test::RawClient caller(ports_[client % kRouters]);
+          caller.send(request("GET", "/safe/", "b" + std::to_string(client) + "-" + std::to_string(number),
+                              "Connection: close\r\n"));
+          caller.read_all();
+        }
+      });
+    }
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+  }
+  /// Lets all routers hear from the backends that they are brittle.
+  void warm_up() {
+    constexpr milliseconds kWarmUp{1500};
+    send_load(0.3, kWarmUp);
+    runs_before_ = runs();
+  }
+  size_t falls() const {
+    size_t total = 0;
+    for (const auto& backend : backends_) {
+      total += backend->falls();
+    }
+    return total;
+  }
+  size_t runs() const {
+    size_t total = 0;
+    for (const auto& backend : backends_) {
+      total += backend->runs();
+    }
+    return total - runs_before_;
+  }
+
+  std::atomic<bool> stopping_{false};
+  std::thread heartbeats_;
+  std::vector<uint16_t> ports_;
+  size_t runs_before_ = 0;  ///< during the warm-up
+  std::deque<std::unique_ptr<BrittleBackend>> backends_;
+};
+
+TEST_F(BrittleBackendTest, BackendsFallOverUnderMoreLoadThanTheyCanRun) {
+  constexpr milliseconds kSpan{4000};
+  warm_up();
+  send_load(1.5, kSpan);
+  EXPECT_LE(falls(), kMaxFalls);
+}
+
+TEST_F(BrittleBackendTest, BackendsIdleUnderMoreLoadThanTheyCanRun) {
+  constexpr milliseconds kSpan{5000};
+  constexpr double kMinUse = 0.8;
+  warm_up();
+  send_load(1.5, kSpan);
+  const double can_run = static_cast<double>(kSpan.count()) / BrittleBackend::kRunTime.count() *
+                         BrittleBackend::kSlots * kBackends;
+  EXPECT_GE(static_cast<double>(runs()), kMinUse * can_run) << runs() << " of " << can_run;
+}
+
+TEST_F(BrittleBackendTest, BackendsFallOverInBursts) {
+  constexpr milliseconds kBurst{600};
+  constexpr milliseconds kCalm{1500};
+  warm_up();
+  for (int round = 0; round < 3; ++round) {
+    send_load(0.6, kCalm);
+    send_load(3, kBurst);
+  }
+  EXPECT_LE(falls(), kMaxFalls);
+}
+
+}  // namespace
+}  // namespace stoat
