--- a/tests/unit/link_monitor_test.cc
+++ b/tests/unit/link_monitor_test.cc
@@ -1,8 +1,9 @@
 /// What a router concludes from its own links, and which routers relay for it.
+#include "src/dispatch/link_monitor.h"
+
 #include <gtest/gtest.h>
 
 #include "src/control/relay_selection.h"
-#include "src/dispatch/link_monitor.h"
 #include "src/relay/relay_protocol.h"
 
 namespace stoat {
@@ -80,7 +81,8 @@
   selection.update(routers);
   const std::vector<std::string> relays = selection.select(routers.front(), 6);
   ASSERT_EQ(relays.size(), 6U);
-  EXPECT_EQ(std::count_if(relays.begin(), relays.end(), [](const auto& relay) { return relay[0] == 'a'; }), 3);
+  EXPECT_EQ(std::count_if(relays.begin(), relays.end(), [](const auto& relay) { return relay[0] == 'a'; }),
+            3);
   EXPECT_EQ(std::count(relays.begin(), relays.end(), "a0:1"), 0);
 }
 
