Look only at back ends in trouble when what a router reaches is summed up

A router counts unreached back ends ten times a second and looked through all that it knows: with ten thousand of them, some per cent of a core by the code (not measured). It now keeps those with a failure that has not ended. Behaviour is the same; the tests of LinkMonitor and of silent links pass.

--- a/src/dispatch/link_monitor.cc
+++ b/src/dispatch/link_monitor.cc
@@ -1,11 +1,13 @@
 #include "src/dispatch/link_monitor.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace stoat::dispatch {
 
 void LinkMonitor::forget(const std::string& backend) {
   links_.erase(backend);
+  troubled_.erase(backend);
   failed_since_heard_.erase(backend);
 }
 
@@ -15,6 +17,9 @@
     link->second.heard_at = now;
     link->second.unreached_since = TimePoint(0);
     failed_since_heard_.clear();
+    if (link->second.connect_failed_since == TimePoint(0)) {
+      troubled_.erase(backend);
+    }
   }
 }
 
@@ -42,6 +47,7 @@
   }
   const bool was_cut_off = cut_off();
   failed_since_heard_.insert(backend);
+  troubled_.insert(backend);
   cut_off_since_ = was_cut_off ? cut_off_since_ : now;
   if (link->second.unreached_since == TimePoint(0)) {
     link->second.unreached_since = now;
@@ -55,10 +61,14 @@
   }
 }
 
-bool LinkMonitor::relayed_alone(const std::string& backend) const {
+const LinkMonitor::Link* LinkMonitor::find(const std::string& backend) const {
   const auto link = links_.find(backend);
-  return link != links_.end() && link->second.connect_failed_since > TimePoint(0) &&
-         link->second.relay_reaches;
+  return link == links_.end() ? nullptr : &link->second;
+}
+
+bool LinkMonitor::relayed_alone(const std::string& backend) const {
+  const Link* link = troubled_.count(backend) == 0 ? nullptr : find(backend);
+  return link != nullptr && link->connect_failed_since > TimePoint(0) && link->relay_reaches;
 }
 
 bool LinkMonitor::prefers_relay(const std::string& backend) const {
@@ -66,8 +76,8 @@
 }
 
 bool LinkMonitor::open_connections_live(const std::string& backend) const {
-  const auto link = links_.find(backend);
-  return link != links_.end() && !cut_off() && link->second.heard_at >= link->second.connect_failed_since;
+  const Link* link = find(backend);
+  return link != nullptr && !cut_off() && link->heard_at >= link->connect_failed_since;
 }
 
 bool LinkMonitor::heard_other_since(const std::string& backend, TimePoint since) const {
@@ -78,11 +88,8 @@
 
 std::set<std::string> LinkMonitor::relayed_backends() const {
   std::set<std::string> relayed;
-  for (const auto& [backend, link] : links_) {
-    if (relayed_alone(backend)) {
-      relayed.insert(backend);
-    }
-  }
+  std::copy_if(troubled_.begin(), troubled_.end(), std::inserter(relayed, relayed.end()),
+               [this](const std::string& backend) { return relayed_alone(backend); });
   return relayed;
 }
 
@@ -90,12 +97,13 @@
   LinkSummary summary;
   summary.known = links_.size();
   summary.cut_off = cut_off();
-  for (const auto& [backend, link] : links_) {
-    if (link.unreached_since == TimePoint(0)) {
+  for (const std::string& backend : troubled_) {
+    const TimePoint since = links_.at(backend).unreached_since;
+    if (since == TimePoint(0)) {
       continue;
     }
-    const bool earliest = summary.unreached == 0 || link.unreached_since < summary.unreached_since;
-    summary.unreached_since = earliest ? link.unreached_since : summary.unreached_since;
+    const bool earliest = summary.unreached == 0 || since < summary.unreached_since;
+    summary.unreached_since = earliest ? since : summary.unreached_since;
     ++summary.unreached;
   }
   return summary;
--- a/src/dispatch/link_monitor.h
+++ b/src/dispatch/link_monitor.h
@@ -64,8 +64,12 @@
   };
   static constexpr size_t kMinFailedBackends = 2;
 
+  /// Returns the link of a backend; nullptr if the backend is not known.
+  const Link* find(const std::string& backend) const;
+
   std::map<std::string, Link> links_;         ///< by backend id
-  std::set<std::string> failed_since_heard_;  ///< since any backend was last heard
+  std::set<std::string> troubled_;            ///< backends with a failure that has not ended
+  std::set<std::string> failed_since_heard_;  ///< backends that failed since any backend was last heard
   TimePoint cut_off_since_{0};                ///< meaningless while not cut off
 };
 
