Detach a failed request from its back end before its failure is judged

Found by reading: the verdict on a link can come at once, and then all requests are looked through for silent ones, among them the one whose failure is being handled. Past 400 ms on a cut link it would have failed twice. It is detached first now.

--- a/src/dispatch/request_failure.cc
+++ b/src/dispatch/request_failure.cc
@@ -97,8 +97,8 @@
   const BackendPtr failed = backend_;
   const std::shared_ptr<BackendConnection> connection = connection_;
   record_rollout_failure(failure);
-  judge_link(failure, failed, *connection);
   finish_exchange(false);
+  judge_link(failure, failed, *connection);
   if (failure == ExchangeFailure::kBroken || failure == ExchangeFailure::kMalformed) {
     note_broken_exchange(failed);
   }
