Keep a connection alive while it reports that it is connected

Found by reading: a test connection to a back end that has begun to drain is discarded in the handler that it calls itself, and was destroyed there. The tests of cut links pass.

--- a/src/dispatch/backend_connection.cc
+++ b/src/dispatch/backend_connection.cc
@@ -151,6 +151,7 @@
 }
 
 void BackendConnection::on_connected() {
+  const auto keep = shared_from_this();  // the handler may discard the connection
   connected_ = true;
   bufferevent_set_timeouts(connection_, nullptr, nullptr);
   if (hop_ != nullptr && !hop_->unsent_request.empty()) {
