--- a/src/dispatch/link_monitor.h
+++ b/src/dispatch/link_monitor.h
@@ -45,7 +45,7 @@
   bool open_connections_live(const std::string& backend) const;
   /// True if direct connections to this backend, and not to all, fail while another router reaches it.
   bool relayed_alone(const std::string& backend) const;
-  /// True if backends have failed since a direct connection last brought anything, and none has been heard.
+  /// True if at least kMinFailedBackends backends have failed since any backend was last heard.
   bool cut_off() const { return failed_since_heard_.size() >= kMinFailedBackends; }
   /// True if that has been so for at least `span`.
   bool cut_off_for(Duration span, TimePoint now) const { return cut_off() && now - cut_off_since_ >= span; }
