Log the software version at which a stream begins and goes on

What logs could not tell: the version of the back end that a request is sent to, whether it is sent for the rest of a stream, and which attempt the caller says began it. `request sent` and `request accepted` have these now, and stoatctl explain tells them. The header Resumes is read for the log only; no decision uses it.

--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -23,16 +23,38 @@
          "the others are not usable";
 }
 
+/// True if the request is for the rest of a stream, after its last known event.
+bool resumes_stream(const LogLine& line) {
+  const std::string event = line.field("last_event_id");
+  return !event.empty() && event != "-1";
+}
+
+std::string describe_accepted(const LogLine& line) {
+  std::string text = "came in on route " + line.field("route") + " for service " + line.field("service") +
+                     " under configuration " + line.field("version") + ", with " +
+                     line.field("time_left_ms") + " ms";
+  if (resumes_stream(line)) {
+    text += ", to resume a stream after event " + line.field("last_event_id");
+    text += line.field("resumes").empty() ? "" : " that request " + line.field("resumes") + " began";
+  }
+  return text;
+}
+
 std::string describe_send(const LogLine& line) {
-  std::string text = "sent to " + line.field("backend") + ", one of " + line.field("candidates") +
-                     " that could take it, which had " + line.field("outstanding") + " requests and " +
-                     line.field("queued_tokens") + " prompt tokens to read";
+  const std::string software = line.field("software");
+  std::string text =
+      "sent to " + line.field("backend") + (software.empty() ? "" : " (version " + software + ")") +
+      ", one of " + line.field("candidates") + " that could take it, which had " + line.field("outstanding") +
+      " requests and " + line.field("queued_tokens") + " prompt tokens to read";
   if (!line.field("cache_source").empty()) {
     text += "; KV cache from " + line.field("cache_source");
   }
   if (!line.field("copy_of").empty()) {
     text += "; it goes on from the copy of " + line.field("copy_of");
   }
+  if (resumes_stream(line)) {
+    text += "; the stream goes on after event " + line.field("last_event_id");
+  }
   return text;
 }
 
@@ -61,12 +83,7 @@
 
 const std::map<std::string, LineDescriber>& describers() {
   static const std::map<std::string, LineDescriber> describer_of = {
-      {events::RequestAccepted::kMessage,
-       [](const LogLine& line) {
-         return "came in on route " + line.field("route") + " for service " + line.field("service") +
-                " under configuration " + line.field("version") + ", with " + line.field("time_left_ms") +
-                " ms";
-       }},
+      {events::RequestAccepted::kMessage, describe_accepted},
       {events::RequestWaitingForBackend::kMessage, describe_wait},
       {events::RequestSent::kMessage, describe_send},
       {events::RequestNotRun::kMessage, describe_not_run},
--- a/src/dispatch/active_request.cc
+++ b/src/dispatch/active_request.cc
@@ -86,9 +86,10 @@
   wait_deadline_ = wait_limit();
   chain_ = make_chain(plan_);
   context_.budget_of(plan_.service).on_request(plan_.arrived);
-  event_log_.add(events::RequestAccepted{
-      route.name, plan_.service, plan_.tenant == nullptr ? "" : plan_.tenant->name,
-      plan_.table->configuration().version, limit_ms, chain_.prompt_tokens, to_hex(fingerprint_)});
+  event_log_.add(
+      events::RequestAccepted{route.name, plan_.service, plan_.tenant == nullptr ? "" : plan_.tenant->name,
+                              plan_.table->configuration().version, limit_ms, chain_.prompt_tokens,
+                              to_hex(fingerprint_), plan_.fields.resumes, last_event_id_.value_or(-1)});
   if (context_.loop.now() >= deadline_) {
     fail_request("no time left");  // the time was used up waiting for the router's start
     return;
--- a/src/dispatch/request_fields.cc
+++ b/src/dispatch/request_fields.cc
@@ -84,6 +84,7 @@
   fields.model = value_of(headers, names.model);
   fields.parts = parse_parts(value_of(headers, names.prompt_parts));
   fields.last_event_id = parse_integer(value_of(headers, names.last_event_id));
+  fields.resumes = value_of(headers, names.resumes);
   read_token_counts(value_of(headers, names.token_counts), fields);
   return fields;
 }
--- a/src/dispatch/request_fields.h
+++ b/src/dispatch/request_fields.h
@@ -30,6 +30,7 @@
   bool has_token_counts = false;         ///< both token counts were given
   bool malformed_token_counts = false;   ///< token counts were given, but not as two valid integers
   std::optional<int64_t> last_event_id;  ///< last event of the stream that the caller already has
+  std::string resumes;  ///< id of the attempt that brought the stream's first event; empty: not stated
 };
 
 /// Parses the fields. Missing and malformed ones stay empty; only for the token counts does the result
--- a/src/dispatch/request_protocol.h
+++ b/src/dispatch/request_protocol.h
@@ -15,6 +15,7 @@
   std::string token_counts = "X-Token-Counts";  ///< prompt tokens and maximum output tokens: "1460,80"
   std::string model = "X-Model";
   std::string last_event_id = "Last-Event-Id";
+  std::string resumes = "X-Resumes";  ///< id of the request attempt that brought the stream's first event
   std::string credential = "Authorization";
   std::string credential_scheme = "Bearer";  ///< precedes the access key in the credential header
   // to the engine
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -305,6 +305,8 @@
   sent.missing_tokens = pending_prefill_tokens_;
   sent.expected_ms = std::llround(expected_->forecast.total_ms());
   sent.weights = run_weights_;
+  sent.software = backend->record.software;
+  sent.last_event_id = last_event_id_.value_or(-1);
   sent.cache_source = cache.source;
   sent.copy_of = cache.resume_from;
   note_distances(*backend, cache, sent);
--- a/src/events/request_events.h
+++ b/src/events/request_events.h
@@ -19,6 +19,8 @@
   int64_t time_left_ms = 0;  ///< until the timeout of the client or the route
   uint32_t prompt_tokens = 0;
   std::string fingerprint = {};  ///< the same for a request that is repeated under another id
+  std::string resumes = {};      ///< id of the attempt that began the stream; empty: not stated
+  int64_t last_event_id = -1;    ///< of the event after which the stream is to be resumed; -1: from the start
   std::vector<LogField> fields() const {
     return {{"route", route},
             {"service", service},
@@ -26,7 +28,9 @@
             {"version", configuration_version},
             {"time_left_ms", time_left_ms},
             {"prompt_tokens", prompt_tokens},
-            {"fingerprint", fingerprint}};
+            {"fingerprint", fingerprint},
+            {"resumes", resumes},
+            {"last_event_id", last_event_id}};
   }
 };
 
@@ -63,6 +67,8 @@
   uint64_t missing_tokens = 0;  ///< tokens of its prompt that are not known to be cached there
   int64_t expected_ms = 0;      ///< from this send to the first event
   uint64_t weights = 0;
+  std::string software;         ///< version of the backend's program
+  int64_t last_event_id = -1;   ///< of the event after which the stream goes on there; -1: from the start
   std::string cache_source;     ///< address; empty: none
   std::string copy_of;          ///< the run that this one continues; empty: a run from the start
   std::string distance;         ///< from this router to the backend
@@ -75,6 +81,8 @@
             {"missing_tokens", missing_tokens},
             {"expected_ms", expected_ms},
             {"weights", weights},
+            {"software", software},
+            {"last_event_id", last_event_id},
             {"cache_source", cache_source},
             {"copy_of", copy_of},
             {"distance", distance},
