Reproduce that streams mix software versions, as failing tests

Four back ends, two of each of two versions, no roll-out ordered. Streams broken off after the first event go on at the other version within one answer, and when callers resume them at another router with Resumes.

--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -220,9 +220,9 @@
     return committed && wait_for([this] { return router_->ready(); });
   }
   /// Registers a scripted engine and waits until the router knows it. `weights`: version of its model's
-  /// weights.
+  /// weights; `software`: version of its program.
   void add_engine(const std::string& id, const std::string& service, const standins::ScriptedEngine& engine,
-                  uint64_t weights = 1) {
+                  uint64_t weights = 1, const std::string& software = "") {
     fleet::BackendRecord record;
     record.id = id;
     record.service = service;
@@ -230,6 +230,7 @@
     record.zone = "z1";
     record.slots = 8;
     record.sequence = ++sequence_;
+    record.software = software;
     if (service == "models") {
       record.models = {{"m", weights}};
     }
--- /dev/null
+++ b/tests/unit/stream_version_test.cc
@@ -0,0 +1,124 @@
+/// Streams of a service whose backends have several software versions, without any rollout.
+#include <deque>
+
+#include "tests/support/small_fleet.h"
+
+namespace stoat {
+namespace {
+
+using standins::ReceivedRequest;
+using standins::Script;
+using standins::ScriptedEngine;
+using std::chrono::milliseconds;
+using test::RawClient;
+using test::status_of;
+
+/// Four engines, two of each software version. Each event names the version that made it. A stream has two
+/// events; a run that begins anew breaks off after the first one.
+class StreamVersionTest : public test::SmallFleet {
+ protected:
+  static constexpr size_t kEnginesPerVersion = 2;
+  static constexpr size_t kStreams = 24;
+  static constexpr milliseconds kPause{60};
+
+  void SetUp() override {
+    ASSERT_TRUE(configure(make_configuration(1)));
+    second_port_ = add_router();
+  }
+  void add_engines(const std::string& version) {
+    for (size_t number = 0; number < kEnginesPerVersion; ++number) {
+      const auto run = [this, version](const ReceivedRequest& seen) { return run_stream(seen, version); };
+      engines_.push_back(std::make_unique<ScriptedEngine>(run));
+      add_engine(version + "-" + std::to_string(number), "models", *engines_.back(), 1, version);
+    }
+    const auto known_everywhere = [&] {
+      return additional_routers_.back()->knows_backend(version + "-" +
+                                                       std::to_string(kEnginesPerVersion - 1));
+    };
+    ASSERT_TRUE(wait_for(known_everywhere));
+  }
+  static std::string event(int id, const std::string& version) {
+    return "id: " + std::to_string(id) + "\ndata: " + version + "\n\n";
+  }
+  Script run_stream(const ReceivedRequest& seen, const std::string& version) const {
+    const std::string headers = test::engine_headers(seen) + "Content-Type: text/event-stream\r\n";
+    if (!seen.header("Last-Event-Id").empty()) {
+      return {standins::send_step(standins::full_response(200, headers, event(2, version)))};
+    }
+    const std::string body = event(1, version) + event(2, version);
+    return {standins::send_step("HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " +
+                                std::to_string(body.size()) + "\r\n\r\n" + event(1, version)),
+            standins::wait_step(kPause), standins::reset_step()};
+  }
+  /// Begins a stream at a router, and returns what the caller got up to the first event.
+  std::string begin(uint16_t port, const std::string& id) {
+    RawClient caller(port);
+    caller.send(request("POST", "/resume/", id, "Content-Length: 0\r\nConnection: close\r\n"));
+    return caller.read_until("\n\n", milliseconds(1000));
+  }
+  /// Resumes a stream after its first event, as a caller whose connection broke.
+  std::string resume(uint16_t port, const std::string& id, const std::string& first_attempt) {
+    RawClient caller(port);
+    const std::string resumes = first_attempt.empty() ? "" : "X-Resumes: " + first_attempt + "\r\n";
+    caller.send(request("POST", "/resume/", id,
+                        "Content-Length: 0\r\nConnection: close\r\nLast-Event-Id: 1\r\n" + resumes));
+    return caller.read_all();
+  }
+  static std::string version_in(const std::string& answer) {
+    const size_t data = answer.find("data: ");
+    return data == std::string::npos ? "" : answer.substr(data + 6, 2);
+  }
+  static bool is_mixed(const std::string& answers) {
+    return answers.find("data: v1") != std::string::npos && answers.find("data: v2") != std::string::npos;
+  }
+  /// Streams that a caller took up, by how they ended.
+  struct Resumed {
+    size_t mixed = 0;
+    size_t went_on = 0;
+  };
+  /// Begins streams at `from`, and has callers resume each of them at `to`.
+  Resumed resume_streams(uint16_t from, uint16_t to, const std::string& name) {
+    Resumed resumed;
+    for (size_t number = 0; number < kStreams; ++number) {
+      const std::string id = name + std::to_string(number);
+      const std::string first = begin(from, id);
+      const std::string rest = resume(to, id + "-again", id);
+      resumed.mixed += is_mixed(first + rest) ? 1 : 0;
+      resumed.went_on += version_in(first) == version_in(rest) && !version_in(first).empty() ? 1 : 0;
+    }
+    return resumed;
+  }
+
+  uint16_t second_port_ = 0;
+  std::deque<std::unique_ptr<ScriptedEngine>> engines_;
+};
+
+// Streams went on at another version within one answer while no rollout was ordered.
+TEST_F(StreamVersionTest, StreamsMixVersionsWithinOneAnswer) {
+  add_engines("v1");
+  add_engines("v2");
+  size_t mixed = 0;
+  size_t whole = 0;
+  for (size_t number = 0; number < kStreams; ++number) {
+    RawClient caller(router_port_);
+    caller.send(request("POST", "/resume/", "answer" + std::to_string(number),
+                        "Content-Length: 0\r\nConnection: close\r\n"));
+    const std::string answer = caller.read_all();
+    mixed += is_mixed(answer) ? 1 : 0;
+    whole += test::count_occurrences(answer, "data: ") == 2 ? 1 : 0;
+  }
+  EXPECT_EQ(mixed, 0U);
+  EXPECT_EQ(whole, kStreams);
+}
+
+// Streams that callers resumed at another router went on at another version.
+TEST_F(StreamVersionTest, StreamsMixVersionsAtAnotherRouter) {
+  add_engines("v1");
+  add_engines("v2");
+  const Resumed resumed = resume_streams(router_port_, second_port_, "router");
+  EXPECT_EQ(resumed.mixed, 0U);
+  EXPECT_EQ(resumed.went_on, kStreams);
+}
+
+}  // namespace
+}  // namespace stoat
