Let a stream go on only at the service and software version that began it, at any router

Cause: the version bound a stream only while a roll-out was held, and no router could know where a stream began that another router had served; Resumes was not read. Ruled out: outdated versions of replaced back ends (records and requests name the incarnation).

Change: a stream has an origin (service, software version). One rule, may_go_on_at, decides where it may be continued: repeats within an answer, runs resumed from a copy, and resumptions by callers. The record of the origin is sent to three members with the request and stored by at least one before the caller gets the first event; after 100 ms the event is passed on without it. A router that takes up a stream asks all members. Without a record the stream goes on only if a majority knows a single version of the service; otherwise the request is refused at once. Services with one version send no records. Records that an earlier attempt of the same request may have left at another version must be replaced before the first event.

--- a/src/control/fleet_routers.cc
+++ b/src/control/fleet_routers.cc
@@ -94,6 +94,7 @@
   track_member_changes();
   drop_silent_routers();
   maintain_permits();
+  maintain_stream_records();
 }
 
 uint64_t FleetServer::configuration_version() const { return core_->state().fleet().configuration().version; }
@@ -147,6 +148,9 @@
       update.rollouts.push_back(rollout);
     }
   }
+  if (link.sent.mixed_services != mixed_services_revision_) {
+    update.mixed_services.push_back(mixed_services_);
+  }
   update.router_count = static_cast<uint32_t>(ready_router_count_);
   update.configuration_version = configuration_publisher_.version();
   return update;
@@ -168,6 +172,11 @@
   }
 }
 
+SentRevisions FleetServer::newest_revisions() const {
+  return {retired_backends_.revision(), target_weights_revision_, members_revision_, rollouts_revision_,
+          mixed_services_revision_};
+}
+
 void FleetServer::reply_to_router(RouterLink& link) {
   fleet::FleetUpdate update = make_update(link);
   update.answers = link.status.sequence;
@@ -177,7 +186,7 @@
   if (configuration) {
     update.configuration.push_back(core_->state().fleet().configuration());
   }
-  link.sent = {retired_backends_.revision(), target_weights_revision_, members_revision_, rollouts_revision_};
+  link.sent = newest_revisions();
   const wire::Frame frame = wire::make_frame(update);
   link.channel->send_frame(frame);
   if (configuration) {
@@ -189,8 +198,7 @@
 void FleetServer::push_to_routers() {
   // Routers that have received the same revisions get the same frame.
   std::map<std::pair<SentRevisions, bool>, wire::Frame> frames;
-  const SentRevisions newest{retired_backends_.revision(), target_weights_revision_, members_revision_,
-                             rollouts_revision_};
+  const SentRevisions newest = newest_revisions();
   for (auto& [name, link] : router_links_) {
     if (!link.channel->open()) {
       continue;
@@ -378,6 +386,7 @@
     log_.event(events::ConfigurationInForce{
         state.configuration().version, state.configuration().routes.size(),
         state.configuration().tenants.size(), to_milliseconds(loop_.now() - configuration_applied_at_)});
+    software_history_.set_retention(fleet::software_retention(state.configuration()));
     configuration_publisher_.publish(state.configuration());
     push_configuration_change();
   }
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -72,6 +72,8 @@
       weight_rollout_(settings_.rollout),
       router_confirmations_(kIsolatedServeTime) {
   start_core(restore());
+  const bool restarted = core_->replica().last_index() > 0;
+  software_known_at_ = loop.now() + (restarted ? settings_.registry.overdue_after : Duration(0));
   if (core_->replica().last_index() == 0 && settings_.first_start && !settings_.seeds.empty() &&
       settings_.seeds.front() == settings_.internal) {
     bootstrap();
@@ -228,6 +230,10 @@
     on_permit_request(channel, *permits);
   } else if (auto* configuration_request = std::get_if<fleet::ConfigurationRequest>(&message.value)) {
     on_configuration_request(channel, *configuration_request);
+  } else if (auto* records = std::get_if<fleet::StreamRecordBatch>(&message.value)) {
+    on_stream_records(channel, *records);
+  } else if (auto* record_request = std::get_if<fleet::StreamRecordRequest>(&message.value)) {
+    on_stream_record_request(channel, *record_request);
   } else if (auto* placements = std::get_if<fleet::PlacementUpdate>(&message.value)) {
     soft_state_.on_placements(placements->placements);
   } else if (auto* peer_update = std::get_if<fleet::PeerUpdate>(&message.value)) {
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -28,11 +28,13 @@
 #include "src/control/router_link.h"
 #include "src/control/weight_rollout.h"
 #include "src/events/fleet_events.h"
+#include "src/fleet/software_history.h"
 #include "src/http/event_loop.h"
 #include "src/rollout/answer_aggregator.h"
 #include "src/rollout/rollout_planner.h"
 #include "src/rollout/router_confirmations.h"
 #include "src/storage/replica_store.h"
+#include "src/streams/stream_record_table.h"
 #include "src/topology/topology.h"
 #include "src/wire/channel.h"
 #include "src/wire/unreadable_messages.h"
@@ -198,6 +200,7 @@
   void record_configuration_sent(RouterLink& link, const events::ConfigurationSent& sent);
   /// Adds the routers that relay for this one, if they have changed since they were last sent.
   void add_relays(RouterLink& link, fleet::FleetUpdate& update) const;
+  SentRevisions newest_revisions() const;
   void reply_to_router(RouterLink& link);
   void push_to_routers();
   void feed_routers();
@@ -215,6 +218,12 @@
   bool may_grant_permits() const;
   void maintain_permits();
 
+  // fleet_stream_records.cc: records of where streams began, kept for routers
+  void on_stream_records(const ChannelPtr& channel, const fleet::StreamRecordBatch& batch);
+  void on_stream_record_request(const ChannelPtr& channel, const fleet::StreamRecordRequest& request);
+  void update_software_history();
+  void maintain_stream_records();
+
   // fleet_peers.cc: soft state exchanged between members, outside the log
   void exchange_with_peers();
   std::vector<std::string> other_members() const;
@@ -308,6 +317,12 @@
   rollout::RouterConfirmations router_confirmations_;
   std::map<uint64_t, uint64_t> seen_steps_;  ///< by rollout id: newest step seen
   uint64_t rollouts_revision_ = 0;           ///< incremented when a rollout starts or steps
+  streams::StreamRecordTable stream_records_;
+  fleet::SoftwareHistory software_history_;
+  uint64_t software_registry_revision_ = 0;  ///< changes up to it are in software_history_
+  TimePoint software_known_at_{0};           ///< when all backends have sent a heartbeat since a restart
+  fleet::MixedServices mixed_services_;      ///< as last sent to routers
+  uint64_t mixed_services_revision_ = 0;     ///< incremented when `mixed_services_` changes
   bool was_leader_ = false;
   bool was_confirmed_ = false;  ///< a recent confirmation of the leader was known at the last check
   /// When a quorum last confirmed a leader, as far as this member knows.
--- a/src/control/router_link.h
+++ b/src/control/router_link.h
@@ -18,9 +18,10 @@
   uint64_t weights = 0;
   uint64_t members = 0;
   uint64_t rollouts = 0;
+  uint64_t mixed_services = 0;
   bool operator<(const SentRevisions& other) const {
-    return std::tie(retired, weights, members, rollouts) <
-           std::tie(other.retired, other.weights, other.members, other.rollouts);
+    return std::tie(retired, weights, members, rollouts, mixed_services) <
+           std::tie(other.retired, other.weights, other.members, other.rollouts, other.mixed_services);
   }
 };
 
--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -94,6 +94,13 @@
                 " back ends crashed under requests like it (fingerprint " + line.field("fingerprint") +
                 "), so none is for " + line.field("left_ms") + " ms";
        }},
+      {events::StreamOriginSearched::kMessage,
+       [](const LogLine& line) {
+         return line.field("source") == "unknown"
+                    ? "can't go on: nobody knows at which version its stream began"
+                    : "its stream began at version " + line.field("software") +
+                          " (known from: " + line.field("source") + "), and goes on only there";
+       }},
       {events::RequestNotRetried::kMessage,
        [](const LogLine& line) { return "not sent again: " + line.field("reason"); }},
       {events::KvCacheCopyNotUsed::kMessage,
--- a/src/dispatch/active_request.cc
+++ b/src/dispatch/active_request.cc
@@ -85,7 +85,7 @@
   deadline_ = plan_.arrived + Duration(1000 * limit_ms);
   wait_deadline_ = wait_limit();
   chain_ = make_chain(plan_);
-  context_.budget_of(plan_.service).on_request(plan_.arrived);
+  stream_ = stream_key();
   event_log_.add(
       events::RequestAccepted{route.name, plan_.service, plan_.tenant == nullptr ? "" : plan_.tenant->name,
                               plan_.table->configuration().version, limit_ms, chain_.prompt_tokens,
@@ -94,6 +94,15 @@
     fail_request("no time left");  // the time was used up waiting for the router's start
     return;
   }
+  if (is_resumable_stream() && last_event_id_) {
+    find_origin();
+  } else {
+    begin();
+  }
+}
+
+void ActiveRequest::begin() {
+  context_.budget_of(plan_.service).on_request(plan_.arrived);
   sample_for_trial();
   try_dispatch();
 }
@@ -132,6 +141,10 @@
     fail_request("no back end can be reached from here");
     return;
   }
+  if (origin_is_gone()) {
+    refuse_resumption("no back end of the stream's version is left");
+    return;
+  }
   const TimePoint now = context_.loop.now();
   const Candidates found = find_candidates();
   request_candidate_permits(found);
@@ -268,6 +281,12 @@
   if (event.id && last_event_id_ && *event.id <= *last_event_id_) {
     return;  // the caller already has this event
   }
+  if (!hold_event(event)) {
+    pass_on(event);
+  }
+}
+
+void ActiveRequest::pass_on(const delivery::StreamEvent& event) {
   if (!streaming_) {
     streaming_ = true;
     first_event_at_ = context_.loop.now();
@@ -299,6 +318,10 @@
       on_exchange_failure(ExchangeFailure::kBroken);
       return;
     }
+    on_record_wait_over();  // a complete stream waits no longer for its record
+    if (finished_) {
+      return;
+    }
     context_.pool.outliers().on_success(backend_->record.id);
     clear_crash_suspicion();
     observe_run_time();
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -32,6 +32,7 @@
 #include "src/rollout/answer_counter.h"
 #include "src/rollout/service_versions.h"
 #include "src/routing/route_table.h"
+#include "src/streams/stream_directory.h"
 #include "src/topology/topology.h"
 
 struct event;
@@ -100,6 +101,7 @@
   std::function<void(uint64_t request, const char* source)> log_standing_change = [](uint64_t, const char*) {
   };
   rollout::ServiceVersions versions = {};
+  streams::StreamDirectory streams = {};
   rollout::AnswerCounter answers = {};  ///< responses of services with a rollout in progress
 
   delivery::RetryBudget& budget_of(const std::string& service) {
@@ -182,6 +184,8 @@
   /// signature header.
   enum class ResponseKind : uint8_t { kNone, kBuffered, kEventStream, kNotRun, kInvalid };
 
+  /// Chooses a backend for the request for the first time.
+  void begin();
   void arm_timer(TimePoint at);
   void on_timer();
   void try_dispatch();
@@ -267,9 +271,30 @@
   void record_rollout_failure(ExchangeFailure failure);
   /// Decides whether the request is in the share sent to the version on trial (the canary).
   void sample_for_trial();
-  /// True if the software versions of both backends allow the run at `origin` to resume from its backup at
-  /// `backup_engine`.
-  bool may_resume_at(const Backend& backup_engine, const Backend& origin) const;
+  // request_origin.cc: the service and the software version at which a stream began
+  bool is_resumable_stream() const;
+  /// Key of the stream's record: the same for all attempts that resume it.
+  uint64_t stream_key() const;
+  /// For a resumed stream: searches for its origin, and then begins or refuses the request.
+  void find_origin();
+  void on_origin_found(const streams::OriginFinding& finding);
+  void refuse_resumption(const char* reason);
+  /// True if no backend is left at which the resumed stream may go on.
+  bool origin_is_gone() const;
+  /// The one rule on where a stream that began at `origin` may be continued.
+  bool may_go_on_at(const Backend& backend, const fleet::StreamOrigin& origin) const;
+  /// Keeps the origin at the control members, for as long as the request lasts and a caller may resume it.
+  void track_record(const fleet::StreamOrigin& origin, uint32_t generation);
+  /// Records where a stream is about to begin.
+  void record_origin(const Backend& backend);
+  void untrack_records();
+  /// Keeps an event back while the stream's origin is not stored. Returns false if the event can be passed
+  /// on.
+  bool hold_event(const delivery::StreamEvent& event);
+  /// From now on the stream is bound to the software version of backend_.
+  void begin_stream_at_origin();
+  void release_held_events();
+  void on_record_wait_over();
   /// How long the weights of a backend have been out of date; nullopt if they are current.
   std::optional<Duration> outdated_for(const Backend& backend) const;
   uint32_t urgency() const;
@@ -358,8 +383,9 @@
   /// Lets the request wait for the first of these backends whose backoff ends, or refuses it if that is too
   /// late.
   void wait_for_backoff(const std::vector<BackendPtr>& backing_off);
-  /// Sends an event to the caller unless the caller already has it.
+  /// Handles an event from the backend. It is passed on unless the caller already has it.
   void forward_event(const delivery::StreamEvent& event);
+  void pass_on(const delivery::StreamEvent& event);
   /// Relays a complete buffered response, or retries after a server error.
   void finish_buffered_response();
   /// Ends the request with a response made by the router. `retry_after_s`: 0: no Retry-After header.
@@ -400,6 +426,17 @@
   placement::PromptChain chain_;
   const uint64_t fingerprint_;  ///< see request_fingerprint()
 
+  /// An event that waits until the stream's origin is stored.
+  struct HeldEvent {
+    std::string bytes;
+    std::optional<int64_t> id;
+  };
+  uint64_t stream_ = 0;                                ///< see stream_key()
+  std::optional<fleet::StreamOrigin> origin_;          ///< set once the stream has begun
+  std::optional<fleet::StreamRecord> tracked_record_;  ///< last one given to the directory
+  uint32_t tracked_uses_ = 0;                          ///< calls of StreamDirectory::track()
+  std::vector<HeldEvent> held_events_;
+
   BackendPtr backend_;
   BackendPtr backup_;                 ///< holds the backup of the run at backend_
   bool resumed_from_backup_ = false;  ///< the run at backend_ was resumed from a backup
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -195,7 +195,8 @@
   for (const BackendPtr& backend : context_.pool.subset(plan_.service, target.name_hash, kSubsetSize)) {
     // A rate-limited backend might not accept a request when its backup is needed.
     if (!may_hold_backup(*backend) || backend->record.id == target.record.id ||
-        context_.limits.per_second(backend->record.id) > 0 || !may_resume_at(*backend, target) ||
+        context_.limits.per_second(backend->record.id) > 0 ||
+        !may_go_on_at(*backend, {plan_.service, target.record.software}) ||
         backend->record.version_of(plan_.fields.model) != target.record.version_of(plan_.fields.model)) {
       continue;
     }
@@ -226,7 +227,7 @@
       backup_->record.version_of(model) != run_weights_) {
     return "weights changed";
   }
-  if (!may_hold_backup(*backup_) || !may_resume_at(*backup_, origin)) {
+  if (!may_hold_backup(*backup_) || !may_go_on_at(*backup_, {plan_.service, origin.record.software})) {
     return "the engine with the copy is not sound";
   }
   if (context_.loop.now() >= deadline_) {
@@ -286,6 +287,7 @@
   body_.clear();
   splitter_.reset();
   context_.pool.begin_request(backend);
+  record_origin(*backend);
   first_event_received_ = false;
   last_activity_ = now;
   store_target_ = cache.target;
--- a/src/dispatch/request_versions.cc
+++ b/src/dispatch/request_versions.cc
@@ -30,6 +30,10 @@
 }  // namespace
 
 std::vector<BackendPtr> ActiveRequest::filter_by_version(std::vector<BackendPtr> found) const {
+  if (origin_) {
+    std::erase_if(found, [this](const BackendPtr& backend) { return !may_go_on_at(*backend, *origin_); });
+    return found;
+  }
   const rollout::VersionLimits limits = context_.versions.limits(plan_.service, in_trial_sample_);
   if (limits.rollout == nullptr) {
     return found;
@@ -51,7 +55,7 @@
 }
 
 void ActiveRequest::sample_for_trial() {
-  if (context_.versions.find(plan_.service) == nullptr) {
+  if (origin_ || context_.versions.find(plan_.service) == nullptr) {
     return;
   }
   in_trial_sample_ =
@@ -61,13 +65,6 @@
   in_trial_sample_ = in_trial_sample_ && has_room();
 }
 
-bool ActiveRequest::may_resume_at(const Backend& backup_engine, const Backend& origin) const {
-  const rollout::VersionLimits limits = context_.versions.limits(plan_.service, in_trial_sample_);
-  return limits.rollout == nullptr ||
-         (backup_engine.record.software == origin.record.software &&
-          limits.rank(backup_engine.record.software) != rollout::VersionLimits::kNever);
-}
-
 void ActiveRequest::record_rollout_send() {
   const fleet::ServiceRollout* rollout = context_.versions.find(plan_.service);
   if (rollout == nullptr || rollout->final()) {
--- a/src/events/request_events.h
+++ b/src/events/request_events.h
@@ -121,6 +121,17 @@
   }
 };
 
+/// A caller resumes a stream: it was searched for where the stream began.
+struct StreamOriginSearched {
+  static constexpr const char* kMessage = "stream resumed";
+  std::string source;     ///< streams::OriginSource
+  std::string software;   ///< version at which the stream began; empty: unknown, or not reported
+  int64_t search_ms = 0;  ///< from the request's arrival
+  std::vector<LogField> fields() const {
+    return {{"source", source}, {"software", software}, {"search_ms", search_ms}};
+  }
+};
+
 /// The request must not, or can't, be retried.
 struct RequestNotRetried {
   static constexpr const char* kMessage = "request not sent again";
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -12,6 +12,7 @@
 #include "src/fleet/fleet_state.h"
 #include "src/fleet/protocol_version.h"
 #include "src/fleet/service_rollout.h"
+#include "src/fleet/stream_record.h"
 
 namespace stoat::fleet {
 
@@ -150,9 +151,10 @@
   ProtocolVersion protocol_version = 0;
   uint64_t configuration_version = 0;  ///< that the sender has applied, so that it can be requested
   std::vector<RelayList> relays = {};  ///< at most one; empty: unchanged
+  std::vector<MixedServices> mixed_services = {};  ///< at most one; empty: unchanged
   MSGPACK_DEFINE_ARRAY(answers, leads, zone, quorum_age_ms, confirmed_version, configuration, retired,
                        weights, members, router_count, acknowledged_spending_sequence, rollouts,
-                       protocol_version, configuration_version, relays)
+                       protocol_version, configuration_version, relays, mixed_services)
 };
 
 /// Router to a control member: asks for bytes of the configuration, or of a change, that it lacks.
--- a/src/fleet/protocol_version.h
+++ b/src/fleet/protocol_version.h
@@ -20,7 +20,10 @@
 /// do.
 inline constexpr ProtocolVersion kFirstRelayingVersion = 3;
 
+/// From this version on, members keep records of streams for routers.
+inline constexpr ProtocolVersion kFirstStreamRecordVersion = 4;
+
 /// The version that this build speaks.
-inline constexpr ProtocolVersion kProtocolVersion = kFirstRelayingVersion;
+inline constexpr ProtocolVersion kProtocolVersion = kFirstStreamRecordVersion;
 
 }  // namespace stoat::fleet
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -117,7 +117,7 @@
       continue;
     }
     entry->second.channel->close();
-    configuration_fetch_.on_member_lost(entry->first);
+    on_member_lost(entry->first);
     entry = members_.erase(entry);
   }
   for (const std::string& address : wanted_addresses) {
@@ -148,15 +148,21 @@
           on_message(address, std::move(message));
         },
         [this, address](const std::shared_ptr<wire::Channel>&) {
-          configuration_fetch_.on_member_lost(address);
+          on_member_lost(address);
           fetch_configuration();
         });
-    configuration_fetch_.on_member_lost(address);
+    on_member_lost(address);
     member.channel->set_unreadable_handler(on_unreadable_);
     set_traffic_meter(member);
   }
 }
 
+void ControlLink::on_member_lost(const std::string& address) {
+  members_.at(address).ready = false;
+  configuration_fetch_.on_member_lost(address);
+  stream_records_.on_member_lost(address);
+}
+
 void ControlLink::set_traffic_meter(const Member& member) {
   member.channel->set_meter(traffic_, options_.topology.distance(options_.zone, member.zone));
 }
@@ -251,12 +257,28 @@
     on_permit_answer_(*permit_answer);
     return;
   }
+  if (const auto* stored = std::get_if<fleet::StreamRecordBatchResponse>(&message.value)) {
+    found->second.last_message_at = loop_.now();
+    stream_records_.on_stored(address, *stored);
+    return;
+  }
+  if (const auto* record = std::get_if<fleet::StreamRecordResponse>(&message.value)) {
+    found->second.last_message_at = loop_.now();
+    stream_records_.on_response(address, *record);
+    return;
+  }
   const auto* update = std::get_if<fleet::FleetUpdate>(&message.value);
   if (update == nullptr) {
     return;
   }
   Member& member = found->second;
   member.protocol_version = update->protocol_version;
+  if (!std::exchange(member.ready, true)) {
+    stream_records_.on_member_ready(address, member.protocol_version);
+  }
+  for (const fleet::MixedServices& mixed : update->mixed_services) {
+    stream_records_.on_mixed_services(address, mixed);
+  }
   record_answer(address, member, update->leads);
   if (member.zone != update->zone) {
     member.zone = update->zone;
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -38,6 +38,20 @@
   std::function<Endpoint(const Endpoint&)> connect_to = [](const Endpoint& member) { return member; };
 };
 
+/// Called with a member's internal address.
+struct StreamRecordHandlers {
+  /// The member answers on a new connection.
+  std::function<void(const std::string&, fleet::ProtocolVersion)> on_member_ready =
+      [](const std::string&, fleet::ProtocolVersion) {};
+  std::function<void(const std::string&)> on_member_lost = [](const std::string&) {};
+  std::function<void(const std::string&, const fleet::MixedServices&)> on_mixed_services =
+      [](const std::string&, const fleet::MixedServices&) {};
+  std::function<void(const std::string&, const fleet::StreamRecordBatchResponse&)> on_stored =
+      [](const std::string&, const fleet::StreamRecordBatchResponse&) {};
+  std::function<void(const std::string&, const fleet::StreamRecordResponse&)> on_response =
+      [](const std::string&, const fleet::StreamRecordResponse&) {};
+};
+
 /// Connects a router to the control members and chooses the feed member.
 class ControlLink {
  public:
@@ -85,6 +99,12 @@
   bool has_feed_member() const;
   /// Sets the handler for the leader's responses to permit requests.
   void set_permit_handler(PermitHandler handler) { on_permit_answer_ = std::move(handler); }
+  /// Sets the handlers for records of streams, which members keep.
+  void set_stream_record_handlers(StreamRecordHandlers handlers) { stream_records_ = std::move(handlers); }
+  /// Sends a message to a member. Returns false if there is no open connection to it.
+  bool send_to_member(const std::string& address, const wire::Message& message) {
+    return send_to(address, message);
+  }
   /// Returns true while a leader with an open connection is known.
   bool has_leader() const { return connected_to(leader_address_); }
   /// Returns true while the known leader answers permit requests.
@@ -106,6 +126,7 @@
     TimePoint last_message_at{0};
     TimePoint connect_started_at{0};
     bool reachable = false;  ///< as last logged
+    bool ready = false;      ///< has answered on this connection
     std::string zone;        ///< as the member reported it; empty: not reported yet
     fleet::ProtocolVersion protocol_version = 0;
     /// Time of the newest leader confirmation that the member reported.
@@ -118,6 +139,8 @@
   void tick();
   /// Chooses another feed member if the current one is no longer suitable.
   void update_feed_member();
+  /// A member's connection has ended or is replaced.
+  void on_member_lost(const std::string& address);
   Duration idle_time(const Member& member) const;
   void set_traffic_meter(const Member& member);
   void connect_members();
@@ -143,6 +166,7 @@
   wire::Channel::UnreadableHandler on_unreadable_ = [](const wire::Channel&, const wire::UnreadableMessage&) {
   };
   ConfigurationHandler on_configuration_ = [](const std::shared_ptr<const fleet::FleetConfiguration>&) {};
+  StreamRecordHandlers stream_records_;
   PermitHandler on_permit_answer_ = [](const fleet::PermitResponse&) {};
   Logger log_{"link"};
   std::shared_ptr<wire::TrafficMeter> traffic_ = std::make_shared<wire::TrafficMeter>();
--- a/src/gateway/gateway_feed.cc
+++ b/src/gateway/gateway_feed.cc
@@ -59,6 +59,7 @@
     const dispatch::BackendPtr existing = pool_.find(record.id);
     const fleet::BackendRecord before = existing == nullptr ? fleet::BackendRecord{} : existing->record;
     pool_.put(record);
+    context_.streams.put_backend(record);
     if (record.lost) {
       confirm_crash(*pool_.find(record.id), "lost");
     }
@@ -105,6 +106,7 @@
 
 void GatewayServer::remove_backend(const std::string& id) {
   pool_.remove(id);
+  context_.streams.remove_backend(id);
   context_.limits.forget(id);
 }
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -117,6 +117,7 @@
   context_.admission_thresholds.max_useful_engine_queue = settings.useful_engine_queue;
   context_.max_retry_after = settings.longest_retry_after;
   configure_links();
+  configure_streams();
   pool_.set_probe_handler([this](const dispatch::BackendPtr& backend, dispatch::ProbeResult result) {
     on_probe_ended(backend, result);
   });
@@ -139,6 +140,7 @@
     publish_limit_metrics();
     publish_reach_metrics();
     expire_crash_records();
+    maintain_streams();
   });
   loop_.every(kLimitUsageLogInterval, [this] { log_limit_usage(); });
   loop_.every(kTrafficLogInterval, [this] {
@@ -233,6 +235,9 @@
     context_.router_count_estimate.note(update.router_count, loop_.now());
     context_.quotas.set_router_count(update.router_count);
   }
+  if (!update.members.empty()) {
+    context_.streams.set_member_count(update.members.size());
+  }
   for (const fleet::RelayList& relays : update.relays) {
     pool_.relays().set(relays.addresses);
   }
@@ -249,6 +254,7 @@
   route_table_ = std::make_shared<routing::RouteTable>(configuration);
   control_link_.set_configuration(configuration);
   context_.quotas.configure(configuration->tenants);
+  context_.streams.set_software_retention(fleet::software_retention(*configuration));
   edge::EdgeLimits limits;
   limits.header_bytes = configuration->limits.header_bytes;
   limits.body_bytes = configuration->limits.body_bytes;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -117,6 +117,9 @@
   tl::expected<Endpoint, relay::ConnectFailure> resolve_for_relay(const std::string& backend) const;
   /// Logs what has changed in what this router reaches, and tells the members when it is cut off.
   void track_reach();
+  // Implemented in gateway_streams.cc: records of where streams began, which control members keep.
+  void configure_streams();
+  void maintain_streams();
   // Implemented in gateway_crashes.cc: backends that crash while serving requests.
   void on_probe_ended(const dispatch::BackendPtr& backend, dispatch::ProbeResult result);
   /// Confirms as crashes the broken exchanges at a backend that ended without deregistering. `detected_by`
--- a/src/rollout/service_versions.cc
+++ b/src/rollout/service_versions.cc
@@ -83,6 +83,25 @@
   return random_value < trial_share_of_route(rollout->share, route_fraction, counts.by_route.size());
 }
 
+bool ServiceVersions::may_go_on(const std::string& service, const std::string& version, TimePoint now) const {
+  const fleet::ServiceRollout* rollout = find(service);
+  if (rollout == nullptr || version != rollout->target_version) {
+    return true;
+  }
+  switch (rollout->phase) {
+    case fleet::RolloutPhase::kTrial:
+      return now - confirmed_at_ <= kMaxConfirmationAge;
+    case fleet::RolloutPhase::kWaiting:
+    case fleet::RolloutPhase::kSwitching:
+    case fleet::RolloutPhase::kCompleted:
+      return true;
+    case fleet::RolloutPhase::kRollingBack:
+    case fleet::RolloutPhase::kRolledBack:
+      break;
+  }
+  return false;
+}
+
 VersionLimits ServiceVersions::limits(const std::string& service, bool sampled) const {
   const fleet::ServiceRollout* rollout = find(service);
   if (rollout == nullptr) {
--- a/src/rollout/service_versions.h
+++ b/src/rollout/service_versions.h
@@ -38,6 +38,9 @@
   /// Decides whether a request is in the share that goes to the target version. `random_value`: uniform in
   /// [0, 1).
   bool draw(const std::string& service, const std::string& route, double random_value, TimePoint now);
+  /// Whether a stream that began at this version of a service may go on there: a version that is rolled back,
+  /// or may have been, gets nothing more.
+  bool may_go_on(const std::string& service, const std::string& version, TimePoint now) const;
   /// The version preference for a request. `sampled`: the result of draw().
   VersionLimits limits(const std::string& service, bool sampled) const;
 
--- /dev/null
+++ b/src/streams/stream_directory.cc
@@ -0,0 +1,292 @@
+#include "src/streams/stream_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stoat::streams {
+
+namespace {
+
+/// Number of members that keep each record.
+constexpr size_t kReplicas = 3;
+/// A search ends this long after it began, with the answers that have arrived.
+constexpr Duration kSearchTimeout = 200ms;
+
+}  // namespace
+
+const char* to_text(OriginSource source) {
+  switch (source) {
+    case OriginSource::kThisRouter:
+      return "this router";
+    case OriginSource::kMember:
+      return "record";
+    case OriginSource::kOnlyVersion:
+      return "only version";
+    case OriginSource::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
+bool StreamDirectory::TrackedStream::is_stored() const {
+  return !stored.empty() &&
+         std::includes(stored.begin(), stored.end(), maybe_earlier.begin(), maybe_earlier.end());
+}
+
+void StreamDirectory::on_member_ready(const std::string& member, bool keeps_records) {
+  on_member_lost(member);
+  (keeps_records ? keepers_ : non_keepers_).insert(member);
+  if (!keeps_records) {
+    return;
+  }
+  for (auto& [key, stream] : tracked_) {
+    replicate(stream);
+  }
+}
+
+void StreamDirectory::on_member_lost(const std::string& member) {
+  non_keepers_.erase(member);
+  listed_.erase(member);
+  if (keepers_.erase(member) == 0) {
+    return;
+  }
+  batches_.erase(member);
+  unconfirmed_.erase(member);
+  for (auto& [key, stream] : tracked_) {
+    const bool had_record = stream.sent.erase(member) + stream.stored.erase(member) > 0;
+    if (had_record) {
+      replicate(stream);
+    }
+  }
+  std::vector<uint64_t> complete;
+  for (auto& [number, search] : searches_) {
+    if (search.awaited.erase(member) > 0 && search.awaited.empty()) {
+      complete.push_back(number);
+    }
+  }
+  for (const uint64_t number : complete) {
+    end_search(number);
+  }
+}
+
+void StreamDirectory::set_mixed_services(const std::string& member, const fleet::MixedServices& mixed) {
+  listed_[member] = mixed;
+  for (const fleet::ServiceSoftware& entry : mixed.services) {
+    replicate_service(entry.service);
+  }
+}
+
+void StreamDirectory::put_backend(const fleet::BackendRecord& record) {
+  const uint64_t before = software_.revision();
+  software_.put(record);
+  if (software_.revision() != before) {
+    replicate_service(record.service);
+  }
+}
+
+void StreamDirectory::remove_backend(const std::string& id) { software_.erase(id, links_.now()); }
+
+void StreamDirectory::expire() {
+  const TimePoint now = links_.now();
+  local_.expire(now);
+  software_.expire(now);
+}
+
+std::set<std::string> StreamDirectory::versions(const std::string& service) const {
+  std::set<std::string> versions = software_.versions(service);
+  for (const auto& [member, mixed] : listed_) {
+    for (const fleet::ServiceSoftware& entry : mixed.services) {
+      if (entry.service == service) {
+        versions.insert(entry.versions.begin(), entry.versions.end());
+      }
+    }
+  }
+  return versions;
+}
+
+void StreamDirectory::track(const fleet::StreamRecord& record, RecordPolicy policy, StoredHandler on_stored) {
+  const TimePoint now = links_.now();
+  local_.put(record, now);
+  TrackedStream& stream = tracked_[record.stream];
+  ++stream.users;
+  if (stream.users == 1) {
+    stream.record = record;
+  } else if (record.generation > stream.record.generation) {
+    stream.maybe_earlier.insert(stream.sent.begin(), stream.sent.end());
+    stream.maybe_earlier.insert(stream.stored.begin(), stream.stored.end());
+    stream.sent.clear();
+    stream.stored.clear();
+    stream.record = record;
+  }
+  stream.policy = policy;
+  stream.expires = now + Duration(1000 * record.lifetime_ms);
+  if (on_stored) {
+    stream.on_stored = std::move(on_stored);
+  }
+  replicate(stream);
+}
+
+void StreamDirectory::untrack(uint64_t stream) {
+  const auto found = tracked_.find(stream);
+  if (found != tracked_.end() && --found->second.users == 0) {
+    tracked_.erase(found);
+  }
+}
+
+bool StreamDirectory::is_stored(uint64_t stream) const {
+  const auto found = tracked_.find(stream);
+  return found == tracked_.end() || found->second.is_stored() || !needs_record(found->second);
+}
+
+bool StreamDirectory::may_be_outdated(uint64_t stream) const {
+  const auto found = tracked_.find(stream);
+  return found != tracked_.end() && !found->second.maybe_earlier.empty() && !found->second.is_stored();
+}
+
+bool StreamDirectory::needs_record(const TrackedStream& stream) const {
+  return stream.policy == RecordPolicy::kAlways || !stream.maybe_earlier.empty() ||
+         needs_records(stream.record.origin.service);
+}
+
+void StreamDirectory::replicate(TrackedStream& stream) {
+  if (!needs_record(stream)) {
+    return;
+  }
+  std::vector<std::string> members =
+      rendezvous_order(stream.record.stream, std::vector<std::string>(keepers_.begin(), keepers_.end()));
+  members.resize(std::min(members.size(), kReplicas));
+  members.insert(members.end(), stream.maybe_earlier.begin(), stream.maybe_earlier.end());
+  for (const std::string& member : members) {
+    if (keepers_.count(member) == 0 || stream.stored.count(member) > 0 ||
+        !stream.sent.insert(member).second) {
+      continue;
+    }
+    Batch& batch = batches_[member];
+    if (!batch.flush_scheduled) {
+      batch.flush_scheduled = true;
+      batch.message.number = ++last_number_;
+      links_.call_after(Duration(0), [this, member] { flush(member); });
+    }
+    fleet::StreamRecord record = stream.record;
+    record.lifetime_ms = to_milliseconds(stream.expires - links_.now());
+    batch.message.records.push_back(std::move(record));
+    unconfirmed_[member][batch.message.number].push_back(stream.record.stream);
+  }
+}
+
+void StreamDirectory::replicate_service(const std::string& service) {
+  if (!needs_records(service)) {
+    return;
+  }
+  for (auto& [key, stream] : tracked_) {
+    if (stream.record.origin.service == service) {
+      replicate(stream);
+    }
+  }
+}
+
+void StreamDirectory::flush(const std::string& member) {
+  const auto found = batches_.find(member);
+  if (found == batches_.end()) {
+    return;  // the member was lost
+  }
+  const Batch batch = std::move(found->second);
+  batches_.erase(found);
+  counts_.records_sent += batch.message.records.size();
+  links_.send_records(member, batch.message);
+}
+
+void StreamDirectory::on_records_stored(const std::string& member,
+                                        const fleet::StreamRecordBatchResponse& response) {
+  auto& batches = unconfirmed_[member];
+  const auto end = batches.upper_bound(response.number);
+  std::vector<StoredHandler> stored;
+  for (auto batch = batches.begin(); batch != end; ++batch) {
+    for (const uint64_t key : batch->second) {
+      const auto found = tracked_.find(key);
+      if (found == tracked_.end() || found->second.sent.erase(member) == 0) {
+        continue;
+      }
+      TrackedStream& stream = found->second;
+      stream.stored.insert(member);
+      if (stream.is_stored() && stream.on_stored) {
+        stored.push_back(std::exchange(stream.on_stored, {}));
+      }
+    }
+  }
+  batches.erase(batches.begin(), end);
+  for (const StoredHandler& on_stored : stored) {
+    on_stored();
+  }
+}
+
+void StreamDirectory::find(uint64_t stream, const std::string& service, FoundHandler on_found) {
+  if (const auto known = local_.find(stream, links_.now())) {
+    on_found({OriginSource::kThisRouter, known});
+    return;
+  }
+  const uint64_t number = ++last_number_;
+  Search& search = searches_[number];
+  search.stream = stream;
+  search.service = service;
+  search.awaited = keepers_;
+  search.on_found = std::move(on_found);
+  if (search.awaited.empty()) {
+    end_search(number);
+    return;
+  }
+  for (const std::string& member : keepers_) {
+    ++counts_.requests_sent;
+    links_.send_request(member, {number, stream, service});
+  }
+  links_.call_after(kSearchTimeout, [this, number] { end_search(number); });
+}
+
+void StreamDirectory::on_response(const std::string& member, const fleet::StreamRecordResponse& response) {
+  const auto found = searches_.find(response.number);
+  if (found == searches_.end()) {
+    return;
+  }
+  if (!response.record.empty()) {
+    finish_search(response.number, {OriginSource::kMember, response.record.front()});
+    return;
+  }
+  Search& search = found->second;
+  const size_t awaited = search.awaited.erase(member);
+  for (const fleet::ServiceSoftware& software : response.software) {
+    search.answers += awaited;
+    search.versions.insert(software.versions.begin(), software.versions.end());
+  }
+  if (search.awaited.empty()) {
+    end_search(response.number);
+  }
+}
+
+void StreamDirectory::end_search(uint64_t number) {
+  const auto found = searches_.find(number);
+  if (found != searches_.end()) {
+    finish_search(number, conclude(found->second));
+  }
+}
+
+void StreamDirectory::finish_search(uint64_t number, const OriginFinding& finding) {
+  const FoundHandler on_found = std::move(searches_.at(number).on_found);
+  searches_.erase(number);
+  on_found(finding);
+}
+
+OriginFinding StreamDirectory::conclude(const Search& search) const {
+  // A version is listed by a majority before long; members of builds that list none can't contradict.
+  const bool majority = 2 * (search.answers + non_keepers_.size()) > std::max<size_t>(1, member_count_);
+  std::set<std::string> possible = versions(search.service);
+  possible.insert(search.versions.begin(), search.versions.end());
+  if (!majority || possible.size() != 1) {
+    return {};
+  }
+  fleet::StreamRecord record;
+  record.stream = search.stream;
+  record.origin = {search.service, *possible.begin()};
+  return {OriginSource::kOnlyVersion, record};
+}
+
+}  // namespace stoat::streams
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -56,7 +56,9 @@
                   Alternative<27, fleet::RouterLoads>, Alternative<28, fleet::ConfirmationRequest>,
                   Alternative<29, fleet::ConfirmationResponse>, Alternative<30, fleet::PermitRequest>,
                   Alternative<31, fleet::PermitResponse>, Alternative<32, fleet::ConfigurationRequest>,
-                  Alternative<33, fleet::ConfigurationPart>>;
+                  Alternative<33, fleet::ConfigurationPart>, Alternative<34, fleet::StreamRecordBatch>,
+                  Alternative<35, fleet::StreamRecordBatchResponse>,
+                  Alternative<36, fleet::StreamRecordRequest>, Alternative<37, fleet::StreamRecordResponse>>;
 
 }  // namespace stoat::wire
 
