--- a/src/dispatch/active_request.cc
+++ b/src/dispatch/active_request.cc
@@ -142,7 +142,7 @@
     return;
   }
   if (origin_is_gone()) {
-    refuse_resumption("no back end of the stream's version is left");
+    refuse_resumption("no back end of the stream's version is left", Duration(0));
     return;
   }
   const TimePoint now = context_.loop.now();
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -278,7 +278,8 @@
   /// For a resumed stream: searches for its origin, and then begins or refuses the request.
   void find_origin();
   void on_origin_found(const streams::OriginFinding& finding);
-  void refuse_resumption(const char* reason);
+  /// `retry_after`: 0: coming again is of no use.
+  void refuse_resumption(const char* reason, Duration retry_after);
   /// True if no backend is left at which the resumed stream may go on.
   bool origin_is_gone() const;
   /// The one rule on where a stream that began at `origin` may be continued.
--- a/src/dispatch/request_origin.cc
+++ b/src/dispatch/request_origin.cc
@@ -10,6 +10,8 @@
 
 /// The first event waits at most this long for the record of the stream's origin to be stored.
 constexpr Duration kMaxRecordWait = 100ms;
+/// When to resume again after too few control members have answered.
+constexpr Duration kInconclusiveRetryAfter = 300ms;
 /// Added to the lifetime of records: callers resume until their deadline, by their own clocks.
 constexpr int64_t kRecordSlackMs = 2000;
 
@@ -55,7 +57,8 @@
       {{"service", plan_.service},
        {"origin", known ? to_text(finding.source) : to_text(streams::OriginSource::kUnknown)}});
   if (!known) {
-    refuse_resumption("it is not known where the stream began");
+    const Duration retry_after = finding.conclusive ? Duration(0) : kInconclusiveRetryAfter;
+    refuse_resumption("it is not known where the stream began", retry_after);
     return;
   }
   plan_.service = finding.record->origin.service;
@@ -64,10 +67,18 @@
   begin();
 }
 
-void ActiveRequest::refuse_resumption(const char* reason) { reply_with_error(kUnavailable, reason, 0); }
+void ActiveRequest::refuse_resumption(const char* reason, Duration retry_after) {
+  reply_with_error(kUnavailable, reason, to_seconds(retry_after));
+}
 
 bool ActiveRequest::origin_is_gone() const {
-  return origin_ && executed_ == Executed::kNo && !context_.streams.serves(*origin_);
+  if (!origin_ || executed_ != Executed::kNo) {
+    return false;
+  }
+  const std::vector<BackendPtr> backends = context_.pool.of_service(origin_->service);
+  return std::none_of(backends.begin(), backends.end(), [this](const BackendPtr& backend) {
+    return backend->record.state == fleet::BackendState::kReady && may_go_on_at(*backend, *origin_);
+  });
 }
 
 bool ActiveRequest::may_go_on_at(const Backend& backend, const fleet::StreamOrigin& origin) const {
--- a/src/fleet/software_history.cc
+++ b/src/fleet/software_history.cc
@@ -65,11 +65,6 @@
   return versions;
 }
 
-bool SoftwareHistory::serves(const std::string& service, const std::string& software) const {
-  const auto found = versions_.find({service, software});
-  return found != versions_.end() && found->second.backends > 0;
-}
-
 std::vector<ServiceSoftware> SoftwareHistory::mixed_services() const {
   std::vector<ServiceSoftware> services;
   for (const auto& [version, state] : versions_) {
--- a/src/fleet/software_history.h
+++ b/src/fleet/software_history.h
@@ -30,8 +30,6 @@
   void set_retention(Duration retention) { retention_ = retention; }
   /// The known versions of a service.
   std::set<std::string> versions(const std::string& service) const;
-  /// Whether any backend of the service has this version now.
-  bool serves(const std::string& service, const std::string& software) const;
   /// The services with several known versions.
   std::vector<ServiceSoftware> mixed_services() const;
   /// Changes when versions() of any service does.
--- a/src/streams/stream_directory.cc
+++ b/src/streams/stream_directory.cc
@@ -36,11 +36,21 @@
 void StreamDirectory::on_member_ready(const std::string& member, bool keeps_records) {
   on_member_lost(member);
   (keeps_records ? keepers_ : non_keepers_).insert(member);
-  if (!keeps_records) {
-    return;
+  std::vector<uint64_t> searches;
+  for (const auto& [number, search] : searches_) {
+    searches.push_back(number);
   }
-  for (auto& [key, stream] : tracked_) {
-    replicate(stream);
+  for (const uint64_t number : searches) {
+    if (keeps_records) {
+      ask(number, member);
+    } else {
+      end_search_if_complete(number);
+    }
+  }
+  if (keeps_records) {
+    for (auto& [key, stream] : tracked_) {
+      replicate(stream);
+    }
   }
 }
 
@@ -58,19 +68,21 @@
       replicate(stream);
     }
   }
-  std::vector<uint64_t> complete;
+  std::vector<uint64_t> searches;
   for (auto& [number, search] : searches_) {
-    if (search.awaited.erase(member) > 0 && search.awaited.empty()) {
-      complete.push_back(number);
+    if (search.awaited.erase(member) > 0) {
+      searches.push_back(number);
     }
   }
-  for (const uint64_t number : complete) {
-    end_search(number);
+  for (const uint64_t number : searches) {
+    end_search_if_complete(number);
   }
 }
 
 void StreamDirectory::set_mixed_services(const std::string& member, const fleet::MixedServices& mixed) {
-  listed_[member] = mixed;
+  if (std::exchange(listed_[member], mixed) == mixed) {
+    return;
+  }
   for (const fleet::ServiceSoftware& entry : mixed.services) {
     replicate_service(entry.service);
   }
@@ -112,8 +124,7 @@
   if (stream.users == 1) {
     stream.record = record;
   } else if (record.generation > stream.record.generation) {
-    stream.maybe_earlier.insert(stream.sent.begin(), stream.sent.end());
-    stream.maybe_earlier.insert(stream.stored.begin(), stream.stored.end());
+    stream.maybe_earlier = stream.reached;
     stream.sent.clear();
     stream.stored.clear();
     stream.record = record;
@@ -157,10 +168,10 @@
   members.resize(std::min(members.size(), kReplicas));
   members.insert(members.end(), stream.maybe_earlier.begin(), stream.maybe_earlier.end());
   for (const std::string& member : members) {
-    if (keepers_.count(member) == 0 || stream.stored.count(member) > 0 ||
-        !stream.sent.insert(member).second) {
+    if (keepers_.count(member) == 0 || stream.stored.count(member) > 0 || stream.sent.count(member) > 0) {
       continue;
     }
+    stream.reached.insert(member);
     Batch& batch = batches_[member];
     if (!batch.flush_scheduled) {
       batch.flush_scheduled = true;
@@ -170,6 +181,7 @@
     fleet::StreamRecord record = stream.record;
     record.lifetime_ms = to_milliseconds(stream.expires - links_.now());
     batch.message.records.push_back(std::move(record));
+    stream.sent[member] = batch.message.number;
     unconfirmed_[member][batch.message.number].push_back(stream.record.stream);
   }
 }
@@ -204,10 +216,15 @@
   for (auto batch = batches.begin(); batch != end; ++batch) {
     for (const uint64_t key : batch->second) {
       const auto found = tracked_.find(key);
-      if (found == tracked_.end() || found->second.sent.erase(member) == 0) {
+      if (found == tracked_.end()) {
         continue;
       }
       TrackedStream& stream = found->second;
+      const auto sent = stream.sent.find(member);
+      if (sent == stream.sent.end() || sent->second != batch->first) {
+        continue;  // an earlier generation of the record
+      }
+      stream.sent.erase(sent);
       stream.stored.insert(member);
       if (stream.is_stored() && stream.on_stored) {
         stored.push_back(std::exchange(stream.on_stored, {}));
@@ -229,19 +246,21 @@
   Search& search = searches_[number];
   search.stream = stream;
   search.service = service;
-  search.awaited = keepers_;
   search.on_found = std::move(on_found);
-  if (search.awaited.empty()) {
-    end_search(number);
-    return;
-  }
   for (const std::string& member : keepers_) {
-    ++counts_.requests_sent;
-    links_.send_request(member, {number, stream, service});
+    ask(number, member);
   }
+  end_search_if_complete(number);
   links_.call_after(kSearchTimeout, [this, number] { end_search(number); });
 }
 
+void StreamDirectory::ask(uint64_t number, const std::string& member) {
+  Search& search = searches_.at(number);
+  search.awaited.insert(member);
+  ++counts_.requests_sent;
+  links_.send_request(member, {number, search.stream, search.service});
+}
+
 void StreamDirectory::on_response(const std::string& member, const fleet::StreamRecordResponse& response) {
   const auto found = searches_.find(response.number);
   if (found == searches_.end()) {
@@ -252,13 +271,23 @@
     return;
   }
   Search& search = found->second;
-  const size_t awaited = search.awaited.erase(member);
+  if (search.awaited.erase(member) == 0) {
+    return;
+  }
+  search.responded.insert(member);
   for (const fleet::ServiceSoftware& software : response.software) {
-    search.answers += awaited;
+    search.informed.insert(member);
     search.versions.insert(software.versions.begin(), software.versions.end());
   }
-  if (search.awaited.empty()) {
-    end_search(response.number);
+  end_search_if_complete(response.number);
+}
+
+void StreamDirectory::end_search_if_complete(uint64_t number) {
+  const auto found = searches_.find(number);
+  // A router that has just started, or is cut off, waits for members to connect.
+  if (found != searches_.end() && found->second.awaited.empty() &&
+      is_majority(found->second.responded.size() + non_keepers_.size())) {
+    end_search(number);
   }
 }
 
@@ -277,11 +306,11 @@
 
 OriginFinding StreamDirectory::conclude(const Search& search) const {
   // A version is listed by a majority before long; members of builds that list none can't contradict.
-  const bool majority = 2 * (search.answers + non_keepers_.size()) > std::max<size_t>(1, member_count_);
+  const bool majority = is_majority(search.informed.size() + non_keepers_.size());
   std::set<std::string> possible = versions(search.service);
   possible.insert(search.versions.begin(), search.versions.end());
   if (!majority || possible.size() != 1) {
-    return {};
+    return {.conclusive = majority};
   }
   fleet::StreamRecord record;
   record.stream = search.stream;
--- a/src/streams/stream_directory.h
+++ b/src/streams/stream_directory.h
@@ -6,6 +6,7 @@
 /// router. Streams of a service with a single software version need no record.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -36,6 +37,7 @@
 struct OriginFinding {
   OriginSource source = OriginSource::kUnknown;
   std::optional<fleet::StreamRecord> record = {};  ///< empty if the source is kUnknown
+  bool conclusive = true;  ///< false: too few members have answered, so a later search may find more
 };
 
 /// Which streams need a record at the control members.
@@ -98,11 +100,6 @@
   /// Searches for the origin of a stream of the service. Calls `on_found` once, possibly at once.
   void find(uint64_t stream, const std::string& service, FoundHandler on_found);
 
-  /// Whether any known backend of the service has this version now.
-  bool serves(const fleet::StreamOrigin& origin) const {
-    return software_.serves(origin.service, origin.software);
-  }
-
   /// Removes expired records and versions.
   void expire();
   size_t tracked() const { return tracked_.size(); }
@@ -113,10 +110,11 @@
     fleet::StreamRecord record;
     RecordPolicy policy = RecordPolicy::kIfVersionsDiffer;
     TimePoint expires{0};
-    size_t users = 0;                     ///< track() calls without untrack()
-    std::set<std::string> sent;           ///< members that were sent the record and have not confirmed it
-    std::set<std::string> stored;         ///< members that have confirmed it
-    std::set<std::string> maybe_earlier;  ///< members that may have a record of an earlier generation
+    size_t users = 0;                      ///< track() calls without untrack()
+    std::map<std::string, uint64_t> sent;  ///< unconfirmed batch with the record, by member
+    std::set<std::string> stored;          ///< members that have confirmed it
+    std::set<std::string> reached;         ///< members that may have the record, in any generation
+    std::set<std::string> maybe_earlier;   ///< members that may have a record of an earlier generation
     StoredHandler on_stored;
     bool is_stored() const;
   };
@@ -127,9 +125,10 @@
   struct Search {
     uint64_t stream = 0;
     std::string service;
-    std::set<std::string> awaited;   ///< members without an answer
-    size_t answers = 0;              ///< of members that know the versions
-    std::set<std::string> versions;  ///< reported by the members that have answered
+    std::set<std::string> awaited;    ///< members that were asked and have not answered
+    std::set<std::string> responded;  ///< members that have answered
+    std::set<std::string> informed;   ///< those of them that know the versions of the service
+    std::set<std::string> versions;   ///< reported by the members that have answered
     FoundHandler on_found;
   };
   /// Sends the record to those of its members that it was not sent to.
@@ -137,9 +136,13 @@
   bool needs_record(const TrackedStream& stream) const;
   void replicate_service(const std::string& service);
   void flush(const std::string& member);
+  void ask(uint64_t number, const std::string& member);
+  /// Ends the search if no member that matters has still to answer.
+  void end_search_if_complete(uint64_t number);
   void end_search(uint64_t number);
   void finish_search(uint64_t number, const OriginFinding& finding);
   OriginFinding conclude(const Search& search) const;
+  bool is_majority(size_t members) const { return 2 * members > std::max<size_t>(1, member_count_); }
 
   DirectoryLinks links_;
   size_t member_count_ = 0;
