--- a/tests/unit/stream_version_test.cc
+++ b/tests/unit/stream_version_test.cc
@@ -1,5 +1,5 @@
 /// Streams of a service whose backends have several software versions, without any rollout.
-#include <deque>
+#include <vector>
 
 #include "tests/support/small_fleet.h"
 
@@ -90,7 +90,7 @@
   }
 
   uint16_t second_port_ = 0;
-  std::deque<std::unique_ptr<ScriptedEngine>> engines_;
+  std::vector<std::unique_ptr<ScriptedEngine>> engines_;
 };
 
 // Streams went on at another version within one answer while no rollout was ordered.
@@ -120,5 +120,82 @@
   EXPECT_EQ(resumed.went_on, kStreams);
 }
 
+// Streams whose version nobody knows were joined with what another version wrote.
+TEST_F(StreamVersionTest, StreamOfUnknownVersionIsRefusedAtOnce) {
+  add_engines("v1");
+  add_engines("v2");
+  const auto started = std::chrono::steady_clock::now();
+  EXPECT_EQ(status_of(resume(second_port_, "unknown-1", "never-seen")), "HTTP/1.1 503");
+  EXPECT_EQ(status_of(resume(second_port_, "unknown-2", "")), "HTTP/1.1 503");
+  EXPECT_LT(std::chrono::steady_clock::now() - started, milliseconds(500));
+}
+
+// A service with a single version needs no record: its streams go on at any router.
+TEST_F(StreamVersionTest, OnlyVersionServesStreamsWithoutRecord) {
+  add_engines("v1");
+  EXPECT_EQ(version_in(resume(second_port_, "only-1", "never-seen")), "v1");
+  EXPECT_EQ(version_in(resume(second_port_, "only-2", "")), "v1");
+}
+
+// Streams went on at another version where no back end of theirs was left.
+TEST_F(StreamVersionTest, NoBackendOfTheVersionIsLeft) {
+  add_engines("v1");
+  const std::string first = begin(router_port_, "left");
+  ASSERT_EQ(version_in(first), "v1");
+  add_engines("v2");
+  for (size_t number = 0; number < kEnginesPerVersion; ++number) {
+    const std::string id = "v1-" + std::to_string(number);
+    test::run_on(control_loop_, [&] {
+      control_->commit(fleet::RetireBackend{id, fleet::BackendState::kGone}, [](bool) {});
+      return true;
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(300));  // until the routers have been told
+  const auto started = std::chrono::steady_clock::now();
+  EXPECT_EQ(status_of(resume(router_port_, "left-1", "left")), "HTTP/1.1 503");
+  EXPECT_EQ(status_of(resume(second_port_, "left-2", "left")), "HTTP/1.1 503");
+  EXPECT_LT(std::chrono::steady_clock::now() - started, milliseconds(500));
+}
+
+// Routers that reach no control member joined streams that they could not know.
+TEST_F(StreamVersionTest, RouterCutOffFromTheMembersMixesNothing) {
+  add_engines("v1");
+  add_engines("v2");
+  std::vector<std::string> firsts;
+  for (size_t number = 0; number < kStreams; ++number) {
+    firsts.push_back(begin(router_port_, "cut" + std::to_string(number)));
+  }
+  freeze_control();
+  size_t mixed = 0;
+  for (size_t number = 0; number < kStreams / 4; ++number) {
+    const std::string id = "cut" + std::to_string(number);
+    mixed += is_mixed(firsts[number] + resume(second_port_, id + "-again", id)) ? 1 : 0;
+  }
+  EXPECT_EQ(mixed, 0U);
+}
+
+// Copies of runs were made at, and resumed from, engines of another version.
+TEST_F(StreamVersionTest, CopiesStayAtTheVersionOfTheRun) {
+  add_engines("v1");
+  add_engines("v2");
+  size_t mixed = 0;
+  for (size_t number = 0; number < kStreams / 2; ++number) {
+    RawClient caller(router_port_);
+    caller.send(request("POST", "/stream/", "copy" + std::to_string(number),
+                        "Content-Length: 0\r\nConnection: close\r\n"));
+    mixed += is_mixed(caller.read_all()) ? 1 : 0;
+  }
+  EXPECT_EQ(mixed, 0U);
+  for (size_t number = 0; number < engines_.size(); ++number) {
+    for (const ReceivedRequest& seen : engines_[number]->requests()) {
+      const std::string backup = seen.header("X-Kv-Backup");
+      const size_t version = number / kEnginesPerVersion;
+      const bool same = backup.empty() || backup == engines_[version * kEnginesPerVersion]->address() ||
+                        backup == engines_[version * kEnginesPerVersion + 1]->address();
+      EXPECT_TRUE(same) << backup;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace stoat
