Let a router that has just started wait for back ends of a resumed stream's version, as for a new request

What callers saw: a resumption at a router that had started a moment before was refused at once with "no back end of the stream's version is left", though there were two.

Cause: the router's feed had not listed the back ends yet. Ruled out: lost records.

--- a/src/dispatch/request_origin.cc
+++ b/src/dispatch/request_origin.cc
@@ -72,7 +72,9 @@
 }
 
 bool ActiveRequest::origin_is_gone() const {
-  if (!origin_ || executed_ != Executed::kNo) {
+  // A router that has just started does not know all backends yet.
+  const bool starting = context_.loop.now() < context_.startup_ends_at;
+  if (!origin_ || executed_ != Executed::kNo || starting) {
     return false;
   }
   const std::vector<BackendPtr> backends = context_.pool.of_service(origin_->service);
--- a/tools/loopback_fleet.cc
+++ b/tools/loopback_fleet.cc
@@ -129,6 +129,10 @@
   if (!engine && !options_.software.empty()) {
     settings.push_back(setting("software", options_.software));
   }
+  if (engine && !options_.engine_software.empty()) {
+    const size_t turn = backend_names_.size() - 1;
+    settings.push_back(setting("software", options_.engine_software[turn % options_.engine_software.size()]));
+  }
   if (engine) {
     settings.push_back(setting("model", LoadTarget().model));
     settings.push_back("slots=16");
--- a/tools/loopback_fleet.h
+++ b/tools/loopback_fleet.h
@@ -36,7 +36,9 @@
   std::vector<std::string> control_settings;  ///< "key=value" settings of the control members, added last
   /// Folder from which control members and routers are started at first; empty: that of the ProcessFleet.
   std::string first_bin_folder;
-  std::string software;           ///< program version that the plain service reports; empty: none
+  std::string software;  ///< program version that the plain service reports; empty: none
+  /// Program versions that the engines report, by turns; empty: none.
+  std::vector<std::string> engine_software;
   uint32_t limited_services = 0;  ///< how many backends of the plain service announce `rate_limit`
   double rate_limit = 0;          ///< in requests per second
   std::string crash_on;           ///< plain services crash on request bodies with this text; empty: never
