--- a/tools/chaos_main.cc
+++ b/tools/chaos_main.cc
@@ -42,7 +42,9 @@
   /// Folder of the programs of another build; empty: none. The fleet then speaks the target platform's
   /// protocol, starts from this folder, and each restarted process is of a build drawn from the seed.
   std::string other_programs;
-  std::string configuration;  ///< path of the configuration file
+  std::string configuration;                 ///< path of the configuration file
+  std::vector<std::string> engine_software;  ///< program versions of the engines, by turns; empty: none
+  uint32_t engines = 3;
   std::string work_folder;
 };
 
@@ -57,6 +59,8 @@
   settings.programs = reader.text("programs", "build/bin");
   settings.other_programs = reader.text("other_programs", "");
   settings.configuration = reader.text("configuration", "scripts/demo.json");
+  settings.engine_software = reader.text_list("engine_software");
+  settings.engines = static_cast<uint32_t>(reader.integer("engines", 3, 1, 200));
   settings.work_folder = reader.text("work_folder", "/tmp/stoat-chaos");
   return settings;
 }
@@ -197,6 +201,8 @@
   options.configuration_file = settings.configuration;
   options.control_members = settings.control_members;
   options.routers = settings.routers;
+  options.engines = settings.engines;
+  options.engine_software = settings.engine_software;
   options.services = kPlainServices;
   options.limited_services = 1;
   options.rate_limit = kRateLimit;
