--- a/src/streams/stream_directory.cc
+++ b/src/streams/stream_directory.cc
@@ -305,7 +305,8 @@
 }
 
 OriginFinding StreamDirectory::conclude(const Search& search) const {
-  // A version is listed by a majority before long; members of builds that list none can't contradict.
+  // Members pass heartbeats on to one another, so a majority knows all versions. Members of builds that keep
+  // no records report none.
   const bool majority = is_majority(search.informed.size() + non_keepers_.size());
   std::set<std::string> possible = versions(search.service);
   possible.insert(search.versions.begin(), search.versions.end());
