Log what a router knew of a brittle back end that rejected a request, and count rejections by it

Four hypotheses explain brittle back ends that fall over again and again: the word stays at one router; routers that know it send together; a back end that is back is not known as brittle; a rejection is learned by one router only. The counter of rejections had no labels and no log line told of one.

Now `brittle backend rejected` names the back end, whether the router knew that it is brittle, for how long it has been listed, own and others' requests and the age of that figure; the counter has the service and whether the word was known. No logic changes.

--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -377,6 +377,9 @@
   /// Records whether the backend states in the response head that it is brittle. One that has refused the
   /// request gets nothing from this router for a while.
   void note_brittle(const http1::Headers& headers);
+  /// Records that the brittle backend_ turned the request away. `was_known`: this router knew that it is
+  /// brittle.
+  void note_brittle_rejection(bool was_known);
   /// Lets the request wait for room at one of these brittle backends, or refuses it if none has any in time.
   void wait_for_room(const std::vector<BackendPtr>& full);
   /// Applies the Retry-After of a backend that refused the request with 503.
--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -37,6 +37,7 @@
   if (backend == nullptr) {
     backend = std::make_shared<Backend>();
     backend->name_hash = hash_bytes(record.id);
+    backend->listed_at = loop_.now();
     backend->place = topology_.location_of(record.zone);
     parse_endpoint(record.address, backend->endpoint);
     outliers_.track(record.id);
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -57,6 +57,7 @@
   Endpoint endpoint;
   uint64_t name_hash = 0;
   topology::Location place;
+  TimePoint listed_at{0};                                ///< when this router learned of it
   std::vector<std::shared_ptr<BackendConnection>> idle;  ///< most recently used last
   size_t connections = 0;                                ///< idle and in use, probes included
   uint32_t outstanding = 0;                              ///< own requests in progress
--- a/src/dispatch/request_brittle.cc
+++ b/src/dispatch/request_brittle.cc
@@ -1,4 +1,6 @@
 /// ActiveRequest: backends that fall over when they have to turn more than a few requests away in a second.
+#include <utility>
+
 #include "src/dispatch/active_request.h"
 #include "src/dispatch/rate_limit_header.h"
 #include "src/events/fleet_events.h"
@@ -30,13 +32,25 @@
     context_.request_log_sampler.log().event(
         events::BackendBrittleChanged{backend, brittle, reading.value, reading.finding});
   }
-  backend_->brittle = brittle;
+  const bool was_known = std::exchange(backend_->brittle, brittle);
   if (brittle && kind_ == ResponseKind::kNotRun) {
-    context_.metrics.count("stoat_router_brittle_refusals_total");
+    note_brittle_rejection(was_known);
     backend_->backoff.begin(now + kBackoffAfterRefusal);
   }
 }
 
+void ActiveRequest::note_brittle_rejection(bool was_known) {
+  const TimePoint now = context_.loop.now();
+  context_.metrics.count("stoat_router_brittle_refusals_total",
+                         {{"service", plan_.service}, {"known", was_known ? "yes" : "no"}});
+  if (context_.request_log_sampler.reserve_lines(1, "brittle rejection", now)) {
+    context_.request_log_sampler.log().event(events::BrittleBackendRejected{
+        backend_->record.id, was_known, to_milliseconds(now - backend_->listed_at), backend_->outstanding,
+        backend_->others_outstanding, to_milliseconds(context_.pool.total_load_age(now)),
+        backend_->record.slots});
+  }
+}
+
 void ActiveRequest::wait_for_room(const std::vector<BackendPtr>& full) {
   if (context_.loop.now() < wait_deadline_) {
     schedule_poll();
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -169,6 +169,24 @@
   }
 };
 
+/// A brittle backend turned a request away. States what this router knew of the backend at that time.
+struct BrittleBackendRejected {
+  static constexpr const char* kMessage = "brittle backend rejected";
+  std::string backend;
+  bool was_known = false;     ///< this router knew that the backend is brittle when it sent the request
+  int64_t listed_ms = 0;      ///< time since this router learned of the backend
+  uint32_t outstanding = 0;   ///< own requests there, the rejected one included
+  uint32_t others = 0;        ///< requests of other routers there, as last reported
+  int64_t others_age_ms = 0;  ///< age of that report
+  uint32_t slots = 0;
+  std::vector<LogField> fields() const {
+    return {{"backend", backend},     {"was_known", was_known},
+            {"listed_ms", listed_ms}, {"outstanding", outstanding},
+            {"others", others},       {"others_age_ms", others_age_ms},
+            {"slots", slots}};
+  }
+};
+
 /// The time for which a backend asks for no requests can't be parsed, or only in part.
 struct BackendRetryAfterUnreadable {
   static constexpr const char* kMessage = "backend rest unreadable";
