Reproduce that brittle back ends fall over where routers outnumber their slots, as a failing test

Both hypotheses hold: the word stays at one router, and routers that know it send together.

A back end that has fallen over comes back as a new incarnation, as in the record.

--- a/tests/unit/brittle_backend_test.cc
+++ b/tests/unit/brittle_backend_test.cc
@@ -3,6 +3,7 @@
 #include <mutex>
 #include <thread>
 
+#include "src/fleet/incarnation.h"
 #include "tests/support/small_fleet.h"
 
 namespace stoat {
@@ -27,6 +28,10 @@
   ScriptedEngine& engine() { return engine_; }
   size_t falls() const { return falls_; }
   size_t runs() const { return runs_; }
+  bool down() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return Clock::now() < down_until_;
+  }
 
  private:
   Script run(const ReceivedRequest& seen) {
@@ -69,7 +74,7 @@
   }
 
   const bool brittle_;
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   size_t running_ = 0;
   std::vector<Clock::time_point> rejections_;
   Clock::time_point down_until_{};
@@ -78,27 +83,28 @@
   ScriptedEngine engine_;
 };
 
-/// Three routers and three brittle backends.
-class BrittleBackendTest : public test::SmallFleet {
+/// Some routers and three brittle backends. A backend that has fallen over comes back as a new incarnation.
+class BrittleFleet : public test::SmallFleet {
  protected:
-  static constexpr size_t kRouters = 3;
   static constexpr size_t kBackends = 3;
   /// Falls that are allowed in one time in which backends are brittle: two, and a tenth of the backends.
   static constexpr size_t kMaxFalls = 2 + kBackends / 10;
 
+  explicit BrittleFleet(size_t routers) : routers_(routers) {}
   void SetUp() override {
     ASSERT_TRUE(configure(make_configuration(1)));
     ports_ = {router_port_};
-    while (ports_.size() < kRouters) {
+    while (ports_.size() < routers_) {
       ports_.push_back(add_router());
     }
     for (size_t number = 0; number < kBackends; ++number) {
       backends_.push_back(std::make_unique<BrittleBackend>(true));
-      add_engine("brittle" + std::to_string(number), "calls", backends_.back()->engine());
+      add_engine(id_of(number), "calls", backends_.back()->engine());
     }
     heartbeats_ = std::thread([this] {
       constexpr milliseconds kHeartbeatInterval{500};
       while (!stopping_) {
+        name_new_incarnations();
         send_engine_heartbeats();
         std::this_thread::sleep_for(kHeartbeatInterval);
       }
@@ -110,6 +116,18 @@
       heartbeats_.join();
     }
   }
+  /// The id of a backend's current incarnation.
+  std::string id_of(size_t number) const {
+    return fleet::incarnation_id("brittle" + std::to_string(number), 1 + backends_[number]->falls());
+  }
+  /// Gives each backend that is back after a fall a new id.
+  void name_new_incarnations() {
+    for (size_t number = 0; number < backends_.size(); ++number) {
+      if (!backends_[number]->down()) {
+        records_[number].id = id_of(number);
+      }
+    }
+  }
   /// Sends `load` times what the backends can run, evenly over the routers.
   void send_load(double load, milliseconds span) {
     constexpr double kPerClient = 5;  // requests a second
@@ -124,7 +142,7 @@
         auto at = begin + client * interval / clients;
         for (size_t number = 0; at < begin + span; ++number, at += interval) {
           std::this_thread::sleep_until(at);
-          test::RawClient caller(ports_[client % kRouters]);
+          test::RawClient caller(ports_[client % ports_.size()]);
           caller.send(request("GET", "/safe/", "b" + std::to_string(client) + "-" + std::to_string(number),
                               "Connection: close\r\n"));
           caller.read_all();
@@ -156,6 +174,7 @@
     return total - runs_before_;
   }
 
+  const size_t routers_;
   std::atomic<bool> stopping_{false};
   std::thread heartbeats_;
   std::vector<uint16_t> ports_;
@@ -163,6 +182,17 @@
   std::deque<std::unique_ptr<BrittleBackend>> backends_;
 };
 
+class BrittleBackendTest : public BrittleFleet {
+ protected:
+  BrittleBackendTest() : BrittleFleet(3) {}
+};
+
+/// More routers than a backend has slots.
+class ManyRoutersBrittleBackendTest : public BrittleFleet {
+ protected:
+  ManyRoutersBrittleBackendTest() : BrittleFleet(12) {}
+};
+
 TEST_F(BrittleBackendTest, BackendsFallOverUnderMoreLoadThanTheyCanRun) {
   constexpr milliseconds kSpan{4000};
   warm_up();
@@ -191,5 +221,19 @@
   EXPECT_LE(falls(), kMaxFalls);
 }
 
+TEST_F(ManyRoutersBrittleBackendTest, BackendsFallOverUnderMoreLoadThanTheyCanRun) {
+  constexpr milliseconds kSpan{5000};
+  warm_up();
+  send_load(1.5, kSpan);
+  EXPECT_LE(falls(), kMaxFalls);
+}
+
+TEST_F(ManyRoutersBrittleBackendTest, BackendsFallOverUnderLessLoadThanTheyCanRun) {
+  constexpr milliseconds kSpan{5000};
+  warm_up();
+  send_load(0.85, kSpan);
+  EXPECT_LE(falls(), kMaxFalls);
+}
+
 }  // namespace
 }  // namespace stoat
