Lease the slots of brittle back ends to routers, so that all together never send more than there is room for

What callers saw: back ends of a service that said that they were brittle fell over again and again, and took all that ran there with them.

Cause: what a brittle back end has to reject is a sum over all routers, and nobody bounded the sum. The word stayed at the router that had the answer (64 of 147 logged rejections were at routers that did not know it), and a router that knew it sent one request as long as one slot was free by totals up to 0.15 s old (83 of 147). With more routers than slots, all did so at once. A rejection rested the back end at one router, and one that was back was taken for a new one that isn't brittle.

Ruled out: that a single router sends too much; in the log each had one or two requests there.

Change: the word travels to all routers and members as limits do (BrittleBackends, AnnouncementTable). A request that may go to brittle back ends only is sent under a lease of a slot that the leader grants (SlotIssuer, SlotLeases): routers report what they use, wait or had rejected, whole; the leader counts grants until they are reported, gives freed slots to the most urgent request that waits, denies at once what can't have one in time, begins with half of the slots and adds one at a time, and after a rejection stops for 1 s and stays below what was in use. A back end that hasn't answered yet counts as brittle while others of its service are. Without a leader a router sends one request at a time, to a back end that is at most half full.

Why it works: the number of routers is in none of the bounds while a leader grants.

--- a/src/control/fleet_feed.cc
+++ b/src/control/fleet_feed.cc
@@ -23,7 +23,8 @@
          loads_.totals().can_update_from(cursor.loads) &&
          caches_.statuses().can_update_from(cursor.statuses) &&
          caches_.shared_holdings().can_update_from(cursor.holdings) &&
-         limits_.limits().can_update_from(cursor.limits) &&
+         limits_.values().can_update_from(cursor.limits) &&
+         brittle_.values().can_update_from(cursor.brittle) &&
          crashes_.suspects().can_update_from(cursor.crashes);
 }
 
@@ -89,12 +90,19 @@
 }
 
 void FleetSoftState::add_limits(FeedCursor& cursor, fleet::FleetFeedUpdate& message) const {
-  cursor.limits = limits_.limits().visit_since(
+  cursor.limits = limits_.values().visit_since(
       cursor.limits, kLimitsPerMessage, [&](const std::string& backend, const double* per_second) {
         message.limits.push_back({backend, per_second == nullptr ? 0 : *per_second});
       });
 }
 
+void FleetSoftState::add_brittle(FeedCursor& cursor, fleet::FleetFeedUpdate& message) const {
+  cursor.brittle = brittle_.values().visit_since(
+      cursor.brittle, kLimitsPerMessage, [&](const std::string& backend, const double* rejections) {
+        message.brittle.push_back({backend, rejections == nullptr ? 0 : *rejections});
+      });
+}
+
 bool FleetSoftState::add_crashes(FeedCursor& cursor, fleet::FleetFeedUpdate& message, TimePoint now) const {
   cursor.crashes = crashes_.suspects().visit_since(
       cursor.crashes, kCrashRecordsPerMessage,
@@ -117,6 +125,7 @@
   add_quotas(cursor,
              message);  // first: without them, a router at the start of a feed does not meter any tenant
   add_limits(cursor, message);
+  add_brittle(cursor, message);
   // A starting router sends no requests before it knows which ones are quarantined. Loads and caches of a
   // backend are sent after the backend itself.
   if (add_crashes(cursor, message, now) && add_backends(cursor, message)) {
--- a/src/control/fleet_permits.cc
+++ b/src/control/fleet_permits.cc
@@ -24,7 +24,7 @@
   if (may_grant_permits()) {
     for (const fleet::PermitRequestItem& item : permit_request.items) {
       // After a change of leader, the router may know the limit before this member does.
-      const double per_second = soft_state_.limits().per_second(item.backend, item.per_second);
+      const double per_second = soft_state_.limits().value_or(item.backend, item.per_second);
       const admission::PermitGrant grant = permit_issuer_.issue(item.backend, per_second, item.count, now);
       answer.grants.push_back({item.backend, grant.count, to_milliseconds_up(grant.wait)});
       metrics_.count(grant.count > 0 ? "stoat_control_permits_total" : "stoat_control_permits_denied_total",
@@ -36,7 +36,7 @@
 
 void FleetServer::maintain_permits() {
   permit_issuer_.expire(loop_.now());
-  metrics_.set("stoat_control_limited_backends", static_cast<double>(soft_state_.limits().limits().size()));
+  metrics_.set("stoat_control_limited_backends", static_cast<double>(soft_state_.limits().values().size()));
 }
 
 }  // namespace stoat::control
--- a/src/control/fleet_routers.cc
+++ b/src/control/fleet_routers.cc
@@ -94,6 +94,7 @@
   track_member_changes();
   drop_silent_routers();
   maintain_permits();
+  maintain_slots();
   maintain_stream_records();
 }
 
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -228,6 +228,8 @@
     on_router_loads(channel, *loads);
   } else if (auto* permits = std::get_if<fleet::PermitRequest>(&message.value)) {
     on_permit_request(channel, *permits);
+  } else if (auto* slots = std::get_if<fleet::SlotReport>(&message.value)) {
+    on_slot_report(channel, *slots);
   } else if (auto* configuration_request = std::get_if<fleet::ConfigurationRequest>(&message.value)) {
     on_configuration_request(channel, *configuration_request);
   } else if (auto* records = std::get_if<fleet::StreamRecordBatch>(&message.value)) {
@@ -313,6 +315,7 @@
     if (leads) {
       soft_state_.clear_loading();
       permit_issuer_.start_leading(now);
+      slot_issuer_.start_leading(now);
     }
     log_.info(leads ? "leads" : "leads no more", {{"term", core_->replica().term()}});
     metrics_.set("stoat_control_leads", leads ? 1 : 0);
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "src/admission/permit_issuer.h"
+#include "src/admission/slot_issuer.h"
 #include "src/common/log.h"
 #include "src/common/metrics.h"
 #include "src/common/settings.h"
@@ -218,6 +219,14 @@
   bool may_grant_permits() const;
   void maintain_permits();
 
+  // fleet_slots.cc: leases of the slots of brittle backends
+  admission::SlotIssuer::BackendInfo slot_info(const std::string& backend) const;
+  void on_slot_report(const ChannelPtr& channel, const fleet::SlotReport& report);
+  /// Sends the grants and denials that are due, and an answer to `waiting_router` in any case if it is not
+  /// empty.
+  void send_slot_answers(const std::string& waiting_router);
+  void maintain_slots();
+
   // fleet_stream_records.cc: records of where streams began, kept for routers
   void on_stream_records(const ChannelPtr& channel, const fleet::StreamRecordBatch& batch);
   void on_stream_record_request(const ChannelPtr& channel, const fleet::StreamRecordRequest& request);
@@ -312,7 +321,9 @@
   TimePoint next_peer_update_{0};  ///< latest time for an update, even without changes
   CacheEventPoller cache_event_poller_;
   WeightRollout weight_rollout_;
-  admission::PermitIssuer permit_issuer_;                 ///< valid while this member leads
+  admission::PermitIssuer permit_issuer_;  ///< valid while this member leads
+  admission::SlotIssuer slot_issuer_{
+      [this](const std::string& backend) { return slot_info(backend); }};  ///< valid while this member leads
   std::map<uint64_t, RolloutProgress> rollout_progress_;  ///< by rollout id; only rollouts not yet final
   rollout::RouterConfirmations router_confirmations_;
   std::map<uint64_t, uint64_t> seen_steps_;  ///< by rollout id: newest step seen
--- a/src/control/fleet_soft_state.cc
+++ b/src/control/fleet_soft_state.cc
@@ -85,6 +85,7 @@
   quotas_.record_router_spending(loads.spending, now);
   answers_.on_router(loads);
   limits_.on_router(loads.limits);
+  brittle_.on_router(loads.brittle);
   crashes_.on_router(loads.crashes, now);
   if (following_routers_.count(loads.router) > 0) {
     loads_.set_router_loads(loads.router, loads.loads);
@@ -244,6 +245,7 @@
   }
   loads_.on_peer(peer_update.sender, peer_update.loads);
   limits_.on_peer(peer_update.limits);
+  brittle_.on_peer(peer_update.brittle);
   crashes_.on_peer(peer_update.crashes, now);
   for (const fleet::CacheChanges& changes : peer_update.caches) {
     caches_.apply(peer_update.sender, changes);
@@ -294,6 +296,11 @@
       limits_.forget(limit.backend);
     }
   }
+  for (const fleet::BrittleBackend& brittle : brittle_.all()) {
+    if (registry_.find(brittle.backend) == nullptr) {
+      brittle_.forget(brittle.backend);
+    }
+  }
 }
 
 fleet::PeerUpdate FleetSoftState::take_peer_update(uint64_t term, bool leads, TimePoint now) {
@@ -309,6 +316,7 @@
   peer_update.spending = quotas_.take_changed_sums();
   peer_update.answers = answers_.take_changes();
   peer_update.limits = limits_.take_changes();
+  peer_update.brittle = brittle_.take_changes();
   peer_update.crashes = crashes_.take_changes(now);
   for (const auto& [address, peer] : peers_) {
     if (!peer.complete) {
@@ -343,6 +351,7 @@
   peer_update.spending = quotas_.sums();
   peer_update.answers = answers_.own();
   peer_update.limits = limits_.all();
+  peer_update.brittle = brittle_.all();
   peer_update.crashes = crashes_.all(now);
   peer_update.windows = quotas_.windows(now);
   peer_update.quotas_age_ms = to_milliseconds(quotas_.age(now));
--- a/src/control/fleet_soft_state.h
+++ b/src/control/fleet_soft_state.h
@@ -5,6 +5,7 @@
 /// time and send the messages it returns.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <map>
 #include <set>
@@ -14,8 +15,8 @@
 
 #include "src/admission/quota_ledger.h"
 #include "src/common/time.h"
+#include "src/control/announcement_table.h"
 #include "src/control/assigned_caches.h"
-#include "src/control/backend_limit_table.h"
 #include "src/control/cache_assignment.h"
 #include "src/control/cache_event_poller.h"
 #include "src/control/cache_index.h"
@@ -53,13 +54,14 @@
   uint64_t quotas = 0;
   uint64_t limits = 0;
   uint64_t crashes = 0;
+  uint64_t brittle = 0;
   bool operator==(const FeedCursor&) const = default;
   bool operator<(const FeedCursor& other) const { return values() < other.values(); }
 
  private:
-  std::tuple<bool, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t, uint64_t> values()
-      const {
-    return {is_started, registry, loads, statuses, holdings, placements, quotas, limits, crashes};
+  std::array<uint64_t, 10> values() const {
+    return {is_started ? 1U : 0U, registry, loads,  statuses, holdings,
+            placements,           quotas,   limits, crashes,  brittle};
   }
 };
 
@@ -136,6 +138,7 @@
   const RouterDirectory& routers() const { return routers_; }
   const LoadAggregator& loads() const { return loads_; }
   const BackendLimitTable& limits() const { return limits_; }
+  const BrittleBackendTable& brittle() const { return brittle_; }
   const CacheIndex& caches() const { return caches_; }
   const admission::QuotaLedger& quotas() const { return quotas_; }
   /// Tenants for which metering has started or stopped since the last call.
@@ -180,8 +183,9 @@
   void add_placements(FeedCursor& cursor, fleet::FleetFeedUpdate& message) const;
   void add_quotas(FeedCursor& cursor, fleet::FleetFeedUpdate& message) const;
   void add_limits(FeedCursor& cursor, fleet::FleetFeedUpdate& message) const;
+  void add_brittle(FeedCursor& cursor, fleet::FleetFeedUpdate& message) const;
   bool add_crashes(FeedCursor& cursor, fleet::FleetFeedUpdate& message, TimePoint now) const;
-  /// Removes the rate limits of backends that are no longer registered.
+  /// Removes what backends have announced that are no longer registered.
   void expire_limits();
   /// True if the differences since `cursor` are still known; otherwise the feed must start from the
   /// beginning.
@@ -192,6 +196,7 @@
   RouterDirectory routers_;
   LoadAggregator loads_;
   BackendLimitTable limits_;
+  BrittleBackendTable brittle_;
   CrashAggregator crashes_;
   admission::QuotaLedger quotas_;
   rollout::AnswerAggregator answers_;
--- a/src/dispatch/active_request.cc
+++ b/src/dispatch/active_request.cc
@@ -10,6 +10,14 @@
 
 namespace stoat::dispatch {
 
+bool DispatchContext::serves_brittle(const std::string& service) const {
+  const std::vector<std::string> ids = brittle.ids();
+  return std::any_of(ids.begin(), ids.end(), [&](const std::string& id) {
+    const BackendPtr backend = pool.find(id);
+    return backend != nullptr && backend->record.service == service;
+  });
+}
+
 namespace {
 
 constexpr int kFirstServerError = 500;
@@ -64,6 +72,7 @@
   }
   event_free(timer_);
   leave_queue();
+  end_slot_wish();
   if (connection_ != nullptr) {
     connection_->close();
   }
@@ -148,6 +157,9 @@
   const TimePoint now = context_.loop.now();
   const Candidates found = find_candidates();
   request_candidate_permits(found);
+  if (send_with_slot(found)) {
+    return;
+  }
   if (!found.best_available().empty()) {
     admit(found.best_available());
     return;
@@ -160,8 +172,8 @@
     wait_for_permit(limited, "back ends take no more requests now");
     return;
   }
-  if (executed_ == Executed::kNo && !found.full.empty()) {
-    wait_for_room(found.full);
+  if (!found.brittle.empty()) {
+    wait_for_slot_lease(found.brittle);
     return;
   }
   if (executed_ == Executed::kNo && !found.backing_off.empty()) {
@@ -206,6 +218,7 @@
   }
   connection_ = nullptr;
   backend_ = nullptr;
+  context_.report_slots();
 }
 
 void ActiveRequest::note_activity() {
@@ -349,7 +362,7 @@
     ++runs_;
     executed_ = Executed::kMaybe;
     finish_exchange(true);
-    if (may_retry(false) && !candidates().empty()) {
+    if (may_retry(false) && find_candidates().any()) {
       context_.metrics.count("stoat_router_repeats_total");
       try_dispatch();
       return;
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -9,11 +9,13 @@
 #include <string>
 
 #include "src/admission/backend_limits.h"
+#include "src/admission/brittle_backends.h"
 #include "src/admission/crash_history.h"
 #include "src/admission/load_admission.h"
 #include "src/admission/quota_enforcer.h"
 #include "src/admission/request_queue.h"
 #include "src/admission/retry_scheduler.h"
+#include "src/admission/slot_leases.h"
 #include "src/common/log.h"
 #include "src/common/metrics.h"
 #include "src/common/random.h"
@@ -47,6 +49,8 @@
 /// tenant's priority times kRoutePriorities plus its route's priority, so the tenant's priority dominates.
 inline constexpr uint32_t kMaxUrgency = 9;
 inline constexpr uint32_t kRoutePriorities = 3;
+/// How often a request that waits for a slot checks again: a tenth of the age of the load reports of engines.
+inline constexpr Duration kSlotPollInterval = 20ms;
 
 /// Number of backends that a request is placed among. Large enough to serve a prompt prefix shared by a
 /// tenth of a large fleet's requests, while a router's work per request does not grow with the fleet.
@@ -96,6 +100,10 @@
   admission::BackendLimits limits = {};
   /// Asks the control plane for the permits that requests need (see BackendLimits::note_unmet_request).
   std::function<void()> request_permits = [] {};
+  admission::BrittleBackends brittle = {};
+  admission::SlotLeases slots = {};
+  /// Reports the slots that are used at brittle backends, and the requests that wait for one, to the leader.
+  std::function<void()> report_slots = [] {};
   admission::CrashHistory crashes{};
   /// Logs that the crash history of a request has changed. `request`: its fingerprint. `source`: the cause.
   std::function<void(uint64_t request, const char* source)> log_standing_change = [](uint64_t, const char*) {
@@ -104,6 +112,8 @@
   streams::StreamDirectory streams = {};
   rollout::AnswerCounter answers = {};  ///< responses of services with a rollout in progress
 
+  /// True if a known backend of the service is brittle.
+  bool serves_brittle(const std::string& service) const;
   delivery::RetryBudget& budget_of(const std::string& service) {
     return budgets.try_emplace(service, budget_options).first->second;
   }
@@ -200,9 +210,11 @@
     std::vector<BackendPtr> unhealthy;    ///< used only if none is usable
     std::vector<BackendPtr> limited;      ///< usable except for their rate limit
     std::vector<BackendPtr> backing_off;  ///< usable except that they asked for no requests for a while
-    std::vector<BackendPtr> full;         ///< usable except that they are brittle and nearly full
+    std::vector<BackendPtr> brittle;      ///< usable except that no slot there is leased to the request
     /// The usable backends, or the unhealthy ones if there are none.
     const std::vector<BackendPtr>& best_available() const { return usable.empty() ? unhealthy : usable; }
+    /// True if there are backends to which the request may be sent now, or once it has a slot.
+    bool any() const { return !best_available().empty() || !brittle.empty(); }
   };
   /// Searches a subset of the service's backends, and enlarges it while none in it has a free slot.
   Candidates find_candidates() const;
@@ -380,8 +392,19 @@
   /// Records that the brittle backend_ turned the request away. `was_known`: this router knew that it is
   /// brittle.
   void note_brittle_rejection(bool was_known);
-  /// Lets the request wait for room at one of these brittle backends, or refuses it if none has any in time.
-  void wait_for_room(const std::vector<BackendPtr>& full);
+  /// True if the backend is brittle, or may be: it has not answered yet, and others of its service are.
+  bool counts_as_brittle(const Backend& backend) const;
+  /// True if a request may be sent to a brittle backend although no leader grants leases.
+  bool may_send_without_lease(const Backend& backend) const;
+  /// True if the request may be sent to the backend only once a slot there is leased to it.
+  bool needs_slot(const Backend& backend) const;
+  /// Sends the request to the backend where a slot is leased to it. Returns false if there is none.
+  bool send_with_slot(const Candidates& found);
+  /// Lets the request wait for a slot at one of these backends, or refuses it if none is free in time.
+  void wait_for_slot_lease(const std::vector<BackendPtr>& brittle);
+  void add_slot_wish(const std::vector<BackendPtr>& brittle);
+  /// Ends the wait for a slot, and returns one that is leased but not used.
+  void end_slot_wish();
   /// Applies the Retry-After of a backend that refused the request with 503.
   void apply_backoff(const http1::Headers& headers);
   /// Lets the request wait for the first of these backends whose backoff ends, or refuses it if that is too
@@ -459,6 +482,8 @@
   edge::ResponseHead head_;
   std::string body_;
   delivery::EventSplitter splitter_;
+  uint64_t slot_wish_ = 0;                ///< in DispatchContext::slots; 0: none
+  TimePoint slot_wait_until_{0};          ///< how long the request waits for a slot at a brittle backend
   bool trial_permit_used_ = false;        ///< the current attempt used a permit and has not returned it
   bool paused_ = false;                   ///< the caller reads too slowly; the backend is not read
   bool streaming_ = false;                ///< the response head has been sent to the caller
--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -195,6 +195,14 @@
   return loads;
 }
 
+uint32_t BackendPool::own_outstanding(const std::string& service) const {
+  uint32_t total = 0;
+  for (const auto& [id, backend] : busy_) {
+    total += backend->record.service == service ? backend->outstanding : 0;
+  }
+  return total;
+}
+
 LinkPath BackendPool::path_to(const Backend& backend) const {
   return links_.prefers_relay(backend.record.id) && relays_.usable(loop_.now()) ? LinkPath::kRelayed
                                                                                 : LinkPath::kDirect;
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -79,21 +79,13 @@
   bool outcome_check_pending = false;  ///< a health check is running or the next probe is scheduled
   bool ended_unexpectedly = false;     ///< the control plane reported it gone, and it had not deregistered
   PathActivity& activity(bool is_relayed) { return is_relayed ? relayed : direct; }
-  bool brittle = false;         ///< it falls over when it has to turn a few requests away in a second
+  bool answered = false;        ///< this router has had an answer from it
   uint32_t dropped_probes = 0;  ///< connections of the current check that were closed at once
 
   bool has_free_slot() const {
     return record.slots == 0 ||  // unknown
            outstanding + others_outstanding < record.slots;
   }
-  /// True if one more request is unlikely to be turned away for want of room, whatever the other routers send
-  /// before this one hears of it: this router uses less than its share of the slots, or one slot is left for
-  /// each other router.
-  bool surely_has_room(uint32_t routers) const {
-    const uint32_t all = outstanding + others_outstanding;
-    const uint32_t share = std::max(1U, record.slots / std::max(1U, routers));
-    return has_free_slot() && (record.slots == 0 || outstanding < share || all + routers <= record.slots);
-  }
 };
 
 /// The backends that this router knows, by id and by service, with their connections and load.
@@ -144,6 +136,8 @@
   void end_request(const BackendPtr& backend);
   /// Loads of backends with own requests in progress, to be published to the other routers.
   std::vector<fleet::BackendLoad> own_loads() const;
+  /// Number of own requests in progress at backends of a service.
+  uint32_t own_outstanding(const std::string& service) const;
 
   /// Returns an idle connection or a new one; nullptr if no socket could be created.
   std::shared_ptr<BackendConnection> take_connection(const BackendPtr& backend);
--- a/src/dispatch/request_admission.cc
+++ b/src/dispatch/request_admission.cc
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// How often a request that waits for a slot checks again: a tenth of the age of the load reports of engines.
-constexpr Duration kSlotPollInterval = 20ms;
 /// Assumed wait for a Retry-After when a request could not be placed although engines seem to have room.
 constexpr Duration kUnknownWaitRetryAfter = 500ms;
 constexpr double kMillisecondsPerSecond = 1000;
--- a/src/dispatch/request_brittle.cc
+++ b/src/dispatch/request_brittle.cc
@@ -1,4 +1,6 @@
-/// ActiveRequest: backends that fall over when they have to turn more than a few requests away in a second.
+/// ActiveRequest: backends that fall over when they have to reject more than a few requests in a second. They
+/// are sent only requests for which the leader of the control plane has leased one of their slots.
+#include <algorithm>
 #include <utility>
 
 #include "src/dispatch/active_request.h"
@@ -9,9 +11,14 @@
 
 namespace {
 
-/// How long this router sends nothing to a brittle backend that has refused a request. After that it sends
+/// How long this router sends nothing to a brittle backend that has rejected a request. After that it sends
 /// one request, and others once that was accepted.
-constexpr Duration kBackoffAfterRefusal = 1s;
+constexpr Duration kBackoffAfterRejection = 1s;
+/// A backend of a service with brittle ones counts as brittle until it has answered, for this long at most.
+/// It may be one that fell over and is back.
+constexpr Duration kPresumedBrittle = 5s;
+/// Number of backends at any of which a request asks for a slot.
+constexpr size_t kMaxWishedBackends = 16;
 
 }  // namespace
 
@@ -28,14 +35,18 @@
   }
   // A brittle backend that can't be understood is still brittle.
   const bool brittle = reading.kind != NumberReading::Kind::kNone;
-  if (brittle != backend_->brittle && context_.request_log_sampler.reserve_lines(1, "brittle backend", now)) {
+  const bool was_known = context_.brittle.contains(backend);
+  const bool changed = brittle ? context_.brittle.record_announcement(backend, reading.value, now)
+                               : context_.brittle.record_response_without(backend, sent_at_);
+  if (changed && context_.request_log_sampler.reserve_lines(1, "brittle backend", now)) {
     context_.request_log_sampler.log().event(
-        events::BackendBrittleChanged{backend, brittle, reading.value, reading.finding});
+        events::BackendBrittleChanged{backend, brittle, reading.value, reading.finding, "answer"});
   }
-  const bool was_known = std::exchange(backend_->brittle, brittle);
+  backend_->answered = true;
   if (brittle && kind_ == ResponseKind::kNotRun) {
     note_brittle_rejection(was_known);
-    backend_->backoff.begin(now + kBackoffAfterRefusal);
+    context_.slots.note_rejection(backend);
+    backend_->backoff.begin(now + kBackoffAfterRejection);
   }
 }
 
@@ -51,14 +62,94 @@
   }
 }
 
-void ActiveRequest::wait_for_room(const std::vector<BackendPtr>& full) {
-  if (context_.loop.now() < wait_deadline_) {
-    schedule_poll();
+bool ActiveRequest::counts_as_brittle(const Backend& backend) const {
+  if (context_.brittle.contains(backend.record.id)) {
+    return true;
+  }
+  const bool unheard = !backend.answered && context_.loop.now() - backend.listed_at < kPresumedBrittle;
+  return unheard && context_.serves_brittle(plan_.service);
+}
+
+bool ActiveRequest::may_send_without_lease(const Backend& backend) const {
+  // The routers together then send no more than one request each. Half of the slots is left for those of
+  // which this router has not heard yet.
+  const uint32_t known = backend.outstanding + backend.others_outstanding;
+  return !context_.slots.grants_expected(context_.loop.now()) && known <= backend.record.slots / 2 &&
+         context_.pool.own_outstanding(plan_.service) == 0;
+}
+
+bool ActiveRequest::needs_slot(const Backend& backend) const {
+  return !context_.brittle.empty() && counts_as_brittle(backend) &&
+         context_.slots.outcome(slot_wish_).backend != backend.record.id && !may_send_without_lease(backend);
+}
+
+bool ActiveRequest::send_with_slot(const Candidates& found) {
+  const std::string leased = context_.slots.outcome(slot_wish_).backend;
+  if (leased.empty()) {
+    return false;
+  }
+  const std::vector<BackendPtr>& usable = found.best_available();
+  const auto target = std::find_if(usable.begin(), usable.end(),
+                                   [&](const BackendPtr& backend) { return backend->record.id == leased; });
+  if (target == usable.end()) {
+    end_slot_wish();
+    return false;
+  }
+  leave_queue();
+  dispatch({*target});
+  return true;
+}
+
+void ActiveRequest::wait_for_slot_lease(const std::vector<BackendPtr>& brittle) {
+  const TimePoint now = context_.loop.now();
+  if (slot_wish_ == 0) {
+    add_slot_wish(brittle);
+  }
+  const admission::SlotOutcome outcome = context_.slots.outcome(slot_wish_);
+  if (!outcome.wait && now < slot_wait_until_) {
+    waiting_ = true;
+    arm_timer(std::min(slot_wait_until_, now + kSlotPollInterval));
+    return;
+  }
+  end_slot_wish();
+  if (executed_ != Executed::kNo) {
+    fail_request("no back end");
     return;
   }
   context_.metrics.count("stoat_router_load_refusals_total", {{"route", plan_.route->name}});
   reply_with_error(kUnavailable, "brittle back ends are full",
-                   to_seconds(compute_retry_after(outlook(full).wait)));
+                   to_seconds(compute_retry_after(outcome.wait.value_or(outlook(brittle).wait))));
+}
+
+void ActiveRequest::add_slot_wish(const std::vector<BackendPtr>& brittle) {
+  const TimePoint now = context_.loop.now();
+  slot_wait_until_ =
+      std::min(deadline_, std::max(wait_deadline_, now + context_.admission_thresholds.max_router_wait));
+  std::vector<BackendPtr> preferred = brittle;
+  std::stable_partition(preferred.begin(), preferred.end(),
+                        [](const BackendPtr& backend) { return backend->has_free_slot(); });
+  preferred.resize(std::min(preferred.size(), kMaxWishedBackends));
+  admission::SlotWish wish;
+  wish.urgency = urgency();
+  wish.wait_until = slot_wait_until_;
+  for (const BackendPtr& backend : preferred) {
+    wish.backends.push_back(backend->record.id);
+  }
+  const std::weak_ptr<ActiveRequest> weak = weak_from_this();
+  const auto on_outcome = [weak] {
+    if (const auto request = weak.lock(); request != nullptr && request->waiting_) {
+      request->try_dispatch();
+    }
+  };
+  slot_wish_ = context_.slots.add_wish(std::move(wish), on_outcome);
+  context_.report_slots();
+}
+
+void ActiveRequest::end_slot_wish() {
+  if (slot_wish_ != 0) {
+    context_.slots.remove_wish(std::exchange(slot_wish_, 0));
+    context_.report_slots();
+  }
 }
 
 }  // namespace stoat::dispatch
--- a/src/dispatch/request_candidates.cc
+++ b/src/dispatch/request_candidates.cc
@@ -67,9 +67,9 @@
       }
       continue;
     }
-    if (backend->brittle && !backend->surely_has_room(context_.router_count)) {
+    if (needs_slot(*backend)) {
       if (sound) {
-        candidates.full.push_back(backend);
+        candidates.brittle.push_back(backend);
       }
       continue;
     }
--- a/src/dispatch/request_crashes.cc
+++ b/src/dispatch/request_crashes.cc
@@ -73,7 +73,7 @@
 }
 
 void ActiveRequest::note_broken_exchange(const BackendPtr& backend) {
-  if (backend->brittle) {
+  if (counts_as_brittle(*backend)) {
     return;  // it falls over under load, which is no request's fault
   }
   const TimePoint now = context_.loop.now();
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -236,7 +236,8 @@
   if (suspected()) {
     return "back ends crashed under it";
   }
-  if (!context_.limits.may_send(backup_->record.id, context_.loop.now())) {
+  const bool has_room = !counts_as_brittle(*backup_) || may_send_without_lease(*backup_);
+  if (!has_room || !context_.limits.may_send(backup_->record.id, context_.loop.now())) {
     return "the engine with the copy takes no more requests now";
   }
   return nullptr;
@@ -266,6 +267,7 @@
   const TimePoint now = context_.loop.now();
   const auto connection = context_.pool.take_connection(backend);
   tried_.insert(backend->record.id);
+  end_slot_wish();
   if (connection != nullptr) {
     spend_permit(*backend);
     spend_trial();
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -161,11 +161,13 @@
   bool brittle = false;
   double rejections_per_second = 0;  ///< that it can turn away
   std::string finding;               ///< what is wrong with the number; empty: nothing
+  const char* source = "";           ///< an "answer" to this router, or "control"
   std::vector<LogField> fields() const {
     return {{"backend", backend},
             {"brittle", brittle},
             {"rejections_per_second", rejections_per_second},
-            {"finding", finding}};
+            {"finding", finding},
+            {"source", source}};
   }
 };
 
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -12,6 +12,7 @@
 #include "src/fleet/fleet_state.h"
 #include "src/fleet/protocol_version.h"
 #include "src/fleet/service_rollout.h"
+#include "src/fleet/slot_lease.h"
 #include "src/fleet/stream_record.h"
 
 namespace stoat::fleet {
@@ -75,8 +76,9 @@
   std::vector<BackendLimit> limits = {};  ///< announced or withdrawn since the previous message
   std::vector<CrashRecord> crashes =
       {};  ///< observed, or cleared by a successful end, since the previous message
+  std::vector<BrittleBackend> brittle = {};  ///< announced or withdrawn since the previous message
   MSGPACK_DEFINE_ARRAY(router, loads, unreachable, spending, spending_sequence, start_id,
-                       answers_are_complete, answers, limits, crashes)
+                       answers_are_complete, answers, limits, crashes, brittle)
 };
 
 /// The KV cache of a chain of prompt parts is present at a backend or KV store.
@@ -193,11 +195,12 @@
   std::vector<QuotaLevel> quotas = {};    ///< changed levels; tenants that were never listed are not metered
   std::vector<BackendLimit> limits = {};  ///< changed limits
   std::vector<CrashRecord> crashes = {};  ///< changed records of requests with more than one crash
+  std::vector<BrittleBackend> brittle = {};  ///< that have become brittle, or are no longer
   MSGPACK_DEFINE_ARRAY(starts_full_state, complete, backends, gone, loads, caches, placements, quotas, limits,
-                       crashes)
+                       crashes, brittle)
   bool empty() const {
     return !starts_full_state && backends.empty() && gone.empty() && loads.empty() && caches.empty() &&
-           placements.empty() && quotas.empty() && limits.empty() && crashes.empty();
+           placements.empty() && quotas.empty() && limits.empty() && crashes.empty() && brittle.empty();
   }
 };
 
@@ -269,15 +272,17 @@
   std::vector<BackendLimit> limits = {};      ///< reported by the sender's routers; with the full state: all
   std::vector<CrashRecord> crashes = {};      ///< the same for crashes
   ProtocolVersion protocol_version = 0;
+  std::vector<BrittleBackend> brittle = {};  ///< the same as `limits` for brittle backends
   MSGPACK_DEFINE_ARRAY(sender, zone, term, leads, number, is_full_state, incomplete, heartbeats, routers,
                        loads, caches, placements, shared_parts, unreachable, engines, weights, start_id,
                        spending, windows, quotas_age_ms, compact_heartbeats, record_requests, answers,
-                       applied, rollout_ages, limits, crashes, protocol_version)
+                       applied, rollout_ages, limits, crashes, protocol_version, brittle)
   bool empty() const {
     return !is_full_state && incomplete.empty() && heartbeats.empty() && routers.empty() && loads.empty() &&
            caches.empty() && placements.empty() && shared_parts.empty() && unreachable.empty() &&
            engines.empty() && spending.empty() && compact_heartbeats.empty() && record_requests.empty() &&
-           answers.empty() && applied.empty() && rollout_ages.empty() && limits.empty() && crashes.empty();
+           answers.empty() && applied.empty() && rollout_ages.empty() && limits.empty() && crashes.empty() &&
+           brittle.empty();
   }
 };
 
--- a/src/fleet/protocol_version.h
+++ b/src/fleet/protocol_version.h
@@ -23,7 +23,10 @@
 /// From this version on, members keep records of streams for routers.
 inline constexpr ProtocolVersion kFirstStreamRecordVersion = 4;
 
+/// From this version on, leaders lease the slots of brittle backends to routers.
+inline constexpr ProtocolVersion kFirstSlotLeaseVersion = 5;
+
 /// The version that this build speaks.
-inline constexpr ProtocolVersion kProtocolVersion = kFirstStreamRecordVersion;
+inline constexpr ProtocolVersion kProtocolVersion = kFirstSlotLeaseVersion;
 
 }  // namespace stoat::fleet
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -201,9 +201,9 @@
   return member != members_.end() && member->second.channel != nullptr && member->second.channel->open();
 }
 
-bool ControlLink::leader_grants_permits() const {
+bool ControlLink::leader_speaks(fleet::ProtocolVersion version) const {
   const auto leader = members_.find(leader_address_);
-  return has_leader() && leader->second.protocol_version >= fleet::kFirstStatedVersion;
+  return has_leader() && leader->second.protocol_version >= version;
 }
 
 bool ControlLink::send_to(const std::string& address, const wire::Message& message) {
@@ -257,6 +257,13 @@
     on_permit_answer_(*permit_answer);
     return;
   }
+  if (const auto* slots = std::get_if<fleet::SlotAnswer>(&message.value)) {
+    found->second.last_message_at = loop_.now();
+    if (address == leader_address_) {
+      on_slot_answer_(*slots);
+    }
+    return;
+  }
   if (const auto* stored = std::get_if<fleet::StreamRecordBatchResponse>(&message.value)) {
     found->second.last_message_at = loop_.now();
     stream_records_.on_stored(address, *stored);
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -59,6 +59,7 @@
   using FeedUpdateHandler = std::function<void(const fleet::FleetFeedUpdate&)>;
   using StatusProvider = std::function<fleet::RouterStatus()>;
   using ConfigurationHandler = std::function<void(const std::shared_ptr<const fleet::FleetConfiguration>&)>;
+  using SlotAnswerHandler = std::function<void(const fleet::SlotAnswer&)>;
   using PermitHandler = std::function<void(const fleet::PermitResponse&)>;
 
   ControlLink(EventLoop& loop, ControlLinkOptions options, StatusProvider make_status,
@@ -99,6 +100,8 @@
   bool has_feed_member() const;
   /// Sets the handler for the leader's responses to permit requests.
   void set_permit_handler(PermitHandler handler) { on_permit_answer_ = std::move(handler); }
+  /// Sets the handler for the leader's answers to reports of slots.
+  void set_slot_handler(SlotAnswerHandler handler) { on_slot_answer_ = std::move(handler); }
   /// Sets the handlers for records of streams, which members keep.
   void set_stream_record_handlers(StreamRecordHandlers handlers) { stream_records_ = std::move(handlers); }
   /// Sends a message to a member. Returns false if there is no open connection to it.
@@ -108,7 +111,9 @@
   /// Returns true while a leader with an open connection is known.
   bool has_leader() const { return connected_to(leader_address_); }
   /// Returns true while the known leader answers permit requests.
-  bool leader_grants_permits() const;
+  bool leader_grants_permits() const { return leader_speaks(fleet::kFirstStatedVersion); }
+  /// Returns true while a leader with an open connection is known and speaks this version of the protocol.
+  bool leader_speaks(fleet::ProtocolVersion version) const;
   /// Sends a message to the member that last reported that it leads. Returns false when there is none.
   bool send_to_leader(const wire::Message& message) { return send_to(leader_address_, message); }
   /// Sets the handler for messages that could not be decoded.
@@ -167,6 +172,7 @@
   };
   ConfigurationHandler on_configuration_ = [](const std::shared_ptr<const fleet::FleetConfiguration>&) {};
   StreamRecordHandlers stream_records_;
+  SlotAnswerHandler on_slot_answer_ = [](const fleet::SlotAnswer&) {};
   PermitHandler on_permit_answer_ = [](const fleet::PermitResponse&) {};
   Logger log_{"link"};
   std::shared_ptr<wire::TrafficMeter> traffic_ = std::make_shared<wire::TrafficMeter>();
--- a/src/gateway/gateway_feed.cc
+++ b/src/gateway/gateway_feed.cc
@@ -39,6 +39,7 @@
     }
   }
   apply_limits(feed_update.limits);
+  apply_brittle(feed_update.brittle);
   merge_crash_records(feed_update.crashes);
   for (const fleet::BackendLoad& load : feed_update.loads) {
     pool_.set_total_load(load);
@@ -88,6 +89,16 @@
   }
 }
 
+void GatewayServer::apply_brittle(const std::vector<fleet::BrittleBackend>& announcements) {
+  for (const fleet::BrittleBackend& announcement : announcements) {
+    const bool changed = context_.brittle.apply_shared(announcement, loop_.now());
+    if (changed && request_log_sampler_.reserve_lines(1, "brittle backend", loop_.now())) {
+      log_.event(events::BackendBrittleChanged{announcement.backend, announcement.rejections_per_second > 0,
+                                               announcement.rejections_per_second, "", "control"});
+    }
+  }
+}
+
 void GatewayServer::request_permits() {
   if (std::exchange(permit_request_pending_, true)) {
     return;
@@ -108,13 +119,15 @@
   pool_.remove(id);
   context_.streams.remove_backend(id);
   context_.limits.forget(id);
+  context_.brittle.forget(id);
 }
 
 void GatewayServer::report_loads() {
   std::vector<fleet::BackendLoad> loads = pool_.own_loads();
   if (loads_reported_ && loads == reported_loads_ && unreported_unreachable_.empty() &&
       !context_.quotas.has_unreported() && !context_.answers.has_changes() &&
-      !context_.limits.has_unreported() && !context_.crashes.has_changes()) {
+      !context_.limits.has_unreported() && !context_.brittle.has_unreported() &&
+      !context_.crashes.has_changes()) {
     return;
   }
   fleet::RouterLoads message{settings_.name, loads, {}};
@@ -132,6 +145,7 @@
     message.crashes = context_.crashes.all(loop_.now());
   }
   message.limits = context_.limits.take_unreported(!loads_reported_);
+  message.brittle = context_.brittle.take_unreported(!loads_reported_);
   message.answers = loads_reported_ ? context_.answers.take_changes() : context_.answers.take_all();
   if (control_link_.send_to_feed_member(message)) {
     loads_reported_ = true;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -117,6 +117,7 @@
   context_.admission_thresholds.max_useful_engine_queue = settings.useful_engine_queue;
   context_.max_retry_after = settings.longest_retry_after;
   configure_links();
+  configure_slots();
   configure_streams();
   pool_.set_probe_handler([this](const dispatch::BackendPtr& backend, dispatch::ProbeResult result) {
     on_probe_ended(backend, result);
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -95,6 +95,16 @@
   void apply_limits(const std::vector<fleet::BackendLimit>& limits);
   /// Requests permits from the leader, once for all requests of one loop iteration.
   void request_permits();
+  void apply_brittle(const std::vector<fleet::BrittleBackend>& announcements);
+
+  // gateway_slots.cc: leases of the slots of brittle backends
+  void configure_slots();
+  /// Own requests at backends of services that have brittle ones.
+  std::vector<fleet::SlotUse> slots_in_use() const;
+  /// Sends a report after what is being handled now.
+  void schedule_slot_report();
+  void send_slot_report();
+
   void record_placement(const fleet::ChainPlacement& placement);
   void apply_cache_changes(const fleet::CacheChanges& changes);
   /// Reports this router's load on each backend to the feed member, if it has changed.
@@ -219,6 +229,7 @@
   ControlLink control_link_;
   edge::EdgeServer edge_;
   std::unique_ptr<relay::RelayServer> relay_server_;  ///< nullptr: this router does not relay
+  bool slot_report_pending_ = false;                  ///< a report of slots is about to be sent
   bool permit_request_pending_ = false;               ///< a permit request is about to be sent
   bool stopping_ = false;
   TimePoint stop_started_at_{0};
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -58,7 +58,8 @@
                   Alternative<31, fleet::PermitResponse>, Alternative<32, fleet::ConfigurationRequest>,
                   Alternative<33, fleet::ConfigurationPart>, Alternative<34, fleet::StreamRecordBatch>,
                   Alternative<35, fleet::StreamRecordBatchResponse>,
-                  Alternative<36, fleet::StreamRecordRequest>, Alternative<37, fleet::StreamRecordResponse>>;
+                  Alternative<36, fleet::StreamRecordRequest>, Alternative<37, fleet::StreamRecordResponse>,
+                  Alternative<38, fleet::SlotReport>, Alternative<39, fleet::SlotAnswer>>;
 
 }  // namespace stoat::wire
 
--- a/tests/unit/brittle_backend_test.cc
+++ b/tests/unit/brittle_backend_test.cc
@@ -115,6 +115,8 @@
     if (heartbeats_.joinable()) {
       heartbeats_.join();
     }
+    RecordProperty("falls", static_cast<int>(falls()));
+    RecordProperty("runs", static_cast<int>(runs()));
   }
   /// The id of a backend's current incarnation.
   std::string id_of(size_t number) const {
@@ -235,5 +237,15 @@
   EXPECT_LE(falls(), kMaxFalls);
 }
 
+TEST_F(ManyRoutersBrittleBackendTest, BackendsIdleUnderMoreLoadThanTheyCanRun) {
+  constexpr milliseconds kSpan{5000};
+  constexpr double kMinUse = 0.8;
+  warm_up();
+  send_load(1.5, kSpan);
+  const double can_run = static_cast<double>(kSpan.count()) / BrittleBackend::kRunTime.count() *
+                         BrittleBackend::kSlots * kBackends;
+  EXPECT_GE(static_cast<double>(runs()), kMinUse * can_run) << runs() << " of " << can_run;
+}
+
 }  // namespace
 }  // namespace stoat
