Log the shared parts of prompts with each request

Whether engines crash by themselves or under requests with a part in common could not be told: the parts of a prompt were in no log line, and fingerprints cover the whole request. `request accepted` names the features of the parts that requests can share (`parts`), the same whoever sends them. Fingerprints of whole requests have their highest bit clear and features of parts have it set, so that both can stand in one table. No decision changes, but for that bit.

--- a/src/dispatch/request_fingerprint.cc
+++ b/src/dispatch/request_fingerprint.cc
@@ -5,6 +5,9 @@
 #include <cstring>
 #include <stdexcept>
 
+#include "src/common/hash.h"
+#include "src/fleet/crash_record.h"
+
 namespace stoat::dispatch {
 
 namespace {
@@ -29,7 +32,7 @@
     crypto_generichash_final(&state_, digest, sizeof(digest));
     uint64_t value = 0;
     std::memcpy(&value, digest, sizeof(value));
-    return value;
+    return value & ~fleet::kPartFeature;
   }
 
  private:
@@ -49,4 +52,12 @@
   return hash.finish();
 }
 
+std::vector<uint64_t> part_features(const std::string& model, const std::vector<PromptPart>& parts) {
+  std::vector<uint64_t> features;
+  for (size_t position = 0; position + 1 < parts.size(); ++position) {
+    features.push_back(hash_pair(hash_bytes(model), parts[position].id) | fleet::kPartFeature);
+  }
+  return features;
+}
+
 }  // namespace stoat::dispatch
--- a/src/dispatch/request_fingerprint.h
+++ b/src/dispatch/request_fingerprint.h
@@ -4,7 +4,9 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "src/dispatch/request_fields.h"
 #include "src/edge/edge_request.h"
 
 namespace stoat::dispatch {
@@ -15,4 +17,8 @@
 /// fails to start.
 uint64_t request_fingerprint(const edge::EdgeRequest& request, std::string_view caller);
 
+/// Returns a key for each part of a prompt that requests can share, which are all but the last. It identifies
+/// the part whoever sends it. `model`: name of the model that reads the prompt.
+std::vector<uint64_t> part_features(const std::string& model, const std::vector<PromptPart>& parts);
+
 }  // namespace stoat::dispatch
--- a/src/events/request_events.h
+++ b/src/events/request_events.h
@@ -21,6 +21,7 @@
   std::string fingerprint = {};  ///< the same for a request that is repeated under another id
   std::string resumes = {};      ///< id of the attempt that began the stream; empty: not stated
   int64_t last_event_id = -1;    ///< of the event after which the stream is to be resumed; -1: from the start
+  std::string parts = {};        ///< features of the prompt's parts that other requests may share
   std::vector<LogField> fields() const {
     return {{"route", route},
             {"service", service},
@@ -30,7 +31,8 @@
             {"prompt_tokens", prompt_tokens},
             {"fingerprint", fingerprint},
             {"resumes", resumes},
-            {"last_event_id", last_event_id}};
+            {"last_event_id", last_event_id},
+            {"parts", parts}};
   }
 };
 
--- a/src/fleet/crash_record.h
+++ b/src/fleet/crash_record.h
@@ -8,6 +8,9 @@
 
 namespace stoat::fleet {
 
+/// Set in the features of prompt parts, and not in the fingerprints of whole requests.
+inline constexpr uint64_t kPartFeature = uint64_t{1} << 63U;
+
 /// A confirmed or suspected crash of one backend.
 struct CrashReport {
   std::string backend;       ///< id of the incarnation
