Hold crashes against the shared parts of prompts, not only against whole requests

Cause: what was recognised was the hash of the whole request. Requests that are never alike begin at nought each time; the parts of their prompts played no role in suspicion.

Ruled out: routers that forget at their start (the same crashes at the others); crashes without a common part (in the tests there are none).

Change: the history of crashes is kept of features: the whole request, and each part of its prompt that requests can share. Good ends clear every feature of the request. For parts only confirmed crashes count, of requests whose answer was not under way for a second already, and those at one moment count once; from the second on requests with the part go one at a time over the fleet, and they are held back for 3 s, 6 s and 120 s from the third, fourth and fifth. One history and one way through the fleet for both kinds.

Why it works: a deadly part has no good end, so nothing clears it, whoever sends it; what sound requests share is cleared by them.

--- a/src/admission/crash_history.cc
+++ b/src/admission/crash_history.cc
@@ -23,6 +23,13 @@
 constexpr Duration kRetention = 2 * kMaxQuarantine;
 /// Used instead of kRetention for requests without a confirmed crash.
 constexpr Duration kUnconfirmedRetention = 2 * kUnconfirmedCrashTimeout;
+/// Quarantine of a part of prompts at the first number of crashes for which there is one. It doubles with
+/// each further crash.
+constexpr Duration kFirstPartQuarantine = 3s;
+/// Number of crashes from which a part of prompts is quarantined for as long as a request.
+constexpr uint32_t kPartQuarantineCrashes = 5;
+
+bool is_part(uint64_t feature) { return (feature & fleet::kPartFeature) != 0; }
 
 }  // namespace
 
@@ -86,6 +93,36 @@
   return counts;
 }
 
+CrashHistory::CrashCount CrashHistory::count_part_crashes(const Entry& entry) {
+  std::vector<TimePoint> confirmed;
+  for (const auto& [backend, crash] : entry.crashes) {
+    if (crash.evidence == Evidence::kCrashed) {
+      confirmed.push_back(crash.observed_at);
+    }
+  }
+  std::sort(confirmed.begin(), confirmed.end());
+  CrashCount counts;
+  for (const TimePoint at : confirmed) {
+    if (counts.confirmed == 0 || at - counts.last_confirmed > kSimultaneousCrashWindow) {
+      ++counts.confirmed;
+      counts.last_confirmed = at;
+    }
+  }
+  return counts;
+}
+
+CrashHistory::CrashCount CrashHistory::count_crashes(uint64_t feature, const Entry& entry, TimePoint now) {
+  return is_part(feature) ? count_part_crashes(entry) : count_crashes(entry, now);
+}
+
+Duration CrashHistory::quarantine(uint64_t feature, uint32_t crashes) const {
+  if (is_part(feature) && crashes < kPartQuarantineCrashes) {
+    return kFirstPartQuarantine * (1 << (crashes - options_.crashes));
+  }
+  const uint32_t from = is_part(feature) ? kPartQuarantineCrashes : options_.crashes;
+  return std::min(kMaxQuarantine, options_.first * (1 << (crashes - from)));
+}
+
 bool CrashHistory::make_room(TimePoint now) {
   for (size_t examined = 0; examined < kMaxExaminedEntries && !insertion_order_.empty(); ++examined) {
     const uint64_t oldest = insertion_order_.front();
@@ -94,7 +131,7 @@
     if (entry == entries_.end()) {
       continue;
     }
-    if (count_crashes(entry->second, now).total() < kSuspectCrashes) {
+    if (count_crashes(oldest, entry->second, now).total() < kSuspectCrashes) {
       entries_.erase(entry);
       changed_.erase(oldest);
       return true;
@@ -164,7 +201,7 @@
 
 uint32_t CrashHistory::crashes(uint64_t request, TimePoint now) const {
   const auto known = entries_.find(request);
-  return known == entries_.end() ? 0 : count_crashes(known->second, now).total();
+  return known == entries_.end() ? 0 : count_crashes(request, known->second, now).total();
 }
 
 StandingReason CrashHistory::standing(uint64_t request, TimePoint now) const {
@@ -173,12 +210,10 @@
     return {};
   }
   StandingReason reason;
-  const CrashCount counts = count_crashes(known->second, now);
+  const CrashCount counts = count_crashes(request, known->second, now);
   reason.crashes = counts.total();
   if (counts.confirmed >= options_.crashes) {
-    const Duration duration =
-        std::min(kMaxQuarantine, options_.first * (1 << (counts.confirmed - options_.crashes)));
-    reason.left = std::max(Duration(0), counts.last_confirmed + duration - now);
+    reason.left = std::max(Duration(0), counts.last_confirmed + quarantine(request, counts.confirmed) - now);
   }
   if (counts.total() >= options_.crashes && counts.unconfirmed > 0) {
     reason.left = std::max(reason.left, counts.last_unconfirmed + kUnconfirmedCrashTimeout - now);
--- a/src/admission/crash_history.h
+++ b/src/admission/crash_history.h
@@ -2,6 +2,11 @@
 /// request that the backend was processing. A request that itself causes crashes stands out by being involved
 /// each time and never completing successfully. Performs no I/O.
 ///
+/// The cause may also be a part of the prompt that requests share although they are never alike. What is
+/// tracked are therefore features: the fingerprint of a whole request, and each shared part of its prompt
+/// (dispatch::part_features). A feature is cleared by every successful completion of a request that has it,
+/// so parts that sound requests share are cleared again and again.
+///
 /// A crash is identified by the incarnation of the backend, so it counts once regardless of who reports it
 /// and how often. One successful completion clears a request of all its earlier crashes. An exchange that
 /// broke off counts as an unconfirmed crash until the backend is known to have crashed or survived, or until
@@ -22,6 +27,10 @@
 
 namespace stoat::admission {
 
+/// Crashes of one part of prompts that are observed within this time count as one: an event outside the
+/// requests, such as a power loss, takes many backends at once.
+inline constexpr Duration kSimultaneousCrashWindow = 300ms;
+
 /// Number of crashes from which a request is sent to only one backend at a time.
 inline constexpr uint32_t kSuspectCrashes = 2;
 
@@ -32,7 +41,8 @@
 /// silent backend as lost within this time.
 inline constexpr Duration kUnconfirmedCrashTimeout = 6s;
 
-/// When and for how long requests are quarantined.
+/// When and for how long requests are quarantined. A part of prompts is quarantined for longer from each of
+/// these crashes on, since an innocent part is found at crashes more easily than an innocent request.
 struct QuarantineOptions {
   uint32_t crashes = 3;   ///< number of crashes from which a request is quarantined
   Duration first = 120s;  ///< duration after the last crash; doubles with each further crash
@@ -116,6 +126,11 @@
   /// Adds a crash, or merges its evidence into a known one. Returns true if this changes anything.
   static bool merge_crash(Entry& entry, const std::string& backend, const Crash& crash);
   static CrashCount count_crashes(const Entry& entry, TimePoint now);
+  /// Like count_crashes() for a part of prompts: only confirmed crashes, and simultaneous ones once.
+  static CrashCount count_part_crashes(const Entry& entry);
+  static CrashCount count_crashes(uint64_t feature, const Entry& entry, TimePoint now);
+  /// Duration of the quarantine after this number of confirmed crashes.
+  Duration quarantine(uint64_t feature, uint32_t crashes) const;
   /// Records evidence observed by this process. Returns true if it is new.
   bool note_evidence(uint64_t request, const std::string& backend, const Crash& crash);
   /// Returns the entry of a request, creating it if there is room; nullptr if there is none.
--- a/src/dispatch/active_request.cc
+++ b/src/dispatch/active_request.cc
@@ -65,6 +65,7 @@
       answer_(std::move(answer)),
       on_done_(std::move(on_done)),
       fingerprint_(fingerprint_of(plan_)),
+      part_features_(part_features(plan_.fields.model, plan_.fields.parts)),
       last_event_id_(plan_.fields.last_event_id),
       event_log_(plan_.fields.id) {
   const auto on_timeout = [](evutil_socket_t, short, void* run) {
@@ -103,11 +104,10 @@
   wait_deadline_ = wait_limit();
   chain_ = make_chain(plan_);
   stream_ = stream_key();
-  event_log_.add(
-      events::RequestAccepted{route.name, plan_.service, plan_.tenant == nullptr ? "" : plan_.tenant->name,
-                              plan_.table->configuration().version, limit_ms, chain_.prompt_tokens,
-                              to_hex(fingerprint_), plan_.fields.resumes, last_event_id_.value_or(-1),
-                              to_text(part_features(plan_.fields.model, plan_.fields.parts))});
+  event_log_.add(events::RequestAccepted{
+      route.name, plan_.service, plan_.tenant == nullptr ? "" : plan_.tenant->name,
+      plan_.table->configuration().version, limit_ms, chain_.prompt_tokens, to_hex(fingerprint_),
+      plan_.fields.resumes, last_event_id_.value_or(-1), to_text(part_features_)});
   if (context_.loop.now() >= deadline_) {
     fail_request("no time left");  // the time was used up waiting for the router's start
     return;
@@ -293,6 +293,9 @@
   if (finished_) {
     return;
   }
+  if (exchange_first_event_at_ == TimePoint(0)) {
+    exchange_first_event_at_ = context_.loop.now();
+  }
   release_pending_prefill();
   record_rollout_first_event();
   if (!first_event_received_ && !chain_.prompt_parts.empty()) {
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -237,12 +237,19 @@
   /// Records what the end of an exchange says of the backend, and of this router's link to it.
   void judge_link(ExchangeFailure failure, const BackendPtr& backend, const BackendConnection& connection);
   // request_crashes.cc: requests during which backends crash
+  /// A feature of the request, and whether requests with it may be sent.
+  struct WorstFeature {
+    uint64_t feature = 0;
+    admission::StandingReason reason;
+  };
+  /// The feature that restricts the request the most.
+  WorstFeature worst_feature() const;
   /// True if the request may not be sent now because backends crashed while executing it. The request then
   /// waits for a trial permit, or has been refused.
   bool blocked_by_crashes();
   /// For a suspect: returns false if it may be sent now, else lets it wait for a trial permit.
-  bool wait_for_trial();
-  void refuse_for_crashes(const admission::StandingReason& reason);
+  bool wait_for_trial(uint64_t feature);
+  void refuse_for_crashes(const WorstFeature& worst);
   /// True if enough backends crashed while executing the request that it is a suspect: it is sent to one
   /// backend at a time, and not retried after a failure.
   bool suspected() const;
@@ -451,7 +458,8 @@
   bool in_trial_sample_ = false;                         ///< it goes to the version on trial
   std::optional<rollout::CountedRequest> rollout_send_;  ///< of the exchange at backend_
   placement::PromptChain chain_;
-  const uint64_t fingerprint_;  ///< see request_fingerprint()
+  const uint64_t fingerprint_;                 ///< see request_fingerprint()
+  const std::vector<uint64_t> part_features_;  ///< see part_features()
 
   /// An event that waits until the stream's origin is stored.
   struct HeldEvent {
@@ -484,7 +492,8 @@
   delivery::EventSplitter splitter_;
   uint64_t slot_wish_ = 0;                ///< in DispatchContext::slots; 0: none
   TimePoint slot_wait_until_{0};          ///< how long the request waits for a slot at a brittle backend
-  bool trial_permit_used_ = false;        ///< the current attempt used a permit and has not returned it
+  std::string trial_permit_;              ///< key of the permit that the current attempt used; empty: none
+  TimePoint exchange_first_event_at_{0};  ///< of the exchange at backend_; 0: no event yet
   bool paused_ = false;                   ///< the caller reads too slowly; the backend is not read
   bool streaming_ = false;                ///< the response head has been sent to the caller
   std::optional<int64_t> last_event_id_;  ///< of the last event that the caller has
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -47,8 +47,9 @@
 
 /// An exchange that broke off at a backend that may have crashed.
 struct BrokenExchange {
-  uint64_t request = 0;  ///< fingerprint of the request
-  TimePoint at{0};       ///< when the exchange broke off
+  uint64_t request = 0;              ///< fingerprint of the request
+  TimePoint at{0};                   ///< when the exchange broke off
+  std::vector<uint64_t> parts = {};  ///< features of its prompt that may have caused a crash
 };
 
 /// One incarnation of a backend.
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -291,6 +291,7 @@
   context_.pool.begin_request(backend);
   record_origin(*backend);
   first_event_received_ = false;
+  exchange_first_event_at_ = TimePoint(0);
   last_activity_ = now;
   store_target_ = cache.target;
   resumed_from_backup_ = !cache.resume_from.empty();
--- a/src/gateway/gateway_crashes.cc
+++ b/src/gateway/gateway_crashes.cc
@@ -1,5 +1,6 @@
 /// Part of GatewayServer: backends that crash, and the requests that were in flight there.
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "src/common/hash.h"
@@ -98,9 +99,12 @@
 void GatewayServer::confirm_crash(dispatch::Backend& backend, const char* detected_by) {
   const TimePoint now = loop_.now();
   std::vector<uint64_t> broken;
+  std::set<uint64_t> features;
   for (const dispatch::BrokenExchange& exchange : std::exchange(backend.broken_exchanges, {})) {
     if (now - exchange.at < admission::kUnconfirmedCrashTimeout) {
       broken.push_back(exchange.request);
+      features.insert(exchange.request);
+      features.insert(exchange.parts.begin(), exchange.parts.end());
     }
   }
   if (broken.empty()) {
@@ -112,9 +116,9 @@
     log_.event(events::BackendCrashed{backend.record.id, backend.record.service, detected_by, broken.size(),
                                       to_text(broken)});
   }
-  for (const uint64_t request : broken) {
-    if (context_.crashes.note_crash(request, backend.record.id, now)) {
-      log_standing(request, "crash");
+  for (const uint64_t feature : features) {
+    if (context_.crashes.note_crash(feature, backend.record.id, now)) {
+      log_standing(feature, "crash");
     }
   }
 }
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -139,5 +139,70 @@
   RecordProperty("quarantined", static_cast<int>(quarantined));
 }
 
+constexpr uint64_t kPart = kRequest | fleet::kPartFeature;
+
+TEST(CrashHistory, PartIsQuarantinedForLongerFromEachCrashOn) {
+  CrashHistory history;
+  const std::vector<std::pair<RequestStanding, Duration>> expected = {{RequestStanding::kClear, 0s},
+                                                                      {RequestStanding::kSuspect, 0s},
+                                                                      {RequestStanding::kQuarantined, 3s},
+                                                                      {RequestStanding::kQuarantined, 6s},
+                                                                      {RequestStanding::kQuarantined, 120s}};
+  for (size_t crash = 0; crash < expected.size(); ++crash) {
+    const TimePoint now = std::chrono::seconds(20 * (crash + 1));
+    history.note_crash(kPart, "b" + std::to_string(crash), now);
+    EXPECT_EQ(history.standing(kPart, now).standing, expected[crash].first) << crash;
+    EXPECT_EQ(history.standing(kPart, now).left, expected[crash].second) << crash;
+  }
+}
+
+// Guards against refusing what a sound part is in because many backends lost power at once.
+TEST(CrashHistory, PartIsNoSuspectAfterManyBackendsCrashAtOnce) {
+  CrashHistory history;
+  for (int backend = 0; backend < 8; ++backend) {
+    history.note_crash(kPart, "b" + std::to_string(backend), 1s + backend * 30ms);
+  }
+  EXPECT_EQ(history.standing(kPart, 2s).standing, RequestStanding::kClear);
+}
+
+TEST(CrashHistory, BrokenExchangeWithoutACrashSaysNothingOfAPart) {
+  CrashHistory history;
+  for (int backend = 0; backend < 8; ++backend) {
+    history.note_broken_exchange(kPart, "b" + std::to_string(backend), 1s * (backend + 1));
+  }
+  EXPECT_EQ(history.standing(kPart, 9s).standing, RequestStanding::kClear);
+}
+
+TEST(CrashHistory, FewSharedPartsAreQuarantinedWhenBackendsAreKilledExternally) {
+  constexpr uint64_t kBackends = 12;
+  constexpr Duration kRunDuration = 300ms;
+  constexpr Duration kKillInterval = 500ms;  // each backend is killed every 6 s
+  constexpr uint64_t kParts = 200;           // the first ones are in most requests
+  constexpr Duration kRequestInterval = 10ms;
+  Random random(11);
+  CrashHistory history;
+  uint64_t quarantined = 0;
+  constexpr uint64_t kRequests = 60000;
+  for (uint64_t request = 0; request < kRequests; ++request) {
+    const TimePoint sent = static_cast<int64_t>(request) * kRequestInterval;
+    const uint64_t drawn = 1 + random.below(kParts);
+    const uint64_t part = (1 + random.below(drawn)) | fleet::kPartFeature;
+    if (history.standing(part, sent).standing == RequestStanding::kQuarantined) {
+      ++quarantined;
+      continue;
+    }
+    const uint64_t backend = random.below(kBackends);
+    const auto next_kill = static_cast<uint64_t>(sent / kKillInterval + 1);
+    const TimePoint killed = static_cast<int64_t>(next_kill) * kKillInterval;
+    if (next_kill % kBackends != backend || killed > sent + kRunDuration) {
+      history.clear_crashes(part, sent);
+    } else {
+      history.note_crash(part, std::to_string(backend) + "@" + std::to_string(next_kill), killed);
+    }
+  }
+  EXPECT_LT(quarantined, kRequests / 1000);
+  RecordProperty("quarantined", static_cast<int>(quarantined));
+}
+
 }  // namespace
 }  // namespace stoat
--- a/tests/unit/crashing_part_test.cc
+++ b/tests/unit/crashing_part_test.cc
@@ -174,6 +174,10 @@
     return all == 0 ? 0 : served / all;
   }
   void expect_part_is_known() {
+    RecordProperty("deadly_sends", static_cast<int>(deadly_sends_.size()));
+    RecordProperty("later_sends", static_cast<int>(later_sends()));
+    RecordProperty("served_beside_per_mille", static_cast<int>(1000 * served_share(true)));
+    RecordProperty("served_others_per_mille", static_cast<int>(1000 * served_share(false)));
     EXPECT_GE(deadly_sends_.size(), 2U);
     EXPECT_LE(later_sends(), kMaxLaterSends) << deadly_sends_.size() << " in all";
     EXPECT_GE(served_share(true), 0.9);
