Let brittle back ends keep their share of requests, so that the end of a brittle time is seen

Found in reading the slot leases again: a request that could go to a back end that isn't brittle never asked for a slot. At the end of a brittle time the first back ends whose answers lack the word got everything, and those that were idle just then stayed known as brittle for good.

--- a/src/dispatch/active_request.cc
+++ b/src/dispatch/active_request.cc
@@ -169,6 +169,10 @@
   if (send_with_slot(found)) {
     return;
   }
+  if (prefers_slot(found)) {
+    wait_for_slot_lease(found);
+    return;
+  }
   if (!found.best_available().empty()) {
     admit(found.best_available());
     return;
@@ -181,10 +185,6 @@
     wait_for_permit(limited, "back ends take no more requests now");
     return;
   }
-  if (!found.brittle.empty()) {
-    wait_for_slot_lease(found.brittle);
-    return;
-  }
   if (executed_ == Executed::kNo && !found.backing_off.empty()) {
     wait_for_backoff(found.backing_off);
     return;
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -211,6 +211,7 @@
     std::vector<BackendPtr> limited;      ///< usable except for their rate limit
     std::vector<BackendPtr> backing_off;  ///< usable except that they asked for no requests for a while
     std::vector<BackendPtr> brittle;      ///< usable except that no slot there is leased to the request
+    bool brittle_first = false;           ///< the first one that was found is among `brittle`
     /// The usable backends, or the unhealthy ones if there are none.
     const std::vector<BackendPtr>& best_available() const { return usable.empty() ? unhealthy : usable; }
     /// True if there are backends to which the request may be sent now, or once it has a slot.
@@ -407,8 +408,13 @@
   bool needs_slot(const Backend& backend) const;
   /// Sends the request to the backend where a slot is leased to it. Returns false if there is none.
   bool send_with_slot(const Candidates& found);
-  /// Lets the request wait for a slot at one of these backends, or refuses it if none is free in time.
-  void wait_for_slot_lease(const std::vector<BackendPtr>& brittle);
+  /// True if the request is to wait for a slot at a brittle backend, even if others may be sent to. Brittle
+  /// backends keep their share of the requests, since only their responses show when they are no longer
+  /// brittle.
+  bool prefers_slot(const Candidates& found) const;
+  /// Lets the request wait for a slot at a brittle backend. If none is free in time, sends it to another one,
+  /// or refuses it.
+  void wait_for_slot_lease(const Candidates& found);
   void add_slot_wish(const std::vector<BackendPtr>& brittle);
   /// Ends the wait for a slot, and returns one that is leased but not used.
   void end_slot_wish();
@@ -490,6 +496,7 @@
   edge::ResponseHead head_;
   std::string body_;
   delivery::EventSplitter splitter_;
+  bool slot_denied_ = false;              ///< no slot was free in time
   uint64_t slot_wish_ = 0;                ///< in DispatchContext::slots; 0: none
   TimePoint slot_wait_until_{0};          ///< how long the request waits for a slot at a brittle backend
   std::string trial_permit_;              ///< key of the permit that the current attempt used; empty: none
--- a/src/dispatch/request_brittle.cc
+++ b/src/dispatch/request_brittle.cc
@@ -100,10 +100,14 @@
   return true;
 }
 
-void ActiveRequest::wait_for_slot_lease(const std::vector<BackendPtr>& brittle) {
+bool ActiveRequest::prefers_slot(const Candidates& found) const {
+  return !found.brittle.empty() && !slot_denied_ && (found.usable.empty() || found.brittle_first);
+}
+
+void ActiveRequest::wait_for_slot_lease(const Candidates& found) {
   const TimePoint now = context_.loop.now();
   if (slot_wish_ == 0) {
-    add_slot_wish(brittle);
+    add_slot_wish(found.brittle);
   }
   const admission::SlotOutcome outcome = context_.slots.outcome(slot_wish_);
   if (!outcome.wait && now < slot_wait_until_) {
@@ -112,13 +116,18 @@
     return;
   }
   end_slot_wish();
+  slot_denied_ = true;
+  if (!found.best_available().empty()) {
+    admit(found.best_available());
+    return;
+  }
   if (executed_ != Executed::kNo) {
     fail_request("no back end");
     return;
   }
   context_.metrics.count("stoat_router_load_refusals_total", {{"route", plan_.route->name}});
   reply_with_error(kUnavailable, "brittle back ends are full",
-                   to_seconds(compute_retry_after(outcome.wait.value_or(outlook(brittle).wait))));
+                   to_seconds(compute_retry_after(outcome.wait.value_or(outlook(found.brittle).wait))));
 }
 
 void ActiveRequest::add_slot_wish(const std::vector<BackendPtr>& brittle) {
--- a/src/dispatch/request_candidates.cc
+++ b/src/dispatch/request_candidates.cc
@@ -69,6 +69,7 @@
     }
     if (needs_slot(*backend)) {
       if (sound) {
+        candidates.brittle_first = candidates.brittle_first || candidates.usable.empty();
         candidates.brittle.push_back(backend);
       }
       continue;
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -268,6 +268,7 @@
   const auto connection = context_.pool.take_connection(backend);
   tried_.insert(backend->record.id);
   end_slot_wish();
+  slot_denied_ = false;
   if (connection != nullptr) {
     spend_permit(*backend);
     spend_trial();
--- a/tests/unit/brittle_backend_test.cc
+++ b/tests/unit/brittle_backend_test.cc
@@ -28,6 +28,7 @@
   ScriptedEngine& engine() { return engine_; }
   size_t falls() const { return falls_; }
   size_t runs() const { return runs_; }
+  void set_brittle(bool brittle) { brittle_ = brittle; }
   bool down() const {
     const std::lock_guard<std::mutex> lock(mutex_);
     return Clock::now() < down_until_;
@@ -73,7 +74,7 @@
     return true;
   }
 
-  const bool brittle_;
+  std::atomic<bool> brittle_;
   mutable std::mutex mutex_;
   size_t running_ = 0;
   std::vector<Clock::time_point> rejections_;
@@ -247,5 +248,22 @@
   EXPECT_GE(static_cast<double>(runs()), kMinUse * can_run) << runs() << " of " << can_run;
 }
 
+TEST_F(BrittleBackendTest, BackendsThatWereBrittleStayIdle) {
+  constexpr milliseconds kSpan{3000};
+  constexpr size_t kMinRuns = 4;  // of some 12 for each backend
+  warm_up();
+  for (const auto& backend : backends_) {
+    backend->set_brittle(false);
+  }
+  std::vector<size_t> before;
+  for (const auto& backend : backends_) {
+    before.push_back(backend->runs());
+  }
+  send_load(0.1, kSpan);
+  for (size_t number = 0; number < backends_.size(); ++number) {
+    EXPECT_GE(backends_[number]->runs() - before[number], kMinRuns) << number;
+  }
+}
+
 }  // namespace
 }  // namespace stoat
