--- a/src/admission/brittle_backends.cc
+++ b/src/admission/brittle_backends.cc
@@ -71,6 +71,7 @@
     }
   }
   std::vector<fleet::BrittleBackend> list;
+  list.reserve(reported.size());
   for (const auto& [backend, rejections_per_second] : reported) {
     list.push_back({backend, rejections_per_second});
   }
