--- a/tests/unit/crashing_part_test.cc
+++ b/tests/unit/crashing_part_test.cc
@@ -119,8 +119,9 @@
       for (size_t number = 0; Clock::now() < end; ++number) {
         const std::string own = std::to_string(number);
         calls.emplace_back([this, number, own] {
-          send(number % kRouters, "deadly" + own,
-               "guide:100," + std::string(kDeadly) + ":100,d" + own + ":100");
+          std::string parts = "guide:100,";
+          parts.append(kDeadly).append(":100,d").append(own).append(":100");
+          send(number % kRouters, "deadly" + own, parts);
         });
         std::this_thread::sleep_for(between_deadly);
       }
@@ -134,10 +135,10 @@
           const std::string own = std::to_string(client) + "-" + std::to_string(number);
           const bool beside = client % 4 == 0;
           Sound sound{Clock::now(), beside, false};
-          const std::string first = beside ? "guide" : "other" + std::to_string(client);
-          const std::string answer =
-              send((client + number) % kRouters, "sound" + own,
-                   first + ":100,chapter" + std::to_string(number % 5) + ":100,s" + own + ":100");
+          std::string parts = beside ? "guide" : "other" + std::to_string(client);
+          parts.append(":100,chapter").append(std::to_string(number % 5)).append(":100,s");
+          parts.append(own).append(":100");
+          const std::string answer = send((client + number) % kRouters, "sound" + own, parts);
           sound.served = status_of(answer) == "HTTP/1.1 200" && answer.find("id: 2") != std::string::npos;
           {
             const std::lock_guard<std::mutex> lock(mutex_);
--- a/tests/unit/slot_lease_test.cc
+++ b/tests/unit/slot_lease_test.cc
@@ -171,8 +171,9 @@
     });
   }
   void answer(const std::string& waiting) {
-    for (const auto& [router, message] : leader_->take_answers(waiting, now_)) {
-      const size_t index = std::stoul(router);
+    for (const auto& answered : leader_->take_answers(waiting, now_)) {
+      const size_t index = std::stoul(answered.first);
+      const fleet::SlotAnswer message = answered.second;
       TimePoint& last = last_answer_[index];
       last = std::max(last, now_ + delay());
       actions_.add(last, [this, index, message] {
--- a/tests/unit/unframed_stream_test.cc
+++ b/tests/unit/unframed_stream_test.cc
@@ -11,6 +11,8 @@
 
 class UnframedStreamTest : public test::SmallFleet {
  protected:
+  static constexpr milliseconds kPause{800};  ///< between two events
+
   static std::string head(const ReceivedRequest& seen) {
     return "HTTP/1.1 200 OK\r\n" + test::engine_headers(seen) + "Content-Type: text/event-stream\r\n\r\n";
   }
@@ -22,7 +24,6 @@
 
 TEST_F(UnframedStreamTest, EventsArePassedOnBeforeTheStreamEnds) {
   ASSERT_TRUE(configure(make_configuration(1)));
-  constexpr milliseconds kPause{800};
   ScriptedEngine engine([](const ReceivedRequest& seen) -> Script {
     return {standins::send_step(head(seen) + "id: 1\ndata: a\n\n"), standins::wait_step(kPause),
             standins::send_step("id: 2\ndata: b\n\n"), standins::close_step()};
