Format a list of hashes in one place

The text of fingerprints in `backend crashed` and that of features in `request accepted` were two functions that did the same. No line of the log changes.

--- a/src/common/hash.cc
+++ b/src/common/hash.cc
@@ -42,4 +42,12 @@
   return text;
 }
 
+std::string to_hex(const std::vector<uint64_t>& values, size_t limit) {
+  std::string text;
+  for (size_t position = 0; position < std::min(limit, values.size()); ++position) {
+    text += (position == 0 ? "" : ",") + to_hex(values[position]);
+  }
+  return text;
+}
+
 }  // namespace stoat
--- a/src/common/hash.h
+++ b/src/common/hash.h
@@ -31,4 +31,7 @@
 /// Formats a value as 16 hexadecimal digits.
 std::string to_hex(uint64_t value);
 
+/// Formats up to `limit` values in the same way, joined by commas.
+std::string to_hex(const std::vector<uint64_t>& values, size_t limit = SIZE_MAX);
+
 }  // namespace stoat
--- a/src/dispatch/active_request.cc
+++ b/src/dispatch/active_request.cc
@@ -44,14 +44,6 @@
   return chain;
 }
 
-std::string to_text(const std::vector<uint64_t>& features) {
-  std::string text;
-  for (const uint64_t feature : features) {
-    text += (text.empty() ? "" : ",") + to_hex(feature);
-  }
-  return text;
-}
-
 uint64_t fingerprint_of(const RoutedRequest& plan) {
   return request_fingerprint(plan.request, plan.tenant == nullptr ? plan.fields.key : plan.tenant->name);
 }
@@ -107,7 +99,7 @@
   event_log_.add(events::RequestAccepted{
       route.name, plan_.service, plan_.tenant == nullptr ? "" : plan_.tenant->name,
       plan_.table->configuration().version, limit_ms, chain_.prompt_tokens, to_hex(fingerprint_),
-      plan_.fields.resumes, last_event_id_.value_or(-1), to_text(part_features_)});
+      plan_.fields.resumes, last_event_id_.value_or(-1), to_hex(part_features_)});
   if (context_.loop.now() >= deadline_) {
     fail_request("no time left");  // the time was used up waiting for the router's start
     return;
--- a/src/gateway/gateway_crashes.cc
+++ b/src/gateway/gateway_crashes.cc
@@ -19,14 +19,6 @@
 /// crashed.
 constexpr Duration kOutcomeCheckInterval = 500ms;
 
-std::string to_text(const std::vector<uint64_t>& fingerprints) {
-  std::string text;
-  for (size_t position = 0; position < std::min(kMaxLoggedFingerprints, fingerprints.size()); ++position) {
-    text += (position == 0 ? "" : ",") + to_hex(fingerprints[position]);
-  }
-  return text;
-}
-
 }  // namespace
 
 void GatewayServer::on_probe_ended(const dispatch::BackendPtr& backend, dispatch::ProbeResult result) {
@@ -114,7 +106,7 @@
                  {{"service", backend.record.service}, {"sign", detected_by}});
   if (request_log_sampler_.reserve_lines(1, "backend crashed", now)) {
     log_.event(events::BackendCrashed{backend.record.id, backend.record.service, detected_by, broken.size(),
-                                      to_text(broken)});
+                                      to_hex(broken, kMaxLoggedFingerprints)});
   }
   for (const uint64_t feature : features) {
     if (context_.crashes.note_crash(feature, backend.record.id, now)) {
