Write what limits and brittle back ends share once

Both are announcements of a number by a back end. The feed, the expiry and the conversion to a list stood twice or three times beside one another; AnnouncementTable and fleet::to_list serve both now. No behaviour changes.

--- a/src/admission/backend_limits.cc
+++ b/src/admission/backend_limits.cc
@@ -194,7 +194,7 @@
       reported.emplace(backend, limited.per_second);
     }
   }
-  return fleet::to_list(reported);
+  return fleet::to_list<fleet::BackendLimit>(reported);
 }
 
 std::vector<LimitUsage> BackendLimits::take_usage() {
--- a/src/admission/brittle_backends.cc
+++ b/src/admission/brittle_backends.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/fleet/backend_limit.h"
+
 namespace stoat::admission {
 
 namespace {
@@ -70,12 +72,7 @@
       reported.emplace(backend, entry.rejections_per_second);
     }
   }
-  std::vector<fleet::BrittleBackend> list;
-  list.reserve(reported.size());
-  for (const auto& [backend, rejections_per_second] : reported) {
-    list.push_back({backend, rejections_per_second});
-  }
-  return list;
+  return fleet::to_list<fleet::BrittleBackend>(reported);
 }
 
 }  // namespace stoat::admission
--- a/src/control/announcement_table.h
+++ b/src/control/announcement_table.h
@@ -33,16 +33,27 @@
       set(announcement);
     }
   }
-  /// Removes a backend that is no longer registered.
-  void forget(const std::string& backend) { values_.erase(backend); }
+  /// Removes the backends for which `is_registered(id)` is false.
+  template <typename Predicate>
+  void retain(const Predicate& is_registered) {
+    for (const Announcement& announcement : all()) {
+      if (!is_registered(announcement.backend)) {
+        values_.erase(announcement.backend);
+      }
+    }
+  }
+  /// Adds up to `count` changes since a revision to `announcements`; 0 stands for a withdrawn number. Returns
+  /// the revision up to which they are complete.
+  uint64_t add_changes_since(uint64_t revision, size_t count,
+                             std::vector<Announcement>& announcements) const {
+    return values_.visit_since(revision, count, [&](const std::string& backend, const double* value) {
+      announcements.push_back({backend, value == nullptr ? 0 : *value});
+    });
+  }
 
   /// What this member's routers have changed since the last call, to be sent to the other members.
   std::vector<Announcement> take_changes() {
-    std::vector<Announcement> changes;
-    for (const auto& [backend, value] : std::exchange(changed_, {})) {
-      changes.push_back({backend, value});
-    }
-    return changes;
+    return fleet::to_list<Announcement>(std::exchange(changed_, {}));
   }
   std::vector<Announcement> all() const {
     std::vector<Announcement> list;
--- a/src/control/fleet_feed.cc
+++ b/src/control/fleet_feed.cc
@@ -13,7 +13,7 @@
 constexpr size_t kLoadsPerMessage = 600;
 constexpr size_t kHoldingsPerMessage = 600;
 constexpr size_t kPlacementsPerMessage = 200;
-constexpr size_t kLimitsPerMessage = 600;
+constexpr size_t kAnnouncementsPerMessage = 600;
 constexpr size_t kCrashRecordsPerMessage = 60;
 
 }  // namespace
@@ -89,18 +89,9 @@
       });
 }
 
-void FleetSoftState::add_limits(FeedCursor& cursor, fleet::FleetFeedUpdate& message) const {
-  cursor.limits = limits_.values().visit_since(
-      cursor.limits, kLimitsPerMessage, [&](const std::string& backend, const double* per_second) {
-        message.limits.push_back({backend, per_second == nullptr ? 0 : *per_second});
-      });
-}
-
-void FleetSoftState::add_brittle(FeedCursor& cursor, fleet::FleetFeedUpdate& message) const {
-  cursor.brittle = brittle_.values().visit_since(
-      cursor.brittle, kLimitsPerMessage, [&](const std::string& backend, const double* rejections) {
-        message.brittle.push_back({backend, rejections == nullptr ? 0 : *rejections});
-      });
+void FleetSoftState::add_announcements(FeedCursor& cursor, fleet::FleetFeedUpdate& message) const {
+  cursor.limits = limits_.add_changes_since(cursor.limits, kAnnouncementsPerMessage, message.limits);
+  cursor.brittle = brittle_.add_changes_since(cursor.brittle, kAnnouncementsPerMessage, message.brittle);
 }
 
 bool FleetSoftState::add_crashes(FeedCursor& cursor, fleet::FleetFeedUpdate& message, TimePoint now) const {
@@ -124,8 +115,7 @@
   }
   add_quotas(cursor,
              message);  // first: without them, a router at the start of a feed does not meter any tenant
-  add_limits(cursor, message);
-  add_brittle(cursor, message);
+  add_announcements(cursor, message);
   // A starting router sends no requests before it knows which ones are quarantined. Loads and caches of a
   // backend are sent after the backend itself.
   if (add_crashes(cursor, message, now) && add_backends(cursor, message)) {
--- a/src/control/fleet_soft_state.cc
+++ b/src/control/fleet_soft_state.cc
@@ -271,7 +271,7 @@
   warmed_up_ = warmed_up_ || now - options_.started > options_.registry.lost_after;
   registry_.expire(now);
   routers_.expire(now);
-  expire_limits();
+  expire_announcements();
   crashes_.expire(now);
   std::erase_if(silent_routers_,
                 [now](const auto& entry) { return now - entry.second > kIsolatedServeTime; });
@@ -287,20 +287,15 @@
   }
 }
 
-void FleetSoftState::expire_limits() {
+void FleetSoftState::expire_announcements() {
   if (!warmed_up_) {
-    return;  // the limit may be known before its backend
-  }
-  for (const fleet::BackendLimit& limit : limits_.all()) {
-    if (registry_.find(limit.backend) == nullptr) {
-      limits_.forget(limit.backend);
-    }
-  }
-  for (const fleet::BrittleBackend& brittle : brittle_.all()) {
-    if (registry_.find(brittle.backend) == nullptr) {
-      brittle_.forget(brittle.backend);
-    }
+    return;  // an announcement may be known before its backend
   }
+  const auto is_registered = [this](const std::string& backend) {
+    return registry_.find(backend) != nullptr;
+  };
+  limits_.retain(is_registered);
+  brittle_.retain(is_registered);
 }
 
 fleet::PeerUpdate FleetSoftState::take_peer_update(uint64_t term, bool leads, TimePoint now) {
--- a/src/control/fleet_soft_state.h
+++ b/src/control/fleet_soft_state.h
@@ -10,7 +10,6 @@
 #include <map>
 #include <set>
 #include <string>
-#include <tuple>
 #include <vector>
 
 #include "src/admission/quota_ledger.h"
@@ -182,11 +181,10 @@
   void add_caches(FeedCursor& cursor, fleet::FleetFeedUpdate& message) const;
   void add_placements(FeedCursor& cursor, fleet::FleetFeedUpdate& message) const;
   void add_quotas(FeedCursor& cursor, fleet::FleetFeedUpdate& message) const;
-  void add_limits(FeedCursor& cursor, fleet::FleetFeedUpdate& message) const;
-  void add_brittle(FeedCursor& cursor, fleet::FleetFeedUpdate& message) const;
+  void add_announcements(FeedCursor& cursor, fleet::FleetFeedUpdate& message) const;
   bool add_crashes(FeedCursor& cursor, fleet::FleetFeedUpdate& message, TimePoint now) const;
-  /// Removes what backends have announced that are no longer registered.
-  void expire_limits();
+  /// Removes what backends announced that are no longer registered.
+  void expire_announcements();
   /// True if the differences since `cursor` are still known; otherwise the feed must start from the
   /// beginning.
   bool can_resume(const FeedCursor& cursor) const;
--- a/src/fleet/backend_limit.h
+++ b/src/fleet/backend_limit.h
@@ -17,12 +17,13 @@
   bool operator==(const BackendLimit&) const = default;
 };
 
-/// Converts limits (requests per second by backend id) to a list.
-inline std::vector<BackendLimit> to_list(const std::map<std::string, double>& limits) {
-  std::vector<BackendLimit> list;
-  list.reserve(limits.size());
-  for (const auto& [backend, per_second] : limits) {
-    list.push_back({backend, per_second});
+/// Converts numbers by backend id to a list of messages of an id and a number, such as BackendLimit.
+template <typename Announcement>
+std::vector<Announcement> to_list(const std::map<std::string, double>& numbers) {
+  std::vector<Announcement> list;
+  list.reserve(numbers.size());
+  for (const auto& [backend, number] : numbers) {
+    list.push_back({backend, number});
   }
   return list;
 }
