Call a router's need of a slot a lease request, and drop what nothing calls

The code called it a wish, which is not the field's term, and the names of its handlers' loops stood twice. SlotIssuer::room() and in_use() and a counter of the simulated fleet had no caller. No behaviour changes, no assertion is touched.

--- a/src/admission/slot_issuer.cc
+++ b/src/admission/slot_issuer.cc
@@ -251,14 +251,4 @@
   return answers;
 }
 
-uint32_t SlotIssuer::in_use(const std::string& backend) const {
-  const auto known = backends_.find(backend);
-  return known == backends_.end() ? 0 : known->second.in_use;
-}
-
-uint32_t SlotIssuer::room(const std::string& backend) const {
-  const auto known = backends_.find(backend);
-  return known == backends_.end() ? 0 : known->second.room;
-}
-
 }  // namespace stoat::admission
--- a/src/admission/slot_issuer.h
+++ b/src/admission/slot_issuer.h
@@ -57,10 +57,6 @@
   /// to `waiting_router` if it is not empty.
   std::map<std::string, fleet::SlotAnswer> take_answers(const std::string& waiting_router, TimePoint now);
 
-  /// Slots of a backend that are in use or leased.
-  uint32_t in_use(const std::string& backend) const;
-  /// Slots of a backend that may be in use.
-  uint32_t room(const std::string& backend) const;
   size_t waiting() const { return waiting_.size(); }
 
  private:
--- a/src/admission/slot_leases.cc
+++ b/src/admission/slot_leases.cc
@@ -14,32 +14,32 @@
 
 }  // namespace
 
-uint64_t SlotLeases::add_wish(SlotWish wish, OutcomeHandler on_outcome) {
-  Wish& added = wishes_[++last_id_];
-  added.wish = std::move(wish);
+uint64_t SlotLeases::add_request(LeaseRequest request, OutcomeHandler on_outcome) {
+  PendingRequest& added = requests_[++last_id_];
+  added.request = std::move(request);
   added.on_outcome = std::move(on_outcome);
   return last_id_;
 }
 
-SlotOutcome SlotLeases::outcome(uint64_t id) const {
-  const auto known = wishes_.find(id);
-  return known == wishes_.end() ? SlotOutcome{} : known->second.outcome;
+LeaseOutcome SlotLeases::outcome(uint64_t id) const {
+  const auto known = requests_.find(id);
+  return known == requests_.end() ? LeaseOutcome{} : known->second.outcome;
 }
 
-void SlotLeases::remove_wish(uint64_t id) { wishes_.erase(id); }
+void SlotLeases::remove_request(uint64_t id) { requests_.erase(id); }
 
 fleet::SlotReport SlotLeases::take_report(std::vector<fleet::SlotUse> in_use, TimePoint now) {
   fleet::SlotReport report;
   report.epoch = epoch_;
   report.last_grant = last_grant_;
   report.in_use = std::move(in_use);
-  for (auto& [id, wish] : wishes_) {
-    if (!wish.outcome.backend.empty()) {
-      report.in_use.push_back({wish.outcome.backend, 1});
-    } else if (!wish.outcome.wait && now < wish.wish.wait_until) {
-      report.waiting.push_back(
-          {id, wish.wish.urgency, to_milliseconds(wish.wish.wait_until - now), wish.wish.backends});
-      wish.reported_at = wish.reported_at.value_or(now);
+  for (auto& [id, pending] : requests_) {
+    if (!pending.outcome.backend.empty()) {
+      report.in_use.push_back({pending.outcome.backend, 1});
+    } else if (!pending.outcome.wait && now < pending.request.wait_until) {
+      report.waiting.push_back({id, pending.request.urgency,
+                                to_milliseconds(pending.request.wait_until - now), pending.request.backends});
+      pending.reported_at = pending.reported_at.value_or(now);
     }
   }
   for (const std::string& backend : std::exchange(rejected_, {})) {
@@ -66,8 +66,8 @@
   bool slot_returned = false;
   for (const fleet::SlotGrant& grant : answer.grants) {
     last_grant_ = std::max(last_grant_, grant.number);
-    const auto known = wishes_.find(grant.request);
-    const bool usable = known != wishes_.end() && known->second.reported_at &&
+    const auto known = requests_.find(grant.request);
+    const bool usable = known != requests_.end() && known->second.reported_at &&
                         now - *known->second.reported_at < kSlotGrantLifetime;
     slot_returned = slot_returned || !usable;
     if (usable) {
@@ -76,28 +76,26 @@
     }
   }
   for (const fleet::SlotDenial& denial : answer.denials) {
-    const auto known = wishes_.find(denial.request);
-    if (known != wishes_.end() && known->second.outcome.backend.empty()) {
+    const auto known = requests_.find(denial.request);
+    if (known != requests_.end() && known->second.outcome.backend.empty()) {
       known->second.outcome.wait = Duration(1000 * std::max<int64_t>(0, denial.wait_ms));
       handlers.push_back(known->second.on_outcome);
     }
   }
-  for (const OutcomeHandler& handler : handlers) {
-    handler();
-  }
+  call(handlers);
   return slot_returned;
 }
 
 void SlotLeases::on_no_leader(TimePoint now) {
   not_granting_until_ = now + kNotGrantingRetryDelay;
-  call_all_handlers();
-}
-
-void SlotLeases::call_all_handlers() {
   std::vector<OutcomeHandler> handlers;
-  for (const auto& [id, wish] : wishes_) {
-    handlers.push_back(wish.on_outcome);
+  for (const auto& [id, pending] : requests_) {
+    handlers.push_back(pending.on_outcome);
   }
+  call(handlers);
+}
+
+void SlotLeases::call(const std::vector<OutcomeHandler>& handlers) {
   for (const OutcomeHandler& handler : handlers) {
     handler();
   }
--- a/src/dispatch/active_request.cc
+++ b/src/dispatch/active_request.cc
@@ -73,7 +73,7 @@
   }
   event_free(timer_);
   leave_queue();
-  end_slot_wish();
+  end_lease_request();
   if (connection_ != nullptr) {
     connection_->close();
   }
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -415,9 +415,9 @@
   /// Lets the request wait for a slot at a brittle backend. If none is free in time, sends it to another one,
   /// or refuses it.
   void wait_for_slot_lease(const Candidates& found);
-  void add_slot_wish(const std::vector<BackendPtr>& brittle);
+  void request_lease(const std::vector<BackendPtr>& brittle);
   /// Ends the wait for a slot, and returns one that is leased but not used.
-  void end_slot_wish();
+  void end_lease_request();
   /// Applies the Retry-After of a backend that refused the request with 503.
   void apply_backoff(const http1::Headers& headers);
   /// Lets the request wait for the first of these backends whose backoff ends, or refuses it if that is too
@@ -496,9 +496,9 @@
   edge::ResponseHead head_;
   std::string body_;
   delivery::EventSplitter splitter_;
-  bool slot_denied_ = false;              ///< no slot was free in time
-  uint64_t slot_wish_ = 0;                ///< in DispatchContext::slots; 0: none
-  TimePoint slot_wait_until_{0};          ///< how long the request waits for a slot at a brittle backend
+  bool lease_denied_ = false;             ///< no slot was free in time
+  uint64_t lease_request_ = 0;            ///< in DispatchContext::slots; 0: none
+  TimePoint lease_wait_until_{0};         ///< how long the request waits for a slot at a brittle backend
   std::string trial_permit_;              ///< key of the permit that the current attempt used; empty: none
   TimePoint exchange_first_event_at_{0};  ///< of the exchange at backend_; 0: no event yet
   bool paused_ = false;                   ///< the caller reads too slowly; the backend is not read
--- a/src/dispatch/request_brittle.cc
+++ b/src/dispatch/request_brittle.cc
@@ -18,7 +18,7 @@
 /// It may be one that fell over and is back.
 constexpr Duration kPresumedBrittle = 5s;
 /// Number of backends at any of which a request asks for a slot.
-constexpr size_t kMaxWishedBackends = 16;
+constexpr size_t kMaxRequestedBackends = 16;
 
 }  // namespace
 
@@ -80,11 +80,12 @@
 
 bool ActiveRequest::needs_slot(const Backend& backend) const {
   return !context_.brittle.empty() && counts_as_brittle(backend) &&
-         context_.slots.outcome(slot_wish_).backend != backend.record.id && !may_send_without_lease(backend);
+         context_.slots.outcome(lease_request_).backend != backend.record.id &&
+         !may_send_without_lease(backend);
 }
 
 bool ActiveRequest::send_with_slot(const Candidates& found) {
-  const std::string leased = context_.slots.outcome(slot_wish_).backend;
+  const std::string leased = context_.slots.outcome(lease_request_).backend;
   if (leased.empty()) {
     return false;
   }
@@ -92,7 +93,7 @@
   const auto target = std::find_if(usable.begin(), usable.end(),
                                    [&](const BackendPtr& backend) { return backend->record.id == leased; });
   if (target == usable.end()) {
-    end_slot_wish();
+    end_lease_request();
     return false;
   }
   leave_queue();
@@ -101,22 +102,22 @@
 }
 
 bool ActiveRequest::prefers_slot(const Candidates& found) const {
-  return !found.brittle.empty() && !slot_denied_ && (found.usable.empty() || found.brittle_first);
+  return !found.brittle.empty() && !lease_denied_ && (found.usable.empty() || found.brittle_first);
 }
 
 void ActiveRequest::wait_for_slot_lease(const Candidates& found) {
   const TimePoint now = context_.loop.now();
-  if (slot_wish_ == 0) {
-    add_slot_wish(found.brittle);
+  if (lease_request_ == 0) {
+    request_lease(found.brittle);
   }
-  const admission::SlotOutcome outcome = context_.slots.outcome(slot_wish_);
-  if (!outcome.wait && now < slot_wait_until_) {
+  const admission::LeaseOutcome outcome = context_.slots.outcome(lease_request_);
+  if (!outcome.wait && now < lease_wait_until_) {
     waiting_ = true;
-    arm_timer(std::min(slot_wait_until_, now + kSlotPollInterval));
+    arm_timer(std::min(lease_wait_until_, now + kSlotPollInterval));
     return;
   }
-  end_slot_wish();
-  slot_denied_ = true;
+  end_lease_request();
+  lease_denied_ = true;
   if (!found.best_available().empty()) {
     admit(found.best_available());
     return;
@@ -130,19 +131,19 @@
                    to_seconds(compute_retry_after(outcome.wait.value_or(outlook(found.brittle).wait))));
 }
 
-void ActiveRequest::add_slot_wish(const std::vector<BackendPtr>& brittle) {
+void ActiveRequest::request_lease(const std::vector<BackendPtr>& brittle) {
   const TimePoint now = context_.loop.now();
-  slot_wait_until_ =
+  lease_wait_until_ =
       std::min(deadline_, std::max(wait_deadline_, now + context_.admission_thresholds.max_router_wait));
   std::vector<BackendPtr> preferred = brittle;
   std::stable_partition(preferred.begin(), preferred.end(),
                         [](const BackendPtr& backend) { return backend->has_free_slot(); });
-  preferred.resize(std::min(preferred.size(), kMaxWishedBackends));
-  admission::SlotWish wish;
-  wish.urgency = urgency();
-  wish.wait_until = slot_wait_until_;
+  preferred.resize(std::min(preferred.size(), kMaxRequestedBackends));
+  admission::LeaseRequest needed;
+  needed.urgency = urgency();
+  needed.wait_until = lease_wait_until_;
   for (const BackendPtr& backend : preferred) {
-    wish.backends.push_back(backend->record.id);
+    needed.backends.push_back(backend->record.id);
   }
   const std::weak_ptr<ActiveRequest> weak = weak_from_this();
   const auto on_outcome = [weak] {
@@ -150,13 +151,13 @@
       request->try_dispatch();
     }
   };
-  slot_wish_ = context_.slots.add_wish(std::move(wish), on_outcome);
+  lease_request_ = context_.slots.add_request(std::move(needed), on_outcome);
   context_.report_slots();
 }
 
-void ActiveRequest::end_slot_wish() {
-  if (slot_wish_ != 0) {
-    context_.slots.remove_wish(std::exchange(slot_wish_, 0));
+void ActiveRequest::end_lease_request() {
+  if (lease_request_ != 0) {
+    context_.slots.remove_request(std::exchange(lease_request_, 0));
     context_.report_slots();
   }
 }
--- a/src/dispatch/request_end.cc
+++ b/src/dispatch/request_end.cc
@@ -118,7 +118,7 @@
   finished_ = true;
   answer_->set_flow_handler(nullptr);
   leave_queue();
-  end_slot_wish();
+  end_lease_request();
   untrack_records();
   refund_quota();
   event_del(timer_);
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -267,8 +267,8 @@
   const TimePoint now = context_.loop.now();
   const auto connection = context_.pool.take_connection(backend);
   tried_.insert(backend->record.id);
-  end_slot_wish();
-  slot_denied_ = false;
+  end_lease_request();
+  lease_denied_ = false;
   if (connection != nullptr) {
     spend_permit(*backend);
     spend_trial();
--- a/tests/unit/slot_lease_test.cc
+++ b/tests/unit/slot_lease_test.cc
@@ -65,8 +65,6 @@
   }
 
   size_t ran() const { return ran_; }
-  /// The most requests that were at one backend at the same time.
-  size_t most_at_once() const { return most_at_once_; }
   size_t rejections() const { return rejections_.size(); }
   /// The most rejections by one backend within a second.
   size_t most_rejections() const {
@@ -102,19 +100,19 @@
 
   void arrive(size_t index) {
     Router* router = routers_[index].get();
-    admission::SlotWish wish;
-    wish.wait_until = now_ + kMaxWait;
+    admission::LeaseRequest request;
+    request.wait_until = now_ + kMaxWait;
     const size_t first = random_.below(options_.backends);
     for (size_t offset = 0; offset < options_.backends; ++offset) {
-      wish.backends.push_back(name((first + offset) % options_.backends));
+      request.backends.push_back(name((first + offset) % options_.backends));
     }
     auto id = std::make_shared<uint64_t>(0);
     const uint64_t start_id = router->start_id;
-    *id = router->leases.add_wish(std::move(wish), [this, index, id] { use(index, *id); });
+    *id = router->leases.add_request(std::move(request), [this, index, id] { use(index, *id); });
     report(index);
     actions_.add(now_ + kMaxWait, [this, index, id, start_id] {
       if (routers_[index]->start_id == start_id) {
-        routers_[index]->leases.remove_wish(*id);
+        routers_[index]->leases.remove_request(*id);
         report(index);
       }
     });
@@ -122,7 +120,7 @@
   void use(size_t index, uint64_t id) {
     Router* router = routers_[index].get();
     const std::string backend = router->leases.outcome(id).backend;
-    router->leases.remove_wish(id);
+    router->leases.remove_request(id);
     if (backend.empty()) {
       return;
     }
@@ -135,7 +133,6 @@
     }
     ++router->in_use[backend];
     running_[number].push_back(router);
-    most_at_once_ = std::max(most_at_once_, running_[number].size());
     const uint64_t start_id = router->start_id;
     actions_.add(now_ + options_.run_time,
                  [this, index, number, start_id] { end_run(index, number, start_id); });
@@ -205,7 +202,6 @@
   std::vector<std::pair<TimePoint, size_t>> rejections_;
   uint64_t last_start_id_ = 1;
   size_t ran_ = 0;
-  size_t most_at_once_ = 0;
 };
 
 class SlotLeaseTest : public ::testing::TestWithParam<size_t> {};
@@ -277,14 +273,14 @@
 TEST(SlotLease, WithoutALeaderRoutersAreToldToFallBack) {
   SlotLeases leases;
   bool called = false;
-  const uint64_t wish = leases.add_wish({0, 1s, {"b"}}, [&called] { called = true; });
+  const uint64_t request = leases.add_request({0, 1s, {"b"}}, [&called] { called = true; });
   EXPECT_TRUE(leases.grants_expected(0ms));
   leases.take_report({}, 0ms);
   EXPECT_FALSE(leases.grants_expected(600ms)) << "the leader does not answer";
-  leases.on_answer({true, 1, 1, {{1, wish, "b"}}, {}}, 700ms);
+  leases.on_answer({true, 1, 1, {{1, request, "b"}}, {}}, 700ms);
   EXPECT_TRUE(leases.grants_expected(700ms));
   EXPECT_TRUE(called);
-  EXPECT_EQ(leases.outcome(wish).backend, "b");
+  EXPECT_EQ(leases.outcome(request).backend, "b");
   leases.on_answer({}, 800ms);
   EXPECT_FALSE(leases.grants_expected(810ms)) << "the member does not lead";
 }
