--- a/src/dispatch/active_request.cc
+++ b/src/dispatch/active_request.cc
@@ -10,14 +10,6 @@
 
 namespace stoat::dispatch {
 
-bool DispatchContext::serves_brittle(const std::string& service) const {
-  const std::vector<std::string> ids = brittle.ids();
-  return std::any_of(ids.begin(), ids.end(), [&](const std::string& id) {
-    const BackendPtr backend = pool.find(id);
-    return backend != nullptr && backend->record.service == service;
-  });
-}
-
 namespace {
 
 constexpr int kFirstServerError = 500;
--- a/src/dispatch/request_crashes.cc
+++ b/src/dispatch/request_crashes.cc
@@ -115,17 +115,6 @@
   }
 }
 
-void note_survival(DispatchContext& context, Backend& backend, TimePoint sent_at) {
-  std::vector<BrokenExchange>& broken = backend.broken_exchanges;
-  const auto first_earlier =
-      std::partition(broken.begin(), broken.end(),
-                     [sent_at](const BrokenExchange& exchange) { return exchange.at >= sent_at; });
-  for (auto exchange = first_earlier; exchange != broken.end(); ++exchange) {
-    context.crashes.note_survival(exchange->request, backend.record.id, context.loop.now());
-  }
-  broken.erase(first_earlier, broken.end());
-}
-
 void ActiveRequest::clear_crash_suspicion() {
   std::vector<uint64_t> features = part_features_;
   features.push_back(fingerprint_);
