--- a/review/1/run.py
+++ b/review/1/run.py
@@ -154,7 +154,7 @@
     record = Record(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"))
     try:
         return asyncio.run(asyncio.wait_for(case(record), 100))
-    except (CannotRun, asyncio.TimeoutError, TimeoutError, OSError) as error:
+    except Exception as error:  # anything else than a judgement means that the case could not run
         record.note(f"the case could not run: {error!r}")
         return 2
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -132,7 +132,6 @@
         self.record = record
         self.losses = losses
         self.deploy = tomllib.load(open(os.path.join(ROOT, "deploy/system.toml"), "rb"))
-        self.folder = tempfile.mkdtemp(prefix="review-")
         self.network = self.free_network(core, routers)
         self.core = [Machine(f"core-{i}", "control", f"{self.network}.{10 + i}", ZONES[i % len(ZONES)])
                      for i in range(core)]
@@ -142,6 +141,7 @@
             program = os.path.join(ROOT, self.deploy["roles"][role]["run"].split()[0])
             if not os.access(program, os.X_OK):
                 raise CannotRun(f"{program} is missing: run the build command of deploy/system.toml first")
+        self.folder = tempfile.mkdtemp(prefix="review-")
 
     @staticmethod
     def free_network(core, routers):
