--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -231,6 +231,7 @@
   void on_stream_records(const ChannelPtr& channel, const fleet::StreamRecordBatch& batch);
   void on_stream_record_request(const ChannelPtr& channel, const fleet::StreamRecordRequest& request);
   void update_software_history();
+  void log_software_changes();
   void maintain_stream_records();
 
   // fleet_peers.cc: soft state exchanged between members, outside the log
@@ -330,10 +331,11 @@
   uint64_t rollouts_revision_ = 0;           ///< incremented when a rollout starts or steps
   streams::StreamRecordTable stream_records_;
   fleet::SoftwareHistory software_history_;
-  uint64_t software_registry_revision_ = 0;  ///< changes up to it are in software_history_
-  TimePoint software_known_at_{0};           ///< when all backends have sent a heartbeat since a restart
-  fleet::MixedServices mixed_services_;      ///< as last sent to routers
-  uint64_t mixed_services_revision_ = 0;     ///< incremented when `mixed_services_` changes
+  uint64_t software_registry_revision_ = 0;             ///< changes up to it are in software_history_
+  std::vector<fleet::ServiceSoftware> known_software_;  ///< contents of software_history_ as last logged
+  TimePoint software_known_at_{0};        ///< when all backends have sent a heartbeat since a restart
+  fleet::MixedServices mixed_services_;   ///< as last sent to routers
+  uint64_t mixed_services_revision_ = 0;  ///< incremented when `mixed_services_` changes
   bool was_leader_ = false;
   bool was_confirmed_ = false;  ///< a recent confirmation of the leader was known at the last check
   /// When a quorum last confirmed a leader, as far as this member knows.
--- a/src/control/fleet_stream_records.cc
+++ b/src/control/fleet_stream_records.cc
@@ -1,8 +1,22 @@
 /// FleetServer: records of where streams began, kept for routers, and the software versions of services.
+#include <algorithm>
+
 #include "src/control/fleet_server.h"
 
 namespace stoat::control {
 
+namespace {
+
+std::string to_text(const std::set<std::string>& versions) {
+  std::string text;
+  for (const std::string& version : versions) {
+    text += (text.empty() ? "" : ",") + (version.empty() ? "-" : version);
+  }
+  return text;
+}
+
+}  // namespace
+
 void FleetServer::on_stream_records(const ChannelPtr& channel, const fleet::StreamRecordBatch& batch) {
   const TimePoint now = loop_.now();
   for (const fleet::StreamRecord& record : batch.records) {
@@ -39,11 +53,23 @@
   software_history_.expire(now);
 }
 
+void FleetServer::log_software_changes() {
+  std::vector<fleet::ServiceSoftware> services = software_history_.services();
+  const int64_t answers_in_ms = std::max<int64_t>(0, to_milliseconds(software_known_at_ - loop_.now()));
+  for (const fleet::ServiceSoftware& entry : services) {
+    if (std::find(known_software_.begin(), known_software_.end(), entry) == known_software_.end()) {
+      log_.event(events::ServiceVersionsChanged{entry.service, to_text(entry.versions), answers_in_ms});
+    }
+  }
+  known_software_ = std::move(services);
+}
+
 void FleetServer::maintain_stream_records() {
   stream_records_.expire(loop_.now());
   const uint64_t known = software_history_.revision();
   update_software_history();
   if (software_history_.revision() != known) {
+    log_software_changes();
     fleet::MixedServices mixed{software_history_.mixed_services()};
     if (mixed != mixed_services_) {
       mixed_services_ = std::move(mixed);
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -364,6 +364,18 @@
   }
 };
 
+/// The software versions of a service at which a stream that is still alive may have begun have changed at
+/// this control member, which names them to routers that resume a stream.
+struct ServiceVersionsChanged {
+  static constexpr const char* kMessage = "service versions";
+  std::string service;
+  std::string versions;       ///< separated by commas; "-" stands for backends that report none
+  int64_t answers_in_ms = 0;  ///< until routers are told; above 0 after a restart
+  std::vector<LogField> fields() const {
+    return {{"service", service}, {"versions", versions}, {"answers_in_ms", answers_in_ms}};
+  }
+};
+
 /// Many backends changed in the same way at once: one line in place of one each.
 struct BackendsChanged {
   static constexpr const char* kMessage = "backends changed";
--- a/src/fleet/software_history.cc
+++ b/src/fleet/software_history.cc
@@ -65,7 +65,7 @@
   return versions;
 }
 
-std::vector<ServiceSoftware> SoftwareHistory::mixed_services() const {
+std::vector<ServiceSoftware> SoftwareHistory::services() const {
   std::vector<ServiceSoftware> services;
   for (const auto& [version, state] : versions_) {
     if (services.empty() || services.back().service != version.first) {
@@ -73,6 +73,11 @@
     }
     services.back().versions.insert(version.second);
   }
+  return services;
+}
+
+std::vector<ServiceSoftware> SoftwareHistory::mixed_services() const {
+  std::vector<ServiceSoftware> services = this->services();
   std::erase_if(services, [](const ServiceSoftware& entry) { return entry.versions.size() < 2; });
   return services;
 }
--- a/src/fleet/software_history.h
+++ b/src/fleet/software_history.h
@@ -30,6 +30,8 @@
   void set_retention(Duration retention) { retention_ = retention; }
   /// The known versions of a service.
   std::set<std::string> versions(const std::string& service) const;
+  /// All services with their known versions.
+  std::vector<ServiceSoftware> services() const;
   /// The services with several known versions.
   std::vector<ServiceSoftware> mixed_services() const;
   /// Changes when versions() of any service does.
