Keep requests under which back ends crashed on the disks of the members

Ruled out: quarantines that end with the restart of members alone or of routers alone (the tests of both passed before). A member that starts merges them as if another member had told them; ages go on by the wall clock. Why it works: routers get suspects with their feed, so a quarantine holds from the first feed on.

--- a/src/control/crash_aggregator.h
+++ b/src/control/crash_aggregator.h
@@ -3,6 +3,7 @@
 /// to the routers. Performs no I/O.
 #pragma once
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -48,6 +49,19 @@
   fleet::CrashRecord record(uint64_t request, TimePoint now) const {
     return crash_history_.record(request, now);
   }
+  /// What is known of the requests that are reported to routers, those with the most crashes first; at most
+  /// `limit`.
+  std::vector<fleet::CrashRecord> suspect_records(size_t limit, TimePoint now) const {
+    std::vector<fleet::CrashRecord> records;
+    suspects_.visit_all([&](uint64_t request, const std::vector<fleet::CrashReport>&) {
+      records.push_back(crash_history_.record(request, now));
+    });
+    std::stable_sort(records.begin(), records.end(), [](const auto& left, const auto& right) {
+      return left.crashes.size() > right.crashes.size();
+    });
+    records.resize(std::min(records.size(), limit));
+    return records;
+  }
   /// The requests that are reported to routers, by fingerprint, with the known crashes of each; their ages
   /// are zero.
   const fleet::RevisionTable<uint64_t, std::vector<fleet::CrashReport>>& suspects() const {
--- a/src/control/fleet_routers.cc
+++ b/src/control/fleet_routers.cc
@@ -96,6 +96,7 @@
   maintain_permits();
   maintain_slots();
   maintain_stream_records();
+  store_soft_state();
 }
 
 uint64_t FleetServer::configuration_version() const { return core_->state().fleet().configuration().version; }
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -228,12 +228,17 @@
   void send_slot_answers(const std::string& waiting_router);
   void maintain_slots();
 
-  // fleet_stream_records.cc: records of where streams began, kept for routers
+  // fleet_stored_state.cc: the part of the soft state that is on disk
   void restore_soft_state();
+  void restore_snapshot(const storage::SoftStateSnapshot& snapshot);
+  /// Writes the snapshot if it has changed.
+  void store_soft_state();
+
+  // fleet_stream_records.cc: records of where streams began, kept for routers
   void on_stream_records(const ChannelPtr& channel, const fleet::StreamRecordBatch& batch);
   void on_stream_record_request(const ChannelPtr& channel, const fleet::StreamRecordRequest& request);
   void update_software_history();
-  void record_software_changes();
+  void handle_software_changes();
   void maintain_stream_records();
 
   // fleet_peers.cc: soft state exchanged between members, outside the log
@@ -334,11 +339,13 @@
   storage::DiskFileSystem soft_state_files_;  ///< of the thread of `soft_state_writer_`
   storage::SoftStateStore soft_state_store_{soft_state_files_};
   std::unique_ptr<SoftStateWriter> soft_state_writer_;
+  uint64_t stored_software_revision_ = 0;  ///< of software_history_: written up to it
+  uint64_t stored_suspects_revision_ = 0;  ///< the same for the suspects of soft_state_
   streams::StreamRecordTable stream_records_;
   fleet::SoftwareHistory software_history_;
   uint64_t software_registry_revision_ = 0;  ///< changes up to it are in software_history_
-  uint64_t recorded_software_revision_ = 0;  ///< of software_history_: logged and written up to it
-  std::vector<fleet::ServiceSoftware> recorded_software_;  ///< contents of software_history_ then
+  uint64_t handled_software_revision_ = 0;   ///< of software_history_: logged and sent to routers up to it
+  std::vector<fleet::ServiceSoftware> logged_software_;  ///< contents of software_history_ then
   /// From then on this member knows all versions that it ever heard of and that still matter.
   TimePoint software_known_at_{0};
   fleet::MixedServices mixed_services_;   ///< as last sent to routers
--- a/src/control/fleet_soft_state.h
+++ b/src/control/fleet_soft_state.h
@@ -106,6 +106,10 @@
   }
   /// Drops the answer counts of all rollouts that are not in `rollouts`.
   void retain_answers(const std::set<uint64_t>& rollouts) { answers_.retain_only(rollouts); }
+  /// Applies the crash records that an earlier process of this member knew.
+  void restore_crashes(const std::vector<fleet::CrashRecord>& records, TimePoint now) {
+    crashes_.on_peer(records, now);
+  }
   /// Applies an update from another member.
   void on_peer_update(const fleet::PeerUpdate& peer_update, TimePoint now);
   /// Expires everything that has been silent for too long. Must be called a few times per second.
@@ -138,6 +142,7 @@
   const LoadAggregator& loads() const { return loads_; }
   const BackendLimitTable& limits() const { return limits_; }
   const BrittleBackendTable& brittle() const { return brittle_; }
+  const CrashAggregator& crashes() const { return crashes_; }
   const CacheIndex& caches() const { return caches_; }
   const admission::QuotaLedger& quotas() const { return quotas_; }
   /// Tenants for which metering has started or stopped since the last call.
--- a/src/control/fleet_stream_records.cc
+++ b/src/control/fleet_stream_records.cc
@@ -1,5 +1,5 @@
 /// FleetServer: records of where streams began, kept for routers, and the software versions of services. Both
-/// are on disk too.
+/// are on disk too (fleet_stored_state.cc).
 #include <algorithm>
 
 #include "src/control/fleet_server.h"
@@ -18,34 +18,6 @@
 
 }  // namespace
 
-void FleetServer::restore_soft_state() {
-  const TimePoint now = loop_.now();
-  const auto restored = soft_state_store_.load(now);
-  if (!restored) {
-    log_.error("cannot read the soft state",
-               {{"file", restored.error().path}, {"error", restored.error().message}});
-  } else {
-    for (const storage::FileDamage& damage : restored->damages) {
-      log_.error("soft state damaged",
-                 {{"file", damage.file}, {"offset", damage.offset}, {"error", damage.message}});
-    }
-    for (const fleet::StreamRecord& record : restored->records) {
-      stream_records_.put(record, now);
-    }
-    software_history_.restore(restored->snapshot.software, now);
-  }
-  const bool found = restored && restored->found;
-  const bool is_new = core_->replica().last_index() == 0;
-  // Without a record of them, versions that still serve are known once their backends have sent a heartbeat.
-  software_known_at_ = now + (found || is_new ? Duration(0) : settings_.registry.overdue_after);
-  log_.info("soft state restored", {{"found", found}, {"stream_records", stream_records_.size()}});
-  soft_state_writer_ =
-      std::make_unique<SoftStateWriter>(loop_, soft_state_store_, [this](const storage::FileError& error) {
-        metrics_.count("stoat_control_soft_state_failures_total");
-        log_.error("cannot write the soft state", {{"file", error.path}, {"error", error.message}});
-      });
-}
-
 void FleetServer::on_stream_records(const ChannelPtr& channel, const fleet::StreamRecordBatch& batch) {
   const TimePoint now = loop_.now();
   for (const fleet::StreamRecord& record : batch.records) {
@@ -86,22 +58,22 @@
         }
       });
   software_history_.expire(now);
-  if (software_history_.revision() != recorded_software_revision_) {
-    recorded_software_revision_ = software_history_.revision();
-    record_software_changes();
+  if (software_history_.revision() != handled_software_revision_) {
+    handled_software_revision_ = software_history_.revision();
+    handle_software_changes();
   }
 }
 
-void FleetServer::record_software_changes() {
+void FleetServer::handle_software_changes() {
   std::vector<fleet::ServiceSoftware> services = software_history_.services();
   const int64_t answers_in_ms = std::max<int64_t>(0, to_milliseconds(software_known_at_ - loop_.now()));
   for (const fleet::ServiceSoftware& entry : services) {
-    if (std::find(recorded_software_.begin(), recorded_software_.end(), entry) == recorded_software_.end()) {
+    if (std::find(logged_software_.begin(), logged_software_.end(), entry) == logged_software_.end()) {
       log_.event(events::ServiceVersionsChanged{entry.service, to_text(entry.versions), answers_in_ms});
     }
   }
-  recorded_software_ = std::move(services);
-  soft_state_writer_->write_snapshot({recorded_software_});
+  logged_software_ = std::move(services);
+  store_soft_state();
   fleet::MixedServices mixed{software_history_.mixed_services()};
   if (mixed != mixed_services_) {
     mixed_services_ = std::move(mixed);
--- a/src/storage/soft_state_store.h
+++ b/src/storage/soft_state_store.h
@@ -6,6 +6,7 @@
 #include <msgpack.hpp>
 #include <vector>
 
+#include "src/fleet/crash_record.h"
 #include "src/fleet/stream_record.h"
 #include "src/storage/stream_journal.h"
 
@@ -14,7 +15,10 @@
 /// State that is small and seldom changes; written as a whole.
 struct SoftStateSnapshot {
   std::vector<fleet::ServiceSoftware> software;  ///< all services with their versions
-  MSGPACK_DEFINE_ARRAY(software)
+  std::vector<fleet::CrashRecord> suspects =
+      {};                     ///< see CrashAggregator::suspects; ages as of `written_at_ms`
+  int64_t written_at_ms = 0;  ///< wall clock, since 1970
+  MSGPACK_DEFINE_ARRAY(software, suspects, written_at_ms)
 };
 
 /// The soft state on a member's disk.
--- a/tests/process/crashing_request_test.cc
+++ b/tests/process/crashing_request_test.cc
@@ -56,5 +56,37 @@
   EXPECT_EQ(served, kOthers);
 }
 
+// Backends crashed again under a request that was quarantined before all processes were killed.
+TEST_F(CrashingRequestProcessTest, QuarantinedRequestCrashesBackendsAgainAfterAllProcessesWereKilled) {
+  constexpr int kUnavailable = 503;
+  constexpr size_t kMaxCrashes = 3;
+  constexpr size_t kRequests = 12;
+  constexpr auto kPause = std::chrono::milliseconds(300);
+  size_t number = 0;
+  while (fleet_->runs().size() < kMaxCrashes && number < 2 * kRequests) {
+    send_call(number++, "crash");
+    std::this_thread::sleep_for(kPause);
+  }
+  ASSERT_EQ(send_call(number++, "crash"), kUnavailable);
+  ASSERT_EQ(fleet_->runs().size(), kMaxCrashes);
+  std::vector<std::string> names = fleet_->names_of("control");
+  const std::vector<std::string> routers = fleet_->names_of("router");
+  names.insert(names.end(), routers.begin(), routers.end());
+  for (const std::string& name : names) {
+    processes_->kill(name);
+  }
+  for (const std::string& name : names) {
+    processes_->start(name);
+  }
+  ASSERT_TRUE(LoopbackFleet::wait_until([&] { return send_call(number++, "sound") == 200; }, 10s));
+  for (size_t sent = 0; sent < kRequests; ++sent) {
+    EXPECT_EQ(send_call(number++, "crash"), kUnavailable);
+    std::this_thread::sleep_for(kPause);
+  }
+  std::multiset<std::string> runs = fleet_->runs();
+  std::erase_if(runs, [](const std::string& id) { return id.rfind("sound", 0) == 0; });
+  EXPECT_EQ(runs.size(), kMaxCrashes);
+}
+
 }  // namespace
 }  // namespace stoat::tools
