Begin a traffic split anew when its weights change

Cause: the credits of the smooth weighted round robin were kept by route name and position in the list. After a change the credits of the earlier weights were worked off by whichever service stood at that position, with weight 0 too. Change: credits belong to the list of shares that they were made with, and begin at zero when the shares differ; a part with weight 0 is no candidate at all. Test: TrafficSplitter.CreditsOfEarlierWeightsOutliveAChange tries 1 to 400 requests before the change.

--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -80,19 +80,24 @@
   if (route.shares.size() == 1) {
     return route.shares.front().service;
   }
-  std::vector<int64_t>& credits = credits_[route.name];
-  credits.resize(route.shares.size(), 0);
+  Split& split = splits_[route.name];
+  if (split.shares != route.shares) {
+    split = {route.shares, std::vector<int64_t>(route.shares.size(), 0)};
+  }
   int64_t total = 0;
   size_t best = 0;
   for (size_t position = 0; position < route.shares.size(); ++position) {
     const auto weight = static_cast<int64_t>(route.shares[position].weight);
+    if (weight == 0) {
+      continue;
+    }
     total += weight;
-    credits[position] += weight;
-    if (credits[position] > credits[best] || route.shares[best].weight == 0) {
+    split.credits[position] += weight;
+    if (split.credits[position] > split.credits[best] || route.shares[best].weight == 0) {
       best = position;
     }
   }
-  credits[best] -= total;
+  split.credits[best] -= total;
   return route.shares[best].service;
 }
 
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -39,14 +39,18 @@
 };
 
 /// Distributes the requests of a traffic split over its services by smooth weighted round robin, so that each
-/// service gets its share even over a few requests.
+/// service gets its share even over a few requests. Begins anew when the shares of a route change.
 class TrafficSplitter {
  public:
-  /// Returns the service for the next request of a route.
+  /// Returns the service for the next request of a route. A service with weight 0 gets none.
   const std::string& choose(const fleet::Route& route);
 
  private:
-  std::unordered_map<std::string, std::vector<int64_t>> credits_;  ///< by route name
+  struct Split {
+    std::vector<fleet::ServiceShare> shares;  ///< that the credits belong to
+    std::vector<int64_t> credits;             ///< by position in `shares`
+  };
+  std::unordered_map<std::string, Split> splits_;  ///< by route name
 };
 
 }  // namespace stoat::routing
--- a/tests/unit/fleet_parts_test.cc
+++ b/tests/unit/fleet_parts_test.cc
@@ -165,6 +165,30 @@
   EXPECT_EQ(counts["b"], 100);
 }
 
+// Credits of the earlier weights were worked off after a change, by a service with weight 0 too.
+TEST(TrafficSplitter, CreditsOfEarlierWeightsOutliveAChange) {
+  constexpr size_t kRequests = 400;
+  for (size_t before = 1; before <= kRequests; ++before) {
+    routing::TrafficSplitter splitter;
+    fleet::Route route;
+    route.name = "split";
+    route.shares = {{"app-a", 900}, {"app-b", 100}};
+    for (size_t request = 0; request < before; ++request) {
+      splitter.choose(route);
+    }
+    route.shares = {{"app-a", 1}, {"app-c", 0}};
+    for (size_t request = 0; request < kRequests; ++request) {
+      ASSERT_EQ(splitter.choose(route), "app-a") << before << " requests before the change";
+    }
+    route.shares = {{"app-a", 9}, {"app-b", 1}};
+    std::map<std::string, size_t> counts;
+    for (size_t request = 0; request < kRequests; ++request) {
+      ++counts[splitter.choose(route)];
+    }
+    EXPECT_EQ(counts["app-b"], kRequests / 10);
+  }
+}
+
 TEST(TrafficSplitter, ServiceWithZeroWeightGetsNoRequests) {
   routing::TrafficSplitter chooser;
   auto configuration = sample();
