Let members tell one another the versions of services, and count an empty disk as no knowledge

Callers would see: streams that go on at another version after members lost their disks one after the other. A member with an empty disk said at once that it knew all versions, since only a member with entries in its log counted as restarted; and it never learned of versions that were gone. Change: full states between members carry the versions of all services (new field at the end, empty if absent), and only a member at the first start of the fleet knows at once that there is nothing.

--- a/src/control/fleet_peers.cc
+++ b/src/control/fleet_peers.cc
@@ -54,7 +54,9 @@
       continue;
     }
     if (full_state.empty()) {
-      full_state = wire::make_frame(soft_state_.full_state_for_peer(term, leads, target_weights_, now));
+      fleet::PeerUpdate peer_update = soft_state_.full_state_for_peer(term, leads, target_weights_, now);
+      peer_update.software = software_history_.services();
+      full_state = wire::make_frame(peer_update);
     }
     channel->send_frame(full_state);
     peer_feeds_.on_full_state_sent(address, full_state.bytes.size(), now);
@@ -75,6 +77,7 @@
   const TimePoint now = loop_.now();
   meter_peer_traffic(peer_update.sender, peer_update.zone);
   soft_state_.on_peer_update(peer_update, now);
+  software_history_.restore(peer_update.software, now);
   for (const fleet::RouterRollouts& entry : peer_update.applied) {
     router_confirmations_.record_applied(entry.router, entry.applied, now);
   }
--- a/src/control/fleet_stored_state.cc
+++ b/src/control/fleet_stored_state.cc
@@ -29,9 +29,10 @@
     restore_snapshot(restored->snapshot);
   }
   const bool found = restored && restored->found;
-  const bool is_new = core_->replica().last_index() == 0;
-  // Without a record of them, versions that still serve are known once their backends have sent a heartbeat.
-  software_known_at_ = now + (found || is_new ? Duration(0) : settings_.registry.overdue_after);
+  const bool is_new_fleet = settings_.first_start && core_->replica().last_index() == 0;
+  // After the loss of a disk, the other members tell the versions that are gone, and backends those that
+  // serve.
+  software_known_at_ = now + (found || is_new_fleet ? Duration(0) : settings_.registry.overdue_after);
   log_.info("soft state restored", {{"found", found},
                                     {"stream_records", stream_records_.size()},
                                     {"suspects", soft_state_.crashes().suspects().size()}});
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -272,11 +272,12 @@
   std::vector<BackendLimit> limits = {};      ///< reported by the sender's routers; with the full state: all
   std::vector<CrashRecord> crashes = {};      ///< the same for crashes
   ProtocolVersion protocol_version = 0;
-  std::vector<BrittleBackend> brittle = {};  ///< the same as `limits` for brittle backends
+  std::vector<BrittleBackend> brittle = {};    ///< the same as `limits` for brittle backends
+  std::vector<ServiceSoftware> software = {};  ///< only with the full state: versions of all services
   MSGPACK_DEFINE_ARRAY(sender, zone, term, leads, number, is_full_state, incomplete, heartbeats, routers,
                        loads, caches, placements, shared_parts, unreachable, engines, weights, start_id,
                        spending, windows, quotas_age_ms, compact_heartbeats, record_requests, answers,
-                       applied, rollout_ages, limits, crashes, protocol_version, brittle)
+                       applied, rollout_ages, limits, crashes, protocol_version, brittle, software)
   bool empty() const {
     return !is_full_state && incomplete.empty() && heartbeats.empty() && routers.empty() && loads.empty() &&
            caches.empty() && placements.empty() && shared_parts.empty() && unreachable.empty() &&
--- a/tests/simulation/stream_records_test.cc
+++ b/tests/simulation/stream_records_test.cc
@@ -17,6 +17,7 @@
 
 constexpr uint64_t kSeedsPerTest = 100;
 constexpr size_t kMembers = 5;
+constexpr size_t kToleratedLosses = 2;
 constexpr size_t kRouters = 4;
 constexpr size_t kBackends = 8;
 constexpr Duration kRunTime = 12s;
@@ -32,6 +33,8 @@
   bool all_members = false;  ///< all members are killed at once
   bool everything = false;   ///< all members and routers are killed at once
   bool versions = false;     ///< while everything is down, one version loses all its backends
+  bool disks = false;        ///< meanwhile as many members as may be lost lose their disks
+  size_t caller_attempts = kCallerAttempts;
 };
 
 struct Counts {
@@ -203,6 +206,19 @@
       member.software.put(record);
     }
     write_software(number);
+    for (size_t other = 0; faults_.disks && other < kMembers; ++other) {
+      learn_versions(number, other);
+    }
+  }
+  /// Another member sends its full state to one that has started.
+  void learn_versions(size_t number, size_t other) {
+    const uint64_t incarnation = members_[number].incarnation;
+    events_.schedule_after(delay() * 2, [this, number, other, incarnation] {
+      if (members_[number].incarnation == incarnation) {
+        members_[number].software.restore(members_[other].software.services(), events_.now());
+        write_software(number);
+      }
+    });
   }
   void start_router(size_t number) {
     Router& router = routers_[number];
@@ -399,7 +415,7 @@
         stream->key, kService, [this, stream, attempt](const streams::OriginFinding& finding) {
           if (!finding.record) {
             counts_.unknown += attempt == 0 ? 1 : 0;
-            if (attempt + 1 < kCallerAttempts) {
+            if (attempt + 1 < faults_.caller_attempts) {
               events_.schedule_after(kCallerBackoff,
                                      [this, stream, attempt] { resume(stream, attempt + 1); });
             }
@@ -446,6 +462,9 @@
     if (faults_.versions) {
       end_version(backends_[random_.below(kBackends)].software);
     }
+    for (size_t lost = 0; faults_.disks && lost < kToleratedLosses; ++lost) {
+      members_[random_.below(kMembers)].disk->wipe();
+    }
     kill_all_members();
     for (size_t router = 0; router < kRouters; ++router) {
       start_router(router);
@@ -512,6 +531,11 @@
   EXPECT_LE(static_cast<double>(sum.unknown), kMaxUnknownShare * static_cast<double>(sum.resumed));
 }
 
+// Members that lost their disks one after the other took what they had not heard of for what there isn't.
+TEST_P(StreamRecordSeeds, MembersWithoutDisksForgetVersions) {
+  run_seeds(2, {.everything = true, .disks = true, .caller_attempts = 1});
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, StreamRecordSeeds, testing::Range<uint64_t>(0, 3));
 
 }  // namespace
