Name the ended version in the simulation without a copied parameter

The linter asks for a reference there, which would be one into the list that the function changes. The version is now taken from the list inside. StreamRecordSeeds.VersionsThatEndWhileEverythingIsKilledAreForgotten/0 passes as before.

--- a/tests/simulation/stream_records_test.cc
+++ b/tests/simulation/stream_records_test.cc
@@ -449,9 +449,10 @@
     }
   }
 
-  /// Back ends of the version are replaced by ones of another version, of which no process hears before it
-  /// has started again.
-  void end_version(std::string software) {
+  /// Back ends with the version of one of them are replaced by ones of another version, of which no process
+  /// hears before it has started again.
+  void end_version_of(size_t ended) {
+    const std::string software = backends_[ended].software;
     for (size_t slot = 0; slot < kBackends; ++slot) {
       while (backends_[slot].software == software) {
         backends_[slot] = make_backend(slot);
@@ -460,7 +461,7 @@
   }
   void kill_everything() {
     if (faults_.versions) {
-      end_version(backends_[random_.below(kBackends)].software);
+      end_version_of(random_.below(kBackends));
     }
     for (size_t lost = 0; faults_.disks && lost < kToleratedLosses; ++lost) {
       members_[random_.below(kMembers)].disk->wipe();
