Call what crashes are held against a feature in the crash history

Cause: the history keeps whole requests and parts of prompts alike, and called both requests, so that a reader had to know which was meant. Change: parameters, constants and comments say feature; a comment on quarantines of parts says from which crash on the usual durations hold. No logic, wire name or log field changes.

--- a/src/admission/crash_history.cc
+++ b/src/admission/crash_history.cc
@@ -11,11 +11,11 @@
 
 /// Maximum number of requests tracked at the same time. One backend crash adds as many requests as the
 /// backend has slots.
-constexpr size_t kMaxRequests = 8192;
+constexpr size_t kMaxFeatures = 8192;
 /// Maximum number of entries examined to make room for a new one.
 constexpr size_t kMaxExaminedEntries = 16;
 /// Maximum number of crashes stored per request; more would add no information.
-constexpr size_t kMaxCrashesPerRequest = 8;
+constexpr size_t kMaxCrashesPerFeature = 8;
 /// Upper bound on the duration of a quarantine.
 constexpr Duration kMaxQuarantine = 600s;
 /// Time after its last crash at which a request is dropped. While the request is tracked, one more crash
@@ -33,7 +33,7 @@
 
 }  // namespace
 
-std::string trial_key(uint64_t request) { return "request/" + to_hex(request); }
+std::string trial_key(uint64_t feature) { return "request/" + to_hex(feature); }
 
 const char* to_text(RequestStanding standing) {
   switch (standing) {
@@ -61,7 +61,7 @@
     known->second.evidence = std::max(known->second.evidence, crash.evidence);
     return changed;
   }
-  if (entry.crashes.size() >= kMaxCrashesPerRequest) {
+  if (entry.crashes.size() >= kMaxCrashesPerFeature) {
     const auto rank = [](const Crash& candidate) {
       return std::make_pair(candidate.evidence == Evidence::kCrashed, candidate.observed_at);
     };
@@ -141,48 +141,48 @@
   return false;
 }
 
-CrashHistory::Entry* CrashHistory::find_or_create_entry(uint64_t request, TimePoint now) {
-  const auto known = entries_.find(request);
+CrashHistory::Entry* CrashHistory::find_or_create_entry(uint64_t feature, TimePoint now) {
+  const auto known = entries_.find(feature);
   if (known != entries_.end()) {
     return &known->second;
   }
-  if (entries_.size() >= kMaxRequests && !make_room(now)) {
+  if (entries_.size() >= kMaxFeatures && !make_room(now)) {
     return nullptr;
   }
-  insertion_order_.push_back(request);
-  return &entries_[request];
+  insertion_order_.push_back(feature);
+  return &entries_[feature];
 }
 
-bool CrashHistory::note_evidence(uint64_t request, const std::string& backend, const Crash& crash) {
-  Entry* entry = find_or_create_entry(request, crash.observed_at);
+bool CrashHistory::note_evidence(uint64_t feature, const std::string& backend, const Crash& crash) {
+  Entry* entry = find_or_create_entry(feature, crash.observed_at);
   if (entry == nullptr || !merge_crash(*entry, backend, crash)) {
     return false;
   }
-  changed_.insert(request);
+  changed_.insert(feature);
   return true;
 }
 
-bool CrashHistory::note_broken_exchange(uint64_t request, const std::string& backend, TimePoint now) {
-  return note_evidence(request, backend, {now, Evidence::kUnconfirmed});
+bool CrashHistory::note_broken_exchange(uint64_t feature, const std::string& backend, TimePoint now) {
+  return note_evidence(feature, backend, {now, Evidence::kUnconfirmed});
 }
 
-bool CrashHistory::note_survival(uint64_t request, const std::string& backend, TimePoint now) {
-  return entries_.count(request) > 0 && note_evidence(request, backend, {now, Evidence::kSurvived});
+bool CrashHistory::note_survival(uint64_t feature, const std::string& backend, TimePoint now) {
+  return entries_.count(feature) > 0 && note_evidence(feature, backend, {now, Evidence::kSurvived});
 }
 
-bool CrashHistory::note_crash(uint64_t request, const std::string& backend, TimePoint now) {
-  return note_evidence(request, backend, {now, Evidence::kCrashed});
+bool CrashHistory::note_crash(uint64_t feature, const std::string& backend, TimePoint now) {
+  return note_evidence(feature, backend, {now, Evidence::kCrashed});
 }
 
-bool CrashHistory::clear_crashes(uint64_t request, TimePoint now) {
-  const auto known = entries_.find(request);
+bool CrashHistory::clear_crashes(uint64_t feature, TimePoint now) {
+  const auto known = entries_.find(feature);
   if (known == entries_.end() || count_crashes(known->second, now).total() == 0) {
     return false;
   }
   for (auto& [backend, crash] : known->second.crashes) {
     crash.evidence = Evidence::kCleared;
   }
-  changed_.insert(request);
+  changed_.insert(feature);
   return true;
 }
 
@@ -199,21 +199,21 @@
   return any_changed;
 }
 
-uint32_t CrashHistory::crashes(uint64_t request, TimePoint now) const {
-  const auto known = entries_.find(request);
-  return known == entries_.end() ? 0 : count_crashes(request, known->second, now).total();
+uint32_t CrashHistory::crashes(uint64_t feature, TimePoint now) const {
+  const auto known = entries_.find(feature);
+  return known == entries_.end() ? 0 : count_crashes(feature, known->second, now).total();
 }
 
-StandingReason CrashHistory::standing(uint64_t request, TimePoint now) const {
-  const auto known = entries_.find(request);
+StandingReason CrashHistory::standing(uint64_t feature, TimePoint now) const {
+  const auto known = entries_.find(feature);
   if (known == entries_.end()) {
     return {};
   }
   StandingReason reason;
-  const CrashCount counts = count_crashes(request, known->second, now);
+  const CrashCount counts = count_crashes(feature, known->second, now);
   reason.crashes = counts.total();
   if (counts.confirmed >= options_.crashes) {
-    reason.left = std::max(Duration(0), counts.last_confirmed + quarantine(request, counts.confirmed) - now);
+    reason.left = std::max(Duration(0), counts.last_confirmed + quarantine(feature, counts.confirmed) - now);
   }
   if (counts.total() >= options_.crashes && counts.unconfirmed > 0) {
     reason.left = std::max(reason.left, counts.last_unconfirmed + kUnconfirmedCrashTimeout - now);
@@ -226,9 +226,9 @@
   return reason;
 }
 
-fleet::CrashRecord CrashHistory::record(uint64_t request, TimePoint now) const {
-  fleet::CrashRecord record{request, {}};
-  const auto known = entries_.find(request);
+fleet::CrashRecord CrashHistory::record(uint64_t feature, TimePoint now) const {
+  fleet::CrashRecord record{feature, {}};
+  const auto known = entries_.find(feature);
   if (known != entries_.end()) {
     for (const auto& [backend, crash] : known->second.crashes) {
       const bool counts_against =
@@ -243,8 +243,8 @@
 
 std::vector<fleet::CrashRecord> CrashHistory::take_changes(TimePoint now) {
   std::vector<fleet::CrashRecord> list;
-  for (const uint64_t request : std::exchange(changed_, {})) {
-    list.push_back(record(request, now));
+  for (const uint64_t feature : std::exchange(changed_, {})) {
+    list.push_back(record(feature, now));
   }
   return list;
 }
@@ -252,17 +252,17 @@
 std::vector<fleet::CrashRecord> CrashHistory::all(TimePoint now) const {
   std::vector<fleet::CrashRecord> list;
   list.reserve(entries_.size());
-  for (const auto& [request, entry] : entries_) {
-    list.push_back(record(request, now));
+  for (const auto& [feature, entry] : entries_) {
+    list.push_back(record(feature, now));
   }
   return list;
 }
 
-std::vector<uint64_t> CrashHistory::requests() const {
+std::vector<uint64_t> CrashHistory::features() const {
   std::vector<uint64_t> list;
   list.reserve(entries_.size());
-  for (const auto& [request, entry] : entries_) {
-    list.push_back(request);
+  for (const auto& [feature, entry] : entries_) {
+    list.push_back(feature);
   }
   return list;
 }
@@ -282,7 +282,7 @@
     entry = entries_.erase(entry);
   }
   if (!forgotten.empty()) {
-    std::erase_if(insertion_order_, [this](uint64_t request) { return entries_.count(request) == 0; });
+    std::erase_if(insertion_order_, [this](uint64_t feature) { return entries_.count(feature) == 0; });
   }
   return forgotten;
 }
--- a/src/admission/crash_history.h
+++ b/src/admission/crash_history.h
@@ -34,15 +34,16 @@
 /// Number of crashes from which a request is sent to only one backend at a time.
 inline constexpr uint32_t kSuspectCrashes = 2;
 
-/// Key under which permits to try a suspect request are counted (see BackendLimits).
-std::string trial_key(uint64_t request);
+/// Key under which permits to try requests with a suspect feature are counted (see BackendLimits).
+std::string trial_key(uint64_t feature);
 
 /// How long an exchange that broke off counts as a crash without confirmation. The control plane reports a
 /// silent backend as lost within this time.
 inline constexpr Duration kUnconfirmedCrashTimeout = 6s;
 
-/// When and for how long requests are quarantined. A part of prompts is quarantined for longer from each of
-/// these crashes on, since an innocent part is found at crashes more easily than an innocent request.
+/// When and for how long requests are quarantined. For a part of prompts these apply from the fifth crash on,
+/// after shorter quarantines, since an innocent part is found at crashes more easily than an innocent
+/// request.
 struct QuarantineOptions {
   uint32_t crashes = 3;   ///< number of crashes from which a request is quarantined
   Duration first = 120s;  ///< duration after the last crash; doubles with each further crash
@@ -71,30 +72,30 @@
  public:
   explicit CrashHistory(const QuarantineOptions& options = {}) : options_(options) {}
 
-  /// Records an exchange that broke off at a backend that may have crashed. Returns true if this is new.
-  bool note_broken_exchange(uint64_t request, const std::string& backend, TimePoint now);
+  /// Records that an exchange broke off at a backend that may have crashed. Returns true if this is new.
+  bool note_broken_exchange(uint64_t feature, const std::string& backend, TimePoint now);
   /// Records that a backend did not crash when the request broke off there. Returns true if this is new.
-  bool note_survival(uint64_t request, const std::string& backend, TimePoint now);
+  bool note_survival(uint64_t feature, const std::string& backend, TimePoint now);
   /// Records that a backend crashed while the request was in flight there. Returns true if this is new.
-  bool note_crash(uint64_t request, const std::string& backend, TimePoint now);
+  bool note_crash(uint64_t feature, const std::string& backend, TimePoint now);
   /// Records that the request completed successfully. Returns true if any crash counted against it.
-  bool clear_crashes(uint64_t request, TimePoint now);
+  bool clear_crashes(uint64_t feature, TimePoint now);
   /// Merges a record from another process. Returns true if this changes anything.
   bool merge(const fleet::CrashRecord& record, TimePoint now);
 
-  StandingReason standing(uint64_t request, TimePoint now) const;
-  /// Returns the number of crashes that count against a request, including unconfirmed ones.
-  uint32_t crashes(uint64_t request, TimePoint now) const;
-  /// Returns everything known about a request.
-  fleet::CrashRecord record(uint64_t request, TimePoint now) const;
+  StandingReason standing(uint64_t feature, TimePoint now) const;
+  /// Returns the number of crashes that count against a feature, including unconfirmed ones.
+  uint32_t crashes(uint64_t feature, TimePoint now) const;
+  /// Returns everything known about a feature.
+  fleet::CrashRecord record(uint64_t feature, TimePoint now) const;
   /// Returns the records that local observations have changed since the previous call.
   std::vector<fleet::CrashRecord> take_changes(TimePoint now);
   bool has_changes() const { return !changed_.empty(); }
   /// Returns all records.
   std::vector<fleet::CrashRecord> all(TimePoint now) const;
-  /// Returns the fingerprints of all known requests.
-  std::vector<uint64_t> requests() const;
-  /// Drops requests whose last crash is too long ago, and returns their fingerprints.
+  /// Returns all known features.
+  std::vector<uint64_t> features() const;
+  /// Drops features whose last crash is too long ago, and returns them.
   std::vector<uint64_t> expire(TimePoint now);
   size_t size() const { return entries_.size(); }
 
@@ -114,7 +115,7 @@
     std::map<std::string, Crash> crashes;  ///< by incarnation of the backend
     TimePoint last_crash_at{0};            ///< time of the newest crash
   };
-  /// Number of crashes that count against a request, and the time of the newest one of each kind.
+  /// Number of crashes that count against a feature, and the time of the newest one of each kind.
   struct CrashCount {
     uint32_t confirmed = 0;
     uint32_t unconfirmed = 0;
@@ -132,14 +133,14 @@
   /// Duration of the quarantine after this number of confirmed crashes.
   Duration quarantine(uint64_t feature, uint32_t crashes) const;
   /// Records evidence observed by this process. Returns true if it is new.
-  bool note_evidence(uint64_t request, const std::string& backend, const Crash& crash);
-  /// Returns the entry of a request, creating it if there is room; nullptr if there is none.
-  Entry* find_or_create_entry(uint64_t request, TimePoint now);
+  bool note_evidence(uint64_t feature, const std::string& backend, const Crash& crash);
+  /// Returns the entry of a feature, creating it if there is room; nullptr if there is none.
+  Entry* find_or_create_entry(uint64_t feature, TimePoint now);
   /// Drops an old entry that is not a suspect. Returns false if none is found.
   bool make_room(TimePoint now);
 
   QuarantineOptions options_;
-  std::map<uint64_t, Entry> entries_;  ///< by request fingerprint
+  std::map<uint64_t, Entry> entries_;  ///< by feature
   /// Keys of `entries_`, oldest first; may contain keys of dropped entries.
   std::deque<uint64_t> insertion_order_;
   std::set<uint64_t> changed_;
--- a/src/dispatch/dispatch_context.h
+++ b/src/dispatch/dispatch_context.h
@@ -78,8 +78,8 @@
   /// Reports the slots that are used at brittle backends, and the requests that wait for one, to the leader.
   std::function<void()> report_slots = [] {};
   admission::CrashHistory crashes{};
-  /// Logs that the crash history of a request has changed. `request`: its fingerprint. `source`: the cause.
-  std::function<void(uint64_t request, const char* source)> log_standing_change = [](uint64_t, const char*) {
+  /// Logs that the crash history of a feature of requests has changed. `source`: the cause.
+  std::function<void(uint64_t feature, const char* source)> log_standing_change = [](uint64_t, const char*) {
   };
   rollout::ServiceVersions versions = {};
   streams::StreamDirectory streams = {};
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -243,10 +243,10 @@
   }
 };
 
-/// The standing of a request under which backends crash has changed.
+/// The standing of a request under which backends crash, or of a part of prompts, has changed.
 struct RequestStandingChanged {
   static constexpr const char* kMessage = "request standing";
-  std::string fingerprint;
+  std::string fingerprint;    ///< of the request, or the feature of the part
   const char* standing = "";  ///< "clear", "suspect" (tried one at a time) or "quarantined" (not sent)
   uint32_t crashes = 0;       ///< crashes that count against the request
   int64_t left_ms = 0;        ///< until the quarantine ends
--- a/src/events/request_events.h
+++ b/src/events/request_events.h
@@ -115,9 +115,9 @@
 /// The request was not sent: backends crashed under requests with its fingerprint.
 struct RequestQuarantined {
   static constexpr const char* kMessage = "request held back";
-  std::string fingerprint;
-  uint32_t crashes = 0;  ///< crashes that count against the request
-  int64_t left_ms = 0;   ///< until its quarantine ends
+  std::string fingerprint;  ///< of the request, or the feature of the part of its prompt that it is held for
+  uint32_t crashes = 0;     ///< crashes that count against the request
+  int64_t left_ms = 0;      ///< until its quarantine ends
   std::vector<LogField> fields() const {
     return {{"fingerprint", fingerprint}, {"crashes", crashes}, {"left_ms", left_ms}};
   }
--- a/src/fleet/crash_record.h
+++ b/src/fleet/crash_record.h
@@ -23,9 +23,10 @@
   bool operator==(const CrashReport&) const = default;
 };
 
-/// The crashes that happened while a request was running.
+/// The crashes that happened while requests with one feature were running: the same request, or requests that
+/// share a part of their prompts.
 struct CrashRecord {
-  uint64_t request = 0;  ///< fingerprint, see dispatch::request_fingerprint
+  uint64_t request = 0;  ///< the feature, see dispatch::request_fingerprint and dispatch::part_features
   std::vector<CrashReport> crashes;
   MSGPACK_DEFINE_ARRAY(request, crashes)
   bool operator==(const CrashRecord&) const = default;
--- a/src/gateway/gateway_crashes.cc
+++ b/src/gateway/gateway_crashes.cc
@@ -123,26 +123,26 @@
   }
 }
 
-void GatewayServer::log_standing(uint64_t request, const char* source) {
+void GatewayServer::log_standing(uint64_t feature, const char* source) {
   const TimePoint now = loop_.now();
-  const admission::StandingReason reason = context_.crashes.standing(request, now);
+  const admission::StandingReason reason = context_.crashes.standing(feature, now);
   const bool single_local_crash =
       reason.crashes <= 1 && std::string_view(source) != "control" && std::string_view(source) != "good end";
   if (!single_local_crash && request_log_sampler_.reserve_lines(1, "request standing", now)) {
-    log_.event(events::RequestStandingChanged{to_hex(request), admission::to_text(reason.standing),
+    log_.event(events::RequestStandingChanged{to_hex(feature), admission::to_text(reason.standing),
                                               reason.crashes, to_milliseconds(reason.left), source});
   }
 }
 
 void GatewayServer::expire_crash_records() {
   const TimePoint now = loop_.now();
-  for (const uint64_t request : context_.crashes.expire(now)) {
-    context_.limits.forget(admission::trial_key(request));
+  for (const uint64_t feature : context_.crashes.expire(now)) {
+    context_.limits.forget(admission::trial_key(feature));
   }
   size_t suspects = 0;
   size_t quarantined = 0;
-  for (const uint64_t request : context_.crashes.requests()) {
-    const admission::RequestStanding standing = context_.crashes.standing(request, now).standing;
+  for (const uint64_t feature : context_.crashes.features()) {
+    const admission::RequestStanding standing = context_.crashes.standing(feature, now).standing;
     suspects += standing == admission::RequestStanding::kSuspect ? 1 : 0;
     quarantined += standing == admission::RequestStanding::kQuarantined ? 1 : 0;
   }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -147,7 +147,7 @@
   std::string health_check_head(const dispatch::Backend& backend) const;
   /// Merges what other routers know of requests under which backends crash.
   void merge_crash_records(const std::vector<fleet::CrashRecord>& records);
-  void log_standing(uint64_t request, const char* source);
+  void log_standing(uint64_t feature, const char* source);
   /// Removes expired crash records and updates the metrics of suspect and quarantined requests.
   void expire_crash_records();
   void apply_part_changes(const fleet::CacheChanges& changes,
