--- a/tests/simulation/stream_records_test.cc
+++ b/tests/simulation/stream_records_test.cc
@@ -25,6 +25,7 @@
 constexpr Duration kMaxRecordWait = 100ms;
 constexpr size_t kCallerAttempts = 5;
 constexpr Duration kCallerBackoff = 500ms;
+constexpr Duration kFullStateDelay = 20ms;
 const std::string kService = "models";
 
 struct Faults {
@@ -213,7 +214,7 @@
   /// Another member sends its full state to one that has started.
   void learn_versions(size_t number, size_t other) {
     const uint64_t incarnation = members_[number].incarnation;
-    events_.schedule_after(delay() * 2, [this, number, other, incarnation] {
+    events_.schedule_after(kFullStateDelay, [this, number, other, incarnation] {
       if (members_[number].incarnation == incarnation) {
         members_[number].software.restore(members_[other].software.services(), events_.now());
         write_software(number);
