Say what a member does until it knows the versions of services

The comment said which versions it knows from then on, and left the reader to find out what that means for routers.

--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -346,7 +346,7 @@
   uint64_t software_registry_revision_ = 0;  ///< changes up to it are in software_history_
   uint64_t handled_software_revision_ = 0;   ///< of software_history_: logged and sent to routers up to it
   std::vector<fleet::ServiceSoftware> logged_software_;  ///< contents of software_history_ then
-  /// From then on this member knows all versions that it ever heard of and that still matter.
+  /// Until then this member names no versions to routers, since it may lack some after a restart.
   TimePoint software_known_at_{0};
   fleet::MixedServices mixed_services_;   ///< as last sent to routers
   uint64_t mixed_services_revision_ = 0;  ///< incremented when `mixed_services_` changes
