Log how late a control member's event loop is, and what it was busy with

Which work held the loop up could not be told from the logs: feeds, wholes between members, heartbeats or connections. `loop late` now names the delay and the processor time by kind of work, and stoat_control_late_seconds_total sums the delays.

No change of behaviour: the clock of the thread is read twice for each message.

--- a/src/control/fleet_routers.cc
+++ b/src/control/fleet_routers.cc
@@ -30,6 +30,7 @@
 }  // namespace
 
 HeartbeatAdvice FleetServer::receive_heartbeat(const fleet::BackendRecord& record) {
+  const MemberWorkMeter::Scope work(work_, MemberWork::kHeartbeats);
   const TimePoint now = loop_.now();
   soft_state_.on_heartbeat(record, now);
   if (!leader_confirmed_at_) {
@@ -238,6 +239,7 @@
   const bool starts_following = status.follows && !(known && link.status.follows);
   if (starts_following) {
     link.cursor = {};
+    link.full_state_sent = false;
   }
   channel->set_meter(traffic_, settings_.topology.distance(settings_.zone, status.router.zone));
   link.status = status;
@@ -250,6 +252,7 @@
   }
   reply_to_router(link);
   if (starts_following) {
+    const MemberWorkMeter::Scope work(work_, MemberWork::kFeeds);
     std::map<FeedCursor, FeedFrame> frames;
     feed_router(link, frames);
   }
@@ -322,6 +325,7 @@
       link.channel->send_frame(next.frame);
     }
     if (next.complete || next.frame.empty()) {
+      link.full_state_sent = true;
       return;
     }
   }
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -25,6 +25,10 @@
 constexpr Duration kIsolatedServeTime = 5s;
 constexpr Duration kStopGracePeriod = 300ms;
 constexpr Duration kTrafficLogInterval = 10s;  ///< between log lines about traffic
+/// A tick that comes later than this is logged; elections begin after some 250 ms without a heartbeat.
+constexpr Duration kLateTick = 100ms;
+/// Minimum time between two log lines about a late loop.
+constexpr Duration kLateLogInterval = 250ms;
 /// Maximum delay until a backend's heartbeat is known to the members that did not receive it directly.
 constexpr Duration kHeartbeatPropagationDelay = 200ms;
 
@@ -85,16 +89,19 @@
   channels_->set_unreadable_handler(unreadable_handler());
   loop.every(kTickInterval, [this] { tick(); });
   loop.every(kJoinInterval, [this] { ask_to_join(); });
-  loop.every(kFeedInterval, [this] {
-    exchange_with_peers();
-    update_software_history();  // on its way to the disk before routers hear of new backends
-    feed_routers();
+  loop.every(kFeedInterval, [this] { exchange_state(); });
+  loop.every(kSoftStateInterval, [this] {
+    const MemberWorkMeter::Scope work(work_, MemberWork::kUpkeep);
+    maintain_soft_state();
+  });
+  loop.every(kCachePollInterval, [this] {
+    const MemberWorkMeter::Scope work(work_, MemberWork::kCaches);
+    poll_followed_caches();
   });
-  loop.every(kSoftStateInterval, [this] { maintain_soft_state(); });
-  loop.every(kCachePollInterval, [this] { poll_followed_caches(); });
   loop.every(kWeightRolloutInterval, [this] { advance_weight_rollout(); });
   loop.every(kTrafficLogInterval, [this] { log_traffic(); });
   loop.every(kServiceRolloutInterval, [this] { advance_service_rollouts(); });
+  late_logged_at_ = loop.now();
   log_.info("started", {{"name", settings_.name},
                         {"internal", to_string(settings_.internal)},
                         {"identity", to_hex(identity_.id)},
@@ -217,8 +224,36 @@
   }
 }
 
+void FleetServer::exchange_state() {
+  {
+    const MemberWorkMeter::Scope work(work_, MemberWork::kPeers);
+    exchange_with_peers();
+    update_software_history();  // on its way to the disk before routers hear of new backends
+  }
+  const MemberWorkMeter::Scope work(work_, MemberWork::kFeeds);
+  feed_routers();
+}
+
+MemberWork FleetServer::work_of(const wire::Message& message) {
+  if (std::holds_alternative<fleet::PeerUpdate>(message.value)) {
+    return MemberWork::kPeers;
+  }
+  if (std::holds_alternative<fleet::ConfigurationRequest>(message.value)) {
+    return MemberWork::kConfigurations;
+  }
+  const bool of_log = std::holds_alternative<wire::PeerMessage>(message.value) ||
+                      std::holds_alternative<wire::ControlCall>(message.value) ||
+                      std::holds_alternative<wire::ControlResponse>(message.value) ||
+                      std::holds_alternative<fleet::ConfirmationRequest>(message.value) ||
+                      std::holds_alternative<fleet::ConfirmationResponse>(message.value) ||
+                      std::holds_alternative<fleet::ConfirmedRead>(message.value) ||
+                      std::holds_alternative<wire::JoinRequest>(message.value);
+  return of_log ? MemberWork::kLog : MemberWork::kRouterStatus;
+}
+
 void FleetServer::on_message(const ChannelPtr& channel, wire::Message message) {
   const TimePoint now = loop_.now();
+  const MemberWorkMeter::Scope work(work_, work_of(message));
   if (auto* peer = std::get_if<wire::PeerMessage>(&message.value)) {
     peer_channels_["id " + to_hex(peer->message.from)] = channel;
     core_->on_peer_message(peer->message, now);
@@ -301,11 +336,35 @@
   }
 }
 
+void FleetServer::watch_loop(TimePoint now) {
+  const Duration late = now - next_tick_;
+  const bool is_late = next_tick_ > TimePoint(0) && late > kLateTick;
+  next_tick_ = now + kTickInterval;
+  if (!is_late) {
+    return;
+  }
+  metrics_.count("stoat_control_late_seconds_total", {}, to_seconds(late));
+  if (now - late_logged_at_ < kLateLogInterval) {
+    return;
+  }
+  events::LoopLate event;
+  event.late_ms = to_milliseconds(late);
+  event.since_ms = to_milliseconds(now - std::exchange(late_logged_at_, now));
+  event.busy = work_.take_text();
+  for (const auto& [name, link] : router_links_) {
+    event.feeds += link.status.follows && !link.silent ? 1 : 0;
+    event.full_feeds += link.status.follows && !link.silent && !link.full_state_sent ? 1 : 0;
+  }
+  log_.event(event);
+}
+
 void FleetServer::tick() {
   if (stop_if_unreadable()) {
     return;
   }
   const TimePoint now = loop_.now();
+  watch_loop(now);
+  const MemberWorkMeter::Scope work(work_, MemberWork::kLog);
   core_->tick(now);
   driver_->process_output();
   const bool leads = core_->replica().leads();
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -25,6 +25,7 @@
 #include "src/control/fleet_soft_state.h"
 #include "src/control/forwarded_calls.h"
 #include "src/control/leader_confirmation_tracker.h"
+#include "src/control/member_work.h"
 #include "src/control/peer_flow_control.h"
 #include "src/control/router_link.h"
 #include "src/control/soft_state_writer.h"
@@ -155,6 +156,8 @@
   void start_core(const consensus::RestoredState& restored);
   void bootstrap();
   void on_message(const ChannelPtr& channel, wire::Message message);
+  /// Sends what is new to the other members and to the routers that follow this one.
+  void exchange_state();
   void on_join(const ChannelPtr& channel, const wire::JoinRequest& request);
   void send_to_peer(const consensus::Message& message);
   /// Connection for latency-sensitive messages: the log and requests to the leader.
@@ -167,6 +170,10 @@
   void tick();
   /// Stops the member if its replicated state can't be read. Returns whether it did.
   bool stop_if_unreadable();
+  /// Logs a delay of the event loop, and what it was busy with.
+  void watch_loop(TimePoint now);
+  /// The kind of work that a received message makes.
+  static MemberWork work_of(const wire::Message& message);
   void ask_to_join();
 
   // fleet_calls.cc: commands and confirmed reads
@@ -288,6 +295,9 @@
   EventLoop& loop_;
   FleetControlSettings settings_;
   EngineInterface& engine_orders_;
+  MemberWorkMeter work_;
+  TimePoint next_tick_{0};       ///< when the next call of tick() is due
+  TimePoint late_logged_at_{0};  ///< when the loop was last logged as late
   Logger log_{"control"};
   Metrics metrics_;
   wire::UnreadableMessages unreadable_messages_{log_, metrics_, "stoat_control_unreadable_messages_total"};
--- a/src/control/router_link.h
+++ b/src/control/router_link.h
@@ -33,6 +33,7 @@
   bool silent = false;  ///< regarded as gone until its next status arrives
   SentRevisions sent;
   FeedCursor cursor;
+  bool full_state_sent = false;             ///< the feed has been sent to its present end once
   uint64_t sent_configuration_version = 0;  ///< version sent last, to its end
   uint32_t configuration_copies = 0;        ///< of that version, on this connection
   fleet::RelayList sent_relays;             ///< as sent last
@@ -50,6 +51,7 @@
     channel = connection;
     sent = {};
     cursor = {};
+    full_state_sent = false;
     sent_configuration_version = 0;
     configuration_copies = 0;
     sent_relays = {};
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -321,6 +321,24 @@
   std::vector<LogField> fields() const { return {{"distance", distance}, {"bytes", bytes}}; }
 };
 
+/// The event loop of a control member was busy for so long that a periodic call came late. While it is late,
+/// nothing is answered, heartbeats of the replicated log included.
+struct LoopLate {
+  static constexpr const char* kMessage = "loop late";
+  int64_t late_ms = 0;
+  int64_t since_ms = 0;   ///< time since the previous event of this kind, or since the start
+  std::string busy;       ///< processor time by kind of work in that time, in ms
+  size_t feeds = 0;       ///< routers that follow this member
+  size_t full_feeds = 0;  ///< of them, those that have not been sent the full state yet
+  std::vector<LogField> fields() const {
+    return {{"late_ms", late_ms},
+            {"since_ms", since_ms},
+            {"busy", busy},
+            {"feeds", feeds},
+            {"full_feeds", full_feeds}};
+  }
+};
+
 /// Another member had missed updates, and this member sent it the full state that originates here.
 struct FullStateSent {
   static constexpr const char* kMessage = "whole sent";
