Bound what is read of an answer, in bytes and in time

Callers saw: a body above 4 MB was cut there and handed over as complete (200 with the shorter length). A back end that sent bytes without end, in a head, a body, a refusal, an answer to another request or one event of a stream, kept its caller until the deadline (504 after 2 s, 5 s for streams) while the router read 0.4 to 7.8 GB; an event without end grew the router by 66 MB, and its lines were searched anew with each piece. Members read the answers of engines with no limit on bytes and with a limit on silence alone.

Change: ResponseBody bounds a body (4 MB), long ones together by an eighth of the router's memory, and an unused body (256 KB). BackendConnection bounds what comes before the answer to the request (1 MB), an event of a stream ends at 1 MB, a health check's body at 64 KB. What is longer fails as `answer too long`: 502, or another back end where the route allows it; a refusal stays a refusal. http::Client counts all received bytes of a call and has a limit on its time; members use 4 MB and twice the former limit for silence. EventSplitter goes on where it stopped searching.

Ruled out: the relays and channels between processes, which have limits of their own.

--- a/src/control/engine_client.cc
+++ b/src/control/engine_client.cc
@@ -11,6 +11,15 @@
 constexpr Duration kOrderTimeout = 250ms;
 constexpr Duration kReportTimeout = 500ms;
 constexpr Duration kCacheEventsWait = 1s;
+/// Longest body of a response of an engine or a store.
+constexpr size_t kMaxBodyBytes = 4U << 20U;
+
+/// Bounds a call, however much and for however long the engine sends.
+void limit_call(http::ClientRequest& request, Duration limit) {
+  request.timeout = limit;
+  request.time_limit = 2 * limit;
+  request.max_body_bytes = kMaxBodyBytes;
+}
 
 OrderAnswer to_order_answer(const http::ClientResult& result) {
   switch (result.status) {
@@ -42,7 +51,7 @@
   request.headers = {{"Content-Type", "application/json"},
                      {interface_.expected_backend_header, std::string(fleet::backend_name(order.engine))}};
   request.body = weight_order_body(order, interface_.field_names);
-  request.timeout = kOrderTimeout;
+  limit_call(request, kOrderTimeout);
   request.fresh_connection = true;
   client_.start(request, nullptr, [on_answer = std::move(on_answer)](const http::ClientResult& result) {
     on_answer(to_order_answer(result));
@@ -57,7 +66,7 @@
     return;
   }
   request.path = interface_.paths.report;
-  request.timeout = kReportTimeout;
+  limit_call(request, kReportTimeout);
   client_.start(request, nullptr, [this, on_report = std::move(on_report)](const http::ClientResult& result) {
     constexpr int kOk = 200;
     const auto report =
@@ -75,7 +84,7 @@
   }
   request.path = interface_.paths.cache_events + "?since=" + std::to_string(since);
   request.headers = {{interface_.wait_header, std::to_string(to_milliseconds(kCacheEventsWait))}};
-  request.timeout = kCacheEventsWait + kReportTimeout;
+  limit_call(request, kCacheEventsWait + kReportTimeout);
   client_.start(request, nullptr, [this, on_events = std::move(on_events)](const http::ClientResult& result) {
     constexpr int kOk = 200;
     const auto events =
--- a/src/delivery/event_splitter.h
+++ b/src/delivery/event_splitter.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace stoat::delivery {
 
@@ -22,36 +23,32 @@
   /// event is valid only during the call.
   template <typename Handler>
   void feed(std::string_view bytes, const Handler& on_event) {
+    size_t searched = buffer_.size();
     buffer_.append(bytes);
     size_t begin = 0;
-    for (;;) {
-      const size_t end = end_of_event(begin);
-      if (end == std::string::npos) {
-        break;
+    for (size_t feed = buffer_.find('\n', searched); feed != std::string::npos;
+         feed = buffer_.find('\n', searched)) {
+      searched = feed + 1;
+      const size_t line = std::exchange(line_, searched);
+      const bool empty = feed == line || (feed == line + 1 && buffer_[line] == '\r');
+      if (!empty || line == begin) {
+        continue;
       }
-      const std::string_view event = std::string_view(buffer_).substr(begin, end - begin);
+      const std::string_view event = std::string_view(buffer_).substr(begin, searched - begin);
       on_event(StreamEvent{event, id_of(event)});
-      begin = end;
+      begin = searched;
     }
     buffer_.erase(0, begin);
+    line_ -= begin;
   }
   /// Number of bytes of the event that is not complete yet.
   size_t pending() const { return buffer_.size(); }
-  void reset() { buffer_.clear(); }
-
- private:
-  size_t end_of_event(size_t begin) const {
-    size_t line = begin;
-    for (size_t feed = buffer_.find('\n', line); feed != std::string::npos; feed = buffer_.find('\n', line)) {
-      const bool empty = feed == line || (feed == line + 1 && buffer_[line] == '\r');
-      if (empty && line != begin) {
-        return feed + 1;
-      }
-      line = feed + 1;
-    }
-    return std::string::npos;
+  void reset() {
+    buffer_.clear();
+    line_ = 0;
   }
 
+ private:
   static std::optional<int64_t> id_of(std::string_view event) {
     constexpr std::string_view kField = "id:";
     size_t line = 0;
@@ -75,6 +72,7 @@
   }
 
   std::string buffer_;
+  size_t line_ = 0;  ///< position in the buffer where the line that is not complete yet begins
 };
 
 }  // namespace stoat::delivery
--- a/src/dispatch/active_request.cc
+++ b/src/dispatch/active_request.cc
@@ -20,9 +20,8 @@
 constexpr int kStartupWaitDivisor = 4;
 /// How often a waiting request searches for a backend again.
 constexpr Duration kBackendPollInterval = 25ms;
-/// Maximum size of a response body, in bytes, that is buffered until the response is complete. Pieces beyond
-/// it are dropped.
-constexpr size_t kMaxBufferedBody = 4U << 20U;
+/// Maximum size of one event of a stream.
+constexpr size_t kMaxEventBytes = 1U << 20U;
 
 placement::PromptChain make_chain(const RoutedRequest& plan) {
   placement::PromptChain chain;
@@ -50,6 +49,7 @@
       on_done_(std::move(on_done)),
       fingerprint_(fingerprint_of(plan_)),
       part_features_(part_features(plan_.fields.model, plan_.fields.parts)),
+      body_(context.response_bodies),
       last_event_id_(plan_.fields.last_event_id),
       event_log_(plan_.fields.id) {
   const auto on_timeout = [](evutil_socket_t, short, void* run) {
@@ -252,6 +252,7 @@
   if (kind_ != ResponseKind::kInvalid && status != kMisdirected) {
     note_survival(context_, *backend_, sent_at_);
   }
+  body_.reset(kind_ == ResponseKind::kBuffered ? BodyUse::kPassedOn : BodyUse::kUnused);
   note_rate_limit(headers);
   apply_backoff(headers);
   note_brittle(headers);
@@ -266,13 +267,30 @@
   if (kind_ == ResponseKind::kEventStream) {
     const auto keep = shared_from_this();
     splitter_.feed(piece, [this](const delivery::StreamEvent& event) { forward_event(event); });
+    if (!finished_ && splitter_.pending() > kMaxEventBytes) {
+      on_exchange_failure(ExchangeFailure::kTooLong);
+    }
+    return;
+  }
+  if (body_.append(piece)) {
     return;
   }
-  if (body_.size() + piece.size() <= kMaxBufferedBody) {
-    body_.append(piece);
+  if (kind_ == ResponseKind::kNotRun) {
+    end_refused_exchange(false);
+  } else {
+    on_exchange_failure(ExchangeFailure::kTooLong);
   }
 }
 
+void ActiveRequest::end_refused_exchange(bool keep_connection) {
+  const auto keep = shared_from_this();
+  context_.pool.outliers().on_success(backend_->record.id);
+  event_log_.add(events::RequestNotRun{backend_->record.id, head_.status});
+  record_rollout_end(rollout::SendOutcome::kNotRun);
+  finish_exchange(keep_connection);
+  on_not_run(true);
+}
+
 void ActiveRequest::forward_event(const delivery::StreamEvent& event) {
   if (finished_) {
     return;
@@ -315,11 +333,7 @@
 void ActiveRequest::on_response_complete() {
   const auto keep = shared_from_this();
   if (kind_ == ResponseKind::kNotRun) {
-    context_.pool.outliers().on_success(backend_->record.id);
-    event_log_.add(events::RequestNotRun{backend_->record.id, head_.status});
-    record_rollout_end(rollout::SendOutcome::kNotRun);
-    finish_exchange(true);
-    on_not_run(true);
+    end_refused_exchange(true);
     return;
   }
   if (kind_ == ResponseKind::kEventStream) {
@@ -367,7 +381,7 @@
       abort_stream("engine failure in the stream");
       return;
     }
-    answer_->reply(head_, body_);
+    answer_->reply(head_, body_.bytes());
     finish_request("engine failure", head_.status);
     return;
   }
@@ -382,7 +396,7 @@
     abort_stream("an answer in place of the rest of the stream");
     return;
   }
-  answer_->reply(head_, body_);
+  answer_->reply(head_, body_.bytes());
   finish_request(failed ? "engine failure" : "complete", head_.status);
 }
 
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -11,6 +11,7 @@
 #include "src/common/log.h"
 #include "src/delivery/event_splitter.h"
 #include "src/dispatch/dispatch_context.h"
+#include "src/dispatch/response_body.h"
 #include "src/events/request_events.h"
 
 struct event;
@@ -270,6 +271,8 @@
   bool may_retry(bool known_not_executed);
   /// True if the response began later, or paused for longer, than the objectives of its route allow.
   bool missed_objective(TimePoint now) const;
+  /// Ends the exchange with a backend that has refused the request.
+  void end_refused_exchange(bool keep_connection);
   /// Retries or fails a request that was not executed. `delivered`: the backend received and refused it;
   /// else no connection was made.
   void on_not_run(bool delivered);
@@ -389,7 +392,7 @@
   std::optional<ExpectedFirstEvent> expected_;  ///< for the last attempt
   ResponseKind kind_ = ResponseKind::kNone;
   edge::ResponseHead head_;
-  std::string body_;
+  ResponseBody body_;
   delivery::EventSplitter splitter_;
   bool lease_denied_ = false;             ///< no slot was free in time
   uint64_t lease_request_ = 0;            ///< in DispatchContext::slots; 0: none
--- a/src/dispatch/backend_connection.cc
+++ b/src/dispatch/backend_connection.cc
@@ -26,6 +26,10 @@
 /// Idle time-out assumed for backends that do not state one.
 constexpr Duration kDefaultIdleTimeout = 4s;
 
+/// Bytes of interim responses, and of responses to earlier requests, that are read before the response to a
+/// request.
+constexpr size_t kMaxSkippedBytes = 1U << 20U;
+
 /// The time-out stated in the Keep-Alive header, or the default.
 Duration keep_alive_time(const http1::Headers& headers) {
   const std::string* value = headers.find("Keep-Alive");
@@ -51,6 +55,8 @@
       return "broken off";
     case ExchangeFailure::kMalformed:
       return "malformed answer";
+    case ExchangeFailure::kTooLong:
+      return "answer too long";
     case ExchangeFailure::kRelayLost:
       return "relay lost";
   }
@@ -109,6 +115,8 @@
   matches_request_ = std::move(matches_request);
   parser_.reset();
   skipping_ = false;
+  matched_ = false;
+  skipped_bytes_ = 0;
   response_complete_ = false;
   write(head);
   write(body);
@@ -255,6 +263,13 @@
       fail(ExchangeFailure::kMalformed);
       return;
     }
+    if (!matched_) {
+      skipped_bytes_ += used;
+      if (skipped_bytes_ > kMaxSkippedBytes) {
+        fail(ExchangeFailure::kTooLong);
+        return;
+      }
+    }
     if (response_complete_) {
       become_idle();
     }
@@ -304,6 +319,7 @@
   if (skipping_) {
     return true;
   }
+  matched_ = true;
   reusable_ = reusable_ && parser_.keep_alive() && !parser_.headers().has_token("Connection", "close");
   idle_until_ = loop_.now() + keep_alive_time(parser_.headers()) - kIdleMargin;
   listener_->on_response_head(status, parser_.headers());
--- a/src/dispatch/backend_connection.h
+++ b/src/dispatch/backend_connection.h
@@ -27,6 +27,7 @@
   kSilent,        ///< the peer's host no longer acknowledges anything
   kBroken,        ///< reset or closed before the response was complete
   kMalformed,     ///< the bytes received are not a valid response
+  kTooLong,       ///< the response, or one event of it, is longer than this router reads
   kRelayLost,     ///< the router that relayed the connection ended or broke off; the backend may be fine
 };
 
@@ -131,6 +132,8 @@
   bool relay_failed_ = false;
   bool reusable_ = true;
   bool skipping_ = false;           ///< the response being read belongs to another request
+  bool matched_ = false;            ///< the head of the response to the request was received
+  size_t skipped_bytes_ = 0;        ///< received before the response to the request that was sent
   bool response_complete_ = false;  ///< reported once the parser has returned
   TimePoint idle_until_{0};
 };
--- a/src/dispatch/dispatch_context.h
+++ b/src/dispatch/dispatch_context.h
@@ -20,6 +20,7 @@
 #include "src/dispatch/backend_pool.h"
 #include "src/dispatch/request_fields.h"
 #include "src/dispatch/store_set.h"
+#include "src/edge/buffer_budget.h"
 #include "src/edge/edge_request.h"
 #include "src/events/request_event_log.h"
 #include "src/fleet/fleet_messages.h"
@@ -83,6 +84,8 @@
   };
   rollout::ServiceVersions versions = {};
   streams::StreamDirectory streams = {};
+  /// For the bodies of long responses that are being received.
+  edge::BufferBudget response_bodies{16U << 20U};
   rollout::AnswerCounter answers = {};  ///< responses of services with a rollout in progress
 
   /// True if a known backend of the service is brittle.
--- a/src/dispatch/health_check.cc
+++ b/src/dispatch/health_check.cc
@@ -8,6 +8,8 @@
 
 /// A health check whose response is not complete within this time ends, and its connection is discarded.
 constexpr Duration kHealthCheckTimeout = 1s;
+/// A health check whose response has a longer body ends likewise.
+constexpr size_t kMaxBodyBytes = 64U << 10U;
 
 }  // namespace
 
@@ -33,7 +35,12 @@
 
 void HealthCheck::on_response_head(int status, const http1::Headers&) { answered_ = status != kMisdirected; }
 
-void HealthCheck::on_response_body(std::string_view) {}
+void HealthCheck::on_response_body(std::string_view piece) {
+  body_bytes_ += piece.size();
+  if (body_bytes_ > kMaxBodyBytes) {
+    end(false);
+  }
+}
 
 void HealthCheck::on_response_complete() { end(true); }
 
--- a/src/dispatch/health_check.h
+++ b/src/dispatch/health_check.h
@@ -35,6 +35,7 @@
   std::shared_ptr<BackendConnection> connection_;
   std::shared_ptr<HealthCheck> self_;  ///< set while the check is running
   bool answered_ = false;
+  size_t body_bytes_ = 0;  ///< received
 };
 
 }  // namespace stoat::dispatch
--- a/src/dispatch/request_failure.cc
+++ b/src/dispatch/request_failure.cc
@@ -79,7 +79,7 @@
     context_.pool.verifier().on_connect_failure(backend, connection.refused());
     return;
   }
-  if (failure != ExchangeFailure::kMalformed) {
+  if (failure != ExchangeFailure::kMalformed && failure != ExchangeFailure::kTooLong) {
     context_.pool.links().on_broken(id, now);
   }
   if (failure == ExchangeFailure::kSilent && !known_cut) {
--- a/src/dispatch/request_send.cc
+++ b/src/dispatch/request_send.cc
@@ -287,7 +287,7 @@
   backend_ = backend;
   connection_ = connection;
   kind_ = ResponseKind::kNone;
-  body_.clear();
+  body_.reset();
   splitter_.reset();
   context_.pool.begin_request(backend);
   record_origin(*backend);
--- a/src/dispatch/request_versions.cc
+++ b/src/dispatch/request_versions.cc
@@ -94,7 +94,8 @@
 
 void ActiveRequest::record_rollout_failure(ExchangeFailure failure) {
   const bool own_link = !connection_->relayed() && context_.pool.links().prefers_relay(backend_->record.id);
-  if (own_link && failure != ExchangeFailure::kMalformed) {
+  const bool answered = failure == ExchangeFailure::kMalformed || failure == ExchangeFailure::kTooLong;
+  if (own_link && !answered) {
     record_rollout_end(rollout::SendOutcome::kAbandoned);  // says nothing of the version
     return;
   }
@@ -106,6 +107,7 @@
       record_rollout_end(rollout::SendOutcome::kNotRun);
       break;
     case ExchangeFailure::kMalformed:
+    case ExchangeFailure::kTooLong:
       record_rollout_end(rollout::SendOutcome::kFailed);
       break;
     case ExchangeFailure::kBroken:
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -21,6 +21,8 @@
 /// Divisor for the share of the memory that may buffer data for slow clients. The fleet's state takes less
 /// than a quarter of the memory, and requests in flight take some more.
 constexpr size_t kBufferMemoryDivisor = 4;
+/// Divisor for the share of the memory that may hold long responses while they are received.
+constexpr size_t kResponseMemoryDivisor = 8;
 /// Divisor for the share of the memory that relayed connections may take, and what one takes at most.
 constexpr size_t kRelayMemoryDivisor = 8;
 constexpr size_t kRelayedConnectionBytes = 128U << 10U;
@@ -66,6 +68,7 @@
   settings.useful_engine_queue = Duration(1000 * reader.integer("useful_engine_queue_ms", 200, 0, 60000));
   const auto memory_bytes = static_cast<size_t>(reader.integer("memory_mb", 128, 16, 1000000)) << 20U;
   settings.buffer_limits.total_bytes = memory_bytes / kBufferMemoryDivisor;
+  settings.response_body_bytes = memory_bytes / kResponseMemoryDivisor;
   settings.relay_limits.connections = memory_bytes / kRelayMemoryDivisor / kRelayedConnectionBytes;
   settings.buffer_limits.stall_timeout =
       Duration(1000 * reader.integer("caller_stall_ms", 5000, 100, 600000));
@@ -109,6 +112,7 @@
   control_link_.set_permit_handler([this](const fleet::PermitResponse& response) {
     context_.limits.on_permit_answer(response, loop_.now());
   });
+  context_.response_bodies = edge::BufferBudget(settings.response_body_bytes);
   context_.topology = settings.topology;
   context_.place = settings.topology.location_of(settings.zone);
   context_.budget_options = settings.budget;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -53,6 +53,7 @@
   /// The longest Retry-After for overload.
   Duration longest_retry_after = 10s;
   edge::BufferLimits buffer_limits;
+  size_t response_body_bytes = 16U << 20U;  ///< for all long responses that are being received together
   /// Where to connect to reach a backend's endpoint, if another address leads there.
   std::function<Endpoint(const Endpoint&)> connect_to_backend = [](const Endpoint& backend) {
     return backend;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -5,6 +5,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
+
 #include "src/http/socket_options.h"
 
 namespace stoat::http {
@@ -12,6 +14,7 @@
 namespace {
 
 constexpr size_t kMaxIdlePerEndpoint = 64;
+constexpr size_t kMaxHeadBytes = 64U << 10U;
 
 evhttp_cmd_type evhttp_method(const std::string& method) {
   if (method == "POST") {
@@ -32,7 +35,7 @@
 }  // namespace
 
 /// State of one request in flight.
-class Call {
+class Call : public std::enable_shared_from_this<Call> {
  public:
   Call(Client& owner, uint64_t call_id, PieceHandler piece_handler, DoneHandler done_handler)
       : client(owner), id(call_id), on_piece(std::move(piece_handler)), on_done(std::move(done_handler)) {}
@@ -58,6 +61,34 @@
     handler(result);
   }
 
+  /// Fails the call once more bytes than this were received, whatever they are.
+  void limit_received(size_t max_bytes) {
+    bytes_left = max_bytes;
+    const auto on_input = [](evbuffer*, const evbuffer_cb_info* info, void* context) {
+      static_cast<Call*>(context)->note_received(info->n_added);
+    };
+    counter = evbuffer_add_cb(input(), on_input, this);
+  }
+  void note_received(size_t bytes) {
+    if (bytes > bytes_left && !too_long) {
+      too_long = true;
+      // Not at once: the library is reading from the connection.
+      client.loop_.after(0us, [call = weak_from_this()] {
+        if (const auto running = call.lock()) {
+          running->client.expire(running->id);
+        }
+      });
+    }
+    bytes_left -= std::min(bytes, bytes_left);
+  }
+  void stop_counting() {
+    if (counter != nullptr) {
+      evbuffer_remove_cb_entry(input(), counter);
+      counter = nullptr;
+    }
+  }
+  evbuffer* input() const { return bufferevent_get_input(evhttp_connection_get_bufferevent(connection)); }
+
   Client& client;
   uint64_t id;
   PieceHandler on_piece;
@@ -67,6 +98,9 @@
   evhttp_request* request = nullptr;
   bool failed = false;
   bool received_piece = false;
+  evbuffer_cb_entry* counter = nullptr;  ///< counts what is received
+  size_t bytes_left = 0;                 ///< that may still be received
+  bool too_long = false;
   std::string error_body;  ///< pieces received of a response with a status other than 200
 };
 
@@ -102,6 +136,10 @@
   }
   const timeval timeout{request.timeout.count() / 1000000, request.timeout.count() % 1000000};
   evhttp_connection_set_timeout_tv(call->connection, &timeout);
+  evhttp_connection_set_max_headers_size(call->connection, static_cast<ev_ssize_t>(kMaxHeadBytes));
+  if (!call->on_piece) {
+    call->limit_received(kMaxHeadBytes + request.max_body_bytes);
+  }
 
   const auto on_complete = [](evhttp_request* finished, void* context) {
     static_cast<Call*>(context)->complete(finished);
@@ -134,6 +172,7 @@
   evbuffer_add(evhttp_request_get_output_buffer(outgoing), request.body.data(), request.body.size());
   call->request = outgoing;
   Call* active = call.get();
+  const std::weak_ptr<Call> started = call;
   calls_[call_id] = std::move(call);
   evhttp_connection* const connection = active->connection;
   const int start_result =
@@ -141,6 +180,13 @@
   if (start_result == 0 && calls_.count(call_id) > 0) {
     disable_nagle(connection);
   }
+  if (request.time_limit > Duration(0)) {
+    loop_.after(request.time_limit, [started] {
+      if (const auto running = started.lock()) {
+        running->client.expire(running->id);
+      }
+    });
+  }
   return call_id;
 }
 
@@ -152,6 +198,7 @@
   // Keep the call alive until the next loop iteration, because libevent still holds its address.
   std::shared_ptr<Call> call = std::move(found->second);
   calls_.erase(found);
+  call->stop_counting();
   auto& connections = idle_[to_string(call->endpoint)];
   evhttp_connection* connection = call->connection;
   loop_.after(0us, [call] {});
@@ -164,6 +211,16 @@
   }
 }
 
+void Client::expire(uint64_t call_id) {
+  const auto found = calls_.find(call_id);
+  if (found == calls_.end()) {
+    return;
+  }
+  const DoneHandler handler = found->second->on_done;
+  cancel(call_id);
+  handler({});
+}
+
 void Client::free_later(evhttp_connection* connection) {
   loop_.after(0us, [connection] { evhttp_connection_free(connection); });
 }
@@ -175,6 +232,7 @@
   }
   std::shared_ptr<Call> call = std::move(found->second);
   calls_.erase(found);
+  call->stop_counting();
   call->on_piece = [](const std::string&) {};
   // Freeing the connection also frees the request, without calling its callbacks.
   loop_.after(0us, [call] { evhttp_connection_free(call->connection); });
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -17,6 +17,9 @@
 
 namespace stoat::http {
 
+/// Default limit for the body of a response.
+inline constexpr size_t kMaxBodyBytes = 64U << 20U;
+
 /// A request to send.
 struct ClientRequest {
   Endpoint endpoint;
@@ -25,6 +28,9 @@
   std::vector<Header> headers;
   std::string body;
   Duration timeout = 30s;  ///< limit for connecting and for inactivity on the connection
+  Duration time_limit{0};  ///< from the start of the call to its end; 0: none
+  /// Longer responses fail; their framing counts too. Does not apply to bodies that a PieceHandler takes.
+  size_t max_body_bytes = kMaxBodyBytes;
   /// Open a new connection instead of reusing an idle one. If a reused connection is lost, it is unknown
   /// whether the server executed the request.
   bool fresh_connection = false;
@@ -65,6 +71,8 @@
   friend class Call;
   evhttp_connection* take_idle_connection(const Endpoint& endpoint);
   void finish(uint64_t call_id, bool reusable);
+  /// Ends a call that takes too long or receives too much, as failed.
+  void expire(uint64_t call_id);
   void free_later(evhttp_connection* connection);
 
   EventLoop& loop_;
--- a/standins/scripted_engine.cc
+++ b/standins/scripted_engine.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <stdexcept>
 
 namespace stoat::standins {
@@ -144,6 +145,21 @@
   ::close(socket);
 }
 
+void ScriptedEngine::repeat(int socket, const std::string& bytes) {
+  while (!stopping_) {
+    pollfd writable{socket, POLLOUT, 0};
+    if (::poll(&writable, 1, kPollIntervalMs) <= 0) {
+      continue;
+    }
+    const ssize_t count = ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (count < 0 && errno != EAGAIN) {
+      ++closed_by_peer_;
+      return;
+    }
+    repeated_bytes_ += static_cast<size_t>(std::max<ssize_t>(count, 0));
+  }
+}
+
 bool ScriptedEngine::run_script(int socket, const Script& script) {
   for (const ScriptStep& step : script) {
     switch (step.kind) {
@@ -153,6 +169,9 @@
           return false;
         }
         break;
+      case ScriptStep::Kind::kRepeat:
+        repeat(socket, step.bytes);
+        return false;
       case ScriptStep::Kind::kWait: {
         const auto until = std::chrono::steady_clock::now() + step.wait;
         while (!stopping_ && std::chrono::steady_clock::now() < until) {
--- a/standins/scripted_engine.h
+++ b/standins/scripted_engine.h
@@ -26,19 +26,21 @@
 struct ScriptStep {
   enum class Kind {
     kSend,
+    kRepeat,  ///< sends the bytes again and again until the client closes the connection
     kWait,
     kClose,
     kReset,  ///< closes the connection with a TCP reset
     kCrash   ///< stops the whole engine: it no longer listens, and all connections are closed
   };
   Kind kind = Kind::kSend;
-  std::string bytes;                  ///< for kSend
+  std::string bytes;                  ///< for kSend and kRepeat
   std::chrono::milliseconds wait{0};  ///< for kWait
 };
 
 using Script = std::vector<ScriptStep>;
 
 inline ScriptStep send_step(std::string bytes) { return {ScriptStep::Kind::kSend, std::move(bytes), {}}; }
+inline ScriptStep repeat_step(std::string bytes) { return {ScriptStep::Kind::kRepeat, std::move(bytes), {}}; }
 inline ScriptStep wait_step(std::chrono::milliseconds wait) { return {ScriptStep::Kind::kWait, "", wait}; }
 inline ScriptStep close_step() { return {ScriptStep::Kind::kClose, "", {}}; }
 inline ScriptStep crash_step() { return {ScriptStep::Kind::kCrash, "", {}}; }
@@ -65,11 +67,14 @@
   bool crashed() const { return crashed_; }
   /// Number of connections closed by the client.
   size_t closed_by_peer() const { return closed_by_peer_; }
+  /// Number of bytes sent by kRepeat steps.
+  size_t repeated_bytes() const { return repeated_bytes_; }
 
  private:
   void accept_connections();
   void serve(int socket, size_t connection);
   bool run_script(int socket, const Script& script);
+  void repeat(int socket, const std::string& bytes);
 
   Handler handler_;
   int listener_ = -1;
@@ -77,6 +82,7 @@
   std::atomic<bool> stopping_{false};
   std::atomic<bool> crashed_{false};
   std::atomic<size_t> closed_by_peer_{0};
+  std::atomic<size_t> repeated_bytes_{0};
   mutable std::mutex mutex_;
   std::vector<ReceivedRequest> requests_;
   std::vector<int> sockets_;
