Find the caches that hold a newly shared part by an index

Callers saw: members too busy for the heartbeats of the log, so that leaders changed before anything had failed, and configurations came late. Cause: for each placement whose parts were new, a member compared all caches of the fleet with its own address and looked each part up in all of its own. Change: CacheIndex::mark_shared returns the holdings of this member's caches with the newly shared parts; it visits just the holders of each part already. The cost no longer grows with the number of caches.

--- a/src/control/cache_index.cc
+++ b/src/control/cache_index.cc
@@ -69,22 +69,27 @@
   cache.parts.clear();
 }
 
-std::vector<uint64_t> CacheIndex::mark_shared(const std::vector<uint64_t>& parts) {
+CacheIndex::NewlyShared CacheIndex::mark_shared(const std::vector<uint64_t>& parts) {
   if (shared_parts_.size() > kMaxSharedParts) {
     reset_shared_parts();
   }
-  std::vector<uint64_t> added;
+  NewlyShared added;
   for (const uint64_t part : parts) {
     if (!shared_parts_.insert(part).second) {
       continue;
     }
-    added.push_back(part);
+    added.parts.push_back(part);
     const auto holders = unshared_holders_.find(part);
     if (holders == unshared_holders_.end()) {
       continue;
     }
     for (const std::string& holder : holders->second) {
-      shared_holdings_.set({holder, part}, caches_.at(holder).parts.at(part));
+      const Cache& cache = caches_.at(holder);
+      const fleet::CachedPart& holding = cache.parts.at(part);
+      shared_holdings_.set({holder, part}, holding);
+      if (cache.follower == self_) {
+        added.own_holdings[holder].push_back(holding);
+      }
     }
     unshared_holders_.erase(holders);
   }
--- a/src/control/cache_index.h
+++ b/src/control/cache_index.h
@@ -54,9 +54,14 @@
 
   /// Applies changes reported by a follower. Returns false when another follower takes precedence.
   bool apply(const std::string& follower, const fleet::CacheChanges& changes);
-  /// Marks prompt parts as shared; only shared parts are sent to routers. Returns those that were not marked
-  /// yet.
-  std::vector<uint64_t> mark_shared(const std::vector<uint64_t>& parts);
+  /// What mark_shared() has changed.
+  struct NewlyShared {
+    std::vector<uint64_t> parts;  ///< that were not marked yet
+    /// Those of them that are in caches that this member follows, by holder.
+    std::map<std::string, std::vector<fleet::CachedPart>> own_holdings;
+  };
+  /// Marks prompt parts as shared; only shared parts are sent to routers.
+  NewlyShared mark_shared(const std::vector<uint64_t>& parts);
   bool shared(uint64_t part) const { return shared_parts_.count(part) > 0; }
   /// True when the cache is followed and routers already know that it holds all parts of the placement, made
   /// by the same or newer weights.
--- a/src/control/fleet_soft_state.cc
+++ b/src/control/fleet_soft_state.cc
@@ -129,9 +129,10 @@
 
 void FleetSoftState::on_placements(const std::vector<fleet::ChainPlacement>& placements) {
   for (const fleet::ChainPlacement& placement : placements) {
-    const std::vector<uint64_t> added = caches_.mark_shared(placement.links);
-    pending_update_.shared_parts.insert(pending_update_.shared_parts.end(), added.begin(), added.end());
-    announce_shared_parts(added);
+    CacheIndex::NewlyShared added = caches_.mark_shared(placement.links);
+    pending_update_.shared_parts.insert(pending_update_.shared_parts.end(), added.parts.begin(),
+                                        added.parts.end());
+    announce_shared_parts(std::move(added));
     if (!caches_.is_published(placement)) {
       add_placement(placement);
       pending_update_.placements.push_back(placement);
@@ -160,23 +161,11 @@
   return changes;
 }
 
-void FleetSoftState::announce_shared_parts(const std::vector<uint64_t>& parts) {
-  if (parts.empty()) {
-    return;
-  }
-  for (const std::string& holder : caches_.followed_by(options_.address)) {
+void FleetSoftState::announce_shared_parts(CacheIndex::NewlyShared added) {
+  for (auto& [holder, holdings] : added.own_holdings) {
     const CacheIndex::Cache& cache = *caches_.find(holder);
-    fleet::CacheChanges announced{holder,      cache.store, cache.followed,   false,
-                                  cache.claim, cache.epoch, cache.next_event, {}};
-    for (const uint64_t part : parts) {
-      const auto held = cache.parts.find(part);
-      if (held != cache.parts.end()) {
-        announced.holdings.push_back(held->second);
-      }
-    }
-    if (!announced.holdings.empty()) {
-      pending_update_.caches.push_back(std::move(announced));
-    }
+    pending_update_.caches.push_back({holder, cache.store, cache.followed, false, cache.claim, cache.epoch,
+                                      cache.next_event, std::move(holdings)});
   }
 }
 
--- a/src/control/fleet_soft_state.h
+++ b/src/control/fleet_soft_state.h
@@ -175,9 +175,9 @@
   void apply_compact_heartbeats(const fleet::PeerUpdate& peer_update, TimePoint now);
   /// Removes the prompt parts that are not shared: they are of no use to routers of other members.
   fleet::CacheChanges filter_shared(fleet::CacheChanges changes) const;
-  /// Queues, for the other members, which of these parts are in the caches that this member follows: the
-  /// parts have only now become shared, so they were not sent before.
-  void announce_shared_parts(const std::vector<uint64_t>& parts);
+  /// Queues, for the other members, what the caches that this member follows hold of parts that have only now
+  /// become shared, so that it was not sent before.
+  void announce_shared_parts(CacheIndex::NewlyShared added);
   void add_placement(const fleet::ChainPlacement& placement);
   void apply_engine_load_states(const fleet::PeerUpdate& peer_update);
   FollowedCache claim_cache(const std::string& holder, const std::string& address, bool store);
