Encode the state of the fleet once for all routers that begin to follow a member

Cause: routers that begin at different moments are at different positions, so that all records were encoded anew for each of them, with no limit on what one round may take. Change: FeedPublisher keeps the full state as a sequence of messages that all routers which begin within a second share and read at their own pace; what has changed since is sent after it. A member sends 2 MB of full states a round at most, 20 times a second, starting routers first, the others in turn; up-to-date routers come before. The bound does not depend on how many routers come. Ruled out: a limit on the rate alone, which leaves the cost for each router.

--- a/src/control/fleet_routers.cc
+++ b/src/control/fleet_routers.cc
@@ -19,6 +19,9 @@
 /// No feed messages are added while this many bytes are unsent to a router: once the router catches up, newer
 /// values have replaced the older ones.
 constexpr size_t kMaxUnsentBytes = 64U << 10U;
+/// Limit for what is sent of full states to all routers together in one round, of which there are 20 a
+/// second: recovery leaves the larger part of the time and of the link to what binds.
+constexpr size_t kFullStateBytesPerRound = 2U << 20U;
 /// A member that has had no confirmation of a leader for this long is considered cut off: heartbeats it
 /// receives do not reach the others. Elections take less time than this; backends count as lost after 4 s.
 constexpr Duration kIsolationTimeout = 1s;
@@ -236,10 +239,8 @@
   if (link.channel != channel) {
     link.reconnect(channel);
   }
-  const bool starts_following = status.follows && !(known && link.status.follows);
-  if (starts_following) {
-    link.cursor = {};
-    link.full_state_sent = false;
+  if (status.follows && !(known && link.status.follows)) {
+    link.feed = {};
   }
   channel->set_meter(traffic_, settings_.topology.distance(settings_.zone, status.router.zone));
   link.status = status;
@@ -251,11 +252,6 @@
     soft_state_.add_applied_rollouts({name, status.rollouts});
   }
   reply_to_router(link);
-  if (starts_following) {
-    const MemberWorkMeter::Scope work(work_, MemberWork::kFeeds);
-    std::map<FeedCursor, FeedFrame> frames;
-    feed_router(link, frames);
-  }
 }
 
 void FleetServer::on_router_loads(const ChannelPtr& channel, const fleet::RouterLoads& loads) {
@@ -297,35 +293,51 @@
 }
 
 void FleetServer::feed_routers() {
-  std::map<FeedCursor, FeedFrame> frames;
+  feed_publisher_.start_round();
+  size_t full_state_bytes = kFullStateBytesPerRound;
   for (auto& [name, link] : router_links_) {
-    if (link.status.follows && !link.silent) {
-      feed_router(link, frames);
+    if (link.status.follows && !link.silent && !feed_publisher_.needs_full_state(link.feed)) {
+      feed_router(link, full_state_bytes);
+    }
+  }
+  for (RouterLink* link : full_state_receivers()) {
+    if (full_state_bytes == 0) {
+      return;
     }
+    feed_router(*link, full_state_bytes);
+    last_full_state_receiver_ = link->status.router.name;
   }
 }
 
-void FleetServer::feed_router(RouterLink& link, std::map<FeedCursor, FeedFrame>& frames) {
+std::vector<RouterLink*> FleetServer::full_state_receivers() {
+  std::vector<RouterLink*> receivers;
+  size_t first = 0;
+  for (auto& [name, link] : router_links_) {
+    if (link.status.follows && !link.silent && feed_publisher_.needs_full_state(link.feed)) {
+      first += name <= last_full_state_receiver_ ? 1 : 0;
+      receivers.push_back(&link);
+    }
+  }
+  std::rotate(receivers.begin(), receivers.begin() + static_cast<std::ptrdiff_t>(first), receivers.end());
+  // A router that has just started knows nothing; one that has changed its feed member goes on with what it
+  // has.
+  std::stable_partition(receivers.begin(), receivers.end(),
+                        [](const RouterLink* link) { return !link->status.router.ready; });
+  return receivers;
+}
+
+void FleetServer::feed_router(RouterLink& link, size_t& full_state_bytes) {
   while (link.channel->open() && link.channel->unsent_bytes() < kMaxUnsentBytes) {
-    auto found = frames.find(link.cursor);
-    if (found == frames.end()) {
-      FeedFrame feed_frame;
-      feed_frame.next_cursor = link.cursor;
-      const fleet::FleetFeedUpdate message =
-          soft_state_.next_feed_message(feed_frame.next_cursor, loop_.now());
-      feed_frame.complete = message.complete;
-      if (!message.empty()) {
-        feed_frame.frame = wire::make_frame(message);
-      }
-      found = frames.emplace(link.cursor, std::move(feed_frame)).first;
+    const bool full_state = feed_publisher_.needs_full_state(link.feed);
+    if (full_state && full_state_bytes == 0) {
+      return;
     }
-    const FeedFrame& next = found->second;
-    link.cursor = next.next_cursor;
-    if (!next.frame.empty()) {
-      link.channel->send_frame(next.frame);
+    const NextFeedMessage next = feed_publisher_.next(link.feed, loop_.now());
+    if (next.frame != nullptr) {
+      link.channel->send_frame(*next.frame);
+      full_state_bytes -= full_state ? std::min(full_state_bytes, next.frame->bytes.size()) : 0;
     }
-    if (next.complete || next.frame.empty()) {
-      link.full_state_sent = true;
+    if (next.complete) {
       return;
     }
   }
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -353,7 +353,8 @@
   event.busy = work_.take_text();
   for (const auto& [name, link] : router_links_) {
     event.feeds += link.status.follows && !link.silent ? 1 : 0;
-    event.full_feeds += link.status.follows && !link.silent && !link.full_state_sent ? 1 : 0;
+    event.full_feeds +=
+        link.status.follows && !link.silent && feed_publisher_.needs_full_state(link.feed) ? 1 : 0;
   }
   log_.event(event);
 }
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -213,7 +213,11 @@
   void reply_to_router(RouterLink& link);
   void push_to_routers();
   void feed_routers();
-  void feed_router(RouterLink& link, std::map<FeedCursor, FeedFrame>& frames);
+  /// Sends a router what is new for it. `full_state_bytes`: how much of a full state may still be sent in
+  /// this round.
+  void feed_router(RouterLink& link, size_t& full_state_bytes);
+  /// The routers that need the full state, in the order in which they are sent it in this round.
+  std::vector<RouterLink*> full_state_receivers();
   void handle_state_changes();
   void record_named_weights();
   void log_registry_changes();
@@ -319,6 +323,8 @@
   bool stopping_ = false;
 
   FleetSoftState soft_state_;
+  FeedPublisher feed_publisher_{soft_state_};
+  std::string last_full_state_receiver_;  ///< router that was sent some of a full state last
   PeerFlowControl peer_feeds_;
   std::map<std::string, RouterLink> router_links_;               ///< by name
   size_t ready_router_count_ = 0;                                ///< ready routers at the last count
--- a/src/control/fleet_soft_state.h
+++ b/src/control/fleet_soft_state.h
@@ -137,6 +137,10 @@
   /// (FleetFeedUpdate::empty) if there is nothing new.
   fleet::FleetFeedUpdate next_feed_message(FeedCursor& cursor, TimePoint now) const;
 
+  /// True if the differences since `cursor` are still known; otherwise the feed must start from the
+  /// beginning.
+  bool can_resume(const FeedCursor& cursor) const;
+
   const fleet::BackendRegistry& registry() const { return registry_; }
   const RouterDirectory& routers() const { return routers_; }
   const LoadAggregator& loads() const { return loads_; }
@@ -190,9 +194,6 @@
   bool add_crashes(FeedCursor& cursor, fleet::FleetFeedUpdate& message, TimePoint now) const;
   /// Removes what backends announced that are no longer registered.
   void expire_announcements();
-  /// True if the differences since `cursor` are still known; otherwise the feed must start from the
-  /// beginning.
-  bool can_resume(const FeedCursor& cursor) const;
 
   SoftStateOptions options_;
   fleet::BackendRegistry registry_;
--- a/src/control/router_link.h
+++ b/src/control/router_link.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <tuple>
 
-#include "src/control/fleet_soft_state.h"
+#include "src/control/feed_publisher.h"
 #include "src/wire/channel.h"
 
 namespace stoat::control {
@@ -32,8 +32,7 @@
   TimePoint last_status_at{0};
   bool silent = false;  ///< regarded as gone until its next status arrives
   SentRevisions sent;
-  FeedCursor cursor;
-  bool full_state_sent = false;             ///< the feed has been sent to its present end once
+  FeedPosition feed;
   uint64_t sent_configuration_version = 0;  ///< version sent last, to its end
   uint32_t configuration_copies = 0;        ///< of that version, on this connection
   fleet::RelayList sent_relays;             ///< as sent last
@@ -50,8 +49,7 @@
   void reconnect(const std::shared_ptr<wire::Channel>& connection) {
     channel = connection;
     sent = {};
-    cursor = {};
-    full_state_sent = false;
+    feed = {};
     sent_configuration_version = 0;
     configuration_copies = 0;
     sent_relays = {};
@@ -60,11 +58,4 @@
   }
 };
 
-/// A message for the routers at one cursor, encoded once.
-struct FeedFrame {
-  wire::Frame frame;       ///< empty: there is nothing new
-  FeedCursor next_cursor;  ///< cursor of a router that has received the message
-  bool complete = true;    ///< nothing is left to be sent after this message
-};
-
 }  // namespace stoat::control
