Let routers stay away for a while from a member that they had to leave

Cause: a nearer member was taken again with its first answer. An overloaded member answers as soon as its routers have left, and is overloaded again once they are back. After an election routers also left for whichever member heard of the leader first. And after a member's restart all routers of its zone stayed with the other one for good. Change: a router stays away for 5 to 10 s, by its name, from a member that it left as unsuitable, unless there is no other; then it returns also to an equally near one.

FeedChoice tests: the former rule returns at 0 s; now none before 5 s, all by 10 s, half of them half-way.

--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -136,6 +137,8 @@
     fleet::ProtocolVersion protocol_version = 0;
     /// Time of the newest leader confirmation that the member reported.
     TimePoint leader_confirmed_at{Duration::min()};
+    /// When this router last left it because it was not suitable as the feed member.
+    std::optional<TimePoint> left_at;
     /// Send times of statuses without an answer, by sequence number.
     std::map<uint64_t, TimePoint> unanswered_statuses;
   };
@@ -144,6 +147,9 @@
   void tick();
   /// Chooses another feed member if the current one is no longer suitable.
   void update_feed_member();
+  std::vector<FeedCandidate> feed_candidates(TimePoint now) const;
+  /// Returns true if some member has become suitable as the feed member only now, as after an election.
+  bool note_suitable_members(const std::vector<FeedCandidate>& candidates, TimePoint now);
   /// A member's connection has ended or is replaced.
   void on_member_lost(const std::string& address);
   Duration idle_time(const Member& member) const;
@@ -177,9 +183,11 @@
   Logger log_{"link"};
   std::shared_ptr<wire::TrafficMeter> traffic_ = std::make_shared<wire::TrafficMeter>();
   std::map<std::string, Member> members_;  ///< by internal address
-  std::string leader_address_;    ///< internal address of the member that last reported that it leads
-  std::string feed_address_;      ///< internal address of the feed member
-  TimePoint first_answer_at_{0};  ///< 0: no member has answered yet
+  std::string leader_address_;      ///< internal address of the member that last reported that it leads
+  std::string feed_address_;        ///< internal address of the feed member
+  bool was_any_suitable_ = false;   ///< at the last choice, a member was suitable as the feed member
+  TimePoint first_suitable_at_{0};  ///< when that began
+  TimePoint first_answer_at_{0};    ///< 0: no member has answered yet
   uint32_t ticks_ = 0;
   std::vector<std::string> listed_members_;  ///< as the members last reported
   uint64_t last_sequence_ = 0;
--- a/src/gateway/feed_choice.h
+++ b/src/gateway/feed_choice.h
@@ -21,6 +21,8 @@
   /// Age of the newest leader confirmation that the member reported; nullopt: none.
   std::optional<Duration> leader_confirmation_age;
   Duration time_since_connect{Duration::max()};  ///< since the router started to connect to it
+  /// Since the router last left it because it was not suitable; nullopt: never.
+  std::optional<Duration> time_since_left;
 };
 
 /// The router leaves a feed member that is silent for this long; a feed member answers every 400 ms.
@@ -33,9 +35,20 @@
 /// the other region would take their full feeds from there.
 inline constexpr Duration kMaxLeaderConfirmationAge = 2s;
 
+/// A router that has left a member because it was not suitable stays away from it for kMinReturnDelay, and a
+/// part of kReturnSpread that depends on the router. Each change of the feed costs the member a full state;
+/// if routers came back as soon as an overloaded member answers, they would overload it again.
+inline constexpr Duration kMinReturnDelay = 5s;
+inline constexpr Duration kReturnSpread = 5s;
+
+/// True if the member that a router follows answers.
+bool is_responsive_feed(const FeedCandidate& member);
+/// True if the router has no reason to leave its feed member.
+bool is_suitable_feed(const FeedCandidate& member);
+
 /// Returns the address of the member to follow, or an empty string when none responds. `current` is the
 /// present feed member (empty: none), `router` the router's name. Keeps the current member while it is
-/// suitable, unless a nearer one is suitable as well.
+/// suitable, unless a nearer one is suitable as well, or the one that the router had left is again.
 std::string choose_feed_member(const std::vector<FeedCandidate>& members, const std::string& current,
                                const std::string& router);
 
--- a/tests/unit/feed_choice_test.cc
+++ b/tests/unit/feed_choice_test.cc
@@ -28,6 +28,54 @@
   EXPECT_EQ(choose_feed_member({member("a"), member("b", true), member("c")}, "a", "r1"), "b");
 }
 
+// Routers came back to an overloaded member as soon as it answered, each with another full state.
+TEST(FeedChoice, StaysAwayForAWhileFromANearerMemberThatItHasLeft) {
+  std::vector<FeedCandidate> members = {member("a"), member("b", true)};
+  for (int i = 0; i < 50; ++i) {
+    const std::string router = "r" + std::to_string(i);
+    members[1].time_since_left = gateway::kMinReturnDelay - 1ms;
+    EXPECT_EQ(choose_feed_member(members, "a", router), "a");
+    members[1].time_since_left = gateway::kMinReturnDelay + gateway::kReturnSpread;
+    EXPECT_EQ(choose_feed_member(members, "a", router), "b");
+  }
+}
+
+TEST(FeedChoice, RoutersReturnSpreadOverTime) {
+  std::vector<FeedCandidate> members = {member("a"), member("b", true)};
+  members[1].time_since_left = gateway::kMinReturnDelay + gateway::kReturnSpread / 2;
+  int returned = 0;
+  for (int i = 0; i < 300; ++i) {
+    returned += choose_feed_member(members, "a", "r" + std::to_string(i)) == "b" ? 1 : 0;
+  }
+  EXPECT_GT(returned, 100);
+  EXPECT_LT(returned, 200);
+}
+
+TEST(FeedChoice, UsesAMemberThatItHasLeftIfThereIsNoOther) {
+  std::vector<FeedCandidate> members = {member("a"), member("b", true)};
+  members[0].connected = false;
+  members[1].time_since_left = 10ms;
+  EXPECT_EQ(choose_feed_member(members, "a", "r1"), "b");
+}
+
+// After a member's restart all routers of its zone stayed with the other one for good.
+TEST(FeedChoice, RoutersOfARestartedMemberReturnToIt) {
+  std::vector<FeedCandidate> members = {member("a", true), member("b", true)};
+  int returned = 0;
+  constexpr int kRouters = 300;
+  for (int i = 0; i < kRouters; ++i) {
+    const std::string router = "r" + std::to_string(i);
+    if (choose_feed_member(members, "", router) != "b") {
+      continue;
+    }
+    members[1].time_since_left = gateway::kMinReturnDelay + gateway::kReturnSpread;
+    EXPECT_EQ(choose_feed_member(members, "a", router), "b");
+    members[1].time_since_left = std::nullopt;
+    ++returned;
+  }
+  EXPECT_GT(returned, kRouters / 3);
+}
+
 TEST(FeedChoice, LeavesAMemberThatIsSilentOrCutOffFromTheLeader) {
   std::vector<FeedCandidate> members = {member("a"), member("b", true)};
   members[1].time_since_message = gateway::kFeedTimeout + 1ms;
