--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -94,6 +94,7 @@
   if (output.install && output.install->index > applied_index_) {
     load_state(output.install->index, output.install->state);
     applied_index_ = output.install->index;
+    applied_bytes_ = 0;
   }
   for (const consensus::Entry& entry : output.committed) {
     apply(entry);
@@ -108,6 +109,7 @@
 }
 
 void ControlCore::load_state(uint64_t index, const std::string& bytes) {
+  snapshot_bytes_ = bytes.size();
   if (!state_.load(bytes)) {
     unreadable_ = {"snapshot", index, std::nullopt, bytes.size()};
   }
@@ -127,6 +129,7 @@
     result = state_.apply(*command);
   }
   applied_index_ = entry.index;
+  applied_bytes_ += entry.payload.size();
   const auto found = pending_calls_.find(entry.index);
   if (found == pending_calls_.end()) {
     return;
@@ -144,8 +147,17 @@
   return answers;
 }
 
+bool ControlCore::log_is_long() const {
+  // Entries may each hold a whole configuration, and then a few take more than the disk has.
+  constexpr uint64_t kSnapshotsPerLog = 4;
+  const uint64_t max_bytes =
+      std::max(options_.min_log_bytes_per_snapshot, kSnapshotsPerLog * snapshot_bytes_);
+  return applied_index_ >= replica_.snapshot_index() + options_.entries_per_snapshot ||
+         applied_bytes_ >= max_bytes;
+}
+
 std::optional<DueSnapshot> ControlCore::due_snapshot() const {
-  if (unreadable_ || applied_index_ < replica_.snapshot_index() + options_.entries_per_snapshot) {
+  if (unreadable_ || applied_index_ == replica_.snapshot_index() || !log_is_long()) {
     return std::nullopt;
   }
   DueSnapshot due;
@@ -158,6 +170,11 @@
 }
 
 void ControlCore::compact(std::shared_ptr<const std::string> encoded, const consensus::Snapshot& snapshot) {
+  snapshot_bytes_ = encoded->size();
+  applied_bytes_ = 0;
+  for (const consensus::Entry& entry : replica_.entries_after(snapshot.index)) {
+    applied_bytes_ += entry.index <= applied_index_ ? entry.payload.size() : 0;
+  }
   replica_.compact(std::move(encoded), snapshot.index, snapshot.term, snapshot.members);
 }
 
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -17,6 +17,9 @@
 struct ControlOptions {
   consensus::ReplicaOptions replica;
   uint64_t entries_per_snapshot = 20000;
+  /// A snapshot is also due once the applied entries after the last one take this many bytes, and several
+  /// times as many as that snapshot.
+  uint64_t min_log_bytes_per_snapshot = 4U << 20U;
   uint64_t max_learner_lag_entries = 200;  ///< maximum lag of a learner that may become a voter
   size_t target_voters = 3;  ///< number of voters that the leader maintains; see member_planner.h
   MembershipOptions planner;
@@ -67,8 +70,8 @@
   consensus::Output take_output() { return replica_.take_output(); }
   void on_persisted(const consensus::Output& output, TimePoint now);
   std::vector<CallAnswer> take_answers();
-  /// A snapshot when enough entries were applied since the last one, else nullopt. After writing it the
-  /// driver calls compact().
+  /// A snapshot when enough entries, or bytes of them, were applied since the last one, else nullopt. After
+  /// writing it the driver calls compact().
   std::optional<DueSnapshot> due_snapshot() const;
   void compact(std::shared_ptr<const std::string> encoded, const consensus::Snapshot& snapshot);
   /// The entries after `index`, for rewriting the log behind a snapshot.
@@ -94,6 +97,8 @@
   };
   void apply(const consensus::Entry& entry);
   void load_state(uint64_t index, const std::string& bytes);
+  /// Whether the log holds so much that a snapshot has to replace it.
+  bool log_is_long() const;
   /// Whether the current member list contains the id.
   bool is_listed(consensus::MemberId id) const;
   void fail_pending(wire::CallStatus status);
@@ -103,6 +108,8 @@
   consensus::Replica replica_;
   StateMachine state_;
   uint64_t applied_index_ = 0;
+  uint64_t applied_bytes_ = 0;   ///< of the entries that were applied after the last snapshot
+  uint64_t snapshot_bytes_ = 0;  ///< size of the last snapshot
   bool was_leader_ = false;
   std::map<uint64_t, PendingCall> pending_calls_;  ///< by log index
   std::map<uint64_t, uint64_t> pending_reads_;     ///< read id to token
--- a/tests/unit/control_core_test.cc
+++ b/tests/unit/control_core_test.cc
@@ -72,5 +72,46 @@
   EXPECT_TRUE(core.unreadable_record().has_value());
 }
 
+/// Processes all outputs of a core that is the only member, as if its disk were instant.
+void drain(ControlCore& core, TimePoint now) {
+  for (consensus::Output output = core.take_output(); output.needs_disk() || !output.committed.empty();
+       output = core.take_output()) {
+    core.on_persisted(output, now);
+  }
+}
+
+// The log was compacted by the number of its entries alone, and large ones filled the disk.
+TEST(ControlCore, ALogOfLargeEntriesIsCompactedByItsBytes) {
+  constexpr size_t kDocumentBytes = 1U << 20U;
+  constexpr uint64_t kVersions = 60;
+  constexpr size_t kMaxEntries = 16;
+  ControlCore core = core_with({{kOwnId, "b", "b", true}});
+  TimePoint now(1s);
+  for (int tick = 0; tick < 100 && !core.replica().leads(); ++tick) {
+    now += 50ms;
+    core.tick(now);
+    drain(core, now);
+  }
+  ASSERT_TRUE(core.replica().leads());
+  size_t snapshots = 0;
+  size_t most_entries = 0;
+  for (uint64_t version = 1; version <= kVersions; ++version) {
+    fleet::PutConfiguration command;
+    command.configuration.version = version;
+    command.source = std::string(kDocumentBytes, 'x');
+    core.propose_command(version, command, now);
+    drain(core, now);
+    most_entries = std::max(most_entries, core.entries_after(core.replica().snapshot_index()).size());
+    if (const auto due = core.due_snapshot()) {
+      core.compact(std::make_shared<const std::string>(wire::encode(due->snapshot)), due->snapshot);
+      ++snapshots;
+      EXPECT_FALSE(core.due_snapshot().has_value());
+    }
+  }
+  EXPECT_EQ(core.state().fleet().configuration().version, kVersions);
+  EXPECT_LT(most_entries, kMaxEntries);
+  EXPECT_GT(snapshots, kVersions / kMaxEntries);
+}
+
 }  // namespace
 }  // namespace stoat::control
