Select relays for a router without sorting all routers

Looked for with the class of the fleet's incident: work for each message that grows with the fleet. Whenever a router came or went a member sorted all routers for each one that follows it (985 for each of up to 207 followers on the whole fleet). Now the first few of each distance are selected; the result is the same. No late loop was seen for it; no figure but the order of growth: N for each follower in place of N log N. RelaySelection tests hold.

--- a/src/control/relay_selection.cc
+++ b/src/control/relay_selection.cc
@@ -1,7 +1,7 @@
 #include "src/control/relay_selection.h"
 
 #include <algorithm>
-#include <tuple>
+#include <map>
 #include <utility>
 
 #include "src/common/hash.h"
@@ -25,37 +25,35 @@
 std::vector<std::string> RelaySelection::select(const fleet::RouterRecord& router, size_t limit) const {
   const uint64_t own_hash = hash_bytes(router.name);
   const topology::Location place = topology_.location_of(router.zone);
-  using Ranked = std::tuple<topology::Distance, uint64_t, const Candidate*>;
-  std::vector<Ranked> ranked;
-  ranked.reserve(candidates_.size());
+  std::map<topology::Distance, std::vector<Ranked>> by_distance;
   for (const Candidate& candidate : candidates_) {
     if (candidate.name_hash != own_hash) {
-      ranked.emplace_back(topology::distance(place, candidate.place),
-                          hash_pair(own_hash, candidate.name_hash), &candidate);
+      by_distance[topology::distance(place, candidate.place)].emplace_back(
+          hash_pair(own_hash, candidate.name_hash), &candidate);
     }
   }
-  std::sort(ranked.begin(), ranked.end());
-  const auto is_nearer_than = [](topology::Distance distance) {
-    return [distance](const Ranked& entry) { return std::get<topology::Distance>(entry) < distance; };
-  };
-  const auto other_zones =
-      std::partition_point(ranked.begin(), ranked.end(), is_nearer_than(topology::Distance::kSameRegion));
-  const auto other_regions =
-      std::partition_point(ranked.begin(), ranked.end(), is_nearer_than(topology::Distance::kOtherRegion));
-  if (other_regions != ranked.begin()) {
-    ranked.erase(other_regions, ranked.end());
-  }
+  std::vector<Ranked>& in_zone = by_distance[topology::Distance::kSameZone];
+  std::vector<Ranked>& in_region = by_distance[topology::Distance::kSameRegion];
+  const bool is_alone = in_zone.empty() && in_region.empty();
+  std::vector<Ranked>& elsewhere = is_alone ? by_distance[topology::Distance::kOtherRegion] : in_region;
   // No more than half come from the router's own zone, since a whole zone may be cut off at once.
-  const auto in_zone = static_cast<size_t>(std::distance(ranked.begin(), other_zones));
-  const size_t elsewhere = ranked.size() - std::min(ranked.size(), in_zone);
-  const size_t kept = std::min(in_zone, std::max(limit / 2, limit - std::min(limit, elsewhere)));
-  ranked.erase(ranked.begin() + static_cast<std::ptrdiff_t>(kept),
-               ranked.begin() + static_cast<std::ptrdiff_t>(std::min(in_zone, ranked.size())));
-  ranked.resize(std::min(limit, ranked.size()));
-  std::vector<std::string> addresses(ranked.size());
-  std::transform(ranked.begin(), ranked.end(), addresses.begin(),
-                 [](const Ranked& entry) { return std::get<const Candidate*>(entry)->address; });
+  const size_t from_zone = std::max(limit / 2, limit - std::min(limit, elsewhere.size()));
+  keep_first(in_zone, from_zone);
+  keep_first(elsewhere, limit - in_zone.size());
+  std::vector<std::string> addresses;
+  for (const auto* list : {&in_zone, &elsewhere}) {
+    for (const auto& [rank, candidate] : *list) {
+      addresses.push_back(candidate->address);
+    }
+  }
   return addresses;
 }
 
+void RelaySelection::keep_first(std::vector<Ranked>& candidates, size_t count) {
+  const size_t kept = std::min(count, candidates.size());
+  std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(kept),
+                    candidates.end());
+  candidates.resize(kept);
+}
+
 }  // namespace stoat::control
--- a/src/control/relay_selection.h
+++ b/src/control/relay_selection.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/fleet/backend_record.h"
@@ -33,6 +34,11 @@
       return name_hash == other.name_hash && address == other.address;
     }
   };
+  /// A candidate and its rank for one router; the lowest is selected first.
+  using Ranked = std::pair<uint64_t, const Candidate*>;
+  /// Keeps the first `count` by rank, in order.
+  static void keep_first(std::vector<Ranked>& candidates, size_t count);
+
   topology::Topology topology_;
   std::vector<Candidate> candidates_;
   uint64_t revision_ = 1;
