Reject a back end's id that is no text, and throw on no bytes in JSON

Change: such an id gets 400, and bodies are written with replacement characters, since records also come from members of earlier builds. FleetAdminApiTest.IdOfBytesThatAreNoTextIsRejected.

--- a/src/control/fleet_admin_api.cc
+++ b/src/control/fleet_admin_api.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/common/json_text.h"
 #include "src/control/fleet_bodies.h"
 
 namespace stoat::control {
@@ -140,8 +141,12 @@
 }
 
 void FleetAdminApi::put_heartbeat(const http::ExchangePtr& exchange) {
-  const auto record =
-      read_heartbeat(backend_name_from_path(*exchange), exchange->body(), interface_.field_names);
+  const std::string name = backend_name_from_path(*exchange);
+  if (!is_utf8(name)) {
+    exchange->reply(kBadRequest, kText, "the back end's id is not UTF-8\n");
+    return;
+  }
+  const auto record = read_heartbeat(name, exchange->body(), interface_.field_names);
   if (!record) {
     exchange->reply(kBadRequest, kText, "malformed heartbeat\n");
     return;
@@ -172,7 +177,7 @@
   for (const fleet::BackendRecord& backend : fleet_.soft_state().registry().records()) {
     status["backends"].push_back(backend_status(backend));
   }
-  exchange->reply(kOk, kJson, status.dump() + "\n");
+  exchange->reply(kOk, kJson, to_json_text(status) + "\n");
 }
 
 void FleetAdminApi::get_routers(const http::ExchangePtr& exchange) {
--- a/src/control/fleet_bodies.cc
+++ b/src/control/fleet_bodies.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "src/common/hash.h"
+#include "src/common/json_text.h"
 #include "src/fleet/incarnation.h"
 #include "src/placement/cache_namespace.h"
 
@@ -362,7 +363,7 @@
   } else if (rollout.phase == fleet::RolloutPhase::kRolledBack) {
     state = "rolled_back";
   }
-  return json{{"state", state}, {names.rollout_target, rollout.target_version}}.dump();
+  return to_json_text({{"state", state}, {names.rollout_target, rollout.target_version}});
 }
 
 std::optional<EngineReport> read_report(const std::string& text, const JsonFieldNames& names) {
@@ -401,15 +402,15 @@
                      {names.holder, order.holder},
                      {names.fencing_token_field, order.fencing_token},
                      {names.expected_sequence, order.expected_sequence}};
-  return body.dump();
+  return to_json_text(body);
 }
 
 std::string heartbeat_reply_body(const std::string& address, const JsonFieldNames& names) {
-  return json{{names.heartbeat_address, address}}.dump();
+  return to_json_text({{names.heartbeat_address, address}});
 }
 
 std::string routers_body(const std::vector<std::string>& addresses, double lifetime_s) {
-  return json{{"addresses", addresses}, {"lifetime_s", lifetime_s}}.dump();
+  return to_json_text({{"addresses", addresses}, {"lifetime_s", lifetime_s}});
 }
 
 }  // namespace stoat::control
--- a/tests/unit/fleet_admin_api_test.cc
+++ b/tests/unit/fleet_admin_api_test.cc
@@ -114,6 +114,21 @@
   EXPECT_EQ(read.body, kConfiguration);
 }
 
+// A member ended when its status was asked for after such a heartbeat.
+TEST_F(FleetAdminApiTest, IdOfBytesThatAreNoTextIsRejected) {
+  const std::string heartbeat =
+      R"({"service":"calls","address":"127.0.0.1:9","zone":"z","slots":1,"state":"ready","sequence":1})";
+  EXPECT_EQ(call(control_, "PUT", "/v1/backends/e\xff\xfe", heartbeat).status, 400);
+  EXPECT_EQ(call(control_, "PUT", "/v1/backends/e1", heartbeat).status, 200);
+  const auto status = call(control_, "GET", "/v1/status");
+  EXPECT_EQ(status.status, 200);
+  EXPECT_EQ(json::parse(status.body)["backends"].size(), 1U);
+}
+
+TEST(FleetBodies, NamesOfBytesThatAreNoTextAreReplaced) {
+  EXPECT_EQ(json::parse(heartbeat_reply_body("a\xff:1", {})).begin()->get<std::string>(), "a\xEF\xBF\xBD:1");
+}
+
 TEST_F(FleetAdminApiTest, HeartbeatReplyNamesTheNearestMember) {
   ASSERT_TRUE(succeeds_eventually("PUT", "/v1/configuration", kConfiguration));
   // The reply contains an address only after a quorum is known to have confirmed the leader, which is some
