--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -34,7 +34,9 @@
   bool follows = false;                ///< the router is subscribed to the member's feed (FleetFeedUpdate)
   std::vector<AppliedRollout> rollouts = {};
   ProtocolVersion protocol_version = 0;
-  MSGPACK_DEFINE_ARRAY(router, sequence, configuration_version, follows, rollouts, protocol_version)
+  bool has_fleet_state = false;  ///< has received a feed's full state; false also in builds that don't say
+  MSGPACK_DEFINE_ARRAY(router, sequence, configuration_version, follows, rollouts, protocol_version,
+                       has_fleet_state)
 };
 
 /// What a tenant has used of its quota.
--- a/src/gateway/feed_choice.h
+++ b/src/gateway/feed_choice.h
@@ -25,6 +25,8 @@
   std::optional<Duration> time_since_left;
 };
 
+/// After the first answer of a member, the others have this long to answer before a feed member is chosen.
+inline constexpr Duration kFeedChoiceDelay = 60ms;
 /// The router leaves a feed member that is silent for this long; a feed member answers every 400 ms.
 inline constexpr Duration kFeedTimeout = 1s;
 /// Other members are asked every 1.2 s; one that has answered within this time may become the feed member.
--- a/src/gateway/gateway_feed.cc
+++ b/src/gateway/gateway_feed.cc
@@ -34,6 +34,7 @@
   update_backends(feed_update);
   if (receiving_full_state_ && feed_update.complete) {
     receiving_full_state_ = false;
+    has_fleet_state_ = true;
     for (const std::string& id : std::exchange(unlisted_backends_, {})) {
       remove_backend(id);
     }
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -216,6 +216,7 @@
   status.configuration_version = configuration_version();
   status.rollouts = applied_rollouts();
   status.protocol_version = fleet::kProtocolVersion;
+  status.has_fleet_state = has_fleet_state_;
   return status;
 }
 
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -214,6 +214,7 @@
   routing::TrafficSplitter traffic_splitter_;
   std::set<std::string> unlisted_backends_;         ///< known backends that a new feed has not listed yet
   bool receiving_full_state_ = false;               ///< the first full state of a feed is not complete yet
+  bool has_fleet_state_ = false;                    ///< a full state was received to its end
   bool quotas_known_ = false;                       ///< a feed has reported which quotas are metered
   std::vector<fleet::BackendLoad> reported_loads_;  ///< this router's loads, as last reported
   bool loads_reported_ = false;                     ///< to the current feed member
