--- a/src/control/fleet_soft_state.cc
+++ b/src/control/fleet_soft_state.cc
@@ -129,10 +129,10 @@
 
 void FleetSoftState::on_placements(const std::vector<fleet::ChainPlacement>& placements) {
   for (const fleet::ChainPlacement& placement : placements) {
-    CacheIndex::NewlyShared added = caches_.mark_shared(placement.links);
+    const CacheIndex::NewlyShared added = caches_.mark_shared(placement.links);
     pending_update_.shared_parts.insert(pending_update_.shared_parts.end(), added.parts.begin(),
                                         added.parts.end());
-    announce_shared_parts(std::move(added));
+    announce_shared_parts(added);
     if (!caches_.is_published(placement)) {
       add_placement(placement);
       pending_update_.placements.push_back(placement);
@@ -161,11 +161,11 @@
   return changes;
 }
 
-void FleetSoftState::announce_shared_parts(CacheIndex::NewlyShared added) {
-  for (auto& [holder, holdings] : added.own_holdings) {
+void FleetSoftState::announce_shared_parts(const CacheIndex::NewlyShared& added) {
+  for (const auto& [holder, holdings] : added.own_holdings) {
     const CacheIndex::Cache& cache = *caches_.find(holder);
-    pending_update_.caches.push_back({holder, cache.store, cache.followed, false, cache.claim, cache.epoch,
-                                      cache.next_event, std::move(holdings)});
+    pending_update_.caches.push_back(
+        {holder, cache.store, cache.followed, false, cache.claim, cache.epoch, cache.next_event, holdings});
   }
 }
 
--- a/src/control/fleet_soft_state.h
+++ b/src/control/fleet_soft_state.h
@@ -181,7 +181,7 @@
   fleet::CacheChanges filter_shared(fleet::CacheChanges changes) const;
   /// Queues, for the other members, what the caches that this member follows hold of parts that have only now
   /// become shared, so that it was not sent before.
-  void announce_shared_parts(CacheIndex::NewlyShared added);
+  void announce_shared_parts(const CacheIndex::NewlyShared& added);
   void add_placement(const fleet::ChainPlacement& placement);
   void apply_engine_load_states(const fleet::PeerUpdate& peer_update);
   FollowedCache claim_cache(const std::string& holder, const std::string& address, bool store);
