--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -97,7 +97,7 @@
   };
   void apply(const consensus::Entry& entry);
   void load_state(uint64_t index, const std::string& bytes);
-  /// Whether the log holds so much that a snapshot has to replace it.
+  /// True if a snapshot has to replace the log, which has many entries or bytes.
   bool log_is_long() const;
   /// Whether the current member list contains the id.
   bool is_listed(consensus::MemberId id) const;
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -321,7 +321,7 @@
   std::vector<LogField> fields() const { return {{"distance", distance}, {"bytes", bytes}}; }
 };
 
-/// The event loop of a control member was busy for so long that a periodic call came late. While it is late,
+/// A periodic call of a control member came late, since its event loop was busy. While it is late,
 /// nothing is answered, heartbeats of the replicated log included.
 struct LoopLate {
   static constexpr const char* kMessage = "loop late";
