Prefer a member of the own region for the feed, also one that was left

Cause, by the code: routers stayed away from a member of their region for 5 to 10 s also where only members of another region were left, and in the second after an election kept a feed from another region though a nearer member was suitable. Change: the region comes before staying away; after an election the feed member counts as one that knows the leader, so that a nearer one is still taken. FeedChoice.PrefersAMemberOfItsRegionThatItHasLeftToAnotherRegion.

--- a/src/gateway/control_link_feed.cc
+++ b/src/gateway/control_link_feed.cc
@@ -52,13 +52,13 @@
   if (first_answer_at_ == TimePoint(0) || now - first_answer_at_ < kFeedChoiceDelay) {
     return;
   }
-  const std::vector<FeedCandidate> candidates = feed_candidates(now);
+  std::vector<FeedCandidate> candidates = feed_candidates(now);
   const auto current =
       std::find_if(candidates.begin(), candidates.end(),
                    [this](const FeedCandidate& candidate) { return candidate.address == feed_address_; });
   const bool leader_is_new = note_suitable_members(candidates, now);
-  if (leader_is_new && current != candidates.end() && is_responsive_feed(*current)) {
-    return;
+  if (leader_is_new && current != candidates.end()) {
+    current->leader_confirmation_age = Duration(0);
   }
   const std::string chosen = choose_feed_member(candidates, feed_address_, options_.router);
   if (chosen == feed_address_ || chosen.empty()) {
--- a/src/gateway/feed_choice.cc
+++ b/src/gateway/feed_choice.cc
@@ -24,10 +24,8 @@
 
 }  // namespace
 
-bool is_responsive_feed(const FeedCandidate& member) { return is_responsive(member, true); }
-
 bool is_suitable_feed(const FeedCandidate& member) {
-  return is_responsive_feed(member) && knows_leader(member);
+  return is_responsive(member, true) && knows_leader(member);
 }
 
 std::string choose_feed_member(const std::vector<FeedCandidate>& members, const std::string& current,
@@ -35,7 +33,7 @@
   const uint64_t router_hash = hash_bytes(router);
   const uint64_t current_hash = hash_pair(router_hash, hash_bytes(current));
   const FeedCandidate* best = nullptr;
-  using Rank = std::tuple<bool, bool, int, bool, uint64_t>;  // the greatest wins
+  using Rank = std::tuple<bool, bool, bool, int, bool, uint64_t>;  // the greatest wins
   Rank best_rank;
   for (const FeedCandidate& member : members) {
     const bool is_current = member.address == current;
@@ -47,7 +45,8 @@
         !is_current && member.time_since_left && *member.time_since_left < return_delay(router_hash);
     const bool returns = !is_current && member.time_since_left && hash > current_hash;
     // While no member confirms a leader, as during an election, the current member stays.
-    const Rank rank(knows_leader(member), !stays_away, -static_cast<int>(member.distance),
+    const bool in_region = member.distance != topology::Distance::kOtherRegion;
+    const Rank rank(knows_leader(member), in_region, !stays_away, -static_cast<int>(member.distance),
                     is_current || returns, hash);
     if (best == nullptr || rank > best_rank) {
       best = &member;
--- a/src/gateway/feed_choice.h
+++ b/src/gateway/feed_choice.h
@@ -38,13 +38,12 @@
 inline constexpr Duration kMaxLeaderConfirmationAge = 2s;
 
 /// A router that has left a member because it was not suitable stays away from it for kMinReturnDelay, and a
-/// part of kReturnSpread that depends on the router. Each change of the feed costs the member a full state;
-/// if routers came back as soon as an overloaded member answers, they would overload it again.
+/// part of kReturnSpread that depends on the router, unless only members of another region are left. Each
+/// change of the feed costs the member a full state; if routers came back as soon as an overloaded member
+/// answers, they would overload it again.
 inline constexpr Duration kMinReturnDelay = 5s;
 inline constexpr Duration kReturnSpread = 5s;
 
-/// True if the member that a router follows answers.
-bool is_responsive_feed(const FeedCandidate& member);
 /// True if the router has no reason to leave its feed member.
 bool is_suitable_feed(const FeedCandidate& member);
 
--- a/tests/unit/feed_choice_test.cc
+++ b/tests/unit/feed_choice_test.cc
@@ -58,6 +58,14 @@
   EXPECT_EQ(choose_feed_member(members, "a", "r1"), "b");
 }
 
+// Routers took their feeds over the link between regions while a member of their region answered again.
+TEST(FeedChoice, PrefersAMemberOfItsRegionThatItHasLeftToAnotherRegion) {
+  std::vector<FeedCandidate> members = {member("a"), member("b", true)};
+  members[0].distance = Distance::kOtherRegion;
+  members[1].time_since_left = 10ms;
+  EXPECT_EQ(choose_feed_member(members, "a", "r1"), "b");
+}
+
 // After a member's restart all routers of its zone stayed with the other one for good.
 TEST(FeedChoice, RoutersOfARestartedMemberReturnToIt) {
   std::vector<FeedCandidate> members = {member("a", true), member("b", true)};
