--- a/src/gateway/feed_choice.cc
+++ b/src/gateway/feed_choice.cc
@@ -44,8 +44,8 @@
     const bool stays_away =
         !is_current && member.time_since_left && *member.time_since_left < return_delay(router_hash);
     const bool returns = !is_current && member.time_since_left && hash > current_hash;
-    // While no member confirms a leader, as during an election, the current member stays.
     const bool in_region = member.distance != topology::Distance::kOtherRegion;
+    // While no member confirms a leader, as during an election, the current member stays.
     const Rank rank(knows_leader(member), in_region, !stays_away, -static_cast<int>(member.distance),
                     is_current || returns, hash);
     if (best == nullptr || rank > best_rank) {
