--- a/review/standins-2/engine.py
+++ b/review/standins-2/engine.py
@@ -2,6 +2,9 @@
 answers 421 where other weights or another engine are expected, and keeps parts of prompts under their salt."""
 import asyncio
 import json
+import random
+import socket
+import struct
 
 import harness
 
@@ -15,6 +18,7 @@
     def __init__(self, fleet, number, name, service, zone="zone-a", slots=64):
         super().__init__(fleet, number, name, service, zone, slots, [{"name": MODEL, "version": 1, "adapters": []}],
                          handle=answer)
+        fleet.engines[self.address] = self
         self.orders = 0
         self.fence = 0
         self.loading = None
@@ -23,10 +27,13 @@
         self.events = []  # what kv-events tells
         self.parts = {}  # (salt, part) -> tenant and client attempt that made it
         self.uses = []  # (seconds, attempt, tenant, part, salt, tenant that made it)
-        self.extra_share = 0.0  # share of the answers of which one too many arrives, late
-        self.answered = 0
-        self.extras = 0
-        self.late_copies = {}  # by connection
+        self.event_count = EVENTS
+        self.copies = {}  # attempt -> engine whose run it is a copy of
+        self.lost_share = 0.0  # share of the runs whose answer is lost: the connection is reset, the run goes on
+        self.lose_after = 10  # events
+        self.draw = random.Random(number + 1)
+        self.work = {}  # attempt -> [seconds when its run began, when it ended or None]
+        self.continued = []  # (seconds, attempt, engine of the run before)
 
     @property
     def version(self):
@@ -40,14 +47,6 @@
         self.parts.clear()
         self.record("%s has weights %d" % (self.name, version))
 
-    def send(self, writer, bytes_sent, rejection=False):
-        """Writes an answer. One of so many is told again where the next answer on its connection is due."""
-        writer.write(bytes_sent)
-        self.answered += 1
-        if rejection and self.extras + 1 <= self.extra_share * self.answered:
-            self.extras += 1
-            self.late_copies[writer] = bytes_sent
-
 
 def take_order(engine, headers, body):
     order = json.loads(body)
@@ -90,33 +89,59 @@
         await harness.answer_common(engine, path, headers, writer)
         return
     attempt = headers.get("attempt-id", "")
-    copy = engine.late_copies.pop(writer, None)
-    if copy is not None:
-        engine.record("%s: one answer too many arrives where the one to %s is due" % (engine.name, attempt))
-        writer.write(copy)
-        await writer.drain()
-        await asyncio.sleep(0.005)
     fields = {"Attempt-Id": attempt, "Weight-Versions": str(engine.version)}
     expected = headers.get("expected-version")
     if not engine.expects_me(headers) or (expected is not None and int(expected) != engine.version):
         engine.record("%s: 421 to %s, which expects weights %s" % (engine.name, attempt, expected))
-        engine.send(writer, harness.message(421, fields), rejection=True)
+        writer.write(harness.message(421, fields))
         return
     if engine.loading is not None:
-        engine.send(writer, harness.message(503, dict(fields, **{"Not-Executed": "1"})))
+        writer.write(harness.message(503, dict(fields, **{"Not-Executed": "1"})))
         return
-    engine.note_run(attempt, headers)
-    use_parts(engine, attempt, headers)
+    first = 1
+    if "kv-from" in headers:
+        before = engine.copies.pop(attempt, None)
+        if before is None or headers["kv-from"] != before.address + "/" + attempt:
+            writer.write(harness.message(503, dict(fields, **{"Not-Executed": "1"})))
+            return
+        first = int(headers["last-event-id"]) + 1
+        engine.continued.append((engine.record.now(), attempt, before))
+        engine.record("%s goes on with %s after event %d, from its copy of the run at %s"
+                      % (engine.name, attempt, first - 1, before.name))
+    else:
+        engine.note_run(attempt, headers)
+        use_parts(engine, attempt, headers)
+    backup = engine.fleet.engines.get(headers.get("key-value-backup"))
+    if backup is not None:
+        backup.copies[attempt] = engine
     fields.update({"Response-Signature": "s-" + attempt, "Content-Type": "text/event-stream",
                    "Transfer-Encoding": "chunked"})
-    engine.answered += 1
+    lost = engine.draw.random() < engine.lost_share
+    await stream_events(engine, attempt, fields, first, lost, writer)
+    if backup is not None:
+        backup.copies.pop(attempt, None)
+
+
+async def stream_events(engine, attempt, fields, first, lost, writer):
+    """Works on a run, and tells its events. Where its answer is lost, the connection is reset and the run goes on."""
+    engine.work[attempt] = [engine.record.now(), None]
     writer.write(("HTTP/1.1 200 OK\r\n" + "".join("%s: %s\r\n" % item for item in fields.items()) + "\r\n").encode())
-    for number in range(1, EVENTS + 1):
-        event = ("id: %d\ndata: token-%d\n\n" % (number, number)).encode()
-        writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-        await writer.drain()
+    heard = True
+    for number in range(first, engine.event_count + 1):
+        if lost and number == first + engine.lose_after:
+            engine.record("%s: the answer to %s is lost after event %d" % (engine.name, attempt, number - 1))
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+            heard = False
+        if heard:
+            event = ("id: %d\ndata: token-%d\n\n" % (number, number)).encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
         await asyncio.sleep(EVENT_GAP_S)
-    writer.write(b"0\r\n\r\n")
+    engine.work[attempt][1] = engine.record.now()
+    engine.record("%s: its run of %s has ended" % (engine.name, attempt))
+    if heard:
+        writer.write(b"0\r\n\r\n")
 
 
 def use_parts(engine, attempt, headers):
--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -162,6 +162,7 @@
         self.members = ["127.%d.0.%d" % (self.base, number + 1) for number in range(members)]
         self.routers = ["127.%d.1.%d" % (self.base, number + 1) for number in range(routers)]
         self.processes = {}
+        self.engines = {}  # model engines by address
         for number, ip in enumerate(self.members):
             self._add_member(number, ip)
         for number, ip in enumerate(self.routers):
