Refuse JSON bodies that are nested more than 64 levels deep

Cause: FieldReader::list() copied the list, and copying a JSON value recurses once for each level. The parser bounds no depth. In a debugger: 640,268 frames, copy constructors called by read_models, read_heartbeat, put_heartbeat. Ruled out: parser and destructor (values of the same depth in fields that are not in a list were parsed and dropped, the member lived), formatting and comparing (not on these paths). 34 bodies, lists and objects at each place: 17 ended the member, all within a list that is read, unread fields of its elements included. Related paths: configurations, reports and cache events of engines go through the same function; stoatctl copies and prints what members answer and ended the same way. Change: parse_json() is the one way from text to a JSON value. It refuses more than 64 levels before it parses, and gives line and column of that and of syntax errors. Lists are read without a copy. All refusals name their findings (a heartbeat got "malformed heartbeat"), and members log `body unreadable`, for answers of engines and stores too, which left no trace. The limiter of such lines is shared with `message unreadable`.

--- a/src/control/engine_client.cc
+++ b/src/control/engine_client.cc
@@ -1,6 +1,5 @@
 #include "src/control/engine_client.h"
 
-#include "src/control/fleet_bodies.h"
 #include "src/fleet/incarnation.h"
 
 namespace stoat::control {
@@ -11,6 +10,7 @@
 constexpr Duration kOrderTimeout = 250ms;
 constexpr Duration kReportTimeout = 500ms;
 constexpr Duration kCacheEventsWait = 1s;
+constexpr int kOk = 200;
 /// Longest body of a response of an engine or a store.
 constexpr size_t kMaxBodyBytes = 4U << 20U;
 
@@ -40,6 +40,15 @@
 
 }  // namespace
 
+template <typename Value>
+std::optional<Value> EngineClient::readable(const std::string& address, BodyResult<Value> body) {
+  if (!body) {
+    unreadable_bodies_.report(address, body.error(), loop_.now());
+    return std::nullopt;
+  }
+  return std::move(*body);
+}
+
 void EngineClient::send(const LoadWeightsOrder& order, std::function<void(OrderAnswer)> on_answer) {
   http::ClientRequest request;
   if (!parse_endpoint(order.address, request.endpoint)) {
@@ -67,12 +76,13 @@
   }
   request.path = interface_.paths.report;
   limit_call(request, kReportTimeout);
-  client_.start(request, nullptr, [this, on_report = std::move(on_report)](const http::ClientResult& result) {
-    constexpr int kOk = 200;
-    const auto report =
-        result.status == kOk ? read_report(result.body, interface_.field_names) : std::nullopt;
+  const auto on_result = [this, address, on_report = std::move(on_report)](const http::ClientResult& result) {
+    const auto report = result.status == kOk
+                            ? readable(address, read_report(result.body, interface_.field_names))
+                            : std::nullopt;
     on_report(report ? &*report : nullptr);
-  });
+  };
+  client_.start(request, nullptr, on_result);
 }
 
 void EngineClient::poll_cache_events(const std::string& address, uint64_t since,
@@ -85,12 +95,13 @@
   request.path = interface_.paths.cache_events + "?since=" + std::to_string(since);
   request.headers = {{interface_.wait_header, std::to_string(to_milliseconds(kCacheEventsWait))}};
   limit_call(request, kCacheEventsWait + kReportTimeout);
-  client_.start(request, nullptr, [this, on_events = std::move(on_events)](const http::ClientResult& result) {
-    constexpr int kOk = 200;
-    const auto events =
-        result.status == kOk ? read_cache_events(result.body, interface_.field_names) : std::nullopt;
+  const auto on_result = [this, address, on_events = std::move(on_events)](const http::ClientResult& result) {
+    const auto events = result.status == kOk
+                            ? readable(address, read_cache_events(result.body, interface_.field_names))
+                            : std::nullopt;
     on_events(events ? &*events : nullptr);
-  });
+  };
+  client_.start(request, nullptr, on_result);
 }
 
 }  // namespace stoat::control
--- a/src/control/fleet_admin_api.cc
+++ b/src/control/fleet_admin_api.cc
@@ -66,11 +66,16 @@
       directory_lifetime_s_(directory_lifetime_s),
       heartbeat_address_(std::move(heartbeat_address)) {}
 
+void FleetAdminApi::refuse(const http::ExchangePtr& exchange, const Findings& findings) {
+  unreadable_bodies_.report("call", findings, fleet_.now());
+  exchange->reply(kBadRequest, kText, findings.to_text());
+}
+
 void FleetAdminApi::put_configuration(const http::ExchangePtr& exchange) {
   Findings findings;
   auto configuration = read_configuration(exchange->body(), interface_.field_names, findings);
   if (!configuration) {
-    exchange->reply(kBadRequest, kText, findings.to_text());
+    refuse(exchange, findings);
     return;
   }
   fleet_.commit(fleet::PutConfiguration{std::move(*configuration), exchange->body()},
@@ -86,7 +91,7 @@
 void FleetAdminApi::set_target_weights(const http::ExchangePtr& exchange) {
   const auto named = read_named_weights(exchange->body());
   if (!named) {
-    exchange->reply(kBadRequest, kText, "model and version are needed\n");
+    refuse(exchange, named.error());
     return;
   }
   fleet_.commit(*named, reply_when_committed(exchange));
@@ -102,7 +107,7 @@
       const std::string message = "'" + order.service + "' is no service with back ends";
       findings.add({"configuration", 0, 0, "rollout.service", message});
     }
-    exchange->reply(kBadRequest, kText, findings.to_text());
+    refuse(exchange, findings);
     return;
   }
   fleet_.order_rollout(std::move(order), [exchange](const std::optional<CommandResult>& result) {
@@ -148,7 +153,7 @@
   }
   const auto record = read_heartbeat(name, exchange->body(), interface_.field_names);
   if (!record) {
-    exchange->reply(kBadRequest, kText, "malformed heartbeat\n");
+    refuse(exchange, record.error());
     return;
   }
   if (fleet_.conflicts_with_registry(*record)) {
--- a/src/control/fleet_admin_api.h
+++ b/src/control/fleet_admin_api.h
@@ -3,6 +3,7 @@
 
 #include "src/control/fleet_interface.h"
 #include "src/control/fleet_server.h"
+#include "src/control/unreadable_bodies.h"
 #include "src/http/server.h"
 
 namespace stoat::control {
@@ -24,6 +25,8 @@
   void add_directory_routes(http::Server& server);
 
  private:
+  /// Replies that a body can't be read, with all findings.
+  void refuse(const http::ExchangePtr& exchange, const Findings& findings);
   void put_configuration(const http::ExchangePtr& exchange);
   void get_configuration(const http::ExchangePtr& exchange);
   void set_target_weights(const http::ExchangePtr& exchange);
@@ -39,6 +42,7 @@
   FleetHttpInterface interface_;
   double directory_lifetime_s_;
   std::string heartbeat_address_;
+  UnreadableBodies unreadable_bodies_;
 };
 
 }  // namespace stoat::control
--- a/src/control/fleet_bodies.cc
+++ b/src/control/fleet_bodies.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "src/common/hash.h"
 #include "src/common/json_text.h"
@@ -18,8 +19,9 @@
 /// findings.
 class FieldReader {
  public:
-  FieldReader(const json& object, std::string field_path, Findings& findings)
-      : object_(object), field_path_(std::move(field_path)), findings_(findings) {
+  /// `body`: what the whole body is. `field_path`: where the object is in it; empty: it is the whole.
+  FieldReader(const json& object, std::string body, std::string field_path, Findings& findings)
+      : object_(object), body_(std::move(body)), field_path_(std::move(field_path)), findings_(findings) {
     if (!object.is_object()) {
       add_finding("", "must be an object");
     }
@@ -80,16 +82,25 @@
     return value != nullptr && value->is_boolean() && value->get<bool>();
   }
   /// The elements of a list; empty if it is missing or invalid.
-  json::array_t list(const std::string& key, bool required) const {
+  const json& list(const std::string& key, bool required) const {
+    static const json kNoElements = json::array();
     const json* value = find(key);
     if (value == nullptr && !required) {
-      return {};
+      return kNoElements;
     }
     if (value == nullptr || !value->is_array()) {
       add_finding(key, "must be a list");
-      return {};
+      return kNoElements;
     }
-    return value->get<json::array_t>();
+    return *value;
+  }
+  /// A reader of an object within this one.
+  FieldReader nested(const json& object, const std::string& key) const {
+    return {object, body_, path_of(key), findings_};
+  }
+  /// A reader of an element of a list in this object.
+  FieldReader element(const json& object, const std::string& key, size_t position) const {
+    return nested(object, key + "[" + std::to_string(position) + "]");
   }
   const json* find(const std::string& key) const {
     if (!object_.is_object()) {
@@ -99,17 +110,18 @@
     return found == object_.end() || found->is_null() ? nullptr : &*found;
   }
   void add_finding(const std::string& key, const std::string& message) const {
-    Finding finding;
-    finding.file = "configuration";
-    finding.key = field_path_ + (key.empty() ? "" : "." + key);
-    finding.message = message;
-    findings_.add(finding);
+    findings_.add({body_, 0, 0, path_of(key), message});
   }
 
  private:
   static constexpr double kMaxExactInteger = 9007199254740992.0;  ///< 2^53: all integers up to it are exact
 
+  std::string path_of(const std::string& key) const {
+    return field_path_ + (field_path_.empty() || key.empty() ? "" : ".") + key;
+  }
+
   const json& object_;
+  std::string body_;
   std::string field_path_;
   Findings& findings_;
 };
@@ -128,9 +140,7 @@
   return fleet::RouteKind::kUnsafe;
 }
 
-fleet::Route read_route(const json& object, const std::string& field_path, const JsonFieldNames& names,
-                        Findings& findings) {
-  const FieldReader reader(object, field_path, findings);
+fleet::Route read_route(const FieldReader& reader, const JsonFieldNames& names) {
   fleet::Route route;
   route.name = reader.required_string("name");
   route.host = reader.required_string("host");
@@ -149,16 +159,14 @@
     return route;
   }
   for (const json& entry : reader.list(names.shares, true)) {
-    const FieldReader share(entry, field_path + "." + names.shares, findings);
+    const FieldReader share = reader.element(entry, names.shares, route.shares.size());
     route.shares.push_back(
         {share.required_string("service"), static_cast<uint64_t>(share.integer("weight", 0))});
   }
   return route;
 }
 
-fleet::Service read_service(const json& object, const std::string& field_path, const JsonFieldNames& names,
-                            Findings& findings) {
-  const FieldReader reader(object, field_path, findings);
+fleet::Service read_service(const FieldReader& reader, const JsonFieldNames& names) {
   fleet::Service service;
   service.name = reader.required_string("name");
   service.health_path = reader.optional_string("health_path");
@@ -169,22 +177,21 @@
   const json* engine = reader.find("engine");
   service.runs_models = engine != nullptr;
   if (engine != nullptr) {
-    const FieldReader profile(*engine, field_path + ".engine", findings);
+    const FieldReader profile = reader.nested(*engine, "engine");
     service.engine.slots = static_cast<uint32_t>(profile.integer("slots", 0));
     service.engine.kv_tokens = static_cast<uint64_t>(profile.integer(names.kv_tokens, 0));
     service.engine.kv_bytes_per_token = static_cast<double>(profile.integer(names.kv_bytes, 0));
     service.engine.link_mbps = profile.number("link_mbps");
     service.engine.backups = profile.flag("backups");
     for (const json& model : profile.list("models", false)) {
-      service.engine.models.push_back(
-          FieldReader(model, field_path + ".engine.models", findings).required_string("name"));
+      const FieldReader entry = profile.element(model, "models", service.engine.models.size());
+      service.engine.models.push_back(entry.required_string("name"));
     }
   }
   return service;
 }
 
-fleet::Limits read_limits(const json& object, Findings& findings) {
-  const FieldReader reader(object, "limits", findings);
+fleet::Limits read_limits(const FieldReader& reader) {
   fleet::Limits limits;
   limits.header_bytes =
       static_cast<uint64_t>(reader.integer("header_bytes", static_cast<int64_t>(limits.header_bytes)));
@@ -209,9 +216,7 @@
   return quota;
 }
 
-fleet::Tenant read_tenant(const json& object, const std::string& field_path, const JsonFieldNames& names,
-                          Findings& findings) {
-  const FieldReader reader(object, field_path, findings);
+fleet::Tenant read_tenant(const FieldReader& reader, const JsonFieldNames& names) {
   fleet::Tenant tenant;
   tenant.name = reader.required_string("name");
   tenant.priority = static_cast<uint32_t>(reader.integer("priority", 0));
@@ -238,14 +243,10 @@
   return fleet::BackendState::kReady;
 }
 
-std::string element_path(const char* list, size_t position) {
-  return std::string(list) + "[" + std::to_string(position) + "]";
-}
-
-std::vector<fleet::ModelVersion> read_models(const FieldReader& reader, Findings& findings) {
+std::vector<fleet::ModelVersion> read_models(const FieldReader& reader) {
   std::vector<fleet::ModelVersion> models;
   for (const json& entry : reader.list("models", false)) {
-    const FieldReader model(entry, "models", findings);
+    const FieldReader model = reader.element(entry, "models", models.size());
     models.push_back({model.required_string("name"), static_cast<uint64_t>(model.integer("version", 0))});
   }
   return models;
@@ -273,76 +274,30 @@
   return holding;
 }
 
-}  // namespace
-
-std::optional<fleet::FleetConfiguration> read_configuration(const std::string& text,
-                                                            const JsonFieldNames& names, Findings& findings) {
-  const json document = json::parse(text, nullptr, false);
-  if (document.is_discarded() || !document.is_object()) {
-    Finding finding;
-    finding.file = "configuration";
-    finding.message = "is not a JSON object";
-    findings.add(finding);
-    return std::nullopt;
-  }
-  const FieldReader reader(document, "configuration", findings);
+fleet::FleetConfiguration read_configuration_fields(const FieldReader& reader, const JsonFieldNames& names) {
   fleet::FleetConfiguration configuration;
   configuration.version = static_cast<uint64_t>(reader.integer("version", 0));
   for (const json& route : reader.list("routes", true)) {
     configuration.routes.push_back(
-        read_route(route, element_path("routes", configuration.routes.size()), names, findings));
+        read_route(reader.element(route, "routes", configuration.routes.size()), names));
   }
   for (const json& service : reader.list("services", true)) {
     configuration.services.push_back(
-        read_service(service, element_path("services", configuration.services.size()), names, findings));
+        read_service(reader.element(service, "services", configuration.services.size()), names));
   }
   for (const json& tenant : reader.list("tenants", false)) {
     configuration.tenants.push_back(
-        read_tenant(tenant, element_path("tenants", configuration.tenants.size()), names, findings));
+        read_tenant(reader.element(tenant, "tenants", configuration.tenants.size()), names));
   }
   if (const json* limits = reader.find("limits")) {
-    configuration.limits = read_limits(*limits, findings);
+    configuration.limits = read_limits(reader.nested(*limits, "limits"));
   }
-  if (findings.empty()) {
-    fleet::check_configuration(configuration, findings);
-  }
-  return findings.empty() ? std::optional(configuration) : std::nullopt;
-}
-
-std::optional<fleet::BackendRecord> read_heartbeat(const std::string& name, const std::string& text,
-                                                   const JsonFieldNames& names) {
-  const json document = json::parse(text, nullptr, false);
-  Findings findings;
-  const FieldReader reader(document, "heartbeat", findings);
-  fleet::BackendRecord record;
-  record.id = fleet::incarnation_id(name, reader.unsigned_integer(names.started));
-  record.service = reader.required_string("service");
-  record.address = reader.required_string("address");
-  record.zone = reader.optional_string("zone");
-  record.slots = static_cast<uint32_t>(reader.integer("slots", 1));
-  record.software = reader.optional_string(names.software);
-  record.sequence = static_cast<uint64_t>(reader.integer("sequence", 0));
-  record.state = read_backend_state(reader);
-  record.models = read_models(reader, findings);
-  return findings.empty() ? std::optional(record) : std::nullopt;
-}
-
-std::optional<fleet::SetTargetWeights> read_named_weights(const std::string& text) {
-  const json document = json::parse(text, nullptr, false);
-  Findings findings;
-  const FieldReader reader(document, "weights", findings);
-  fleet::SetTargetWeights command;
-  command.model = reader.required_string("model");
-  command.version = static_cast<uint64_t>(reader.integer("version", 0));
-  return findings.empty() && command.version > 0 ? std::optional(command) : std::nullopt;
+  return configuration;
 }
 
-fleet::StartServiceRollout read_rollout_order(const std::string& text, const JsonFieldNames& names,
-                                              Findings& findings) {
+fleet::StartServiceRollout read_rollout_fields(const FieldReader& reader, const JsonFieldNames& names) {
   constexpr double kMillisecondsPerSecond = 1000;
   constexpr double kMaxDurationSeconds = 1e9;
-  const json document = json::parse(text, nullptr, false);
-  const FieldReader reader(document, "rollout", findings);
   fleet::StartServiceRollout order;
   order.service = reader.required_string("service");
   order.target_version = reader.required_string(names.rollout_target);
@@ -356,6 +311,76 @@
   return order;
 }
 
+/// Parses a body and reads its fields with `read_fields`. `body`: what it is. The value is of no use if there
+/// are findings.
+template <typename ReadFields>
+auto read_body(const std::string& text, const char* body, Findings& findings, const ReadFields& read_fields) {
+  using Value = decltype(read_fields(std::declval<const FieldReader&>()));
+  const auto document = parse_json(text, body);
+  if (!document) {
+    findings.add(document.error());
+    return Value();
+  }
+  return read_fields(FieldReader(*document, body, "", findings));
+}
+
+/// The same for callers that need the value only if there are no findings.
+template <typename ReadFields>
+auto read_valid_body(const std::string& text, const char* body, const ReadFields& read_fields) {
+  using Value = decltype(read_fields(std::declval<const FieldReader&>()));
+  Findings findings;
+  Value value = read_body(text, body, findings, read_fields);
+  return findings.empty() ? BodyResult<Value>(std::move(value)) : tl::make_unexpected(std::move(findings));
+}
+
+}  // namespace
+
+std::optional<fleet::FleetConfiguration> read_configuration(const std::string& text,
+                                                            const JsonFieldNames& names, Findings& findings) {
+  fleet::FleetConfiguration configuration =
+      read_body(text, "configuration", findings,
+                [&](const FieldReader& reader) { return read_configuration_fields(reader, names); });
+  if (findings.empty()) {
+    fleet::check_configuration(configuration, findings);
+  }
+  return findings.empty() ? std::optional(std::move(configuration)) : std::nullopt;
+}
+
+BodyResult<fleet::BackendRecord> read_heartbeat(const std::string& name, const std::string& text,
+                                                const JsonFieldNames& names) {
+  return read_valid_body(text, "heartbeat", [&](const FieldReader& reader) {
+    fleet::BackendRecord record;
+    record.id = fleet::incarnation_id(name, reader.unsigned_integer(names.started));
+    record.service = reader.required_string("service");
+    record.address = reader.required_string("address");
+    record.zone = reader.optional_string("zone");
+    record.slots = static_cast<uint32_t>(reader.integer("slots", 1));
+    record.software = reader.optional_string(names.software);
+    record.sequence = static_cast<uint64_t>(reader.integer("sequence", 0));
+    record.state = read_backend_state(reader);
+    record.models = read_models(reader);
+    return record;
+  });
+}
+
+BodyResult<fleet::SetTargetWeights> read_named_weights(const std::string& text) {
+  return read_valid_body(text, "weights", [](const FieldReader& reader) {
+    fleet::SetTargetWeights command;
+    command.model = reader.required_string("model");
+    command.version = static_cast<uint64_t>(reader.integer("version", 0));
+    if (command.version == 0) {
+      reader.add_finding("version", "must be a number above 0");
+    }
+    return command;
+  });
+}
+
+fleet::StartServiceRollout read_rollout_order(const std::string& text, const JsonFieldNames& names,
+                                              Findings& findings) {
+  return read_body(text, "rollout", findings,
+                   [&](const FieldReader& reader) { return read_rollout_fields(reader, names); });
+}
+
 std::string rollout_body(const fleet::ServiceRollout& rollout, const JsonFieldNames& names) {
   const char* state = "running";
   if (rollout.phase == fleet::RolloutPhase::kCompleted) {
@@ -366,32 +391,30 @@
   return to_json_text({{"state", state}, {names.rollout_target, rollout.target_version}});
 }
 
-std::optional<EngineReport> read_report(const std::string& text, const JsonFieldNames& names) {
-  const json document = json::parse(text, nullptr, false);
-  Findings findings;
-  const FieldReader reader(document, "report", findings);
-  EngineReport report;
-  report.started_ms = reader.unsigned_integer(names.started);
-  report.busy = reader.flag("busy");
-  report.order_sequence = static_cast<uint64_t>(reader.integer("sequence", 0));
-  report.models = read_models(reader, findings);
-  return findings.empty() ? std::optional(report) : std::nullopt;
+BodyResult<EngineReport> read_report(const std::string& text, const JsonFieldNames& names) {
+  return read_valid_body(text, "report", [&](const FieldReader& reader) {
+    EngineReport report;
+    report.started_ms = reader.unsigned_integer(names.started);
+    report.busy = reader.flag("busy");
+    report.order_sequence = static_cast<uint64_t>(reader.integer("sequence", 0));
+    report.models = read_models(reader);
+    return report;
+  });
 }
 
-std::optional<CacheEvents> read_cache_events(const std::string& text, const JsonFieldNames& names) {
-  const json document = json::parse(text, nullptr, false);
-  Findings findings;
-  const FieldReader reader(document, "events", findings);
-  CacheEvents events;
-  events.epoch = static_cast<uint64_t>(reader.integer("epoch", 0));
-  events.next_event = static_cast<uint64_t>(reader.integer(names.next_event, 0));
-  events.gap = reader.flag(names.gap);
-  for (const json& entry : reader.list("events", false)) {
-    if (const auto holding = read_cache_event(entry)) {
-      events.holdings.push_back(*holding);
+BodyResult<CacheEvents> read_cache_events(const std::string& text, const JsonFieldNames& names) {
+  return read_valid_body(text, "cache events", [&](const FieldReader& reader) {
+    CacheEvents events;
+    events.epoch = static_cast<uint64_t>(reader.integer("epoch", 0));
+    events.next_event = static_cast<uint64_t>(reader.integer(names.next_event, 0));
+    events.gap = reader.flag(names.gap);
+    for (const json& entry : reader.list("events", false)) {
+      if (const auto holding = read_cache_event(entry)) {
+        events.holdings.push_back(*holding);
+      }
     }
-  }
-  return findings.empty() ? std::optional(events) : std::nullopt;
+    return events;
+  });
 }
 
 std::string weight_order_body(const LoadWeightsOrder& order, const JsonFieldNames& names) {
--- a/src/control/fleet_bodies.h
+++ b/src/control/fleet_bodies.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <tl/expected.hpp>
 #include <vector>
 
 #include "src/common/findings.h"
@@ -19,13 +20,16 @@
 std::optional<fleet::FleetConfiguration> read_configuration(const std::string& text,
                                                             const JsonFieldNames& names, Findings& findings);
 
-/// Parses a heartbeat of the backend `name`; nullopt if it is malformed.
-std::optional<fleet::BackendRecord> read_heartbeat(const std::string& name, const std::string& text,
-                                                   const JsonFieldNames& names);
+/// The value of a body, or what is wrong with it.
+template <typename Value>
+using BodyResult = tl::expected<Value, Findings>;
 
-/// Parses the command that names the version of a model's weights that engines must load; nullopt if it is
-/// malformed.
-std::optional<fleet::SetTargetWeights> read_named_weights(const std::string& text);
+/// Parses a heartbeat of the backend `name`.
+BodyResult<fleet::BackendRecord> read_heartbeat(const std::string& name, const std::string& text,
+                                                const JsonFieldNames& names);
+
+/// Parses the command that names the version of a model's weights that engines must load.
+BodyResult<fleet::SetTargetWeights> read_named_weights(const std::string& text);
 
 /// Parses an operator's order to roll out another version of a service. Errors are reported as findings.
 fleet::StartServiceRollout read_rollout_order(const std::string& text, const JsonFieldNames& names,
@@ -34,11 +38,11 @@
 /// Formats the state of a service's rollout for operators.
 std::string rollout_body(const fleet::ServiceRollout& rollout, const JsonFieldNames& names);
 
-/// Parses an engine's report of its state; nullopt if it is malformed.
-std::optional<EngineReport> read_report(const std::string& text, const JsonFieldNames& names);
+/// Parses an engine's report of its state.
+BodyResult<EngineReport> read_report(const std::string& text, const JsonFieldNames& names);
 
-/// Parses the cache events of an engine or a KV store; nullopt if they are malformed.
-std::optional<CacheEvents> read_cache_events(const std::string& text, const JsonFieldNames& names);
+/// Parses the cache events of an engine or a KV store.
+BodyResult<CacheEvents> read_cache_events(const std::string& text, const JsonFieldNames& names);
 
 /// Formats an order to an engine to load new weights.
 std::string weight_order_body(const LoadWeightsOrder& order, const JsonFieldNames& names);
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -128,6 +128,7 @@
   /// Shuts down gracefully: hands leadership over, then stops the event loop.
   void stop();
   const Metrics& metrics() const { return metrics_; }
+  TimePoint now() const { return loop_.now(); }
   /// Number of voters in this member's copy of the member list.
   size_t voter_count() const;
   bool leads() const { return core_->replica().leads(); }
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "src/common/json_text.h"
 #include "src/control/fleet_interface.h"
 #include "src/ctl/admin_connection.h"
 #include "src/ctl/explain.h"
@@ -38,6 +39,8 @@
   ExitStatus explain_request();
 
  private:
+  /// The status page that a member answered with; null if it has not answered or the page can't be read.
+  static json read_status(const Endpoint& member, const http::ClientResult& answer);
   const std::string& argument(size_t position) const { return options_.arguments.at(position); }
   static ExitStatus report_bad_input(const std::string& message);
   /// Prints the result of a call; `success_message` if the call succeeded.
@@ -67,14 +70,25 @@
   return ExitStatus::kRefused;
 }
 
+json Command::read_status(const Endpoint& member, const http::ClientResult& answer) {
+  if (answer.status != kOk) {
+    return {};
+  }
+  auto page = parse_json(answer.body, to_string(member));
+  if (!page) {
+    std::cerr << "stoatctl: " << to_string(page.error()) << "\n";
+  }
+  return std::move(page).value_or(json());
+}
+
 ExitStatus Command::status() {
   json members = json::array();
   json routers = json::array();
   json backends = json::array();
   for (const Endpoint& member : connection_.members()) {
     const http::ClientResult answer = AdminConnection::call_member(member, "GET", paths_.status);
-    const json status_body = json::parse(answer.body, nullptr, false);
-    const bool answers = answer.status == kOk && status_body.is_object();
+    const json status_body = read_status(member, answer);
+    const bool answers = status_body.is_object();
     members.push_back({{"address", to_string(member)},
                        {"answers", answers},
                        {"leads", answers ? status_body["leads"] : json()},
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -78,6 +78,18 @@
   }
 };
 
+/// The body of an HTTP message could not be read.
+struct BodyUnreadable {
+  static constexpr const char* kMessage = "body unreadable";
+  std::string sender;
+  std::string finding;    ///< the first one, with its place
+  size_t findings = 0;    ///< how many there are
+  uint64_t unlogged = 0;  ///< bodies like this one, since the last line
+  std::vector<LogField> fields() const {
+    return {{"sender", sender}, {"finding", finding}, {"findings", findings}, {"unlogged", unlogged}};
+  }
+};
+
 /// A record of the replicated state could not be decoded.
 struct RecordUnreadable {
   static constexpr const char* kMessage = "record unreadable";
--- a/src/wire/unreadable_messages.cc
+++ b/src/wire/unreadable_messages.cc
@@ -6,9 +6,6 @@
 
 namespace {
 
-constexpr Duration kLogInterval = 1s;
-/// Peers and tags that are told apart. With more, all of them are logged anew.
-constexpr size_t kMaxEntries = 1024;
 /// Tags above this are no message types; they share one label.
 constexpr uint32_t kMaxLabelledTag = 99;
 
@@ -25,16 +22,9 @@
   const std::string tag = tag_label(message.tag);
   metrics_.count(metric_, {{"tag", tag}});
   const std::string peer = channel.peer_host();
-  if (entries_.size() >= kMaxEntries) {
-    entries_.clear();
+  if (const auto unlogged = limiter_.admit(peer + " " + tag, now)) {
+    log_.event(events::MessageUnreadable{peer, tag, message.bytes, message.error, *unlogged});
   }
-  Entry& entry = entries_[peer + " " + tag];
-  if (entry.logged_at != Duration::min() && now - entry.logged_at < kLogInterval) {
-    ++entry.unlogged;
-    return;
-  }
-  log_.event(events::MessageUnreadable{peer, tag, message.bytes, message.error, entry.unlogged});
-  entry = {now, 0};
 }
 
 }  // namespace stoat::wire
--- a/src/wire/unreadable_messages.h
+++ b/src/wire/unreadable_messages.h
@@ -1,10 +1,10 @@
 /// Counts and logs messages from other processes that could not be decoded.
 #pragma once
 
-#include <map>
 #include <string>
 
 #include "src/common/log.h"
+#include "src/common/log_limiter.h"
 #include "src/common/metrics.h"
 #include "src/common/time.h"
 #include "src/wire/channel.h"
@@ -20,14 +20,10 @@
   void report(const Channel& channel, const UnreadableMessage& message, TimePoint now);
 
  private:
-  struct Entry {
-    TimePoint logged_at{Duration::min()};
-    uint64_t unlogged = 0;  ///< since the last log line
-  };
   const Logger& log_;
   Metrics& metrics_;
   std::string metric_;
-  std::map<std::string, Entry> entries_;  ///< by peer and tag
+  LogLimiter limiter_;
 };
 
 }  // namespace stoat::wire
--- a/standins/backend_server.cc
+++ b/standins/backend_server.cc
@@ -7,6 +7,7 @@
 #include <sstream>
 
 #include "src/common/hash.h"
+#include "src/common/json_text.h"
 #include "src/common/random.h"
 
 namespace stoat::standins {
@@ -222,7 +223,7 @@
 }
 
 void BackendServer::handle_order(const http::ExchangePtr& exchange) {
-  const json body = json::parse(exchange->body(), nullptr, false);
+  const json body = parse_json(exchange->body(), "order").value_or(json());
   const control::JsonFieldNames& names = interface_.field_names;
   const bool matches = body.is_object() && body.value(names.operation, "") == names.load_weights &&
                        body.value("model", "") == settings_.model;
--- a/tests/unit/fleet_admin_api_test.cc
+++ b/tests/unit/fleet_admin_api_test.cc
@@ -1,10 +1,8 @@
 /// The HTTP API of a control member with the default field names and paths, and its JSON bodies.
 #include <nlohmann/json.hpp>
 
-#include "src/control/control_program.h"
 #include "src/control/fleet_bodies.h"
-#include "src/http/blocking.h"
-#include "tests/support/small_fleet.h"
+#include "tests/support/control_program_test.h"
 
 namespace stoat::control {
 namespace {
@@ -51,61 +49,7 @@
   EXPECT_EQ(body["version"], 2);
 }
 
-/// Runs a complete control member program on a thread.
-class FleetAdminApiTest : public ::testing::Test {
- protected:
-  FleetAdminApiTest() {
-    folder_ = std::filesystem::temp_directory_path() / ("stoat-admin-api-" + std::to_string(::getpid()));
-    std::filesystem::remove_all(folder_);
-    ControlProgramSettings settings;
-    settings.fleet.name = "c1";
-    settings.fleet.internal = {"127.0.0.1", test::free_port()};
-    settings.fleet.seeds = {settings.fleet.internal};
-    settings.fleet.data_folder = folder_.string();
-    settings.fleet.first_start = true;
-    settings.fleet.core.target_voters = 1;
-    settings.control = {"127.0.0.1", test::free_port()};
-    settings.directory = {"127.0.0.1", test::free_port()};
-    settings.metrics = {"127.0.0.1", test::free_port()};
-    control_ = settings.control;
-    directory_ = settings.directory;
-    program_ = std::make_unique<ControlProgram>(loop_, settings);
-    thread_ = std::thread([this] { loop_.run(); });
-  }
-  ~FleetAdminApiTest() override {
-    loop_.post([this] { loop_.stop(); });
-    thread_.join();
-    program_.reset();
-    std::filesystem::remove_all(folder_);
-  }
-  static http::ClientResult call(const Endpoint& endpoint, const std::string& method, const std::string& path,
-                                 const std::string& body = "") {
-    http::ClientRequest request;
-    request.endpoint = endpoint;
-    request.method = method;
-    request.path = path;
-    request.body = body;
-    request.timeout = 2s;
-    return http::fetch(request);
-  }
-  /// Retries a call until the member leads and replies with 200. Returns false after 200 attempts.
-  bool succeeds_eventually(const std::string& method, const std::string& path, const std::string& body = "") {
-    for (int tries = 0; tries < 200; ++tries) {
-      if (call(control_, method, path, body).status == 200) {
-        return true;
-      }
-      std::this_thread::sleep_for(20ms);
-    }
-    return false;
-  }
-
-  EventLoop loop_;
-  std::filesystem::path folder_;
-  Endpoint control_;
-  Endpoint directory_;
-  std::unique_ptr<ControlProgram> program_;
-  std::thread thread_;
-};
+using FleetAdminApiTest = test::ControlProgramTest;
 
 TEST_F(FleetAdminApiTest, ReturnsTheStoredConfiguration) {
   ASSERT_TRUE(succeeds_eventually("PUT", "/v1/configuration", kConfiguration));
--- a/tools/loopback_fleet.cc
+++ b/tools/loopback_fleet.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <stdexcept>
 
+#include "src/common/json_text.h"
 #include "src/http/blocking.h"
 
 namespace stoat::tools {
@@ -207,17 +208,22 @@
     const http::ClientResult result =
         send_request(member, "GET", options_.programs.interface.paths.configuration);
     if (result.status == kOk) {
-      return json::parse(result.body, nullptr, false);
+      return parse_json(result.body, "configuration").value_or(json());
     }
   }
   return {};
 }
 
+json LoopbackFleet::status_of(const Endpoint& member) const {
+  const http::ClientResult result = send_request(member, "GET", options_.programs.interface.paths.status);
+  const auto page = parse_json(result.body, "status");
+  return page && page->is_object() ? *page : json::object();
+}
+
 json LoopbackFleet::status_of_leader() const {
   for (const Endpoint& member : admin_endpoints_) {
-    json page = json::parse(send_request(member, "GET", options_.programs.interface.paths.status).body,
-                            nullptr, false);
-    if (page.is_object() && page["leads"] == true) {
+    json page = status_of(member);
+    if (page.value("leads", false)) {
       return page;
     }
   }
@@ -226,10 +232,7 @@
 
 std::string LoopbackFleet::leader() const {
   for (size_t position = 0; position < admin_endpoints_.size(); ++position) {
-    const json page = json::parse(
-        send_request(admin_endpoints_[position], "GET", options_.programs.interface.paths.status).body,
-        nullptr, false);
-    if (page.is_object() && page["leads"] == true) {
+    if (status_of(admin_endpoints_[position]).value("leads", false)) {
       return control_names_[position];
     }
   }
--- a/tools/loopback_fleet.h
+++ b/tools/loopback_fleet.h
@@ -64,6 +64,8 @@
   nlohmann::json read_configuration() const;
   /// The status page of the leading control member; null if there is no leader.
   nlohmann::json status_of_leader() const;
+  /// The status page of a control member; an empty object if it doesn't answer.
+  nlohmann::json status_of(const Endpoint& member) const;
   /// The name of the leading control member; empty if there is none.
   std::string leader() const;
   /// Waits until `condition` holds. Returns false if it does not within `limit`.
