Refuse settings keys of many parts

Operators saw: a program ended with a segmentation fault at its start on a settings file with a key of 100,000 parts (`a.a.a...`), as a key or as a table's name. Cause: each part is a table within the one before, and the parser's tables are destroyed, and searched for unknown keys, recursively. The parser bounds nested values (256 levels) but not the parts of a key. Change: the check of the text before the parser refuses a key with more than 16 dots, with its line and column.

--- a/src/common/toml_text.cc
+++ b/src/common/toml_text.cc
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr unsigned char kLastAscii = 0x7F;
+/// Maximum number of dots in a key. Each part is a table within the one before, and the parser's tables are
+/// destroyed recursively.
+constexpr int kMaxKeyDots = 16;
 
 /// Scans a text and distinguishes strings and comments from the rest, the syntax.
 class TomlScanner {
@@ -19,6 +22,9 @@
       if (in_syntax && static_cast<unsigned char>(text_[position_]) > kLastAscii) {
         return finding("only ASCII characters are allowed outside of strings and comments");
       }
+      if (in_syntax && text_[position_] == '.' && key_dots_ == kMaxKeyDots) {
+        return finding("a key has too many parts");
+      }
       if (in_syntax && line_blank_so_far_ && nesting_depth_ == 0 && text_[position_] == '[' &&
           !header_has_key()) {
         return finding("a table's name must begin with a letter, a digit, '_', '-' or a quote");
@@ -53,6 +59,7 @@
       ++line_;
       column_ = 1;
       escaped_ = false;
+      key_dots_ = 0;
       return;
     }
     ++column_;
@@ -66,6 +73,7 @@
 
   void scan_syntax(char character) {
     line_blank_so_far_ = line_blank_so_far_ && (character == ' ' || character == '\t');
+    count_key_dots(character);
     if (character == '#') {
       in_comment_ = true;
     } else if (character == '"' || character == '\'') {
@@ -77,11 +85,17 @@
     }
   }
 
+  void count_key_dots(char character) {
+    const bool ends_key = character == '=' || character == ',' || character == '{' || character == '[';
+    key_dots_ = ends_key ? 0 : key_dots_ + (character == '.' ? 1 : 0);
+  }
+
   std::string_view text_;
   size_t position_ = 0;
   int line_ = 1;
   int column_ = 1;
   int nesting_depth_ = 0;  ///< of brackets and braces
+  int key_dots_ = 0;       ///< in the current key, or in what stands in its place
   char open_quote_ = 0;    ///< quote that opened the current string; 0 outside of strings
   bool in_comment_ = false;
   bool escaped_ = false;
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -47,6 +47,24 @@
   EXPECT_TRUE(findings.empty()) << findings.to_text();
 }
 
+// The program was ended when the tables of such a key were destroyed.
+TEST(SettingsTest, KeyOfManyPartsEndsTheProgram) {
+  std::string key = "a";
+  for (int part = 0; part < 100000; ++part) {
+    key += part % 2 == 0 ? ".a" : ".'a'";
+  }
+  for (const std::string& text : {key + " = 1", "[" + key + "]", "x = {" + key + " = 1}"}) {
+    Findings findings;
+    SettingsReader::load("", {text}, findings).report_unknown_keys();
+    ASSERT_EQ(findings.list().size(), 1U);
+    EXPECT_NE(findings.to_text().find("too many parts"), std::string::npos) << findings.to_text();
+  }
+  Findings none;
+  SettingsReader::load(
+      "", {"a.b.c = 1.5\nd = [1.5, 2.5]\n'x.y' = '1.2.3.4.5.6.7.8.9.10.11.12.13.14.15.16.17.18'"}, none);
+  EXPECT_TRUE(none.empty()) << none.to_text();
+}
+
 TEST(SettingsTest, AnUnreadableFileIsReported) {
   Findings findings;
   SettingsReader::load("/nowhere/settings.toml", {}, findings);
