Let stoatctl status survive pages that lack fields

Operators saw: `stoatctl status` was aborted by an assertion where a member answered with a JSON object that lacks a field of the status page, or with lists of other things than objects, as another program at that address may. Cause: a constant object was asked for missing keys, which the library takes for an error of the program; rows of tables were taken for objects. Change: missing fields are shown as "-", and a list of other things than objects as "none".

--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -23,6 +23,11 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
+/// A field of an object; null if it is missing, or if the value is no object.
+json field(const json& object, const std::string& name) {
+  return object.is_object() ? object.value(name, json()) : json();
+}
+
 /// Executes one command.
 class Command {
  public:
@@ -91,12 +96,12 @@
     const bool answers = status_body.is_object();
     members.push_back({{"address", to_string(member)},
                        {"answers", answers},
-                       {"leads", answers ? status_body["leads"] : json()},
-                       {"voters", answers ? status_body["voters"] : json()},
-                       {"configuration", answers ? status_body["configuration"] : json()}});
-    if (answers && (routers.empty() || status_body["leads"] == true)) {
-      routers = status_body["routers"];
-      backends = status_body["backends"];
+                       {"leads", field(status_body, "leads")},
+                       {"voters", field(status_body, "voters")},
+                       {"configuration", field(status_body, "configuration")}});
+    if (answers && (routers.empty() || field(status_body, "leads") == true)) {
+      routers = field(status_body, "routers");
+      backends = field(status_body, "backends");
     }
   }
   if (options_.json) {
--- a/src/ctl/text_table.cc
+++ b/src/ctl/text_table.cc
@@ -27,7 +27,9 @@
 }  // namespace
 
 std::string format_table(const json& rows) {
-  if (!rows.is_array() || rows.empty()) {
+  const bool is_table = rows.is_array() && std::all_of(rows.begin(), rows.end(),
+                                                       [](const json& row) { return row.is_object(); });
+  if (!is_table || rows.empty()) {
     return "none\n";
   }
   std::vector<std::string> keys;
--- a/tests/process/stoatctl_test.cc
+++ b/tests/process/stoatctl_test.cc
@@ -27,5 +27,14 @@
   }
 }
 
+// stoatctl was aborted.
+TEST(StoatctlTest, StatusWithoutFieldsEndsStoatctl) {
+  for (const std::string body :
+       {"{}", R"({"leads":true})", R"({"routers":7,"backends":[7]})", "7", "no JSON"}) {
+    const CommandOutput output = status_of_member(body);
+    EXPECT_NE(output.text.find("127.0.0.1"), std::string::npos) << body << ": " << output.text;
+  }
+}
+
 }  // namespace
 }  // namespace stoat::tools
