Log each retirement of a back end, and whether the member knows it

Change: `backend retired` at each member when the log says so, with the state, whether the registry has this incarnation, and the newest one of that name that it has. Seen with it, all three members of a small fleet killed at once, a back end `leaving@` that signs off 0.4 s later: `backend retired backend=leaving state=gone known=false newest=""` at each member; the routers keep the incarnation and go on sending to it. So the retirement was committed and told, under a name that nobody has.

--- a/src/control/fleet_routers.cc
+++ b/src/control/fleet_routers.cc
@@ -5,6 +5,7 @@
 
 #include "src/control/fleet_server.h"
 #include "src/events/fleet_events.h"
+#include "src/fleet/incarnation.h"
 
 namespace stoat::control {
 
@@ -313,6 +314,14 @@
   events::log_backend_changes(log_, changes);
 }
 
+void FleetServer::log_retirement(const fleet::RetiredBackend& retired) const {
+  const fleet::BackendRegistry& registry = soft_state_.registry();
+  const fleet::BackendRecord* newest = registry.find_by_name(std::string(fleet::backend_name(retired.id)));
+  log_.event(events::BackendRetired{retired.id, retired.state == fleet::BackendState::kGone,
+                                    registry.find(retired.id) != nullptr,
+                                    newest == nullptr ? "" : newest->id});
+}
+
 void FleetServer::track_member_changes() {
   events::MembersChanged change;
   for (const consensus::Member& member : core_->replica().members().members) {
@@ -337,6 +346,7 @@
   track_rollouts();
   for (const fleet::RetiredBackend& retired : state.retired()) {
     if (retired_backends_.set(retired.id, retired.state)) {
+      log_retirement(retired);
       soft_state_.retire(retired.id, retired.state);
     }
   }
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -222,6 +222,7 @@
   void handle_state_changes();
   void record_named_weights();
   void log_registry_changes();
+  void log_retirement(const fleet::RetiredBackend& retired) const;
   void track_member_changes();
   void maintain_soft_state();
   int64_t confirmed_age_ms() const;
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -130,6 +130,21 @@
   }
 };
 
+/// The replicated log says that a backend is leaving or gone.
+struct BackendRetired {
+  static constexpr const char* kMessage = "backend retired";
+  std::string backend;
+  bool is_gone = false;           ///< false: it is draining
+  bool is_known = false;          ///< this member's registry has it
+  std::string known_incarnation;  ///< the newest incarnation of its name that the registry has; empty: none
+  std::vector<LogField> fields() const {
+    return {{"backend", backend},
+            {"state", is_gone ? "gone" : "draining"},
+            {"known", is_known},
+            {"newest", known_incarnation}};
+  }
+};
+
 /// An overloaded backend set or changed its limit on the requests per second from all routers together, or
 /// removed it.
 struct BackendLimitChanged {
