Find out which start of a back end signs off before acknowledging it

Cause: DELETE names a back end, routers know incarnations. The member translated with its registry, which is empty after a start, and retired and acknowledged the bare name. `backend retired backend=leaving ... known=false newest=""` shows it at each member. Ruled out: not committed or not told (each member logs it, routers are sent it), overridden by a feed (the routers drop the back end when a feed is complete, 4 s after the start; before that they just know no retirement of it), late heartbeats (the case has none). Related paths: a follower or a leader killed alone had it too, since full states leave out back ends that were silent for 1.4 s; a late heartbeat after the acknowledgement made it worse; an acknowledgement just before a kill of all held. Change: a member that has started less than 4 s ago, or does not know the name, asks its routers and the other members for the newest incarnation that they know (new messages, tags 40 and 41, protocol version 6), and retires that one. If nobody knows it, it is not acknowledged: 503, or 404 once the member has heard of all that is running. A repeated call whose back end is only in the log any more is acknowledged again. Why it works: the promise is made only for an id that routers act on; the processes that would send to the back end are the ones that are asked.

--- a/src/control/fleet_admin_api.cc
+++ b/src/control/fleet_admin_api.cc
@@ -141,6 +141,17 @@
   fleet_.commit(fleet::RetireBackend{id, state}, reply_when_committed(exchange));
 }
 
+void FleetAdminApi::delete_backend(const http::ExchangePtr& exchange) {
+  using Outcome = FleetServer::RetireOutcome;
+  fleet_.retire_by_name(backend_name_from_path(*exchange), [exchange](Outcome outcome) {
+    if (outcome == Outcome::kUnknownBackend) {
+      exchange->reply(kNotFound, kText, "no back end of this name is known\n");
+    } else {
+      reply_empty(exchange, outcome == Outcome::kRetired);
+    }
+  });
+}
+
 std::string FleetAdminApi::backend_name_from_path(const http::Exchange& exchange) const {
   return exchange.path().substr(interface_.paths.backends.size());
 }
@@ -213,10 +224,7 @@
   server.route("GET", paths.status, [this](const http::ExchangePtr& exchange) { get_status(exchange); });
   const std::string backends = paths.backends + "*";
   server.route("PUT", backends, [this](const http::ExchangePtr& exchange) { put_heartbeat(exchange); });
-  server.route("DELETE", backends, [this](const http::ExchangePtr& exchange) {
-    retire(exchange, fleet_.newest_incarnation(backend_name_from_path(*exchange)),
-           fleet::BackendState::kGone);
-  });
+  server.route("DELETE", backends, [this](const http::ExchangePtr& exchange) { delete_backend(exchange); });
 }
 
 void FleetAdminApi::add_directory_routes(http::Server& server) {
--- a/src/control/fleet_admin_api.h
+++ b/src/control/fleet_admin_api.h
@@ -33,6 +33,7 @@
   void order_rollout(const http::ExchangePtr& exchange);
   void get_rollout(const http::ExchangePtr& exchange);
   void retire(const http::ExchangePtr& exchange, const std::string& id, fleet::BackendState state);
+  void delete_backend(const http::ExchangePtr& exchange);
   void put_heartbeat(const http::ExchangePtr& exchange);
   void get_status(const http::ExchangePtr& exchange);
   void get_routers(const http::ExchangePtr& exchange);
--- a/src/control/fleet_routers.cc
+++ b/src/control/fleet_routers.cc
@@ -51,11 +51,6 @@
          registry.address_taken(record.address, record.id);
 }
 
-std::string FleetServer::newest_incarnation(const std::string& name) const {
-  const fleet::BackendRecord* newest = soft_state_.registry().find_by_name(name);
-  return newest == nullptr ? name : newest->id;
-}
-
 bool FleetServer::is_retired(const std::string& id, fleet::BackendState state) const {
   return core_->state().fleet().retired_state(id) >= state;
 }
@@ -233,6 +228,7 @@
   }
   if (link.channel != channel) {
     link.reconnect(channel);
+    incarnation_lookup_.on_connection_ended(name);
   }
   if (status.follows && !(known && link.status.follows)) {
     link.feed = {};
@@ -316,10 +312,9 @@
 
 void FleetServer::log_retirement(const fleet::RetiredBackend& retired) const {
   const fleet::BackendRegistry& registry = soft_state_.registry();
-  const fleet::BackendRecord* newest = registry.find_by_name(std::string(fleet::backend_name(retired.id)));
-  log_.event(events::BackendRetired{retired.id, retired.state == fleet::BackendState::kGone,
-                                    registry.find(retired.id) != nullptr,
-                                    newest == nullptr ? "" : newest->id});
+  log_.event(events::BackendRetired{
+      retired.id, retired.state == fleet::BackendState::kGone, registry.find(retired.id) != nullptr,
+      registry.newest_incarnation(std::string(fleet::backend_name(retired.id)))});
 }
 
 void FleetServer::track_member_changes() {
--- a/src/control/fleet_server.cc
+++ b/src/control/fleet_server.cc
@@ -270,6 +270,10 @@
     on_configuration_request(channel, *configuration_request);
   } else if (auto* records = std::get_if<fleet::StreamRecordBatch>(&message.value)) {
     on_stream_records(channel, *records);
+  } else if (auto* incarnation_request = std::get_if<fleet::IncarnationRequest>(&message.value)) {
+    on_incarnation_request(channel, *incarnation_request);
+  } else if (auto* incarnations = std::get_if<fleet::IncarnationResponse>(&message.value)) {
+    incarnation_lookup_.on_response(*incarnations);
   } else if (auto* record_request = std::get_if<fleet::StreamRecordRequest>(&message.value)) {
     on_stream_record_request(channel, *record_request);
   } else if (auto* placements = std::get_if<fleet::PlacementUpdate>(&message.value)) {
@@ -385,6 +389,7 @@
   track_confirmation();
   send_forwarded();
   expire_calls();
+  advance_lookups();
 }
 
 bool FleetServer::stop_if_unreadable() {
--- a/src/control/fleet_server.h
+++ b/src/control/fleet_server.h
@@ -24,6 +24,7 @@
 #include "src/control/engine_interface.h"
 #include "src/control/fleet_soft_state.h"
 #include "src/control/forwarded_calls.h"
+#include "src/control/incarnation_lookup.h"
 #include "src/control/leader_confirmation_tracker.h"
 #include "src/control/member_work.h"
 #include "src/control/peer_flow_control.h"
@@ -115,8 +116,15 @@
   /// True if a heartbeat contradicts what is known of the backend it names, or if it comes from a new backend
   /// whose service is not configured and whose address another backend uses.
   bool conflicts_with_registry(const fleet::BackendRecord& record) const;
-  /// The id of the newest known incarnation of a backend; `name` itself if none is known.
-  std::string newest_incarnation(const std::string& name) const;
+  /// How a retirement of a backend that was named without its start time has ended.
+  enum class RetireOutcome : uint8_t {
+    kRetired,         ///< durable; binds all routers
+    kUnknownBackend,  ///< no process knows a backend of this name
+    kUnavailable,     ///< not known to be durable, or the running incarnation could not be found out
+  };
+  using RetireCallback = std::function<void(RetireOutcome)>;
+  /// Retires the running incarnation of a backend as gone. `name`: self-chosen name, or an incarnation's id.
+  void retire_by_name(const std::string& name, RetireCallback on_end);
   /// Records a heartbeat. Changes are sent to the other members and to routers at the next feed interval.
   HeartbeatAdvice receive_heartbeat(const fleet::BackendRecord& record);
   /// True if the log records that a backend has reached `state` or a later state of retirement.
@@ -228,6 +236,16 @@
   int64_t confirmed_age_ms() const;
   std::optional<LeaderConfirmation> confirmation() const;
 
+  // fleet_departures.cc: backends that sign off by their name alone
+  void retire_incarnation(const std::string& id, RetireCallback on_end);
+  void finish_lookup(const std::string& name, const IncarnationLookupResult& result,
+                     const RetireCallback& on_end);
+  /// The newest incarnation of a backend that the log says is gone; empty: none with a start time.
+  std::string newest_gone_incarnation(const std::string& name) const;
+  /// Sends the requests of lookups that are due, and ends lookups.
+  void advance_lookups();
+  void on_incarnation_request(const ChannelPtr& channel, const fleet::IncarnationRequest& request) const;
+
   // fleet_permits.cc: permits under the rate limits of backends, which apply to all routers together
   void on_permit_request(const ChannelPtr& channel, const fleet::PermitRequest& permit_request);
   bool may_grant_permits() const;
@@ -342,6 +360,7 @@
   TimePoint configuration_applied_at_{0};  ///< of the newest configuration
   ConfigurationPublisher configuration_publisher_;
 
+  IncarnationLookup incarnation_lookup_;
   LeaderConfirmationTracker confirmation_tracker_;
   TimePoint next_confirmation_request_{0};
   TimePoint next_peer_update_{0};  ///< latest time for an update, even without changes
--- a/src/control/fleet_soft_state.cc
+++ b/src/control/fleet_soft_state.cc
@@ -62,6 +62,11 @@
   }
 }
 
+bool FleetSoftState::peer_speaks(const std::string& address, fleet::ProtocolVersion version) const {
+  const auto found = peers_.find(address);
+  return found != peers_.end() && found->second.protocol_version >= version;
+}
+
 bool FleetSoftState::on_router(const fleet::RouterRecord& router, bool follows, TimePoint now) {
   silent_routers_.erase(router.name);
   const bool changed = routers_.on_status(router, now);
--- a/src/control/fleet_soft_state.h
+++ b/src/control/fleet_soft_state.h
@@ -163,6 +163,10 @@
   std::vector<LiveMember> live_members(TimePoint now) const;
   /// Whether all members that were heard lately speak this version of the protocol or a later one.
   bool peers_speak(fleet::ProtocolVersion version) const;
+  /// Whether another member was heard lately and speaks this version or a later one.
+  bool peer_speaks(const std::string& address, fleet::ProtocolVersion version) const;
+  /// Whether every backend that is running has had time to send a heartbeat since this member started.
+  bool knows_running_backends() const { return warmed_up_; }
 
  private:
   /// State of another member.
--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "src/common/hash.h"
+#include "src/fleet/incarnation.h"
 #include "src/fleet/protocol_version.h"
 
 namespace stoat::dispatch {
@@ -91,6 +92,17 @@
   return list;
 }
 
+std::string BackendPool::newest_incarnation(const std::string& name) const {
+  std::string newest = backends_.contains(name) ? name : "";
+  for (auto entry = backends_.lower_bound(name); entry != backends_.end() && entry->first.starts_with(name);
+       ++entry) {
+    if (fleet::backend_name(entry->first) == name) {
+      newest = fleet::newer_incarnation(newest, entry->first);
+    }
+  }
+  return newest;
+}
+
 void BackendPool::note_version(Backend& backend, const std::string& model, uint64_t version) {
   for (fleet::ModelVersion& entry : backend.record.models) {
     if (entry.model == model && version > entry.version) {
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -103,6 +103,9 @@
   /// Removes a backend that is no longer in the registry. Requests in progress there continue.
   void remove(const std::string& id);
   std::set<std::string> ids() const;
+  /// The newest incarnation of a backend that is known. `name`: self-chosen name, or an incarnation's id.
+  /// Empty: none.
+  std::string newest_incarnation(const std::string& name) const;
   /// Applies retirements. They are permanent, also for backends that are not known yet.
   void retire(const std::vector<fleet::RetiredBackend>& retired);
   /// Sets the load of all routers together at a backend, this router's included.
--- a/src/events/fleet_events.h
+++ b/src/events/fleet_events.h
@@ -145,6 +145,23 @@
   }
 };
 
+/// A member that had just started, or did not know a backend, asked others which incarnation is running.
+struct IncarnationLookedUp {
+  static constexpr const char* kMessage = "incarnation looked up";
+  std::string backend;      ///< as named by the call
+  std::string incarnation;  ///< empty: none is known
+  size_t asked = 0;         ///< routers and members
+  size_t answered = 0;
+  int64_t ms = 0;
+  std::vector<LogField> fields() const {
+    return {{"backend", backend},
+            {"incarnation", incarnation},
+            {"asked", asked},
+            {"answered", answered},
+            {"ms", ms}};
+  }
+};
+
 /// An overloaded backend set or changed its limit on the requests per second from all routers together, or
 /// removed it.
 struct BackendLimitChanged {
--- a/src/fleet/backend_registry.cc
+++ b/src/fleet/backend_registry.cc
@@ -234,6 +234,14 @@
   return newest == newest_incarnation_.end() ? find(name) : find(newest->second);
 }
 
+std::string BackendRegistry::newest_incarnation(const std::string& name) const {
+  const auto newest = newest_incarnation_.find(name);
+  if (newest != newest_incarnation_.end()) {
+    return newest->second;
+  }
+  return find(name) == nullptr ? "" : name;
+}
+
 const BackendRecord* BackendRegistry::find_by_key(uint64_t key) const {
   const auto id = id_by_key_.find(key);
   return id == id_by_key_.end() ? nullptr : find(id->second);
--- a/src/fleet/backend_registry.h
+++ b/src/fleet/backend_registry.h
@@ -64,6 +64,9 @@
   const BackendRecord* find_by_key(uint64_t key) const;
   /// The newest incarnation of a backend, by its self-chosen name.
   const BackendRecord* find_by_name(const std::string& name) const;
+  /// The id of the newest incarnation that was known of a backend, also if another backend has its address
+  /// now. `name`: self-chosen name, or the id of a known incarnation. Empty: none is known.
+  std::string newest_incarnation(const std::string& name) const;
   /// True when a backend other than `id` is known at an address.
   bool address_taken(const std::string& address, const std::string& id) const {
     const auto holder = id_by_address_.find(address);
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -10,6 +10,7 @@
 #include "src/fleet/crash_record.h"
 #include "src/fleet/fleet_configuration.h"
 #include "src/fleet/fleet_state.h"
+#include "src/fleet/incarnation_messages.h"
 #include "src/fleet/protocol_version.h"
 #include "src/fleet/service_rollout.h"
 #include "src/fleet/slot_lease.h"
--- a/src/fleet/incarnation.cc
+++ b/src/fleet/incarnation.cc
@@ -21,6 +21,10 @@
 
 std::string_view backend_name(std::string_view id) { return id.substr(0, id.rfind(kSeparator)); }
 
+std::string newer_incarnation(const std::string& first, const std::string& second) {
+  return first.empty() || (!second.empty() && started_ms(second) > started_ms(first)) ? second : first;
+}
+
 uint64_t started_ms(std::string_view id) {
   const size_t separator = id.rfind(kSeparator);
   uint64_t started = 0;
--- a/src/fleet/incarnation.h
+++ b/src/fleet/incarnation.h
@@ -17,6 +17,9 @@
 /// The self-chosen name of the backend, without the start time.
 std::string_view backend_name(std::string_view id);
 
+/// Of two incarnations of one backend, the one that started later. Either may be empty: unknown.
+std::string newer_incarnation(const std::string& first, const std::string& second);
+
 /// Start time of the incarnation as Unix time in milliseconds; 0: not reported.
 uint64_t started_ms(std::string_view id);
 
--- a/src/fleet/protocol_version.h
+++ b/src/fleet/protocol_version.h
@@ -26,7 +26,10 @@
 /// From this version on, leaders lease the slots of brittle backends to routers.
 inline constexpr ProtocolVersion kFirstSlotLeaseVersion = 5;
 
+/// From this version on, routers and members tell which incarnations of a backend they know.
+inline constexpr ProtocolVersion kFirstIncarnationLookupVersion = 6;
+
 /// The version that this build speaks.
-inline constexpr ProtocolVersion kProtocolVersion = kFirstSlotLeaseVersion;
+inline constexpr ProtocolVersion kProtocolVersion = kFirstIncarnationLookupVersion;
 
 }  // namespace stoat::fleet
--- a/src/gateway/control_link.cc
+++ b/src/gateway/control_link.cc
@@ -192,47 +192,50 @@
   });
 }
 
-void ControlLink::on_message(const std::string& address, wire::Message message) {
-  const auto found = members_.find(address);
-  if (found == members_.end()) {
-    return;
-  }
+void ControlLink::on_other_message(const std::string& address, const wire::Message& message) {
   if (const auto* feed_update = std::get_if<fleet::FleetFeedUpdate>(&message.value)) {
-    found->second.last_message_at = loop_.now();
     if (address == feed_address_) {
       on_feed_update_(*feed_update);
     }
-    return;
-  }
-  if (const auto* part = std::get_if<fleet::ConfigurationPart>(&message.value)) {
-    found->second.last_message_at = loop_.now();
+  } else if (const auto* part = std::get_if<fleet::ConfigurationPart>(&message.value)) {
     on_configuration_part(address, *part);
-    return;
-  }
-  if (const auto* permit_answer = std::get_if<fleet::PermitResponse>(&message.value)) {
-    found->second.last_message_at = loop_.now();
+  } else if (const auto* permit_answer = std::get_if<fleet::PermitResponse>(&message.value)) {
     on_permit_answer_(*permit_answer);
-    return;
-  }
-  if (const auto* slots = std::get_if<fleet::SlotAnswer>(&message.value)) {
-    found->second.last_message_at = loop_.now();
+  } else if (const auto* slots = std::get_if<fleet::SlotAnswer>(&message.value)) {
     if (address == leader_address_) {
       on_slot_answer_(*slots);
     }
-    return;
-  }
-  if (const auto* stored = std::get_if<fleet::StreamRecordBatchResponse>(&message.value)) {
-    found->second.last_message_at = loop_.now();
+  } else if (const auto* stored = std::get_if<fleet::StreamRecordBatchResponse>(&message.value)) {
     stream_records_.on_stored(address, *stored);
-    return;
-  }
-  if (const auto* record = std::get_if<fleet::StreamRecordResponse>(&message.value)) {
-    found->second.last_message_at = loop_.now();
+  } else if (const auto* record = std::get_if<fleet::StreamRecordResponse>(&message.value)) {
     stream_records_.on_response(address, *record);
+  } else if (const auto* request = std::get_if<fleet::IncarnationRequest>(&message.value)) {
+    on_incarnation_request(address, *request);
+  }
+}
+
+void ControlLink::on_incarnation_request(const std::string& address,
+                                         const fleet::IncarnationRequest& request) {
+  fleet::IncarnationResponse response;
+  response.number = request.number;
+  for (const std::string& name : request.names) {
+    const std::string id = newest_incarnation_(name);
+    if (!id.empty()) {
+      response.incarnations.push_back({name, id});
+    }
+  }
+  send_to(address, response);
+}
+
+void ControlLink::on_message(const std::string& address, wire::Message message) {
+  const auto found = members_.find(address);
+  if (found == members_.end()) {
     return;
   }
   const auto* update = std::get_if<fleet::FleetUpdate>(&message.value);
   if (update == nullptr) {
+    found->second.last_message_at = loop_.now();
+    on_other_message(address, message);
     return;
   }
   Member& member = found->second;
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -62,6 +62,7 @@
   using ConfigurationHandler = std::function<void(const std::shared_ptr<const fleet::FleetConfiguration>&)>;
   using SlotAnswerHandler = std::function<void(const fleet::SlotAnswer&)>;
   using PermitHandler = std::function<void(const fleet::PermitResponse&)>;
+  using IncarnationHandler = std::function<std::string(const std::string&)>;
 
   ControlLink(EventLoop& loop, ControlLinkOptions options, StatusProvider make_status,
               UpdateHandler on_update, FeedUpdateHandler on_feed_update);
@@ -105,6 +106,8 @@
   void set_slot_handler(SlotAnswerHandler handler) { on_slot_answer_ = std::move(handler); }
   /// Sets the handlers for records of streams, which members keep.
   void set_stream_record_handlers(StreamRecordHandlers handlers) { stream_records_ = std::move(handlers); }
+  /// Sets what gives the newest known incarnation of a backend, by its name; empty: none is known.
+  void set_incarnation_handler(IncarnationHandler handler) { newest_incarnation_ = std::move(handler); }
   /// Sends a message to a member. Returns false if there is no open connection to it.
   bool send_to_member(const std::string& address, const wire::Message& message) {
     return send_to(address, message);
@@ -163,6 +166,9 @@
   bool confirms_configuration(const fleet::FleetUpdate& update) const;
   /// Notes which version the member has, and logs a configuration that it sent unasked.
   void record_configuration(const std::string& address, const fleet::FleetUpdate& update);
+  /// Handles a message other than a FleetUpdate.
+  void on_other_message(const std::string& address, const wire::Message& message);
+  void on_incarnation_request(const std::string& address, const fleet::IncarnationRequest& request);
   void on_configuration_part(const std::string& address, const fleet::ConfigurationPart& part);
   /// Requests a newer configuration, if there is one and it is not on its way.
   void fetch_configuration();
@@ -179,6 +185,7 @@
   ConfigurationHandler on_configuration_ = [](const std::shared_ptr<const fleet::FleetConfiguration>&) {};
   StreamRecordHandlers stream_records_;
   SlotAnswerHandler on_slot_answer_ = [](const fleet::SlotAnswer&) {};
+  IncarnationHandler newest_incarnation_ = [](const std::string&) { return std::string(); };
   PermitHandler on_permit_answer_ = [](const fleet::PermitResponse&) {};
   Logger log_{"link"};
   std::shared_ptr<wire::TrafficMeter> traffic_ = std::make_shared<wire::TrafficMeter>();
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -112,6 +112,8 @@
   control_link_.set_permit_handler([this](const fleet::PermitResponse& response) {
     context_.limits.on_permit_answer(response, loop_.now());
   });
+  control_link_.set_incarnation_handler(
+      [this](const std::string& name) { return pool_.newest_incarnation(name); });
   context_.response_bodies = edge::BufferBudget(settings.response_body_bytes);
   context_.topology = settings.topology;
   context_.place = settings.topology.location_of(settings.zone);
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -59,7 +59,8 @@
                   Alternative<33, fleet::ConfigurationPart>, Alternative<34, fleet::StreamRecordBatch>,
                   Alternative<35, fleet::StreamRecordBatchResponse>,
                   Alternative<36, fleet::StreamRecordRequest>, Alternative<37, fleet::StreamRecordResponse>,
-                  Alternative<38, fleet::SlotReport>, Alternative<39, fleet::SlotAnswer>>;
+                  Alternative<38, fleet::SlotReport>, Alternative<39, fleet::SlotAnswer>,
+                  Alternative<40, fleet::IncarnationRequest>, Alternative<41, fleet::IncarnationResponse>>;
 
 }  // namespace stoat::wire
 
--- a/tests/unit/fleet_admin_api_test.cc
+++ b/tests/unit/fleet_admin_api_test.cc
@@ -109,6 +109,20 @@
   EXPECT_TRUE(succeeds_eventually("DELETE", "/v1/backends/e1"));
 }
 
+// A member acknowledged that a backend was gone which it did not know, and could not carry it out.
+TEST_F(FleetAdminApiTest, DepartureOfAnUnknownBackendIsAcknowledged) {
+  ASSERT_TRUE(succeeds_eventually("POST", "/v1/weights", R"({"model":"m","version":2})"));
+  EXPECT_EQ(call(control_, "DELETE", "/v1/backends/unknown").status, 503) << "others may know it";
+  EXPECT_EQ(
+      call(control_, "PUT", "/v1/backends/e1", R"({"service":"s","address":"127.0.0.1:9","state":"ready"})")
+          .status,
+      200);
+  EXPECT_EQ(call(control_, "DELETE", "/v1/backends/e1").status, 200);
+  EXPECT_EQ(call(control_, "DELETE", "/v1/backends/e1").status, 200);
+  std::this_thread::sleep_for(5s);  // by then it knows all backends that are running
+  EXPECT_EQ(call(control_, "DELETE", "/v1/backends/unknown").status, 404);
+}
+
 TEST_F(FleetAdminApiTest, ReportsStatusAndThatNoRouterIsReady) {
   ASSERT_TRUE(succeeds_eventually("POST", "/v1/weights", R"({"model":"m","version":2})"));
   const json status = json::parse(call(control_, "GET", "/v1/status").body);
