Resume a run from its copy only when its engine has ended

Cause: after each kind of failure of an exchange the run was resumed at the engine with its copy, in the same millisecond. That the engine before is still there was found out meanwhile, but only for the history of crashes. Ruled out: a check whose outcome is late or misread (none was waited for). A refused connection, as after a crash, is known within milliseconds.

--- a/src/dispatch/active_request.cc
+++ b/src/dispatch/active_request.cc
@@ -128,6 +128,10 @@
     try_dispatch();
     return;
   }
+  if (failed_origin_ != nullptr && now < deadline_) {
+    decide_on_backup();
+    return;
+  }
   if (streaming_) {
     abort_stream("time-out in the stream");
     return;
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -243,8 +243,15 @@
   BackendPtr choose_backup(const Backend& target) const;
   /// Why the run at `origin` can't resume from its backup; nullptr if it can.
   const char* backup_unusable_reason(const Backend& origin) const;
-  /// Resumes the run from its backup after the engine at `origin` failed. False if it can't.
-  bool resume_from_backup(const Backend& origin);
+  /// Resumes the run from its backup after the exchange with `origin` failed, once the engine there is known
+  /// to have ended or to be unreachable. False if it can't.
+  bool resume_from_backup(const BackendPtr& origin, ExchangeFailure failure);
+  /// What is known, since the exchange failed, of the engine that ran the request.
+  enum class OriginFate : uint8_t { kUnknown, kUnreachable, kAnswers };
+  OriginFate origin_fate() const;
+  /// Resumes the run, ends the request, or waits.
+  void decide_on_backup();
+  void send_to_backup();
   /// Chooses the engine for a request without a prompt.
   const BackendPtr& choose_without_prompt(const std::vector<BackendPtr>& candidates,
                                           const std::vector<placement::EngineView>& views);
@@ -378,6 +385,8 @@
 
   BackendPtr backend_;
   BackendPtr backup_;                 ///< holds the backup of the run at backend_
+  BackendPtr failed_origin_;          ///< whose fate decides whether the run is resumed; nullptr: none
+  TimePoint origin_failed_at_{0};     ///< when the exchange with it failed
   bool resumed_from_backup_ = false;  ///< the run at backend_ was resumed from a backup
   uint64_t run_weights_ = 0;          ///< version of the weights that the run began with
   std::shared_ptr<BackendConnection> connection_;
--- a/src/dispatch/backend_pool.cc
+++ b/src/dispatch/backend_pool.cc
@@ -355,6 +355,7 @@
     return;
   }
   activity.last_failed_probe_at = activity.last_probe_at;
+  backend->last_unreached_at = loop_.now();
   if (!relayed) {
     verifier_.on_connect_failure(backend, refused);
   }
--- a/src/dispatch/backend_pool.h
+++ b/src/dispatch/backend_pool.h
@@ -80,7 +80,10 @@
   bool outcome_check_pending = false;  ///< a health check is running or the next probe is scheduled
   bool ended_unexpectedly = false;     ///< the control plane reported it gone, and it had not deregistered
   PathActivity& activity(bool is_relayed) { return is_relayed ? relayed : direct; }
-  bool answered = false;        ///< this router has had an answer from it
+  bool answered = false;                             ///< this router has had an answer from it
+  TimePoint last_answered_send_at{Duration::min()};  ///< when the last request or health check was sent that
+                                                     ///< it answered
+  TimePoint last_unreached_at{Duration::min()};      ///< when a probe last failed
   uint32_t dropped_probes = 0;  ///< connections of the current check that were closed at once
 
   bool has_free_slot() const {
--- a/src/dispatch/dispatch_context.cc
+++ b/src/dispatch/dispatch_context.cc
@@ -13,6 +13,7 @@
 }
 
 void note_survival(DispatchContext& context, Backend& backend, TimePoint sent_at) {
+  backend.last_answered_send_at = std::max(backend.last_answered_send_at, sent_at);
   std::vector<BrokenExchange>& broken = backend.broken_exchanges;
   const auto first_earlier =
       std::partition(broken.begin(), broken.end(),
--- a/src/dispatch/request_failure.cc
+++ b/src/dispatch/request_failure.cc
@@ -121,7 +121,7 @@
     try_dispatch();
     return;
   }
-  if (resume_from_backup(*failed)) {
+  if (resume_from_backup(failed, failure)) {
     return;
   }
   if (streaming_) {
