--- a/src/control/fleet_bodies.cc
+++ b/src/control/fleet_bodies.cc
@@ -83,14 +83,14 @@
   }
   /// The elements of a list; empty if it is missing or invalid.
   const json& list(const std::string& key, bool required) const {
-    static const json kNoElements = json::array();
+    static const json no_elements = json::array();
     const json* value = find(key);
     if (value == nullptr && !required) {
-      return kNoElements;
+      return no_elements;
     }
     if (value == nullptr || !value->is_array()) {
       add_finding(key, "must be a list");
-      return kNoElements;
+      return no_elements;
     }
     return *value;
   }
