Bound the findings of a body, and the length of short bodies

One heartbeat of 4 MB whose models are 2,000,000 numbers took 620 MB of a member on (limit on the machines: 256 MB) and 978 MB since all findings are in the answer, which had 186 MB. Cause: each element of a list adds findings, and nothing bounded their number; a heartbeat had no limit but the server's 8 MB. Change: 100 findings are listed for a body, and that there are more; heartbeats, named weights, rollout orders and reports of more than 2 MB are refused before they are parsed. Test: FleetAdminApiTest.HeartbeatOfManyFaultsTakesAllMemory.

--- a/src/control/fleet_bodies.cc
+++ b/src/control/fleet_bodies.cc
@@ -15,6 +15,22 @@
 
 using nlohmann::json;
 
+/// A kind of body, and how long one may be: a parsed value takes many times the memory of its text.
+struct BodyKind {
+  const char* name;
+  size_t max_bytes = SIZE_MAX;  ///< by default, what the HTTP server or client reads
+};
+constexpr size_t kMaxShortBodyBytes = 2U << 20U;
+constexpr BodyKind kConfiguration{"configuration"};
+constexpr BodyKind kCacheEvents{"cache events"};
+constexpr BodyKind kHeartbeat{"heartbeat", kMaxShortBodyBytes};
+constexpr BodyKind kNamedWeights{"weights", kMaxShortBodyBytes};
+constexpr BodyKind kRolloutOrder{"rollout", kMaxShortBodyBytes};
+constexpr BodyKind kReport{"report", kMaxShortBodyBytes};
+
+/// Number of findings that are listed for one body.
+constexpr size_t kMaxFindings = 100;
+
 /// Reads fields of one JSON object. Fields of the wrong type and missing required fields are reported as
 /// findings.
 class FieldReader {
@@ -110,7 +126,12 @@
     return found == object_.end() || found->is_null() ? nullptr : &*found;
   }
   void add_finding(const std::string& key, const std::string& message) const {
-    findings_.add({body_, 0, 0, path_of(key), message});
+    const size_t count = findings_.list().size();
+    if (count < kMaxFindings) {
+      findings_.add({body_, 0, 0, path_of(key), message});
+    } else if (count == kMaxFindings) {
+      findings_.add({body_, 0, 0, "", "has more findings, which are not listed"});
+    }
   }
 
  private:
@@ -311,25 +332,29 @@
   return order;
 }
 
-/// Parses a body and reads its fields with `read_fields`. `body`: what it is. The value is of no use if there
-/// are findings.
+/// Parses a body and reads its fields with `read_fields`. The value is of no use if there are findings.
 template <typename ReadFields>
-auto read_body(const std::string& text, const char* body, Findings& findings, const ReadFields& read_fields) {
+auto read_body(const std::string& text, const BodyKind& kind, Findings& findings,
+               const ReadFields& read_fields) {
   using Value = decltype(read_fields(std::declval<const FieldReader&>()));
-  const auto document = parse_json(text, body);
+  if (text.size() > kind.max_bytes) {
+    findings.add({kind.name, 0, 0, "", "is longer than " + std::to_string(kind.max_bytes) + " bytes"});
+    return Value();
+  }
+  const auto document = parse_json(text, kind.name);
   if (!document) {
     findings.add(document.error());
     return Value();
   }
-  return read_fields(FieldReader(*document, body, "", findings));
+  return read_fields(FieldReader(*document, kind.name, "", findings));
 }
 
 /// The same for callers that need the value only if there are no findings.
 template <typename ReadFields>
-auto read_valid_body(const std::string& text, const char* body, const ReadFields& read_fields) {
+auto read_valid_body(const std::string& text, const BodyKind& kind, const ReadFields& read_fields) {
   using Value = decltype(read_fields(std::declval<const FieldReader&>()));
   Findings findings;
-  Value value = read_body(text, body, findings, read_fields);
+  Value value = read_body(text, kind, findings, read_fields);
   return findings.empty() ? BodyResult<Value>(std::move(value)) : tl::make_unexpected(std::move(findings));
 }
 
@@ -338,7 +363,7 @@
 std::optional<fleet::FleetConfiguration> read_configuration(const std::string& text,
                                                             const JsonFieldNames& names, Findings& findings) {
   fleet::FleetConfiguration configuration =
-      read_body(text, "configuration", findings,
+      read_body(text, kConfiguration, findings,
                 [&](const FieldReader& reader) { return read_configuration_fields(reader, names); });
   if (findings.empty()) {
     fleet::check_configuration(configuration, findings);
@@ -348,7 +373,7 @@
 
 BodyResult<fleet::BackendRecord> read_heartbeat(const std::string& name, const std::string& text,
                                                 const JsonFieldNames& names) {
-  return read_valid_body(text, "heartbeat", [&](const FieldReader& reader) {
+  return read_valid_body(text, kHeartbeat, [&](const FieldReader& reader) {
     fleet::BackendRecord record;
     record.id = fleet::incarnation_id(name, reader.unsigned_integer(names.started));
     record.service = reader.required_string("service");
@@ -364,7 +389,7 @@
 }
 
 BodyResult<fleet::SetTargetWeights> read_named_weights(const std::string& text) {
-  return read_valid_body(text, "weights", [](const FieldReader& reader) {
+  return read_valid_body(text, kNamedWeights, [](const FieldReader& reader) {
     fleet::SetTargetWeights command;
     command.model = reader.required_string("model");
     command.version = static_cast<uint64_t>(reader.integer("version", 0));
@@ -377,7 +402,7 @@
 
 fleet::StartServiceRollout read_rollout_order(const std::string& text, const JsonFieldNames& names,
                                               Findings& findings) {
-  return read_body(text, "rollout", findings,
+  return read_body(text, kRolloutOrder, findings,
                    [&](const FieldReader& reader) { return read_rollout_fields(reader, names); });
 }
 
@@ -392,7 +417,7 @@
 }
 
 BodyResult<EngineReport> read_report(const std::string& text, const JsonFieldNames& names) {
-  return read_valid_body(text, "report", [&](const FieldReader& reader) {
+  return read_valid_body(text, kReport, [&](const FieldReader& reader) {
     EngineReport report;
     report.started_ms = reader.unsigned_integer(names.started);
     report.busy = reader.flag("busy");
@@ -403,7 +428,7 @@
 }
 
 BodyResult<CacheEvents> read_cache_events(const std::string& text, const JsonFieldNames& names) {
-  return read_valid_body(text, "cache events", [&](const FieldReader& reader) {
+  return read_valid_body(text, kCacheEvents, [&](const FieldReader& reader) {
     CacheEvents events;
     events.epoch = static_cast<uint64_t>(reader.integer("epoch", 0));
     events.next_event = static_cast<uint64_t>(reader.integer(names.next_event, 0));
--- a/tests/unit/fleet_admin_api_test.cc
+++ b/tests/unit/fleet_admin_api_test.cc
@@ -109,6 +109,26 @@
   EXPECT_TRUE(succeeds_eventually("DELETE", "/v1/backends/e1"));
 }
 
+// A heartbeat of 4 MB with a fault in each element took a gigabyte of a member's memory.
+TEST_F(FleetAdminApiTest, HeartbeatOfManyFaultsTakesAllMemory) {
+  const auto heartbeat = [](size_t models) {
+    std::string list = "1";
+    for (size_t count = 1; count < models; ++count) {
+      list += ",1";
+    }
+    return R"({"service":"s","address":"127.0.0.1:9","state":"ready","sequence":1,"models":[)" + list + "]}";
+  };
+  constexpr size_t kMaxAnswerBytes = 10000;
+  const auto answer = call(control_, "PUT", "/v1/backends/e", heartbeat(100000));
+  EXPECT_EQ(answer.status, 400);
+  EXPECT_LT(answer.body.size(), kMaxAnswerBytes);
+  EXPECT_NE(answer.body.find("models[0]"), std::string::npos);
+  EXPECT_NE(answer.body.find("more findings"), std::string::npos);
+  const auto longer = call(control_, "PUT", "/v1/backends/e", heartbeat(2000000));
+  EXPECT_EQ(longer.status, 400);
+  EXPECT_NE(longer.body.find("longer than 2097152 bytes"), std::string::npos) << longer.body.substr(0, 100);
+}
+
 // A member acknowledged that a backend was gone which it did not know, and could not carry it out.
 TEST_F(FleetAdminApiTest, DepartureOfAnUnknownBackendIsAcknowledged) {
   ASSERT_TRUE(succeeds_eventually("POST", "/v1/weights", R"({"model":"m","version":2})"));
