Destroy a member's HTTP servers after the calls that are in progress

Operators saw: a member that was stopped within 0.7 s after a back end had signed off under a name that it did not know ended with an abort in place of status 0 (by hand: 4 of 4, one and three members). Cause: a call in progress is answered with 500 when it is dropped, and the objects that hold calls were destroyed after the servers that own their connections. Change: the servers are members before the parts that hold calls, so that they are destroyed after them.

--- a/src/control/control_program.cc
+++ b/src/control/control_program.cc
@@ -15,12 +15,12 @@
 
 ControlProgram::ControlProgram(EventLoop& loop, const ControlProgramSettings& settings,
                                const FleetHttpInterface& interface)
-    : engines_(loop, interface),
-      fleet_(loop, settings.fleet, engines_),
-      api_(fleet_, interface, settings.directory_lifetime_s, to_string(settings.control)),
-      control_(loop, settings.control),
+    : control_(loop, settings.control),
       directory_(loop, settings.directory),
-      metrics_(loop, settings.metrics) {
+      metrics_(loop, settings.metrics),
+      engines_(loop, interface),
+      fleet_(loop, settings.fleet, engines_),
+      api_(fleet_, interface, settings.directory_lifetime_s, to_string(settings.control)) {
   api_.add_control_routes(control_);
   api_.add_directory_routes(directory_);
   metrics_.route("GET", "/metrics", [this](const http::ExchangePtr& exchange) {
--- a/src/control/control_program.h
+++ b/src/control/control_program.h
@@ -27,12 +27,13 @@
   void reload(const ControlProgramSettings& settings) { fleet_.set_seeds(settings.fleet.seeds); }
 
  private:
-  EngineClient engines_;
-  FleetServer fleet_;
-  FleetAdminApi api_;
+  // Destroyed last, since calls in progress at fleet_ are answered when they are destroyed.
   http::Server control_;
   http::Server directory_;
   http::Server metrics_;
+  EngineClient engines_;
+  FleetServer fleet_;
+  FleetAdminApi api_;
 };
 
 }  // namespace stoat::control
--- a/tests/support/control_program_test.h
+++ b/tests/support/control_program_test.h
@@ -30,11 +30,17 @@
     thread_ = std::thread([this] { loop_.run(); });
   }
   ~ControlProgramTest() override {
-    loop_.post([this] { loop_.stop(); });
-    thread_.join();
-    program_.reset();
+    stop_program();
     std::filesystem::remove_all(folder_);
   }
+  /// Ends the event loop and destroys the program, whatever calls are in progress.
+  void stop_program() {
+    if (thread_.joinable()) {
+      loop_.post([this] { loop_.stop(); });
+      thread_.join();
+      program_.reset();
+    }
+  }
   static http::ClientResult call(const Endpoint& endpoint, const std::string& method, const std::string& path,
                                  const std::string& body = "") {
     http::ClientRequest request;
--- a/tests/unit/fleet_admin_api_test.cc
+++ b/tests/unit/fleet_admin_api_test.cc
@@ -109,6 +109,15 @@
   EXPECT_TRUE(succeeds_eventually("DELETE", "/v1/backends/e1"));
 }
 
+// The member was aborted: the call in progress was answered after the server of its connection had gone.
+TEST_F(FleetAdminApiTest, MemberThatStopsWithACallInProgressIsAborted) {
+  auto pending =
+      std::async(std::launch::async, [&] { return call(control_, "DELETE", "/v1/backends/unknown"); });
+  std::this_thread::sleep_for(200ms);  // the member asks others for 700 ms
+  stop_program();
+  EXPECT_NE(pending.get().status, 200);
+}
+
 // A heartbeat of 4 MB with a fault in each element took a gigabyte of a member's memory.
 TEST_F(FleetAdminApiTest, HeartbeatOfManyFaultsTakesAllMemory) {
   const auto heartbeat = [](size_t models) {
