--- a/src/control/fleet_admin_api.h
+++ b/src/control/fleet_admin_api.h
@@ -25,7 +25,7 @@
   void add_directory_routes(http::Server& server);
 
  private:
-  /// Replies that a body can't be read, with all findings.
+  /// Replies that a body cannot be read, with its findings, and logs the first one.
   void refuse(const http::ExchangePtr& exchange, const Findings& findings);
   void put_configuration(const http::ExchangePtr& exchange);
   void get_configuration(const http::ExchangePtr& exchange);
