Take a connection that met a reset for broken off, though its read ended with EOF

Callers saw: an engine answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written; callers got that part as a complete answer, with a Content-Length of our own, and streams their last chunk.

Cause: the callbacks of bufferevents are deferred, so one call can carry the events of several operations. Where the socket's write event comes first, the write takes the socket's error and the read behind it returns 0: the call carries ERROR and EOF together. The exchange (BackendConnection) and the relaying router (the reason in its kEnd frame) looked at EOF alone and concluded that the engine had closed in order, which ends an answer that has no length.

Change: http::closed_in_order() tells what counts as an end in order, EOF without an error or a time-out; both places ask it.

Channels and the edge close on any of the events and conclude nothing. A relaying router of production's build still names a reset an end in order; the asking router can't tell, until that one is replaced.

--- a/src/dispatch/backend_connection.cc
+++ b/src/dispatch/backend_connection.cc
@@ -182,7 +182,7 @@
     on_relay_lost();
     return;
   }
-  on_end((events & BEV_EVENT_EOF) != 0, failed && error == ETIMEDOUT);
+  on_end(http::closed_in_order(events), failed && error == ETIMEDOUT);
 }
 
 void BackendConnection::on_not_connected(relay::ConnectFailure failure) {
--- a/src/http/socket_options.cc
+++ b/src/http/socket_options.cc
@@ -61,6 +61,10 @@
   return connection;
 }
 
+bool closed_in_order(short events) {
+  return (events & BEV_EVENT_EOF) != 0 && (events & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) == 0;
+}
+
 void close_connection(bufferevent* connection) {
   const evutil_socket_t descriptor = bufferevent_getfd(connection);
   if (descriptor >= 0) {
--- a/src/http/socket_options.h
+++ b/src/http/socket_options.h
@@ -31,6 +31,11 @@
 /// socket can be opened or connected.
 bufferevent* start_connection(event_base* base, const Endpoint& endpoint, Duration unacknowledged_timeout);
 
+/// True if a bufferevent's events say that the peer closed its connection in order. Deferred callbacks report
+/// the events of several operations together: after a reset that a write has met, a read still ends with
+/// BEV_EVENT_EOF.
+bool closed_in_order(short events);
+
 /// Closes the socket of a bufferevent immediately and frees the bufferevent. bufferevent_free() alone defers
 /// closing the socket to the event loop. If a deferred callback is pending and the loop does not run again,
 /// the socket stays open and the peer keeps sending to it.
--- a/src/relay/relayed_connection.cc
+++ b/src/relay/relayed_connection.cc
@@ -194,7 +194,7 @@
     return;
   }
   const bool silent = (events & BEV_EVENT_TIMEOUT) != 0 || error == ETIMEDOUT;
-  const EndReason reason = (events & BEV_EVENT_EOF) != 0 ? EndReason::kClosed
+  const EndReason reason = http::closed_in_order(events) ? EndReason::kClosed
                            : silent                      ? EndReason::kSilent
                                                          : EndReason::kReset;
   // What arrived before the end is passed on whole: the asking router reads it before the end.
--- a/standins/scripted_engine.cc
+++ b/standins/scripted_engine.cc
@@ -18,6 +18,8 @@
 constexpr int kBacklog = 64;
 constexpr int kPollIntervalMs = 20;
 constexpr size_t kReadBytes = 65536;
+/// Receive buffer of an engine that leaves bodies unread.
+constexpr int kSmallReceiveBufferBytes = 16384;
 
 std::string lower_case(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(),
@@ -58,8 +60,12 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-ScriptedEngine::ScriptedEngine(Handler handler) : handler_(std::move(handler)) {
+ScriptedEngine::ScriptedEngine(Handler handler, ReadBeforeScript reads)
+    : handler_(std::move(handler)), reads_(reads) {
   listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+  if (reads_ == ReadBeforeScript::kHead) {
+    ::setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &kSmallReceiveBufferBytes, sizeof(int));
+  }
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -129,7 +135,8 @@
       request.head = input.substr(0, end + 2);
       request.connection = connection;
       const std::string length_text = request.header("Content-Length");
-      const size_t length = length_text.empty() ? 0 : std::stoul(length_text);
+      const bool reads_body = reads_ == ReadBeforeScript::kWholeRequest && !length_text.empty();
+      const size_t length = reads_body ? std::stoul(length_text) : 0;
       if (input.size() < end + 4 + length) {
         break;
       }
--- a/standins/scripted_engine.h
+++ b/standins/scripted_engine.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -49,12 +50,18 @@
 /// A complete HTTP response with a Content-Length header. Each line in `headers` must end in CR LF.
 std::string full_response(int status, const std::string& headers, const std::string& body);
 
+/// How much of a request an engine reads before it handles the request.
+enum class ReadBeforeScript : uint8_t {
+  kWholeRequest,
+  kHead,  ///< and nothing of the body after that: most of a long one stays in the client's socket
+};
+
 /// Listens on a free loopback port and serves each connection in a thread of its own. The handler returns the
 /// script for each request. Throws std::runtime_error if it cannot listen.
 class ScriptedEngine {
  public:
   using Handler = std::function<Script(const ReceivedRequest&)>;
-  explicit ScriptedEngine(Handler handler);
+  explicit ScriptedEngine(Handler handler, ReadBeforeScript reads = ReadBeforeScript::kWholeRequest);
   ~ScriptedEngine();
   ScriptedEngine(const ScriptedEngine&) = delete;
   ScriptedEngine& operator=(const ScriptedEngine&) = delete;
@@ -77,6 +84,7 @@
   void repeat(int socket, const std::string& bytes);
 
   Handler handler_;
+  ReadBeforeScript reads_;
   int listener_ = -1;
   int port_ = 0;
   std::atomic<bool> stopping_{false};
