Check the heads of answers as strictly as those of requests, where bytes become a head

Callers saw: an engine in trouble sent an answer with status 000, or one in whose head a field's name held a blank or a control byte; callers got it as an answer, with that line passed on, or with a body that was not the engine's.

Cause: requests had check_request_head(), answers only the parser library. That library takes blanks in names, bare line feeds, folded lines and other versions of HTTP, so "Content-Length : 4" was taken for a length and "Content Length: 4" for none; a status below 200 counted as an interim answer, so one below 100 was skipped and the request waited for its deadline. libevent's client, which reads answers for members, tools and stoatctl, takes nearly any head.

Change: HeadChecker checks a head of either kind while its bytes arrive. MessageParser feeds it before the library, so requests, answers of back ends, direct or relayed, and health checks go through it; http::Client feeds it what libevent reads, and a call with a malformed head fails at once. Names are tokens, lines end in CR LF, a status is 100 to 599. Rules for requests stay, but that a name that is no token is named as such.

Why it works: a fault is found at the end of its line at the latest, before the library reports the head, so nothing of such an answer is passed on.

--- a/src/dispatch/backend_connection.cc
+++ b/src/dispatch/backend_connection.cc
@@ -64,7 +64,7 @@
 }
 
 BackendConnection::BackendConnection(EventLoop& loop)
-    : loop_(loop), parser_(http1::MessageParser::Kind::kResponse, *this) {}
+    : loop_(loop), parser_(http1::MessageKind::kResponse, *this) {}
 
 BackendConnection::~BackendConnection() { close(); }
 
--- a/src/edge/client_connection.cc
+++ b/src/edge/client_connection.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "src/http/socket_options.h"
+#include "src/http1/head_check.h"
 
 namespace stoat::edge {
 
@@ -34,7 +35,7 @@
 
 ClientConnection::ClientConnection(EdgeServer& server, evutil_socket_t socket)
     : server_(server),
-      parser_(http1::MessageParser::Kind::kRequest, *this),
+      parser_(http1::MessageKind::kRequest, *this),
       request_reservation_(server.buffer_budget_),
       response_reservation_(server.buffer_budget_) {
   http::disable_nagle(socket);
@@ -241,11 +242,6 @@
   }
   const std::string_view head(
       reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length))), length);
-  const http1::HeadFault fault = http1::check_request_head(head);
-  if (fault != http1::HeadFault::kNone) {
-    refuse(400, http1::to_text(fault));
-    return;
-  }
   request_ = EdgeRequest();
   body_too_long_ = false;
   buffer_full_ = false;
@@ -256,7 +252,8 @@
   if (state == http1::ParseState::kStopped) {
     refuse_body();
   } else if (state == http1::ParseState::kMalformed) {
-    refuse(400, "malformed head");
+    const http1::HeadFault fault = parser_.head_fault();
+    refuse(400, fault == http1::HeadFault::kNone ? "malformed head" : http1::to_text(fault));
   } else {
     evbuffer_drain(input, length);
     if (state == http1::ParseState::kComplete) {
--- a/src/edge/client_connection.h
+++ b/src/edge/client_connection.h
@@ -5,7 +5,6 @@
 #include <event2/event.h>
 
 #include "src/edge/edge_server.h"
-#include "src/http1/head_check.h"
 
 namespace stoat::edge {
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -6,8 +6,10 @@
 #include <event2/keyvalq_struct.h>
 
 #include <algorithm>
+#include <cstdint>
 
 #include "src/http/socket_options.h"
+#include "src/http1/head_check.h"
 
 namespace stoat::http {
 
@@ -15,6 +17,7 @@
 
 constexpr size_t kMaxIdlePerEndpoint = 64;
 constexpr size_t kMaxHeadBytes = 64U << 10U;
+constexpr int kFirstFinalStatus = 200;
 
 evhttp_cmd_type evhttp_method(const std::string& method) {
   if (method == "POST") {
@@ -61,30 +64,57 @@
     handler(result);
   }
 
-  /// Fails the call once more bytes than this were received, whatever they are.
-  void limit_received(size_t max_bytes) {
+  /// Watches what is received. Fails the call at a malformed head, which the library may accept, and once
+  /// more than `max_bytes` were received, whatever they are.
+  void watch_input(size_t max_bytes) {
     bytes_left = max_bytes;
-    const auto on_input = [](evbuffer*, const evbuffer_cb_info* info, void* context) {
+    const auto on_input = [](evbuffer* buffer, const evbuffer_cb_info* info, void* context) {
+      static_cast<Call*>(context)->check_heads(buffer, info->n_added);
       static_cast<Call*>(context)->note_received(info->n_added);
     };
-    counter = evbuffer_add_cb(input(), on_input, this);
+    watcher = evbuffer_add_cb(input(), on_input, this);
+  }
+  /// Checks the heads of interim responses and of the final one in the last `added` bytes of a buffer.
+  void check_heads(evbuffer* buffer, size_t added) {
+    if (head_checker.complete() || failed) {
+      return;
+    }
+    evbuffer_ptr position;
+    evbuffer_ptr_set(buffer, &position, evbuffer_get_length(buffer) - added, EVBUFFER_PTR_SET);
+    std::string bytes(added, '\0');
+    evbuffer_copyout_from(buffer, &position, bytes.data(), bytes.size());
+    std::string_view unchecked = bytes;
+    while (!unchecked.empty() && !head_checker.complete() && !failed) {
+      unchecked.remove_prefix(head_checker.feed(unchecked));
+      if (head_checker.fault() != http1::HeadFault::kNone) {
+        fail_soon();
+      } else if (head_checker.complete() && head_checker.status() < kFirstFinalStatus) {
+        head_checker = http1::HeadChecker(http1::MessageKind::kResponse);
+      }
+    }
   }
   void note_received(size_t bytes) {
-    if (bytes > bytes_left && !too_long) {
-      too_long = true;
-      // Not at once: the library is reading from the connection.
-      client.loop_.after(0us, [call = weak_from_this()] {
-        if (const auto running = call.lock()) {
-          running->client.expire(running->id);
-        }
-      });
+    if (bytes > bytes_left) {
+      fail_soon();
     }
     bytes_left -= std::min(bytes, bytes_left);
   }
-  void stop_counting() {
-    if (counter != nullptr) {
-      evbuffer_remove_cb_entry(input(), counter);
-      counter = nullptr;
+  /// Ends the call as failed, but not at once: the library is reading from the connection.
+  void fail_soon() {
+    if (failed) {
+      return;
+    }
+    failed = true;
+    client.loop_.after(0us, [call = weak_from_this()] {
+      if (const auto running = call.lock()) {
+        running->client.expire(running->id);
+      }
+    });
+  }
+  void stop_watching() {
+    if (watcher != nullptr) {
+      evbuffer_remove_cb_entry(input(), watcher);
+      watcher = nullptr;
     }
   }
   evbuffer* input() const { return bufferevent_get_input(evhttp_connection_get_bufferevent(connection)); }
@@ -98,9 +128,9 @@
   evhttp_request* request = nullptr;
   bool failed = false;
   bool received_piece = false;
-  evbuffer_cb_entry* counter = nullptr;  ///< counts what is received
-  size_t bytes_left = 0;                 ///< that may still be received
-  bool too_long = false;
+  evbuffer_cb_entry* watcher = nullptr;
+  http1::HeadChecker head_checker{http1::MessageKind::kResponse};
+  size_t bytes_left = 0;   ///< that may still be received
   std::string error_body;  ///< pieces received of a response with a status other than 200
 };
 
@@ -137,9 +167,7 @@
   const timeval timeout{request.timeout.count() / 1000000, request.timeout.count() % 1000000};
   evhttp_connection_set_timeout_tv(call->connection, &timeout);
   evhttp_connection_set_max_headers_size(call->connection, static_cast<ev_ssize_t>(kMaxHeadBytes));
-  if (!call->on_piece) {
-    call->limit_received(kMaxHeadBytes + request.max_body_bytes);
-  }
+  call->watch_input(call->on_piece ? SIZE_MAX : kMaxHeadBytes + request.max_body_bytes);
 
   const auto on_complete = [](evhttp_request* finished, void* context) {
     static_cast<Call*>(context)->complete(finished);
@@ -153,6 +181,9 @@
     const auto on_chunk = [](evhttp_request* incoming, void* context) {
       auto* active = static_cast<Call*>(context);
       active->received_piece = true;
+      if (active->failed) {
+        return;
+      }
       if (evhttp_request_get_response_code(incoming) != HTTP_OK) {
         // evhttp discards what a chunk callback does not consume.
         active->error_body += drain_buffer(evhttp_request_get_input_buffer(incoming));
@@ -198,7 +229,7 @@
   // Keep the call alive until the next loop iteration, because libevent still holds its address.
   std::shared_ptr<Call> call = std::move(found->second);
   calls_.erase(found);
-  call->stop_counting();
+  call->stop_watching();
   auto& connections = idle_[to_string(call->endpoint)];
   evhttp_connection* connection = call->connection;
   loop_.after(0us, [call] {});
@@ -232,7 +263,7 @@
   }
   std::shared_ptr<Call> call = std::move(found->second);
   calls_.erase(found);
-  call->stop_counting();
+  call->stop_watching();
   call->on_piece = [](const std::string&) {};
   // Freeing the connection also frees the request, without calling its callbacks.
   loop_.after(0us, [call] { evhttp_connection_free(call->connection); });
--- a/src/http1/head_check.cc
+++ b/src/http1/head_check.cc
@@ -8,12 +8,9 @@
 
 namespace {
 
-/// Number of header lines seen so far that determine the framing of a message.
-struct Framing {
-  int host_count = 0;
-  int length_count = 0;
-  int encoding_count = 0;
-};
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
 
 std::string_view trim(std::string_view text) {
   while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
@@ -30,6 +27,16 @@
   return (code < ' ' && byte != '\t') || code == 0x7f;
 }
 
+bool is_digit(char byte) { return byte >= '0' && byte <= '9'; }
+
+/// True for the bytes of a token, of which names of headers consist.
+bool is_token_byte(char byte) {
+  return std::isalnum(static_cast<unsigned char>(byte)) != 0 ||
+         (byte != '\0' && std::string_view("!#$%&'*+-.^_`|~").find(byte) != std::string_view::npos);
+}
+
+bool is_known_version(std::string_view version) { return version == "HTTP/1.1" || version == "HTTP/1.0"; }
+
 HeadFault check_request_line(std::string_view line) {
   const size_t first_space = line.find(' ');
   const size_t last_space = line.rfind(' ');
@@ -40,50 +47,7 @@
   if (target.empty() || target.front() != '/' || target.find(' ') != std::string_view::npos) {
     return HeadFault::kTarget;
   }
-  const std::string_view version = line.substr(last_space + 1);
-  return version == "HTTP/1.1" || version == "HTTP/1.0" ? HeadFault::kNone : HeadFault::kVersion;
-}
-
-HeadFault check_length(std::string_view value, Framing& framing) {
-  constexpr size_t kMaxDigits = 18;
-  const bool digits = !value.empty() && value.size() <= kMaxDigits &&
-                      std::all_of(value.begin(), value.end(), [](char c) { return c >= '0' && c <= '9'; });
-  ++framing.length_count;
-  return digits && framing.length_count == 1 ? HeadFault::kNone : HeadFault::kLength;
-}
-
-HeadFault check_header_line(std::string_view line, Framing& framing) {
-  const size_t colon = line.find(':');
-  if (colon == std::string_view::npos || colon == 0) {
-    return HeadFault::kMalformedName;
-  }
-  const std::string_view name = line.substr(0, colon);
-  if (name.find_first_of(" \t") != std::string_view::npos) {
-    return HeadFault::kMalformedName;
-  }
-  const std::string_view value = trim(line.substr(colon + 1));
-  if (equal_ignoring_case(name, "host")) {
-    ++framing.host_count;
-  } else if (equal_ignoring_case(name, "content-length")) {
-    return check_length(value, framing);
-  } else if (equal_ignoring_case(name, "transfer-encoding")) {
-    ++framing.encoding_count;
-    if (framing.encoding_count > 1 || !equal_ignoring_case(value, "chunked")) {
-      return HeadFault::kEncoding;
-    }
-  }
-  return HeadFault::kNone;
-}
-
-HeadFault check_line(std::string_view line, bool first, Framing& framing) {
-  if (!first && (line.front() == ' ' || line.front() == '\t')) {
-    return HeadFault::kFolded;
-  }
-  if (std::any_of(line.begin(), line.end(), is_control)) {
-    return line.find_first_of("\r\n") != std::string_view::npos ? HeadFault::kBareLineEnd
-                                                                : HeadFault::kControlByte;
-  }
-  return first ? check_request_line(line) : check_header_line(line, framing);
+  return is_known_version(line.substr(last_space + 1)) ? HeadFault::kNone : HeadFault::kVersion;
 }
 
 }  // namespace
@@ -110,30 +74,114 @@
       return "the only Transfer-Encoding taken is chunked";
     case HeadFault::kVersion:
       return "the version must be HTTP/1.1 or HTTP/1.0";
+    case HeadFault::kStatus:
+      return "the status must be a number from 100 to 599";
+    case HeadFault::kTooLong:
+      return "the head is too long";
   }
   return "unknown";
 }
 
-HeadFault check_request_head(std::string_view head) {
-  Framing framing;
-  bool first = true;
-  size_t position = 0;
-  for (;;) {
-    const size_t end = head.find("\r\n", position);
-    if (end == std::string_view::npos || end == position) {
+size_t HeadChecker::feed(std::string_view bytes) {
+  size_t used = 0;
+  while (!complete_ && fault_ == HeadFault::kNone && used < bytes.size()) {
+    const std::string_view rest = bytes.substr(used);
+    const size_t line_feed = rest.find('\n');
+    const size_t length = line_feed == std::string_view::npos ? rest.size() : line_feed + 1;
+    used += length;
+    size_ += length;
+    if (size_ > kMaxHeadBytes) {
+      fault_ = HeadFault::kTooLong;
       break;
     }
-    const HeadFault fault = check_line(head.substr(position, end - position), first, framing);
-    if (fault != HeadFault::kNone) {
-      return fault;
+    partial_line_ += rest.substr(0, length);
+    if (line_feed != std::string_view::npos) {
+      end_line(partial_line_);
+      partial_line_.clear();
     }
-    first = false;
-    position = end + 2;
   }
-  if (framing.host_count != 1) {
+  return used;
+}
+
+void HeadChecker::end_line(std::string_view line) {
+  if (!line.ends_with(kLineEnd)) {
+    fault_ = HeadFault::kBareLineEnd;
+    return;
+  }
+  line.remove_suffix(kLineEnd.size());
+  if (line.empty() && !first_line_) {
+    fault_ = check_framing();
+    complete_ = fault_ == HeadFault::kNone;
+    return;
+  }
+  fault_ = check_line(line);
+  first_line_ = false;
+}
+
+HeadFault HeadChecker::check_line(std::string_view line) {
+  if (!first_line_ && (line.front() == ' ' || line.front() == '\t')) {
+    return HeadFault::kFolded;
+  }
+  if (std::any_of(line.begin(), line.end(), is_control)) {
+    return line.find('\r') != std::string_view::npos ? HeadFault::kBareLineEnd : HeadFault::kControlByte;
+  }
+  if (!first_line_) {
+    return check_header_line(line);
+  }
+  return kind_ == MessageKind::kRequest ? check_request_line(line) : check_status_line(line);
+}
+
+HeadFault HeadChecker::check_status_line(std::string_view line) {
+  constexpr size_t kVersionLength = 8;
+  constexpr size_t kStatusLength = 3;
+  if (!is_known_version(line.substr(0, kVersionLength))) {
+    return HeadFault::kVersion;
+  }
+  line.remove_prefix(kVersionLength);
+  const bool separated = line.starts_with(' ') && line.size() > kStatusLength &&
+                         (line.size() == kStatusLength + 1 || line[kStatusLength + 1] == ' ');
+  const std::string_view digits = separated ? line.substr(1, kStatusLength) : std::string_view();
+  if (!separated || !std::all_of(digits.begin(), digits.end(), is_digit)) {
+    return HeadFault::kStatus;
+  }
+  status_ = std::stoi(std::string(digits));
+  return status_ >= kFirstStatus && status_ <= kLastStatus ? HeadFault::kNone : HeadFault::kStatus;
+}
+
+HeadFault HeadChecker::check_header_line(std::string_view line) {
+  const size_t colon = line.find(':');
+  const std::string_view name = line.substr(0, colon);
+  if (colon == std::string_view::npos || name.empty() ||
+      !std::all_of(name.begin(), name.end(), is_token_byte)) {
+    return HeadFault::kMalformedName;
+  }
+  const std::string_view value = trim(line.substr(colon + 1));
+  if (equal_ignoring_case(name, "host")) {
+    ++framing_.host_count;
+  } else if (equal_ignoring_case(name, "content-length")) {
+    return check_length(value);
+  } else if (equal_ignoring_case(name, "transfer-encoding")) {
+    ++framing_.encoding_count;
+    if (framing_.encoding_count > 1 || !equal_ignoring_case(value, "chunked")) {
+      return HeadFault::kEncoding;
+    }
+  }
+  return HeadFault::kNone;
+}
+
+HeadFault HeadChecker::check_length(std::string_view value) {
+  constexpr size_t kMaxDigits = 18;
+  const bool digits =
+      !value.empty() && value.size() <= kMaxDigits && std::all_of(value.begin(), value.end(), is_digit);
+  ++framing_.length_count;
+  return digits && framing_.length_count == 1 ? HeadFault::kNone : HeadFault::kLength;
+}
+
+HeadFault HeadChecker::check_framing() const {
+  if (kind_ == MessageKind::kRequest && framing_.host_count != 1) {
     return HeadFault::kNoHost;
   }
-  return framing.length_count > 0 && framing.encoding_count > 0 ? HeadFault::kLength : HeadFault::kNone;
+  return framing_.length_count > 0 && framing_.encoding_count > 0 ? HeadFault::kLength : HeadFault::kNone;
 }
 
 }  // namespace stoat::http1
--- a/src/http1/message.cc
+++ b/src/http1/message.cc
@@ -53,11 +53,15 @@
                      [&](std::string_view hop) { return equal_ignoring_case(hop, name); });
 }
 
-MessageParser::MessageParser(Kind kind, MessageSink& sink) : kind_(kind), sink_(sink) { reset(); }
+MessageParser::MessageParser(MessageKind kind, MessageSink& sink)
+    : kind_(kind), head_checker_(kind), sink_(sink) {
+  reset();
+}
 
 void MessageParser::reset() {
-  http_parser_init(&parser_, kind_ == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+  http_parser_init(&parser_, kind_ == MessageKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   parser_.data = this;
+  head_checker_ = HeadChecker(kind_);
   headers_ = Headers();
   target_.clear();
   last_was_value_ = true;
@@ -109,8 +113,26 @@
 }
 
 ParseState MessageParser::feed(std::string_view bytes, size_t& consumed) {
-  static const http_parser_settings settings = make_settings();
   begun_ = begun_ || !bytes.empty();
+  consumed = 0;
+  const size_t head_bytes = head_checker_.feed(bytes);
+  if (head_checker_.fault() != HeadFault::kNone) {
+    return ParseState::kMalformed;
+  }
+  if (head_bytes > 0) {
+    const ParseState state = parse(bytes.substr(0, head_bytes), consumed);
+    if (state != ParseState::kIncomplete || head_bytes == bytes.size()) {
+      return state;
+    }
+  }
+  size_t consumed_of_body = 0;
+  const ParseState state = parse(bytes.substr(consumed), consumed_of_body);
+  consumed += consumed_of_body;
+  return state;
+}
+
+ParseState MessageParser::parse(std::string_view bytes, size_t& consumed) {
+  static const http_parser_settings settings = make_settings();
   consumed = http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
   const ParseState state = outcome();
   if (state == ParseState::kComplete) {
--- a/src/http1/message.h
+++ b/src/http1/message.h
@@ -1,4 +1,4 @@
-/// Headers of HTTP/1.1 messages, and a parser that reads messages from a byte stream.
+/// Headers of HTTP/1.1 messages, and a parser that checks and reads messages from a byte stream.
 #pragma once
 
 #include <http_parser.h>
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include "src/http1/head_check.h"
+
 namespace stoat::http1 {
 
 /// One header line as received.
@@ -61,11 +63,11 @@
   kStopped,  ///< the sink stopped parsing
 };
 
-/// Parses one message at a time, using the http-parser library. reset() prepares it for the next message.
+/// Parses one message at a time, using the http-parser library. HeadChecker checks each head first.
+/// reset() prepares it for the next message.
 class MessageParser {
  public:
-  enum class Kind : uint8_t { kRequest, kResponse };
-  MessageParser(Kind kind, MessageSink& sink);
+  MessageParser(MessageKind kind, MessageSink& sink);
   MessageParser(const MessageParser&) = delete;
   MessageParser& operator=(const MessageParser&) = delete;
 
@@ -81,6 +83,8 @@
   std::string& target() { return target_; }
   std::string method() const { return http_method_str(static_cast<http_method>(parser_.method)); }
   int status() const { return static_cast<int>(parser_.status_code); }
+  /// Why a message whose head was rejected is malformed.
+  HeadFault head_fault() const { return head_checker_.fault(); }
   bool keep_alive() const { return http_should_keep_alive(&parser_) != 0; }
   /// Content-Length minus the body bytes parsed so far, or UINT64_MAX if the head has no Content-Length.
   uint64_t content_length() const { return parser_.content_length; }
@@ -90,10 +94,12 @@
  private:
   static MessageParser& owner_of(http_parser* parser) { return *static_cast<MessageParser*>(parser->data); }
   static http_parser_settings make_settings();
+  ParseState parse(std::string_view bytes, size_t& consumed);
   ParseState outcome() const;
 
   http_parser parser_{};
-  Kind kind_;
+  MessageKind kind_;
+  HeadChecker head_checker_;
   MessageSink& sink_;
   Headers headers_;
   std::string target_;
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -5,6 +5,7 @@
 
 #include "src/http/blocking.h"
 #include "standins/scripted_engine.h"
+#include "tests/support/malformed_heads.h"
 
 namespace stoat {
 namespace {
@@ -40,5 +41,16 @@
   }
 }
 
+TEST(HttpClientTest, AnswerWithAMalformedHeadIsNotTakenForAnAnswer) {
+  for (const test::MalformedHead& malformed : test::malformed_heads("")) {
+    const auto begin = std::chrono::steady_clock::now();
+    const http::ClientResult result =
+        call({standins::send_step(malformed.head + "\r\nbody")}, ReadBeforeScript::kWholeRequest, 0);
+    EXPECT_EQ(result.status, 0) << malformed.fault << ": " << result.body;
+    EXPECT_FALSE(result.not_sent) << malformed.fault;
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, milliseconds(500)) << malformed.fault;
+  }
+}
+
 }  // namespace
 }  // namespace stoat
