Tests: streams taken up after all routers were killed stay at their version

Report: two software versions in service, or the servers of the old one had just left, when all frontend machines were killed at once and came back; take-ups were answered 200 and joined from two versions.

Members keep where streams began and which versions a service had (docs/design/stream_versions.md), so routers that come back find the record, or refuse. The product is unchanged.

--- a/tests/process/stream_version_test.cc
+++ b/tests/process/stream_version_test.cc
@@ -153,6 +153,34 @@
   EXPECT_EQ(resumed[2].went_on, resumed[2].begun);
 }
 
+// Streams were joined from two versions after all routers had been killed, with both versions in service.
+TEST_F(StreamVersionProcessTest, StreamsMixVersionsAfterAllRoutersWereKilled) {
+  begin_streams();
+  kill_and_start(fleet_->names_of("router"));
+  std::map<size_t, Resumed> resumed = resume_streams();
+  for (const size_t version : {1U, 2U}) {
+    ASSERT_GT(resumed[version].begun, 0U);
+    EXPECT_EQ(resumed[version].mixed, 0U);
+    EXPECT_EQ(resumed[version].went_on, resumed[version].begun);
+  }
+}
+
+// The same while the engines of their version had just left.
+TEST_F(StreamVersionProcessTest, StreamsMixVersionsAfterTheirEnginesLeftAndAllRoutersWereKilled) {
+  begin_streams();
+  for (const std::string name : {"engine-1", "engine-3"}) {
+    processes_->request_stop(name);
+  }
+  ASSERT_TRUE(LoopbackFleet::wait_until(
+      [this] { return !processes_->is_running("engine-1") && !processes_->is_running("engine-3"); }, 5s));
+  kill_and_start(fleet_->names_of("router"));
+  std::map<size_t, Resumed> resumed = resume_streams();
+  ASSERT_GT(resumed[1].begun, 0U);
+  EXPECT_EQ(resumed[1].mixed, 0U);
+  EXPECT_EQ(resumed[2].mixed, 0U);
+  EXPECT_EQ(resumed[2].went_on, resumed[2].begun);
+}
+
 // Streams were refused after all processes had been killed, though engines of their versions still served.
 TEST_F(StreamVersionProcessTest, StreamsOfServingVersionsAreRefusedAfterAllProcessesWereKilled) {
   begin_streams();
--- a/tests/unit/stream_version_test.cc
+++ b/tests/unit/stream_version_test.cc
@@ -25,6 +25,17 @@
     ASSERT_TRUE(configure(make_configuration(1)));
     second_port_ = add_router();
   }
+  /// Has the engines of a version leave, and waits until the routers know.
+  void remove_engines(const std::string& version) {
+    for (size_t number = 0; number < kEnginesPerVersion; ++number) {
+      const std::string id = version + "-" + std::to_string(number);
+      test::run_on(control_loop_, [&] {
+        control_->commit(fleet::RetireBackend{id, fleet::BackendState::kGone}, [](bool) {});
+        return true;
+      });
+    }
+    std::this_thread::sleep_for(milliseconds(300));
+  }
   void add_engines(const std::string& version) {
     for (size_t number = 0; number < kEnginesPerVersion; ++number) {
       const auto run = [this, version](const ReceivedRequest& seen) { return run_stream(seen, version); };
@@ -143,20 +154,32 @@
   const std::string first = begin(router_port_, "left");
   ASSERT_EQ(version_in(first), "v1");
   add_engines("v2");
-  for (size_t number = 0; number < kEnginesPerVersion; ++number) {
-    const std::string id = "v1-" + std::to_string(number);
-    test::run_on(control_loop_, [&] {
-      control_->commit(fleet::RetireBackend{id, fleet::BackendState::kGone}, [](bool) {});
-      return true;
-    });
-  }
-  std::this_thread::sleep_for(milliseconds(300));  // until the routers have been told
+  remove_engines("v1");
   const auto started = std::chrono::steady_clock::now();
   EXPECT_EQ(status_of(resume(router_port_, "left-1", "left")), "HTTP/1.1 503");
   EXPECT_EQ(status_of(resume(second_port_, "left-2", "left")), "HTTP/1.1 503");
   EXPECT_LT(std::chrono::steady_clock::now() - started, milliseconds(500));
 }
 
+// Streams that began before there was a second version, and so without a record, were joined with it by
+// routers that had just started.
+TEST_F(StreamVersionTest, RestartedRouterJoinsStreamsOfTheVersionThatLeft) {
+  add_engines("v1");
+  const std::string first = begin(second_port_, "restarted");
+  ASSERT_EQ(version_in(first), "v1");
+  add_engines("v2");
+  const auto restart_router = [this] {
+    run_on_router_loop([this] {
+      additional_routers_.clear();
+      return true;
+    });
+    return add_router();
+  };
+  EXPECT_FALSE(is_mixed(first + resume(restart_router(), "restarted-1", "restarted")));
+  remove_engines("v1");
+  EXPECT_FALSE(is_mixed(first + resume(restart_router(), "restarted-2", "restarted")));
+}
+
 // Routers that reach no control member joined streams that they could not know.
 TEST_F(StreamVersionTest, RouterCutOffFromTheMembersMixesNothing) {
   add_engines("v1");
