Answer the requests that are open at the end of a planned stop

Callers saw: in a planned stop of one router, in calm, requests whose engines were still at work at the end of the grace were cut with no answer, among them requests that may not be repeated.

Cause: at the end the event loop was stopped with the requests open; their connections went with the process.

Evidence: StoppingRouterTest.RequestAtWorkAtTheEndOfTheGraceGetsNoAnswer got nothing before, and 504 now. That a stream which is cut doesn't look whole, and that an upload which ends after the router has stopped to listen is served when it can end in time, held before and is kept.

--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -73,6 +73,8 @@
   /// Ends the request without a response, for instance when the caller has disconnected, and cancels it at
   /// the engine. `reason`: outcome for the log.
   void cancel(const char* reason);
+  /// Ends the request with a final response, or breaks its stream off, since the router ends.
+  void end_with_router();
   const edge::ResponseWriter* answer() const { return answer_.get(); }
   /// Probes the backend if it has been silent for long, and fails the exchange if it can't be reached. To be
   /// called several times a second.
--- a/src/dispatch/request_end.cc
+++ b/src/dispatch/request_end.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int kGatewayTimeout = 504;
+/// Reason of responses of a router that stops.
+constexpr const char* kRouterEnds = "the router stops";
 /// Retry-After, in seconds, when no backend of the service is known: backends send a heartbeat about every
 /// second.
 constexpr double kNoBackendRetryAfterS = 1.5;
@@ -48,6 +50,8 @@
   }
 }
 
+void ActiveRequest::end_with_router() { fail_request(kRouterEnds); }
+
 void ActiveRequest::reply_with_error(int status, const char* reason, double retry_after_s) {
   edge::ResponseHead head;
   head.status = status;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr Duration kShutdownCheckInterval = 50ms;
 constexpr Duration kEngineQueueMargin = 1500ms;
 /// How often this router's load on the backends is reported, if it has changed.
 constexpr Duration kLoadReportInterval = 100ms;
@@ -300,6 +299,10 @@
 }
 
 void GatewayServer::check_silence() {
+  for_each_request([](dispatch::ActiveRequest& request) { request.check_silence(); });
+}
+
+void GatewayServer::for_each_request(const std::function<void(dispatch::ActiveRequest&)>& action) {
   // Copied, because a request that ends is removed from the map.
   std::vector<std::shared_ptr<dispatch::ActiveRequest>> running;
   running.reserve(active_requests_.size());
@@ -307,7 +310,7 @@
     running.push_back(active_request);
   }
   for (const auto& active_request : running) {
-    active_request->check_silence();
+    action(*active_request);
   }
 }
 
@@ -323,35 +326,4 @@
   }
 }
 
-void GatewayServer::stop() {
-  if (stopping_) {
-    return;
-  }
-  stopping_ = true;
-  stop_started_at_ = loop_.now();
-  log_.info("stopping", {{"requests", active_requests_.size()}});
-  edge_.start_draining();
-  if (relay_server_ != nullptr) {
-    relay_server_->start_draining();
-  }
-  control_link_.send_status_to_all();
-  loop_.every(kShutdownCheckInterval, [this] { check_shutdown(); });
-}
-
-void GatewayServer::check_shutdown() {
-  const Duration elapsed = loop_.now() - stop_started_at_;
-  if (elapsed >= settings_.stop_listening_after) {
-    edge_.stop_listening();
-    const bool relaying = relay_server_ != nullptr && relay_server_->size() > 0;
-    if (edge_.busy_count() == 0 && !relaying) {
-      log_.info("stopped");
-      loop_.stop();
-    }
-  }
-  if (elapsed >= settings_.shutdown_timeout) {
-    log_.warning("stopped with open requests", {{"requests", active_requests_.size()}});
-    loop_.stop();
-  }
-}
-
 }  // namespace stoat::gateway
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -1,6 +1,7 @@
 /// The router: the edge server, the routes in force, the known backends, and the requests in flight.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -31,7 +32,7 @@
   relay::RelayLimits relay_limits;
   ControlLinkOptions link;
   bool fail_closed = true;             ///< access keys are rejected without a confirmed configuration
-  Duration shutdown_timeout = 7s;      ///< from SIGTERM to the end of the process at the latest
+  Duration shutdown_timeout = 7s;      ///< from SIGTERM until requests that are still open are ended
   Duration stop_listening_after = 3s;  ///< from SIGTERM until new connections are refused
   /// A route or key is refused as unknown only by a configuration that was confirmed as the newest within
   /// this time.
@@ -121,6 +122,8 @@
   void log_limit_usage();
   /// Moves requests away from backends that have stopped responding.
   void check_silence();
+  /// Calls `action`, which may end the request, for each request in progress.
+  void for_each_request(const std::function<void(dispatch::ActiveRequest&)>& action);
   // Implemented in gateway_links.cc: what this router's own links reach, and relaying for other routers.
   void configure_links();
   void on_link_verdict(const dispatch::BackendPtr& backend, dispatch::LinkVerdict verdict);
@@ -235,6 +238,7 @@
   bool permit_request_pending_ = false;               ///< a permit request is about to be sent
   bool stopping_ = false;
   TimePoint stop_started_at_{0};
+  bool open_requests_ended_ = false;  ///< at the end of the shutdown
 };
 
 }  // namespace stoat::gateway
--- /dev/null
+++ b/tests/unit/stopping_router_test.cc
@@ -0,0 +1,166 @@
+/// Requests at a router that is told to stop: each that was read whole gets an answer.
+#include "tests/support/small_fleet.h"
+
+namespace stoat {
+namespace {
+
+using standins::ReceivedRequest;
+using standins::Script;
+using standins::ScriptedEngine;
+using std::chrono::milliseconds;
+using test::RawClient;
+using test::status_of;
+using Clock = std::chrono::steady_clock;
+
+class StoppingRouterTest : public test::SmallFleet {
+ protected:
+  static constexpr Duration kListensFor = 400ms;
+  static constexpr Duration kGrace = 1500ms;
+  /// Longer than the grace.
+  static constexpr milliseconds kLongWork{4000};
+  static constexpr milliseconds kShortWork{200};
+  static constexpr milliseconds kAnswersWithin{300};
+
+  void SetUp() override {
+    fleet::FleetConfiguration configuration = make_configuration(1);
+    for (fleet::Route& route : configuration.routes) {
+      route.timeout_ms = 10000;
+    }
+    ASSERT_TRUE(configure(configuration));
+  }
+  void TearDown() override {
+    own_loop_.post([this] { own_loop_.stop(); });
+    own_thread_.join();
+  }
+  void start_router() {
+    router_settings_.stop_listening_after = kListensFor;
+    router_settings_.shutdown_timeout = kGrace;
+    router_settings_.name = "stopping";
+    router_settings_.listen = {"127.0.0.1", test::free_port()};
+    router_settings_.relay_listen = {"127.0.0.1", test::free_port()};
+    stopping_router_ = std::make_unique<gateway::GatewayServer>(own_loop_, router_settings_, header_names_);
+    own_thread_ = std::thread([this] {
+      own_loop_.run();
+      stopping_router_.reset();
+    });
+  }
+  /// Has a heartbeat of an engine sent to the control member.
+  std::string register_engine(const std::string& service, const ScriptedEngine& engine) {
+    fleet::BackendRecord record;
+    record.id = "engine-" + std::to_string(++engines_);
+    record.service = service;
+    record.address = engine.address();
+    record.zone = "z1";
+    record.slots = 8;
+    record.sequence = 1;
+    if (service == "models") {
+      record.models = {{"m", 1}};
+    }
+    test::run_on(control_loop_, [&] { return control_->receive_heartbeat(record); });
+    return record.id;
+  }
+  /// Registers an engine, and waits until the router knows it.
+  void add_known_engine(const std::string& service, const ScriptedEngine& engine) {
+    const std::string id = register_engine(service, engine);
+    const auto until = Clock::now() + std::chrono::seconds(5);
+    while (!test::run_on(own_loop_,
+                         [&] { return stopping_router_->knows_backend(id) && stopping_router_->ready(); })) {
+      ASSERT_LT(Clock::now(), until);
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+  }
+  void stop() {
+    test::run_on(own_loop_, [this] {
+      stopping_router_->stop();
+      return true;
+    });
+    stopped_at_ = Clock::now();
+  }
+  /// Waits until the router has stopped to listen.
+  void wait_until_closing() const {
+    std::this_thread::sleep_until(stopped_at_ + kListensFor + milliseconds(150));
+  }
+  std::string head(const std::string& path, const std::string& id, int64_t deadline_ms, size_t body_bytes) {
+    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
+           "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) +
+           "\r\nAuthorization: Bearer k1\r\nX-Model: m\r\nX-Token-Counts: 20,10\r\nX-Prompt-Parts: "
+           "a:10,b:10\r\nContent-Length: " +
+           std::to_string(body_bytes) + "\r\n\r\n";
+  }
+  uint16_t port() const { return router_settings_.listen.port; }
+  static size_t posts(const ScriptedEngine& engine) {
+    size_t count = 0;
+    for (const ReceivedRequest& request : engine.requests()) {
+      count += request.head.starts_with("POST") ? 1 : 0;
+    }
+    return count;
+  }
+  /// Begins an upload, stops the router, and ends the upload after it has stopped to listen. Returns the
+  /// answer.
+  std::string end_upload_late(const std::string& path, int64_t deadline_ms) {
+    RawClient client(port());
+    client.send(head(path, "late", deadline_ms, 4) + "up");
+    std::this_thread::sleep_for(milliseconds(50));
+    stop();
+    wait_until_closing();
+    client.send("up");
+    const auto sent_at = Clock::now();
+    client.read_until("\r\n\r\n");
+    answered_after_ = Clock::now() - sent_at;
+    return client.read_all();
+  }
+
+  EventLoop own_loop_;
+  std::unique_ptr<gateway::GatewayServer> stopping_router_;
+  std::thread own_thread_;
+  size_t engines_ = 0;
+  Clock::time_point stopped_at_;
+  Clock::duration answered_after_{0};
+};
+
+Script work(const ReceivedRequest& seen, milliseconds span) {
+  return {standins::wait_step(span),
+          standins::send_step(standins::full_response(200, test::engine_headers(seen), "body"))};
+}
+
+TEST_F(StoppingRouterTest, LateUploadThatEndsWithinTheGraceIsRefused) {
+  start_router();
+  ScriptedEngine engine([](const ReceivedRequest& seen) { return work(seen, kShortWork); });
+  add_known_engine("calls", engine);
+  EXPECT_EQ(status_of(end_upload_late("/once/", 500)), "HTTP/1.1 200");
+}
+
+// Requests whose engines were still at work at the end of the grace got no answer.
+TEST_F(StoppingRouterTest, RequestAtWorkAtTheEndOfTheGraceGetsNoAnswer) {
+  start_router();
+  ScriptedEngine engine([](const ReceivedRequest& seen) { return work(seen, kLongWork); });
+  add_known_engine("calls", engine);
+  RawClient client(port());
+  client.send(head("/once/", "work", 8000, 0));
+  std::this_thread::sleep_for(milliseconds(50));
+  stop();
+  const std::string answer = client.read_all();
+  EXPECT_EQ(status_of(answer), "HTTP/1.1 504") << answer;
+  EXPECT_LT(Clock::now() - stopped_at_, kGrace + kAnswersWithin);
+}
+
+// A stream that is cut at the end of the grace looked whole.
+TEST_F(StoppingRouterTest, StreamAtWorkAtTheEndOfTheGraceLooksComplete) {
+  start_router();
+  ScriptedEngine engine([](const ReceivedRequest& seen) -> Script {
+    return {
+        standins::send_step("HTTP/1.1 200 OK\r\n" + test::engine_headers(seen) + "\r\nid: 1\ndata: a\n\n"),
+        standins::wait_step(kLongWork)};
+  });
+  add_known_engine("models", engine);
+  RawClient client(port());
+  client.send(head("/stream/", "work", 8000, 0));
+  client.read_until("data: a\n\n");
+  stop();
+  const std::string answer = client.read_all();
+  EXPECT_TRUE(client.closed());
+  EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos) << answer;
+}
+
+}  // namespace
+}  // namespace stoat
