Send nothing late in a planned stop that may last longer than the router

Callers saw: in a planned stop of one router, in calm, requests that came late in the grace were taken and passed on, and cut at its end, among them requests that may not be repeated.

A back end whose work takes longer than the rest of the grace then ran it in vain, and callers got nothing, or no promise.

Change: from the moment at which it stops to listen, a router sends a request, for the first time or again, only if the request's time limit is earlier than its own end. Others get 503 with a Retry-After of 50 ms at once: waiting ones at that moment, uploads when they are whole, those that wait for a configuration as soon as it is asked. Where one may have run, the back end's own answer or 502 ends it. A stream that has begun may still go on at another back end. The quota of what was refused is given back, as for other refusals.

An upload whose time limit is within the grace was served before and is.

Ruled out: refusing all that comes after the listener is closed (short requests end well within the rest); estimates of how long work takes, which nothing bounds.

--- a/src/dispatch/active_request.cc
+++ b/src/dispatch/active_request.cc
@@ -96,6 +96,10 @@
     fail_request("no time left");  // the time was used up waiting for the router's start
     return;
   }
+  refuse_if_too_late();
+  if (finished_) {
+    return;
+  }
   if (is_resumable_stream() && last_event_id_) {
     find_origin();
   } else {
@@ -407,6 +411,10 @@
   if (now >= deadline_) {
     return "no time left";
   }
+  // A stream that has begun loses nothing by going on for as long as the router is there.
+  if (may_outlast_router() && !streaming_) {
+    return "the router stops";
+  }
   const bool not_delivered = known_not_executed && !delivered_;
   if (suspected() && !not_delivered) {
     return "back ends crashed under it";
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -73,6 +73,8 @@
   /// Ends the request without a response, for instance when the caller has disconnected, and cancels it at
   /// the engine. `reason`: outcome for the log.
   void cancel(const char* reason);
+  /// Refuses the request if it has not been sent and the router may end before it does.
+  void refuse_if_too_late();
   /// Ends the request with a final response, or breaks its stream off, since the router ends.
   void end_with_router();
   const edge::ResponseWriter* answer() const { return answer_.get(); }
@@ -275,6 +277,8 @@
   /// Why the request may not be retried; nullptr if it may. A retry is then charged to the retry budget,
   /// unless the request never reached a backend. `known_not_executed`: the last backend is known not to
   /// have executed it.
+  /// True if the router has stopped to listen and may end before the request does.
+  bool may_outlast_router() const { return deadline_ > context_.router_ends_at; }
   const char* retry_denial_reason(bool known_not_executed);
   /// See retry_denial_reason(); logs the reason if the request may not be retried.
   bool may_retry(bool known_not_executed);
--- a/src/dispatch/request_end.cc
+++ b/src/dispatch/request_end.cc
@@ -13,6 +13,8 @@
 constexpr int kGatewayTimeout = 504;
 /// Reason of responses of a router that stops.
 constexpr const char* kRouterEnds = "the router stops";
+/// Retry-After of requests that other routers can take at once.
+constexpr Duration kOtherRouterRetryAfter = 50ms;
 /// Retry-After, in seconds, when no backend of the service is known: backends send a heartbeat about every
 /// second.
 constexpr double kNoBackendRetryAfterS = 1.5;
@@ -50,6 +52,14 @@
   }
 }
 
+void ActiveRequest::refuse_if_too_late() {
+  const bool unsent = backend_ == nullptr && executed_ == Executed::kNo && !streaming_;
+  if (unsent && may_outlast_router()) {
+    const auto keep = shared_from_this();
+    reply_with_error(kUnavailable, kRouterEnds, to_seconds(kOtherRouterRetryAfter));
+  }
+}
+
 void ActiveRequest::end_with_router() { fail_request(kRouterEnds); }
 
 void ActiveRequest::reply_with_error(int status, const char* reason, double retry_after_s) {
--- a/src/gateway/gateway_admission.cc
+++ b/src/gateway/gateway_admission.cc
@@ -66,7 +66,7 @@
 bool GatewayServer::queue_until_configured(dispatch::RoutedRequest& plan,
                                            const std::shared_ptr<edge::ResponseWriter>& response) {
   const bool newer_announced = control_link_.time_behind() > Duration(0);
-  if (route_table_ == nullptr || !newer_announced || knows_route_and_key(plan)) {
+  if (closing() || route_table_ == nullptr || !newer_announced || knows_route_and_key(plan)) {
     return false;
   }
   const TimePoint expires = plan.arrived + startup_wait_limit(plan.fields.deadline_ms, kMaxConfigurationWait);
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -274,7 +274,7 @@
 }
 
 void GatewayServer::on_request(edge::EdgeRequest request, std::shared_ptr<edge::ResponseWriter> response) {
-  if (starting() && queue_until_started(request, response)) {
+  if (!closing() && starting() && queue_until_started(request, response)) {
     return;
   }
   const TimePoint now = loop_.now();
--- a/src/gateway/gateway_shutdown.cc
+++ b/src/gateway/gateway_shutdown.cc
@@ -31,7 +31,9 @@
 void GatewayServer::check_shutdown() {
   const Duration elapsed = loop_.now() - stop_started_at_;
   if (elapsed >= settings_.stop_listening_after) {
-    edge_.stop_listening();
+    if (!closing()) {
+      begin_closing();
+    }
     const bool relaying = relay_server_ != nullptr && relay_server_->size() > 0;
     if (edge_.busy_count() == 0 && !relaying) {
       log_.info("stopped");
@@ -48,4 +50,17 @@
   }
 }
 
+bool GatewayServer::closing() const { return context_.router_ends_at != TimePoint::max(); }
+
+void GatewayServer::begin_closing() {
+  edge_.stop_listening();
+  context_.router_ends_at = stop_started_at_ + settings_.shutdown_timeout;
+  for_each_request([](dispatch::ActiveRequest& request) { request.refuse_if_too_late(); });
+  for (StartupQueue* queue : {&startup_queue_, &configuration_queue_}) {
+    for (WaitingRequest& waiting : queue->take_all()) {
+      serve(std::move(waiting.request), waiting.response, waiting.arrived);
+    }
+  }
+}
+
 }  // namespace stoat::gateway
--- a/tests/unit/stopping_router_test.cc
+++ b/tests/unit/stopping_router_test.cc
@@ -1,4 +1,5 @@
-/// Requests at a router that is told to stop: each that was read whole gets an answer.
+/// Requests at a router that is told to stop: each that was read whole gets an answer, and none that may
+/// outlast the grace is sent to an engine late.
 #include "tests/support/small_fleet.h"
 
 namespace stoat {
@@ -123,6 +124,22 @@
           standins::send_step(standins::full_response(200, test::engine_headers(seen), "body"))};
 }
 
+class LateUploadTest : public StoppingRouterTest, public ::testing::WithParamInterface<std::string> {};
+
+// An upload that began before the router stopped to listen was passed on and cut at the end of the grace.
+TEST_P(LateUploadTest, IsCutAtTheEndOfTheGrace) {
+  start_router();
+  ScriptedEngine engine([](const ReceivedRequest& seen) { return work(seen, kLongWork); });
+  add_known_engine(GetParam() == "/once/" || GetParam() == "/safe/" ? "calls" : "models", engine);
+  const std::string answer = end_upload_late(GetParam(), 8000);
+  EXPECT_EQ(status_of(answer), "HTTP/1.1 503") << answer;
+  EXPECT_NE(answer.find("\r\nRetry-After: "), std::string::npos) << answer;
+  EXPECT_LT(answered_after_, kAnswersWithin);
+  EXPECT_EQ(posts(engine), 0U);
+}
+INSTANTIATE_TEST_SUITE_P(Routes, LateUploadTest,
+                         ::testing::Values("/once/", "/safe/", "/stream/", "/resume/"));
+
 TEST_F(StoppingRouterTest, LateUploadThatEndsWithinTheGraceIsRefused) {
   start_router();
   ScriptedEngine engine([](const ReceivedRequest& seen) { return work(seen, kShortWork); });
@@ -130,6 +147,44 @@
   EXPECT_EQ(status_of(end_upload_late("/once/", 500)), "HTTP/1.1 200");
 }
 
+// A request that waited for an engine was sent when one came, and cut at the end of the grace.
+TEST_F(StoppingRouterTest, WaitingRequestIsSentLate) {
+  start_router();
+  ScriptedEngine known([](const ReceivedRequest& seen) { return work(seen, kShortWork); });
+  add_known_engine("models", known);
+  RawClient client(port());
+  client.send(head("/once/", "waiting", 8000, 0));
+  std::this_thread::sleep_for(milliseconds(50));
+  stop();
+  wait_until_closing();
+  const std::string answer = client.read_until("\r\n\r\n", milliseconds(10));
+  EXPECT_EQ(status_of(answer), "HTTP/1.1 503") << answer;
+  ScriptedEngine late([](const ReceivedRequest& seen) { return work(seen, kLongWork); });
+  register_engine("calls", late);
+  client.read_all();
+  EXPECT_EQ(posts(late), 0U);
+}
+
+// A request was sent to another engine late in the grace, though the first one's answer was there.
+TEST_F(StoppingRouterTest, FailedRequestIsRepeatedLate) {
+  start_router();
+  const auto fail_late = [](const ReceivedRequest& seen) -> Script {
+    return {standins::wait_step(milliseconds(800)),
+            standins::send_step(standins::full_response(500, test::engine_headers(seen), "failed"))};
+  };
+  ScriptedEngine first(fail_late);
+  ScriptedEngine second(fail_late);
+  add_known_engine("calls", first);
+  add_known_engine("calls", second);
+  RawClient client(port());
+  client.send(head("/safe/", "repeat", 8000, 0));
+  std::this_thread::sleep_for(milliseconds(50));
+  stop();
+  const std::string answer = client.read_all();
+  EXPECT_EQ(status_of(answer), "HTTP/1.1 500") << answer;
+  EXPECT_EQ(posts(first) + posts(second), 1U);
+}
+
 // Requests whose engines were still at work at the end of the grace got no answer.
 TEST_F(StoppingRouterTest, RequestAtWorkAtTheEndOfTheGraceGetsNoAnswer) {
   start_router();
@@ -162,5 +217,18 @@
   EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos) << answer;
 }
 
+// Requests that waited for the first configuration of a router got no answer when it stopped.
+TEST_F(StoppingRouterTest, RequestOfARouterWithoutConfigurationGetsNoAnswer) {
+  freeze_control();
+  start_router();
+  RawClient client(port());
+  client.send(head("/once/", "starting", 8000, 0));
+  std::this_thread::sleep_for(milliseconds(50));
+  stop();
+  wait_until_closing();
+  const std::string answer = client.read_until("\r\n\r\n", milliseconds(10));
+  EXPECT_EQ(status_of(answer), "HTTP/1.1 503") << answer;
+}
+
 }  // namespace
 }  // namespace stoat
