Fail calls at once whose answer begins with bytes that are not HTTP

Callers saw: members and stoatctl wait for the line's end of an answer that can't become one, up to the time limit of the call.

Cause: HeadChecker looked at whole lines only, and libevent's client reads whole lines, too. The router's parser refuses such bytes as they come (EndlessAnswerTest.BytesThatAreNoAnswerWithoutEnd), http::Client had nothing that does.

Change: HeadChecker refuses a response as soon as its first bytes differ from "HTTP/1.".

--- a/src/http1/head_check.cc
+++ b/src/http1/head_check.cc
@@ -1,6 +1,7 @@
 #include "src/http1/head_check.h"
 
 #include <algorithm>
+#include <cctype>
 
 #include "src/http1/message.h"
 
@@ -35,6 +36,12 @@
          (byte != '\0' && std::string_view("!#$%&'*+-.^_`|~").find(byte) != std::string_view::npos);
 }
 
+/// True unless no response can begin with these bytes.
+bool may_begin_response(std::string_view bytes) {
+  constexpr std::string_view kBegin = "HTTP/1.";
+  return bytes.starts_with(kBegin.substr(0, bytes.size()));
+}
+
 bool is_known_version(std::string_view version) { return version == "HTTP/1.1" || version == "HTTP/1.0"; }
 
 HeadFault check_request_line(std::string_view line) {
@@ -98,6 +105,8 @@
     if (line_feed != std::string_view::npos) {
       end_line(partial_line_);
       partial_line_.clear();
+    } else if (first_line_ && kind_ == MessageKind::kResponse && !may_begin_response(partial_line_)) {
+      fault_ = HeadFault::kVersion;
     }
   }
   return used;
--- a/src/http1/head_check.h
+++ b/src/http1/head_check.h
@@ -33,7 +33,8 @@
 /// Longest head that is read, from the first line to the empty line.
 inline constexpr size_t kMaxHeadBytes = 80U << 10U;
 
-/// Checks one head while its bytes arrive. A fault is found at the end of its line at the latest.
+/// Checks one head while its bytes arrive. A fault is found at the end of its line at the latest, and bytes
+/// that no response begins with at once.
 class HeadChecker {
  public:
   explicit HeadChecker(MessageKind kind) : kind_(kind) {}
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -41,6 +41,14 @@
   }
 }
 
+TEST(HttpClientTest, BytesThatCannotBecomeAnAnswerAreWaitedOn) {
+  for (const std::string bytes : {"h", "HTTP/2", "SSH-2.0-server"}) {
+    const auto begin = std::chrono::steady_clock::now();
+    EXPECT_EQ(call({standins::send_step(bytes)}, ReadBeforeScript::kWholeRequest, 0).status, 0) << bytes;
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, milliseconds(500)) << bytes;
+  }
+}
+
 TEST(HttpClientTest, AnswerWithAMalformedHeadIsNotTakenForAnAnswer) {
   for (const test::MalformedHead& malformed : test::malformed_heads("")) {
     const auto begin = std::chrono::steady_clock::now();
