--- a/tests/unit/stopping_router_test.cc
+++ b/tests/unit/stopping_router_test.cc
@@ -157,7 +157,7 @@
   std::this_thread::sleep_for(milliseconds(50));
   stop();
   wait_until_closing();
-  const std::string answer = client.read_until("\r\n\r\n", milliseconds(10));
+  const std::string answer = client.read_until("\r\n\r\n", kAnswersWithin);
   EXPECT_EQ(status_of(answer), "HTTP/1.1 503") << answer;
   ScriptedEngine late([](const ReceivedRequest& seen) { return work(seen, kLongWork); });
   register_engine("calls", late);
@@ -226,7 +226,7 @@
   std::this_thread::sleep_for(milliseconds(50));
   stop();
   wait_until_closing();
-  const std::string answer = client.read_until("\r\n\r\n", milliseconds(10));
+  const std::string answer = client.read_until("\r\n\r\n", kAnswersWithin);
   EXPECT_EQ(status_of(answer), "HTTP/1.1 503") << answer;
 }
 
