Share no head between a test and the threads of its engine

The test of malformed heads assigned the head that the engine's threads read; a health check, which the router sends after failures, may read it at that moment. The engine now finds the head by the number in the request's id; health checks get the first one. The checks are the same.

--- a/tests/unit/malformed_head_test.cc
+++ b/tests/unit/malformed_head_test.cc
@@ -13,21 +13,23 @@
 class MalformedHeadTest : public test::SmallFleet {
  protected:
   static constexpr std::chrono::milliseconds kFailsWithin{500};
+  static constexpr std::string_view kIdPrefix = "malformed-";  ///< of the id of a request; a number follows
 
   /// Sends a request for each malformed head, which an engine of the service answers with that head and
   /// `body`.
   void expect_none_passed_on(const std::string& service, const std::string& path, const std::string& body) {
     ASSERT_TRUE(configure(make_configuration(1)));
-    std::string head;
-    ScriptedEngine engine(
-        [&](const ReceivedRequest&) -> Script { return {standins::send_step(head + "\r\n" + body)}; });
+    ScriptedEngine engine([&](const ReceivedRequest& seen) -> Script {
+      const std::string id = seen.header("X-Request-Id");
+      const size_t number = id.empty() ? 0 : std::stoul(id.substr(kIdPrefix.size()));  // none: a health check
+      return {
+          standins::send_step(test::malformed_heads(engine_headers_for(id))[number].head + "\r\n" + body)};
+    });
     add_engine("e", service, engine);
-    size_t number = 0;
-    const size_t count = test::malformed_heads("").size();
-    for (; number < count; ++number) {
-      const std::string id = "malformed-" + std::to_string(number);
-      const test::MalformedHead malformed = test::malformed_heads(engine_headers_for(id))[number];
-      head = malformed.head;
+    const std::vector<test::MalformedHead> heads = test::malformed_heads("");
+    for (size_t number = 0; number < heads.size(); ++number) {
+      const test::MalformedHead& malformed = heads[number];
+      const std::string id = std::string(kIdPrefix) + std::to_string(number);
       const auto begin = Clock::now();
       const std::string answer = send_request(
           "GET", path, id, "X-Model: m\r\nX-Token-Counts: 20,10\r\nX-Prompt-Parts: a:10,b:10\r\n");
