Tests of a stopping router: use the fixture's engines and routers

The test built heartbeats and a router's settings that SmallFleet builds already. make_router() takes the loop that the router runs on; add_engine() serves the rest. No check, bound or time changed; all ten tests pass.

--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -286,12 +286,15 @@
     return "X-Request-Id: " + id + "\r\nX-Answer-Signature: s\r\n";
   }
 
-  /// Returns a new router that listens on a free port.
+  /// Returns a new router that listens on a free port and runs on the loop of all routers.
   std::unique_ptr<gateway::GatewayServer> make_router(const std::string& name) {
+    return make_router(name, loop_);
+  }
+  std::unique_ptr<gateway::GatewayServer> make_router(const std::string& name, EventLoop& loop) {
     router_settings_.name = name;
     router_settings_.listen = {"127.0.0.1", free_port()};
     router_settings_.relay_listen = {"127.0.0.1", free_port()};
-    return std::make_unique<gateway::GatewayServer>(loop_, router_settings_, header_names_);
+    return std::make_unique<gateway::GatewayServer>(loop, router_settings_, header_names_);
   }
 
   EventLoop control_loop_;
--- a/tests/unit/stopping_router_test.cc
+++ b/tests/unit/stopping_router_test.cc
@@ -36,33 +36,16 @@
   void start_router() {
     router_settings_.stop_listening_after = kListensFor;
     router_settings_.shutdown_timeout = kGrace;
-    router_settings_.name = "stopping";
-    router_settings_.listen = {"127.0.0.1", test::free_port()};
-    router_settings_.relay_listen = {"127.0.0.1", test::free_port()};
-    stopping_router_ = std::make_unique<gateway::GatewayServer>(own_loop_, router_settings_, header_names_);
+    stopping_router_ = make_router("stopping", own_loop_);
     own_thread_ = std::thread([this] {
       own_loop_.run();
       stopping_router_.reset();
     });
   }
-  /// Has a heartbeat of an engine sent to the control member.
-  std::string register_engine(const std::string& service, const ScriptedEngine& engine) {
-    fleet::BackendRecord record;
-    record.id = "engine-" + std::to_string(++engines_);
-    record.service = service;
-    record.address = engine.address();
-    record.zone = "z1";
-    record.slots = 8;
-    record.sequence = 1;
-    if (service == "models") {
-      record.models = {{"m", 1}};
-    }
-    test::run_on(control_loop_, [&] { return control_->receive_heartbeat(record); });
-    return record.id;
-  }
-  /// Registers an engine, and waits until the router knows it.
+  /// Adds an engine, and waits until the router that is to stop knows it.
   void add_known_engine(const std::string& service, const ScriptedEngine& engine) {
-    const std::string id = register_engine(service, engine);
+    const std::string id = "engine-" + std::to_string(++engines_);
+    add_engine(id, service, engine);
     const auto until = Clock::now() + std::chrono::seconds(5);
     while (!test::run_on(own_loop_,
                          [&] { return stopping_router_->knows_backend(id) && stopping_router_->ready(); })) {
@@ -77,7 +60,7 @@
     });
     stopped_at_ = Clock::now();
   }
-  /// Waits until the router has stopped to listen.
+  /// Waits until the router has stopped listening.
   void wait_until_closing() const {
     std::this_thread::sleep_until(stopped_at_ + kListensFor + milliseconds(150));
   }
@@ -96,7 +79,7 @@
     }
     return count;
   }
-  /// Begins an upload, stops the router, and ends the upload after it has stopped to listen. Returns the
+  /// Begins an upload, stops the router, and ends the upload after it has stopped listening. Returns the
   /// answer.
   std::string end_upload_late(const std::string& path, int64_t deadline_ms) {
     RawClient client(port());
@@ -126,7 +109,7 @@
 
 class LateUploadTest : public StoppingRouterTest, public ::testing::WithParamInterface<std::string> {};
 
-// An upload that began before the router stopped to listen was passed on and cut at the end of the grace.
+// An upload that began before the router stopped listening was passed on and cut at the end of the grace.
 TEST_P(LateUploadTest, IsCutAtTheEndOfTheGrace) {
   start_router();
   ScriptedEngine engine([](const ReceivedRequest& seen) { return work(seen, kLongWork); });
@@ -160,7 +143,7 @@
   const std::string answer = client.read_until("\r\n\r\n", kAnswersWithin);
   EXPECT_EQ(status_of(answer), "HTTP/1.1 503") << answer;
   ScriptedEngine late([](const ReceivedRequest& seen) { return work(seen, kLongWork); });
-  register_engine("calls", late);
+  add_engine("late", "calls", late);
   client.read_all();
   EXPECT_EQ(posts(late), 0U);
 }
