--- a/src/dispatch/backend_connection.cc
+++ b/src/dispatch/backend_connection.cc
@@ -314,8 +314,7 @@
 
 bool BackendConnection::on_head() {
   const int status = parser_.status();
-  constexpr int kFirstFinalStatus = 200;
-  skipping_ = status < kFirstFinalStatus || !matches_request_(status, parser_.headers());
+  skipping_ = status < http1::kFirstFinalStatus || !matches_request_(status, parser_.headers());
   if (skipping_) {
     return true;
   }
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -17,7 +17,6 @@
 
 constexpr size_t kMaxIdlePerEndpoint = 64;
 constexpr size_t kMaxHeadBytes = 64U << 10U;
-constexpr int kFirstFinalStatus = 200;
 
 evhttp_cmd_type evhttp_method(const std::string& method) {
   if (method == "POST") {
@@ -88,7 +87,7 @@
       unchecked.remove_prefix(head_checker.feed(unchecked));
       if (head_checker.fault() != http1::HeadFault::kNone) {
         fail_soon();
-      } else if (head_checker.complete() && head_checker.status() < kFirstFinalStatus) {
+      } else if (head_checker.complete() && head_checker.status() < http1::kFirstFinalStatus) {
         head_checker = http1::HeadChecker(http1::MessageKind::kResponse);
       }
     }
--- a/src/http1/head_check.h
+++ b/src/http1/head_check.h
@@ -30,6 +30,9 @@
 /// Error message for a fault.
 const char* to_text(HeadFault fault);
 
+/// Responses with a lower status are interim ones: the final one follows.
+inline constexpr int kFirstFinalStatus = 200;
+
 /// Longest head that is read, from the first line to the empty line.
 inline constexpr size_t kMaxHeadBytes = 80U << 10U;
 
