--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -277,7 +277,7 @@
   /// Why the request may not be retried; nullptr if it may. A retry is then charged to the retry budget,
   /// unless the request never reached a backend. `known_not_executed`: the last backend is known not to
   /// have executed it.
-  /// True if the router has stopped to listen and may end before the request does.
+  /// True if the router has stopped listening and may end before the request does.
   bool may_outlast_router() const { return deadline_ > context_.router_ends_at; }
   const char* retry_denial_reason(bool known_not_executed);
   /// See retry_denial_reason(); logs the reason if the request may not be retried.
@@ -293,7 +293,7 @@
   void finish_exchange(bool keep_connection);
   /// Pauses or resumes reading the response, following the caller's reading speed.
   void on_flow_control(bool paused);
-  /// Reads the backend's response unless the caller or the events that are held are in the way.
+  /// Reads the response, unless the caller reads too slowly or too many bytes are held for their record.
   void update_reading();
   /// Records that the backend has sent data.
   void note_activity();
--- a/src/dispatch/dispatch_context.h
+++ b/src/dispatch/dispatch_context.h
@@ -71,8 +71,8 @@
   admission::QuotaEnforcer quotas{{}, 0};
   /// End of the start-up phase, in which a service without known backends may still have some.
   TimePoint startup_ends_at{0};
-  /// When the router ends, once it has stopped to listen. Requests whose time limits are later are no longer
-  /// sent to backends.
+  /// Set once the router has stopped listening: when it ends. Requests whose time limits are later are no
+  /// longer sent to backends.
   TimePoint router_ends_at = TimePoint::max();
   admission::BackendLimits limits = {};
   /// Asks the control plane for the permits that requests need (see BackendLimits::note_unmet_request).
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -199,7 +199,8 @@
   /// Charges the tenant's quota. Returns false when the request was refused.
   bool admit_quota(dispatch::RoutedRequest& plan, edge::ResponseWriter& response);
   void check_shutdown();
-  /// From now on, sends nothing that may last longer than this router. Refuses such requests that wait.
+  /// Stops listening. From now on, requests whose time limits are later than this router's end are refused
+  /// instead of sent, also those that wait.
   void begin_closing();
   bool closing() const;
 
