Tests: give no port to two processes, and more than forty to one

Cause: free_port() had forty ports for each process, chosen by its id modulo 400, and each thread takes a number from the same sequence, so tests that run beside one another get the same forty from time to time. The fixture needs 20. Its first three ports were 19705 to 19707, the 26th and later ones of 19680 to 19719: the 25 before them were in use, and 15 are too few. That another test held these 25 is concluded from the numbers; the log doesn't name their owner.

Change: ports come in blocks. A process owns a block while a socket of it is bound to the block's first port, which only one can be, and takes another block when all of its ports are in use. This also ends the race in which two processes chose the same port before either listened on it. The blocks lie below 20000, where the ports of fleets of processes begin. EdgeTest and SlowReadersTest had ports of their own choice, some in the kernel's range for outgoing connections; they call free_port() now.

Ruled out: the kernel's range for outgoing connections (it begins above, as another test checks); ports left in TIME_WAIT (they count as free); more ports for each process (fewer processes would have ports of their own).

Evidence: FreePort.IsFoundWhenABlockIsInUse throws "no free port" with the function as it was, and passes; IsNotGivenToTwoProcesses could not be written before: two processes whose ids differ by 400 got the same ports. The 28 tests of the four fixtures concerned pass.

--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -14,6 +14,7 @@
 #include "src/control/fleet_server.h"
 #include "src/gateway/gateway_server.h"
 #include "standins/scripted_engine.h"
+#include "tests/support/free_port.h"
 #include "tests/support/raw_client.h"
 
 namespace stoat::test {
@@ -46,43 +47,6 @@
   return result.get();
 }
 
-/// The first of the ports that tests listen on, and their number. They lie below the range from which the
-/// kernel takes ports for outgoing connections (32768 and above): any port in that range may be in use by the
-/// time a server listens on it.
-inline constexpr int kFirstTestPort = 15000;
-inline constexpr int kTestPortCount = 16000;
-/// Number of ports of each process. Tests that run in parallel have process IDs close to one another, so with
-/// a range of ports for each ID they use different ports.
-inline constexpr int kPortsPerProcess = 40;
-
-/// Returns whether no socket listens on the port on any local IPv4 address.
-inline bool is_free(uint16_t port) {
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  const int on = 1;
-  ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_ANY);
-  address.sin_port = htons(port);
-  const bool free = ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
-  ::close(socket);
-  return free;
-}
-
-/// Returns a port on which no socket listens on any local IPv4 address. The port is not reserved: another
-/// process may take it before the caller listens on it.
-inline uint16_t free_port() {
-  static int next = 0;
-  const int first = kFirstTestPort + ::getpid() * kPortsPerProcess % kTestPortCount;
-  for (int attempt = 0; attempt < kPortsPerProcess; ++attempt) {
-    const auto port = static_cast<uint16_t>(first + next++ % kPortsPerProcess);
-    if (is_free(port)) {
-      return port;
-    }
-  }
-  throw std::runtime_error("no free port");
-}
-
 /// Returns the headers that identify a response as the backend's own response to a request.
 inline std::string engine_headers(const standins::ReceivedRequest& request) {
   return "X-Request-Id: " + request.header("X-Request-Id") + "\r\nX-Answer-Signature: s\r\n";
--- a/tests/unit/edge_test.cc
+++ b/tests/unit/edge_test.cc
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "src/edge/edge_server.h"
+#include "tests/support/free_port.h"
 #include "tests/support/raw_client.h"
 
 namespace stoat {
@@ -38,14 +39,7 @@
 class EdgeTest : public ::testing::Test {
  protected:
   EdgeTest() {
-    for (port_ = 20000 + static_cast<uint16_t>(::getpid() % 20000); server_ == nullptr; ++port_) {
-      try {
-        server_ = std::make_unique<edge::EdgeServer>(loop_, Endpoint{"127.0.0.1", port_}, handler_);
-      } catch (const std::runtime_error&) {
-        continue;
-      }
-    }
-    --port_;
+    server_ = std::make_unique<edge::EdgeServer>(loop_, Endpoint{"127.0.0.1", port_}, handler_);
     edge::EdgeLimits limits;
     limits.header_bytes = 2000;
     limits.body_bytes = 5000;
@@ -80,7 +74,7 @@
 
   EventLoop loop_;
   EchoHandler handler_;
-  uint16_t port_ = 0;
+  uint16_t port_ = test::free_port();
   std::unique_ptr<edge::EdgeServer> server_;
   std::thread thread_;
 };
--- a/tests/unit/free_port_test.cc
+++ b/tests/unit/free_port_test.cc
@@ -1,17 +1,36 @@
 /// The choice of ports on which servers in tests listen.
+#include "tests/support/free_port.h"
+
 #include <arpa/inet.h>
+#include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <fstream>
 #include <set>
-
-#include "tests/support/small_fleet.h"
+#include <vector>
 
 namespace stoat {
 namespace {
 
+/// Returns a socket that listens on the port, or -1 if another socket does.
+int listen_on(const char* address_text, uint16_t port) {
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  const int on = 1;
+  ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  if (::inet_pton(AF_INET, address_text, &address.sin_addr) == 1 &&
+      ::bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0 &&
+      ::listen(listener, 1) == 0) {
+    return listener;
+  }
+  ::close(listener);
+  return -1;
+}
+
 TEST(FreePort, IsOutsideTheEphemeralPortRange) {
   // Guards against a server that cannot bind its port while other processes run: between the choice of a port
   // and the start of the server, the kernel gave the port to an outgoing connection of another process.
@@ -29,18 +48,36 @@
 
 // Guards against "Address already in use" when a server listens on a loopback address other than 127.0.0.1.
 TEST(FreePort, IsNotInUseOnAnotherLoopbackAddress) {
-  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  ASSERT_EQ(::inet_pton(AF_INET, "127.0.0.2", &address.sin_addr), 1);
   const uint16_t port = test::free_port();
-  address.sin_port = htons(port);
-  ASSERT_EQ(::bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
-  ASSERT_EQ(::listen(listener, 1), 0);
+  const int listener = listen_on("127.0.0.2", port);
+  ASSERT_GE(listener, 0);
   EXPECT_FALSE(test::is_free(port));
   ::close(listener);
   EXPECT_TRUE(test::is_free(port));
 }
 
+// Guards against "no free port" when a process needs more ports than a block has.
+TEST(FreePort, IsFoundWhenABlockIsInUse) {
+  std::vector<int> listeners;
+  for (int i = 0; i < 2 * test::PortBlocks::kPortsPerBlock; ++i) {
+    listeners.push_back(listen_on("127.0.0.1", test::free_port()));
+    EXPECT_GE(listeners.back(), 0);
+  }
+  for (const int listener : listeners) {
+    ::close(listener);
+  }
+}
+
+// Guards against two processes that choose the same port before either listens on it.
+TEST(FreePort, IsNotGivenToTwoProcesses) {
+  test::PortBlocks one(::getpid());
+  test::PortBlocks other(::getpid());
+  std::set<uint16_t> ports;
+  for (int i = 1; i < test::PortBlocks::kPortsPerBlock; ++i) {
+    EXPECT_TRUE(ports.insert(one.next_free_port()).second);
+    EXPECT_TRUE(ports.insert(other.next_free_port()).second);
+  }
+}
+
 }  // namespace
 }  // namespace stoat
--- a/tests/unit/slow_readers_test.cc
+++ b/tests/unit/slow_readers_test.cc
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "src/edge/edge_server.h"
+#include "tests/support/free_port.h"
 #include "tests/support/raw_client.h"
 
 namespace stoat {
@@ -79,15 +80,8 @@
     edge::BufferLimits buffer_limits;
     buffer_limits.total_bytes = kTotalBufferBytes;
     buffer_limits.stall_timeout = kStallTimeout;
-    for (port_ = 24000 + static_cast<uint16_t>(::getpid() % 16000); server_ == nullptr; ++port_) {
-      try {
-        server_ =
-            std::make_unique<edge::EdgeServer>(loop_, Endpoint{"127.0.0.1", port_}, handler_, buffer_limits);
-      } catch (const std::runtime_error&) {
-        continue;
-      }
-    }
-    --port_;
+    server_ =
+        std::make_unique<edge::EdgeServer>(loop_, Endpoint{"127.0.0.1", port_}, handler_, buffer_limits);
     thread_ = std::thread([this] { loop_.run(); });
   }
   ~SlowReadersTest() override {
@@ -110,7 +104,7 @@
 
   EventLoop loop_;
   StreamingHandler handler_;
-  uint16_t port_ = 0;
+  uint16_t port_ = test::free_port();
   std::unique_ptr<edge::EdgeServer> server_;
   std::thread thread_;
 };
