Send no repeat late that already waited when the router stopped listening

Callers saw: in a planned stop, a request that may be repeated, whose first back end had failed, was sent to a second one after the router had stopped listening, and was cut at the end of the grace (504), with the second run in vain.

Cause: when it stops listening, a router ends the requests that are at no back end and may outlast it, but only those of which no back end had run anything. A repeat that may have run waits in one place, for the slot of a brittle back end (100 ms at most), and was left there; a slot that came free in that time took it.

Change: such a repeat is ended too, with 502, as where its back end fails later. Streams that have begun go on as before.

Evidence: StoppingRouterTest.WaitingRepeatIsSentLate: a brittle back end has one slot, which comes free just after the listener is closed.

Ruled out: other waits of repeats (they are sent at once or fail; by the code: try_dispatch() and admit()).

--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -73,7 +73,7 @@
   /// Ends the request without a response, for instance when the caller has disconnected, and cancels it at
   /// the engine. `reason`: outcome for the log.
   void cancel(const char* reason);
-  /// Refuses the request if it has not been sent and the router may end before it does.
+  /// Ends the request with a final response if it is at no engine and the router may end before it does.
   void refuse_if_too_late();
   /// Ends the request with a final response, or breaks its stream off, since the router ends.
   void end_with_router();
--- a/src/dispatch/request_end.cc
+++ b/src/dispatch/request_end.cc
@@ -53,11 +53,15 @@
 }
 
 void ActiveRequest::refuse_if_too_late() {
-  const bool unsent = backend_ == nullptr && executed_ == Executed::kNo && !streaming_;
-  if (unsent && may_outlast_router()) {
-    const auto keep = shared_from_this();
-    reply_with_error(kUnavailable, kRouterEnds, to_seconds(kOtherRouterRetryAfter));
+  if (backend_ != nullptr || streaming_ || !may_outlast_router()) {
+    return;
+  }
+  const auto keep = shared_from_this();
+  if (executed_ == Executed::kMaybe) {
+    fail_request(kRouterEnds);
+    return;
   }
+  reply_with_error(kUnavailable, kRouterEnds, to_seconds(kOtherRouterRetryAfter));
 }
 
 void ActiveRequest::end_with_router() { fail_request(kRouterEnds); }
--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -184,15 +184,15 @@
     return committed && wait_for([this] { return router_->ready(); });
   }
   /// Registers a scripted engine and waits until the router knows it. `weights`: version of its model's
-  /// weights; `software`: version of its program.
+  /// weights; `software`: version of its program; `slots`: number of requests that it runs at a time.
   void add_engine(const std::string& id, const std::string& service, const standins::ScriptedEngine& engine,
-                  uint64_t weights = 1, const std::string& software = "") {
+                  uint64_t weights = 1, const std::string& software = "", uint32_t slots = 8) {
     fleet::BackendRecord record;
     record.id = id;
     record.service = service;
     record.address = engine.address();
     record.zone = "z1";
-    record.slots = 8;
+    record.slots = slots;
     record.sequence = ++sequence_;
     record.software = software;
     if (service == "models") {
--- a/tests/unit/stopping_router_test.cc
+++ b/tests/unit/stopping_router_test.cc
@@ -21,6 +21,8 @@
   static constexpr milliseconds kLongWork{4000};
   static constexpr milliseconds kShortWork{200};
   static constexpr milliseconds kAnswersWithin{300};
+  /// Until the leader expects no wait for a slot after it has granted one.
+  static constexpr milliseconds kSlotWaitsAreForgottenAfter{1500};
 
   void SetUp() override {
     fleet::FleetConfiguration configuration = make_configuration(1);
@@ -33,8 +35,8 @@
     own_loop_.post([this] { own_loop_.stop(); });
     own_thread_.join();
   }
-  void start_router() {
-    router_settings_.stop_listening_after = kListensFor;
+  void start_router(Duration listens_for = kListensFor) {
+    router_settings_.stop_listening_after = listens_for;
     router_settings_.shutdown_timeout = kGrace;
     stopping_router_ = make_router("stopping", own_loop_);
     own_thread_ = std::thread([this] {
@@ -43,15 +45,13 @@
     });
   }
   /// Adds an engine, and waits until the router that is to stop knows it.
-  void add_known_engine(const std::string& service, const ScriptedEngine& engine) {
+  void add_known_engine(const std::string& service, const ScriptedEngine& engine, uint32_t slots = 8) {
     const std::string id = "engine-" + std::to_string(++engines_);
-    add_engine(id, service, engine);
-    const auto until = Clock::now() + std::chrono::seconds(5);
-    while (!test::run_on(own_loop_,
-                         [&] { return stopping_router_->knows_backend(id) && stopping_router_->ready(); })) {
-      ASSERT_LT(Clock::now(), until);
-      std::this_thread::sleep_for(milliseconds(10));
-    }
+    add_engine(id, service, engine, 1, "", slots);
+    ASSERT_TRUE(eventually([&] {
+      return test::run_on(own_loop_,
+                          [&] { return stopping_router_->knows_backend(id) && stopping_router_->ready(); });
+    }));
   }
   void stop() {
     test::run_on(own_loop_, [this] {
@@ -94,6 +94,36 @@
     return client.read_all();
   }
 
+  /// Waits until the condition holds. Returns false if it does not within 5 s.
+  static bool eventually(const std::function<bool()>& condition) {
+    const auto until = Clock::now() + std::chrono::seconds(5);
+    while (!condition()) {
+      if (Clock::now() > until) {
+        return false;
+      }
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    return true;
+  }
+  /// Returns whether the router has decided to send a request again.
+  bool has_repeated() {
+    const std::string metrics =
+        test::run_on(own_loop_, [this] { return stopping_router_->metrics().to_text(); });
+    return metrics.find("stoat_router_repeats_total 1") != std::string::npos;
+  }
+  /// Sends requests until the engine runs one of them. Returns its client, or null if none runs within 5 s.
+  std::unique_ptr<RawClient> occupy(const ScriptedEngine& engine) {
+    const size_t posts_before = posts(engine);
+    std::unique_ptr<RawClient> client;
+    const bool runs = eventually([&] {
+      client = std::make_unique<RawClient>(port());
+      client->send(head("/safe/", "occupant", 8000, 0));
+      client->read_until("\r\n\r\n", kAnswersWithin);
+      return posts(engine) > posts_before;
+    });
+    return runs ? std::move(client) : nullptr;
+  }
+
   EventLoop own_loop_;
   std::unique_ptr<gateway::GatewayServer> stopping_router_;
   std::thread own_thread_;
@@ -168,6 +198,47 @@
   EXPECT_EQ(posts(first) + posts(second), 1U);
 }
 
+// A repeat that waited for the slot of a brittle engine was sent there after the router stopped listening.
+TEST_F(StoppingRouterTest, WaitingRepeatIsSentLate) {
+  std::atomic<bool> fails{false};
+  std::atomic<bool> slot_is_free{false};
+  start_router(Duration(0));
+  ScriptedEngine failing([&](const ReceivedRequest& seen) -> Script {
+    eventually([&] { return fails.load(); });
+    return {standins::send_step(standins::full_response(500, test::engine_headers(seen), "failed"))};
+  });
+  ScriptedEngine brittle([&](const ReceivedRequest& seen) -> Script {
+    const std::string id = seen.header("X-Request-Id");
+    if (id == "occupant") {
+      eventually([&] { return slot_is_free.load(); });
+    }
+    const std::string headers = test::engine_headers(seen) + "X-Brittle: 5\r\n";
+    return {standins::wait_step(id == "repeat" ? kLongWork : milliseconds(0)),
+            standins::send_step(standins::full_response(200, headers, "body"))};
+  });
+  add_known_engine("calls", failing, 1);
+  RawClient client(port());
+  client.send(head("/safe/", "repeat", 10000, 0));
+  std::this_thread::sleep_for(milliseconds(50));
+  add_known_engine("calls", brittle, 1);
+  RawClient first(port());
+  first.send(head("/safe/", "first", 8000, 0));
+  ASSERT_EQ(status_of(first.read_until("body")), "HTTP/1.1 200");
+  const auto occupant = occupy(brittle);
+  ASSERT_NE(occupant, nullptr);
+  std::this_thread::sleep_for(kSlotWaitsAreForgottenAfter);
+  send_engine_heartbeats();
+  fails = true;
+  ASSERT_TRUE(eventually([this] { return has_repeated(); }));
+  stop();
+  ASSERT_TRUE(eventually([this] { return !RawClient(port()).connected(); }));
+  slot_is_free = true;
+  const std::string answer = client.read_all();
+  EXPECT_EQ(status_of(answer), "HTTP/1.1 502") << answer;
+  EXPECT_EQ(posts(failing), 1U);
+  EXPECT_EQ(posts(brittle), 2U);
+}
+
 // Requests whose engines were still at work at the end of the grace got no answer.
 TEST_F(StoppingRouterTest, RequestAtWorkAtTheEndOfTheGraceGetsNoAnswer) {
   start_router();
