--- a/tests/unit/configuration_delivery_test.cc
+++ b/tests/unit/configuration_delivery_test.cc
@@ -8,6 +8,8 @@
 namespace stoat {
 namespace {
 
+using test::eventually;
+
 /// A link of 10 Mbit/s.
 constexpr size_t kLinkBytesPerSecond = 1250000;
 /// From the acknowledgement of a configuration until it must be in force at all routers.
--- a/tests/unit/fleet_members_test.cc
+++ b/tests/unit/fleet_members_test.cc
@@ -5,6 +5,8 @@
 namespace stoat {
 namespace {
 
+using test::eventually;
+
 using FleetMembersTest = test::MembersFixture;
 
 TEST_F(FleetMembersTest, BootstrapsAndAcknowledgesOnlyWithEnoughVoters) {
--- a/tests/unit/rollout_members_test.cc
+++ b/tests/unit/rollout_members_test.cc
@@ -4,6 +4,8 @@
 namespace stoat {
 namespace {
 
+using test::eventually;
+
 using control::ResultCode;
 using fleet::RolloutPhase;
 
