Tools: fleets of processes don't share ports

Cause: a fleet chose its ports from 20000 on by the process id, 61 apart for consecutive ids, and kept none of them. The two soaks had ids 30120 and 30121, so their ranges overlapped. Process tests that CTest runs beside one another can meet the same.

PortBlocks moves to tools/ for both; free_port() reuses ports of its process, a fleet doesn't.

Ruled out: the product (the routers stopped in order, status and logs are whole; only the restart failed).

Evidence: FreePort.IsNotGivenToTwoFleets; on the code before, two fleets of one process got the same first port.

--- a/tests/support/free_port.h
+++ b/tests/support/free_port.h
@@ -1,47 +1,33 @@
 /// Ports on which servers in tests listen.
 #pragma once
 
-#include <cstddef>
-#include <cstdint>
-#include <vector>
-
-namespace stoat::test {
-
-/// Returns whether no socket listens on the port on any local IPv4 address.
-bool is_free(uint16_t port);
+#include <unistd.h>
 
-/// Returns a port on which no socket listens on any local IPv4 address, from the blocks of this process.
-/// Throws std::runtime_error if there is none.
-uint16_t free_port();
-
-/// Blocks of ports, each of which belongs to one process at a time. A process owns a block while a socket of
-/// it is bound to the first port of the block; the other ports are for servers.
-class PortBlocks {
- public:
-  /// All blocks lie below the range from which the kernel takes ports for outgoing connections (32768 and
-  /// above): any port in that range may be in use by the time a server listens on it. They also lie below the
-  /// ports of tools::ProcessFleet.
-  static constexpr int kFirstPort = 15000;
-  static constexpr int kPortsPerBlock = 40;
-  static constexpr int kBlocks = 125;
+#include <vector>
 
-  /// `first_block`: the number of the block to try first. Processes that start with different ones rarely try
-  /// the block of another.
-  explicit PortBlocks(int first_block) : next_block_(first_block % kBlocks) {}
-  ~PortBlocks();
-  PortBlocks(const PortBlocks&) = delete;
-  PortBlocks& operator=(const PortBlocks&) = delete;
-  /// Returns a free port from a block of this process. Takes a further block if there is none. Throws
-  /// std::runtime_error if other processes own all further blocks.
-  uint16_t next_free_port();
+#include "tools/port_blocks.h"
 
- private:
-  void take_block();
+namespace stoat::test {
 
-  std::vector<int> sockets_;     ///< each bound to the first port of a block, and not listening
-  std::vector<uint16_t> ports_;  ///< the other ports of these blocks
-  size_t next_port_ = 0;         ///< index into ports_
-  int next_block_;
-};
+/// Number of ports that a process has before free_port() returns one for the second time.
+inline constexpr size_t kPortsBeforeReuse = 39;
+
+/// Returns a port on which no socket listens on any local IPv4 address, and which no other process gets from
+/// this function. Throws std::runtime_error if there is none.
+inline uint16_t free_port() {
+  static tools::PortBlocks blocks(tools::kTestPorts, ::getpid());
+  static std::vector<uint16_t> ports;
+  static size_t next = 0;
+  if (ports.size() >= kPortsBeforeReuse) {
+    for (size_t tried = 0; tried < ports.size(); ++tried) {
+      const uint16_t port = ports[next++ % ports.size()];
+      if (tools::is_free(port)) {
+        return port;
+      }
+    }
+  }
+  ports.push_back(blocks.next_port());
+  return ports.back();
+}
 
 }  // namespace stoat::test
--- a/tests/unit/free_port_test.cc
+++ b/tests/unit/free_port_test.cc
@@ -7,10 +7,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 #include <set>
+#include <string>
 #include <vector>
 
+#include "tools/process_fleet.h"
+
 namespace stoat {
 namespace {
 
@@ -51,15 +55,15 @@
   const uint16_t port = test::free_port();
   const int listener = listen_on("127.0.0.2", port);
   ASSERT_GE(listener, 0);
-  EXPECT_FALSE(test::is_free(port));
+  EXPECT_FALSE(tools::is_free(port));
   ::close(listener);
-  EXPECT_TRUE(test::is_free(port));
+  EXPECT_TRUE(tools::is_free(port));
 }
 
 // Guards against "no free port" when a process needs more ports than a block has.
 TEST(FreePort, IsFoundWhenABlockIsInUse) {
   std::vector<int> listeners;
-  for (int i = 0; i < 2 * test::PortBlocks::kPortsPerBlock; ++i) {
+  for (int i = 0; i < 2 * tools::kTestPorts.ports_per_block; ++i) {
     listeners.push_back(listen_on("127.0.0.1", test::free_port()));
     EXPECT_GE(listeners.back(), 0);
   }
@@ -70,13 +74,26 @@
 
 // Guards against two processes that choose the same port before either listens on it.
 TEST(FreePort, IsNotGivenToTwoProcesses) {
-  test::PortBlocks one(::getpid());
-  test::PortBlocks other(::getpid());
+  tools::PortBlocks one(tools::kTestPorts, ::getpid());
+  tools::PortBlocks other(tools::kTestPorts, ::getpid());
+  std::set<uint16_t> ports;
+  for (int i = 0; i < tools::kTestPorts.ports_per_block; ++i) {
+    EXPECT_TRUE(ports.insert(one.next_port()).second);
+    EXPECT_TRUE(ports.insert(other.next_port()).second);
+  }
+}
+
+// Guards against a process that can't listen again after a restart, since another fleet has got its port.
+TEST(FreePort, IsNotGivenToTwoFleets) {
+  const std::string folder = testing::TempDir() + "/stoat-ports-" + std::to_string(::getpid());
+  tools::ProcessFleet one("", folder);
+  tools::ProcessFleet other("", folder);
   std::set<uint16_t> ports;
-  for (int i = 1; i < test::PortBlocks::kPortsPerBlock; ++i) {
-    EXPECT_TRUE(ports.insert(one.next_free_port()).second);
-    EXPECT_TRUE(ports.insert(other.next_free_port()).second);
+  for (int i = 0; i < tools::kFleetPorts.ports_per_block; ++i) {
+    EXPECT_TRUE(ports.insert(one.free_endpoint().port).second);
+    EXPECT_TRUE(ports.insert(other.free_endpoint().port).second);
   }
+  std::filesystem::remove_all(folder);
 }
 
 }  // namespace
--- a/tests/support/free_port.cc
+++ b/tools/port_blocks.cc
@@ -1,4 +1,4 @@
-#include "tests/support/free_port.h"
+#include "tools/port_blocks.h"
 
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -6,7 +6,7 @@
 
 #include <stdexcept>
 
-namespace stoat::test {
+namespace stoat::tools {
 
 namespace {
 
@@ -29,10 +29,8 @@
   return free;
 }
 
-uint16_t free_port() {
-  static PortBlocks blocks(::getpid());
-  return blocks.next_free_port();
-}
+PortBlocks::PortBlocks(const PortRange& range, int first_block)
+    : range_(range), next_block_(first_block % range.blocks) {}
 
 PortBlocks::~PortBlocks() {
   for (const int socket : sockets_) {
@@ -40,15 +38,12 @@
   }
 }
 
-uint16_t PortBlocks::next_free_port() {
-  size_t tried = 0;
+uint16_t PortBlocks::next_port() {
   while (true) {
-    if (tried == ports_.size()) {
+    if (next_port_ == end_of_block_) {
       take_block();
     }
-    const uint16_t port = ports_[next_port_];
-    next_port_ = (next_port_ + 1) % ports_.size();
-    ++tried;
+    const auto port = static_cast<uint16_t>(next_port_++);
     if (is_free(port)) {
       return port;
     }
@@ -56,22 +51,19 @@
 }
 
 void PortBlocks::take_block() {
-  for (int attempt = 0; attempt < kBlocks; ++attempt) {
-    const int first = kFirstPort + next_block_ * kPortsPerBlock;
-    next_block_ = (next_block_ + 1) % kBlocks;
+  for (int attempt = 0; attempt < range_.blocks; ++attempt) {
+    const int first = range_.first_port + next_block_ * range_.ports_per_block;
+    next_block_ = (next_block_ + 1) % range_.blocks;
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    if (!bind_to_port(socket, static_cast<uint16_t>(first))) {
-      ::close(socket);
-      continue;
-    }
-    sockets_.push_back(socket);
-    next_port_ = ports_.size();
-    for (int port = first + 1; port < first + kPortsPerBlock; ++port) {
-      ports_.push_back(static_cast<uint16_t>(port));
+    if (bind_to_port(socket, static_cast<uint16_t>(first))) {
+      sockets_.push_back(socket);
+      next_port_ = first + 1;
+      end_of_block_ = first + range_.ports_per_block;
+      return;
     }
-    return;
+    ::close(socket);
   }
   throw std::runtime_error("no free port");
 }
 
-}  // namespace stoat::test
+}  // namespace stoat::tools
--- a/tools/process_fleet.cc
+++ b/tools/process_fleet.cc
@@ -1,9 +1,6 @@
 #include "tools/process_fleet.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -11,30 +8,14 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
-#include <stdexcept>
 #include <thread>
 
 namespace stoat::tools {
 
 namespace {
 
-/// First and last port of the fleets. Both are below the ephemeral range, from which the kernel takes ports
-/// for outgoing connections.
-constexpr uint16_t kFirstPort = 20000;
-constexpr uint16_t kLastPort = 29999;
 constexpr Duration kPollInterval = 10ms;
 
-bool port_is_free(uint16_t port) {
-  const int socket_number = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  const bool is_free = bind(socket_number, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
-  close(socket_number);
-  return is_free;
-}
-
 }  // namespace
 
 void sleep_for(Duration span) { std::this_thread::sleep_for(span); }
@@ -42,8 +23,7 @@
 ProcessFleet::ProcessFleet(std::string bin_folder, std::string work_folder)
     : bin_folder_(std::move(bin_folder)),
       work_folder_(std::move(work_folder)),
-      // Fleets of concurrent processes start at different ports.
-      next_port_(static_cast<uint16_t>(kFirstPort + (static_cast<unsigned>(getpid()) * 61U) % 9000U)) {
+      ports_(kFleetPorts, getpid()) {
   std::filesystem::create_directories(work_folder_);
 }
 
@@ -53,16 +33,7 @@
   }
 }
 
-Endpoint ProcessFleet::free_endpoint() {
-  for (int attempts = 0; attempts < kLastPort - kFirstPort; ++attempts) {
-    const uint16_t port = next_port_;
-    next_port_ = next_port_ >= kLastPort ? kFirstPort : static_cast<uint16_t>(next_port_ + 1);
-    if (port_is_free(port)) {
-      return {"127.0.0.1", port};
-    }
-  }
-  throw std::runtime_error("no free port");
-}
+Endpoint ProcessFleet::free_endpoint() { return {"127.0.0.1", ports_.next_port()}; }
 
 void ProcessFleet::add(const std::string& name, const std::string& program,
                        const std::vector<std::string>& settings) {
--- a/tools/process_fleet.h
+++ b/tools/process_fleet.h
@@ -10,6 +10,7 @@
 
 #include "src/common/settings.h"
 #include "src/common/time.h"
+#include "tools/port_blocks.h"
 
 namespace stoat::tools {
 
@@ -23,8 +24,8 @@
   ProcessFleet(const ProcessFleet&) = delete;
   ProcessFleet& operator=(const ProcessFleet&) = delete;
 
-  /// Returns a loopback endpoint whose port is currently free and was not returned before. Throws
-  /// std::runtime_error if there is none.
+  /// Returns a loopback endpoint whose port is free, was not returned before, and belongs to this fleet.
+  /// Throws std::runtime_error if there is none.
   Endpoint free_endpoint();
   /// Adds a process, given by its program and its "key=value" settings, without starting it.
   void add(const std::string& name, const std::string& program, const std::vector<std::string>& settings);
@@ -70,7 +71,7 @@
   std::string bin_folder_;
   std::string work_folder_;
   std::map<std::string, Process> processes_;
-  uint16_t next_port_;
+  PortBlocks ports_;
 };
 
 /// Blocks the calling thread for `span` of real time.
