Requests at a router's end: put a comment back, count POSTs in one place

Two tests counted the POST requests of an engine, each by itself; count_posts() serves both. A loop in ResetAnswerTest is eventually() now, with its 5 s. The name of a constant in StoppingRouterTest was hard to read. No behaviour, bound or assertion changed.

--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -274,11 +274,11 @@
   /// True for headers that the router sets itself or withholds from engines: they are not copied from the
   /// caller's request.
   bool is_router_header(const std::string& name) const;
+  /// True if the router has stopped listening and may end before the request does.
+  bool may_outlast_router() const { return deadline_ > context_.router_ends_at; }
   /// Why the request may not be retried; nullptr if it may. A retry is then charged to the retry budget,
   /// unless the request never reached a backend. `known_not_executed`: the last backend is known not to
   /// have executed it.
-  /// True if the router has stopped listening and may end before the request does.
-  bool may_outlast_router() const { return deadline_ > context_.router_ends_at; }
   const char* retry_denial_reason(bool known_not_executed);
   /// See retry_denial_reason(); logs the reason if the request may not be retried.
   bool may_retry(bool known_not_executed);
--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -52,6 +52,15 @@
   return "X-Request-Id: " + request.header("X-Request-Id") + "\r\nX-Answer-Signature: s\r\n";
 }
 
+/// Returns the number of POST requests that an engine has received.
+inline size_t count_posts(const standins::ScriptedEngine& engine) {
+  size_t count = 0;
+  for (const standins::ReceivedRequest& request : engine.requests()) {
+    count += request.head.starts_with("POST") ? 1 : 0;
+  }
+  return count;
+}
+
 /// Returns a script that answers a request with status 200.
 inline standins::Script succeed(const standins::ReceivedRequest& request, const std::string& body = "body") {
   return {standins::send_step(standins::full_response(200, engine_headers(request), body))};
--- a/tests/unit/reset_answer_test.cc
+++ b/tests/unit/reset_answer_test.cc
@@ -1,7 +1,7 @@
 /// Answers without a length that are cut by a reset are not handed over as complete.
-#include <algorithm>
 #include <array>
 
+#include "tests/support/eventually.h"
 #include "tests/support/small_fleet.h"
 
 namespace stoat {
@@ -47,16 +47,9 @@
     return answer.find("\r\n0\r\n\r\n") != std::string::npos ||
            (test::status_of(answer) == "HTTP/1.1 200" && answer.find("Content-Length") != std::string::npos);
   }
-  /// Number of uploads that the engine has seen.
-  int uploads() const {
-    const auto requests = engine_.requests();
-    return static_cast<int>(std::count_if(requests.begin(), requests.end(), [](const auto& request) {
-      return request.head.starts_with("POST");
-    }));
-  }
   /// Uploads bodies of all sizes, each cut after every delay, and expects no answer to look complete.
   void expect_none_complete(uint16_t port, const std::string& path, Exchange exchange) {
-    const int uploads_before = uploads();
+    const size_t uploads_before = test::count_posts(engine_);
     for (const size_t bytes : kUploadBytes) {
       for (const milliseconds delay : kResetDelays) {
         reset_delay_ = delay;
@@ -68,7 +61,7 @@
             << path << ", " << bytes << " bytes, " << delay.count() << " ms: " << answer;
       }
     }
-    EXPECT_EQ(uploads() - uploads_before, static_cast<int>(kUploadBytes.size() * kResetDelays.size()));
+    EXPECT_EQ(test::count_posts(engine_) - uploads_before, kUploadBytes.size() * kResetDelays.size());
   }
 
   std::atomic<milliseconds> reset_delay_{milliseconds(0)};
@@ -98,10 +91,8 @@
   router_settings_.connect_to_backend = [closed_port](const Endpoint&) -> Endpoint { return closed_port; };
   const uint16_t cut_off_port = add_router();
   add_engine("e", "calls", engine_);
-  const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-  while (!looks_complete(send(cut_off_port, "GET", "/safe/", 0))) {
-    ASSERT_LT(std::chrono::steady_clock::now(), deadline) << "no connection was relayed";
-  }
+  ASSERT_TRUE(test::eventually([&] { return looks_complete(send(cut_off_port, "GET", "/safe/", 0)); }, 5s))
+      << "no connection was relayed";
   expect_none_complete(cut_off_port, "/once/", Exchange::kFirst);
   expect_none_complete(cut_off_port, "/once/", Exchange::kLater);
 }
--- a/tests/unit/stopping_router_test.cc
+++ b/tests/unit/stopping_router_test.cc
@@ -10,6 +10,7 @@
 using standins::Script;
 using standins::ScriptedEngine;
 using std::chrono::milliseconds;
+using test::count_posts;
 using test::eventually;
 using test::RawClient;
 using test::status_of;
@@ -23,8 +24,8 @@
   static constexpr milliseconds kLongWork{4000};
   static constexpr milliseconds kShortWork{200};
   static constexpr milliseconds kAnswersWithin{300};
-  /// Until the leader expects no wait for a slot after it has granted one.
-  static constexpr milliseconds kSlotWaitsAreForgottenAfter{1500};
+  /// The leader estimates the wait for a slot from its grants within a shorter time.
+  static constexpr milliseconds kGrantsCountFor{1500};
 
   void SetUp() override {
     fleet::FleetConfiguration configuration = make_configuration(1);
@@ -74,13 +75,6 @@
            std::to_string(body_bytes) + "\r\n\r\n";
   }
   uint16_t port() const { return router_settings_.listen.port; }
-  static size_t posts(const ScriptedEngine& engine) {
-    size_t count = 0;
-    for (const ReceivedRequest& request : engine.requests()) {
-      count += request.head.starts_with("POST") ? 1 : 0;
-    }
-    return count;
-  }
   /// Begins an upload, stops the router, and ends the upload after it has stopped listening. Returns the
   /// answer.
   std::string end_upload_late(const std::string& path, int64_t deadline_ms) {
@@ -95,7 +89,6 @@
     answered_after_ = Clock::now() - sent_at;
     return client.read_all();
   }
-
   /// Returns whether the router has decided to send a request again.
   bool has_repeated() {
     const std::string metrics =
@@ -104,13 +97,13 @@
   }
   /// Sends requests until the engine runs one of them. Returns its client, or null if none runs within 10 s.
   std::unique_ptr<RawClient> occupy(const ScriptedEngine& engine) {
-    const size_t posts_before = posts(engine);
+    const size_t posts_before = count_posts(engine);
     std::unique_ptr<RawClient> client;
     const bool runs = eventually([&] {
       client = std::make_unique<RawClient>(port());
       client->send(head("/safe/", "occupant", 8000, 0));
       client->read_until("\r\n\r\n", kAnswersWithin);
-      return posts(engine) > posts_before;
+      return count_posts(engine) > posts_before;
     });
     return runs ? std::move(client) : nullptr;
   }
@@ -139,7 +132,7 @@
   EXPECT_EQ(status_of(answer), "HTTP/1.1 503") << answer;
   EXPECT_NE(answer.find("\r\nRetry-After: "), std::string::npos) << answer;
   EXPECT_LT(answered_after_, kAnswersWithin);
-  EXPECT_EQ(posts(engine), 0U);
+  EXPECT_EQ(count_posts(engine), 0U);
 }
 INSTANTIATE_TEST_SUITE_P(Routes, LateUploadTest,
                          ::testing::Values("/once/", "/safe/", "/stream/", "/resume/"));
@@ -166,7 +159,7 @@
   ScriptedEngine late([](const ReceivedRequest& seen) { return work(seen, kLongWork); });
   add_engine("late", "calls", late);
   client.read_all();
-  EXPECT_EQ(posts(late), 0U);
+  EXPECT_EQ(count_posts(late), 0U);
 }
 
 // A request was sent to another engine late in the grace, though the first one's answer was there.
@@ -186,7 +179,7 @@
   stop();
   const std::string answer = client.read_all();
   EXPECT_EQ(status_of(answer), "HTTP/1.1 500") << answer;
-  EXPECT_EQ(posts(first) + posts(second), 1U);
+  EXPECT_EQ(count_posts(first) + count_posts(second), 1U);
 }
 
 // A repeat that waited for the slot of a brittle engine was sent there after the router stopped listening.
@@ -217,7 +210,7 @@
   ASSERT_EQ(status_of(first.read_until("body")), "HTTP/1.1 200");
   const auto occupant = occupy(brittle);
   ASSERT_NE(occupant, nullptr);
-  std::this_thread::sleep_for(kSlotWaitsAreForgottenAfter);
+  std::this_thread::sleep_for(kGrantsCountFor);
   send_engine_heartbeats();
   fails = true;
   ASSERT_TRUE(eventually([this] { return has_repeated(); }));
@@ -226,8 +219,8 @@
   slot_is_free = true;
   const std::string answer = client.read_all();
   EXPECT_EQ(status_of(answer), "HTTP/1.1 502") << answer;
-  EXPECT_EQ(posts(failing), 1U);
-  EXPECT_EQ(posts(brittle), 2U);
+  EXPECT_EQ(count_posts(failing), 1U);
+  EXPECT_EQ(count_posts(brittle), 2U);
 }
 
 // Requests whose engines were still at work at the end of the grace got no answer.
