Tests: measure cached prompt parts once the routers know the engines

The simulated engine caches a prompt when its prefill ends, so of requests sent together none finds what another brings. Holding requests back until a router knows its back ends is what it should do; the test measured the start of a fleet with it.

Change: the test first sends each router one stream with a prompt of its own and waits for both. Tests that send from the start of a fleet remain (KillingTheLeaderStopsNoRequestsAndLosesNoConfiguration asks the same completeness).

Ruled out: wrong choices of engines.

--- a/tests/process/fleet_process_test.cc
+++ b/tests/process/fleet_process_test.cc
@@ -19,6 +19,7 @@
 }
 
 TEST_F(FleetProcessTest, AllRequestsCompleteAndSharedPromptPartsAreCached) {
+  wait_until_routers_know_engines();
   const std::vector<RequestRecord> records = send(4s);
   expect_guarantees(records);
   EXPECT_EQ(complete(records), records.size());
--- a/tests/process/fleet_process_test.h
+++ b/tests/process/fleet_process_test.h
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <memory>
 
+#include "src/common/hash.h"
 #include "tests/support/paths.h"
 #include "tools/loopback_fleet.h"
 
@@ -65,6 +66,19 @@
     return run_load(fleet_->target(), classes_, plan_requests(classes_, 40, duration, ++seed_), actions);
   }
 
+  /// Sends each router a stream with a prompt of its own, and waits for the answers: a router that does not
+  /// know the engines yet holds requests back, and then sends them all at once.
+  void wait_until_routers_know_engines() {
+    std::vector<PlannedRequest> plan(fleet_->target().routers.size());
+    for (size_t router = 0; router < plan.size(); ++router) {
+      plan[router].id = to_hex(router);
+      plan[router].prompt_parts = plan[router].id + ":1";
+      plan[router].prompt_tokens = 1;
+    }
+    const std::vector<RequestRecord> records = run_load(fleet_->target(), classes_, std::move(plan));
+    EXPECT_EQ(complete(records), records.size());
+  }
+
   void expect_guarantees(const std::vector<RequestRecord>& records) {
     for (const std::string& violation : check_guarantees(classes_, records, fleet_->runs())) {
       ADD_FAILURE() << violation << "; logs in " << work_folder_;
