Tests: a restarted router ends its loop before it is destroyed

Cause: the test, not the product. It destroyed a router on the loop that goes on for the other routers of the fixture. A router's timers last as long as its loop (EventLoop::every), as in the program, where the loop ends first; so they went on to call the destroyed router. Mostly the next router got the same memory, and nothing was seen.

Evidence: with AddressSanitizer the test as it was fails 5 of 5 times: heap-use-after-free in ControlLink::connect_members, called by ControlLink::tick from the loop; freed by the vector of routers that the test cleared.

Change: RouterThread runs a router with a loop and thread of its own, as a process does. StoppingRouterTest had the same by hand and uses it, too; the call on a loop's thread moved to a header of its own. The restarted router now is asked when it knows the engines of the second version: before, it answered 10 ms after its start, before any feed had reached it, where it can't join streams in any case. So the test is stricter than before.

Ruled out: other tests that destroy what a running loop still calls. All others that were found by reading end the loop first.

--- a/tests/support/small_fleet.h
+++ b/tests/support/small_fleet.h
@@ -16,6 +16,7 @@
 #include "standins/scripted_engine.h"
 #include "tests/support/free_port.h"
 #include "tests/support/raw_client.h"
+#include "tests/support/run_on.h"
 
 namespace stoat::test {
 
@@ -38,15 +39,6 @@
   std::vector<control::LoadWeightsOrder> orders;
 };
 
-/// Runs `action` on the thread of an event loop, waits for it, and returns its result.
-template <typename Action>
-auto run_on(EventLoop& loop, Action action) {
-  auto task = std::make_shared<std::packaged_task<decltype(action())()>>(std::move(action));
-  auto result = task->get_future();
-  loop.post([task] { (*task)(); });
-  return result.get();
-}
-
 /// Returns the headers that identify a response as the backend's own response to a request.
 inline std::string engine_headers(const standins::ReceivedRequest& request) {
   return "X-Request-Id: " + request.header("X-Request-Id") + "\r\nX-Answer-Signature: s\r\n";
--- a/tests/unit/stopping_router_test.cc
+++ b/tests/unit/stopping_router_test.cc
@@ -1,6 +1,7 @@
 /// Requests at a router that is told to stop: each that was read whole gets an answer, and none that may
 /// outlast the grace is sent to an engine late.
 #include "tests/support/eventually.h"
+#include "tests/support/router_thread.h"
 #include "tests/support/small_fleet.h"
 
 namespace stoat {
@@ -34,31 +35,21 @@
     }
     ASSERT_TRUE(configure(configuration));
   }
-  void TearDown() override {
-    own_loop_.post([this] { own_loop_.stop(); });
-    own_thread_.join();
-  }
   void start_router(Duration listens_for = kListensFor) {
     router_settings_.stop_listening_after = listens_for;
     router_settings_.shutdown_timeout = kGrace;
-    stopping_router_ = make_router("stopping", own_loop_);
-    own_thread_ = std::thread([this] {
-      own_loop_.run();
-      stopping_router_.reset();
-    });
+    stopping_router_ = std::make_unique<test::RouterThread>(
+        [this](EventLoop& loop) { return make_router("stopping", loop); });
   }
   /// Adds an engine, and waits until the router that is to stop knows it.
   void add_known_engine(const std::string& service, const ScriptedEngine& engine, uint32_t slots = 8) {
     const std::string id = "engine-" + std::to_string(++engines_);
     add_engine(id, service, engine, 1, "", slots);
-    ASSERT_TRUE(eventually([&] {
-      return test::run_on(own_loop_,
-                          [&] { return stopping_router_->knows_backend(id) && stopping_router_->ready(); });
-    }));
+    ASSERT_TRUE(eventually([&] { return stopping_router_->serves(id); }));
   }
   void stop() {
-    test::run_on(own_loop_, [this] {
-      stopping_router_->stop();
+    stopping_router_->run([](gateway::GatewayServer& router) {
+      router.stop();
       return true;
     });
     stopped_at_ = Clock::now();
@@ -91,8 +82,8 @@
   }
   /// Returns whether the router has decided to send a request again.
   bool has_repeated() {
-    const std::string metrics =
-        test::run_on(own_loop_, [this] { return stopping_router_->metrics().to_text(); });
+    const std::string metrics = stopping_router_->run(
+        [](const gateway::GatewayServer& router) { return router.metrics().to_text(); });
     return metrics.find("stoat_router_repeats_total 1") != std::string::npos;
   }
   /// Sends requests until the engine runs one of them. Returns its client, or null if none runs within 10 s.
@@ -108,9 +99,7 @@
     return runs ? std::move(client) : nullptr;
   }
 
-  EventLoop own_loop_;
-  std::unique_ptr<gateway::GatewayServer> stopping_router_;
-  std::thread own_thread_;
+  std::unique_ptr<test::RouterThread> stopping_router_;
   size_t engines_ = 0;
   Clock::time_point stopped_at_;
   Clock::duration answered_after_{0};
--- a/tests/unit/stream_version_test.cc
+++ b/tests/unit/stream_version_test.cc
@@ -1,6 +1,8 @@
 /// Streams of a service whose backends have several software versions, without any rollout.
 #include <vector>
 
+#include "tests/support/eventually.h"
+#include "tests/support/router_thread.h"
 #include "tests/support/small_fleet.h"
 
 namespace stoat {
@@ -48,6 +50,15 @@
     };
     ASSERT_TRUE(wait_for(known_everywhere));
   }
+  /// Ends the router that was started here before, starts it anew, and returns its port once it is ready and
+  /// knows the back end.
+  uint16_t restart_router(const std::string& backend) {
+    restarted_router_.reset();
+    restarted_router_ = std::make_unique<test::RouterThread>(
+        [this](EventLoop& loop) { return make_router("restarted", loop); });
+    EXPECT_TRUE(test::eventually([&] { return restarted_router_->serves(backend); }));
+    return router_settings_.listen.port;
+  }
   static std::string event(int id, const std::string& version) {
     return "id: " + std::to_string(id) + "\ndata: " + version + "\n\n";
   }
@@ -102,6 +113,7 @@
 
   uint16_t second_port_ = 0;
   std::vector<std::unique_ptr<ScriptedEngine>> engines_;
+  std::unique_ptr<test::RouterThread> restarted_router_;
 };
 
 // Streams went on at another version within one answer while no rollout was ordered.
@@ -165,19 +177,12 @@
 // routers that had just started.
 TEST_F(StreamVersionTest, RestartedRouterJoinsStreamsOfTheVersionThatLeft) {
   add_engines("v1");
-  const std::string first = begin(second_port_, "restarted");
+  const std::string first = begin(restart_router("v1-1"), "restarted");
   ASSERT_EQ(version_in(first), "v1");
   add_engines("v2");
-  const auto restart_router = [this] {
-    run_on_router_loop([this] {
-      additional_routers_.clear();
-      return true;
-    });
-    return add_router();
-  };
-  EXPECT_FALSE(is_mixed(first + resume(restart_router(), "restarted-1", "restarted")));
+  EXPECT_FALSE(is_mixed(first + resume(restart_router("v2-1"), "restarted-1", "restarted")));
   remove_engines("v1");
-  EXPECT_FALSE(is_mixed(first + resume(restart_router(), "restarted-2", "restarted")));
+  EXPECT_FALSE(is_mixed(first + resume(restart_router("v2-1"), "restarted-2", "restarted")));
 }
 
 // Routers that reach no control member joined streams that they could not know.
